--- /dev/null
+++ b/crates/base/src/name.rs
@@ -0,0 +1,124 @@
+//! Checked names of things that operators declare.
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::{Deserialize, Serialize};
+
+/// The longest name that is accepted, in bytes.
+pub const NAME_LIMIT: usize = 96;
+
+/// A text that is not a valid name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NameError {
+    /// The text is empty.
+    Empty,
+    /// The text is longer than [`NAME_LIMIT`].
+    Long(usize),
+    /// The text holds a character that names may not hold.
+    Char(char),
+}
+
+impl Display for NameError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => write!(f, "a name is empty; write at least one character"),
+            Self::Long(len) => {
+                write!(f, "a name has {len} bytes; shorten it to {NAME_LIMIT} or fewer")
+            }
+            Self::Char(c) => write!(
+                f,
+                "a name holds {c:?}; use letters, digits and the signs `-`, `_`, `.`, `:`, `@`"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for NameError {}
+
+fn check(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > NAME_LIMIT {
+        return Err(NameError::Long(text.len()));
+    }
+    let valid = |c: char| c.is_ascii_alphanumeric() || "-_.:@".contains(c);
+    match text.chars().find(|&c| !valid(c)) {
+        Some(c) => Err(NameError::Char(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident)*) => {$(
+        $(#[$doc])*
+        ///
+        /// Holds 1 to [`NAME_LIMIT`] letters, digits and the signs `-_.:@`.
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                check(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = NameError;
+
+            fn try_from(text: &str) -> Result<Self, NameError> {
+                Self::try_from(text.to_owned())
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// The name of a VM.
+    VmName
+    /// The name of a failure domain.
+    DomainName
+    /// The name of a backend server: a model runner or a plain service's server.
+    ServerName
+    /// The name of a pool of runners.
+    PoolName
+    /// The name of a model.
+    ModelName
+    /// The name of a version of a model.
+    VersionName
+    /// The name of an adapter.
+    AdapterName
+    /// The name of a plain service.
+    ServiceName
+    /// The name of a caller.
+    CallerName
+    /// The name of a team of operators.
+    TeamName
+    /// The name of a kind of request.
+    KindName
+}
--- /dev/null
+++ b/crates/base/src/work.rs
@@ -0,0 +1,97 @@
+//! One caller's request in the form in which it is queued and routed.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::id::Digest;
+use crate::name::{
+    AdapterName, CallerName, KindName, ModelName, ServiceName, TeamName, VersionName,
+};
+
+/// How urgent a kind of request is; the more urgent is the lesser.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Urgency {
+    /// A person waits at a desk.
+    Urgent,
+    /// A person waits for the answer and can do something else meanwhile.
+    Normal,
+    /// Nobody waits.
+    Slow,
+}
+
+/// The name by which a caller knows its request.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestId {
+    /// The caller.
+    pub caller: CallerName,
+    /// The caller's `Idempotency-Key`.
+    pub key: String,
+}
+
+/// What a request is sent to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Target {
+    /// A model, with an adapter on top if one is named.
+    Model {
+        /// The model.
+        model: ModelName,
+        /// The model's version.
+        version: VersionName,
+        /// The adapter.
+        adapter: Option<AdapterName>,
+    },
+    /// A plain service.
+    Service {
+        /// The service.
+        name: ServiceName,
+    },
+}
+
+/// One caller's request as the system queues and routes it.
+///
+/// The body travels beside it.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// The caller's name for the request, if it gave one.
+    pub id: Option<RequestId>,
+    /// Who sent the request.
+    pub caller: CallerName,
+    /// The team that declared the kind.
+    pub team: TeamName,
+    /// The kind of request.
+    pub kind: KindName,
+    /// What the request is sent to.
+    pub target: Target,
+    /// How urgent the request is.
+    pub urgency: Urgency,
+    /// How much time is left to answer in full, counted from when this was sent.
+    ///
+    /// Daemons' clocks differ, so that a point in time would not travel.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub budget: Duration,
+    /// Whether running the request twice does no harm.
+    pub idempotent: bool,
+    /// Whether the caller wants the answer as a stream of events.
+    pub stream: bool,
+    /// The estimated length of the prompt, in tokens.
+    pub prompt: u32,
+    /// The greatest length of the answer, in tokens.
+    pub output: u32,
+    /// Chained hashes of the prompt's blocks, for prefix affinity.
+    pub prefix: Vec<u64>,
+    /// A hash of the target and the body.
+    pub digest: Digest,
+}
+
+impl Work {
+    /// The tokens that the request may occupy on a runner.
+    pub fn tokens(&self) -> u64 {
+        u64::from(self.prompt) + u64::from(self.output)
+    }
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,117 @@
+//! What one daemon reads at its start.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use chestnut_base::{DomainName, TeamName, VmName};
+use indexmap::IndexMap;
+
+/// The checked settings of one daemon.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// The VM that the daemon runs on.
+    pub vm: VmName,
+    /// The VM's failure domain.
+    pub domain: DomainName,
+    /// Where callers connect.
+    pub caller_addr: SocketAddr,
+    /// Where other daemons connect.
+    pub peer_addr: SocketAddr,
+    /// Where operators connect.
+    pub ops_addr: SocketAddr,
+    /// The base URL of the table service.
+    pub table_url: String,
+    /// The base URL of the object store.
+    pub object_url: String,
+    /// The base URL of the list of VMs.
+    pub vms_url: String,
+    /// Keys and trust between daemons.
+    pub tls: Tls,
+    /// The SHA-256 of each team's operators' key, in lower-case hexadecimal.
+    pub operators: IndexMap<TeamName, String>,
+    /// The least severe level that is logged.
+    pub log_level: LogLevel,
+    /// Times.
+    pub times: Times,
+    /// Limits of memory and number.
+    pub limits: Limits,
+}
+
+/// The daemon's certificate, its key, and whom it trusts, as PEM files.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tls {
+    /// The certificate chain.
+    pub cert: PathBuf,
+    /// The private key.
+    pub key: PathBuf,
+    /// The certificates of the authorities that sign daemons' certificates.
+    pub trust: PathBuf,
+}
+
+/// The severity from which lines are logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Only what needs an operator.
+    Error,
+    /// Also what may need an operator soon.
+    Warning,
+    /// Also changes of state.
+    Info,
+    /// Also details of changes.
+    Debug,
+}
+
+/// Times that a daemon keeps to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Times {
+    /// How long a membership lease holds after its renewal.
+    ///
+    /// At least three times `renewal`, so that two lost renewals lose no lease.
+    pub lease: Duration,
+    /// How often the lease is renewed.
+    pub renewal: Duration,
+    /// How often changes of the table are read.
+    pub poll: Duration,
+    /// How long a call to the platform may take.
+    pub platform: Duration,
+    /// How long a leaving daemon still takes new requests.
+    pub leave: Duration,
+    /// How long a daemon may go without confirming its revision.
+    pub stale: Duration,
+    /// How long a caller may keep an address.
+    pub keep: Duration,
+}
+
+/// Limits of memory and number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// The largest body of a request, in bytes.
+    pub body: usize,
+    /// Requests that the entry holds at the same time.
+    pub requests: usize,
+    /// Bytes of bodies and answers that the entry holds at the same time.
+    pub memory: usize,
+    /// The number of slots of the journal; the same on all daemons.
+    pub slots: u16,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(6),
+            renewal: Duration::from_secs(2),
+            poll: Duration::from_millis(500),
+            platform: Duration::from_secs(2),
+            leave: Duration::from_secs(3),
+            stale: Duration::from_secs(30),
+            keep: Duration::from_secs(2),
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { body: 1 << 20, requests: 4096, memory: 32 << 20, slots: 64 }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/node/src/confsync.rs
@@ -0,0 +1,1 @@
+//! Distribution of the configuration: reads the head, applies revisions.
--- /dev/null
+++ b/crates/node/src/lead.rs
@@ -0,0 +1,1 @@
+//! The queues of the backend servers that this daemon leads.
--- /dev/null
+++ b/crates/node/src/members.rs
@@ -0,0 +1,1 @@
+//! Membership and claims: renews the lease, reads changes, takes claims.
--- /dev/null
+++ b/crates/node/src/pick.rs
@@ -0,0 +1,1 @@
+//! The choice of a backend server for one attempt.
--- /dev/null
+++ b/crates/node/src/planner.rs
@@ -0,0 +1,1 @@
+//! The planner of the pools that this daemon claims.
--- /dev/null
+++ b/crates/node/src/slots.rs
@@ -0,0 +1,1 @@
+//! The slots of the journal that this daemon leads.
--- /dev/null
+++ b/crates/plat/src/table.rs
@@ -0,0 +1,243 @@
+//! The client of the transactional table service.
+//!
+//! A row is a JSON value under a table's name and a key. A transaction checks
+//! rows and then writes rows, all or nothing. The service stamps each row with
+//! a version that grows over the whole service and with its own clock's time.
+
+use std::time::Duration;
+
+use reqwest::{Client, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::error::PlatError;
+
+/// A row as the service keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The table's name.
+    pub table: String,
+    /// The row's key within the table.
+    pub key: String,
+    /// The content.
+    pub value: Value,
+    /// The version of the service at the row's last write.
+    pub version: u64,
+    /// The time of the last write by the service's clock, in milliseconds.
+    pub modified: u64,
+}
+
+/// A condition on a row, checked when the transaction commits.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "check")]
+pub enum Check {
+    /// The row does not exist.
+    Absent {
+        /// The table's name.
+        table: String,
+        /// The row's key.
+        key: String,
+    },
+    /// The row exists with just this version.
+    Version {
+        /// The table's name.
+        table: String,
+        /// The row's key.
+        key: String,
+        /// The version the row must have.
+        version: u64,
+    },
+    /// The row is absent or was not written for some time by the service's clock.
+    Idle {
+        /// The table's name.
+        table: String,
+        /// The row's key.
+        key: String,
+        /// The least age of the row, in milliseconds.
+        millis: u64,
+    },
+}
+
+/// A change of a row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "write")]
+pub enum Write {
+    /// Creates or replaces the row.
+    Put {
+        /// The table's name.
+        table: String,
+        /// The row's key.
+        key: String,
+        /// The new content.
+        value: Value,
+    },
+    /// Removes the row if it exists.
+    Delete {
+        /// The table's name.
+        table: String,
+        /// The row's key.
+        key: String,
+    },
+}
+
+/// Checks and writes that take effect together or not at all.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Txn {
+    /// What must hold.
+    pub checks: Vec<Check>,
+    /// What is written if all checks hold.
+    pub writes: Vec<Write>,
+}
+
+impl Txn {
+    /// Creates an empty transaction.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Requires that the row does not exist.
+    pub fn absent(mut self, table: &str, key: impl Into<String>) -> Self {
+        self.checks.push(Check::Absent { table: table.into(), key: key.into() });
+        self
+    }
+
+    /// Requires that the row has just this version.
+    pub fn version(mut self, table: &str, key: impl Into<String>, version: u64) -> Self {
+        self.checks.push(Check::Version {
+            table: table.into(),
+            key: key.into(),
+            version,
+        });
+        self
+    }
+
+    /// Requires that the row is absent or was not written for `age`.
+    pub fn idle(mut self, table: &str, key: impl Into<String>, age: Duration) -> Self {
+        let millis = age.as_millis() as u64;
+        self.checks.push(Check::Idle { table: table.into(), key: key.into(), millis });
+        self
+    }
+
+    /// Creates or replaces a row.
+    pub fn put(mut self, table: &str, key: impl Into<String>, value: Value) -> Self {
+        self.writes.push(Write::Put { table: table.into(), key: key.into(), value });
+        self
+    }
+
+    /// Removes a row.
+    pub fn delete(mut self, table: &str, key: impl Into<String>) -> Self {
+        self.writes.push(Write::Delete { table: table.into(), key: key.into() });
+        self
+    }
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "answer")]
+pub enum TxnAnswer {
+    /// All checks held and all writes took effect.
+    Committed {
+        /// The version of the rows that were written.
+        version: u64,
+        /// The service's clock, in milliseconds.
+        now: u64,
+    },
+    /// A check failed and nothing was written.
+    Conflict {
+        /// The index of the first check that failed.
+        check: usize,
+        /// The row as it is, if it exists.
+        row: Option<Row>,
+    },
+}
+
+/// The rows of a table that changed after a version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The rows that exist and were written after the version.
+    pub rows: Vec<Row>,
+    /// The keys of rows that were removed after the version.
+    pub gone: Vec<String>,
+    /// The version up to which this is complete; ask from here next.
+    pub version: u64,
+    /// The service's clock, in milliseconds.
+    pub now: u64,
+}
+
+/// What a read asks for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Scan {
+    /// The table's name.
+    pub table: String,
+    /// Only keys that start with this.
+    #[serde(default)]
+    pub prefix: String,
+    /// Only changes after this version; 0 reads all rows.
+    #[serde(default)]
+    pub since: u64,
+}
+
+/// The client of the transactional table service.
+#[derive(Debug, Clone)]
+pub struct Table {
+    base: String,
+    http: Client,
+}
+
+impl Table {
+    /// Creates a client of the service at `base`, such as `http://10.0.0.5:7000`.
+    ///
+    /// Calls that take longer than `timeout` fail.
+    pub fn new(base: impl Into<String>, timeout: Duration) -> Result<Self, PlatError> {
+        let http = Client::builder().timeout(timeout).no_proxy().build()?;
+        Ok(Self { base: base.into(), http })
+    }
+
+    /// Commits a transaction.
+    pub async fn commit(&self, txn: &Txn) -> Result<TxnAnswer, PlatError> {
+        self.call("/v1/table/commit", txn).await
+    }
+
+    /// Reads the rows that changed after a version.
+    pub async fn scan(
+        &self,
+        table: &str,
+        prefix: &str,
+        since: u64,
+    ) -> Result<Delta, PlatError> {
+        let scan = Scan { table: table.into(), prefix: prefix.into(), since };
+        self.call("/v1/table/scan", &scan).await
+    }
+
+    /// Reads one row.
+    pub async fn get(&self, table: &str, key: &str) -> Result<Option<Row>, PlatError> {
+        let delta = self.scan(table, key, 0).await?;
+        Ok(delta.rows.into_iter().find(|row| row.key == key))
+    }
+
+    async fn call<Q: Serialize, A: for<'de> Deserialize<'de>>(
+        &self,
+        path: &str,
+        question: &Q,
+    ) -> Result<A, PlatError> {
+        let url = format!("{}{path}", self.base);
+        let answer = self.http.post(url).json(question).send().await?;
+        check_status(answer.status())?;
+        Ok(answer.json().await?)
+    }
+}
+
+/// Turns a status into an error; the services answer 503 before they do anything.
+pub(crate) fn check_status(status: StatusCode) -> Result<(), PlatError> {
+    if status.is_success() {
+        Ok(())
+    } else if status == StatusCode::SERVICE_UNAVAILABLE
+        || status == StatusCode::TOO_MANY_REQUESTS
+    {
+        Err(PlatError::Down(format!("status {status}")))
+    } else if status.is_server_error() {
+        Err(PlatError::Unknown(format!("status {status}")))
+    } else {
+        Err(PlatError::Protocol(format!("status {status}")))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,16 @@
+//! The messages between the system's own processes.
+//!
+//! Each question travels on a bidirectional stream of its own, so that a slow
+//! answer holds up no other:
+//!
+//! 1. the asking daemon opens a stream and sends one [`Ask`],
+//! 2. the other daemon answers with [`Say`] frames until a final one,
+//! 3. either side resets the stream to break off.
+//!
+//! [`frame`] turns messages into length-prefixed bytes and back.
+
+pub mod frame;
+pub mod message;
+
+pub use frame::{FRAME_LIMIT, FrameError, Frames, encode};
+pub use message::{Ask, Call, Hint, Load, Once, OnceState, Resume, Run, Say, Status};
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,217 @@
+//! The messages themselves.
+
+use bytes::Bytes;
+use chestnut_base::{
+    AttemptId, Fence, MemberId, Refusal, RequestId, Revision, ServerName, VmName, Work,
+};
+use serde::{Deserialize, Serialize};
+
+/// What one daemon asks of another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Run a request on a backend server that the other daemon leads.
+    Run(Run),
+    /// Run a non-idempotent request whose slot the other daemon leads.
+    Once(Once),
+    /// Tell what became of a non-idempotent request.
+    Lookup(RequestId),
+    /// Take part in spreading what members know; the content is the `member` crate's.
+    Gossip(Bytes),
+    /// Hand over the text of a configuration's revision.
+    Config(Revision),
+    /// Tell how the other daemon is.
+    Status,
+}
+
+/// One attempt at a request on one backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    /// The number of the attempt.
+    pub attempt: AttemptId,
+    /// The backend server that was picked.
+    pub server: ServerName,
+    /// The claim's fence as the asking daemon knows it.
+    pub fence: Fence,
+    /// The request.
+    pub work: Work,
+    /// How to call the backend server.
+    pub call: Call,
+    /// Where to go on if an earlier attempt broke off.
+    pub resume: Option<Resume>,
+}
+
+/// The call as the caller made it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Call {
+    /// The HTTP method.
+    pub method: String,
+    /// The path and query at the backend server.
+    pub path: String,
+    /// The content type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The tokens that a caller already has of a broken answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resume {
+    /// How many tokens the caller has.
+    pub tokens: u32,
+    /// Their text.
+    pub text: String,
+}
+
+/// A non-idempotent request on its way to the lead of its slot.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Once {
+    /// The request; its id is always present.
+    pub work: Work,
+    /// How to call the backend server.
+    pub call: Call,
+}
+
+/// A frame of an answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Say {
+    /// The request was admitted and will be dispatched; nothing was sent yet.
+    Queued,
+    /// The request was not dispatched, and this daemon will not dispatch it.
+    ///
+    /// Final.
+    Refused {
+        /// Why, and when to come back.
+        refusal: Refusal,
+        /// Whether another backend server may take it, and which are better.
+        hint: Hint,
+    },
+    /// The request was handed to the backend server's connection.
+    Dispatched,
+    /// The backend server answered with a status.
+    Head {
+        /// The HTTP status.
+        status: u16,
+        /// The content type of the body.
+        content_type: String,
+    },
+    /// Tokens of a model's answer.
+    Tokens {
+        /// The number of the first token in the whole answer, from 0.
+        first: u32,
+        /// How many tokens the text holds.
+        count: u32,
+        /// The text.
+        text: String,
+    },
+    /// Bytes of a plain service's answer.
+    Chunk(Bytes),
+    /// The answer is whole.
+    ///
+    /// Final. An answer without it was cut off.
+    End {
+        /// Why the model stopped, in the engine's words; empty for services.
+        reason: String,
+        /// The load of the backend server after this request.
+        load: Load,
+    },
+    /// The attempt was handed to the backend server and broke off.
+    ///
+    /// Final.
+    Broken {
+        /// Why.
+        message: String,
+        /// Whether the backend server itself died.
+        crashed: bool,
+    },
+    /// The state of a non-idempotent request; the answer to [`Ask::Lookup`].
+    ///
+    /// Final.
+    Once(OnceState),
+    /// The answer to [`Ask::Gossip`].
+    ///
+    /// Final.
+    Gossip(Bytes),
+    /// The text of a configuration's revision, or nothing if it is not known.
+    ///
+    /// Final.
+    Config(Option<Bytes>),
+    /// The answer to [`Ask::Status`].
+    ///
+    /// Final.
+    Status(Status),
+}
+
+impl Say {
+    /// Whether no frame follows this one.
+    pub fn is_final(&self) -> bool {
+        !matches!(
+            self,
+            Self::Queued
+                | Self::Dispatched
+                | Self::Head { .. }
+                | Self::Tokens { .. }
+                | Self::Chunk(_)
+        )
+    }
+}
+
+/// Where a refused request may go instead.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Hint {
+    /// Whether trying another backend server is of use.
+    pub elsewhere: bool,
+    /// The load of the backend server that refused.
+    pub load: Option<Load>,
+}
+
+/// How loaded a backend server is, as its lead knows it exactly.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that the backend server runs.
+    pub running: u32,
+    /// Requests that wait at the lead.
+    pub queued: u32,
+    /// Tokens that running and waiting requests may occupy.
+    pub tokens: u64,
+    /// The estimated wait of a normal request that comes now, in milliseconds.
+    pub wait_ms: u32,
+    /// The measured time of an engine step, in microseconds; 0 if not known.
+    pub step_us: u32,
+}
+
+/// The state of a non-idempotent request in its slot's journal.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum OnceState {
+    /// The id was never started.
+    Unknown,
+    /// The request runs now.
+    Running,
+    /// The request was started and its answer is not known.
+    InDoubt,
+    /// The request ended; its answer is stored.
+    Done {
+        /// The HTTP status.
+        status: u16,
+        /// The content type of the body.
+        content_type: String,
+        /// The body.
+        body: Bytes,
+    },
+    /// The slot's lead can't tell now.
+    Unreadable(String),
+}
+
+/// How a daemon is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The daemon's VM.
+    pub vm: VmName,
+    /// This start of the daemon.
+    pub member: MemberId,
+    /// The revision in force.
+    pub revision: Revision,
+    /// Whether the daemon is leaving.
+    pub leaving: bool,
+    /// Requests in flight at its entry.
+    pub requests: u32,
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Whole-process tests.
