--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -22,4 +22,4 @@
     ServerName, ServiceName, TeamName, VersionName, VmName,
 };
 pub use outcome::{Code, Outcome, Refusal};
-pub use work::{RequestId, Target, Urgency, Work};
+pub use work::{RequestId, Target, Urgency, Work, prefix_hashes};
--- a/crates/base/src/work.rs
+++ b/crates/base/src/work.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::id::Digest;
 use crate::name::{
@@ -95,3 +96,22 @@
         u64::from(self.prompt) + u64::from(self.output)
     }
 }
+
+/// The length of a block of prompt text that engines cache as one, in bytes.
+pub const PREFIX_BLOCK: usize = 64;
+
+/// The greatest number of blocks of a prompt that are hashed.
+pub const PREFIX_LIMIT: usize = 32;
+
+/// Chained hashes of a prompt's whole blocks: equal at `i` if all text up to it is.
+pub fn prefix_hashes(text: &str) -> Vec<u64> {
+    let mut last = 0;
+    text.as_bytes()
+        .chunks_exact(PREFIX_BLOCK)
+        .take(PREFIX_LIMIT)
+        .map(|block| {
+            last = xxh3_64_with_seed(block, last);
+            last
+        })
+        .collect()
+}
