Add the stand-ins and make the platform's clients honest about lost answers

Platform (table, objects, VM list, weight store), model engine and plain service, embeddable and as chestnut-stand-in, with faults switched at run time.

Clients: an answer that broke off after its status, or can't be read, was a protocol error; a caller could take it for 'nothing was done'. It is Unknown now. One row is read by its key, no longer by a scan of its prefix.

--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,8 +1,30 @@
 //! Stand-ins of the platform, model engines and plain services, for tests.
+//!
+//! Each is an HTTP server that keeps its state in memory, can be embedded or
+//! run as a process, and has faults that are switched while it runs:
+//!
+//! - [`platform`]: the [`table`] service, the store of [`objects`], the list of
+//!   [`vms`] and the store of [`weights`], behind one port,
+//! - [`engine`]: a model engine,
+//! - [`service`]: a plain service.
+//!
+//! `POST /faults` switches [`faults`], `GET /counts` tells what really ran.
 
-use std::process::ExitCode;
+mod cli;
+pub mod engine;
+pub mod faults;
+pub mod objects;
+pub mod platform;
+mod port;
+pub mod service;
+pub mod table;
+pub mod vms;
+pub mod weights;
 
-/// Runs the program.
-pub fn main() -> ExitCode {
-    ExitCode::SUCCESS
-}
+pub use cli::main;
+pub use engine::text::expected_text;
+pub use engine::{EngineConfig, EngineCounts};
+pub use platform::PlatformCounts;
+pub use port::Handle;
+pub use service::{ServiceConfig, ServiceCounts};
+pub use weights::WeightSpeed;
--- /dev/null
+++ b/crates/fake/src/table.rs
@@ -0,0 +1,135 @@
+//! The rows of the table service.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use chestnut_plat::table::Scan;
+use chestnut_plat::{Check, Delta, Row, Txn, TxnAnswer, Write};
+use serde_json::Value;
+
+/// All tables.
+#[derive(Debug, Default)]
+pub struct Tables {
+    /// The version of the last commit that wrote.
+    version: u64,
+    tables: BTreeMap<String, Rows>,
+}
+
+/// The rows of one table.
+#[derive(Debug, Default)]
+struct Rows {
+    rows: BTreeMap<String, Row>,
+    /// The version at which a key was removed; never holds a key of `rows`.
+    gone: BTreeMap<String, u64>,
+    /// The last change of every key of `rows` and `gone`, in the order of versions.
+    log: BTreeSet<(u64, String)>,
+}
+
+impl Tables {
+    /// Commits a transaction at the time `now`, in milliseconds.
+    pub fn commit(&mut self, txn: Txn, now: u64) -> TxnAnswer {
+        for (index, check) in txn.checks.iter().enumerate() {
+            let (table, key) = target(check);
+            let row = self.get(table, key);
+            if !holds(check, row, now) {
+                return TxnAnswer::Conflict { check: index, row: row.cloned() };
+            }
+        }
+        if !txn.writes.is_empty() {
+            self.version += 1;
+        }
+        for write in txn.writes {
+            self.apply(write, now);
+        }
+        TxnAnswer::Committed { version: self.version, now }
+    }
+
+    /// Reads the changes of a table.
+    pub fn scan(&self, scan: &Scan, now: u64) -> Delta {
+        let mut delta =
+            Delta { rows: Vec::new(), gone: Vec::new(), version: self.version, now };
+        let Some(table) = self.tables.get(&scan.table) else { return delta };
+        if scan.since == 0 {
+            let from = table.rows.range(scan.prefix.clone()..);
+            let rows = from.take_while(|(key, _)| key.starts_with(&scan.prefix));
+            delta.rows.extend(rows.map(|(_, row)| row.clone()));
+            return delta;
+        }
+        for (_, key) in table.log.range((scan.since + 1, String::new())..) {
+            if !key.starts_with(&scan.prefix) {
+                continue;
+            }
+            match table.rows.get(key) {
+                Some(row) => delta.rows.push(row.clone()),
+                None => delta.gone.push(key.clone()),
+            }
+        }
+        delta
+    }
+
+    /// Reads one row.
+    pub fn get(&self, table: &str, key: &str) -> Option<&Row> {
+        self.tables.get(table)?.rows.get(key)
+    }
+
+    fn apply(&mut self, write: Write, now: u64) {
+        let version = self.version;
+        match write {
+            Write::Put { table, key, value } => {
+                let rows = self.tables.entry(table.clone()).or_default();
+                rows.put(Row { table, key, value, version, modified: now });
+            }
+            Write::Delete { table, key } => {
+                self.tables.entry(table).or_default().delete(key, version);
+            }
+        }
+    }
+}
+
+impl Rows {
+    fn put(&mut self, row: Row) {
+        self.forget(&row.key);
+        self.log.insert((row.version, row.key.clone()));
+        self.rows.insert(row.key.clone(), row);
+    }
+
+    fn delete(&mut self, key: String, version: u64) {
+        if !self.rows.contains_key(&key) {
+            return;
+        }
+        self.forget(&key);
+        self.log.insert((version, key.clone()));
+        self.gone.insert(key, version);
+    }
+
+    fn forget(&mut self, key: &str) {
+        let row = self.rows.remove(key).map(|row| row.version);
+        if let Some(version) = row.or_else(|| self.gone.remove(key)) {
+            self.log.remove(&(version, key.to_owned()));
+        }
+    }
+}
+
+fn target(check: &Check) -> (&str, &str) {
+    match check {
+        Check::Absent { table, key }
+        | Check::Version { table, key, .. }
+        | Check::Idle { table, key, .. } => (table, key),
+    }
+}
+
+fn holds(check: &Check, row: Option<&Row>, now: u64) -> bool {
+    match (check, row) {
+        (Check::Absent { .. }, row) => row.is_none(),
+        (Check::Version { version, .. }, Some(row)) => row.version == *version,
+        (Check::Version { .. }, None) => false,
+        (Check::Idle { .. }, None) => true,
+        (Check::Idle { millis, .. }, Some(row)) => {
+            now.saturating_sub(row.modified) >= *millis
+        }
+    }
+}
+
+/// A value that stands for no row in an answer.
+pub(crate) fn row_value(row: Option<&Row>) -> Value {
+    row.map_or(Value::Null, |row| serde_json::json!(row))
+}
--- /dev/null
+++ b/crates/fake/tests/parts.rs
@@ -0,0 +1,122 @@
+//! The parts of the stand-ins that need no network, and the plain service.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use chestnut_fake::engine::batch::{Batch, Question};
+use chestnut_fake::engine::memory::Memory;
+use chestnut_fake::vms::VmHistory;
+use chestnut_fake::{ServiceConfig, ServiceCounts, service};
+use chestnut_plat::{VmRole, VmRow, VmState};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+fn question(priority: u8, tokens: u32) -> Question {
+    let (model, prompt) = ("m".to_owned(), "p".to_owned());
+    Question { model, prompt, tokens, from: 0, until: 1, priority }
+}
+
+#[test]
+fn batch_starts_the_most_urgent_first() {
+    let mut batch = Batch::new(1, 1000);
+    for (id, priority) in [("slow", 2), ("normal", 1), ("urgent", 0), ("late", 0)] {
+        batch.offer(id, question(priority, 9)).unwrap();
+    }
+    let mut order = Vec::new();
+    while batch.jobs_waiting() > 0 {
+        batch.admit(|question| order.push(question.priority));
+        assert_eq!(batch.step(), 1);
+    }
+    assert_eq!(order, [0, 0, 1, 2]);
+}
+
+proptest! {
+    #[test]
+    fn batch_never_exceeds_its_room(
+        asks in prop::collection::vec((0u8..3, 1u32..60), 1..40),
+        cancels in prop::collection::vec(0usize..40, 0..20),
+    ) {
+        let mut batch = Batch::new(4, 100);
+        for (index, (priority, tokens)) in asks.iter().enumerate() {
+            batch.offer(&index.to_string(), question(*priority, *tokens)).unwrap();
+        }
+        for round in 0..asks.len() {
+            batch.admit(|_| {});
+            prop_assert!(batch.jobs_running() <= 4 && batch.kv_tokens() <= 100);
+            if let Some(index) = cancels.get(round) {
+                batch.cancel(&index.to_string());
+            }
+            batch.step();
+        }
+        prop_assert_eq!((batch.jobs_waiting(), batch.kv_tokens()), (0, 0));
+    }
+
+    #[test]
+    fn memory_accounts_for_what_it_holds(
+        orders in prop::collection::vec((0u8..4, 0u8..6, 1u64..60), 1..60),
+    ) {
+        let mut memory = Memory::new(100);
+        for (op, name, bytes) in orders {
+            let model = format!("m{name}@1");
+            match op {
+                // A refusal is one of the outcomes that are tried here.
+                0 => { memory.load_model(&model, bytes).ok(); }
+                1 => { memory.load_adapter(&format!("a{name}"), &model, bytes).ok(); }
+                2 => { memory.loaded(&model); }
+                _ => { memory.unload(&model); memory.sweep(|_| false); }
+            }
+            let models = memory.models.values().map(|held| held.bytes);
+            let adapters = memory.adapters.values().map(|(_, held)| held.bytes);
+            prop_assert_eq!(models.chain(adapters).sum::<u64>(), memory.used);
+            prop_assert!(memory.used <= memory.capacity);
+            prop_assert!(memory.peak >= memory.used);
+        }
+    }
+}
+
+#[test]
+fn vm_list_lags() {
+    let row = |state| VmRow {
+        vm: "vm".try_into().unwrap(),
+        domain: "d".try_into().unwrap(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        state,
+        role: VmRole::Entry,
+    };
+    let start = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut vms = VmHistory::default();
+    vms.put(start, row(VmState::Live));
+    vms.put(start + 10 * second, row(VmState::Leaving));
+    let state = |at, lag| vms.read(start + at, lag)[0].state;
+    assert_eq!(state(11 * second, 2 * second), VmState::Live);
+    assert_eq!(state(12 * second, 2 * second), VmState::Leaving);
+}
+
+/// The caller sees a broken connection, and the run is counted all the same.
+#[tokio::test]
+async fn service_counts_runs_also_when_the_answer_is_lost() {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let config = ServiceConfig { name: "desk".into(), work: Duration::ZERO };
+    let desk = service::start(any, config).await.unwrap();
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    let call = || {
+        let call = http.post(format!("{}/seats?row=1", desk.url())).body("two");
+        call.header("x-request-id", "a-1").header("idempotency-key", "k")
+    };
+    let answer: Value = call().send().await.unwrap().json().await.unwrap();
+    let expected = json!({
+        "service": "desk", "method": "POST", "path": "/seats?row=1", "echo": "two",
+        "run": 1,
+    });
+    assert_eq!(answer, expected);
+    let faults = format!("{}/faults", desk.url());
+    let fault = json!({"lose_answers": 1});
+    http.post(&faults).json(&fault).send().await.unwrap();
+    assert!(call().send().await.is_err());
+    let wrong = http.post(&faults).json(&json!({"donw": true})).send().await.unwrap();
+    assert!(wrong.status().is_client_error());
+    let counts = http.get(format!("{}/counts", desk.url())).send().await.unwrap();
+    let counts: ServiceCounts = counts.json().await.unwrap();
+    assert_eq!((counts.runs["k"], counts.active), (2, 0));
+}
--- a/crates/plat/src/error.rs
+++ b/crates/plat/src/error.rs
@@ -37,10 +37,9 @@
 impl From<reqwest::Error> for PlatError {
     fn from(error: reqwest::Error) -> Self {
         let text = error.to_string();
+        // Nothing was sent over a connection that never stood.
         if error.is_connect() || error.is_builder() {
             Self::Down(text)
-        } else if error.is_decode() {
-            Self::Protocol(text)
         } else {
             Self::Unknown(text)
         }
--- a/crates/plat/src/object.rs
+++ b/crates/plat/src/object.rs
@@ -6,7 +6,7 @@
 use reqwest::{Client, StatusCode};
 
 use crate::error::PlatError;
-use crate::table::check_status;
+use crate::table::{check_status, lost, read_json};
 
 /// The client of the object store: whole values under keys.
 #[derive(Debug, Clone)]
@@ -52,7 +52,7 @@
             return Ok(None);
         }
         check_status(answer.status())?;
-        Ok(Some(answer.bytes().await?))
+        Ok(Some(answer.bytes().await.map_err(lost)?))
     }
 
     /// Removes a value if it exists.
@@ -66,7 +66,7 @@
         let url = format!("{}/v1/objects", self.base);
         let answer = self.http.get(url).query(&[("prefix", prefix)]).send().await?;
         check_status(answer.status())?;
-        Ok(answer.json().await?)
+        read_json(answer).await
     }
 
     fn url(&self, key: &str) -> String {
--- a/crates/plat/src/table.rs
+++ b/crates/plat/src/table.rs
@@ -177,6 +177,20 @@
     pub since: u64,
 }
 
+/// Which row a read asks for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Lookup {
+    /// The table's name.
+    pub table: String,
+    /// The row's key.
+    pub key: String,
+}
+
+#[derive(Deserialize)]
+struct Found {
+    row: Option<Row>,
+}
+
 /// The client of the transactional table service.
 #[derive(Debug, Clone)]
 pub struct Table {
@@ -211,8 +225,9 @@
 
     /// Reads one row.
     pub async fn get(&self, table: &str, key: &str) -> Result<Option<Row>, PlatError> {
-        let delta = self.scan(table, key, 0).await?;
-        Ok(delta.rows.into_iter().find(|row| row.key == key))
+        let lookup = Lookup { table: table.into(), key: key.into() };
+        let found: Found = self.call("/v1/table/get", &lookup).await?;
+        Ok(found.row)
     }
 
     async fn call<Q: Serialize, A: for<'de> Deserialize<'de>>(
@@ -223,10 +238,26 @@
         let url = format!("{}{path}", self.base);
         let answer = self.http.post(url).json(question).send().await?;
         check_status(answer.status())?;
-        Ok(answer.json().await?)
+        read_json(answer).await
     }
 }
 
+/// Reads an answer that says the call took effect.
+///
+/// An answer that broke off or can't be read does not undo the call, so that
+/// both count as lost; to take them for a refusal would run a write twice.
+pub(crate) async fn read_json<A: for<'de> Deserialize<'de>>(
+    answer: reqwest::Response,
+) -> Result<A, PlatError> {
+    let bytes = answer.bytes().await.map_err(lost)?;
+    serde_json::from_slice(&bytes).map_err(|error| PlatError::Unknown(error.to_string()))
+}
+
+/// An answer that broke off after its status.
+pub(crate) fn lost(error: reqwest::Error) -> PlatError {
+    PlatError::Unknown(error.to_string())
+}
+
 /// Turns a status into an error; the services answer 503 before they do anything.
 pub(crate) fn check_status(status: StatusCode) -> Result<(), PlatError> {
     if status.is_success() {
--- a/crates/plat/src/vms.rs
+++ b/crates/plat/src/vms.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::PlatError;
-use crate::table::check_status;
+use crate::table::{check_status, read_json};
 
 /// What a VM is for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,6 +72,6 @@
     pub async fn read(&self) -> Result<Vec<VmRow>, PlatError> {
         let answer = self.http.get(format!("{}/v1/vms", self.base)).send().await?;
         check_status(answer.status())?;
-        Ok(answer.json().await?)
+        read_json(answer).await
     }
 }
