Check settings and declarations, and commit changes of them

Settings and each team's declarations are read field by field, so that all problems are reported at once with file, line, column, field and remedy. All teams' declarations are checked together into the catalog. A daemon polls the rows of files that changed and publishes the newest catalog; a change is one transaction on the head with its final answer under the change's id.

Not proved yet: interleavings of racing changes, behaviour during outages.

--- /dev/null
+++ b/crates/config/src/declare.rs
@@ -0,0 +1,235 @@
+//! One team's declarations, field by field.
+
+use std::time::Duration;
+
+use chestnut_base::{
+    AdapterName, CallerName, KindName, ModelName, NameError, PoolName, ServiceName,
+    TeamName, Urgency,
+};
+use indexmap::IndexMap;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_with::DurationMilliSeconds;
+
+use crate::catalog::{Adapter, Caller, Kind, Model, Pool, Route, Service};
+use crate::keys::is_sha256;
+use crate::problem::{Problems, Spot};
+use crate::source::{Fields, read_file};
+
+const BYTES: &str = "a whole number of bytes";
+const MILLIS: &str = "a whole number of milliseconds, such as 2000";
+const COUNT: &str = "a whole number greater than zero";
+const NUMBER: &str = "a number of zero or more";
+
+/// The texts of one team's files, by the files' names.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamText {
+    /// The text of each file.
+    pub files: IndexMap<String, String>,
+}
+
+/// A declared thing and where its text stands.
+#[derive(Debug, Clone)]
+pub struct Declared<T> {
+    /// The thing.
+    pub item: T,
+    /// Where its name stands.
+    pub at: Spot,
+    /// Where each of its fields that refer to other things stands.
+    pub refs: IndexMap<&'static str, Spot>,
+}
+
+/// Everything that one team declares, checked by itself.
+#[derive(Debug, Clone, Default)]
+pub struct Team {
+    /// Pools of runners.
+    pub pools: Vec<(PoolName, Declared<Pool>)>,
+    /// Models.
+    pub models: Vec<(ModelName, Declared<Model>)>,
+    /// Adapters.
+    pub adapters: Vec<(AdapterName, Declared<Adapter>)>,
+    /// Plain services.
+    pub services: Vec<(ServiceName, Declared<Service>)>,
+    /// Kinds of request.
+    pub kinds: Vec<(KindName, Declared<Kind>)>,
+    /// Callers.
+    pub callers: Vec<(CallerName, Declared<Caller>)>,
+    /// Routes.
+    pub routes: Vec<(String, Declared<Route>)>,
+}
+
+impl Team {
+    /// Reads and checks all files of a team.
+    pub fn parse(team: &TeamName, text: &TeamText, problems: &mut Problems) -> Self {
+        let mut found = Self::default();
+        for (file, text) in &text.files {
+            let file = format!("{team}/{file}");
+            read_file(&file, text, problems, |fields| {
+                found.read(team, fields);
+                Some(())
+            });
+        }
+        found
+    }
+
+    fn read(&mut self, team: &TeamName, fields: &mut Fields<'_>) {
+        section(fields, "pools", &mut self.pools, &[], |f| pool(team, f));
+        section(fields, "models", &mut self.models, &["pool"], |f| model(team, f));
+        section(fields, "adapters", &mut self.adapters, &["model"], |f| adapter(team, f));
+        section(fields, "services", &mut self.services, &["kind"], |f| service(team, f));
+        section(fields, "kinds", &mut self.kinds, &[], |f| kind(team, f));
+        section(fields, "callers", &mut self.callers, &["key_sha256"], |f| {
+            caller(team, f)
+        });
+        let refs = ["model", "adapter", "kind"];
+        let mut routes: Vec<(ModelName, _)> = Vec::new();
+        section(fields, "routes", &mut routes, &refs, |f| route(team, f));
+        let routes = routes.into_iter().map(|(name, it)| (name.to_string(), it));
+        self.routes.extend(routes);
+    }
+}
+
+fn section<K, T>(
+    fields: &mut Fields<'_>,
+    name: &'static str,
+    into: &mut Vec<(K, Declared<T>)>,
+    refs: &[&'static str],
+    mut read: impl FnMut(&mut Fields<'_>) -> Option<T>,
+) where
+    K: TryFrom<String, Error = NameError>,
+{
+    fields.entries(name, |key, at, fields| {
+        let item = read(fields);
+        let refs = refs.iter().map(|&name| (name, fields.spot(name))).collect();
+        match K::try_from(key.to_owned()) {
+            Ok(key) => {
+                if let Some(item) = item {
+                    into.push((key, Declared { item, at, refs }));
+                }
+            }
+            Err(error) => {
+                fields.problem_at(
+                    at,
+                    format!("the name {key:?} is invalid"),
+                    &error.to_string(),
+                );
+            }
+        }
+    });
+}
+
+fn pool(team: &TeamName, fields: &mut Fields<'_>) -> Option<Pool> {
+    let memory = count(fields, "memory", BYTES);
+    let accelerators = count(fields, "accelerators", COUNT);
+    let streams = count(fields, "streams", COUNT);
+    let tokens = count(fields, "tokens", COUNT);
+    let step = millis(fields, "step_ms");
+    let fenced = fields.need("fenced", "true if the engines refuse old fences");
+    let parallel_loads = count(fields, "parallel_loads", COUNT);
+    let load_rate = fields.need("load_rate", NUMBER);
+    let valid = load_rate.is_none_or(|rate: f64| rate > 0.0);
+    fields.check("load_rate", valid, "no load would ever start", "write more than zero");
+    let attainment_weight = weight(fields, "attainment_weight");
+    let move_weight = weight(fields, "move_weight");
+    Some(Pool {
+        team: team.clone(),
+        memory: memory?,
+        accelerators: accelerators?,
+        streams: streams?,
+        tokens: tokens?,
+        step: step?,
+        fenced: fenced?,
+        parallel_loads: parallel_loads?,
+        load_rate: load_rate?,
+        attainment_weight,
+        move_weight,
+    })
+}
+
+fn model(team: &TeamName, fields: &mut Fields<'_>) -> Option<Model> {
+    let pool = fields.need("pool", "the name of a pool");
+    let version = fields.need("version", "the version that requests get, such as \"v3\"");
+    let bytes = count(fields, "bytes", BYTES);
+    let cold = millis(fields, "cold_ms");
+    let replicas = fields.get("replicas", 1, COUNT);
+    fields.check(
+        "replicas",
+        replicas > 0,
+        "the model would not be reachable",
+        "write 1 or more",
+    );
+    Some(Model {
+        team: team.clone(),
+        pool: pool?,
+        version: version?,
+        bytes: bytes?,
+        cold: cold?,
+        replicas,
+    })
+}
+
+fn adapter(team: &TeamName, fields: &mut Fields<'_>) -> Option<Adapter> {
+    let model = fields.need("model", "the name of a model");
+    let bytes = count(fields, "bytes", BYTES);
+    Some(Adapter { team: team.clone(), model: model?, bytes: bytes? })
+}
+
+fn service(team: &TeamName, fields: &mut Fields<'_>) -> Option<Service> {
+    let parallel = count(fields, "parallel", COUNT);
+    let kind = fields.get("kind", None, "the name of a kind of request");
+    Some(Service { team: team.clone(), parallel: parallel?, kind })
+}
+
+fn kind(team: &TeamName, fields: &mut Fields<'_>) -> Option<Kind> {
+    let urgency =
+        fields.need::<Urgency>("urgency", "one of \"urgent\", \"normal\", \"slow\"");
+    let deadline = millis(fields, "deadline_ms");
+    let idempotent =
+        fields.need("idempotent", "true only if running a request twice does no harm");
+    Some(Kind {
+        team: team.clone(),
+        urgency: urgency?,
+        deadline: deadline?,
+        idempotent: idempotent?,
+    })
+}
+
+fn caller(team: &TeamName, fields: &mut Fields<'_>) -> Option<Caller> {
+    let form = "the 64 lower-case hexadecimal digits of the key's SHA-256";
+    let key = fields.need::<String>("key_sha256", form);
+    let valid = key.as_deref().is_none_or(is_sha256);
+    fields.check("key_sha256", valid, "this is no SHA-256", &format!("write {form}"));
+    let share = fields.get("share", 1, COUNT);
+    fields.check("share", share > 0, "the caller would get nothing", "write 1 or more");
+    Some(Caller { team: team.clone(), key_sha256: key?, share })
+}
+
+fn route(team: &TeamName, fields: &mut Fields<'_>) -> Option<Route> {
+    let model = fields.need("model", "the name of a model");
+    let adapter = fields.get("adapter", None, "the name of an adapter");
+    let kind = fields.get("kind", None, "the name of a kind of request");
+    Some(Route { team: team.clone(), model: model?, adapter, kind })
+}
+
+fn count<T>(fields: &mut Fields<'_>, name: &'static str, form: &str) -> Option<T>
+where
+    T: DeserializeOwned + Default + PartialEq,
+{
+    let number: Option<T> = fields.need(name, form);
+    let valid = number.as_ref().is_none_or(|it| *it != T::default());
+    fields.check(name, valid, "this is zero", &format!("write {form}"));
+    number
+}
+
+fn millis(fields: &mut Fields<'_>, name: &'static str) -> Option<Duration> {
+    let time = fields.need_as::<Duration, DurationMilliSeconds<u64>>(name, MILLIS);
+    let valid = time.is_none_or(|it| !it.is_zero());
+    fields.check(name, valid, "the time is zero", &format!("write {MILLIS}"));
+    time
+}
+
+fn weight(fields: &mut Fields<'_>, name: &'static str) -> f64 {
+    let weight = fields.get(name, 1.0, NUMBER);
+    fields.check(name, weight >= 0.0, "a weight is negative", &format!("write {NUMBER}"));
+    weight
+}
--- /dev/null
+++ b/crates/config/src/problem.rs
@@ -0,0 +1,119 @@
+//! What is wrong with a text, where, and what to write instead.
+
+use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A place in a file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spot {
+    /// The file's name.
+    pub file: Arc<str>,
+    /// The line, from 1.
+    pub line: usize,
+    /// The column in characters, from 1.
+    pub column: usize,
+    /// The path of the field, such as `times.lease_ms`; empty for the whole file.
+    pub field: String,
+}
+
+impl Spot {
+    /// The place of a byte of a text.
+    pub fn new(file: &Arc<str>, text: &str, byte: usize, field: String) -> Self {
+        let before = text.get(..byte).unwrap_or(text);
+        let line = before.matches('\n').count() + 1;
+        let start = before.rfind('\n').map_or(0, |at| at + 1);
+        let column = before[start..].chars().count() + 1;
+        Self { file: file.clone(), line, column, field }
+    }
+}
+
+impl Display for Spot {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}", self.file, self.line, self.column)
+    }
+}
+
+/// One thing that is wrong.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// Where.
+    pub at: Spot,
+    /// What is wrong.
+    pub what: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl Display for Problem {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: ", self.at)?;
+        if !self.at.field.is_empty() {
+            write!(f, "{}: ", self.at.field)?;
+        }
+        write!(f, "{}; {}", self.what, self.remedy)
+    }
+}
+
+/// Everything that is wrong, in the order of the text.
+///
+/// Never empty when it is returned as an error.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problems(pub Vec<Problem>);
+
+impl Problems {
+    /// Adds a problem.
+    pub fn add(&mut self, at: Spot, what: impl Into<String>, remedy: impl Into<String>) {
+        self.0.push(Problem { at, what: what.into(), remedy: remedy.into() });
+    }
+
+    /// The value if nothing is wrong.
+    pub fn or<T>(self, value: T) -> Result<T, Self> {
+        if self.0.is_empty() { Ok(value) } else { Err(self) }
+    }
+}
+
+impl Display for Problems {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for (i, problem) in self.0.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{problem}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Problems {}
+
+/// The known word that is nearest to what was written, if one is near.
+pub fn nearest<'a>(
+    word: &str,
+    known: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let limit = (word.chars().count() / 3).clamp(1, 4);
+    known
+        .into_iter()
+        .map(|other| (distance(word, other), other))
+        .filter(|(far, _)| *far <= limit)
+        .min_by_key(|(far, _)| *far)
+        .map(|(_, other)| other)
+}
+
+/// The number of characters to insert, remove or replace to get from `a` to `b`.
+fn distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, x) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, y) in b.iter().enumerate() {
+            let replaced = diagonal + usize::from(x != *y);
+            diagonal = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/crates/config/src/rows.rs
@@ -0,0 +1,146 @@
+//! The rows in which the platform's table keeps the configuration.
+//!
+//! | key | content | written |
+//! |---|---|---|
+//! | `head` | [`Head`] | by every accepted change |
+//! | `file:TEAM/NAME` | [`FileRow`] | by an accepted change of that file |
+//! | `rev:NUMBER` | [`Entry`] | once, by the change that made the revision |
+//! | `change:ID` | [`Verdict`] | once, by the first final answer to the change |
+//!
+//! Daemons read only what changed under `file:`, so that a change costs each of
+//! them just the files it touches. A removed file keeps its row without a text,
+//! so that the greatest revision of the rows never falls.
+
+use chestnut_base::{Revision, TeamName};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::change::Verdict;
+use crate::declare::TeamText;
+
+/// The table's name.
+pub const TABLE: &str = "config";
+
+/// The key of the head.
+pub const HEAD: &str = "head";
+
+/// The start of the keys of files.
+pub const FILES: &str = "file:";
+
+/// The start of the keys of the history.
+pub const HISTORY: &str = "rev:";
+
+/// The key of a file.
+pub fn file_key(team: &TeamName, file: &str) -> String {
+    format!("{FILES}{team}/{file}")
+}
+
+/// The key of a revision in the history; later keys sort higher.
+pub fn entry_key(revision: Revision) -> String {
+    format!("{HISTORY}{:012}", revision.0)
+}
+
+/// The key of the answer to a change.
+pub fn change_key(id: &str) -> String {
+    format!("change:{id}")
+}
+
+/// The newest revision; each change checks that it is as the change saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The newest revision.
+    pub revision: Revision,
+    /// The change that made it.
+    pub change: String,
+}
+
+/// A file of a team as it is in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FileRow {
+    /// The team.
+    pub team: TeamName,
+    /// The file's name.
+    pub file: String,
+    /// The revision of the file's last change.
+    pub revision: Revision,
+    /// The change that wrote it.
+    pub change: String,
+    /// Who made that change.
+    pub author: String,
+    /// The text; absent if the file was removed.
+    pub text: Option<String>,
+}
+
+/// A revision in the history.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The revision.
+    pub revision: Revision,
+    /// The change that made it.
+    pub change: String,
+    /// The team that changed its files.
+    pub team: TeamName,
+    /// Who made the change.
+    pub author: String,
+    /// What the author says of it.
+    pub note: String,
+    /// The time by the accepting daemon's clock, in seconds since 1970.
+    pub at: u64,
+    /// The texts of the changed files before the change, for a rollback.
+    pub before: IndexMap<String, Option<String>>,
+}
+
+/// All files of all teams at a revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Files {
+    rows: IndexMap<String, FileRow>,
+}
+
+impl Files {
+    /// Takes in a row, unless it is older than what is known.
+    pub fn put(&mut self, row: FileRow) {
+        let key = file_key(&row.team, &row.file);
+        if self.rows.get(&key).is_none_or(|old| old.revision <= row.revision) {
+            self.rows.insert(key, row);
+        }
+    }
+
+    /// The newest revision of all files.
+    pub fn revision(&self) -> Revision {
+        self.rows.values().map(|row| row.revision).max().unwrap_or_default()
+    }
+
+    /// A file, also one that was removed.
+    pub fn get(&self, team: &TeamName, file: &str) -> Option<&FileRow> {
+        self.rows.get(&file_key(team, file))
+    }
+
+    /// All rows.
+    pub fn rows(&self) -> impl Iterator<Item = &FileRow> {
+        self.rows.values()
+    }
+
+    /// The texts of one team.
+    pub fn team(&self, team: &TeamName) -> TeamText {
+        self.teams().swap_remove(team).unwrap_or_default()
+    }
+
+    /// The texts of all teams, in the order of the teams' and files' names.
+    pub fn teams(&self) -> IndexMap<TeamName, TeamText> {
+        let mut teams: IndexMap<TeamName, TeamText> = IndexMap::new();
+        for row in self.rows.values() {
+            if let Some(text) = &row.text {
+                let team = teams.entry(row.team.clone()).or_default();
+                team.files.insert(row.file.clone(), text.clone());
+            }
+        }
+        teams.sort_keys();
+        for text in teams.values_mut() {
+            text.files.sort_keys();
+        }
+        teams
+    }
+}
+
+/// The answer to a change as its row keeps it.
+pub type ChangeRow = Verdict;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -6,6 +6,7 @@
 
 use chestnut_base::{DomainName, TeamName, VmName};
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 /// The checked settings of one daemon.
 #[derive(Debug, Clone, PartialEq)]
@@ -50,7 +51,8 @@
 }
 
 /// The severity from which lines are logged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum LogLevel {
     /// Only what needs an operator.
     Error,
--- /dev/null
+++ b/crates/config/src/union.rs
@@ -0,0 +1,248 @@
+//! The check of all teams' declarations together.
+//!
+//! Teams never coordinate, so that two of them may use the same name, or one
+//! may remove what another refers to. Without this check such a change would be
+//! accepted and fail callers at the first request.
+
+use std::fmt::Display;
+use std::hash::Hash;
+
+use chestnut_base::{ModelName, PoolName, Revision, TeamName};
+use indexmap::IndexMap;
+
+use crate::catalog::Catalog;
+use crate::declare::{Declared, Team, TeamText};
+use crate::problem::{Problems, Spot, nearest};
+
+impl Catalog {
+    /// Reads and checks the declarations of all teams together.
+    pub fn union(
+        revision: Revision,
+        teams: &IndexMap<TeamName, TeamText>,
+    ) -> Result<Self, Problems> {
+        Union::check(revision, teams).map(|union| union.catalog)
+    }
+}
+
+/// The declarations of all teams and where each name stands.
+#[derive(Debug, Clone)]
+pub struct Union {
+    /// The declarations.
+    pub catalog: Catalog,
+    pools: IndexMap<PoolName, Spot>,
+}
+
+impl Union {
+    /// Reads and checks the declarations of all teams together.
+    pub fn check(
+        revision: Revision,
+        teams: &IndexMap<TeamName, TeamText>,
+    ) -> Result<Self, Problems> {
+        let mut problems = Problems::default();
+        let mut all = Team::default();
+        for (name, text) in teams {
+            let team = Team::parse(name, text, &mut problems);
+            all.pools.extend(team.pools);
+            all.models.extend(team.models);
+            all.adapters.extend(team.adapters);
+            all.services.extend(team.services);
+            all.kinds.extend(team.kinds);
+            all.callers.extend(team.callers);
+            all.routes.extend(team.routes);
+        }
+        let pools = index("pool", all.pools, &mut problems);
+        let models = index("model", all.models, &mut problems);
+        let adapters = index("adapter", all.adapters, &mut problems);
+        let services = index("service", all.services, &mut problems);
+        let kinds = index("kind", all.kinds, &mut problems);
+        let callers = index("caller", all.callers, &mut problems);
+        let routes = index("route", all.routes, &mut problems);
+
+        for it in models.values() {
+            refer(it, "pool", &it.item.pool, &pools, &mut problems);
+            if let Some(pool) = pools.get(&it.item.pool)
+                && it.item.bytes > pool.item.memory
+            {
+                let what = format!(
+                    "the model needs {} bytes and a runner of pool `{}` has {}",
+                    it.item.bytes, it.item.pool, pool.item.memory
+                );
+                problems.add(it.at.clone(), what, "choose a pool of larger runners");
+            }
+        }
+        for it in adapters.values() {
+            refer(it, "model", &it.item.model, &models, &mut problems);
+            if let Some(model) = models.get(&it.item.model)
+                && let Some(pool) = pools.get(&model.item.pool)
+                && it.item.bytes.saturating_add(model.item.bytes) > pool.item.memory
+            {
+                let what = format!(
+                    "the adapter and its model need more than the {} bytes of a runner",
+                    pool.item.memory
+                );
+                problems.add(it.at.clone(), what, "choose a smaller adapter");
+            }
+        }
+        for it in services.values() {
+            if let Some(kind) = &it.item.kind {
+                refer(it, "kind", kind, &kinds, &mut problems);
+            }
+        }
+        let mut keys: IndexMap<&str, &Spot> = IndexMap::new();
+        for it in callers.values() {
+            if let Some(first) = keys.insert(&it.item.key_sha256, &it.at) {
+                let what = format!("the key is that of another caller ({first})");
+                problems.add(it.refs["key_sha256"].clone(), what, "make a new key");
+            }
+        }
+        for it in routes.values() {
+            refer(it, "model", &it.item.model, &models, &mut problems);
+            if let Some(kind) = &it.item.kind {
+                refer(it, "kind", kind, &kinds, &mut problems);
+            }
+            let Some(name) = &it.item.adapter else { continue };
+            refer(it, "adapter", name, &adapters, &mut problems);
+            if let Some(adapter) = adapters.get(name)
+                && adapter.item.model != it.item.model
+            {
+                let what = format!("the adapter belongs to `{}`", adapter.item.model);
+                problems.add(it.refs["adapter"].clone(), what, "name that model");
+            }
+        }
+
+        let spots = pools.iter().map(|(name, it)| (name.clone(), it.at.clone()));
+        let union = Self {
+            pools: spots.collect(),
+            catalog: Catalog {
+                revision,
+                pools: plain(pools),
+                models: plain(models),
+                adapters: plain(adapters),
+                services: plain(services),
+                kinds: plain(kinds),
+                callers: plain(callers),
+                routes: plain(routes),
+            },
+        };
+        problems.or(union)
+    }
+
+    /// Checks that one replica of every model fits on the runners that exist.
+    ///
+    /// A pool whose number of runners is not known is passed over, and so are
+    /// models that found no room at the `old` declarations either: a pool that
+    /// lost runners must not hold up changes of something else.
+    pub fn fits(
+        &self,
+        runners: &IndexMap<PoolName, usize>,
+        old: Option<&Catalog>,
+    ) -> Result<(), Problems> {
+        let mut problems = Problems::default();
+        for (name, at) in &self.pools {
+            let Some(&count) = runners.get(name) else { continue };
+            let before = old.map(|old| old.pack(name, count));
+            let before = before.and_then(Result::err).unwrap_or_default();
+            let Err(mut left) = self.catalog.pack(name, count) else { continue };
+            left.retain(|model| !before.contains(model));
+            if !left.is_empty() {
+                let what = format!(
+                    "one replica of each model does not fit on {count} runners: no \
+                     room for {}",
+                    left.join(", ")
+                );
+                problems.add(
+                    at.clone(),
+                    what,
+                    "add runners, use a larger pool or remove models",
+                );
+            }
+        }
+        problems.or(())
+    }
+}
+
+impl Catalog {
+    /// Packs one replica of each model of a pool, with its adapters, on runners.
+    ///
+    /// The largest go first, each to the first runner with room, which needs at
+    /// most 11/9 of the least number of runners (plus one). Returns the names
+    /// that found no room.
+    pub fn pack(&self, pool: &PoolName, runners: usize) -> Result<(), Vec<String>> {
+        let Some(memory) = self.pools.get(pool).map(|pool| pool.memory) else {
+            return Ok(());
+        };
+        let mut items = Vec::new();
+        for (name, model) in &self.models {
+            if model.pool == *pool {
+                for size in self.replicas(name, model.bytes, memory) {
+                    items.push((size, name));
+                }
+            }
+        }
+        items.sort_by(|a, b| b.cmp(a));
+        let mut free = vec![memory; runners];
+        let mut left = Vec::new();
+        for (size, name) in items {
+            match free.iter_mut().find(|room| **room >= size) {
+                Some(room) => *room -= size,
+                None => left.push(name.to_string()),
+            }
+        }
+        left.dedup();
+        if left.is_empty() { Ok(()) } else { Err(left) }
+    }
+
+    /// The sizes of the replicas of a model that are needed to hold its adapters.
+    fn replicas(&self, name: &ModelName, bytes: u64, memory: u64) -> Vec<u64> {
+        let mut sizes = vec![bytes];
+        for adapter in self.adapters.values().filter(|it| it.model == *name) {
+            let room =
+                sizes.iter_mut().find(|it| it.saturating_add(adapter.bytes) <= memory);
+            match room {
+                Some(size) => *size += adapter.bytes,
+                None => sizes.push(bytes.saturating_add(adapter.bytes)),
+            }
+        }
+        sizes
+    }
+}
+
+fn index<K: Hash + Eq + Display, T>(
+    what: &str,
+    list: Vec<(K, Declared<T>)>,
+    problems: &mut Problems,
+) -> IndexMap<K, Declared<T>> {
+    let mut map: IndexMap<K, Declared<T>> = IndexMap::new();
+    for (name, item) in list {
+        if let Some(first) = map.get(&name) {
+            let text = format!("the {what} `{name}` is declared in {} too", first.at);
+            problems.add(item.at, text, "choose another name");
+        } else {
+            map.insert(name, item);
+        }
+    }
+    map
+}
+
+fn refer<T, K: Hash + Eq + Display, U>(
+    from: &Declared<T>,
+    field: &'static str,
+    name: &K,
+    known: &IndexMap<K, U>,
+    problems: &mut Problems,
+) {
+    if known.contains_key(name) {
+        return;
+    }
+    let names: Vec<String> = known.keys().map(K::to_string).collect();
+    let remedy = match nearest(&name.to_string(), names.iter().map(String::as_str)) {
+        Some(near) => format!("did you mean `{near}`?"),
+        None => format!("declare the {field} or name one that is declared"),
+    };
+    let what = format!("no team declares a {field} `{name}`");
+    problems.add(from.refs[field].clone(), what, remedy);
+}
+
+fn plain<K: Hash + Eq, T>(map: IndexMap<K, Declared<T>>) -> IndexMap<K, T> {
+    map.into_iter().map(|(name, it)| (name, it.item)).collect()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lead;
 pub mod members;
 pub mod metrics;
+pub mod opsconf;
 pub mod orders;
 pub mod pick;
 pub mod planner;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -11,6 +11,7 @@
 use slog::Logger;
 use tokio::sync::watch;
 
+use crate::confsync::Conf;
 use crate::metrics::Metrics;
 
 /// What the parts of a daemon share.
@@ -36,6 +37,8 @@
     pub vms: VmList,
     /// The declarations in force, written by [`crate::confsync`].
     pub catalog: watch::Sender<Arc<Catalog>>,
+    /// What is kept of the configuration's rows, and how fresh it is.
+    pub conf: Conf,
     /// Members, servers and claims, written by [`crate::members`].
     pub view: watch::Sender<Arc<View>>,
     /// What is resident where, written by [`crate::orders`].
@@ -57,16 +60,19 @@
         objects: Objects,
         vms: VmList,
     ) -> Self {
+        let metrics = Metrics::new();
+        let conf = Conf::new(clock.now(), &metrics);
         Self {
             settings,
             clock,
             me,
             log,
-            metrics: Metrics::new(),
+            metrics,
             table,
             objects,
             vms,
             catalog: watch::Sender::new(Arc::default()),
+            conf,
             view: watch::Sender::new(Arc::default()),
             residence: watch::Sender::new(Arc::default()),
             leaving: watch::Sender::new(false),
