--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 //! [`shared`]; [`run`] starts and stops them.
 
 pub mod answer;
+mod command;
 pub mod confsync;
 pub mod engine;
 pub mod entry;
@@ -24,6 +25,7 @@
 pub mod metrics;
 pub mod node;
 pub mod ops;
+pub mod opsconf;
 pub mod orders;
 pub mod parse;
 pub mod peer;
@@ -35,9 +37,4 @@
 pub mod slots;
 pub mod tls;
 
-use std::process::ExitCode;
-
-/// Runs the daemon.
-pub fn main() -> ExitCode {
-    ExitCode::SUCCESS
-}
+pub use command::main;
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -10,13 +10,15 @@
 
 use crate::answer;
 use crate::node::Node;
+use crate::opsconf;
 
 /// The routes that operators use.
 pub fn router(node: Arc<Node>) -> Router {
     Router::new()
         .route("/metrics", get(metrics))
         .route("/debug/state", get(state))
-        .with_state(node)
+        .with_state(node.clone())
+        .merge(opsconf::router(node.shared.clone()))
 }
 
 async fn metrics(State(node): State<Arc<Node>>) -> String {
@@ -38,7 +40,7 @@
         "member": shared.me.to_string(),
         "leaving": shared.is_leaving(),
         "closed": *shared.closed.borrow(),
-        "fresh": *shared.fresh.borrow(),
+        "fresh": shared.is_fresh(),
         "lease_holds": shared.lease_holds(now),
         "revision": shared.catalog().revision,
         "requests": node.intake.held(),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -14,6 +14,7 @@
 use slog::Logger;
 use tokio::sync::{Notify, watch};
 
+use crate::confsync::Conf;
 use crate::metrics::Metrics;
 
 /// What the parts of a daemon share.
@@ -39,6 +40,8 @@
     pub vms: VmList,
     /// The declarations in force, written by [`crate::confsync`].
     pub catalog: watch::Sender<Arc<Catalog>>,
+    /// What is kept of the configuration's rows, and how fresh it is.
+    pub conf: Conf,
     /// Members, servers and claims, written by [`crate::members`].
     pub view: watch::Sender<Arc<View>>,
     /// What is resident where, written by [`crate::orders`].
@@ -47,9 +50,6 @@
     pub leaving: watch::Sender<bool>,
     /// Whether this daemon takes no new requests any more, written by [`crate::run`].
     pub closed: watch::Sender<bool>,
-    /// Whether the declarations in force are known to be recent enough to serve
-    /// by, written by [`crate::confsync`].
-    pub fresh: watch::Sender<bool>,
     /// The own lease, written by [`crate::members`].
     pub lease: Mutex<Lease>,
     /// Members that said that they are leaving, ahead of the table's rows.
@@ -72,21 +72,23 @@
         vms: VmList,
     ) -> Self {
         let term = settings.times.lease;
+        let metrics = Metrics::new();
+        let conf = Conf::new(clock.now(), &metrics);
         Self {
             settings,
             clock,
             me,
             log,
-            metrics: Metrics::new(),
+            metrics,
             table,
             objects,
             vms,
             catalog: watch::Sender::new(Arc::default()),
+            conf,
             view: watch::Sender::new(Arc::default()),
             residence: watch::Sender::new(Arc::default()),
             leaving: watch::Sender::new(false),
             closed: watch::Sender::new(false),
-            fresh: watch::Sender::new(false),
             lease: Mutex::new(Lease::new(term)),
             left: Mutex::default(),
             wake: Notify::new(),
@@ -130,13 +132,18 @@
         if *self.closed.borrow() {
             return Err(others("this daemon is leaving"));
         }
-        if !*self.fresh.borrow() {
+        if !self.is_fresh() {
             return Err(others("this daemon can't confirm its configuration")
                 .after(Duration::from_secs(1)));
         }
         Ok(())
     }
 
+    /// Whether the declarations in force are recent enough to serve by.
+    pub fn is_fresh(&self) -> bool {
+        self.conf.is_fresh(self.clock.now(), self.settings.times.stale)
+    }
+
     /// The addresses that callers may use, this daemon's domain first.
     ///
     /// None of them belongs to a daemon that is leaving or whose lease lapsed.
