Keep each runner's memory in a ledger and follow a fixed placement

Orders to engines are entered in the runner's row of the table before they are sent, and the memory is freed only when a report proves that nothing can hold it. Every daemon publishes what the rows show as usable; the lead of a runner sends the orders. Requests hold what they use, so that nothing is unloaded under them. Until a planner writes placements, a fixed one is followed.

--- /dev/null
+++ b/crates/node/src/orders/rows.rs
@@ -0,0 +1,149 @@
+//! The ledger's and the plan's rows as the table has them.
+
+use std::sync::Arc;
+
+use chestnut_base::{PoolName, ServerName};
+use chestnut_member::{ServerRole, View};
+use chestnut_place::{Ledger, Residence, Resident, Runner, Want};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::shared::Shared;
+
+/// The table of ledgers, one row per runner.
+pub const LEDGER: &str = "ledger";
+
+/// The table of wanted placements, one row per runner.
+pub const PLAN: &str = "plan";
+
+/// The table of claims.
+pub const CLAIMS: &str = "claims";
+
+/// The rows that this daemon has read.
+#[derive(Debug, Clone, Default)]
+pub struct Rows {
+    /// Each runner's ledger and the row's version.
+    pub ledgers: IndexMap<ServerName, (Ledger, u64)>,
+    /// What planners want each runner to hold.
+    pub plans: IndexMap<ServerName, PlanRow>,
+    /// The version up to which ledgers were read.
+    pub ledger_version: u64,
+    /// The version up to which plans were read.
+    pub plan_version: u64,
+    /// The table service's time at the last read, in milliseconds.
+    pub now: u64,
+}
+
+/// What a planner wants a runner to hold.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlanRow {
+    /// Models before the adapters on top of them.
+    pub wanted: Vec<Want>,
+}
+
+/// Reads what has changed and publishes what is resident.
+///
+/// While the table can't be read, what was read last stays in force.
+pub async fn refresh(shared: &Shared) {
+    let (ledger_version, plan_version) = {
+        let rows = shared.rows.borrow();
+        (rows.ledger_version, rows.plan_version)
+    };
+    let ledgers = shared.table.scan(LEDGER, "", ledger_version).await;
+    let plans = shared.table.scan(PLAN, "", plan_version).await;
+    shared.rows.send_modify(|rows| {
+        let rows = Arc::make_mut(rows);
+        if let Ok(delta) = ledgers {
+            rows.ledger_version = delta.version;
+            rows.now = delta.now;
+            take_ledgers(shared, rows, delta);
+        }
+        if let Ok(delta) = plans {
+            rows.plan_version = delta.version;
+            take_plans(shared, rows, delta);
+        }
+    });
+    publish(shared);
+}
+
+/// Notes a row that this daemon has committed, before it is read back.
+pub fn note(shared: &Shared, server: &ServerName, ledger: &Ledger, version: u64) {
+    shared.rows.send_modify(|rows| {
+        let rows = Arc::make_mut(rows);
+        rows.ledgers.insert(server.clone(), (ledger.clone(), version));
+    });
+    publish(shared);
+}
+
+/// Publishes what may be used of what the runners hold.
+///
+/// Runners that are no longer on the platform's list are left out.
+pub fn publish(shared: &Shared) {
+    let view = shared.view();
+    let rows = shared.rows.borrow().clone();
+    let runners = rows
+        .ledgers
+        .iter()
+        .filter(|(name, _)| view.servers.contains_key(*name))
+        .map(|(name, (ledger, _))| (name.clone(), Resident::of(ledger)));
+    let residence = Residence { runners: runners.collect() };
+    shared.residence.send_if_modified(|old| {
+        let changed = **old != residence;
+        if changed {
+            *old = Arc::new(residence);
+        }
+        changed
+    });
+}
+
+/// The runners of a pool that stay.
+pub fn pool_runners(view: &View, pool: &PoolName, capacity: u64) -> Vec<Runner> {
+    let runners = view.servers.iter().filter(|(_, server)| {
+        !server.leaving && server.role == ServerRole::Runner(pool.clone())
+    });
+    runners
+        .map(|(name, server)| Runner {
+            name: name.clone(),
+            domain: server.domain.clone(),
+            capacity,
+        })
+        .collect()
+}
+
+fn take_ledgers(shared: &Shared, rows: &mut Rows, delta: chestnut_plat::Delta) {
+    for key in delta.gone {
+        if let Ok(name) = ServerName::try_from(key) {
+            rows.ledgers.shift_remove(&name);
+        }
+    }
+    for row in delta.rows {
+        let name = ServerName::try_from(row.key.clone());
+        let ledger = serde_json::from_value::<Ledger>(row.value);
+        let (Ok(name), Ok(ledger)) = (name, ledger) else {
+            slog::error!(shared.log, "a ledger row can't be read"; "key" => row.key);
+            continue;
+        };
+        // What this daemon has committed itself may be newer than the read.
+        let newer = rows.ledgers.get(&name).is_none_or(|(_, held)| *held <= row.version);
+        if newer {
+            rows.ledgers.insert(name, (ledger, row.version));
+        }
+    }
+}
+
+fn take_plans(shared: &Shared, rows: &mut Rows, delta: chestnut_plat::Delta) {
+    for key in delta.gone {
+        if let Ok(name) = ServerName::try_from(key) {
+            rows.plans.shift_remove(&name);
+        }
+    }
+    for row in delta.rows {
+        let name = ServerName::try_from(row.key.clone());
+        let plan = serde_json::from_value::<PlanRow>(row.value);
+        let (Ok(name), Ok(plan)) = (name, plan) else {
+            slog::error!(shared.log, "a plan row can't be read"; "key" => row.key);
+            continue;
+        };
+        rows.plans.insert(name, plan);
+    }
+}
--- /dev/null
+++ b/crates/node/src/orders/runner.rs
@@ -0,0 +1,325 @@
+//! One runner that this daemon leads: its report, its ledger, its orders.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use chestnut_base::{OrderId, PoolName, ServerName};
+use chestnut_member::{Claim, ClaimKey, Server, ServerRole};
+use chestnut_place::{
+    Asset, Ledger, Order, OrderKind, Report, Situation, Want, follow, place_fixed,
+};
+use chestnut_plat::{PlatError, Txn, TxnAnswer};
+
+use crate::orders::command::{Engines, Sent};
+use crate::orders::counters::{Copies, Counters};
+use crate::orders::rows::{self, CLAIMS, LEDGER};
+use crate::orders::spare::witnesses;
+use crate::shared::Shared;
+
+/// How long to wait before an order is sent again, at first.
+const RESEND: Duration = Duration::from_secs(1);
+
+/// How long to wait before an order is sent again, at most.
+const RESEND_LIMIT: Duration = Duration::from_secs(10);
+
+/// The longest time for which a stream that another lead started is waited for.
+const STREAM_LIMIT: Duration = Duration::from_secs(120);
+
+/// One runner that this daemon leads.
+pub struct Runner {
+    shared: Arc<Shared>,
+    engines: Engines,
+    counters: Arc<Counters>,
+    name: ServerName,
+    claim: Claim,
+    /// When this daemon started to lead the runner.
+    since: Instant,
+    /// The row as committed, with its version; 0 if there is none yet.
+    row: Option<(Ledger, u64)>,
+    /// The number of the last order that earlier leads may have sent.
+    earlier: u64,
+    /// The copies that were sent of each order.
+    copies: HashMap<OrderId, Count>,
+    /// When to send an order about an asset again.
+    waits: HashMap<Asset, Wait>,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Count {
+    sent: u32,
+    answered: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Wait {
+    next: Instant,
+    delay: Duration,
+}
+
+impl Runner {
+    /// Prepares to lead a runner under a claim.
+    pub fn new(
+        shared: Arc<Shared>,
+        engines: Engines,
+        counters: Arc<Counters>,
+        name: ServerName,
+        claim: Claim,
+    ) -> Self {
+        let since = shared.clock.now();
+        Self {
+            shared,
+            engines,
+            counters,
+            name,
+            claim,
+            since,
+            row: None,
+            earlier: 0,
+            copies: HashMap::new(),
+            waits: HashMap::new(),
+        }
+    }
+
+    /// Leads the runner until the claim is lost.
+    pub async fn run(mut self) {
+        while let Some(server) = self.server() {
+            let busy = self.step(&server).await;
+            tokio::time::sleep(self.period(busy)).await;
+        }
+    }
+
+    /// The runner, as long as this daemon holds the claim under which it began.
+    fn server(&self) -> Option<Server> {
+        let view = self.shared.view();
+        let (claim, _) = view.holder(&ClaimKey::Server(self.name.clone()))?;
+        (claim == self.claim).then(|| view.servers.get(&self.name).cloned())?
+    }
+
+    /// How long to wait until the next report is read.
+    ///
+    /// A runner at which nothing happens is asked less often the more runners
+    /// the daemon leads, so that reports stay within the daemon's bandwidth.
+    fn period(&self, busy: bool) -> Duration {
+        let poll = self.shared.settings.times.poll;
+        if busy {
+            return poll;
+        }
+        let view = self.shared.view();
+        let led = view.claims.iter().filter(|(key, claim)| {
+            matches!(key, ClaimKey::Server(_)) && claim.holder == self.shared.me
+        });
+        poll * (led.count().max(1) as u32)
+    }
+
+    /// Reads the report, takes the steps that can be taken, sends orders.
+    ///
+    /// Returns whether something is under way.
+    async fn step(&mut self, server: &Server) -> bool {
+        let ServerRole::Runner(pool) = &server.role else { return false };
+        if self.row.is_none() && self.read_row().await.is_err() {
+            return true;
+        }
+        let Some((held, version)) = self.row.clone() else { return true };
+        let Ok(report) = self.engines.report(server.address).await else {
+            return false;
+        };
+        let mut next = held.clone();
+        let witnesses = self.decide(&mut next, &report, server, pool);
+        if next != held {
+            self.commit(&held, &next, version, witnesses).await;
+        }
+        self.send_orders(server, &next).await
+    }
+
+    /// Reads the runner's row, so that all orders of earlier leads are known.
+    async fn read_row(&mut self) -> Result<(), PlatError> {
+        let row = self.shared.table.get(LEDGER, self.name.as_str()).await?;
+        let (ledger, version) = match row {
+            None => (Ledger::default(), 0),
+            Some(row) => match serde_json::from_value::<Ledger>(row.value) {
+                Ok(ledger) => (ledger, row.version),
+                Err(error) => {
+                    slog::error!(
+                        self.shared.log, "a ledger row can't be read; no orders are sent";
+                        "runner" => %self.name, "error" => %error
+                    );
+                    return Err(PlatError::Protocol(error.to_string()));
+                }
+            },
+        };
+        if self.copies.is_empty() {
+            self.earlier = ledger.last;
+        }
+        self.row = Some((ledger, version));
+        Ok(())
+    }
+
+    /// Takes the report and the wanted placement into the ledger.
+    ///
+    /// Returns the rows that the transaction must check.
+    fn decide(
+        &self,
+        ledger: &mut Ledger,
+        report: &Report,
+        server: &Server,
+        pool: &PoolName,
+    ) -> Vec<(ServerName, u64)> {
+        let catalog = self.shared.catalog();
+        let rows = self.shared.rows.borrow().clone();
+        ledger.observe(report, rows.now);
+        for order in self.cleared(ledger) {
+            ledger.clear(order);
+        }
+        let Some(declared) = catalog.pools.get(pool) else { return Vec::new() };
+        ledger.capacity = declared.memory.min(report.capacity);
+        let wanted = if server.leaving { Some(Vec::new()) } else { self.wanted(pool) };
+        let Some(wanted) = wanted else { return Vec::new() };
+        let view = self.shared.view();
+        let spare = |ledger: &Ledger, asset: &Asset| {
+            witnesses(&catalog, &view, &rows, &self.name, ledger, asset)
+        };
+        let idle = |asset: &Asset| self.is_idle(asset, report);
+        let found = follow(ledger, &wanted, &Situation { spare: &spare, idle: &idle });
+        let version = |name: &ServerName| rows.ledgers.get(name).map(|(_, v)| *v);
+        found
+            .witnesses
+            .into_iter()
+            .filter_map(|name| version(&name).map(|version| (name, version)))
+            .collect()
+    }
+
+    /// What the runner is to hold: the planner's word, else a fixed placement.
+    fn wanted(&self, pool: &PoolName) -> Option<Vec<Want>> {
+        let rows = self.shared.rows.borrow().clone();
+        if let Some(plan) = rows.plans.get(&self.name) {
+            return Some(plan.wanted.clone());
+        }
+        let catalog = self.shared.catalog();
+        let declared = catalog.pools.get(pool)?;
+        let view = self.shared.view();
+        let runners = rows::pool_runners(&view, pool, declared.memory);
+        place_fixed(&catalog, pool, &runners).wanted.shift_remove(&self.name)
+    }
+
+    /// Whether no request uses an asset, also none that an earlier lead started.
+    fn is_idle(&self, asset: &Asset, report: &Report) -> bool {
+        let held = self.shared.clock.now().saturating_duration_since(self.since);
+        let alone = report.running == 0 && report.waiting == 0;
+        self.shared.usage.is_idle(&self.name, asset) && (alone || held >= STREAM_LIMIT)
+    }
+
+    /// Load orders of which every copy that any lead sent was answered.
+    fn cleared(&self, ledger: &Ledger) -> Vec<OrderId> {
+        let loads = ledger.items.iter().flat_map(|item| &item.loads);
+        loads
+            .filter(|load| load.seen && !load.clear && load.order.0 > self.earlier)
+            .filter(|load| {
+                let count = self.copies.get(&load.order).copied().unwrap_or_default();
+                count.sent == count.answered
+            })
+            .map(|load| load.order)
+            .collect()
+    }
+
+    /// Commits the ledger; without it nothing new is sent.
+    async fn commit(
+        &mut self,
+        held: &Ledger,
+        next: &Ledger,
+        version: u64,
+        witnesses: Vec<(ServerName, u64)>,
+    ) {
+        let Ok(value) = serde_json::to_value(next) else { return };
+        let key = self.name.as_str();
+        let claim = format!("server:{key}");
+        let mut txn = Txn::new().version(CLAIMS, claim, self.claim.version);
+        txn = match version {
+            0 => txn.absent(LEDGER, key),
+            version => txn.version(LEDGER, key, version),
+        };
+        for (name, version) in witnesses {
+            txn = txn.version(LEDGER, name.as_str(), version);
+        }
+        let txn = txn.put(LEDGER, key, value);
+        match self.shared.table.commit(&txn).await {
+            Ok(TxnAnswer::Committed { version, .. }) => {
+                self.count_new(held, next);
+                self.row = Some((next.clone(), version));
+                rows::note(&self.shared, &self.name, next, version);
+            }
+            Ok(TxnAnswer::Conflict { .. }) => {
+                self.counters.conflicts.inc();
+                self.row = None;
+            }
+            // Nothing was written, so that the row is as it was read.
+            Err(PlatError::Down(_)) => {}
+            Err(PlatError::Unknown(_) | PlatError::Protocol(_)) => self.row = None,
+        }
+    }
+
+    fn count_new(&self, held: &Ledger, next: &Ledger) {
+        for item in &next.items {
+            let fresh = item.loads.iter().filter(|load| load.order.0 > held.last).count();
+            self.counters.loads.inc_by(fresh as u64);
+            if item.unload.is_some_and(|order| order.0 > held.last) {
+                self.counters.unloads.inc();
+            }
+        }
+    }
+
+    /// Sends the orders that are due and that the committed row knows.
+    ///
+    /// Returns whether orders are outstanding.
+    async fn send_orders(&mut self, server: &Server, next: &Ledger) -> bool {
+        let orders = next.orders();
+        self.waits.retain(|asset, _| orders.iter().any(|order| order.asset == *asset));
+        for order in &orders {
+            let known = self.row.as_ref().is_some_and(|(row, _)| row.knows(order));
+            if known && self.is_due(order) && self.server().is_some() {
+                self.send(server, order).await;
+            }
+        }
+        next.is_moving()
+    }
+
+    fn is_due(&mut self, order: &Order) -> bool {
+        let now = self.shared.clock.now();
+        let wait = self.waits.get(&order.asset).copied();
+        let delay = match wait {
+            Some(wait) if now < wait.next => return false,
+            Some(wait) => (wait.delay * 2).min(RESEND_LIMIT),
+            None => RESEND,
+        };
+        self.waits.insert(order.asset.clone(), Wait { next: now + delay, delay });
+        true
+    }
+
+    async fn send(&mut self, server: &Server, order: &Order) {
+        // Counted before it is sent: if this task is stopped meanwhile, the
+        // copy counts as unanswered.
+        self.copies.entry(order.id).or_default().sent += 1;
+        let sent = self.engines.send(server.address, order, self.claim.fence).await;
+        if sent != Sent::Unknown {
+            self.copies.entry(order.id).or_default().answered += 1;
+        }
+        let answer = match sent {
+            Sent::Answered(status) if status.is_success() => "taken",
+            Sent::Answered(_) => "refused",
+            Sent::Unsent => "unsent",
+            Sent::Unknown => "unknown",
+        };
+        self.counters.copies.get_or_create(&Copies { answer }).inc();
+        slog::info!(
+            self.shared.log, "order sent";
+            "runner" => %self.name,
+            "order" => order.id.0,
+            "op" => match order.kind {
+                OrderKind::Load => "load",
+                OrderKind::Unload => "unload",
+            },
+            "asset" => %order.asset,
+            "answer" => answer,
+        );
+    }
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,6 +12,8 @@
 use tokio::sync::watch;
 
 use crate::metrics::Metrics;
+use crate::orders::rows::Rows;
+use crate::orders::usage::Usage;
 
 /// What the parts of a daemon share.
 ///
@@ -40,6 +42,10 @@
     pub view: watch::Sender<Arc<View>>,
     /// What is resident where, written by [`crate::orders`].
     pub residence: watch::Sender<Arc<Residence>>,
+    /// The ledger's and the plan's rows, written by [`crate::orders`].
+    pub rows: watch::Sender<Arc<Rows>>,
+    /// Which requests use which asset of the runners that this daemon leads.
+    pub usage: Usage,
     /// Whether this daemon is leaving, written by [`crate::run`].
     pub leaving: watch::Sender<bool>,
     attempts: AtomicU64,
@@ -69,6 +75,8 @@
             catalog: watch::Sender::new(Arc::default()),
             view: watch::Sender::new(Arc::default()),
             residence: watch::Sender::new(Arc::default()),
+            rows: watch::Sender::new(Arc::default()),
+            usage: Usage::default(),
             leaving: watch::Sender::new(false),
             attempts: AtomicU64::new(0),
         }
--- /dev/null
+++ b/crates/place/src/follow.rs
@@ -0,0 +1,116 @@
+//! The next steps of one runner towards what it is to hold.
+//!
+//! Load pattern: the wanted placement changes while requests run. Without the
+//! order kept here a swap would drop a model's last replica before its
+//! replacement is usable, and callers would find no runner.
+//!
+//! What is wanted is loaded first if it fits. Something is dropped only to make
+//! room for what does not fit, or once everything wanted is usable; and only
+//! if the caller of [`follow`] names runners that hold the same, whose ledger
+//! rows the transaction then checks. One asset at a time is drained, so that
+//! two versions of a model can't each be dropped because of the other.
+
+use chestnut_base::ServerName;
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+
+use crate::asset::Asset;
+use crate::ledger::{Full, ItemState, Ledger};
+
+/// An asset that a runner is to hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// The asset.
+    pub asset: Asset,
+    /// The memory that it needs, in bytes.
+    pub bytes: u64,
+}
+
+/// What decides whether an asset may be dropped.
+pub struct Situation<'a> {
+    /// The runners whose ledgers prove that the asset is not the last of its
+    /// kind; `None` if it is, an empty list if nobody needs it.
+    pub spare: &'a dyn Fn(&Ledger, &Asset) -> Option<Vec<ServerName>>,
+    /// Whether no request uses the asset any more.
+    pub idle: &'a dyn Fn(&Asset) -> bool,
+}
+
+/// What [`follow`] found.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Follow {
+    /// Runners whose ledger rows must not have changed when this is committed.
+    pub witnesses: IndexSet<ServerName>,
+    /// What is wanted and does not fit yet.
+    pub lacking: Vec<Full>,
+}
+
+/// Changes the ledger by the steps that can be taken now.
+///
+/// `wanted` lists models before the adapters on top of them, and what matters
+/// most first.
+pub fn follow(ledger: &mut Ledger, wanted: &[Want], situation: &Situation) -> Follow {
+    let mut found = Follow::default();
+    for want in wanted {
+        if !is_free(ledger, &want.asset) {
+            continue;
+        }
+        if let Err(full) = ledger.want(&want.asset, want.bytes) {
+            found.lacking.push(full);
+        }
+    }
+    let settled = wanted.iter().all(|want| ledger.is_ready(&want.asset));
+    // An asset that is drained now is unloaded in a later step at the earliest:
+    // nobody knows yet that it must not be used.
+    unload_idle(ledger, situation);
+    if settled || !found.lacking.is_empty() {
+        drain_one(ledger, wanted, situation, &mut found);
+    }
+    found
+}
+
+/// Whether the adapter's name is not taken on the runner by the same adapter
+/// on another version; engines know adapters by their name alone.
+fn is_free(ledger: &Ledger, asset: &Asset) -> bool {
+    asset.adapter.is_none()
+        || !ledger.items.iter().any(|item| {
+            item.asset != *asset
+                && item.asset.adapter == asset.adapter
+                && item.state != ItemState::Spent
+        })
+}
+
+fn drain_one(
+    ledger: &mut Ledger,
+    wanted: &[Want],
+    situation: &Situation,
+    found: &mut Follow,
+) {
+    let candidates: Vec<_> = ledger
+        .items
+        .iter()
+        .filter(|item| item.state == ItemState::Ready)
+        .filter(|item| wanted.iter().all(|want| want.asset != item.asset))
+        .map(|item| item.asset.clone())
+        .collect();
+    for asset in candidates {
+        if let Some(witnesses) = (situation.spare)(ledger, &asset) {
+            ledger.drain(&asset);
+            found.witnesses.extend(witnesses);
+            return;
+        }
+    }
+}
+
+fn unload_idle(ledger: &mut Ledger, situation: &Situation) {
+    let drained: Vec<_> = ledger
+        .items
+        .iter()
+        .filter(|item| item.state == ItemState::Draining)
+        .map(|item| item.asset.clone())
+        .collect();
+    for asset in drained {
+        if (situation.idle)(&asset) {
+            ledger.unload(&asset);
+        }
+    }
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -1,7 +1,23 @@
 //! Which model is resident on which runner.
 //!
-//! - [`residence`]: what is resident where, as entries know it.
+//! Stages of a placement, none of which needs a network:
+//!
+//! 1. [`fixed`] or the planner says what each runner of a pool is to hold,
+//! 2. [`follow`] decides the next steps of one runner towards that,
+//! 3. [`ledger`] reserves the memory before an order is sent and frees it only
+//!    when the engine's [`report`] proves that nothing can hold it any more,
+//! 4. [`residence`] is what entries learn of the result.
 
+pub mod asset;
+pub mod fixed;
+pub mod follow;
+pub mod ledger;
+pub mod report;
 pub mod residence;
 
+pub use asset::Asset;
+pub use fixed::{Plan, Runner, Unplaced, place_fixed};
+pub use follow::{Follow, Situation, Want, follow};
+pub use ledger::{Full, Item, ItemState, Ledger, Load, Order, OrderKind};
+pub use report::{AssetState, OrderState, Report};
 pub use residence::{Residence, Resident};
--- a/crates/place/src/residence.rs
+++ b/crates/place/src/residence.rs
@@ -4,6 +4,8 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
+use crate::ledger::{ItemState, Ledger};
+
 /// What is resident on each runner.
 ///
 /// It lags behind the ledger, so that the runner's lead checks it again.
@@ -20,6 +22,42 @@
     pub models: IndexSet<(ModelName, VersionName)>,
     /// Adapters, loaded and not to be dropped.
     pub adapters: IndexSet<AdapterName>,
+    /// The models with their versions on which the adapters were loaded.
+    #[serde(default)]
+    pub bases: IndexMap<AdapterName, (ModelName, VersionName)>,
+}
+
+impl Resident {
+    /// What may be used of what a runner's ledger holds.
+    pub fn of(ledger: &Ledger) -> Self {
+        let mut resident = Self::default();
+        for item in ledger.items.iter().filter(|item| item.state == ItemState::Ready) {
+            let base = (item.asset.model.clone(), item.asset.version.clone());
+            match &item.asset.adapter {
+                None => {
+                    resident.models.insert(base);
+                }
+                Some(adapter) if ledger.is_ready(&item.asset.base()) => {
+                    resident.adapters.insert(adapter.clone());
+                    resident.bases.insert(adapter.clone(), base);
+                }
+                Some(_) => {}
+            }
+        }
+        resident
+    }
+
+    /// Whether the runner can serve a model with an adapter on top.
+    pub fn serves(
+        &self,
+        model: &ModelName,
+        version: &VersionName,
+        adapter: Option<&AdapterName>,
+    ) -> bool {
+        let base = (model.clone(), version.clone());
+        self.models.contains(&base)
+            && adapter.is_none_or(|name| self.bases.get(name) == Some(&base))
+    }
 }
 
 impl Residence {
@@ -30,14 +68,32 @@
         version: &VersionName,
         adapter: Option<&AdapterName>,
     ) -> impl Iterator<Item = &ServerName> {
-        let model = (model.clone(), version.clone());
+        let (model, version) = (model.clone(), version.clone());
         let adapter = adapter.cloned();
         self.runners
             .iter()
-            .filter(move |(_, held)| {
-                held.models.contains(&model)
-                    && adapter.as_ref().is_none_or(|name| held.adapters.contains(name))
-            })
+            .filter(move |(_, held)| held.serves(&model, &version, adapter.as_ref()))
             .map(|(name, _)| name)
     }
+
+    /// The version of a model that a request gets: the wanted one if any runner
+    /// can serve it, else one that can be served meanwhile.
+    ///
+    /// While a new version is being loaded, requests go on with the old one.
+    pub fn version(
+        &self,
+        model: &ModelName,
+        wanted: &VersionName,
+        adapter: Option<&AdapterName>,
+    ) -> VersionName {
+        if self.serving(model, wanted, adapter).next().is_some() {
+            return wanted.clone();
+        }
+        let held = self.runners.values().flat_map(|held| {
+            held.models.iter().filter(move |(name, version)| {
+                name == model && held.serves(model, version, adapter)
+            })
+        });
+        held.map(|(_, version)| version).max().unwrap_or(wanted).clone()
+    }
 }
