--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -151,10 +151,10 @@
         let (mut frames, form) = state?;
         let say = frames.next().await;
         let (text, more) = match say {
-            Say::Tokens { count, text, .. } => {
+            Say::Tokens { first, count, text } => {
                 let mut body = head(&form, true);
                 body["choices"] = json!([choice(&form, true, Some(&text), None)]);
-                body["tokens"] = count.into();
+                body["tokens"] = (first + count).into();
                 (format!("data: {body}\n\n"), true)
             }
             Say::End { reason, .. } => {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -194,7 +194,8 @@
 struct Event {
     #[serde(default)]
     choices: Vec<Choice>,
-    /// How many tokens the event holds; engines that don't say send one each.
+    /// How many tokens the whole answer has with this event; engines that don't
+    /// say send one token an event.
     tokens: Option<u32>,
 }
 
@@ -257,7 +258,11 @@
         let text = choice.text.or(choice.delta.and_then(|delta| delta.content));
         reason = choice.finish_reason.or(reason);
         if let Some(text) = text.filter(|text| !text.is_empty()) {
-            let count = event.tokens.unwrap_or(1);
+            let total = event.tokens.unwrap_or(next + 1);
+            let Some(count) = total.checked_sub(next).filter(|&count| count > 0) else {
+                let why = format!("token {total} came after {next}");
+                return CallEnd::Broken { why, cut: false };
+            };
             seen(count);
             if out.send(Say::Tokens { first: next, count, text }).await.is_err() {
                 return CallEnd::Abandoned;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -22,8 +22,17 @@
 /// Refusals cost a hop each; after this many the pool is full in all likelihood.
 const ATTEMPTS: usize = 6;
 
-/// The pause before another daemon is asked that was not reached.
-const PAUSE: Duration = Duration::from_millis(20);
+/// How long a request waits for a lead to be found before it is refused.
+///
+/// While a claim changes hands nobody leads the backend server for a moment: the
+/// new holder learns of a planned handover within some milliseconds and the other
+/// daemons at their next poll. Without the wait each rolling restart refuses
+/// requests for models with one replica. After a kill the claim is free only when
+/// the lease has lapsed, which is longer; then the caller is told when to return.
+const SETTLE: Duration = Duration::from_millis(1200);
+
+/// The pause before daemons and backend servers are looked at again.
+const PAUSE: Duration = Duration::from_millis(50);
 
 const FRAMES_AHEAD: usize = 64;
 
@@ -95,39 +104,59 @@
 
 impl Relay<'_> {
     async fn drive(mut self) {
+        let settled = self.node.shared.clock.now() + SETTLE.min(self.work.budget);
+        let mut broken = 0;
+        let refusal = loop {
+            let refusal = match self.round(&mut broken).await {
+                Some(refusal) => refusal,
+                None => return,
+            };
+            let now = self.node.shared.clock.now();
+            if !is_passing(refusal.code) || self.sent || now >= settled {
+                break refusal;
+            }
+            tokio::time::sleep(PAUSE).await;
+            self.tried.clear();
+        };
+        self.refuse(refusal).await;
+    }
+
+    /// Asks one backend server after the other; nothing if the caller is served.
+    async fn round(&mut self, broken: &mut usize) -> Option<Refusal> {
         let mut last = None;
-        for _ in 0..ATTEMPTS {
-            let choice =
-                match self.node.picker.pick(&self.node.shared, &self.work, &self.tried) {
-                    Ok(choice) => choice,
-                    Err(refusal) => {
-                        let refusal = last.unwrap_or(refusal);
-                        return self.refuse(refusal).await;
-                    }
-                };
+        while self.tried.len() < ATTEMPTS {
+            let picker = &self.node.picker;
+            let choice = match picker.pick(&self.node.shared, &self.work, &self.tried) {
+                Ok(choice) => choice,
+                Err(refusal) => return last.or(Some(refusal)),
+            };
             self.tried.push(choice.server.clone());
             let refusal = match self.attempt(&choice).await {
-                Next::Done => return,
+                Next::Done => return None,
                 Next::Elsewhere(refusal) => refusal,
                 Next::Broken(why) => {
-                    let refusal = broken(&why);
-                    if self.mode == Mode::Single || self.begun {
-                        return self.refuse(refusal).await;
-                    }
-                    if !self.node.picker.may_retry(&self.node.shared) {
-                        return self.refuse(refusal).await;
+                    *broken += 1;
+                    let refusal = broke_off(&why);
+                    if !self.may_try_again(*broken) {
+                        return Some(refusal);
                     }
                     refusal
                 }
             };
             last = Some(refusal);
-            let now = self.node.shared.clock.now();
-            if now >= self.end {
+            if self.node.shared.clock.now() >= self.end {
                 break;
             }
         }
-        let refusal = last.unwrap_or_else(|| broken("no attempt was possible"));
-        self.refuse(refusal).await;
+        last.or_else(|| Some(broke_off("no attempt was possible")))
+    }
+
+    /// Whether an attempt that may have run may be followed by another.
+    fn may_try_again(&self, broken: usize) -> bool {
+        self.mode == Mode::Many
+            && !self.begun
+            && broken < ATTEMPTS
+            && self.node.picker.may_retry(&self.node.shared)
     }
 
     async fn attempt(&mut self, choice: &Choice) -> Next {
@@ -147,7 +176,6 @@
             Ok(frames) => frames,
             Err(PeerError::NotSent(why)) => {
                 self.node.picker.note(&choice.server, Note::Unreachable);
-                tokio::time::sleep(PAUSE).await;
                 return Next::Elsewhere(unreachable(&why));
             }
             Err(PeerError::Lost(why)) => return self.lost(choice, why),
@@ -279,7 +307,12 @@
     }
 }
 
-fn broken(why: &str) -> Refusal {
+/// Whether the cause of a refusal may be gone in a moment.
+fn is_passing(code: Code) -> bool {
+    matches!(code, Code::Unavailable | Code::NotResident)
+}
+
+fn broke_off(why: &str) -> Refusal {
     let text = format!("the backend server broke off ({why}); send the request again");
     Refusal::in_doubt(Code::Broken, text).after(Duration::from_secs(1))
 }
