Give operators plans, history, rows and explanations, and let peers hand over declarations

A change's answer is kept with a hash of the change, so that an id used twice is told apart. Replica says whether a daemon's declarations are fresh.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -1,48 +1,24 @@
-//! Accepting a change: one transaction on the head, one answer for ever.
-//!
-//! Load pattern: operators of teams that never coordinate send changes at any
-//! moment (up to 19,000 a day), through any daemon, and repeat a change whose
-//! acknowledgement was lost. Without these rules a repeated change is applied
-//! twice, a slower operator silently undoes a faster one, or an operator is told
-//! "refused" of a change that takes effect later.
-//!
-//! The rules:
-//! - A change edits files relative to the revision that its author saw. If a
-//!   file that it edits was changed since, it is refused and the other author
-//!   is named; otherwise it is applied on top of the head.
-//! - The transaction checks the head, so that of two racing changes one sees the
-//!   other and starts again.
-//! - Each final answer, also a refusal, is a row under the change's id that is
-//!   written once, in the same transaction. A repeated change finds it. While
-//!   that row can't be written or read, nobody gets a final answer.
-//!
-//! [`Applier`] holds no connection: it says what to do next ([`Step`]) and is
-//! told what came of it ([`Event`]).
+//! An operator's change, and whether it may be applied.
 
-use chestnut_base::{PoolName, Revision, TeamName};
-use indexmap::IndexMap;
+use chestnut_base::{Digest, PoolName, Revision, TeamName};
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 use crate::catalog::Catalog;
 use crate::declare::TeamText;
-use crate::problem::Problems;
-use crate::rows::{self, Entry, FileRow, Files, Head};
+use crate::problem::{Problems, Spot};
+use crate::rows::{FileRow, Files};
 use crate::union::Union;
 
-/// How often an applier starts again before it leaves the change undecided.
-///
-/// Each round loses to another change that was accepted meanwhile. With 19,000
-/// changes a day in bursts of 20 a second and a commit of 50 ms, one in two
-/// rounds loses, so that 24 rounds lose together less than once in 10^7 changes.
-pub const ROUNDS: u32 = 24;
-
 /// The longest text of a file, in bytes.
 pub const TEXT_LIMIT: usize = 512 << 10;
 
 /// The longest id of a change, in bytes.
 pub const ID_LIMIT: usize = 64;
 
+/// The longest author and note, in bytes.
+pub const NOTE_LIMIT: usize = 1024;
+
 /// What an operator asks for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -97,6 +73,8 @@
     Invalid {
         /// What would be wrong.
         problems: Problems,
+        /// The changes that wrote the other files that the problems are about.
+        others: Vec<Other>,
     },
 }
 
@@ -113,178 +91,118 @@
     pub revision: Revision,
 }
 
-/// What an applier wants done next.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Step {
-    /// Read the head, then the files, then the change's row.
-    Read,
-    /// Commit this.
-    Commit(Commit),
-    /// Nothing; this is the answer.
-    Done(Answer),
-}
-
-/// A transaction on the configuration's table.
-///
-/// Requires that the head has just the given version (or does not exist) and
-/// that the row `fresh` does not exist.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Commit {
-    /// The version that the head's row must have; it must not exist if absent.
-    pub head: Option<u64>,
-    /// The key of the row that must not exist.
-    pub fresh: String,
-    /// The rows to write.
-    pub writes: Vec<(String, Value)>,
-}
-
-/// What a daemon answers to an operator.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Answer {
-    /// The final answer.
-    Final(Verdict),
-    /// Nothing is known of the change; the operator repeats it with the same id.
-    Undecided(String),
-}
-
-/// What came of a step.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// What was read.
-    Read(Box<Snapshot>),
-    /// The transaction was committed.
-    Committed,
-    /// The transaction was refused; others were faster.
-    Conflict,
-    /// The transaction may have been committed.
-    Unknown,
-    /// The platform did nothing.
-    Down(String),
-}
-
-/// What a step of reading found.
-#[derive(Debug, Clone, Default)]
-pub struct Snapshot {
-    /// The head and the version of its row.
-    pub head: Option<(Head, u64)>,
-    /// All files, read after the head.
-    pub files: Files,
-    /// The final answer to the change, if there is one, read last.
-    pub verdict: Option<Verdict>,
-    /// The number of runners of each pool, where it is known.
-    pub runners: IndexMap<PoolName, usize>,
-}
-
-/// Takes one change to its answer.
-#[derive(Debug, Clone)]
-pub struct Applier {
-    change: Change,
-    wall: u64,
-    rounds: u32,
-    sent: Option<Verdict>,
-}
-
-impl Applier {
-    /// Creates an applier; `wall` is the time for the history, in seconds since 1970.
-    pub fn new(change: Change, wall: u64) -> Self {
-        Self { change, wall, rounds: 0, sent: None }
-    }
-
-    /// The first step.
-    pub fn start(&mut self) -> Step {
-        Step::Read
-    }
-
-    /// The step after what came of the last one.
-    pub fn on(&mut self, event: Event) -> Step {
-        match event {
-            Event::Read(found) => self.decide(*found),
-            Event::Committed => match self.sent.take() {
-                Some(verdict) => Step::Done(Answer::Final(verdict)),
-                None => Step::Read,
-            },
-            Event::Conflict | Event::Unknown => self.again(),
-            Event::Down(why) => Step::Done(Answer::Undecided(why)),
+impl Change {
+    /// Checks what can be told from the change alone.
+    pub fn check(&self) -> Result<(), String> {
+        let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        if self.id.is_empty() || self.id.len() > ID_LIMIT || !self.id.chars().all(plain) {
+            return Err(format!(
+                "the change's id is invalid; use 1 to {ID_LIMIT} letters, digits, `-`, \
+                 `_` and `.`"
+            ));
+        }
+        if self.author.is_empty() || self.author.len() > NOTE_LIMIT {
+            return Err("the author is missing or too long; name yourself".into());
         }
+        if self.note.len() > NOTE_LIMIT {
+            return Err(format!("the note is too long; use at most {NOTE_LIMIT} bytes"));
+        }
+        if self.edits.is_empty() {
+            return Err("the change edits no file; there is nothing to apply".into());
+        }
+        for (file, text) in &self.edits {
+            if file.is_empty() || file.len() > ID_LIMIT || !file.chars().all(plain) {
+                return Err(format!(
+                    "the file name {file:?} is invalid; use letters, digits, `-`, `_`, `.`"
+                ));
+            }
+            if text.as_ref().is_some_and(|text| text.len() > TEXT_LIMIT) {
+                return Err(format!(
+                    "the file {file} is too long; split it into files of at most \
+                     {TEXT_LIMIT} bytes"
+                ));
+            }
+        }
+        Ok(())
     }
 
-    fn again(&mut self) -> Step {
-        self.sent = None;
-        self.rounds += 1;
-        if self.rounds < ROUNDS {
-            return Step::Read;
+    /// A hash of what the change does, by which a reused id is told apart.
+    pub fn digest(&self) -> Digest {
+        let base = self.base.0.to_le_bytes();
+        let mut parts: Vec<&[u8]> = vec![self.team.as_str().as_bytes(), &base];
+        for (file, text) in &self.edits {
+            parts.push(file.as_bytes());
+            parts.push(if text.is_some() { b"text" } else { b"none" });
+            parts.push(text.as_deref().unwrap_or_default().as_bytes());
         }
-        Step::Done(Answer::Undecided("other changes were always faster".into()))
+        Digest::of(parts)
     }
 
-    fn decide(&mut self, found: Snapshot) -> Step {
-        if let Some(verdict) = found.verdict {
-            return Step::Done(Answer::Final(verdict));
+    /// Checks the change on top of all files, and returns the new declarations.
+    ///
+    /// The changing team is read last, so that the problems stand at its texts
+    /// where two texts contradict each other.
+    pub fn judge(
+        &self,
+        files: &Files,
+        runners: &IndexMap<PoolName, usize>,
+        next: Revision,
+    ) -> Result<Catalog, Reason> {
+        let others = self.conflicts(files);
+        if !others.is_empty() {
+            return Err(Reason::Conflict { author: self.author.clone(), others });
         }
-        let current = found.head.as_ref().map_or(Revision(0), |(head, _)| head.revision);
-        let next = Revision(current.0 + 1);
-        let verdict = match judge(&self.change, &found, next) {
-            Ok(()) => {
-                Verdict::Accepted { revision: next, rebased: current > self.change.base }
+        let mut teams = files.teams();
+        let old = Catalog::union(next, &teams).ok();
+        let mut text = teams.shift_remove(&self.team).unwrap_or_default();
+        edit(&mut text, &self.edits);
+        teams.insert(self.team.clone(), text);
+        let union = Union::check(next, &teams).and_then(|union| {
+            union.fits(runners, old.as_ref())?;
+            Ok(union)
+        });
+        match union {
+            Ok(union) => Ok(union.catalog),
+            Err(problems) => {
+                let others = self.blamed(&problems, files);
+                Err(Reason::Invalid { problems, others })
             }
-            Err(reason) => Verdict::Refused { revision: current, reason },
-        };
-        let fresh = rows::change_key(&self.change.id);
-        let mut writes = vec![(fresh.clone(), json(&verdict))];
-        if let Verdict::Accepted { revision, .. } = verdict {
-            writes.extend(self.rows(&found.files, revision));
         }
-        self.sent = Some(verdict);
-        let head = found.head.map(|(_, version)| version);
-        Step::Commit(Commit { head, fresh, writes })
     }
 
-    fn rows(&self, files: &Files, revision: Revision) -> Vec<(String, Value)> {
-        let change = &self.change;
-        let head = Head { revision, change: change.id.clone() };
-        let mut rows = vec![(rows::HEAD.to_owned(), json(&head))];
-        let mut before = IndexMap::new();
-        for (file, text) in &change.edits {
-            let old = files.get(&change.team, file).and_then(|row| row.text.clone());
-            before.insert(file.clone(), old);
-            let row = FileRow {
-                team: change.team.clone(),
-                file: file.clone(),
-                revision,
-                change: change.id.clone(),
-                author: change.author.clone(),
-                text: text.clone(),
-            };
-            rows.push((rows::file_key(&change.team, file), json(&row)));
-        }
-        let entry = Entry {
-            revision,
-            change: change.id.clone(),
-            team: change.team.clone(),
-            author: change.author.clone(),
-            note: change.note.clone(),
-            at: self.wall,
-            before,
-        };
-        rows.push((rows::entry_key(revision), json(&entry)));
-        rows
+    /// The changes of the same files since the author's revision.
+    fn conflicts(&self, files: &Files) -> Vec<Other> {
+        self.edits
+            .keys()
+            .filter_map(|file| files.get(&self.team, file))
+            .filter(|row| row.revision > self.base)
+            .map(Other::of)
+            .collect()
+    }
+
+    /// The changes that last wrote the other files that problems are about.
+    fn blamed(&self, problems: &Problems, files: &Files) -> Vec<Other> {
+        let spots = problems.0.iter().flat_map(|it| [Some(&it.at), it.also.as_ref()]);
+        let named: IndexSet<&str> =
+            spots.flatten().map(|spot: &Spot| &*spot.file).collect();
+        files
+            .rows()
+            .filter(|row| row.team != self.team || !self.edits.contains_key(&row.file))
+            .filter(|row| named.contains(row.path().as_str()))
+            .map(Other::of)
+            .collect()
     }
 }
 
-/// Checks a change on top of what is in force.
-pub fn judge(change: &Change, found: &Snapshot, next: Revision) -> Result<(), Reason> {
-    let others = conflicts(change, &found.files);
-    if !others.is_empty() {
-        return Err(Reason::Conflict { author: change.author.clone(), others });
+impl Other {
+    fn of(row: &FileRow) -> Self {
+        Self {
+            file: row.path(),
+            author: row.author.clone(),
+            change: row.change.clone(),
+            revision: row.revision,
+        }
     }
-    let mut teams = found.files.teams();
-    let old = Catalog::union(next, &teams).ok();
-    edit(teams.entry(change.team.clone()).or_default(), &change.edits);
-    let union = Union::check(next, &teams);
-    let union = union.map_err(|problems| Reason::Invalid { problems })?;
-    union
-        .fits(&found.runners, old.as_ref())
-        .map_err(|problems| Reason::Invalid { problems })
 }
 
 /// Applies edits to a team's files.
@@ -316,22 +234,3 @@
     }
     edits
 }
-
-fn conflicts(change: &Change, files: &Files) -> Vec<Other> {
-    change
-        .edits
-        .keys()
-        .filter_map(|file| files.get(&change.team, file))
-        .filter(|row| row.revision > change.base)
-        .map(|row| Other {
-            file: row.file.clone(),
-            author: row.author.clone(),
-            change: row.change.clone(),
-            revision: row.revision,
-        })
-        .collect()
-}
-
-fn json<T: Serialize>(value: &T) -> Value {
-    serde_json::to_value(value).expect("these types have texts as keys")
-}
--- a/crates/config/src/declare.rs
+++ b/crates/config/src/declare.rs
@@ -6,7 +6,7 @@
     AdapterName, CallerName, KindName, ModelName, NameError, PoolName, ServiceName,
     TeamName, Urgency,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_with::DurationMilliSeconds;
@@ -56,6 +56,10 @@
     pub callers: Vec<(CallerName, Declared<Caller>)>,
     /// Routes.
     pub routes: Vec<(String, Declared<Route>)>,
+    /// The sections and names of things with problems of their own.
+    ///
+    /// Nobody is told in addition that these are not declared.
+    pub broken: IndexSet<(&'static str, String)>,
 }
 
 impl Team {
@@ -73,49 +77,60 @@
     }
 
     fn read(&mut self, team: &TeamName, fields: &mut Fields<'_>) {
-        section(fields, "pools", &mut self.pools, &[], |f| pool(team, f));
-        section(fields, "models", &mut self.models, &["pool"], |f| model(team, f));
-        section(fields, "adapters", &mut self.adapters, &["model"], |f| adapter(team, f));
-        section(fields, "services", &mut self.services, &["kind"], |f| service(team, f));
-        section(fields, "kinds", &mut self.kinds, &[], |f| kind(team, f));
-        section(fields, "callers", &mut self.callers, &["key_sha256"], |f| {
+        let broken = &mut self.broken;
+        let mut list = Section { fields, broken };
+        list.read("pool", "pools", &mut self.pools, &[], |f| pool(team, f));
+        list.read("model", "models", &mut self.models, &["pool"], |f| model(team, f));
+        list.read("adapter", "adapters", &mut self.adapters, &["model"], |f| {
+            adapter(team, f)
+        });
+        list.read("service", "services", &mut self.services, &["kind"], |f| {
+            service(team, f)
+        });
+        list.read("kind", "kinds", &mut self.kinds, &[], |f| kind(team, f));
+        list.read("caller", "callers", &mut self.callers, &["key_sha256"], |f| {
             caller(team, f)
         });
         let refs = ["model", "adapter", "kind"];
         let mut routes: Vec<(ModelName, _)> = Vec::new();
-        section(fields, "routes", &mut routes, &refs, |f| route(team, f));
+        list.read("route", "routes", &mut routes, &refs, |f| route(team, f));
         let routes = routes.into_iter().map(|(name, it)| (name.to_string(), it));
         self.routes.extend(routes);
     }
 }
 
-fn section<K, T>(
-    fields: &mut Fields<'_>,
-    name: &'static str,
-    into: &mut Vec<(K, Declared<T>)>,
-    refs: &[&'static str],
-    mut read: impl FnMut(&mut Fields<'_>) -> Option<T>,
-) where
-    K: TryFrom<String, Error = NameError>,
-{
-    fields.entries(name, |key, at, fields| {
-        let item = read(fields);
-        let refs = refs.iter().map(|&name| (name, fields.spot(name))).collect();
-        match K::try_from(key.to_owned()) {
-            Ok(key) => {
-                if let Some(item) = item {
-                    into.push((key, Declared { item, at, refs }));
+/// Reads the sections of a file.
+struct Section<'a, 'b> {
+    fields: &'a mut Fields<'b>,
+    broken: &'a mut IndexSet<(&'static str, String)>,
+}
+
+impl Section<'_, '_> {
+    fn read<K, T>(
+        &mut self,
+        what: &'static str,
+        name: &'static str,
+        into: &mut Vec<(K, Declared<T>)>,
+        refs: &[&'static str],
+        mut read: impl FnMut(&mut Fields<'_>) -> Option<T>,
+    ) where
+        K: TryFrom<String, Error = NameError>,
+    {
+        self.fields.entries(name, |key, at, fields| {
+            let item = read(fields);
+            let refs = refs.iter().map(|&name| (name, fields.spot(name))).collect();
+            match (K::try_from(key.to_owned()), item) {
+                (Ok(key), Some(item)) => into.push((key, Declared { item, at, refs })),
+                (Ok(_), None) => {
+                    self.broken.insert((what, key.to_owned()));
+                }
+                (Err(error), _) => {
+                    let text = format!("the name {key:?} is invalid");
+                    fields.problem_at(at, text, &error.to_string());
                 }
             }
-            Err(error) => {
-                fields.problem_at(
-                    at,
-                    format!("the name {key:?} is invalid"),
-                    &error.to_string(),
-                );
-            }
-        }
-    });
+        });
+    }
 }
 
 fn pool(team: &TeamName, fields: &mut Fields<'_>) -> Option<Pool> {
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -44,6 +44,9 @@
     pub what: String,
     /// What to do about it.
     pub remedy: String,
+    /// The other place, if two places contradict each other.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub also: Option<Spot>,
 }
 
 impl Display for Problem {
@@ -65,7 +68,16 @@
 impl Problems {
     /// Adds a problem.
     pub fn add(&mut self, at: Spot, what: impl Into<String>, remedy: impl Into<String>) {
-        self.0.push(Problem { at, what: what.into(), remedy: remedy.into() });
+        let (what, remedy) = (what.into(), remedy.into());
+        self.0.push(Problem { at, what, remedy, also: None });
+    }
+
+    /// Adds a problem between two places.
+    pub fn clash(&mut self, at: Spot, also: Spot, what: impl Into<String>, remedy: &str) {
+        self.add(at, what, remedy);
+        if let Some(last) = self.0.last_mut() {
+            last.also = Some(also);
+        }
     }
 
     /// The value if nothing is wrong.
--- a/crates/config/src/rows.rs
+++ b/crates/config/src/rows.rs
@@ -5,7 +5,7 @@
 //! | `head` | [`Head`] | by every accepted change |
 //! | `file:TEAM/NAME` | [`FileRow`] | by an accepted change of that file |
 //! | `rev:NUMBER` | [`Entry`] | once, by the change that made the revision |
-//! | `change:ID` | [`Verdict`] | once, by the first final answer to the change |
+//! | `change:TEAM/ID` | [`Ruling`] | once, by the first final answer to the change |
 //!
 //! Daemons read only what changed under `file:`, so that a change costs each of
 //! them just the files it touches. A removed file keeps its row without a text,
@@ -30,6 +30,9 @@
 /// The start of the keys of the history.
 pub const HISTORY: &str = "rev:";
 
+/// The number of revisions that one read of the history gets.
+pub const BLOCK: u64 = 100;
+
 /// The key of a file.
 pub fn file_key(team: &TeamName, file: &str) -> String {
     format!("{FILES}{team}/{file}")
@@ -40,9 +43,16 @@
     format!("{HISTORY}{:012}", revision.0)
 }
 
-/// The key of the answer to a change.
-pub fn change_key(id: &str) -> String {
-    format!("change:{id}")
+/// The start of the keys of the 100 revisions that `revision` belongs to.
+///
+/// A read of a block costs the same however long the history is.
+pub fn block_prefix(revision: Revision) -> String {
+    format!("{HISTORY}{:010}", revision.0 / BLOCK)
+}
+
+/// The key of the answer to a team's change.
+pub fn change_key(team: &TeamName, id: &str) -> String {
+    format!("change:{team}/{id}")
 }
 
 /// The newest revision; each change checks that it is as the change saw it.
@@ -71,6 +81,22 @@
     pub text: Option<String>,
 }
 
+impl FileRow {
+    /// The file's name with its team, as problems name it.
+    pub fn path(&self) -> String {
+        format!("{}/{}", self.team, self.file)
+    }
+}
+
+/// The final answer to a change, with a hash of what was asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ruling {
+    /// The hash of the change, as [`Change::digest`](crate::Change::digest) says.
+    pub digest: String,
+    /// The answer.
+    pub verdict: Verdict,
+}
+
 /// A revision in the history.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -141,6 +167,3 @@
         teams
     }
 }
-
-/// The answer to a change as its row keeps it.
-pub type ChangeRow = Verdict;
--- a/crates/config/src/union.rs
+++ b/crates/config/src/union.rs
@@ -8,7 +8,7 @@
 use std::hash::Hash;
 
 use chestnut_base::{ModelName, PoolName, Revision, TeamName};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::catalog::Catalog;
 use crate::declare::{Declared, Team, TeamText};
@@ -49,7 +49,9 @@
             all.kinds.extend(team.kinds);
             all.callers.extend(team.callers);
             all.routes.extend(team.routes);
+            all.broken.extend(team.broken);
         }
+        let broken = &all.broken;
         let pools = index("pool", all.pools, &mut problems);
         let models = index("model", all.models, &mut problems);
         let adapters = index("adapter", all.adapters, &mut problems);
@@ -59,7 +61,7 @@
         let routes = index("route", all.routes, &mut problems);
 
         for it in models.values() {
-            refer(it, "pool", &it.item.pool, &pools, &mut problems);
+            refer(it, "pool", &it.item.pool, &pools, broken, &mut problems);
             if let Some(pool) = pools.get(&it.item.pool)
                 && it.item.bytes > pool.item.memory
             {
@@ -67,11 +69,12 @@
                     "the model needs {} bytes and a runner of pool `{}` has {}",
                     it.item.bytes, it.item.pool, pool.item.memory
                 );
-                problems.add(it.at.clone(), what, "choose a pool of larger runners");
+                let remedy = "choose a pool of larger runners";
+                problems.clash(it.at.clone(), pool.at.clone(), what, remedy);
             }
         }
         for it in adapters.values() {
-            refer(it, "model", &it.item.model, &models, &mut problems);
+            refer(it, "model", &it.item.model, &models, broken, &mut problems);
             if let Some(model) = models.get(&it.item.model)
                 && let Some(pool) = pools.get(&model.item.pool)
                 && it.item.bytes.saturating_add(model.item.bytes) > pool.item.memory
@@ -80,33 +83,36 @@
                     "the adapter and its model need more than the {} bytes of a runner",
                     pool.item.memory
                 );
-                problems.add(it.at.clone(), what, "choose a smaller adapter");
+                let remedy = "choose a smaller adapter";
+                problems.clash(it.at.clone(), model.at.clone(), what, remedy);
             }
         }
         for it in services.values() {
             if let Some(kind) = &it.item.kind {
-                refer(it, "kind", kind, &kinds, &mut problems);
+                refer(it, "kind", kind, &kinds, broken, &mut problems);
             }
         }
         let mut keys: IndexMap<&str, &Spot> = IndexMap::new();
         for it in callers.values() {
             if let Some(first) = keys.insert(&it.item.key_sha256, &it.at) {
                 let what = format!("the key is that of another caller ({first})");
-                problems.add(it.refs["key_sha256"].clone(), what, "make a new key");
+                let at = it.refs["key_sha256"].clone();
+                problems.clash(at, first.clone(), what, "make a new key");
             }
         }
         for it in routes.values() {
-            refer(it, "model", &it.item.model, &models, &mut problems);
+            refer(it, "model", &it.item.model, &models, broken, &mut problems);
             if let Some(kind) = &it.item.kind {
-                refer(it, "kind", kind, &kinds, &mut problems);
+                refer(it, "kind", kind, &kinds, broken, &mut problems);
             }
             let Some(name) = &it.item.adapter else { continue };
-            refer(it, "adapter", name, &adapters, &mut problems);
+            refer(it, "adapter", name, &adapters, broken, &mut problems);
             if let Some(adapter) = adapters.get(name)
                 && adapter.item.model != it.item.model
             {
                 let what = format!("the adapter belongs to `{}`", adapter.item.model);
-                problems.add(it.refs["adapter"].clone(), what, "name that model");
+                let at = it.refs["adapter"].clone();
+                problems.clash(at, adapter.at.clone(), what, "name that model");
             }
         }
 
@@ -216,7 +222,7 @@
     for (name, item) in list {
         if let Some(first) = map.get(&name) {
             let text = format!("the {what} `{name}` is declared in {} too", first.at);
-            problems.add(item.at, text, "choose another name");
+            problems.clash(item.at, first.at.clone(), text, "choose another name");
         } else {
             map.insert(name, item);
         }
@@ -229,9 +235,11 @@
     field: &'static str,
     name: &K,
     known: &IndexMap<K, U>,
+    broken: &IndexSet<(&'static str, String)>,
     problems: &mut Problems,
 ) {
-    if known.contains_key(name) {
+    let told = broken.iter().any(|(what, it)| *what == field && *it == name.to_string());
+    if told || known.contains_key(name) {
         return;
     }
     let names: Vec<String> = known.keys().map(K::to_string).collect();
--- a/crates/node/src/confsync.rs
+++ b/crates/node/src/confsync.rs
@@ -2,22 +2,23 @@
 //!
 //! The daemon reads what changed in the table at every poll and publishes the
 //! declarations of the newest revision. It never goes to a lower one, and while
-//! the table can't be read it keeps what it has.
+//! the table can't be read it keeps what it has and asks its peers.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant, UNIX_EPOCH};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Instant, UNIX_EPOCH};
 
-use chestnut_base::{PoolName, Revision};
-use chestnut_config::change::{Answer, Applier, Change, Commit, Event, Snapshot, Step};
-use chestnut_config::rows::{self, FileRow, Files};
-use chestnut_config::{Catalog, Verdict};
+use bytes::Bytes;
+use chestnut_base::{PoolName, Revision, TeamName};
+use chestnut_config::apply::{Commit, Event, KEPT, Snapshot, Step};
+use chestnut_config::replica::pace;
+use chestnut_config::rows::{self, Entry, FileRow, Files, Head, Ruling};
+use chestnut_config::{Answer, Applier, Catalog, Change, Handover, Replica};
 use chestnut_member::view::ServerRole;
 use chestnut_plat::{PlatError, Row, Txn, TxnAnswer};
 use indexmap::IndexMap;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use serde::de::DeserializeOwned;
-use tokio::sync::Mutex;
 
 use crate::metrics::Metrics;
 use crate::shared::Shared;
@@ -25,89 +26,105 @@
 /// What a daemon keeps of the configuration's rows.
 pub struct Conf {
     store: Mutex<Store>,
-    start: Instant,
-    confirmed: AtomicU64,
     reads: Counter,
     failures: Counter,
+    revision: Gauge,
 }
 
-/// The rows as far as they were read.
 #[derive(Default)]
 struct Store {
-    files: Files,
-    /// The version up to which the rows are complete.
-    version: u64,
+    replica: Replica,
     /// The last revision that was checked, in force or not.
     checked: Revision,
 }
 
 impl Conf {
     /// Creates the state of a daemon that has read nothing yet.
-    pub fn new(now: Instant, metrics: &Metrics) -> Self {
-        let reads = Counter::default();
-        let failures = Counter::default();
+    pub fn new(metrics: &Metrics) -> Self {
+        let conf = Self {
+            store: Mutex::default(),
+            reads: Counter::default(),
+            failures: Counter::default(),
+            revision: Gauge::default(),
+        };
         metrics.register(|registry| {
             let help = "Reads of the configuration's rows";
-            registry.register("config_reads", help, reads.clone());
+            registry.register("config_reads", help, conf.reads.clone());
             let help = "Failed reads of the configuration's rows";
-            registry.register("config_failures", help, failures.clone());
+            registry.register("config_failures", help, conf.failures.clone());
+            let help = "The revision of the declarations in force";
+            registry.register("config_revision", help, conf.revision.clone());
         });
-        Self {
-            store: Mutex::default(),
-            start: now,
-            confirmed: AtomicU64::new(0),
-            reads,
-            failures,
-        }
+        conf
     }
 
-    /// Whether the daemon confirmed its revision within `limit`.
-    ///
-    /// A daemon that did not takes no new work: others may have newer
-    /// declarations in force.
-    pub fn is_fresh(&self, now: Instant, limit: Duration) -> bool {
-        match self.confirmed.load(Ordering::Acquire) {
-            0 => false,
-            millis => {
-                let at = self.start + Duration::from_millis(millis - 1);
-                now.saturating_duration_since(at) <= limit
-            }
-        }
+    fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().expect("no holder of the store panics")
     }
+}
 
-    /// Notes that the revision was confirmed by a question sent at `at`.
-    pub fn confirm(&self, at: Instant) {
-        let millis = at.saturating_duration_since(self.start).as_millis() as u64;
-        self.confirmed.fetch_max(millis + 1, Ordering::AcqRel);
-    }
+/// Whether the daemon confirmed its revision recently enough to take new work.
+///
+/// A daemon that did not may hold declarations that others have replaced.
+pub fn is_fresh(shared: &Shared, now: Instant) -> bool {
+    shared.conf.store().replica.is_fresh(now, shared.settings.times.stale)
 }
 
 /// Keeps the declarations up to date until the daemon stops.
 pub async fn run(shared: Arc<Shared>) {
-    let mut ticks = tokio::time::interval(shared.settings.times.poll);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut fresh = false;
     loop {
-        ticks.tick().await;
-        // A failed read only leaves the last confirmation as it is.
         if refresh(&shared).await.is_err() {
             shared.conf.failures.inc();
         }
+        let now = is_fresh(&shared, shared.clock.now());
+        if now != fresh {
+            slog::info!(shared.log, "freshness of declarations changed"; "fresh" => now);
+            fresh = now;
+        }
+        let members = shared.view().members.len();
+        tokio::time::sleep(pace(shared.settings.times.poll, members)).await;
     }
 }
 
 /// Reads what changed and publishes the newest declarations.
 pub async fn refresh(shared: &Shared) -> Result<Files, PlatError> {
-    let mut store = shared.conf.store.lock().await;
     let asked = shared.clock.now();
+    let since = shared.conf.store().replica.version();
     shared.conf.reads.inc();
-    let delta = shared.table.scan(rows::TABLE, rows::FILES, store.version).await?;
-    for row in delta.rows {
-        store.files.put(read::<FileRow>(row)?);
-    }
-    store.version = store.version.max(delta.version);
+    let delta = shared.table.scan(rows::TABLE, rows::FILES, since).await?;
+    let found: Result<Vec<FileRow>, _> = delta.rows.into_iter().map(read).collect();
+    let mut store = shared.conf.store();
+    store.replica.read(found?, delta.version, asked);
+    publish(shared, &mut store);
+    Ok(store.replica.files().clone())
+}
+
+/// All files as far as they are known.
+pub fn files(shared: &Shared) -> Files {
+    shared.conf.store().replica.files().clone()
+}
+
+/// What to tell a peer that has revision `have` and can't read the table.
+pub fn tell(shared: &Shared, have: Revision) -> Bytes {
+    let now = shared.clock.now();
+    let handover =
+        shared.conf.store().replica.tell(have, now, shared.settings.times.stale);
+    let text = serde_json::to_vec(&handover);
+    text.expect("these types have texts as keys").into()
+}
+
+/// Takes in a peer's answer to a question that was sent at `asked`.
+///
+/// An answer that can't be read changes nothing.
+pub fn hear(shared: &Shared, answer: &[u8], asked: Instant) {
+    let Ok(handover) = serde_json::from_slice::<Handover>(answer) else {
+        shared.conf.failures.inc();
+        return;
+    };
+    let mut store = shared.conf.store();
+    store.replica.hear(handover, asked);
     publish(shared, &mut store);
-    shared.conf.confirm(asked);
-    Ok(store.files.clone())
 }
 
 /// Takes a change to its answer.
@@ -117,7 +134,7 @@
     let mut step = applier.start();
     loop {
         let event = match step {
-            Step::Read => match snapshot(shared, &change.id).await {
+            Step::Read => match snapshot(shared, &change).await {
                 Ok(found) => Event::Read(Box::new(found)),
                 Err(error) => Event::Down(error.to_string()),
             },
@@ -128,19 +145,23 @@
     }
 }
 
-async fn snapshot(shared: &Shared, id: &str) -> Result<Snapshot, PlatError> {
+async fn snapshot(shared: &Shared, change: &Change) -> Result<Snapshot, PlatError> {
     let head = shared.table.get(rows::TABLE, rows::HEAD).await?;
     let head = match head {
         Some(row) => {
             let version = row.version;
-            Some((read(row)?, version))
+            Some((read::<Head>(row)?, version))
         }
         None => None,
     };
+    let newest = head.as_ref().map_or(Revision(0), |(head, _)| head.revision);
     let files = refresh(shared).await?;
-    let verdict = shared.table.get(rows::TABLE, &rows::change_key(id)).await?;
-    let verdict = verdict.map(read::<Verdict>).transpose()?;
-    Ok(Snapshot { head, files, verdict, runners: runners(shared) })
+    let oldest = match newest.0.checked_sub(KEPT) {
+        Some(old) => get(shared, &rows::entry_key(Revision(old))).await?,
+        None => None,
+    };
+    let ruling = ruling(shared, &change.team, &change.id).await?;
+    Ok(Snapshot { head, files, ruling, oldest, runners: runners(shared) })
 }
 
 async fn send(shared: &Shared, commit: Commit) -> Event {
@@ -152,6 +173,9 @@
     for (key, value) in commit.writes {
         txn = txn.put(rows::TABLE, key, value);
     }
+    for key in commit.removals {
+        txn = txn.delete(rows::TABLE, key);
+    }
     match shared.table.commit(&txn).await {
         Ok(TxnAnswer::Committed { .. }) => Event::Committed,
         Ok(TxnAnswer::Conflict { .. }) => Event::Conflict,
@@ -160,8 +184,27 @@
     }
 }
 
+/// The final answer to a change, if there is one.
+pub async fn ruling(
+    shared: &Shared,
+    team: &TeamName,
+    id: &str,
+) -> Result<Option<Ruling>, PlatError> {
+    get(shared, &rows::change_key(team, id)).await
+}
+
+/// The entries of the block of the history that holds a revision, newest first.
+pub async fn block(shared: &Shared, revision: Revision) -> Result<Vec<Entry>, PlatError> {
+    let prefix = rows::block_prefix(revision);
+    let delta = shared.table.scan(rows::TABLE, &prefix, 0).await?;
+    let entries: Result<Vec<Entry>, _> = delta.rows.into_iter().map(read).collect();
+    let mut entries = entries?;
+    entries.sort_by_key(|entry| std::cmp::Reverse(entry.revision));
+    Ok(entries)
+}
+
 /// The number of runners of each pool on the platform's list.
-fn runners(shared: &Shared) -> IndexMap<PoolName, usize> {
+pub fn runners(shared: &Shared) -> IndexMap<PoolName, usize> {
     let mut found = IndexMap::new();
     for server in shared.view().servers.values() {
         if let ServerRole::Runner(pool) = &server.role {
@@ -173,7 +216,7 @@
 
 /// Publishes the declarations unless they are not newer than those in force.
 fn publish(shared: &Shared, store: &mut Store) {
-    let revision = store.files.revision();
+    let revision = store.replica.files().revision();
     if revision <= store.checked {
         return;
     }
@@ -181,9 +224,10 @@
     // Every accepted change was checked, so that a failure here means that this
     // program is older than the one that accepted the change. It goes on with
     // the last declarations that it can read.
-    match Catalog::union(revision, &store.files.teams()) {
+    match Catalog::union(revision, &store.replica.files().teams()) {
         Ok(catalog) => {
             shared.catalog.send_replace(Arc::new(catalog));
+            shared.conf.revision.set(revision.0 as i64);
             slog::info!(shared.log, "declarations in force"; "revision" => revision.0);
         }
         Err(problems) => {
@@ -195,6 +239,13 @@
     }
 }
 
+async fn get<T: DeserializeOwned>(
+    shared: &Shared,
+    key: &str,
+) -> Result<Option<T>, PlatError> {
+    shared.table.get(rows::TABLE, key).await?.map(read).transpose()
+}
+
 fn read<T: DeserializeOwned>(row: Row) -> Result<T, PlatError> {
     serde_json::from_value(row.value)
         .map_err(|error| PlatError::Protocol(format!("row {}: {error}", row.key)))
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod members;
 pub mod metrics;
 pub mod opsconf;
+pub mod opsrows;
 pub mod orders;
 pub mod pick;
 pub mod planner;
--- a/crates/node/src/opsconf.rs
+++ b/crates/node/src/opsconf.rs
@@ -2,65 +2,303 @@
 //!
 //! Every call names its team in `x-team` and carries the team's key as
 //! `authorization: Bearer KEY`. Only the key's SHA-256 is in the settings; the
-//! key itself is neither logged nor dumped.
+//! key itself is neither logged nor dumped. Reading is open to every team,
+//! changing only to the team whose files change.
+//!
+//! | call | does |
+//! |---|---|
+//! | `POST /v1/config/plan` | tells what a [`Change`] would do |
+//! | `POST /v1/config/apply` | takes a [`Change`] to its answer |
+//! | `GET /v1/config/change/ID` | the answer to the team's earlier change |
+//! | `GET /v1/config/files?at=N` | the team's files, now or at a revision |
+//! | `GET /v1/config/history?limit=N` | the newest revisions |
+//! | `GET /v1/config/show/SUBJECT` | rows, see [`opsrows`] |
+//! | `GET /v1/config/explain?...` | what would happen to a request |
+//! | `POST /v1/config/drain` | tells a VM to leave |
 
 use std::sync::Arc;
 
-use axum::extract::State;
+use axum::extract::rejection::JsonRejection;
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use chestnut_base::TeamName;
-use chestnut_config::change::{Answer, Change};
-use chestnut_config::{Verdict, keys};
+use chestnut_base::{Revision, TeamName, VmName};
+use chestnut_config::history::{ROLLBACK_LIMIT, take_back};
+use chestnut_config::rows::{BLOCK, Entry};
+use chestnut_config::{Answer, Change, Plan, Reason, Verdict, keys};
+use chestnut_plat::PlatError;
+use serde::Deserialize;
 use serde_json::json;
 
-use crate::confsync;
 use crate::shared::Shared;
+use crate::{confsync, opsrows};
+
+/// The largest body of a change, in bytes.
+const BODY_LIMIT: usize = 4 << 20;
+
+/// The number of revisions of the history that are shown by default.
+const HISTORY: usize = 20;
+
+/// The greatest number of revisions of the history that are shown.
+const HISTORY_LIMIT: usize = 1000;
+
+/// The table of VMs that operators told to leave.
+pub const DRAIN: &str = "drain";
 
 /// The routes under `/v1/config`.
 pub fn router(shared: Arc<Shared>) -> Router {
     Router::new()
+        .route("/v1/config/plan", post(plan))
         .route("/v1/config/apply", post(apply))
-        .route("/v1/config/catalog", get(catalog))
+        .route("/v1/config/change/{id}", get(change))
+        .route("/v1/config/files", get(files))
+        .route("/v1/config/history", get(history))
+        .route("/v1/config/show/{subject}", get(show))
+        .route("/v1/config/explain", get(explain))
+        .route("/v1/config/drain", post(drain))
+        .layer(DefaultBodyLimit::max(BODY_LIMIT))
         .with_state(shared)
 }
 
+type Body<T> = Result<Json<T>, JsonRejection>;
+
+async fn plan(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    body: Body<Change>,
+) -> Result<Response, Fault> {
+    let change = own(&shared, &headers, body)?;
+    // A plan is of use during an outage too, and says at which revision it is.
+    let files = match confsync::refresh(&shared).await {
+        Ok(files) => files,
+        Err(_) => confsync::files(&shared),
+    };
+    let revision = files.revision();
+    let next = Revision(revision.0 + 1);
+    let runners = confsync::runners(&shared);
+    let (reason, plan): (Option<Reason>, _) = match change.judge(&files, &runners, next) {
+        Ok(new) => (None, Plan::between(&shared.catalog(), &new)),
+        Err(reason) => (Some(reason), Plan::default()),
+    };
+    Ok(Json(json!({ "revision": revision, "reason": reason, "plan": plan }))
+        .into_response())
+}
+
 async fn apply(
     State(shared): State<Arc<Shared>>,
     headers: HeaderMap,
-    Json(change): Json<Change>,
+    body: Body<Change>,
+) -> Result<Response, Fault> {
+    let change = own(&shared, &headers, body)?;
+    match confsync::commit(&shared, change).await {
+        Answer::Final(verdict) => Ok(answer(verdict)),
+        Answer::Undecided(why) => Err(Fault::undecided(&why)),
+        Answer::Reused => Err(Fault::new(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the change's id was used for another change; choose a new id",
+        )),
+    }
+}
+
+async fn change(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    Path(id): Path<String>,
 ) -> Result<Response, Fault> {
     let team = team(&shared, &headers)?;
-    if change.team != team {
+    match confsync::ruling(&shared, &team, &id).await? {
+        Some(ruling) => Ok(answer(ruling.verdict)),
+        None => Err(Fault::new(
+            StatusCode::NOT_FOUND,
+            "nothing is decided about this change; apply it again with the same id",
+        )),
+    }
+}
+
+fn answer(verdict: Verdict) -> Response {
+    let status = match verdict {
+        Verdict::Accepted { .. } => StatusCode::OK,
+        Verdict::Refused { .. } => StatusCode::CONFLICT,
+    };
+    (status, Json(verdict)).into_response()
+}
+
+#[derive(Deserialize)]
+struct At {
+    at: Option<u64>,
+}
+
+async fn files(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    Query(query): Query<At>,
+) -> Result<Response, Fault> {
+    let team = team(&shared, &headers)?;
+    let files = confsync::refresh(&shared).await?;
+    let newest = files.revision();
+    let mut text = files.team(&team);
+    if let Some(at) = query.at {
+        let entries = entries(&shared, newest, at).await?;
+        text = take_back(&team, text, Revision(at), &entries);
+    }
+    Ok(Json(json!({ "revision": newest, "files": text.files })).into_response())
+}
+
+/// All revisions after `at` up to `newest`, newest first.
+async fn entries(
+    shared: &Shared,
+    newest: Revision,
+    at: u64,
+) -> Result<Vec<Entry>, Fault> {
+    let count = newest.0.checked_sub(at).ok_or_else(|| {
+        Fault::new(
+            StatusCode::NOT_FOUND,
+            format!("there is no revision {at}; the newest is {newest}"),
+        )
+    })?;
+    if count > ROLLBACK_LIMIT {
         return Err(Fault::new(
-            StatusCode::FORBIDDEN,
-            "a team changes only its own files; use the other team's key",
+            StatusCode::NOT_FOUND,
+            format!(
+                "revision {at} is more than {ROLLBACK_LIMIT} back; apply the files from \
+                 your version control"
+            ),
+        ));
+    }
+    let found = newest_entries(shared, newest, count as usize).await?;
+    if found.len() as u64 != count {
+        return Err(Fault::new(
+            StatusCode::NOT_FOUND,
+            format!(
+                "the history does not reach back to revision {at}; apply the files from \
+                 your version control"
+            ),
         ));
     }
-    Ok(match confsync::commit(&shared, change).await {
-        Answer::Final(verdict) => {
-            let status = match verdict {
-                Verdict::Accepted { .. } => StatusCode::OK,
-                Verdict::Refused { .. } => StatusCode::CONFLICT,
-            };
-            (status, Json(verdict)).into_response()
-        }
-        Answer::Undecided(why) => {
-            let text =
-                format!("nothing is decided: {why}; repeat the change with the same id");
-            return Err(Fault::new(StatusCode::SERVICE_UNAVAILABLE, text));
-        }
-    })
-}
-
-async fn catalog(
+    Ok(found)
+}
+
+/// The newest `count` revisions up to `newest`, newest first.
+async fn newest_entries(
+    shared: &Shared,
+    newest: Revision,
+    count: usize,
+) -> Result<Vec<Entry>, PlatError> {
+    let mut found: Vec<Entry> = Vec::new();
+    let mut block = Some(newest.0 / BLOCK);
+    while let Some(number) = block
+        && found.len() < count
+    {
+        let entries = confsync::block(shared, Revision(number * BLOCK)).await?;
+        found.extend(entries.into_iter().filter(|entry| entry.revision <= newest));
+        block = number.checked_sub(1);
+    }
+    found.truncate(count);
+    Ok(found)
+}
+
+#[derive(Deserialize)]
+struct Limit {
+    limit: Option<usize>,
+}
+
+async fn history(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    Query(query): Query<Limit>,
+) -> Result<Response, Fault> {
+    team(&shared, &headers)?;
+    let newest = confsync::refresh(&shared).await?.revision();
+    let count = query.limit.unwrap_or(HISTORY).min(HISTORY_LIMIT);
+    let entries = newest_entries(&shared, newest, count).await?;
+    let rows: Vec<_> = entries.iter().map(opsrows::entry).collect();
+    Ok(Json(json!({ "revision": newest, "rows": rows })).into_response())
+}
+
+async fn show(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    Path(subject): Path<String>,
+) -> Result<Response, Fault> {
+    team(&shared, &headers)?;
+    match opsrows::rows(&shared, &subject) {
+        Some(rows) => Ok(Json(json!({
+            "revision": shared.catalog().revision,
+            "fresh": confsync::is_fresh(&shared, shared.clock.now()),
+            "rows": rows,
+        }))
+        .into_response()),
+        None => Err(Fault::new(
+            StatusCode::NOT_FOUND,
+            format!("there is nothing called {subject:?} to show; see docs/LANGUAGE.md"),
+        )),
+    }
+}
+
+async fn explain(
     State(shared): State<Arc<Shared>>,
     headers: HeaderMap,
+    Query(query): Query<opsrows::Request>,
 ) -> Result<Response, Fault> {
     team(&shared, &headers)?;
-    Ok(Json(&*shared.catalog()).into_response())
+    Ok(Json(opsrows::explain(&shared, &query)).into_response())
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Drain {
+    vm: VmName,
+    author: String,
+}
+
+async fn drain(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    body: Body<Drain>,
+) -> Result<Response, Fault> {
+    let team = team(&shared, &headers)?;
+    let Json(drain) = body?;
+    let view = shared.view();
+    let daemon = view.members.iter().find(|(_, member)| member.vm == drain.vm);
+    let server = view.servers.keys().any(|name| name.as_str() == drain.vm.as_str());
+    if daemon.is_none() && !server {
+        return Err(Fault::new(
+            StatusCode::NOT_FOUND,
+            format!("no VM is called {}; see `show daemons`, `show servers`", drain.vm),
+        ));
+    }
+    // The row names the daemon's start, so that a VM that is replaced under the
+    // same name does not leave at once.
+    let row = json!({
+        "member": daemon.map(|(id, _)| id), "team": team, "author": drain.author,
+    });
+    let txn = chestnut_plat::Txn::new().put(DRAIN, drain.vm.as_str(), row);
+    match shared.table.commit(&txn).await {
+        Ok(_) => Ok(Json(json!({ "vm": drain.vm, "draining": true })).into_response()),
+        Err(error) => Err(Fault::undecided(&error.to_string())),
+    }
+}
+
+/// The change of the body, if the call's team may make it.
+fn own(
+    shared: &Shared,
+    headers: &HeaderMap,
+    body: Body<Change>,
+) -> Result<Change, Fault> {
+    let team = team(shared, headers)?;
+    let Json(change) = body?;
+    if change.team != team {
+        return Err(Fault::new(
+            StatusCode::FORBIDDEN,
+            "a team changes only its own files; use the other team's key",
+        ));
+    }
+    match change.check() {
+        Ok(()) => Ok(change),
+        Err(message) => Err(Fault::new(StatusCode::BAD_REQUEST, message)),
+    }
 }
 
 /// The team whose key the call carries.
@@ -90,6 +328,26 @@
     fn new(status: StatusCode, message: impl Into<String>) -> Self {
         Self { status, message: message.into() }
     }
+
+    fn undecided(why: &str) -> Self {
+        Self::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("nothing is decided: {why}; repeat the change with the same id"),
+        )
+    }
+}
+
+impl From<PlatError> for Fault {
+    fn from(error: PlatError) -> Self {
+        let text = format!("the table can't be read now ({error}); try again later");
+        Self::new(StatusCode::SERVICE_UNAVAILABLE, text)
+    }
+}
+
+impl From<JsonRejection> for Fault {
+    fn from(error: JsonRejection) -> Self {
+        Self::new(error.status(), error.body_text())
+    }
 }
 
 impl IntoResponse for Fault {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -61,7 +61,7 @@
         vms: VmList,
     ) -> Self {
         let metrics = Metrics::new();
-        let conf = Conf::new(clock.now(), &metrics);
+        let conf = Conf::new(&metrics);
         Self {
             settings,
             clock,
