--- a/crates/node/src/confsync.rs
+++ b/crates/node/src/confsync.rs
@@ -4,6 +4,7 @@
 //! declarations of the newest revision. It never goes to a lower one, and while
 //! the table can't be read it keeps what it has and asks its peers.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Instant, UNIX_EPOCH};
 
@@ -14,15 +15,30 @@
 use chestnut_config::rows::{self, Entry, FileRow, Files, Head, Ruling};
 use chestnut_config::{Answer, Applier, Catalog, Change, Handover, Replica};
 use chestnut_member::view::ServerRole;
-use chestnut_plat::{PlatError, Row, Txn, TxnAnswer};
+use chestnut_plat::{PlatError, Row, Txn, TxnAnswer, VmRole};
+use chestnut_wire::{Ask, Say};
 use indexmap::IndexMap;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
+use rand::seq::SliceRandom;
 use serde::de::DeserializeOwned;
+use tokio::task::JoinSet;
 
+use crate::members;
 use crate::metrics::Metrics;
+use crate::node::Node;
 use crate::shared::Shared;
 
+/// How many peers a daemon asks that can't read the table.
+///
+/// Enough that one is fresh when most of them were cut off together with this
+/// daemon; each is asked at most once a poll.
+const PEERS_ASKED: usize = 5;
+
+/// Peers are asked when this part of the time has passed in which a daemon must
+/// confirm its declarations, so that several attempts fit into the rest.
+const STALE_SHARE: f64 = 4.0;
+
 /// What a daemon keeps of the configuration's rows.
 pub struct Conf {
     store: Mutex<Store>,
@@ -71,20 +87,69 @@
 }
 
 /// Keeps the declarations up to date until the daemon stops.
-pub async fn run(shared: Arc<Shared>) {
+pub async fn run(node: Arc<Node>) {
+    let shared = &node.shared;
     let mut fresh = false;
     loop {
-        if refresh(&shared).await.is_err() {
+        if refresh(shared).await.is_err() {
             shared.conf.failures.inc();
+            if needs_peers(shared) {
+                ask_peers(&node).await;
+            }
         }
-        let now = is_fresh(&shared, shared.clock.now());
+        let now = is_fresh(shared, shared.clock.now());
         if now != fresh {
             slog::info!(shared.log, "freshness of declarations changed"; "fresh" => now);
             fresh = now;
         }
         let members = shared.view().members.len();
-        tokio::time::sleep(pace(shared.settings.times.poll, members)).await;
+        let pause = pace(shared.settings.times.poll, members);
+        // Without the spread all daemons would read at once after an outage.
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
+    }
+}
+
+/// Whether the last confirmation is so old that peers are asked.
+fn needs_peers(shared: &Shared) -> bool {
+    let limit = shared.settings.times.stale.div_f64(STALE_SHARE);
+    !shared.conf.store().replica.is_fresh(shared.clock.now(), limit)
+}
+
+/// Asks some peers for declarations that are newer than the own ones.
+async fn ask_peers(node: &Arc<Node>) {
+    let shared = &node.shared;
+    let asked = shared.clock.now();
+    let ask = Ask::Config(files(shared).revision());
+    let mut calls = JoinSet::new();
+    for addr in peers(node).await {
+        let (node, ask) = (node.clone(), ask.clone());
+        calls.spawn(async move { node.peers.ask_once(addr, &ask).await });
+    }
+    while let Some(answer) = calls.join_next().await {
+        if let Ok(Ok(Say::Config(Some(handover)))) = answer {
+            hear(shared, &handover, asked);
+        }
+    }
+}
+
+/// Peers to ask, picked at random.
+///
+/// A daemon that starts during an outage of the table knows no members; then the
+/// platform's list of VMs says where entry VMs take other daemons' connections.
+async fn peers(node: &Arc<Node>) -> Vec<SocketAddr> {
+    let shared = &node.shared;
+    let mut found: Vec<SocketAddr> =
+        members::others(shared).into_iter().map(|(_, addr)| addr).collect();
+    if found.is_empty()
+        && let Ok(list) = shared.vms.read().await
+    {
+        let entries = list.into_iter().filter(|row| row.role == VmRole::Entry);
+        let others = entries.filter(|row| row.vm != shared.settings.vm);
+        found = others.map(|row| row.address).collect();
     }
+    found.shuffle(&mut rand::rng());
+    found.truncate(PEERS_ASKED);
+    found
 }
 
 /// Reads what changed and publishes the newest declarations.
--- a/crates/node/src/opsconf.rs
+++ b/crates/node/src/opsconf.rs
@@ -28,10 +28,13 @@
 use chestnut_config::history::{ROLLBACK_LIMIT, take_back};
 use chestnut_config::rows::{BLOCK, Entry};
 use chestnut_config::{Answer, Change, Plan, Reason, Verdict, keys};
-use chestnut_plat::PlatError;
+use chestnut_member::View;
+use chestnut_plat::{PlatError, Txn};
 use serde::Deserialize;
 use serde_json::json;
 
+use crate::members::{DRAINS, DrainRow};
+use crate::node::Node;
 use crate::shared::Shared;
 use crate::{confsync, opsrows};
 
@@ -44,11 +47,8 @@
 /// The greatest number of revisions of the history that are shown.
 const HISTORY_LIMIT: usize = 1000;
 
-/// The table of VMs that operators told to leave.
-pub const DRAIN: &str = "drain";
-
 /// The routes under `/v1/config`.
-pub fn router(shared: Arc<Shared>) -> Router {
+pub fn router(node: Arc<Node>) -> Router {
     Router::new()
         .route("/v1/config/plan", post(plan))
         .route("/v1/config/apply", post(apply))
@@ -59,25 +59,26 @@
         .route("/v1/config/explain", get(explain))
         .route("/v1/config/drain", post(drain))
         .layer(DefaultBodyLimit::max(BODY_LIMIT))
-        .with_state(shared)
+        .with_state(node)
 }
 
 type Body<T> = Result<Json<T>, JsonRejection>;
 
 async fn plan(
-    State(shared): State<Arc<Shared>>,
+    State(node): State<Arc<Node>>,
     headers: HeaderMap,
     body: Body<Change>,
 ) -> Result<Response, Fault> {
-    let change = own(&shared, &headers, body)?;
+    let shared = &node.shared;
+    let change = own(shared, &headers, body)?;
     // A plan is of use during an outage too, and says at which revision it is.
-    let files = match confsync::refresh(&shared).await {
+    let files = match confsync::refresh(shared).await {
         Ok(files) => files,
-        Err(_) => confsync::files(&shared),
+        Err(_) => confsync::files(shared),
     };
     let revision = files.revision();
     let next = Revision(revision.0 + 1);
-    let runners = confsync::runners(&shared);
+    let runners = confsync::runners(shared);
     let (reason, plan): (Option<Reason>, _) = match change.judge(&files, &runners, next) {
         Ok(new) => (None, Plan::between(&shared.catalog(), &new)),
         Err(reason) => (Some(reason), Plan::default()),
@@ -87,12 +88,13 @@
 }
 
 async fn apply(
-    State(shared): State<Arc<Shared>>,
+    State(node): State<Arc<Node>>,
     headers: HeaderMap,
     body: Body<Change>,
 ) -> Result<Response, Fault> {
-    let change = own(&shared, &headers, body)?;
-    match confsync::commit(&shared, change).await {
+    let shared = &node.shared;
+    let change = own(shared, &headers, body)?;
+    match confsync::commit(shared, change).await {
         Answer::Final(verdict) => Ok(answer(verdict)),
         Answer::Undecided(why) => Err(Fault::undecided(&why)),
         Answer::Reused => Err(Fault::new(
@@ -103,12 +105,13 @@
 }
 
 async fn change(
-    State(shared): State<Arc<Shared>>,
+    State(node): State<Arc<Node>>,
     headers: HeaderMap,
     Path(id): Path<String>,
 ) -> Result<Response, Fault> {
-    let team = team(&shared, &headers)?;
-    match confsync::ruling(&shared, &team, &id).await? {
+    let shared = &node.shared;
+    let team = team(shared, &headers)?;
+    match confsync::ruling(shared, &team, &id).await? {
         Some(ruling) => Ok(answer(ruling.verdict)),
         None => Err(Fault::new(
             StatusCode::NOT_FOUND,
@@ -131,16 +134,17 @@
 }
 
 async fn files(
-    State(shared): State<Arc<Shared>>,
+    State(node): State<Arc<Node>>,
     headers: HeaderMap,
     Query(query): Query<At>,
 ) -> Result<Response, Fault> {
-    let team = team(&shared, &headers)?;
-    let files = confsync::refresh(&shared).await?;
+    let shared = &node.shared;
+    let team = team(shared, &headers)?;
+    let files = confsync::refresh(shared).await?;
     let newest = files.revision();
     let mut text = files.team(&team);
     if let Some(at) = query.at {
-        let entries = entries(&shared, newest, at).await?;
+        let entries = entries(shared, newest, at).await?;
         text = take_back(&team, text, Revision(at), &entries);
     }
     Ok(Json(json!({ "revision": newest, "files": text.files })).into_response())
@@ -205,28 +209,34 @@
 }
 
 async fn history(
-    State(shared): State<Arc<Shared>>,
+    State(node): State<Arc<Node>>,
     headers: HeaderMap,
     Query(query): Query<Limit>,
 ) -> Result<Response, Fault> {
-    team(&shared, &headers)?;
-    let newest = confsync::refresh(&shared).await?.revision();
+    let shared = &node.shared;
+    team(shared, &headers)?;
+    let newest = confsync::refresh(shared).await?.revision();
     let count = query.limit.unwrap_or(HISTORY).min(HISTORY_LIMIT);
-    let entries = newest_entries(&shared, newest, count).await?;
+    let entries = newest_entries(shared, newest, count).await?;
     let rows: Vec<_> = entries.iter().map(opsrows::entry).collect();
     Ok(Json(json!({ "revision": newest, "rows": rows })).into_response())
 }
 
 async fn show(
-    State(shared): State<Arc<Shared>>,
+    State(node): State<Arc<Node>>,
     headers: HeaderMap,
     Path(subject): Path<String>,
 ) -> Result<Response, Fault> {
-    team(&shared, &headers)?;
-    match opsrows::rows(&shared, &subject) {
+    let shared = &node.shared;
+    team(shared, &headers)?;
+    let rows = match subject.as_str() {
+        "daemons" => Some(opsrows::daemons(&node).await),
+        _ => opsrows::rows(shared, &subject),
+    };
+    match rows {
         Some(rows) => Ok(Json(json!({
             "revision": shared.catalog().revision,
-            "fresh": confsync::is_fresh(&shared, shared.clock.now()),
+            "fresh": confsync::is_fresh(shared, shared.clock.now()),
             "rows": rows,
         }))
         .into_response()),
@@ -238,12 +248,13 @@
 }
 
 async fn explain(
-    State(shared): State<Arc<Shared>>,
+    State(node): State<Arc<Node>>,
     headers: HeaderMap,
     Query(query): Query<opsrows::Request>,
 ) -> Result<Response, Fault> {
-    team(&shared, &headers)?;
-    Ok(Json(opsrows::explain(&shared, &query)).into_response())
+    let shared = &node.shared;
+    team(shared, &headers)?;
+    Ok(Json(opsrows::explain(shared, &query)).into_response())
 }
 
 #[derive(Deserialize)]
@@ -254,33 +265,46 @@
 }
 
 async fn drain(
-    State(shared): State<Arc<Shared>>,
+    State(node): State<Arc<Node>>,
     headers: HeaderMap,
     body: Body<Drain>,
 ) -> Result<Response, Fault> {
-    let team = team(&shared, &headers)?;
+    let shared = &node.shared;
+    let team = team(shared, &headers)?;
     let Json(drain) = body?;
     let view = shared.view();
-    let daemon = view.members.iter().find(|(_, member)| member.vm == drain.vm);
-    let server = view.servers.keys().any(|name| name.as_str() == drain.vm.as_str());
-    if daemon.is_none() && !server {
-        return Err(Fault::new(
-            StatusCode::NOT_FOUND,
-            format!("no VM is called {}; see `show daemons`, `show servers`", drain.vm),
-        ));
-    }
+    let member = view.members.iter().find(|(_, member)| member.vm == drain.vm);
+    let Some((&member, _)) = member else {
+        return Err(not_a_daemon(&view, &drain.vm));
+    };
     // The row names the daemon's start, so that a VM that is replaced under the
     // same name does not leave at once.
-    let row = json!({
-        "member": daemon.map(|(id, _)| id), "team": team, "author": drain.author,
-    });
-    let txn = chestnut_plat::Txn::new().put(DRAIN, drain.vm.as_str(), row);
+    let row = DrainRow { member, by: format!("{} ({team})", drain.author) };
+    let txn = Txn::new().put(DRAINS, drain.vm.as_str(), json!(row));
     match shared.table.commit(&txn).await {
-        Ok(_) => Ok(Json(json!({ "vm": drain.vm, "draining": true })).into_response()),
-        Err(error) => Err(Fault::undecided(&error.to_string())),
+        Ok(_) => {
+            Ok(Json(json!({ "vm": drain.vm, "member": member.to_string() }))
+                .into_response())
+        }
+        Err(error) => Err(Fault::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("the drain may not hold ({error}); repeat it"),
+        )),
     }
 }
 
+fn not_a_daemon(view: &View, vm: &VmName) -> Fault {
+    let text = if view.servers.keys().any(|name| name.as_str() == vm.as_str()) {
+        format!(
+            "{vm} is a backend server; mark its VM as leaving in the platform's list, \
+             which the daemons follow"
+        )
+    } else {
+        format!("no daemon runs on a VM {vm}; see `show daemons`")
+    };
+    Fault::new(StatusCode::NOT_FOUND, text)
+}
+
 /// The change of the body, if the call's team may make it.
 fn own(
     shared: &Shared,
--- a/crates/node/src/opsrows.rs
+++ b/crates/node/src/opsrows.rs
@@ -1,15 +1,24 @@
 //! What operators can look at, as rows of named fields.
 
-use chestnut_base::{ModelName, VersionName};
+use std::sync::Arc;
+
+use chestnut_base::{MemberId, ModelName, Revision, VersionName};
 use chestnut_config::Route;
 use chestnut_config::rows::Entry;
-use chestnut_member::view::{ClaimKey, Server, ServerRole, View};
+use chestnut_member::{ClaimKey, LeaseRow, Server, ServerRole, View};
+use chestnut_wire::{Ask, Say};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
+use tokio::task::JoinSet;
 
-use crate::confsync;
+use crate::members::LEASES;
+use crate::node::Node;
 use crate::shared::Shared;
+use crate::{confsync, members};
+
+/// The greatest number of daemons that are asked for their revision one by one.
+const ASKED: usize = 64;
 
 /// A row of named fields.
 pub type Row = Map<String, Value>;
@@ -37,7 +46,6 @@
                 })
             })
             .collect(),
-        "daemons" => daemons(shared),
         "servers" => servers(shared),
         "residents" => residents(shared),
         _ => return None,
@@ -177,22 +185,59 @@
     Some(member.vm.to_string())
 }
 
-fn daemons(shared: &Shared) -> Vec<Row> {
+/// The daemons whose lease holds, with the revision in force at each.
+///
+/// The table knows the revisions as of the last renewals; few daemons are asked
+/// themselves, so that an operator who waits for a change sees it at once.
+pub async fn daemons(node: &Arc<Node>) -> Vec<Row> {
+    let shared = &node.shared;
+    let mut known = renewed(shared).await;
+    known.extend(asked(node).await);
     let newest = shared.catalog().revision;
+    known.insert(shared.me, newest);
     let view = shared.view();
     let rows = view.members.iter().map(|(id, member)| {
-        // The own revision is known exactly, others' as of their last renewal.
-        let revision = if *id == shared.me { newest } else { member.revision };
+        let revision = known.get(id);
+        let behind = revision.map(|revision| newest.0.saturating_sub(revision.0));
         object(json!({
             "name": member.vm, "member": id.to_string(), "domain": member.domain,
             "caller_addr": member.caller_addr, "ops_addr": member.ops_addr,
-            "leaving": member.leaving, "revision": revision,
-            "behind": newest.0.saturating_sub(revision.0),
+            "leaving": member.leaving, "revision": revision, "behind": behind,
         }))
     });
     rows.collect()
 }
 
+/// The revisions as of the last renewals; none while the table can't be read.
+async fn renewed(shared: &Shared) -> IndexMap<MemberId, Revision> {
+    let Ok(delta) = shared.table.scan(LEASES, "", 0).await else {
+        return IndexMap::new();
+    };
+    let leases = delta.rows.into_iter().map(|row| serde_json::from_value(row.value));
+    let leases = leases.filter_map(Result::<LeaseRow, _>::ok);
+    leases.map(|lease| (lease.member, lease.revision)).collect()
+}
+
+/// The revisions that the other daemons tell.
+async fn asked(node: &Arc<Node>) -> IndexMap<MemberId, Revision> {
+    let mut found = IndexMap::new();
+    let others = members::others(&node.shared);
+    if others.len() > ASKED {
+        return found;
+    }
+    let mut calls = JoinSet::new();
+    for (_, addr) in others {
+        let node = node.clone();
+        calls.spawn(async move { node.peers.ask_once(addr, &Ask::Status).await });
+    }
+    while let Some(answer) = calls.join_next().await {
+        if let Ok(Ok(Say::Status(status))) = answer {
+            found.insert(status.member, status.revision);
+        }
+    }
+    found
+}
+
 fn servers(shared: &Shared) -> Vec<Row> {
     let view = shared.view();
     let rows = view.servers.iter().map(|(name, server)| {
