--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod node;
 pub mod ops;
 pub mod opsconf;
+pub mod opsrows;
 pub mod orders;
 pub mod parse;
 pub mod peer;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -17,7 +17,7 @@
     Lookup(RequestId),
     /// Take part in spreading what members know; the content is the `member` crate's.
     Gossip(Bytes),
-    /// Hand over the text of a configuration's revision.
+    /// Hand over what changed in the configuration after a revision.
     Config(Revision),
     /// Tell how the other daemon is.
     Status,
@@ -135,7 +135,7 @@
     ///
     /// Final.
     Gossip(Bytes),
-    /// The text of a configuration's revision, or nothing if it is not known.
+    /// What changed in the configuration, in the form of the `config` crate.
     ///
     /// Final.
     Config(Option<Bytes>),
