--- /dev/null
+++ b/crates/node/src/command.rs
@@ -0,0 +1,132 @@
+//! The daemon's command line.
+
+use std::io::{Write, stdout};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use bpaf::Bpaf;
+use chestnut_base::SystemClock;
+use chestnut_config::Settings;
+use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::logs;
+use crate::run::{self, Daemon};
+
+/// The exit code for settings that can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+/// The exit code of a daemon that could not start.
+const NOT_STARTED: u8 = 1;
+
+/// What the command line asks for.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+/// Serves many bursty models from fewer accelerators: the daemon of an entry VM.
+///
+/// Exit codes: 0 after a planned stop, 1 if it could not start, 2 if the settings
+/// can't be used.
+enum Options {
+    /// Check a settings file without starting
+    #[bpaf(command)]
+    Check {
+        /// The settings, JSON with comments
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Run the daemon until SIGTERM or SIGINT
+    #[bpaf(command)]
+    Run {
+        /// The settings, JSON with comments
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
+/// Runs the daemon's command line.
+pub fn main() -> ExitCode {
+    match options().run() {
+        Options::Check { file } => match read(&file) {
+            Ok(settings) => {
+                println!("{}: fine, for {}", file.display(), settings.vm);
+                ExitCode::SUCCESS
+            }
+            Err(code) => code,
+        },
+        Options::Run { file } => match read(&file) {
+            Ok(settings) => serve(settings),
+            Err(code) => code,
+        },
+    }
+}
+
+fn read(file: &Path) -> Result<Settings, ExitCode> {
+    let bad = ExitCode::from(BAD_SETTINGS);
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|error| {
+        eprintln!("{name} can't be read ({error}); name an existing file");
+        bad
+    })?;
+    Settings::parse(&name, &text).map_err(|problems| {
+        eprintln!("{problems}");
+        bad
+    })
+}
+
+fn serve(settings: Settings) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the runtime can't start ({error}); free memory or threads");
+            return ExitCode::from(NOT_STARTED);
+        }
+    };
+    runtime.block_on(serve_until_signal(settings))
+}
+
+async fn serve_until_signal(settings: Settings) -> ExitCode {
+    let log = logs::logger(settings.log_level, settings.vm.as_str());
+    let daemon = match run::start(settings, Arc::new(SystemClock), log).await {
+        Ok(daemon) => daemon,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(NOT_STARTED);
+        }
+    };
+    leave_on_signal(&daemon);
+    if let Err(error) = announce(&daemon) {
+        eprintln!("the addresses can't be printed ({error}); connect standard output");
+        return ExitCode::from(NOT_STARTED);
+    }
+    daemon.run().await;
+    ExitCode::SUCCESS
+}
+
+/// Prints the addresses that were bound, for whoever started the process.
+fn announce(daemon: &Daemon) -> std::io::Result<()> {
+    let addresses = daemon.addresses;
+    let line = json!({
+        "caller": addresses.caller.to_string(),
+        "peer": addresses.peer.to_string(),
+        "ops": addresses.ops.to_string(),
+    });
+    let mut out = stdout();
+    writeln!(out, "{line}")?;
+    out.flush()
+}
+
+fn leave_on_signal(daemon: &Daemon) {
+    let node = daemon.node().clone();
+    // Set before the addresses are printed: a signal that came earlier would kill
+    // the process and every request in flight.
+    let mut term = signal(SignalKind::terminate()).expect("handlers can be set");
+    let mut int = signal(SignalKind::interrupt()).expect("handlers can be set");
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        node.shared.leaving.send_replace(true);
+    });
+}
--- a/crates/node/src/orders/rows.rs
+++ b/crates/node/src/orders/rows.rs
@@ -16,9 +16,6 @@
 /// The table of wanted placements, one row per runner.
 pub const PLAN: &str = "plan";
 
-/// The table of claims.
-pub const CLAIMS: &str = "claims";
-
 /// The rows that this daemon has read.
 #[derive(Debug, Clone, Default)]
 pub struct Rows {
--- a/crates/node/src/orders/runner.rs
+++ b/crates/node/src/orders/runner.rs
@@ -11,9 +11,10 @@
 };
 use chestnut_plat::{PlatError, Txn, TxnAnswer};
 
+use crate::members::CLAIMS;
 use crate::orders::command::{Engines, Sent};
 use crate::orders::counters::{Copies, Counters};
-use crate::orders::rows::{self, CLAIMS, LEDGER};
+use crate::orders::rows::{self, LEDGER};
 use crate::orders::spare::witnesses;
 use crate::shared::Shared;
 
@@ -91,6 +92,9 @@
 
     /// The runner, as long as this daemon holds the claim under which it began.
     fn server(&self) -> Option<Server> {
+        if !self.shared.lease_holds(self.shared.clock.now()) {
+            return None;
+        }
         let view = self.shared.view();
         let (claim, _) = view.holder(&ClaimKey::Server(self.name.clone()))?;
         (claim == self.claim).then(|| view.servers.get(&self.name).cloned())?
@@ -232,7 +236,7 @@
     ) {
         let Ok(value) = serde_json::to_value(next) else { return };
         let key = self.name.as_str();
-        let claim = format!("server:{key}");
+        let claim = ClaimKey::Server(self.name.clone()).to_string();
         let mut txn = Txn::new().version(CLAIMS, claim, self.claim.version);
         txn = match version {
             0 => txn.absent(LEDGER, key),
--- a/crates/node/src/orders/usage.rs
+++ b/crates/node/src/orders/usage.rs
@@ -11,8 +11,6 @@
 use chestnut_base::{ServerName, Target};
 use chestnut_place::Asset;
 
-use crate::shared::Shared;
-
 type Counts = HashMap<(ServerName, Asset), usize>;
 
 /// Counts of the requests that use an asset of a runner.
@@ -29,6 +27,20 @@
 }
 
 impl Usage {
+    /// Counts a request as using what it is sent to; plain services need nothing.
+    ///
+    /// To be kept from before the check that the runner can serve the request
+    /// until its stream has ended.
+    pub fn hold_target(&self, server: &ServerName, target: &Target) -> Option<Hold> {
+        let Target::Model { model, version, adapter } = target else { return None };
+        let asset = Asset {
+            model: model.clone(),
+            version: version.clone(),
+            adapter: adapter.clone(),
+        };
+        Some(self.hold(server, asset))
+    }
+
     /// Counts a request as using an asset.
     pub fn hold(&self, server: &ServerName, asset: Asset) -> Hold {
         let key = (server.clone(), asset);
@@ -60,19 +72,3 @@
         }
     }
 }
-
-/// Holds what a request needs of a runner; `None` if the runner can't serve it.
-///
-/// To be kept from before the request is queued until its stream has ended.
-pub fn hold(shared: &Shared, server: &ServerName, target: &Target) -> Option<Hold> {
-    let Target::Model { model, version, adapter } = target else { return None };
-    let asset = Asset {
-        model: model.clone(),
-        version: version.clone(),
-        adapter: adapter.clone(),
-    };
-    let hold = shared.usage.hold(server, asset);
-    let residence = shared.residence();
-    let held = residence.runners.get(server)?;
-    held.serves(model, version, adapter.as_ref()).then_some(hold)
-}
