--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -125,6 +125,9 @@
     if out.send(Say::Queued).await.is_err() {
         return;
     }
+    // Before the check that the model is resident, so that it is not unloaded
+    // between the check and the end of the stream.
+    let _hold = node.shared.usage.hold_target(&run.server, &run.work.target);
     let offered = tokio::select! {
         offered = node.leads.offer(&run) => offered,
         () = out.closed() => return,
