--- /dev/null
+++ b/crates/admit/src/lead.rs
@@ -0,0 +1,491 @@
+//! The state of one backend server at its lead.
+
+use std::time::{Duration, Instant};
+
+use chestnut_base::Urgency;
+use slotmap::SlotMap;
+
+use crate::job::{Effect, Job, Reason, Rejection, Ticket};
+use crate::limits::{Limits, Rule, Shed};
+use crate::pace::Pace;
+use crate::plan::{Held, Item, Room, starts};
+use crate::queue::Place;
+use crate::shed::Price;
+use crate::usage::Usage;
+
+/// The least and the greatest time that a caller is told to stay away.
+const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(30));
+
+/// How often faded accounts are forgotten.
+const TIDY: Duration = Duration::from_secs(1);
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum How {
+    /// The answer is whole.
+    Done,
+    /// The backend server broke off.
+    Broken,
+    /// The caller or the shell gave up, or the stream was preempted.
+    Cancelled,
+}
+
+/// How loaded a backend server is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Tokens that they may occupy.
+    pub tokens: u64,
+    /// The estimated wait of a request that comes now and is due last.
+    pub wait: Duration,
+    /// The time of a step.
+    pub step: Duration,
+}
+
+/// What a request at the lead is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Waiting,
+    Running(Progress),
+    /// Told to stop; holds its stream until its end is reported.
+    Stopping(Progress),
+}
+
+/// How far a dispatched request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Progress {
+    since: Instant,
+    /// When the last token came; the dispatch if none has.
+    last: Instant,
+    got: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    job: Job,
+    place: Place,
+    state: State,
+    /// Seconds of stream time that the caller was charged.
+    charged: f64,
+}
+
+/// The state of one backend server at its lead.
+///
+/// Requests that are not waiting hold a stream each; there are never more of them
+/// than [`Limits::streams`], and they never occupy more than [`Limits::tokens`]
+/// unless a single one does.
+#[derive(Debug)]
+pub struct Lead {
+    limits: Limits,
+    rule: Rule,
+    pace: Pace,
+    usage: Usage,
+    jobs: SlotMap<Ticket, Entry>,
+    /// In the order of dispatch as of the last change.
+    waiting: Vec<Ticket>,
+    /// Dispatched and not ended.
+    running: Vec<Ticket>,
+    effects: Vec<Effect>,
+    number: u64,
+    closed: bool,
+    tidied: Instant,
+}
+
+impl Lead {
+    /// Starts with nothing in flight.
+    pub fn new(limits: Limits, rule: Rule, now: Instant) -> Self {
+        Self {
+            limits,
+            rule,
+            pace: Pace::new(&limits),
+            usage: Usage::new(now),
+            jobs: SlotMap::with_key(),
+            waiting: Vec::new(),
+            running: Vec::new(),
+            effects: Vec::new(),
+            number: 0,
+            closed: false,
+            tidied: now,
+        }
+    }
+
+    /// Takes new limits; what already runs beyond them runs on.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Offers a request; an effect about its ticket follows sooner or later.
+    pub fn offer(&mut self, job: Job, now: Instant) -> Ticket {
+        self.number += 1;
+        let place = Place {
+            urgency: job.urgency,
+            since: now,
+            deadline: job.deadline,
+            number: self.number,
+        };
+        let (resumed, entry) =
+            (job.resumed, Entry { job, place, state: State::Waiting, charged: 0.0 });
+        let ticket = self.jobs.insert(entry);
+        self.waiting.push(ticket);
+        self.charge(ticket, self.cost(ticket), now);
+        if self.closed {
+            self.refuse(ticket, Reason::Closed, Some(RETRY.0), now);
+        } else if !resumed && self.is_short(ticket, now) {
+            self.refuse(ticket, Reason::Short, None, now);
+        } else {
+            self.settle(now);
+        }
+        ticket
+    }
+
+    /// Notes tokens of a dispatched request; the first ones include the prefill.
+    pub fn tokens(&mut self, ticket: Ticket, count: u32, now: Instant) {
+        let running = self.running.len();
+        let Some(entry) = self.jobs.get_mut(ticket) else { return };
+        let (State::Running(progress) | State::Stopping(progress)) = &mut entry.state
+        else {
+            return;
+        };
+        let took = now.saturating_duration_since(progress.last);
+        if progress.got == 0 {
+            self.pace.first(entry.job.prompt, took);
+        } else {
+            self.pace.tokens(running, count, took);
+        }
+        progress.got += count;
+        progress.last = now;
+    }
+
+    /// Notes the end of a request, dispatched or not; later events about it are
+    /// ignored.
+    pub fn finish(&mut self, ticket: Ticket, how: How, now: Instant) {
+        let Some(entry) = self.remove(ticket) else { return };
+        let (spent, got) = match entry.state {
+            State::Waiting => (0.0, 0),
+            State::Running(at) | State::Stopping(at) => {
+                (now.saturating_duration_since(at.since).as_secs_f64(), at.got)
+            }
+        };
+        if how == How::Done {
+            self.pace.ended(entry.job.urgency, got, entry.job.output);
+        }
+        self.account(&entry.job, spent - entry.charged, now);
+        self.settle(now);
+    }
+
+    /// Refuses what can no longer be in time; to be called a few times a second.
+    pub fn tick(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.tidied) >= TIDY {
+            self.usage.tidy(now);
+            self.tidied = now;
+        }
+        self.settle(now);
+    }
+
+    /// Refuses everything that waits and all that is offered from now on.
+    pub fn close(&mut self, now: Instant) {
+        self.closed = true;
+        for ticket in self.waiting.clone() {
+            self.refuse(ticket, Reason::Closed, Some(RETRY.0), now);
+        }
+    }
+
+    /// Takes the effects that have come up.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// How loaded the backend server is.
+    pub fn snapshot(&self, now: Instant) -> Snapshot {
+        let tokens = self.jobs.values().map(|entry| entry.job.tokens()).sum();
+        Snapshot {
+            running: self.running.len() as u32,
+            queued: self.waiting.len() as u32,
+            tokens,
+            wait: self.wait(now),
+            step: self.pace.step(self.occupancy()),
+        }
+    }
+
+    /// How fast the backend server is.
+    pub fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    /// Requests that hold a stream, and the tokens that they occupy.
+    pub fn in_flight(&self) -> (usize, u64) {
+        let tokens = self.running.iter().map(|&ticket| self.jobs[ticket].job.tokens());
+        (self.running.len(), tokens.sum())
+    }
+
+    /// Requests that wait.
+    pub fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Brings the queue in order, makes room, and dispatches what fits.
+    fn settle(&mut self, now: Instant) {
+        self.sort(now);
+        if self.rule.shed != Shed::Full {
+            self.make_room(now);
+        }
+        self.dispatch(now);
+        self.bound(now);
+    }
+
+    fn sort(&mut self, now: Instant) {
+        let (jobs, order) = (&self.jobs, self.rule.order);
+        self.waiting.sort_by(|&a, &b| jobs[a].place.compare(&jobs[b].place, order, now));
+    }
+
+    /// Preempts and refuses until all that wait are foreseen to be in time.
+    fn make_room(&mut self, now: Instant) {
+        // Each round preempts or refuses one request, so that it ends.
+        while let Some((late, by)) = self.first_late(now) {
+            if self.preempt_for(late, now) {
+                continue;
+            }
+            let index = self.waiting.iter().position(|&ticket| ticket == late);
+            let ahead = &self.waiting[..=index.expect("a late request waits")];
+            let victim = self.dearest(ahead).unwrap_or(late);
+            let reason = match (victim == late, self.is_hot(victim)) {
+                (_, true) => Reason::Share,
+                (true, _) => Reason::Late,
+                (false, _) => Reason::Displaced,
+            };
+            self.refuse(victim, reason, Some(by), now);
+        }
+    }
+
+    /// The first waiting request that is foreseen to be late, and by how much.
+    fn first_late(&self, now: Instant) -> Option<(Ticket, Duration)> {
+        let order = self.schedule(now);
+        let items = order.iter().map(|&ticket| self.item(ticket));
+        let begins = starts(self.room(), now, self.held(now), items);
+        order.iter().zip(begins).find_map(|(&ticket, start)| {
+            let entry = &self.jobs[ticket];
+            if entry.state != State::Waiting || entry.job.resumed {
+                return None;
+            }
+            let run = self.run(entry);
+            // The margin is asked of newcomers only: those who were let in are
+            // not refused because the estimate swings a little.
+            let fresh = entry.place.number == self.number;
+            let margin =
+                if fresh { run.mul_f64(self.rule.margin) } else { Duration::ZERO };
+            let end = start + run + margin;
+            let late = end.saturating_duration_since(entry.job.deadline);
+            (!late.is_zero()).then_some((ticket, late))
+        })
+    }
+
+    /// Waiting requests and the rests of those that are being preempted.
+    fn schedule(&self, now: Instant) -> Vec<Ticket> {
+        let mut order = self.waiting.clone();
+        let before = order.len();
+        let stopping =
+            |ticket: &&Ticket| matches!(self.jobs[**ticket].state, State::Stopping(_));
+        order.extend(self.running.iter().filter(stopping));
+        if order.len() > before {
+            let (jobs, by) = (&self.jobs, self.rule.order);
+            order.sort_by(|&a, &b| jobs[a].place.compare(&jobs[b].place, by, now));
+        }
+        order
+    }
+
+    /// Preempts a slow stream if that lets an urgent request be in time and the
+    /// slow one still ends in time.
+    fn preempt_for(&mut self, late: Ticket, now: Instant) -> bool {
+        let urgent = self.jobs[late].job.urgency == Urgency::Urgent;
+        if !self.rule.preempt || !urgent || self.running.len() < self.room().streams {
+            return false;
+        }
+        let slack = |&ticket: &Ticket| {
+            let entry = &self.jobs[ticket];
+            let State::Running(_) = entry.state else { return None };
+            let slow = entry.job.urgency == Urgency::Slow && entry.job.resumable;
+            let left =
+                entry.job.deadline.checked_duration_since(now + self.run(entry))?;
+            slow.then_some((left, ticket))
+        };
+        let Some((left, ticket)) = self.running.iter().filter_map(slack).max() else {
+            return false;
+        };
+        if left < self.wait(now) {
+            return false;
+        }
+        let entry = &mut self.jobs[ticket];
+        let State::Running(progress) = entry.state else { return false };
+        entry.state = State::Stopping(progress);
+        self.effects.push(Effect::Preempt(ticket));
+        true
+    }
+
+    /// The request that is dearest to keep; of equal ones the newest.
+    fn dearest(&self, tickets: &[Ticket]) -> Option<Ticket> {
+        let owed = self.usage.slow_part() < self.rule.floor;
+        tickets
+            .iter()
+            .filter(|&&ticket| !self.jobs[ticket].job.resumed)
+            .map(|&ticket| {
+                (self.price(ticket, owed), self.jobs[ticket].place.number, ticket)
+            })
+            .max_by(|a, b| match self.rule.shed {
+                Shed::Costliest => a.0.compare(&b.0).then(a.1.cmp(&b.1)),
+                Shed::Full | Shed::Newest => a.1.cmp(&b.1),
+            })
+            .map(|(_, _, ticket)| ticket)
+    }
+
+    fn price(&self, ticket: Ticket, owed: bool) -> Price {
+        let job = &self.jobs[ticket].job;
+        let excess =
+            if self.rule.fair { self.usage.excess(&job.caller, &job.team) } else { 0.0 };
+        let owed = owed && job.urgency == Urgency::Slow;
+        Price { urgency: job.urgency, excess, cost: self.cost(ticket), owed }
+    }
+
+    fn is_hot(&self, ticket: Ticket) -> bool {
+        self.price(ticket, false).is_hot()
+    }
+
+    /// Dispatches in order whatever has room.
+    fn dispatch(&mut self, now: Instant) {
+        let room = self.room();
+        let (mut running, mut used) = self.in_flight();
+        let mut index = 0;
+        while let Some(&ticket) = self.waiting.get(index) {
+            let item = self.item(ticket);
+            if room.takes(running, used, item.tokens, item.urgent) {
+                self.waiting.remove(index);
+                self.running.push(ticket);
+                let progress = Progress { since: now, last: now, got: 0 };
+                self.jobs[ticket].state = State::Running(progress);
+                self.effects.push(Effect::Dispatch(ticket));
+                running += 1;
+                used += item.tokens;
+            } else if running < room.streams && room.reserve > 0 && !item.urgent {
+                // Only the reserve is left: an urgent request may pass.
+                index += 1;
+            } else {
+                break;
+            }
+        }
+    }
+
+    /// Keeps the queue within its bound.
+    fn bound(&mut self, now: Instant) {
+        while self.waiting.len() > self.limits.queue {
+            let victim = self.dearest(&self.waiting);
+            let Some(victim) = victim else { break };
+            let told = self.rule.shed != Shed::Full;
+            let reason =
+                if told && self.is_hot(victim) { Reason::Share } else { Reason::Full };
+            let wait = told.then(|| self.wait(now));
+            self.refuse(victim, reason, wait, now);
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        ticket: Ticket,
+        reason: Reason,
+        retry: Option<Duration>,
+        now: Instant,
+    ) {
+        let Some(entry) = self.remove(ticket) else { return };
+        self.account(&entry.job, -entry.charged, now);
+        let retry = retry.map(|wait| wait.clamp(RETRY.0, RETRY.1));
+        self.effects.push(Effect::Refuse(ticket, Rejection { reason, retry }));
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Entry> {
+        let entry = self.jobs.remove(ticket)?;
+        self.waiting.retain(|&other| other != ticket);
+        self.running.retain(|&other| other != ticket);
+        Some(entry)
+    }
+
+    fn charge(&mut self, ticket: Ticket, cost: f64, now: Instant) {
+        let Some(entry) = self.jobs.get_mut(ticket) else { return };
+        entry.charged = cost;
+        let job = entry.job.clone();
+        self.account(&job, cost, now);
+    }
+
+    fn account(&mut self, job: &Job, cost: f64, now: Instant) {
+        let slow = job.urgency == Urgency::Slow;
+        self.usage.charge(&job.caller, &job.team, job.share, slow, cost, now);
+    }
+
+    /// Whether even an idle backend server could not finish a request in time.
+    fn is_short(&self, ticket: Ticket, now: Instant) -> bool {
+        let job = &self.jobs[ticket].job;
+        let run = self.pace.run(job.urgency, job.prompt, job.output, 1);
+        self.rule.shed != Shed::Full && now + run > job.deadline
+    }
+
+    /// The time after which a request that is due last would start.
+    fn wait(&self, now: Instant) -> Duration {
+        let order = self.schedule(now);
+        let next = Item { run: Duration::ZERO, tokens: 0, urgent: false };
+        let items = order.iter().map(|&ticket| self.item(ticket)).chain([next]);
+        let begins = starts(self.room(), now, self.held(now), items);
+        begins.last().map_or(Duration::ZERO, |&start| start - now)
+    }
+
+    fn held(&self, now: Instant) -> impl Iterator<Item = Held> {
+        self.running.iter().map(move |&ticket| {
+            let entry = &self.jobs[ticket];
+            let end = match entry.state {
+                State::Running(at) => (at.last + self.run(entry)).max(now),
+                State::Waiting | State::Stopping(_) => now,
+            };
+            Held { end, tokens: entry.job.tokens() }
+        })
+    }
+
+    fn item(&self, ticket: Ticket) -> Item {
+        let entry = &self.jobs[ticket];
+        Item {
+            run: self.run(entry),
+            tokens: entry.job.tokens(),
+            urgent: entry.job.urgency == Urgency::Urgent,
+        }
+    }
+
+    /// The time that a request still takes from its dispatch or its last token.
+    fn run(&self, entry: &Entry) -> Duration {
+        let (job, busy) = (&entry.job, self.occupancy());
+        match entry.state {
+            State::Running(at) if at.got > 0 => {
+                self.pace.rest(job.urgency, job.output, at.got, busy)
+            }
+            State::Stopping(at) => {
+                self.pace.rest(job.urgency, job.output, at.got, busy)
+                    + self.pace.prefill(job.prompt + at.got)
+            }
+            State::Waiting | State::Running(_) => {
+                self.pace.run(job.urgency, job.prompt, job.output, busy)
+            }
+        }
+    }
+
+    fn cost(&self, ticket: Ticket) -> f64 {
+        self.run(&self.jobs[ticket]).as_secs_f64()
+    }
+
+    /// The streams that run once the queue has been served as far as they go.
+    fn occupancy(&self) -> usize {
+        (self.running.len() + self.waiting.len()).clamp(1, self.room().streams)
+    }
+
+    fn room(&self) -> Room {
+        let streams = self.limits.streams.max(1) as usize;
+        let reserve = (streams as f64 * self.rule.reserve) as usize;
+        Room { streams, reserve: reserve.min(streams - 1), tokens: self.limits.tokens }
+    }
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,1 +1,34 @@
-//! Placeholder.
+//! Admission, queueing and preemption at the lead of one backend server.
+//!
+//! The lead sees every request that is meant for its backend server, so that its
+//! counts are exact. It holds no connection and reads no clock: events go in
+//! with the time at which they happened, effects come out.
+//!
+//! A request passes through these stages:
+//!
+//! 1. [`Lead::offer`] estimates with [`Pace`] and [`plan`] when it would finish;
+//!    what can't finish in time is refused at once, with the time to come back,
+//! 2. it waits in the order of [`queue`]; [`Usage`] decides whose request goes
+//!    when there is not room for all,
+//! 3. it is dispatched within the [`Limits`] and holds a stream until
+//!    [`Lead::finish`],
+//! 4. a slow stream may be preempted on the way for an urgent request; the shell
+//!    cancels it and offers the rest again.
+//!
+//! [`plan`]: mod@plan
+//! [`queue`]: mod@queue
+
+pub mod job;
+pub mod lead;
+pub mod limits;
+pub mod pace;
+pub mod plan;
+pub mod queue;
+pub mod shed;
+pub mod usage;
+
+pub use job::{Effect, Job, Reason, Rejection, Ticket};
+pub use lead::{How, Lead, Snapshot};
+pub use limits::{Limits, Order, Rule, Shed};
+pub use pace::{Line, Pace};
+pub use usage::Usage;
--- /dev/null
+++ b/crates/route/src/load.rs
@@ -0,0 +1,93 @@
+//! What an entry knows of a backend server's load.
+//!
+//! Load pattern: six entries share the backend servers, and each hears of the
+//! others' requests only through the leads. Taken as it is, an old report sends
+//! all entries to the server that was idle a moment ago. So a report is corrected
+//! by what this entry sent since, its queue is taken to drain as time passes, and
+//! after [`FADE`] it is no longer believed at all.
+
+use std::time::{Duration, Instant};
+
+/// The age at which a report is no longer believed.
+pub const FADE: Duration = Duration::from_secs(5);
+
+/// How loaded a backend server is, as its lead last said.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Report {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// The estimated wait of a request that came then.
+    pub wait: Duration,
+    /// The measured time of an engine step; zero if not known.
+    pub step: Duration,
+}
+
+/// What an entry knows of a backend server's load.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Known {
+    report: Option<(Report, Instant)>,
+    /// Own attempts in flight; exact.
+    own: u32,
+    /// Own attempts begun less those ended since the report.
+    since: i64,
+}
+
+impl Known {
+    /// Counts an attempt in flight.
+    pub fn begin(&mut self) {
+        self.own += 1;
+        self.since += 1;
+    }
+
+    /// Ends an attempt in flight.
+    pub fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+        self.since -= 1;
+    }
+
+    /// Takes a report.
+    pub fn set(&mut self, report: Report, now: Instant) {
+        self.report = Some((report, now));
+        self.since = 0;
+    }
+
+    /// Own attempts in flight.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// The report if it is still believed, and how much, from 0 to 1.
+    pub fn fresh(&self, now: Instant) -> Option<(Report, f64)> {
+        let (report, at) = self.report?;
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        let belief = 1.0 - age / FADE.as_secs_f64();
+        (belief > 0.0).then_some((report, belief))
+    }
+
+    /// Requests at the server, as far as can be told.
+    pub fn requests(&self, now: Instant) -> f64 {
+        let own = f64::from(self.own);
+        match self.fresh(now) {
+            Some((report, _)) => {
+                let told = f64::from(report.running + report.queued);
+                (told + self.since as f64).max(own)
+            }
+            None => own,
+        }
+    }
+
+    /// Seconds that a request would wait, as far as can be told.
+    ///
+    /// `turn` is the time in which the server finishes one request.
+    pub fn wait(&self, now: Instant, turn: f64) -> f64 {
+        let Some((report, at)) = self.report else { return 0.0 };
+        if self.fresh(now).is_none() {
+            return 0.0;
+        }
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        let sent = if report.wait.is_zero() { 0.0 } else { self.since as f64 * turn };
+        (report.wait.as_secs_f64() - age + sent).max(0.0)
+    }
+}
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,245 @@
+//! The state from which an entry chooses.
+
+use std::time::{Duration, Instant};
+
+use chestnut_base::ServerName;
+use indexmap::IndexMap;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::health::Health;
+use crate::load::{Known, Report};
+use crate::policy::{Policy, Prospect};
+use crate::prefix::Prefixes;
+
+new_key_type! {
+    /// A backend server, as the router knows it.
+    pub struct ServerKey;
+}
+
+/// The candidates that are looked at in one choice at most.
+///
+/// Of more, this many are drawn, beside those that hold the prefix: the best of
+/// 48 drawn is within the best 5 in 100 nine times out of ten, and a choice among
+/// 1,200 costs no more than one among 48.
+pub const LOOK: usize = 48;
+
+/// The time of a token of a prompt that is not cached, until it is measured.
+const PREFILL: Duration = Duration::from_micros(100);
+
+/// Tokens of a block of prompt text.
+const BLOCK_TOKENS: usize = chestnut_base::work::PREFIX_BLOCK / 4;
+
+/// A backend server that may serve a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// The backend server.
+    pub server: ServerKey,
+    /// What the way to it costs more than to the nearest.
+    pub far: Duration,
+    /// Streams that it runs at the same time.
+    pub streams: u32,
+    /// The expected time of a step, until its lead tells.
+    pub step: Duration,
+}
+
+/// What the choice depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The length of the prompt, in tokens.
+    pub prompt: u32,
+    /// The length of the answer, in tokens.
+    pub output: u32,
+    /// Chained hashes of the prompt's blocks.
+    pub prefix: &'a [u64],
+}
+
+/// What an entry learns from an attempt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Note {
+    /// The lead told its load.
+    Load(Report),
+    /// The attempt was answered.
+    Answered,
+    /// The server itself failed.
+    Failed,
+    /// The server restarted and has lost its cache.
+    Restarted,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Server {
+    known: Known,
+    health: Health,
+}
+
+/// The state from which an entry chooses.
+#[derive(Debug)]
+pub struct Router {
+    policy: Policy,
+    names: IndexMap<ServerName, ServerKey>,
+    servers: SlotMap<ServerKey, Server>,
+    prefixes: Prefixes,
+    turn: usize,
+    rng: SmallRng,
+}
+
+impl Router {
+    /// Starts knowing nothing; entries must have different seeds.
+    pub fn new(policy: Policy, seed: u64) -> Self {
+        Self {
+            policy,
+            names: IndexMap::new(),
+            servers: SlotMap::with_key(),
+            prefixes: Prefixes::default(),
+            turn: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// The key of a backend server, new if it is not known.
+    pub fn key(&mut self, name: &ServerName) -> ServerKey {
+        if let Some(&key) = self.names.get(name) {
+            return key;
+        }
+        let key = self.servers.insert(Server::default());
+        self.names.insert(name.clone(), key);
+        key
+    }
+
+    /// Forgets backend servers that are gone and have nothing in flight.
+    pub fn retain(&mut self, keep: impl Fn(&ServerName) -> bool) {
+        let Self { names, servers, prefixes, .. } = self;
+        names.retain(|name, &mut key| {
+            let stays = keep(name) || servers[key].known.own() > 0;
+            if !stays {
+                servers.remove(key);
+                prefixes.forget(key);
+            }
+            stays
+        });
+    }
+
+    /// Chooses a backend server, or none if no candidate may be used.
+    pub fn choose(
+        &mut self,
+        candidates: &[Candidate],
+        ask: Ask,
+        now: Instant,
+    ) -> Option<ServerKey> {
+        self.turn += 1;
+        let held = match self.policy {
+            Policy::Estimate => self.prefixes.held(ask.prefix),
+            _ => Vec::new(),
+        };
+        let looked = self.look(candidates, &held, now);
+        let options: Vec<_> = looked
+            .iter()
+            .map(|candidate| self.prospect(candidate, ask, &held, now))
+            .collect();
+        let run = looked.first().map_or(0.0, |c| self.run(c, ask, 0, now));
+        let index = self.policy.choose(&options, self.turn, run, &mut self.rng)?;
+        Some(looked[index].server)
+    }
+
+    /// Counts an attempt in flight; [`Router::end`] must follow.
+    pub fn begin(&mut self, server: ServerKey, prefix: &[u64]) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.known.begin();
+        }
+        if self.policy == Policy::Estimate {
+            self.prefixes.sent(prefix, server);
+        }
+    }
+
+    /// Ends an attempt in flight.
+    pub fn end(&mut self, server: ServerKey) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.known.end();
+        }
+    }
+
+    /// Takes what an attempt taught.
+    pub fn note(&mut self, key: ServerKey, note: Note, now: Instant) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        match note {
+            Note::Load(report) => server.known.set(report, now),
+            Note::Answered => server.health.answered(now),
+            Note::Failed => server.health.failed(now),
+            Note::Restarted => self.prefixes.forget(key),
+        }
+    }
+
+    /// Own attempts in flight at a backend server.
+    pub fn in_flight(&self, server: ServerKey) -> u32 {
+        self.servers.get(server).map_or(0, |server| server.known.own())
+    }
+
+    /// The candidates to look at: usable ones, drawn if there are many.
+    fn look(
+        &mut self,
+        candidates: &[Candidate],
+        held: &[(ServerKey, usize)],
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let Self { servers, rng, policy, .. } = self;
+        let usable = |candidate: &Candidate| {
+            let server = servers.get(candidate.server);
+            server.is_some_and(|server| server.health.trust(now) > 0.0)
+        };
+        if candidates.len() <= LOOK || *policy != Policy::Estimate {
+            let mut all: Vec<_> = candidates.iter().copied().filter(usable).collect();
+            if all.is_empty() {
+                // All have failed: one of them is still better than no answer.
+                all = candidates.to_vec();
+            }
+            return all;
+        }
+        let mut drawn: Vec<Candidate> = Vec::with_capacity(LOOK + held.len());
+        let holds = |c: &&Candidate| held.iter().any(|(server, _)| *server == c.server);
+        if !held.is_empty() {
+            drawn.extend(candidates.iter().filter(holds).filter(|c| usable(c)));
+        }
+        for _ in 0..LOOK {
+            let candidate = candidates[rng.random_range(0..candidates.len())];
+            if usable(&candidate) {
+                drawn.push(candidate);
+            }
+        }
+        drawn
+    }
+
+    fn prospect(
+        &self,
+        candidate: &Candidate,
+        ask: Ask,
+        held: &[(ServerKey, usize)],
+        now: Instant,
+    ) -> Prospect {
+        let blocks = held.iter().find(|(server, _)| *server == candidate.server);
+        let blocks = blocks.map_or(0, |&(_, blocks)| blocks);
+        let server = &self.servers[candidate.server];
+        let run = self.run(candidate, ask, blocks, now);
+        let streams = f64::from(candidate.streams.max(1));
+        let busy = server.known.requests(now) / streams;
+        let time = server.known.wait(now, run / streams)
+            + candidate.far.as_secs_f64()
+            + run * (1.0 + 0.5 * busy);
+        Prospect { own: server.known.own(), time, trust: server.health.trust(now) }
+    }
+
+    /// Seconds that the request takes on a server that is otherwise idle.
+    fn run(&self, candidate: &Candidate, ask: Ask, blocks: usize, now: Instant) -> f64 {
+        let declared = candidate.step.as_secs_f64();
+        let step = match self.servers[candidate.server].known.fresh(now) {
+            Some((report, belief)) if !report.step.is_zero() => {
+                belief * report.step.as_secs_f64() + (1.0 - belief) * declared
+            }
+            _ => declared,
+        };
+        let cached = (blocks * BLOCK_TOKENS) as f64;
+        let prompt = (f64::from(ask.prompt) - cached).max(0.0);
+        prompt * PREFILL.as_secs_f64() + f64::from(ask.output) * step
+    }
+}
