--- a/crates/admit/src/lead.rs
+++ b/crates/admit/src/lead.rs
@@ -489,3 +489,8 @@
         Room { streams, reserve: reserve.min(streams - 1), tokens: self.limits.tokens }
     }
 }
+
+/// The bytes that a waiting request occupies, beside its names' text.
+pub fn bytes_per_request() -> usize {
+    size_of::<Entry>() + size_of::<Ticket>()
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,8 +1,32 @@
 //! Experiments on the decisions and measurements of the daemons.
+//!
+//! - [`policies`]: admission and routing under load, against baselines and a bound,
+//! - [`decisions`]: what one decision costs.
+
+pub mod decisions;
+pub mod policies;
 
 use std::process::ExitCode;
 
+use bpaf::Bpaf;
+
+/// Experiments on the decisions of chestnutlane.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// Compares policies under load, in virtual time.
+    #[bpaf(command)]
+    Policies(#[bpaf(external(policies::options))] policies::Options),
+    /// Measures what a decision costs.
+    #[bpaf(command)]
+    Decisions(#[bpaf(external(decisions::options))] decisions::Options),
+}
+
 /// Runs the program.
 pub fn main() -> ExitCode {
+    match command().run() {
+        Command::Policies(options) => policies::run(&options),
+        Command::Decisions(options) => decisions::run(&options),
+    }
     ExitCode::SUCCESS
 }
