--- a/crates/member/src/assign.rs
+++ b/crates/member/src/assign.rs
@@ -4,9 +4,12 @@
 //! and at a rolling restart one after the other. All daemons rank the members
 //! for each claim by rendezvous hashing, so that they agree without talking and
 //! one member's change moves only that member's share. A claim that has a holder
-//! stays with it until the holder leaves, dies, or holds more than its share:
-//! without that every join would move claims twice and each move interrupts the
-//! queue of a backend server.
+//! stays with it until the holder leaves or dies, or until the member that it
+//! falls to has been there for [`STABLE`]: without the pause a daemon that dies
+//! again and again soon after its start would each time take its share of the
+//! backend servers down with it until its lease lapses.
+
+use std::time::{Duration, Instant};
 
 use chestnut_base::id::rendezvous;
 use chestnut_base::{MemberId, VmName};
@@ -15,14 +18,15 @@
 use crate::known::{ClaimRow, Known};
 use crate::view::ClaimKey;
 
-/// How many claims over an even share a holder keeps before it hands some over.
+/// How long a member must have been known before claims are handed to it.
 ///
-/// Rendezvous hashing spreads small numbers unevenly (with 70 claims over 6
-/// members a deviation of 4 is ordinary); a tighter bound moves claims for
-/// nothing.
-const SLACK: usize = 4;
+/// Longer than a lease, so that one that died right after its start is noticed.
+pub const STABLE: Duration = Duration::from_secs(10);
 
-/// The greatest number of claims that are handed over at a tick for balance.
+/// The greatest number of claims that a holder hands over at a tick.
+///
+/// Each interrupts the queue of a backend server for some milliseconds; a few at
+/// a time leave the others undisturbed.
 const BALANCE_STEPS: usize = 4;
 
 /// What to do about the claims.
@@ -48,7 +52,13 @@
 }
 
 /// Decides what a daemon does about the claims on `keys`.
-pub fn plan(known: &Known, vm: &VmName, me: MemberId, keys: &[ClaimKey]) -> Plan {
+pub fn plan(
+    known: &Known,
+    vm: &VmName,
+    me: MemberId,
+    keys: &[ClaimKey],
+    now: Instant,
+) -> Plan {
     let Some((own, _)) = known.own(vm, me) else {
         return Plan::default();
     };
@@ -60,9 +70,8 @@
         .collect();
     let alive: IndexMap<MemberId, ()> =
         known.members.values().map(|(row, _)| (row.member, ())).collect();
-    let share = keys.len().div_ceil(able.len().max(1)) + SLACK;
-    let held = keys.iter().filter(|key| holder(known, key) == Some(me)).count();
-    let mut spare = held.saturating_sub(share).min(BALANCE_STEPS);
+    let stable = |member: &MemberId| known.is_stable(*member, now, STABLE);
+    let mut spare = BALANCE_STEPS;
     let leaving = !known.takes_claims(own);
 
     let mut steps = Vec::new();
@@ -78,7 +87,7 @@
                 if leaving {
                     let row = next(away);
                     steps.push(Step { key: key.clone(), version, row });
-                } else if spare > 0 && away.is_some() {
+                } else if spare > 0 && away.as_ref().is_some_and(stable) {
                     spare -= 1;
                     let row = next(away);
                     steps.push(Step { key: key.clone(), version, row });
@@ -95,10 +104,6 @@
     Plan { steps }
 }
 
-fn holder(known: &Known, key: &ClaimKey) -> Option<MemberId> {
-    known.claims.get(key).and_then(|(row, _)| row.holder)
-}
-
 /// The member that a claim falls to if it has no holder.
 fn winner(key: &ClaimKey, able: &[(&VmName, MemberId)]) -> Option<MemberId> {
     let key = key.to_string();
--- a/crates/member/src/known.rs
+++ b/crates/member/src/known.rs
@@ -1,6 +1,7 @@
 //! The rows of the platform's table as this daemon has read them.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use chestnut_base::{DomainName, Fence, MemberId, Revision, ServerName, VmName};
 use indexmap::{IndexMap, IndexSet};
@@ -57,13 +58,25 @@
     pub servers: IndexMap<ServerName, Server>,
     /// Daemons that said themselves that they are leaving, ahead of the table.
     pub leaving: IndexSet<MemberId>,
+    /// When each member was first seen.
+    seen: IndexMap<MemberId, Instant>,
 }
 
 impl Known {
-    /// The VM of a member, if its row stands.
-    pub fn vm_of(&self, member: MemberId) -> Option<&VmName> {
-        let mut rows = self.members.iter();
-        rows.find(|(_, (row, _))| row.member == member).map(|(vm, _)| vm)
+    /// Takes note of who is there, to be called after each read.
+    pub fn note_seen(&mut self, now: Instant) {
+        let present: IndexSet<MemberId> =
+            self.members.values().map(|(row, _)| row.member).collect();
+        self.seen.retain(|member, _| present.contains(member));
+        for member in present {
+            self.seen.entry(member).or_insert(now);
+        }
+    }
+
+    /// Whether the member has been there for `least`.
+    pub fn is_stable(&self, member: MemberId, now: Instant, least: Duration) -> bool {
+        let seen = self.seen.get(&member);
+        seen.is_some_and(|&seen| now.saturating_duration_since(seen) >= least)
     }
 
     /// The row of this start of the daemon and its version, if it stands.
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -205,6 +205,7 @@
         for (vm, row, version) in parse::<VmName, MemberRow>(&rows) {
             self.known.members.insert(vm, (row, version));
         }
+        self.known.note_seen(self.shared.clock.now());
         let (rows, gone) = self.changes(CLAIMS).await?;
         for key in gone.iter().filter_map(|key| key.parse::<ClaimKey>().ok()) {
             self.known.claims.swap_remove(&key);
@@ -360,11 +361,12 @@
         self.known.leaving =
             self.shared.left.lock().expect("no holder of the list panics").clone();
         let me = self.shared.me;
-        if !self.shared.lease_holds(self.shared.clock.now()) {
+        let now = self.shared.clock.now();
+        if !self.shared.lease_holds(now) {
             return Ok(());
         }
         let keys = self.keys();
-        let steps = plan(&self.known, &self.shared.settings.vm, me, &keys).steps;
+        let steps = plan(&self.known, &self.shared.settings.vm, me, &keys, now).steps;
         if steps.is_empty() {
             return Ok(());
         }
