Add the scenario language and its runner

Commands start, signal and question real processes; requests are checked against the text that their engine must give. At the end of each scenario the promises are checked that hold in all of them.

--- /dev/null
+++ b/tests/support/promises.rs
@@ -0,0 +1,135 @@
+//! What must hold at the end of every scenario, whatever happened in it.
+//!
+//! - Nobody gets another's answer, and what has an end mark is whole.
+//! - What was refused as not run did not run.
+//! - A non-idempotent request ran at most once.
+//! - No engine was ever asked to hold more than its memory.
+
+use indexmap::IndexMap;
+use serde_json::Value;
+
+use super::Failure;
+use super::ask::{Ask, Form, Reply};
+use super::command::Kind;
+use super::world::World;
+
+/// Checks all promises.
+pub async fn check(world: &World) -> Result<(), Failure> {
+    for (ask, reply) in &world.replies {
+        if let Some(why) = reply.wrong(ask) {
+            return Err(format!("{ask:?} got {why}"));
+        }
+    }
+    let mut ran = Ran::default();
+    for name in world.named(Kind::Service) {
+        ran.add_service(&counts(world, name).await);
+    }
+    for name in world.named(Kind::Engine) {
+        let counts = counts(world, name).await;
+        check_memory(name, &counts)?;
+        ran.add_engine(&counts);
+    }
+    check_once(world, &ran)?;
+    check_not_run(world, &ran)
+}
+
+/// How often things ran, as the backend servers counted.
+#[derive(Default)]
+struct Ran {
+    /// Calls of plain services, by the caller's key.
+    calls: IndexMap<String, u64>,
+    /// Prompts.
+    prompts: IndexMap<String, u64>,
+}
+
+impl Ran {
+    fn add_service(&mut self, counts: &Value) {
+        add(&mut self.calls, &counts["runs"]);
+    }
+
+    fn add_engine(&mut self, counts: &Value) {
+        add(&mut self.prompts, &counts["prompts"]);
+    }
+
+    fn of(&self, ask: &Ask) -> u64 {
+        let count = match (&ask.form, &ask.key) {
+            (Form::Completion(completion), _) => self.prompts.get(&completion.prompt),
+            (Form::Service { .. }, Some(key)) => self.calls.get(key),
+            _ => None,
+        };
+        count.copied().unwrap_or(0)
+    }
+}
+
+fn add(sums: &mut IndexMap<String, u64>, counts: &Value) {
+    for (key, count) in counts.as_object().into_iter().flatten() {
+        *sums.entry(key.clone()).or_default() += count.as_u64().unwrap_or(0);
+    }
+}
+
+/// What a stand-in counted; nothing if it was killed.
+async fn counts(world: &World, name: &str) -> Value {
+    match world.base(name) {
+        Ok(base) => world.get(&format!("{base}/counts")).await.unwrap_or(Value::Null),
+        Err(_) => Value::Null,
+    }
+}
+
+fn check_memory(name: &str, counts: &Value) -> Result<(), Failure> {
+    if counts.is_null() {
+        return Ok(());
+    }
+    let number = |field: &str| counts[field].as_u64().unwrap_or(u64::MAX);
+    if number("peak") <= number("capacity") && number("overfull") == 0 {
+        return Ok(());
+    }
+    Err(format!("{name} was asked to hold more than its memory: {counts}"))
+}
+
+fn check_once(world: &World, ran: &Ran) -> Result<(), Failure> {
+    for (ask, _) in world.replies.iter().filter(|(ask, _)| !ask.idempotent()) {
+        let allowed = distinct_keys(world, ask);
+        let count = ran.of(ask);
+        if count > allowed {
+            return Err(format!("{ask:?} ran {count} times"));
+        }
+    }
+    Ok(())
+}
+
+/// How many requests of the scenario have the same prompt or service key.
+fn distinct_keys(world: &World, ask: &Ask) -> u64 {
+    let mut keys: Vec<_> = world
+        .replies
+        .iter()
+        .filter(|(other, _)| same(ask, other))
+        .map(|(other, _)| (&other.caller, &other.key))
+        .collect();
+    keys.sort();
+    keys.dedup();
+    keys.len() as u64
+}
+
+fn check_not_run(world: &World, ran: &Ran) -> Result<(), Failure> {
+    for (ask, _) in world.replies.iter().filter(|(_, reply)| is_not_run(reply)) {
+        let others = world.replies.iter().filter(|(other, _)| same(ask, other)).count();
+        // Another request with the same text, or an earlier try, may have run.
+        let alone = others == 1 && !ask.is_patient();
+        if alone && ran.of(ask) > 0 {
+            return Err(format!("{ask:?} was refused as not run and ran"));
+        }
+    }
+    Ok(())
+}
+
+fn is_not_run(reply: &Reply) -> bool {
+    reply.outcome.as_deref() == Some("not_run")
+}
+
+fn same(one: &Ask, other: &Ask) -> bool {
+    match (&one.form, &other.form) {
+        (Form::Completion(one), Form::Completion(other)) => one.prompt == other.prompt,
+        (Form::Service { .. }, Form::Service { .. }) => one.key == other.key,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/tests/support/steps.rs
@@ -0,0 +1,241 @@
+//! Carries out the commands of a scenario.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::ask::Ask;
+use super::command::{Command, Compare, Kind, Look, Options, Signal};
+use super::world::{Sent, World};
+use super::{Failure, PATIENCE};
+
+/// How often a condition is looked at.
+const LOOK: Duration = Duration::from_millis(30);
+
+/// Carries out one command.
+pub async fn run(world: &mut World, command: &Command) -> Result<(), Failure> {
+    match command {
+        Command::World(options) => world.start_usual(options).await,
+        Command::Start(kind, name, options) => world.start(*kind, name, options).await,
+        Command::Signal(signal, name) => signal_one(world, *signal, name).await,
+        Command::Exits(name, code) => exits(world, name, *code).await,
+        Command::Fault(name, fault) => switch(world, name, fault).await,
+        Command::Vm(name, state) => vm(world, name, state).await,
+        Command::Declare { team, file, text, at } => {
+            declare(world, at.as_deref(), team, file, text.clone()).await
+        }
+        Command::Ask(name, options) => {
+            send(world, name, options)?;
+            answers(world, name).await
+        }
+        Command::Send(name, options) => send(world, name, options),
+        Command::Await(name) => answers(world, name).await,
+        Command::Seen(name, count) => seen(world, name, *count).await,
+        Command::Expect(expected) => expect(world, expected),
+        Command::Eventually(name, options, expected) => {
+            eventually(world, name, options, expected).await
+        }
+        Command::Look { wait, look } => look_at(world, look, *wait).await,
+        Command::Sleep(millis) => {
+            tokio::time::sleep(Duration::from_millis(*millis)).await;
+            Ok(())
+        }
+    }
+}
+
+async fn signal_one(
+    world: &mut World,
+    signal: Signal,
+    name: &str,
+) -> Result<(), Failure> {
+    world.process(name)?.signal(signal)?;
+    if signal == Signal::Kill {
+        let process = world.processes.get_mut(name).ok_or("it is gone")?;
+        process.exit().await?;
+    }
+    Ok(())
+}
+
+async fn exits(world: &mut World, name: &str, code: i32) -> Result<(), Failure> {
+    let process = world.processes.get_mut(name).ok_or("no such process")?;
+    match process.exit().await? {
+        Some(found) if found == code => Ok(()),
+        found => Err(format!("{name} ended with {found:?}")),
+    }
+}
+
+async fn switch(world: &World, name: &str, fault: &Value) -> Result<(), Failure> {
+    let url = format!("{}/faults", world.base(name)?);
+    let answer = world.http.post(url).json(fault).send().await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    if answer.status().is_success() {
+        return Ok(());
+    }
+    Err(answer.text().await.unwrap_or_default())
+}
+
+async fn vm(world: &World, name: &str, state: &str) -> Result<(), Failure> {
+    let list = format!("{}/v1/vms", world.base("platform")?);
+    let url = format!("{list}/{name}");
+    if state == "gone" {
+        let answer = world.http.delete(url).send().await;
+        return answer.map(drop).map_err(|error| error.to_string());
+    }
+    let rows = world.get(&list).await?;
+    let rows = rows.as_array().ok_or("the list is none")?;
+    let mut row = rows
+        .iter()
+        .find(|row| row["vm"] == name)
+        .cloned()
+        .ok_or("the VM is not on the list")?;
+    row["state"] = state.into();
+    world.put(&url, &row).await
+}
+
+async fn declare(
+    world: &mut World,
+    at: Option<&str>,
+    team: &str,
+    file: &str,
+    text: Option<String>,
+) -> Result<(), Failure> {
+    let at = at.unwrap_or("e1").to_owned();
+    let (status, answer) = world.declare(&at, team, file, text).await?;
+    let mut facts = vec![status.to_string()];
+    for pointer in ["/verdict", "/reason", "/reason/reason"] {
+        let fact = answer.pointer(pointer).and_then(Value::as_str);
+        facts.extend(fact.map(str::to_owned));
+    }
+    facts.push(answer.to_string());
+    world.last = vec![facts];
+    Ok(())
+}
+
+fn send(world: &mut World, name: &str, options: &Options) -> Result<(), Failure> {
+    let base = ask(world, options)?;
+    let count = options.number("count", 1)?;
+    let single = !options.flag("count");
+    for index in 0..count {
+        let ask = if single { base.clone() } else { base.numbered(index) };
+        let seen = Arc::default();
+        let run = ask.clone().run(world.http.clone(), Arc::clone(&seen));
+        let sent = Sent { ask, seen, reply: tokio::spawn(run) };
+        world.sent.entry(name.to_owned()).or_default().push(sent);
+    }
+    Ok(())
+}
+
+fn ask(world: &World, options: &Options) -> Result<Ask, Failure> {
+    let at = options.or("at", "e1");
+    let bases = at.split(',').map(|name| world.base(name)).collect::<Result<_, _>>()?;
+    Ask::new(options, bases)
+}
+
+async fn answers(world: &mut World, name: &str) -> Result<(), Failure> {
+    let sent = world.sent.shift_remove(name).ok_or("nothing of that name was sent")?;
+    world.last.clear();
+    for one in sent {
+        let waited = tokio::time::timeout(2 * PATIENCE, one.reply).await;
+        let reply = waited.map_err(|_| "no answer came")?.map_err(|e| e.to_string())?;
+        let mut facts = reply.facts(&one.ask);
+        // The rest is for the reader of a failure; no case can expect it.
+        facts.push(format!("(text {:?} body {})", reply.text, reply.body));
+        world.last.push(facts);
+        world.replies.push((one.ask, reply));
+    }
+    Ok(())
+}
+
+async fn seen(world: &World, name: &str, count: usize) -> Result<(), Failure> {
+    let sent = world.sent.get(name).ok_or("nothing of that name was sent")?;
+    let start = Instant::now();
+    while sent.iter().any(|one| one.seen.load(Ordering::SeqCst) < count) {
+        if start.elapsed() > PATIENCE {
+            return Err("the tokens never came".into());
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    Ok(())
+}
+
+fn expect(world: &World, expected: &[Vec<String>]) -> Result<(), Failure> {
+    if world.last.is_empty() {
+        return Err("nothing was answered".into());
+    }
+    match world.last.iter().find(|facts| !holds(facts, expected)) {
+        Some(facts) => Err(format!("the answer was: {}", facts.join(" "))),
+        None => Ok(()),
+    }
+}
+
+fn holds(facts: &[String], expected: &[Vec<String>]) -> bool {
+    expected.iter().any(|all| all.iter().all(|fact| facts.contains(fact)))
+}
+
+async fn eventually(
+    world: &mut World,
+    name: &str,
+    options: &Options,
+    expected: &[Vec<String>],
+) -> Result<(), Failure> {
+    let start = Instant::now();
+    loop {
+        send(world, name, options)?;
+        answers(world, name).await?;
+        match expect(world, expected) {
+            Err(why) if start.elapsed() > PATIENCE => return Err(why),
+            Err(_) => tokio::time::sleep(LOOK).await,
+            Ok(()) => return Ok(()),
+        }
+    }
+}
+
+async fn look_at(world: &World, look: &Look, wait: bool) -> Result<(), Failure> {
+    let start = Instant::now();
+    loop {
+        let found = value(world, look).await;
+        if let Ok(found) = &found
+            && compare(found, look.compare, &look.value)
+        {
+            return Ok(());
+        }
+        if !wait || start.elapsed() > PATIENCE {
+            return Err(format!("found {found:?}"));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn value(world: &World, look: &Look) -> Result<Value, Failure> {
+    let daemon = world.process(&look.name)?.kind == Kind::Daemon;
+    let url = match (look.path.as_str(), daemon) {
+        ("", true) => format!("{}/debug/state", world.ops(&look.name)?),
+        ("", false) => format!("{}/counts", world.base(&look.name)?),
+        (path, true) if path.starts_with("/debug") => {
+            format!("{}{path}", world.ops(&look.name)?)
+        }
+        (path, _) => format!("{}{path}", world.base(&look.name)?),
+    };
+    let page = world.get(&url).await?;
+    let Some(pointer) = look.pointer.strip_suffix('#') else {
+        return Ok(page.pointer(&look.pointer).cloned().unwrap_or(Value::Null));
+    };
+    let count = match page.pointer(pointer) {
+        Some(Value::Array(list)) => list.len(),
+        Some(Value::Object(map)) => map.len(),
+        _ => 0,
+    };
+    Ok(json!(count))
+}
+
+fn compare(found: &Value, compare: Compare, value: &Value) -> bool {
+    let numbers = found.as_f64().zip(value.as_f64());
+    match compare {
+        Compare::Equal => found == value,
+        Compare::Differs => found != value,
+        Compare::AtLeast => numbers.is_some_and(|(found, value)| found >= value),
+        Compare::AtMost => numbers.is_some_and(|(found, value)| found <= value),
+    }
+}
--- /dev/null
+++ b/tests/support/world.rs
@@ -0,0 +1,371 @@
+//! The processes and requests of one scenario.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use reqwest::Client;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use tokio::task::JoinHandle;
+
+use super::ask::{Ask, Reply};
+use super::certs;
+use super::command::{Kind, Options};
+use super::process::Process;
+use super::{Failure, PATIENCE};
+
+/// The teams whose operators the daemons know; each one's key is `ops-TEAM`.
+const TEAMS: [&str; 3] = ["base", "letters", "seats"];
+
+/// Options that are not handed to the program.
+const OWN_OPTIONS: [&str; 3] = ["pool", "service", "domain"];
+
+static WORLDS: AtomicU64 = AtomicU64::new(0);
+
+/// The processes and requests of one scenario.
+pub struct World {
+    /// Where certificates, settings and logs lie; removed at the end.
+    pub dir: PathBuf,
+    /// The processes by name, also those that were killed.
+    pub processes: IndexMap<String, Process>,
+    /// The client of all callers.
+    pub http: Client,
+    /// The requests that were sent and not awaited.
+    pub sent: IndexMap<String, Vec<Sent>>,
+    /// The facts of the replies that came last.
+    pub last: Vec<Vec<String>>,
+    /// All replies.
+    pub replies: Vec<(Ask, Reply)>,
+    /// The number of changes that were sent.
+    pub changes: u64,
+}
+
+/// A request on its way.
+pub struct Sent {
+    /// The request.
+    pub ask: Ask,
+    /// The tokens that arrived.
+    pub seen: Arc<AtomicUsize>,
+    /// Its reply.
+    pub reply: JoinHandle<Reply>,
+}
+
+impl World {
+    /// Creates an empty world.
+    pub fn new() -> Result<Self, Failure> {
+        let number = WORLDS.fetch_add(1, Ordering::SeqCst);
+        let name = format!("chestnutlane-{}-{number}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&dir).map_err(|error| error.to_string())?;
+        certs::write(&dir)?;
+        let http = Client::builder().no_proxy().build().map_err(|e| e.to_string())?;
+        Ok(Self {
+            dir,
+            processes: IndexMap::new(),
+            http,
+            sent: IndexMap::new(),
+            last: Vec::new(),
+            replies: Vec::new(),
+            changes: 0,
+        })
+    }
+
+    /// Starts the usual processes and waits until all that is declared is served.
+    ///
+    /// These are the platform, the engines r1.., the service's servers s1.. and
+    /// the daemons e1.., in the failure domains a and b by turns.
+    pub async fn start_usual(&mut self, options: &Options) -> Result<(), Failure> {
+        let domain = |index: usize| {
+            let domain = if index % 2 == 1 { "a" } else { "b" };
+            ("domain".to_owned(), domain.to_owned())
+        };
+        let of = |index| Options(IndexMap::from([domain(index)]));
+        self.start(Kind::Platform, "platform", &Options::default()).await?;
+        for index in 1..=options.number("engines", 2)? {
+            self.start(Kind::Engine, &format!("r{index}"), &of(index)).await?;
+        }
+        for index in 1..=options.number("services", 1)? {
+            self.start(Kind::Service, &format!("s{index}"), &of(index)).await?;
+        }
+        let daemons = options.number("daemons", 3)?;
+        for index in 1..=daemons {
+            self.start(Kind::Daemon, &format!("e{index}"), &of(index)).await?;
+        }
+        self.declare_base().await?;
+        for index in 1..=daemons {
+            self.wait_ready(&format!("e{index}")).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts a process and puts its VM on the platform's list.
+    pub async fn start(
+        &mut self,
+        kind: Kind,
+        name: &str,
+        options: &Options,
+    ) -> Result<(), Failure> {
+        let log = self.dir.join(format!("{name}.log"));
+        let (program, args) = match kind {
+            Kind::Daemon => {
+                let settings = self.write_settings(name, options)?;
+                let args = vec!["run".to_owned(), settings.display().to_string()];
+                (env!("CARGO_BIN_EXE_chestnutlaned"), args)
+            }
+            _ => {
+                let args = self.stand_in_args(kind, options)?;
+                (env!("CARGO_BIN_EXE_chestnut-stand-in"), args)
+            }
+        };
+        let process = Process::start(kind, program, &args, log)
+            .map_err(|why| format!("{name} does not start: {why}"))?;
+        self.processes.insert(name.to_owned(), process);
+        if kind == Kind::Platform {
+            return Ok(());
+        }
+        let field = if kind == Kind::Daemon { "caller" } else { "address" };
+        let address = self.process(name)?.address(field)?.to_owned();
+        let mut row = json!({
+            "vm": name, "domain": options.or("domain", "a"), "address": address,
+            "state": "live",
+        });
+        match kind {
+            Kind::Platform => {}
+            Kind::Daemon => row["role"] = "entry".into(),
+            Kind::Engine => {
+                row["role"] = "runner".into();
+                row["pool"] = options.or("pool", "drafting").into();
+            }
+            Kind::Service => {
+                row["role"] = "service".into();
+                row["service"] = options.or("service", "desk").into();
+            }
+        }
+        let url = format!("{}/v1/vms/{name}", self.base("platform")?);
+        self.put(&url, &row).await
+    }
+
+    /// A process by its name.
+    pub fn process(&self, name: &str) -> Result<&Process, Failure> {
+        self.processes.get(name).ok_or_else(|| format!("no process {name}"))
+    }
+
+    /// The base URL of a stand-in, or the one of a daemon for callers.
+    pub fn base(&self, name: &str) -> Result<String, Failure> {
+        let process = self.process(name)?;
+        let field = if process.kind == Kind::Daemon { "caller" } else { "address" };
+        Ok(format!("http://{}", process.address(field)?))
+    }
+
+    /// The base URL of a daemon for operators.
+    pub fn ops(&self, name: &str) -> Result<String, Failure> {
+        Ok(format!("http://{}", self.process(name)?.address("ops")?))
+    }
+
+    /// The daemons by name, in the order in which they were started.
+    pub fn named(&self, kind: Kind) -> impl Iterator<Item = &str> {
+        let of = self.processes.iter().filter(move |(_, process)| process.kind == kind);
+        of.map(|(name, _)| name.as_str())
+    }
+
+    /// Reads JSON from a URL.
+    pub async fn get(&self, url: &str) -> Result<Value, Failure> {
+        let call = self.http.get(url).timeout(Duration::from_secs(5));
+        let answer = call.send().await.map_err(|error| error.to_string())?;
+        answer.json().await.map_err(|error| error.to_string())
+    }
+
+    /// Puts JSON to a URL.
+    pub async fn put(&self, url: &str, body: &Value) -> Result<(), Failure> {
+        let answer = self.http.put(url).json(body).send().await;
+        let answer = answer.map_err(|error| error.to_string())?;
+        if answer.status().is_success() {
+            Ok(())
+        } else {
+            Err(format!("{url} answered {}", answer.status()))
+        }
+    }
+
+    /// A failure with the ends of all logs.
+    pub fn report(&self, why: &str) -> Failure {
+        let mut text = why.to_owned();
+        for (name, process) in &self.processes {
+            let tail = process.tail();
+            if !tail.is_empty() {
+                text.push_str(&format!("\n  log of {name}:\n    {tail}"));
+            }
+        }
+        text
+    }
+
+    async fn declare_base(&mut self) -> Result<(), Failure> {
+        let mut text = include_str!("base.jsonc").to_owned();
+        for caller in ["portal", "caseworker"] {
+            let hash = sha256(&format!("key-{caller}"));
+            text = text.replace(&format!("@{caller}@"), &hash);
+        }
+        let start = std::time::Instant::now();
+        loop {
+            let (status, answer) =
+                self.declare("e1", "base", "base.jsonc", Some(text.clone())).await?;
+            if answer["verdict"] == "accepted" {
+                return Ok(());
+            }
+            // The first poll may not have been made yet.
+            if start.elapsed() > PATIENCE {
+                return Err(format!("the base was refused: {status} {answer}"));
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Sends a change of one file to a daemon, with the revision it has in force.
+    pub async fn declare(
+        &mut self,
+        at: &str,
+        team: &str,
+        file: &str,
+        text: Option<String>,
+    ) -> Result<(u16, Value), Failure> {
+        self.changes += 1;
+        let ops = self.ops(at)?;
+        let state = self.get(&format!("{ops}/debug/state")).await?;
+        let change = json!({
+            "id": format!("change-{}", self.changes),
+            "team": team,
+            "author": format!("operator of {team}"),
+            "base": state["revision"],
+            "edits": {file: text},
+        });
+        let call = self
+            .http
+            .post(format!("{ops}/v1/config/apply"))
+            .header("x-team", team)
+            .header("authorization", format!("Bearer ops-{team}"))
+            .json(&change);
+        let answer = call.send().await.map_err(|error| error.to_string())?;
+        let status = answer.status().as_u16();
+        let text = answer.text().await.map_err(|error| error.to_string())?;
+        Ok((status, serde_json::from_str(&text).unwrap_or(Value::from(text))))
+    }
+
+    /// Waits until a daemon serves every route and the service.
+    async fn wait_ready(&self, name: &str) -> Result<(), Failure> {
+        let ready = [
+            Options(IndexMap::from([("route".into(), "draft".into())])),
+            Options(IndexMap::from([("route".into(), "water".into())])),
+            Options(IndexMap::from([("route".into(), "proof".into())])),
+            Options(IndexMap::from([
+                ("svc".into(), "desk".into()),
+                ("method".into(), "GET".into()),
+            ])),
+        ];
+        for mut options in ready {
+            options.0.insert("prompt".into(), "ready?".into());
+            let ask = Ask::new(&options, vec![self.base(name)?])?;
+            let start = std::time::Instant::now();
+            loop {
+                let reply = ask.clone().run(self.http.clone(), Arc::default()).await;
+                if reply.is_whole(&ask) {
+                    break;
+                }
+                if start.elapsed() > PATIENCE {
+                    let facts = reply.facts(&ask).join(" ");
+                    let body = &reply.body;
+                    return Err(format!("{name} never served {ask:?}: {facts} {body}"));
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn stand_in_args(
+        &self,
+        kind: Kind,
+        options: &Options,
+    ) -> Result<Vec<String>, Failure> {
+        let mut defaults: IndexMap<&str, String> = IndexMap::new();
+        let command = match kind {
+            Kind::Platform => "platform",
+            Kind::Service => {
+                defaults.insert("name", options.or("service", "desk").to_owned());
+                "service"
+            }
+            Kind::Engine => {
+                defaults.insert("capacity", "100000".to_owned());
+                defaults.insert("tokens", "100000".to_owned());
+                defaults.insert("streams", "8".to_owned());
+                defaults.insert("step-ms", "5".to_owned());
+                defaults.insert("weights", self.base("platform")?);
+                "engine"
+            }
+            Kind::Daemon => return Err("a daemon is no stand-in".into()),
+        };
+        for (name, value) in &options.0 {
+            if !OWN_OPTIONS.contains(&name.as_str()) {
+                defaults.insert(name, value.clone());
+            }
+        }
+        let mut args = vec![command.to_owned()];
+        for (name, value) in defaults {
+            let flag = value.is_empty();
+            args.push(if flag {
+                format!("--{name}")
+            } else {
+                format!("--{name}={value}")
+            });
+        }
+        Ok(args)
+    }
+
+    /// Writes a daemon's settings; options such as `times.lease_ms` change them.
+    fn write_settings(&self, name: &str, options: &Options) -> Result<PathBuf, Failure> {
+        let platform = self.base("platform")?;
+        let file = |name: &str| self.dir.join(name).display().to_string();
+        let keys: IndexMap<&str, String> =
+            TEAMS.iter().map(|team| (*team, sha256(&format!("ops-{team}")))).collect();
+        let any = "127.0.0.1:0";
+        let mut settings = json!({
+            "vm": name,
+            "domain": options.or("domain", "a"),
+            "caller_addr": any, "peer_addr": any, "ops_addr": any,
+            "table_url": platform, "object_url": platform, "vms_url": platform,
+            "tls": {
+                "cert": file("daemon.pem"),
+                "key": file("daemon.key"),
+                "trust": file("trust.pem"),
+            },
+            "operators": keys,
+            "times": {
+                "lease_ms": 3000, "renewal_ms": 500, "poll_ms": 100,
+                "platform_ms": 1000, "leave_ms": 1000, "keep_ms": 500,
+            },
+            "limits": { "slots": 8 },
+        });
+        for (option, value) in &options.0 {
+            if let Some((group, field)) = option.split_once('.') {
+                settings[group][field] = serde_json::from_str(value)
+                    .map_err(|error| format!("{option}={value}: {error}"))?;
+            }
+        }
+        let path = self.dir.join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).map_err(|e| e.to_string())?;
+        Ok(path)
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.processes.clear();
+        // A directory that can't be removed is the system's to clean up.
+        std::fs::remove_dir_all(&self.dir).ok();
+    }
+}
+
+fn sha256(text: &str) -> String {
+    Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
