--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -12,6 +12,7 @@
 
 use crate::engine::{self, CallEnd};
 use crate::node::Node;
+use crate::orders::usage::{self, Hold};
 use crate::shared::Shared;
 
 /// The time after which a refused request may come back.
@@ -29,6 +30,8 @@
     pub address: SocketAddr,
     server: ServerName,
     running: Arc<Mutex<IndexMap<ServerName, u32>>>,
+    /// Keeps the model resident while the attempt runs.
+    _hold: Option<Hold>,
 }
 
 /// How an attempt ended.
@@ -64,9 +67,14 @@
         let Some(info) = info.filter(|info| !info.leaving) else {
             return Err(elsewhere(Code::Unavailable, "this daemon does not lead it"));
         };
-        if !self.holds(run) {
-            return Err(elsewhere(Code::NotResident, "the model is not resident there"));
-        }
+        let hold = match &run.work.target {
+            Target::Model { .. } => {
+                let hold = usage::hold(&self.shared, &run.server, &run.work.target);
+                let text = "the model is not resident there; wait";
+                Some(hold.ok_or_else(|| elsewhere(Code::NotResident, text))?)
+            }
+            Target::Service { .. } => None,
+        };
         let catalog = self.shared.catalog();
         let limit = match &info.role {
             ServerRole::Runner(pool) => {
@@ -84,21 +92,11 @@
         *count += 1;
         Ok(Grant {
             address: info.address,
+            _hold: hold,
             server: run.server.clone(),
             running: self.running.clone(),
         })
     }
-
-    fn holds(&self, run: &Run) -> bool {
-        match &run.work.target {
-            Target::Model { model, version, adapter } => self
-                .shared
-                .residence()
-                .serving(model, version, adapter.as_ref())
-                .any(|server| *server == run.server),
-            Target::Service { .. } => true,
-        }
-    }
 }
 
 impl Grant {
@@ -127,6 +125,9 @@
     if out.send(Say::Queued).await.is_err() {
         return;
     }
+    // Before the check that the model is resident, so that it is not unloaded
+    // between the check and the end of the stream.
+    let _hold = node.shared.usage.hold_target(&run.server, &run.work.target);
     let offered = tokio::select! {
         offered = node.leads.offer(&run) => offered,
         () = out.closed() => return,
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -18,7 +18,7 @@
         .route("/metrics", get(metrics))
         .route("/debug/state", get(state))
         .with_state(node.clone())
-        .merge(opsconf::router(node.shared.clone()))
+        .merge(opsconf::router(node.clone()))
 }
 
 async fn metrics(State(node): State<Arc<Node>>) -> String {
--- a/crates/plat/src/vms.rs
+++ b/crates/plat/src/vms.rs
@@ -45,7 +45,8 @@
     pub vm: VmName,
     /// The failure domain.
     pub domain: DomainName,
-    /// Where the VM's server listens.
+    /// Where the VM's server listens; on an entry VM, where its daemon takes other
+    /// daemons' connections.
     pub address: SocketAddr,
     /// Whether the VM stays.
     pub state: VmState,
