--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -11,7 +11,6 @@
 pub mod counters;
 pub mod rows;
 pub mod runner;
-pub mod spare;
 pub mod usage;
 
 use std::sync::Arc;
--- a/crates/node/src/orders/rows.rs
+++ b/crates/node/src/orders/rows.rs
@@ -1,6 +1,7 @@
 //! The ledger's and the plan's rows as the table has them.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use chestnut_base::{PoolName, ServerName};
 use chestnut_member::{ServerRole, View};
@@ -27,8 +28,18 @@
     pub ledger_version: u64,
     /// The version up to which plans were read.
     pub plan_version: u64,
-    /// The table service's time at the last read, in milliseconds.
-    pub now: u64,
+    /// The table service's time at the last read of ledgers, in milliseconds,
+    /// and when that read was sent.
+    pub now: Option<(u64, Instant)>,
+}
+
+impl Rows {
+    /// The table service's time as it is at most, at `at`.
+    pub fn time_to(&self, at: Instant) -> u64 {
+        self.now.map_or(0, |(now, sent)| {
+            now + at.saturating_duration_since(sent).as_millis() as u64
+        })
+    }
 }
 
 /// What a planner wants a runner to hold.
@@ -46,13 +57,14 @@
         let rows = shared.rows.borrow();
         (rows.ledger_version, rows.plan_version)
     };
+    let sent = shared.clock.now();
     let ledgers = shared.table.scan(LEDGER, "", ledger_version).await;
     let plans = shared.table.scan(PLAN, "", plan_version).await;
     shared.rows.send_modify(|rows| {
         let rows = Arc::make_mut(rows);
         if let Ok(delta) = ledgers {
             rows.ledger_version = delta.version;
-            rows.now = delta.now;
+            rows.now = Some((delta.now, sent));
             take_ledgers(shared, rows, delta);
         }
         if let Ok(delta) = plans {
--- a/crates/node/src/orders/runner.rs
+++ b/crates/node/src/orders/runner.rs
@@ -7,7 +7,8 @@
 use chestnut_base::{OrderId, PoolName, ServerName};
 use chestnut_member::{Claim, ClaimKey, Server, ServerRole};
 use chestnut_place::{
-    Asset, Ledger, Order, OrderKind, Report, Situation, Want, follow, place_fixed,
+    Asset, Ledger, Order, OrderKind, Report, Situation, Span, Want, follow, place_fixed,
+    witnesses,
 };
 use chestnut_plat::{PlatError, Txn, TxnAnswer};
 
@@ -15,7 +16,6 @@
 use crate::orders::command::{Engines, Sent};
 use crate::orders::counters::{Copies, Counters};
 use crate::orders::rows::{self, LEDGER};
-use crate::orders::spare::witnesses;
 use crate::shared::Shared;
 
 /// How long to wait before an order is sent again, at first.
@@ -125,11 +125,13 @@
             return true;
         }
         let Some((held, version)) = self.row.clone() else { return true };
+        // Without the table's time no late copy can be told from a dead one.
+        let Some((from, _)) = self.shared.rows.borrow().now else { return true };
         let Ok(report) = self.engines.report(server.address).await else {
             return false;
         };
         let mut next = held.clone();
-        let witnesses = self.decide(&mut next, &report, server, pool);
+        let witnesses = self.decide(&mut next, &report, from, server, pool);
         if next != held {
             self.commit(&held, &next, version, witnesses).await;
         }
@@ -166,12 +168,14 @@
         &self,
         ledger: &mut Ledger,
         report: &Report,
+        from: u64,
         server: &Server,
         pool: &PoolName,
     ) -> Vec<(ServerName, u64)> {
         let catalog = self.shared.catalog();
         let rows = self.shared.rows.borrow().clone();
-        ledger.observe(report, rows.now);
+        let to = rows.time_to(self.shared.clock.now());
+        ledger.observe(report, Span { from, to });
         for order in self.cleared(ledger) {
             ledger.clear(order);
         }
@@ -180,8 +184,13 @@
         let wanted = if server.leaving { Some(Vec::new()) } else { self.wanted(pool) };
         let Some(wanted) = wanted else { return Vec::new() };
         let view = self.shared.view();
+        let stays = |name: &ServerName| {
+            *name != self.name && view.servers.get(name).is_some_and(|s| !s.leaving)
+        };
+        let others = rows.ledgers.iter().filter(|(name, _)| stays(name));
+        let others = others.map(|(name, (ledger, _))| (name, ledger));
         let spare = |ledger: &Ledger, asset: &Asset| {
-            witnesses(&catalog, &view, &rows, &self.name, ledger, asset)
+            witnesses(&catalog, others.clone(), ledger, asset)
         };
         let idle = |asset: &Asset| self.is_idle(asset, report);
         let found = follow(ledger, &wanted, &Situation { spare: &spare, idle: &idle });
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -33,6 +33,19 @@
 /// (Linux, `tcp_retries2` = 15). 1,000 s is above that.
 pub const COPY_LIFE: u64 = 1_000_000;
 
+/// The table service's time while a report was read, in milliseconds.
+///
+/// Of a range, since daemons know that time only from answers. A late landing
+/// must not fall between a report and the time at which it is judged, and a
+/// time kept from before an outage must not make copies look old.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span {
+    /// At most the time at which the report was asked for.
+    pub from: u64,
+    /// At least the time at which the report is judged.
+    pub to: u64,
+}
+
 /// The ledger of one runner, as its row in the table holds it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
@@ -254,19 +267,17 @@
     }
 
     /// Takes in a report that was asked for after the ledger was read.
-    ///
-    /// `now` is the table service's time in milliseconds.
-    pub fn observe(&mut self, report: &Report, now: u64) {
+    pub fn observe(&mut self, report: &Report, span: Span) {
         if self.incarnation != report.incarnation {
-            self.restart(now);
+            self.restart(span);
             self.incarnation = report.incarnation;
         }
-        self.note_seen(report, now);
+        self.note_seen(report, span);
         for at in 0..self.items.len() {
-            self.advance(at, report, now);
+            self.advance(at, report, span);
         }
         self.adopt(report);
-        self.forget(now);
+        self.forget(span);
     }
 
     /// The orders to be sent until a later report confirms them.
@@ -311,12 +322,12 @@
     /// carry them out. What was wanted is ordered again with the same number,
     /// so that a late copy of it is a duplicate; what was to be dropped keeps
     /// its memory until no copy can land.
-    fn restart(&mut self, now: u64) {
+    fn restart(&mut self, span: Span) {
         for item in &mut self.items {
             let wanted = matches!(item.state, ItemState::Loading | ItemState::Ready);
             let last = item.loads.last().map(|load| load.order);
             item.loads.retain(|load| {
-                !is_accounted(load, now) || (wanted && Some(load.order) == last)
+                !is_accounted(load, span) || (wanted && Some(load.order) == last)
             });
             for load in &mut item.loads {
                 load.seen = false;
@@ -330,22 +341,22 @@
                 }
             } else {
                 item.state = ItemState::Spent;
-                stop_sending(item, now);
+                stop_sending(item, span);
             }
         }
     }
 
-    fn note_seen(&mut self, report: &Report, now: u64) {
+    fn note_seen(&mut self, report: &Report, span: Span) {
         for load in self.items.iter_mut().flat_map(|item| &mut item.loads) {
             if !load.seen && report.order(load.order).is_some() {
                 load.seen = true;
-                load.until = Some(now + COPY_LIFE);
+                load.until = Some(span.to + COPY_LIFE);
             }
         }
     }
 
     /// Moves one item on by what the report says of it.
-    fn advance(&mut self, at: usize, report: &Report, now: u64) {
+    fn advance(&mut self, at: usize, report: &Report, span: Span) {
         let item = &self.items[at];
         let held = report.state(&item.asset);
         let ready = held == Some(AssetState::Ready);
@@ -366,17 +377,17 @@
                 }
             }
             ItemState::Ready if !ready => self.items[at].state = ItemState::Loading,
-            ItemState::Draining if held.is_none() => self.spend(at, now),
+            ItemState::Draining if held.is_none() => self.spend(at, span),
             ItemState::Unloading => {
                 let order = item.unload.and_then(|id| report.order(id));
                 match (order, held) {
-                    (Some(OrderState::Done), None) => self.spend(at, now),
+                    (Some(OrderState::Done), None) => self.spend(at, span),
                     // It failed, or a late copy of the load landed after it.
                     (Some(OrderState::Done | OrderState::Failed), Some(_)) if ready => {
                         self.items[at].state = ItemState::Draining;
                         self.items[at].unload = None;
                     }
-                    (Some(OrderState::Failed), None) => self.spend(at, now),
+                    (Some(OrderState::Failed), None) => self.spend(at, span),
                     _ => {}
                 }
             }
@@ -389,11 +400,11 @@
         }
     }
 
-    fn spend(&mut self, at: usize, now: u64) {
+    fn spend(&mut self, at: usize, span: Span) {
         let item = &mut self.items[at];
         item.state = ItemState::Spent;
         item.unload = None;
-        stop_sending(item, now);
+        stop_sending(item, span);
     }
 
     /// Enters what the engine holds though nobody ordered it here, such as a
@@ -415,14 +426,14 @@
     }
 
     /// Removes what can't come to hold memory any more.
-    fn forget(&mut self, now: u64) {
+    fn forget(&mut self, span: Span) {
         for item in &mut self.items {
             // The last order of what is held stays known, so that it can be
             // sent again after a restart even while the table is down.
             let held = item.state != ItemState::Spent;
             let last = item.loads.last().map(|load| load.order);
             item.loads.retain(|load| {
-                !is_accounted(load, now) || (held && Some(load.order) == last)
+                !is_accounted(load, span) || (held && Some(load.order) == last)
             });
         }
         self.items
@@ -431,8 +442,8 @@
 }
 
 /// Whether no copy of a load order can land any more as anything but a duplicate.
-fn is_accounted(load: &Load, now: u64) -> bool {
-    (load.seen && load.clear) || load.until.is_some_and(|until| until <= now)
+fn is_accounted(load: &Load, span: Span) -> bool {
+    (load.seen && load.clear) || load.until.is_some_and(|until| until <= span.from)
 }
 
 /// The state of an asset that is found at the engine without being expected.
@@ -444,8 +455,8 @@
     }
 }
 
-fn stop_sending(item: &mut Item, now: u64) {
+fn stop_sending(item: &mut Item, span: Span) {
     for load in &mut item.loads {
-        load.until.get_or_insert(now + COPY_LIFE);
+        load.until.get_or_insert(span.to + COPY_LIFE);
     }
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -4,9 +4,10 @@
 //!
 //! 1. [`fixed`] or the planner says what each runner of a pool is to hold,
 //! 2. [`follow`] decides the next steps of one runner towards that,
-//! 3. [`ledger`] reserves the memory before an order is sent and frees it only
+//! 3. [`spare`] keeps the last replica of everything declared,
+//! 4. [`ledger`] reserves the memory before an order is sent and frees it only
 //!    when the engine's [`report`] proves that nothing can hold it any more,
-//! 4. [`residence`] is what entries learn of the result.
+//! 5. [`residence`] is what entries learn of the result.
 
 pub mod asset;
 pub mod fixed;
@@ -14,10 +15,12 @@
 pub mod ledger;
 pub mod report;
 pub mod residence;
+pub mod spare;
 
 pub use asset::Asset;
 pub use fixed::{Plan, Runner, Unplaced, place_fixed};
 pub use follow::{Follow, Situation, Want, follow};
-pub use ledger::{Full, Item, ItemState, Ledger, Load, Order, OrderKind};
+pub use ledger::{Full, Item, ItemState, Ledger, Load, Order, OrderKind, Span};
 pub use report::{AssetState, OrderState, Report};
 pub use residence::{Residence, Resident};
+pub use spare::witnesses;
