--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,6 +8,7 @@
 use reqwest::Client;
 use tokio::sync::mpsc;
 
+use crate::confsync;
 use crate::entry::Intake;
 use crate::lead::{self, Leads};
 use crate::peer::{Peers, Serve};
@@ -43,9 +44,7 @@
             Ask::Once(once) => return Slots::run(&self, once, out).await,
             Ask::Lookup(id) => Say::Once(Slots::lookup(&self, &id).await),
             Ask::Gossip(_) => refuse("this version spreads nothing by gossip"),
-            Ask::Config(revision) => {
-                Say::Config(crate::confsync::text(&self.shared, revision).await)
-            }
+            Ask::Config(have) => Say::Config(Some(confsync::tell(&self.shared, have))),
             Ask::Status => Say::Status(self.status()),
             Ask::Leaving(member) => {
                 self.shared.note_leaving(member);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -14,7 +14,7 @@
 use slog::Logger;
 use tokio::sync::{Notify, watch};
 
-use crate::confsync::Conf;
+use crate::confsync::{self, Conf};
 use crate::metrics::Metrics;
 use crate::orders::rows::Rows;
 use crate::orders::usage::Usage;
@@ -79,7 +79,7 @@
     ) -> Self {
         let term = settings.times.lease;
         let metrics = Metrics::new();
-        let conf = Conf::new(clock.now(), &metrics);
+        let conf = Conf::new(&metrics);
         Self {
             settings,
             clock,
@@ -149,7 +149,7 @@
 
     /// Whether the declarations in force are recent enough to serve by.
     pub fn is_fresh(&self) -> bool {
-        self.conf.is_fresh(self.clock.now(), self.settings.times.stale)
+        confsync::is_fresh(self, self.clock.now())
     }
 
     /// The addresses that callers may use, this daemon's domain first.
