--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -12,7 +12,6 @@
 
 use crate::engine::{self, CallEnd};
 use crate::node::Node;
-use crate::orders::usage::{self, Hold};
 use crate::shared::Shared;
 
 /// The time after which a refused request may come back.
@@ -30,8 +29,6 @@
     pub address: SocketAddr,
     server: ServerName,
     running: Arc<Mutex<IndexMap<ServerName, u32>>>,
-    /// Keeps the model resident while the attempt runs.
-    _hold: Option<Hold>,
 }
 
 /// How an attempt ended.
@@ -67,14 +64,9 @@
         let Some(info) = info.filter(|info| !info.leaving) else {
             return Err(elsewhere(Code::Unavailable, "this daemon does not lead it"));
         };
-        let hold = match &run.work.target {
-            Target::Model { .. } => {
-                let hold = usage::hold(&self.shared, &run.server, &run.work.target);
-                let text = "the model is not resident there; wait";
-                Some(hold.ok_or_else(|| elsewhere(Code::NotResident, text))?)
-            }
-            Target::Service { .. } => None,
-        };
+        if !self.holds(run) {
+            return Err(elsewhere(Code::NotResident, "the model is not resident there"));
+        }
         let catalog = self.shared.catalog();
         let limit = match &info.role {
             ServerRole::Runner(pool) => {
@@ -92,11 +84,20 @@
         *count += 1;
         Ok(Grant {
             address: info.address,
-            _hold: hold,
             server: run.server.clone(),
             running: self.running.clone(),
         })
     }
+
+    fn holds(&self, run: &Run) -> bool {
+        let residence = self.shared.residence();
+        match &run.work.target {
+            Target::Model { model, version, adapter } => residence
+                .serving(model, version, adapter.as_ref())
+                .any(|server| *server == run.server),
+            Target::Service { .. } => true,
+        }
+    }
 }
 
 impl Grant {
--- a/crates/place/tests/floor.rs
+++ b/crates/place/tests/floor.rs
@@ -170,7 +170,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config { cases: 300, ..Config::default() })]
+    #![proptest_config(Config { cases: 300, failure_persistence: None, ..Config::default() })]
 
     // Callers of a model get "not resident" once its last replica is dropped.
     // Leads act on rows that others have changed meanwhile, the wanted
--- a/crates/place/tests/ledger/main.rs
+++ b/crates/place/tests/ledger/main.rs
@@ -24,7 +24,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config { cases: 400, ..Config::default() })]
+    #![proptest_config(Config { cases: 400, failure_persistence: None, ..Config::default() })]
 
     // The caller sees all requests on a runner die when the engine takes more
     // memory than the accelerator has. Orders are lost, late and doubled, the
