--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -8,8 +8,11 @@
 //! - [`engine`]: a model engine,
 //! - [`service`]: a plain service.
 //!
+//! [`caller`] sends requests and judges the answers.
+//!
 //! `POST /faults` switches [`faults`], `GET /counts` tells what really ran.
 
+pub mod caller;
 mod cli;
 pub mod engine;
 pub mod faults;
--- a/tests/support/promises.rs
+++ b/tests/support/promises.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use super::Failure;
-use super::ask::{Ask, Form, Reply};
+use super::ask::{Ask, Form, Reply, idempotent};
 use super::command::Kind;
 use super::world::World;
 
@@ -87,7 +87,7 @@
 }
 
 fn check_once(world: &World, ran: &Ran) -> Result<(), Failure> {
-    for (ask, _) in world.replies.iter().filter(|(ask, _)| !ask.idempotent()) {
+    for (ask, _) in world.replies.iter().filter(|(ask, _)| !idempotent(ask)) {
         let allowed = distinct_keys(world, ask);
         let count = ran.of(ask);
         if count > allowed {
@@ -114,7 +114,7 @@
     for (ask, _) in world.replies.iter().filter(|(_, reply)| is_not_run(reply)) {
         let others = world.replies.iter().filter(|(other, _)| same(ask, other)).count();
         // Another request with the same text, or an earlier try, may have run.
-        let alone = others == 1 && !ask.is_patient();
+        let alone = others == 1 && ask.patience.is_zero();
         if alone && ran.of(ask) > 0 {
             return Err(format!("{ask:?} was refused as not run and ran"));
         }
--- a/tests/support/steps.rs
+++ b/tests/support/steps.rs
@@ -6,7 +6,7 @@
 
 use serde_json::{Value, json};
 
-use super::ask::Ask;
+use super::ask::{self, Ask};
 use super::command::{Command, Compare, Kind, Look, Options, Signal};
 use super::world::{Sent, World};
 use super::{Failure, PATIENCE};
@@ -114,7 +114,7 @@
 }
 
 fn send(world: &mut World, name: &str, options: &Options) -> Result<(), Failure> {
-    let base = ask(world, options)?;
+    let base = read(world, options)?;
     let count = options.number("count", 1)?;
     let single = !options.flag("count");
     for index in 0..count {
@@ -127,10 +127,10 @@
     Ok(())
 }
 
-fn ask(world: &World, options: &Options) -> Result<Ask, Failure> {
+fn read(world: &World, options: &Options) -> Result<Ask, Failure> {
     let at = options.or("at", "e1");
     let bases = at.split(',').map(|name| world.base(name)).collect::<Result<_, _>>()?;
-    Ask::new(options, bases)
+    ask::read(options, bases)
 }
 
 async fn answers(world: &mut World, name: &str) -> Result<(), Failure> {
@@ -139,7 +139,7 @@
     for one in sent {
         let waited = tokio::time::timeout(2 * PATIENCE, one.reply).await;
         let reply = waited.map_err(|_| "no answer came")?.map_err(|e| e.to_string())?;
-        let mut facts = reply.facts(&one.ask);
+        let mut facts = ask::facts(&reply, &one.ask);
         // The rest is for the reader of a failure; no case can expect it.
         facts.push(format!("(text {:?} body {})", reply.text, reply.body));
         world.last.push(facts);
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -11,7 +11,7 @@
 use sha2::{Digest, Sha256};
 use tokio::task::JoinHandle;
 
-use super::ask::{Ask, Reply};
+use super::ask::{self, Ask, Reply};
 use super::certs;
 use super::command::{Kind, Options};
 use super::process::Process;
@@ -265,7 +265,7 @@
         ];
         for mut options in ready {
             options.0.insert("prompt".into(), "ready?".into());
-            let ask = Ask::new(&options, vec![self.base(name)?])?;
+            let ask = ask::read(&options, vec![self.base(name)?])?;
             let start = std::time::Instant::now();
             loop {
                 let reply = ask.clone().run(self.http.clone(), Arc::default()).await;
@@ -273,7 +273,7 @@
                     break;
                 }
                 if start.elapsed() > PATIENCE {
-                    let facts = reply.facts(&ask).join(" ");
+                    let facts = ask::facts(&reply, &ask).join(" ");
                     let body = &reply.body;
                     return Err(format!("{name} never served {ask:?}: {facts} {body}"));
                 }
