--- /dev/null
+++ b/crates/demo/src/certs.rs
@@ -0,0 +1,42 @@
+//! Certificates for the demo's daemons, made anew at each start.
+
+use std::path::Path;
+
+use rcgen::{
+    BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose,
+};
+
+use crate::stage::StageError;
+
+/// The name that every daemon's certificate carries.
+const PEER_NAME: &str = "chestnutlane";
+
+/// Writes `trust.pem`, `daemon.pem` and `daemon.key` into a directory.
+pub fn write(dir: &Path) -> Result<(), StageError> {
+    let made = make().map_err(|error| StageError::Certs(error.to_string()))?;
+    for (name, text) in made {
+        std::fs::write(dir.join(name), text)
+            .map_err(|error| StageError::Files(error.to_string()))?;
+    }
+    Ok(())
+}
+
+fn make() -> Result<[(&'static str, String); 3], rcgen::Error> {
+    let mut params = CertificateParams::new(Vec::new())?;
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+    let key = KeyPair::generate()?;
+    let authority = params.self_signed(&key)?;
+    let issuer = Issuer::new(params, key);
+    let mut params = CertificateParams::new(vec![PEER_NAME.to_owned()])?;
+    params.extended_key_usages =
+        vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+    let key = KeyPair::generate()?;
+    let cert = params.signed_by(&key, &issuer)?;
+    Ok([
+        ("trust.pem", authority.pem()),
+        ("daemon.pem", cert.pem()),
+        ("daemon.key", key.serialize_pem()),
+    ])
+}
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,8 +1,81 @@
 //! The whole system in one process, with embedded stand-ins.
+//!
+//! 1. [`stage`] starts the stand-ins and three daemons in two failure domains,
+//!    and declares models, adapters and a plain service,
+//! 2. [`burst`] sends a mix of requests as several callers,
+//! 3. [`tally`] counts what the callers received and what really ran.
+
+pub mod burst;
+mod certs;
+pub mod stage;
+pub mod tally;
 
 use std::process::ExitCode;
 
+use bpaf::Bpaf;
+use serde_json::json;
+
+use self::stage::{Stage, StageError};
+use self::tally::Tally;
+
+/// The exit code when a caller did not get what it must get.
+const BROKEN: u8 = 1;
+
+/// The exit code when the demo could not be carried out.
+const NOT_RUN: u8 = 2;
+
+/// Runs the whole system in one process and shows what its callers receive.
+///
+/// Exit codes: 0 if every answer was whole and its own caller's and nothing ran
+/// twice that must not, 1 if not, 2 if the demo could not be carried out.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Print one line of JSON instead of the table
+    json: bool,
+    /// Stay up and print commands to try
+    keep: bool,
+    /// How many times the usual burst is sent at once
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    scale: usize,
+}
+
 /// Runs the program.
 pub fn main() -> ExitCode {
-    ExitCode::SUCCESS
+    let options = options().run();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the runtime can't start ({error}); free memory or threads");
+            return ExitCode::from(NOT_RUN);
+        }
+    };
+    match runtime.block_on(show(&options)) {
+        Ok(tally) if tally.is_fine() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(BROKEN),
+        Err(error) => {
+            eprintln!("the demo could not be carried out: {error}");
+            ExitCode::from(NOT_RUN)
+        }
+    }
+}
+
+async fn show(options: &Options) -> Result<Tally, StageError> {
+    let stage = Stage::start().await?;
+    let results = burst::run(&stage, options.scale.max(1)).await?;
+    let tally = Tally::count(&stage, &results).await?;
+    if options.json {
+        println!("{}", json!(tally));
+    } else {
+        print!("{tally}");
+    }
+    if options.keep {
+        stage.explain();
+        // Without a handler the signal ends the process, which is what is asked.
+        if let Err(error) = tokio::signal::ctrl_c().await {
+            eprintln!("signals can't be waited for ({error}); the demo ends");
+        }
+    }
+    stage.stop().await;
+    Ok(tally)
 }
