--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -23,6 +23,9 @@
     Signal(Signal, String),
     /// `exits NAME CODE`: waits until the process ends with this code.
     Exits(String, i32),
+    /// `alias NAME [not] server:NAME|slot:CALLER/KEY`: calls the daemon that leads
+    /// this, or one that does not, by another name.
+    Alias { alias: String, claim: String, not: bool },
     /// `fault NAME JSON`: switches faults of a stand-in.
     Fault(String, Value),
     /// `vm NAME live|leaving|gone`: changes the platform's list of VMs.
--- a/tests/support/parse.rs
+++ b/tests/support/parse.rs
@@ -50,6 +50,7 @@
             let code = code.parse().map_err(|_| "the exit code is no number")?;
             Ok(Command::Exits(name, code))
         }
+        "alias" => alias(rest),
         "fault" => {
             let (name, json) = pair(rest)?;
             let fault = serde_json::from_str(&json).map_err(|e| e.to_string())?;
@@ -97,6 +98,16 @@
     Ok(Command::Signal(signal, one(rest)?))
 }
 
+fn alias(rest: &str) -> Result<Command, Failure> {
+    let words = words(rest)?;
+    let (alias, claim, not) = match &words[..] {
+        [alias, claim] => (alias, claim, false),
+        [alias, not, claim] if not == "not" => (alias, claim, true),
+        _ => return Err("write alias NAME [not] CLAIM".into()),
+    };
+    Ok(Command::Alias { alias: alias.clone(), claim: claim.clone(), not })
+}
+
 fn declare(rest: &str, lines: &mut Enumerate<Lines>) -> Result<Command, Failure> {
     let words = words(rest)?;
     let [team, file, more @ ..] = &words[..] else {
--- a/tests/support/steps.rs
+++ b/tests/support/steps.rs
@@ -21,6 +21,7 @@
         Command::Start(kind, name, options) => world.start(*kind, name, options).await,
         Command::Signal(signal, name) => signal_one(world, *signal, name).await,
         Command::Exits(name, code) => exits(world, name, *code).await,
+        Command::Alias { alias, claim, not } => name(world, alias, claim, *not).await,
         Command::Fault(name, fault) => switch(world, name, fault).await,
         Command::Vm(name, state) => vm(world, name, state).await,
         Command::Declare { team, file, text, at } => {
@@ -52,20 +53,45 @@
 ) -> Result<(), Failure> {
     world.process(name)?.signal(signal)?;
     if signal == Signal::Kill {
-        let process = world.processes.get_mut(name).ok_or("it is gone")?;
-        process.exit().await?;
+        world.process_mut(name)?.exit().await?;
     }
     Ok(())
 }
 
 async fn exits(world: &mut World, name: &str, code: i32) -> Result<(), Failure> {
-    let process = world.processes.get_mut(name).ok_or("no such process")?;
-    match process.exit().await? {
+    match world.process_mut(name)?.exit().await? {
         Some(found) if found == code => Ok(()),
         found => Err(format!("{name} ended with {found:?}")),
     }
 }
 
+async fn name(
+    world: &mut World,
+    alias: &str,
+    claim: &str,
+    not: bool,
+) -> Result<(), Failure> {
+    let daemons: Vec<_> = world.named(Kind::Daemon).map(str::to_owned).collect();
+    let start = Instant::now();
+    let mut holder = Err("there is no daemon".to_owned());
+    while start.elapsed() < PATIENCE {
+        for at in &daemons {
+            if holder.is_err() {
+                holder = world.holder(at, claim).await;
+            }
+        }
+        if holder.is_ok() {
+            break;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    let holder = holder?;
+    let mut others = daemons.into_iter().filter(|daemon| *daemon != holder);
+    let found = if not { others.next().ok_or("there is no other")? } else { holder };
+    world.aliases.insert(alias.to_owned(), found);
+    Ok(())
+}
+
 async fn switch(world: &World, name: &str, fault: &Value) -> Result<(), Failure> {
     let url = format!("{}/faults", world.base(name)?);
     let answer = world.http.post(url).json(fault).send().await;
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use chestnut_base::{NameError, RequestId, slot_of};
 use indexmap::IndexMap;
 use reqwest::Client;
 use serde_json::{Value, json};
@@ -20,6 +21,9 @@
 /// The teams whose operators the daemons know; each one's key is `ops-TEAM`.
 const TEAMS: [&str; 3] = ["base", "letters", "seats"];
 
+/// The slots of the journal.
+const SLOTS: u16 = 8;
+
 /// Options that are not handed to the program.
 const OWN_OPTIONS: [&str; 3] = ["pool", "service", "domain"];
 
@@ -31,6 +35,8 @@
     pub dir: PathBuf,
     /// The processes by name, also those that were killed.
     pub processes: IndexMap<String, Process>,
+    /// Other names of processes.
+    pub aliases: IndexMap<String, String>,
     /// The client of all callers.
     pub http: Client,
     /// The requests that were sent and not awaited.
@@ -65,6 +71,7 @@
         Ok(Self {
             dir,
             processes: IndexMap::new(),
+            aliases: IndexMap::new(),
             http,
             sent: IndexMap::new(),
             last: Vec::new(),
@@ -148,11 +155,36 @@
         self.put(&url, &row).await
     }
 
-    /// A process by its name.
+    /// A process by its name or alias.
     pub fn process(&self, name: &str) -> Result<&Process, Failure> {
+        let name = self.real_name(name);
         self.processes.get(name).ok_or_else(|| format!("no process {name}"))
     }
 
+    /// A process by its name or alias, to change it.
+    pub fn process_mut(&mut self, name: &str) -> Result<&mut Process, Failure> {
+        let name = self.real_name(name).to_owned();
+        self.processes.get_mut(&name).ok_or_else(|| format!("no process {name}"))
+    }
+
+    /// The name behind an alias.
+    pub fn real_name<'a>(&'a self, name: &'a str) -> &'a str {
+        self.aliases.get(name).map_or(name, String::as_str)
+    }
+
+    /// The daemon that holds a claim such as `server:r1`, as the daemon `at` knows.
+    pub async fn holder(&self, at: &str, claim: &str) -> Result<String, Failure> {
+        let claim = match claim.strip_prefix("slot:").and_then(|id| id.split_once('/')) {
+            Some((caller, key)) => format!("slot:{}", slot(caller, key)?),
+            None => claim.to_owned(),
+        };
+        let state = self.get(&format!("{}/debug/state", self.ops(at)?)).await?;
+        let holder = &state["view"]["claims"][&claim]["holder"];
+        let holder = holder.as_str().ok_or(format!("nobody holds {claim}"))?;
+        let vm = state["view"]["members"][holder]["vm"].as_str();
+        vm.map(str::to_owned).ok_or(format!("the holder of {claim} is no member"))
+    }
+
     /// The base URL of a stand-in, or the one of a daemon for callers.
     pub fn base(&self, name: &str) -> Result<String, Failure> {
         let process = self.process(name)?;
@@ -344,7 +376,7 @@
                 "lease_ms": 3000, "renewal_ms": 500, "poll_ms": 100,
                 "platform_ms": 1000, "leave_ms": 1000, "keep_ms": 500,
             },
-            "limits": { "slots": 8 },
+            "limits": { "slots": SLOTS },
         });
         for (option, value) in &options.0 {
             if let Some((group, field)) = option.split_once('.') {
@@ -366,6 +398,13 @@
     }
 }
 
+/// The slot of the journal for a caller's key.
+fn slot(caller: &str, key: &str) -> Result<u16, Failure> {
+    let caller = caller.try_into().map_err(|error: NameError| error.to_string())?;
+    let id = RequestId { caller, key: key.to_owned() };
+    Ok(slot_of(&id, SLOTS).0)
+}
+
 fn sha256(text: &str) -> String {
     Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
 }
