--- a/crates/fake/src/engine/http.rs
+++ b/crates/fake/src/engine/http.rs
@@ -311,11 +311,11 @@
     }
 
     fn token_event(&self, text: &str) -> String {
-        self.event(self.choice(text, Value::Null), 1, None)
+        self.event(self.choice(text, Value::Null), None)
     }
 
     fn end_events(&self) -> String {
-        let last = self.event(self.choice("", json!("length")), 0, Some(self.usage()));
+        let last = self.event(self.choice("", json!("length")), Some(self.usage()));
         format!("{last}data: [DONE]\n\n")
     }
 
@@ -332,13 +332,13 @@
         }
     }
 
-    fn event(&self, choice: Value, tokens: u32, usage: Option<Value>) -> String {
+    fn event(&self, choice: Value, usage: Option<Value>) -> String {
         let mut data = json!({
             "id": self.id,
             "object": self.object(),
             "model": self.question.model,
             "choices": [choice],
-            "tokens": tokens,
+            "tokens": self.next,
         });
         if let Some(usage) = usage {
             data["usage"] = usage;
