--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -24,7 +24,7 @@
         let settings = read_file(file, text, &mut problems, read);
         match settings {
             Some(settings) => problems.or(settings),
-            None => Err(problems),
+            None => Err(problems.sorted()),
         }
     }
 }
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -3,6 +3,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
 /// A place in a file.
@@ -82,7 +83,17 @@
 
     /// The value if nothing is wrong.
     pub fn or<T>(self, value: T) -> Result<T, Self> {
-        if self.0.is_empty() { Ok(value) } else { Err(self) }
+        if self.0.is_empty() { Ok(value) } else { Err(self.sorted()) }
+    }
+
+    /// The problems in the order of the text, file by file.
+    pub fn sorted(mut self) -> Self {
+        let files: IndexSet<Arc<str>> =
+            self.0.iter().map(|it| it.at.file.clone()).collect();
+        self.0.sort_by_key(|it| {
+            (files.get_index_of(&it.at.file), it.at.line, it.at.column)
+        });
+        self
     }
 }
 
@@ -105,7 +116,8 @@
     word: &str,
     known: impl IntoIterator<Item = &'a str>,
 ) -> Option<&'a str> {
-    let limit = (word.chars().count() / 3).clamp(1, 4);
+    let length = word.chars().count();
+    let limit = if length < 2 { 0 } else { (length / 3).clamp(1, 4) };
     known
         .into_iter()
         .map(|other| (distance(word, other), other))
