--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -16,6 +16,8 @@
 
 use crate::confsync::{self, Conf};
 use crate::metrics::Metrics;
+use crate::orders::rows::Rows;
+use crate::orders::usage::Usage;
 
 /// What the parts of a daemon share.
 ///
@@ -46,6 +48,10 @@
     pub view: watch::Sender<Arc<View>>,
     /// What is resident where, written by [`crate::orders`].
     pub residence: watch::Sender<Arc<Residence>>,
+    /// The ledger's and the plan's rows, written by [`crate::orders`].
+    pub rows: watch::Sender<Arc<Rows>>,
+    /// Which requests use which asset of the runners that this daemon leads.
+    pub usage: Usage,
     /// Whether this daemon is leaving, written by [`crate::run`].
     pub leaving: watch::Sender<bool>,
     /// Whether this daemon takes no new requests any more, written by [`crate::run`].
@@ -87,6 +93,8 @@
             conf,
             view: watch::Sender::new(Arc::default()),
             residence: watch::Sender::new(Arc::default()),
+            rows: watch::Sender::new(Arc::default()),
+            usage: Usage::default(),
             leaving: watch::Sender::new(false),
             closed: watch::Sender::new(false),
             lease: Mutex::new(Lease::new(term)),
