--- /dev/null
+++ b/crates/node/src/journal.rs
@@ -0,0 +1,233 @@
+//! Carries out what the journal wants of the platform's services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnut_base::{AttemptId, RequestId, ServerName, SlotId, Target};
+use chestnut_member::ClaimKey;
+use chestnut_once::{
+    Answer, Batch, Change, Condition, Event, Found, Kept, Known, Record, Stored, row_key,
+    row_prefix,
+};
+use chestnut_plat::{PlatError, Row, Table, Txn, TxnAnswer};
+use chestnut_wire::{OnceState, Say};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::engine::{self, CallEnd};
+use crate::members::CLAIMS;
+use crate::node::Node;
+use crate::single::{self, Gather};
+
+/// The table of the journal's rows.
+pub const JOURNAL: &str = "journal";
+
+/// The largest body that is kept in a row, in bytes.
+///
+/// Most letters and all bookings are smaller; a batch of 128 such rows stays
+/// below 1 MB.
+const INLINE: usize = 8 * 1024;
+
+/// The largest body that is kept in a row if the object store can't take it.
+const INLINE_AT_NEED: usize = 64 * 1024;
+
+/// How long the answer of an earlier daemon's run is looked for.
+const SEEK_TIME: Duration = Duration::from_secs(5);
+
+/// The pause between two looks; each costs the platform two reads.
+const SEEK_PAUSE: Duration = Duration::from_millis(400);
+
+/// How long an engine may be silent about a request that is asked for.
+const ATTACH_WAIT: Duration = Duration::from_secs(2);
+
+/// Reads a slot's rows with their ages.
+pub async fn load(table: &Table, slot: SlotId, version: u64) -> Event {
+    match table.scan(JOURNAL, &row_prefix(slot), 0).await {
+        Ok(delta) => {
+            let now = delta.now;
+            let aged = |row: Row| {
+                let age = Duration::from_millis(now.saturating_sub(row.modified));
+                (known(row), age)
+            };
+            let rows = delta.rows.into_iter().map(aged).collect();
+            Event::Loaded { slot, version, rows }
+        }
+        Err(_) => Event::Unloaded { slot, version },
+    }
+}
+
+/// Commits a batch.
+pub async fn commit(table: &Table, batch: &Batch) -> Stored {
+    match table.commit(&transaction(batch)).await {
+        Ok(TxnAnswer::Committed { version, .. }) => Stored::Committed { version },
+        Ok(TxnAnswer::Conflict { check, row }) => {
+            let row = row.filter(|row| row.table == JOURNAL);
+            Stored::Conflict { condition: check, row: row.map(known).map(Box::new) }
+        }
+        Err(PlatError::Down(_)) => Stored::Down,
+        Err(PlatError::Unknown(_) | PlatError::Protocol(_)) => Stored::Lost,
+    }
+}
+
+fn transaction(batch: &Batch) -> Txn {
+    let mut txn = Txn::new();
+    for condition in &batch.conditions {
+        txn = match condition {
+            Condition::Claim { slot, version } => {
+                txn.version(CLAIMS, ClaimKey::Slot(*slot).to_string(), *version)
+            }
+            Condition::Absent { slot, id } => txn.absent(JOURNAL, row_key(*slot, id)),
+            Condition::Version { slot, id, version } => {
+                txn.version(JOURNAL, row_key(*slot, id), *version)
+            }
+        };
+    }
+    for change in &batch.changes {
+        txn = match change {
+            Change::Put(record) => {
+                let key = row_key(record.slot, &record.id);
+                txn.put(JOURNAL, key, record.to_value())
+            }
+            Change::Delete { slot, id } => txn.delete(JOURNAL, row_key(*slot, id)),
+        };
+    }
+    txn
+}
+
+fn known(row: Row) -> Known {
+    Known { record: Record::from_value(row.value), version: row.version }
+}
+
+/// Puts an answer's body where it is kept: small ones into the row.
+pub async fn keep(node: &Node, attempt: AttemptId, answer: &Answer) -> Kept {
+    let text = std::str::from_utf8(&answer.body).ok();
+    if let Some(text) = text.filter(|text| text.len() <= INLINE) {
+        return Kept::Inline(text.to_owned());
+    }
+    let key = format!("once/body/{attempt}");
+    let put = node.shared.objects.put(&key, answer.body.clone(), false).await;
+    match (put, text) {
+        (Ok(_), _) => Kept::Object(key),
+        (Err(_), Some(text)) if text.len() <= INLINE_AT_NEED => {
+            Kept::Inline(text.to_owned())
+        }
+        (Err(_), _) => Kept::Nowhere,
+    }
+}
+
+/// Reads a kept body.
+pub async fn fetch(node: &Node, key: &str) -> Option<Bytes> {
+    node.shared.objects.get(key).await.ok().flatten()
+}
+
+/// Tells what an id's row says.
+pub async fn confirm(node: &Node, slot: SlotId, id: &RequestId) -> OnceState {
+    let row = match node.shared.table.get(JOURNAL, &row_key(slot, id)).await {
+        Ok(Some(row)) => known(row),
+        Ok(None) => return OnceState::Unknown,
+        Err(error) => return OnceState::Unreadable(error.to_string()),
+    };
+    let Some(summary) = row.record.and_then(|record| record.answer) else {
+        return OnceState::InDoubt;
+    };
+    let answer = match (&summary.kept, summary.inline()) {
+        (_, Some(answer)) => Some(answer),
+        (Kept::Object(key), None) => {
+            fetch(node, key).await.map(|body| summary.with_body(body))
+        }
+        (Kept::Inline(_) | Kept::Nowhere, None) => None,
+    };
+    match answer {
+        Some(answer) => single::state(&answer),
+        None => OnceState::Unreadable("the answer's body can't be read".into()),
+    }
+}
+
+/// What is known of a run that an earlier daemon made.
+pub struct Sought {
+    /// The slot.
+    pub slot: SlotId,
+    /// The id.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What the request was sent to.
+    pub target: Target,
+    /// The backend server, if known.
+    pub server: Option<ServerName>,
+}
+
+/// Looks for the answer of a run that an earlier daemon made, for a while.
+///
+/// The earlier daemon may live and store it yet, the lead of the backend server
+/// may have kept it, and an engine may still have it under the attempt's id.
+pub async fn seek(node: &Arc<Node>, sought: &Sought) -> Found {
+    let end = node.shared.clock.now() + SEEK_TIME;
+    loop {
+        if let Some(found) = look(node, sought).await {
+            return found;
+        }
+        if node.shared.clock.now() >= end {
+            return Found::Nothing;
+        }
+        sleep(SEEK_PAUSE.mul_f64(rand::random_range(0.75..1.25))).await;
+    }
+}
+
+async fn look(node: &Arc<Node>, sought: &Sought) -> Option<Found> {
+    let key = row_key(sought.slot, &sought.id);
+    if let Ok(Some(row)) = node.shared.table.get(JOURNAL, &key).await {
+        let known = known(row);
+        if let Some(summary) = known.record.and_then(|record| record.answer) {
+            return Some(Found::Row { summary, version: known.version });
+        }
+    }
+    let answer = match single::late_answer(node, sought.attempt).await {
+        Some(answer) => answer,
+        None => attach(node, sought).await?,
+    };
+    let kept = keep(node, sought.attempt, &answer).await;
+    Some(Found::Engine { answer: Arc::new(answer), kept })
+}
+
+/// Asks the engines that may have run the attempt for its whole answer.
+async fn attach(node: &Arc<Node>, sought: &Sought) -> Option<Answer> {
+    let Target::Model { model, version, adapter } = &sought.target else {
+        return None;
+    };
+    let view = node.shared.view();
+    let residence = node.shared.residence();
+    let serving = residence.serving(model, version, adapter.as_ref());
+    for name in sought.server.iter().chain(serving) {
+        let Some(server) = view.servers.get(name) else { continue };
+        let url = format!("http://{}/v1/requests/{}", server.address, sought.attempt);
+        let answer = read_engine(node, url).await;
+        if answer.is_some() {
+            return answer;
+        }
+    }
+    None
+}
+
+async fn read_engine(node: &Arc<Node>, url: String) -> Option<Answer> {
+    let call = node.http.get(url).query(&[("from", 0)]).send();
+    let stream = tokio::time::timeout(ATTACH_WAIT, call).await.ok()?.ok()?;
+    if !stream.status().is_success() {
+        return None;
+    }
+    let (out, mut frames) = mpsc::channel(64);
+    let read = tokio::spawn(async move {
+        engine::read_tokens(stream.bytes_stream(), 0, &out, |_| {}).await
+    });
+    let mut gather = Gather::new();
+    while let Some(say) = frames.recv().await {
+        if let Say::Tokens { .. } = say {
+            gather.push(&say);
+        }
+    }
+    match read.await {
+        Ok(CallEnd::Whole(reason)) => Some(gather.finish(reason)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/single.rs
@@ -0,0 +1,240 @@
+//! The one run of a non-idempotent request.
+//!
+//! The run goes on when those who asked for it are gone: what was handed to a
+//! backend server is not taken back, and its answer is kept for whoever asks
+//! again under the same id.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use chestnut_base::{AttemptId, Code, Outcome, Refusal, RequestId};
+use chestnut_once::{Answer, Event};
+use chestnut_wire::{Frames, Load, Once, OnceState, Run, Say, encode};
+use tokio::sync::mpsc::{self, UnboundedSender};
+
+use crate::journal;
+use crate::node::Node;
+use crate::relay::{self, Mode};
+
+const FRAMES_AHEAD: usize = 64;
+
+/// The largest answer that is kept for those who ask again, in bytes.
+///
+/// As much as two frames between daemons; a larger one is streamed to the first
+/// asker only.
+const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
+
+/// Collects the frames of an answer.
+#[derive(Debug, Default)]
+pub struct Gather {
+    status: u16,
+    content_type: String,
+    tokens: Option<u32>,
+    body: Vec<u8>,
+    /// Whether the answer is larger than is kept.
+    over: bool,
+}
+
+impl Gather {
+    /// Creates an empty answer.
+    pub fn new() -> Self {
+        Self { status: 200, content_type: "text/plain".into(), ..Self::default() }
+    }
+
+    /// Adds a frame.
+    pub fn push(&mut self, say: &Say) {
+        match say {
+            Say::Head { status, content_type } => {
+                self.status = *status;
+                self.content_type.clone_from(content_type);
+            }
+            Say::Tokens { count, text, .. } => {
+                self.tokens = Some(self.tokens.unwrap_or(0) + count);
+                self.add(text.as_bytes());
+            }
+            Say::Chunk(bytes) => self.add(bytes),
+            _ => {}
+        }
+    }
+
+    /// The whole answer.
+    pub fn finish(self, reason: String) -> Answer {
+        Answer {
+            status: self.status,
+            content_type: self.content_type,
+            tokens: self.tokens,
+            reason,
+            body: Bytes::from(self.body),
+        }
+    }
+
+    fn add(&mut self, bytes: &[u8]) {
+        self.over |= self.body.len() + bytes.len() > ANSWER_LIMIT;
+        if self.over {
+            self.body = Vec::new();
+        } else {
+            self.body.extend_from_slice(bytes);
+        }
+    }
+}
+
+/// Makes the run, streams it to the asker and tells the journal how it ended.
+///
+/// The end mark is not streamed: it follows when the answer is recorded.
+pub async fn run(
+    node: Arc<Node>,
+    once: Once,
+    attempt: AttemptId,
+    asker: Option<UnboundedSender<Say>>,
+) -> Event {
+    let id = once.work.id.clone().expect("the journal runs only requests with an id");
+    let (out, mut frames) = mpsc::channel(FRAMES_AHEAD);
+    let job = node.clone();
+    let relay = tokio::spawn(async move {
+        relay::run(&job, once.work, once.call, Mode::Single(attempt), out).await;
+    });
+    let mut gather = Gather::new();
+    while let Some(say) = frames.recv().await {
+        match say {
+            Say::End { reason, .. } => return ended(&node, id, attempt, gather, reason).await,
+            Say::Refused { refusal, .. } if refusal.outcome == Outcome::NotRun => {
+                return Event::Refused { id, attempt, refusal };
+            }
+            Say::Refused { refusal, .. } => return Event::Broke { id, attempt, refusal },
+            say => {
+                gather.push(&say);
+                if let Some(asker) = &asker {
+                    // The asker may be gone; the run goes on without it.
+                    drop(asker.send(say));
+                }
+            }
+        }
+    }
+    // Without a last frame nobody knows whether the request was handed over.
+    let why = relay.await.err().map_or_else(String::new, |error| error.to_string());
+    let text = format!("the run ended without an answer {why}; ask for its outcome");
+    let refusal = Refusal::in_doubt(Code::Internal, text);
+    Event::Broke { id, attempt, refusal }
+}
+
+async fn ended(
+    node: &Node,
+    id: RequestId,
+    attempt: AttemptId,
+    gather: Gather,
+    reason: String,
+) -> Event {
+    let over = gather.over;
+    let answer = gather.finish(reason);
+    let kept = match over {
+        true => chestnut_once::Kept::Nowhere,
+        false => journal::keep(node, attempt, &answer).await,
+    };
+    Event::Ended { id, attempt, answer: Arc::new(answer), kept }
+}
+
+/// The frames that give a stored answer again.
+pub fn frames(answer: &Answer) -> Vec<Say> {
+    let mut frames = Vec::new();
+    match answer.tokens {
+        Some(count) => {
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            frames.push(Say::Tokens { first: 0, count, text });
+        }
+        None => {
+            let content_type = answer.content_type.clone();
+            frames.push(Say::Head { status: answer.status, content_type });
+            frames.push(Say::Chunk(answer.body.clone()));
+        }
+    }
+    frames.push(end(answer));
+    frames
+}
+
+/// The end mark of an answer.
+pub fn end(answer: &Answer) -> Say {
+    Say::End { reason: answer.reason.clone(), load: Load::default() }
+}
+
+/// A stored answer as the state of its request.
+pub fn state(answer: &Answer) -> OnceState {
+    OnceState::Done {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: answer.body.clone(),
+    }
+}
+
+/// Lets a non-idempotent run at a backend server outlive the daemon that asked.
+///
+/// The lead of the server learns that the lead of the slot died by its frames
+/// going nowhere. If it broke the call off then, a booking could be made and its
+/// answer lost. So it reads on and keeps the whole answer under the attempt.
+pub fn outlive(
+    node: &Arc<Node>,
+    run: &Run,
+    out: mpsc::Sender<Say>,
+) -> mpsc::Sender<Say> {
+    if run.work.idempotent {
+        return out;
+    }
+    let (inner, frames) = mpsc::channel(FRAMES_AHEAD);
+    tokio::spawn(forward(node.clone(), run.attempt, frames, out));
+    inner
+}
+
+async fn forward(
+    node: Arc<Node>,
+    attempt: AttemptId,
+    mut frames: mpsc::Receiver<Say>,
+    out: mpsc::Sender<Say>,
+) {
+    let _busy = node.busy();
+    let mut gather = Gather::new();
+    let mut sent = false;
+    while let Some(say) = frames.recv().await {
+        gather.push(&say);
+        sent |= say == Say::Dispatched;
+        let end = match &say {
+            Say::End { reason, .. } => Some(reason.clone()),
+            _ => None,
+        };
+        let gone = out.send(say).await.is_err();
+        if gone && !sent {
+            // Nothing was handed over: dropping the frames takes the request back.
+            return;
+        }
+        if gone && let Some(reason) = end {
+            return keep_late(&node, attempt, &gather.finish(reason)).await;
+        }
+    }
+}
+
+async fn keep_late(node: &Node, attempt: AttemptId, answer: &Answer) {
+    let mut bytes = Vec::new();
+    for say in frames(answer) {
+        let Ok(frame) = encode(&say) else { return };
+        bytes.extend(frame);
+    }
+    // If the store is down the request stays in doubt, which is true.
+    drop(node.shared.objects.put(&late_key(attempt), bytes.into(), false).await);
+}
+
+/// The answer of an attempt whose asker was gone when it ended, if it was kept.
+pub async fn late_answer(node: &Node, attempt: AttemptId) -> Option<Answer> {
+    let bytes = node.shared.objects.get(&late_key(attempt)).await.ok().flatten()?;
+    let mut frames = Frames::new();
+    frames.push(&bytes);
+    let mut gather = Gather::new();
+    while let Some(say) = frames.decode::<Say>().ok().flatten() {
+        if let Say::End { reason, .. } = say {
+            return Some(gather.finish(reason));
+        }
+        gather.push(&say);
+    }
+    None
+}
+
+fn late_key(attempt: AttemptId) -> String {
+    format!("once/late/{attempt}")
+}
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -1,31 +1,469 @@
 //! The slots of the journal that this daemon leads.
+//!
+//! One task owns the journal and is told everything; it hands what takes time to
+//! tasks of their own, which tell it the outcome. Streams of answers do not pass
+//! through it.
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-use chestnut_base::RequestId;
+use chestnut_base::{Code, MemberId, Outcome, Refusal, RequestId, SlotId, slot_of};
+use chestnut_member::ClaimKey;
+use chestnut_once::limits::gap_of;
+use chestnut_once::{Answer, Effect, Event, Journal, Limits, Reply, Ticket};
 use chestnut_wire::{Once, OnceState, Say};
-use tokio::sync::mpsc;
+use indexmap::{IndexMap, IndexSet};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use serde::Serialize;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
 
+use crate::journal::{self, Sought};
 use crate::node::Node;
-use crate::relay::{self, Mode};
+use crate::shared::Shared;
+use crate::single;
+
+/// Bytes of bodies that wait for the journal at the same time.
+///
+/// A quarter of a daemon's 64 MB; the entries hold the bodies a second time.
+const BODIES: usize = 16 << 20;
+
+/// How often the journal is looked after when nothing happens.
+const IDLE: Duration = Duration::from_secs(1);
 
 /// The slots of the journal that this daemon leads.
-#[derive(Default)]
-pub struct Slots {}
+pub struct Slots {
+    inbox: UnboundedSender<Told>,
+    told: Mutex<Option<UnboundedReceiver<Told>>>,
+    bodies: Arc<AtomicUsize>,
+    state: Mutex<SlotsState>,
+}
+
+/// How the journal of a daemon is, to look at.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct SlotsState {
+    /// Slots of which requests are taken.
+    pub open: usize,
+    /// Ids in memory.
+    pub ids: usize,
+    /// Bytes of answers in memory.
+    pub answers: usize,
+    /// Changes that wait to be written.
+    pub queued: usize,
+    /// Requests that run or whose answer is not recorded yet.
+    pub running: usize,
+    /// Whether the table service answered last.
+    pub up: bool,
+}
+
+/// What the owner of the journal is told.
+enum Told {
+    /// A request came.
+    Run { once: Box<Once>, out: UnboundedSender<Say> },
+    /// Somebody wants to know what became of an id.
+    Lookup { id: RequestId, reply: oneshot::Sender<OnceState> },
+    /// Something that was to be done is done.
+    Done(Event),
+}
 
 impl Slots {
     /// Creates the slots of a daemon that leads none yet.
     pub fn new() -> Self {
-        Self::default()
+        let (inbox, told) = mpsc::unbounded_channel();
+        Self {
+            inbox,
+            told: Mutex::new(Some(told)),
+            bodies: Arc::default(),
+            state: Mutex::default(),
+        }
     }
 
-    /// Runs a non-idempotent request at most once.
+    /// Runs a non-idempotent request at most once, and sends the frames of its
+    /// one answer.
     pub async fn run(node: &Arc<Node>, once: Once, out: mpsc::Sender<Say>) {
-        relay::run(node, once.work, once.call, Mode::Single, out).await;
+        let Some(_bodies) = node.slots.take_bodies(once.call.body.len()) else {
+            return drop(out.send(refused(full())).await);
+        };
+        let (asker, mut frames) = mpsc::unbounded_channel();
+        let told = Told::Run { once: Box::new(once), out: asker };
+        if node.slots.inbox.send(told).is_err() {
+            return drop(out.send(refused(stopped())).await);
+        }
+        loop {
+            let say = tokio::select! {
+                say = frames.recv() => say.unwrap_or_else(|| refused(stopped())),
+                () = out.closed() => return,
+            };
+            let last = say.is_final();
+            if out.send(say).await.is_err() || last {
+                return;
+            }
+        }
     }
 
     /// Tells what became of a non-idempotent request.
-    pub async fn lookup(_node: &Arc<Node>, _id: &RequestId) -> OnceState {
-        OnceState::Unreadable("the journal is not kept yet".into())
+    pub async fn lookup(node: &Arc<Node>, id: &RequestId) -> OnceState {
+        let (reply, state) = oneshot::channel();
+        let told = Told::Lookup { id: id.clone(), reply };
+        // Whether the owner is gone shows when the state is awaited.
+        drop(node.slots.inbox.send(told));
+        let gone = || OnceState::Unreadable("the daemon stops; ask another".into());
+        state.await.unwrap_or_else(|_| gone())
+    }
+
+    /// How the journal is.
+    pub fn state(&self) -> SlotsState {
+        self.state.lock().expect("no holder of the state panics").clone()
+    }
+
+    /// Whether no request runs and no answer waits to be recorded.
+    pub fn is_idle(&self) -> bool {
+        self.state().running == 0
+    }
+
+    fn take_bodies(&self, size: usize) -> Option<Bodies> {
+        let held = self.bodies.fetch_add(size, Ordering::SeqCst);
+        let bodies = Bodies { held: self.bodies.clone(), size };
+        (held + size <= BODIES).then_some(bodies)
+    }
+}
+
+impl Default for Slots {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Room that a body takes; dropping it frees the room.
+struct Bodies {
+    held: Arc<AtomicUsize>,
+    size: usize,
+}
+
+impl Drop for Bodies {
+    fn drop(&mut self) {
+        self.held.fetch_sub(self.size, Ordering::SeqCst);
+    }
+}
+
+/// Keeps the journal until the daemon stops.
+pub async fn keep(node: Arc<Node>) {
+    let told = node.slots.told.lock().expect("no holder of the inbox panics").take();
+    if let Some(told) = told {
+        Keeper::new(node).run(told).await;
+    }
+}
+
+/// Who waits for the journal.
+enum Waiter {
+    /// A caller's request; its parts are needed until it runs.
+    Caller { once: Option<Box<Once>>, out: UnboundedSender<Say> },
+    /// Somebody who wants to know what became of an id.
+    Lookup(oneshot::Sender<OnceState>),
+}
+
+/// What the journal counts.
+struct Counters {
+    batches: Counter,
+    changes: Counter,
+    failures: Counter,
+    runs: Counter,
+    ids: Gauge,
+}
+
+/// The owner of the journal.
+struct Keeper {
+    node: Arc<Node>,
+    journal: Journal,
+    waiters: IndexMap<Ticket, Waiter>,
+    /// The slots that the view says are this daemon's, with the claims' versions.
+    led: IndexMap<SlotId, u64>,
+    tickets: u64,
+    counters: Counters,
+}
+
+impl Keeper {
+    fn new(node: Arc<Node>) -> Self {
+        let shared = &node.shared;
+        let journal = Journal::new(Limits::default(), shared.me.0, shared.clock.now());
+        let counters = Counters::register(shared);
+        let (waiters, led) = (IndexMap::new(), IndexMap::new());
+        Self { node, journal, waiters, led, tickets: 0, counters }
+    }
+
+    async fn run(mut self, mut told: UnboundedReceiver<Told>) {
+        let mut view = self.node.shared.view.subscribe();
+        self.follow();
+        loop {
+            let now = self.node.shared.clock.now();
+            let wake = self.journal.wake().unwrap_or(now + IDLE).min(now + IDLE);
+            let event = tokio::select! {
+                event = told.recv() => event,
+                changed = view.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.follow();
+                    None
+                }
+                () = tokio::time::sleep_until(wake.into()) => None,
+            };
+            self.note_lease();
+            if let Some(event) = event {
+                self.take(event);
+            }
+            self.journal.tick(self.node.shared.clock.now());
+            self.act();
+            self.publish();
+        }
+    }
+
+    /// Tells the journal which slots are this daemon's.
+    fn follow(&mut self) {
+        self.note_lease();
+        let view = self.node.shared.view();
+        let mut holders: IndexSet<MemberId> = IndexSet::new();
+        let mut led = IndexMap::new();
+        for (key, claim) in &view.claims {
+            let ClaimKey::Slot(slot) = key else { continue };
+            holders.insert(claim.holder);
+            if claim.holder == self.node.shared.me {
+                led.insert(*slot, claim.version);
+            }
+        }
+        self.journal.set_gap(gap_of(holders.len()));
+        let old = std::mem::replace(&mut self.led, led.clone());
+        for slot in old.keys().filter(|slot| !led.contains_key(*slot)) {
+            self.tell(Event::Unlead(*slot));
+        }
+        for (slot, version) in led {
+            if old.get(&slot) != Some(&version) {
+                self.tell(Event::Lead { slot, version });
+            }
+        }
     }
+
+    fn note_lease(&mut self) {
+        let shared = &self.node.shared;
+        let lease = *shared.lease.lock().expect("no holder of the lease panics");
+        let until = lease.until().unwrap_or_else(|| shared.clock.now());
+        self.tell(Event::Lease(until));
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.journal.handle(event, self.node.shared.clock.now());
+    }
+
+    fn take(&mut self, told: Told) {
+        match told {
+            Told::Run { once, out } => {
+                let Some(id) = once.work.id.clone() else {
+                    let refusal = Refusal::not_run(Code::BadRequest, "an id is missing");
+                    return drop(out.send(refused(refusal)));
+                };
+                let slot = self.slot(&id);
+                let digest = once.work.digest;
+                let target = once.work.target.clone();
+                let attempt = self.node.shared.attempt();
+                let ticket = self.wait(Waiter::Caller { once: Some(once), out });
+                self.tell(Event::Ask { ticket, slot, id, digest, attempt, target });
+            }
+            Told::Lookup { id, reply } => {
+                let slot = self.slot(&id);
+                let ticket = self.wait(Waiter::Lookup(reply));
+                self.tell(Event::Lookup { ticket, slot, id });
+            }
+            Told::Done(event) => self.tell(event),
+        }
+    }
+
+    fn slot(&self, id: &RequestId) -> SlotId {
+        slot_of(id, self.node.shared.settings.limits.slots)
+    }
+
+    fn wait(&mut self, waiter: Waiter) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        self.waiters.insert(ticket, waiter);
+        ticket
+    }
+
+    /// Carries out what the journal wants.
+    fn act(&mut self) {
+        while let Some(effect) = self.journal.effect() {
+            match effect {
+                Effect::Reply { ticket, reply } => self.reply(ticket, reply),
+                Effect::Run { ticket, id, attempt } => self.start(ticket, id, attempt),
+                Effect::Load { slot, version } => self.spawn(move |node| async move {
+                    journal::load(&node.shared.table, slot, version).await
+                }),
+                Effect::Commit(batch) => {
+                    self.counters.batches.inc();
+                    self.counters.changes.inc_by(batch.changes.len() as u64);
+                    let failures = self.counters.failures.clone();
+                    self.spawn(move |node| async move {
+                        let stored = journal::commit(&node.shared.table, &batch).await;
+                        if matches!(
+                            stored,
+                            chestnut_once::Stored::Down | chestnut_once::Stored::Lost
+                        ) {
+                            failures.inc();
+                        }
+                        Event::Stored { number: batch.number, stored }
+                    });
+                }
+                Effect::Seek { slot, id, attempt, target, server } => {
+                    let sought = Sought { slot, id, attempt, target, server };
+                    self.spawn(move |node| async move {
+                        let found = journal::seek(&node, &sought).await;
+                        Event::Found { id: sought.id, attempt, found }
+                    });
+                }
+                Effect::Fetch { id, key } => self.spawn(move |node| async move {
+                    let body = journal::fetch(&node, &key).await;
+                    Event::Fetched { id, body }
+                }),
+                Effect::Confirm { ticket, slot, id } => self.confirm(ticket, slot, id),
+                Effect::Discard(key) => {
+                    let node = self.node.clone();
+                    tokio::spawn(async move {
+                        // What stays in the store harms nothing but its size.
+                        drop(node.shared.objects.delete(&key).await);
+                    });
+                }
+            }
+        }
+    }
+
+    /// Does something that takes time and tells the journal the outcome.
+    fn spawn<F>(&self, job: impl FnOnce(Arc<Node>) -> F)
+    where
+        F: Future<Output = Event> + Send + 'static,
+    {
+        let job = job(self.node.clone());
+        let inbox = self.node.slots.inbox.clone();
+        tokio::spawn(async move {
+            let event = job.await;
+            // The owner is gone only when the daemon stops.
+            drop(inbox.send(Told::Done(event)));
+        });
+    }
+
+    fn start(
+        &mut self,
+        ticket: Ticket,
+        id: RequestId,
+        attempt: chestnut_base::AttemptId,
+    ) {
+        self.counters.runs.inc();
+        let Some(Waiter::Caller { once, out }) = self.waiters.get_mut(&ticket) else {
+            return;
+        };
+        let Some(once) = once.take() else { return };
+        debug_assert_eq!(once.work.id.as_ref(), Some(&id));
+        let out = out.clone();
+        self.spawn(move |node| single::run(node, *once, attempt, Some(out)));
+    }
+
+    fn confirm(&mut self, ticket: Ticket, slot: SlotId, id: RequestId) {
+        let Some(Waiter::Lookup(reply)) = self.waiters.swap_remove(&ticket) else {
+            return;
+        };
+        let node = self.node.clone();
+        tokio::spawn(async move {
+            let state = journal::confirm(&node, slot, &id).await;
+            // Whoever asked may be gone; then nobody needs the answer.
+            drop(reply.send(state));
+        });
+    }
+
+    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+        match self.waiters.swap_remove(&ticket) {
+            Some(Waiter::Caller { once, out }) => {
+                for say in caller_frames(once.is_none(), reply) {
+                    // The caller may be gone; then nobody needs the answer.
+                    drop(out.send(say));
+                }
+            }
+            // Whoever asked may be gone; then nobody needs the answer.
+            Some(Waiter::Lookup(out)) => drop(out.send(lookup_state(reply))),
+            None => {}
+        }
+    }
+
+    fn publish(&mut self) {
+        self.counters.ids.set(self.journal.ids() as i64);
+        let state = SlotsState {
+            open: self.journal.open_slots(),
+            ids: self.journal.ids(),
+            answers: self.journal.answer_bytes(),
+            queued: self.journal.queued(),
+            running: self.journal.running(),
+            up: self.journal.is_up(),
+        };
+        *self.node.slots.state.lock().expect("no holder of the state panics") = state;
+    }
+}
+
+impl Counters {
+    fn register(shared: &Shared) -> Self {
+        let counters = Self {
+            batches: Counter::default(),
+            changes: Counter::default(),
+            failures: Counter::default(),
+            runs: Counter::default(),
+            ids: Gauge::default(),
+        };
+        shared.metrics.register(|registry| {
+            let mut add = |name, help, counter: &Counter| {
+                registry.register(name, help, counter.clone());
+            };
+            add("journal_batches", "Transactions sent by the journal", &counters.batches);
+            add("journal_changes", "Rows changed by them", &counters.changes);
+            add("journal_failures", "Transactions not answered", &counters.failures);
+            add("journal_runs", "Non-idempotent requests handed on", &counters.runs);
+            let help = "Ids that the journal holds in memory";
+            registry.register("journal_ids", help, counters.ids.clone());
+        });
+        counters
+    }
+}
+
+/// What a caller gets; one that has the parts already gets the end mark.
+fn caller_frames(streamed: bool, reply: Reply) -> Vec<Say> {
+    match reply {
+        Reply::Answer(answer) if streamed => vec![single::end(&answer)],
+        Reply::Answer(answer) => single::frames(&answer),
+        Reply::Refused(refusal) => vec![refused(refusal)],
+        Reply::Running => vec![refused(stopped())],
+    }
+}
+
+fn lookup_state(reply: Reply) -> OnceState {
+    let done = |answer: Arc<Answer>| single::state(&answer);
+    match reply {
+        Reply::Answer(answer) => done(answer),
+        Reply::Running => OnceState::Running,
+        Reply::Refused(refusal) if refusal.outcome == Outcome::InDoubt => {
+            OnceState::InDoubt
+        }
+        Reply::Refused(refusal) => OnceState::Unreadable(refusal.message),
+    }
+}
+
+fn refused(refusal: Refusal) -> Say {
+    Say::Refused { refusal, hint: Default::default() }
+}
+
+fn full() -> Refusal {
+    let text = "the journal holds as many bodies as it may; send it again with the \
+                same key";
+    Refusal::in_doubt(Code::EntryFull, text).after(IDLE)
+}
+
+fn stopped() -> Refusal {
+    let text = "the journal's daemon stops; send the request again with the same key";
+    Refusal::in_doubt(Code::Unavailable, text).after(IDLE)
 }
--- a/crates/once/src/journal.rs
+++ b/crates/once/src/journal.rs
@@ -5,9 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use chestnut_base::{
-    AttemptId, Code, Outcome, Refusal, RequestId, SlotId,
-};
+use chestnut_base::{AttemptId, Code, Outcome, Refusal, RequestId, SlotId};
 use indexmap::IndexMap;
 
 use crate::batch::{Batch, Write};
