--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -174,6 +174,9 @@
         body,
     };
     let parsed = parse(node, caller, &call, &parts.headers)?;
+    if parsed.work.idempotent {
+        node.poison.check(parsed.work.digest, shared.clock.now())?;
+    }
     Ok((parsed, call, place))
 }
 
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -13,6 +13,7 @@
 use crate::engine::{self, CallEnd};
 use crate::node::Node;
 use crate::shared::Shared;
+use crate::single;
 
 /// The time after which a refused request may come back.
 const COME_BACK: Duration = Duration::from_millis(500);
@@ -123,6 +124,7 @@
 
 /// Carries out one attempt at a backend server that this daemon leads.
 pub async fn serve(node: &Arc<Node>, run: Run, out: mpsc::Sender<Say>) {
+    let out = single::outlive(node, &run, out);
     if out.send(Say::Queued).await.is_err() {
         return;
     }
@@ -142,8 +144,16 @@
         }
     };
     let address = grant.address;
+    let flight = match node.poison.enter(&node.shared, &run, &out).await {
+        Ok(flight) => flight,
+        Err(refusal) => {
+            drop(out.send(Say::Refused { refusal, hint: Hint::default() }).await);
+            return;
+        }
+    };
     let end =
         engine::call(&node.http, address, &run, &out, |count| grant.tokens(count)).await;
+    let crashed = flight.end(node, address, &end).await;
     let last = match end {
         CallEnd::Whole(reason) => Say::End { reason, load: grant.finish(How::Whole) },
         CallEnd::NotSent(why) => {
@@ -152,9 +162,9 @@
         CallEnd::Refused(why) => {
             refused(Code::Overloaded, why, grant.finish(How::Refused))
         }
-        CallEnd::Broken { why, cut } => {
+        CallEnd::Broken { why, .. } => {
             grant.finish(How::Broken);
-            Say::Broken { message: why, crashed: cut }
+            Say::Broken { message: why, crashed }
         }
         CallEnd::Abandoned => {
             engine::cancel(&node.http, address, &run).await;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,6 +13,7 @@
 use crate::lead::{self, Leads};
 use crate::peer::{Peers, Serve};
 use crate::pick::Picker;
+use crate::poison::Poison;
 use crate::shared::Shared;
 use crate::slots::Slots;
 
@@ -28,6 +29,8 @@
     pub picker: Picker,
     /// The slots of the journal that this daemon leads.
     pub slots: Slots,
+    /// The requests that crash backend servers.
+    pub poison: Arc<Poison>,
     /// The requests that the entry holds.
     pub intake: Intake,
     /// The client for calls to backend servers.
@@ -46,6 +49,10 @@
             Ask::Gossip(_) => refuse("this version spreads nothing by gossip"),
             Ask::Config(have) => Say::Config(Some(confsync::tell(&self.shared, have))),
             Ask::Status => Say::Status(self.status()),
+            Ask::Blame(blames) => {
+                self.poison.learn(&blames, self.shared.clock.now());
+                Say::Noted
+            }
             Ask::Leaving(member) => {
                 self.shared.note_leaving(member);
                 Say::Noted
@@ -56,8 +63,8 @@
     }
 }
 
-/// Counts a question while it is being carried out.
-struct Busy(Arc<AtomicUsize>);
+/// Counts a piece of work while it is being carried out.
+pub struct Busy(Arc<AtomicUsize>);
 
 impl Busy {
     fn new(count: &Arc<AtomicUsize>) -> Self {
@@ -73,9 +80,16 @@
 }
 
 impl Node {
+    /// Counts a piece of work that the daemon must not leave behind when it stops.
+    pub fn busy(&self) -> Busy {
+        Busy::new(&self.serving)
+    }
+
     /// Whether no caller and no other daemon waits for anything from this one.
     pub fn is_idle(&self) -> bool {
-        self.intake.held() == 0 && self.serving.load(Ordering::SeqCst) == 0
+        self.intake.held() == 0
+            && self.serving.load(Ordering::SeqCst) == 0
+            && self.slots.is_idle()
     }
 
     /// How this daemon is.
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -51,11 +51,19 @@
             "memory": settings.limits.memory,
             "slots": settings.limits.slots,
         },
+        "journal": node.slots.state(),
+        "poison": poison(node),
         "view": view(node),
         "residence": residence(node),
     })
 }
 
+/// How many digests are suspect and how many convicted.
+fn poison(node: &Node) -> Value {
+    let (suspects, convicted) = node.poison.counts();
+    json!({ "suspects": suspects, "convicted": convicted })
+}
+
 /// Members, servers and claims, with claims as `server:NAME` and the like.
 fn view(node: &Node) -> Value {
     let view = node.shared.view();
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::{Code, Outcome, Refusal, ServerName, Work};
+use chestnut_base::{AttemptId, Code, Outcome, Refusal, ServerName, Work};
 use chestnut_wire::{Ask, Call, Hint, Resume, Run, Say};
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -42,7 +42,10 @@
     /// Again after a broken attempt, for idempotent requests.
     Many,
     /// Never again once an attempt may have reached a backend server.
-    Single,
+    ///
+    /// All its attempts carry this number, so that whoever takes the request's
+    /// journal over can ask an engine for the answer.
+    Single(AttemptId),
 }
 
 /// Drives a request and sends the frames of its answer, ending with
@@ -165,7 +168,7 @@
         work.budget = self.end.saturating_duration_since(now);
         let resume = (self.have.tokens > 0).then(|| self.have.clone());
         let run = Run {
-            attempt: self.node.shared.attempt(),
+            attempt: self.number(),
             server: choice.server.clone(),
             fence: choice.fence,
             work,
@@ -185,6 +188,13 @@
         next
     }
 
+    fn number(&self) -> AttemptId {
+        match self.mode {
+            Mode::Many => self.node.shared.attempt(),
+            Mode::Single(attempt) => attempt,
+        }
+    }
+
     /// Hands the attempt to the lead, which may be this daemon itself.
     async fn open(&self, choice: &Choice, run: Run) -> Result<Frames, PeerError> {
         if choice.member == self.node.shared.me {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -22,9 +22,10 @@
 use crate::node::Node;
 use crate::peer::{self, Peers};
 use crate::pick::Picker;
+use crate::poison::Poison;
 use crate::shared::Shared;
 use crate::slots::Slots;
-use crate::{confsync, engine, ops, orders, planner, tls};
+use crate::{confsync, engine, ops, orders, planner, poison, slots, tls};
 
 /// How often a leaving daemon looks whether all its work is done.
 const LEAVE_CHECK: Duration = Duration::from_millis(50);
@@ -86,6 +87,8 @@
     tasks.spawn(members::run(node.shared.clone(), addresses));
     tasks.spawn(confsync::run(node.clone()));
     tasks.spawn(orders::run(node.shared.clone()));
+    tasks.spawn(poison::run(node.clone()));
+    tasks.spawn(slots::keep(node.clone()));
     tasks.spawn(planner::run(node.shared.clone()));
     tasks.spawn(serve(callers, entry::router(node.clone()), listeners.clone()));
     // Operators look at a daemon until it is gone.
@@ -178,6 +181,7 @@
         leads: Leads::new(shared.clone()),
         picker: Picker::new(),
         slots: Slots::new(),
+        poison: Arc::new(Poison::new(&shared)),
         intake: Intake::new(limits.requests, limits.memory),
         peers,
         http,
--- a/crates/node/src/single.rs
+++ b/crates/node/src/single.rs
@@ -96,7 +96,9 @@
     let mut gather = Gather::new();
     while let Some(say) = frames.recv().await {
         match say {
-            Say::End { reason, .. } => return ended(&node, id, attempt, gather, reason).await,
+            Say::End { reason, .. } => {
+                return ended(&node, id, attempt, gather, reason).await;
+            }
             Say::Refused { refusal, .. } if refusal.outcome == Outcome::NotRun => {
                 return Event::Refused { id, attempt, refusal };
             }
@@ -170,11 +172,7 @@
 /// The lead of the server learns that the lead of the slot died by its frames
 /// going nowhere. If it broke the call off then, a booking could be made and its
 /// answer lost. So it reads on and keeps the whole answer under the attempt.
-pub fn outlive(
-    node: &Arc<Node>,
-    run: &Run,
-    out: mpsc::Sender<Say>,
-) -> mpsc::Sender<Say> {
+pub fn outlive(node: &Arc<Node>, run: &Run, out: mpsc::Sender<Say>) -> mpsc::Sender<Say> {
     if run.work.idempotent {
         return out;
     }
--- a/crates/once/src/suspect.rs
+++ b/crates/once/src/suspect.rs
@@ -126,6 +126,12 @@
         Gate::Pass(id)
     }
 
+    /// Whether a request is in flight, and no crash was attributed to it.
+    pub fn is_in_flight(&self, server: &ServerName, id: FlightId) -> bool {
+        let flights = self.flights.get(server);
+        flights.is_some_and(|flights| flights.iter().any(|flight| flight.id == id))
+    }
+
     /// Takes note that a request is in flight no more, and whether it completed.
     pub fn leave(
         &mut self,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,4 +13,6 @@
 pub mod message;
 
 pub use frame::{FRAME_LIMIT, FrameError, Frames, encode};
-pub use message::{Ask, Call, Hint, Load, Once, OnceState, Resume, Run, Say, Status};
+pub use message::{
+    Ask, Blame, Call, Hint, Load, Once, OnceState, Resume, Run, Say, Status,
+};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 use chestnut_base::{
-    AttemptId, Fence, MemberId, Refusal, RequestId, Revision, ServerName, VmName, Work,
+    AttemptId, Digest, Fence, MemberId, Refusal, RequestId, Revision, ServerName, VmName,
+    Work,
 };
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +24,17 @@
     Status,
     /// Learn that a daemon is leaving and gives up its claims.
     Leaving(MemberId),
+    /// Learn which requests were in flight when a backend server crashed.
+    Blame(Vec<Blame>),
+}
+
+/// What is held against a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Blame {
+    /// The request's digest.
+    pub digest: Digest,
+    /// Whether it crashed a second backend server and is refused.
+    pub convicted: bool,
 }
 
 /// One attempt at a request on one backend server.
@@ -143,7 +155,7 @@
     ///
     /// Final.
     Status(Status),
-    /// The answer to [`Ask::Leaving`].
+    /// The answer to [`Ask::Leaving`] and [`Ask::Blame`].
     ///
     /// Final.
     Noted,
