--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -124,7 +124,7 @@
             ops: Vec::new(),
             daemons: Vec::new(),
             platform,
-            folder: folder,
+            folder,
         };
         stage.start_servers().await?;
         stage.start_daemons().await?;
