--- a/crates/demo/src/burst.rs
+++ b/crates/demo/src/burst.rs
@@ -179,6 +179,7 @@
         kind: (mix.kind != "proof").then(|| mix.kind.to_owned()),
         form,
         deadline: None,
+        safe: !mix.once,
         patience: mix.deadline,
         give_up: mix.deadline,
     }
--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -342,6 +342,7 @@
         form,
         kind: None,
         deadline: None,
+        safe: false,
         patience: PATIENCE,
         give_up: PATIENCE,
     });
--- a/crates/fake/src/caller.rs
+++ b/crates/fake/src/caller.rs
@@ -31,6 +31,8 @@
     pub kind: Option<String>,
     /// The time in which the answer is needed, in milliseconds.
     pub deadline: Option<String>,
+    /// Whether sending it again does no harm, also if it may have run.
+    pub safe: bool,
     /// For how long the caller comes back by itself.
     pub patience: Duration,
     /// How long the caller waits for an answer before it asks elsewhere.
@@ -136,7 +138,7 @@
             tries += 1;
             let mut reply = self.once(&http, base, &seen).await;
             reply.tries = tries;
-            let again = reply.may_come_back(self.key.is_some());
+            let again = reply.may_come_back(self.safe || self.key.is_some());
             if !again || start.elapsed() >= self.patience {
                 return reply;
             }
@@ -266,13 +268,13 @@
 
     /// Whether the caller may send the request again.
     ///
-    /// Without a key only what certainly did not run.
-    fn may_come_back(&self, keyed: bool) -> bool {
+    /// With neither a key nor a harmless request only what certainly did not run.
+    fn may_come_back(&self, repeatable: bool) -> bool {
         let not_run = self.outcome.as_deref() == Some("not_run") && self.retry.is_some();
         let in_doubt = self.outcome.as_deref() == Some("in_doubt");
         not_run
             || self.fault == Some("unreached")
-            || keyed && (self.fault.is_some() || in_doubt)
+            || repeatable && (self.fault.is_some() || in_doubt)
     }
 
     /// Whether the reply is the whole answer to just this request.
--- a/tests/support/ask.rs
+++ b/tests/support/ask.rs
@@ -35,7 +35,7 @@
             chat: options.flag("chat"),
         })
     };
-    Ok(Ask {
+    let mut ask = Ask {
         bases,
         caller: options.or("caller", "portal").to_owned(),
         key: text("key"),
@@ -44,7 +44,10 @@
         deadline: text("deadline"),
         patience: if options.flag("patient") { PATIENCE } else { Duration::ZERO },
         give_up: Duration::from_millis(options.number("give_up", GIVE_UP)? as u64),
-    })
+        safe: false,
+    };
+    ask.safe = idempotent(&ask);
+    Ok(ask)
 }
 
 /// Whether running the request twice does no harm.
--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -79,7 +79,7 @@
 
 /// A question about the JSON that a process answers.
 pub struct Look {
-    /// The process.
+    /// The process; `engines` or `services` stand for the sum over all of them.
     pub name: String,
     /// The path; the process's own page of state if it is empty.
     pub path: String,
--- a/tests/support/steps.rs
+++ b/tests/support/steps.rs
@@ -234,15 +234,30 @@
     }
 }
 
+/// The value of one process, or the sum over all engines or services.
 async fn value(world: &World, look: &Look) -> Result<Value, Failure> {
-    let daemon = world.process(&look.name)?.kind == Kind::Daemon;
+    let kind = match look.name.as_str() {
+        "engines" => Kind::Engine,
+        "services" => Kind::Service,
+        name => return value_of(world, name, look).await,
+    };
+    let mut sum = 0.0;
+    for name in world.named(kind) {
+        let found = value_of(world, name, look).await?;
+        sum += found.as_f64().unwrap_or(0.0);
+    }
+    Ok(json!(sum as u64))
+}
+
+async fn value_of(world: &World, name: &str, look: &Look) -> Result<Value, Failure> {
+    let daemon = world.process(name)?.kind == Kind::Daemon;
     let url = match (look.path.as_str(), daemon) {
-        ("", true) => format!("{}/debug/state", world.ops(&look.name)?),
-        ("", false) => format!("{}/counts", world.base(&look.name)?),
+        ("", true) => format!("{}/debug/state", world.ops(name)?),
+        ("", false) => format!("{}/counts", world.base(name)?),
         (path, true) if path.starts_with("/debug") => {
-            format!("{}{path}", world.ops(&look.name)?)
+            format!("{}{path}", world.ops(name)?)
         }
-        (path, _) => format!("{}{path}", world.base(&look.name)?),
+        (path, _) => format!("{}{path}", world.base(name)?),
     };
     let page = world.get(&url).await?;
     let Some(pointer) = look.pointer.strip_suffix('#') else {
