--- a/tests/support/certs.rs
+++ b/tests/support/certs.rs
@@ -13,8 +13,9 @@
 /// The name that every daemon's certificate carries.
 const PEER_NAME: &str = "chestnutlane";
 
-/// Writes `trust.pem`, `daemon.pem` and `daemon.key` into a directory.
+/// Writes `trust.pem`, `daemon.pem` and `daemon.key` into a new directory.
 pub fn write(dir: &Path) -> Result<(), Failure> {
+    fs::create_dir_all(dir).map_err(|error| error.to_string())?;
     make(dir).map_err(|error| format!("the certificates can't be made: {error}"))
 }
 
--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -39,6 +39,10 @@
     Send(String, Options),
     /// `await NAME`: waits for the answers to what was sent.
     Await(String),
+    /// `pending NAME`: none of the answers has come yet.
+    Pending(String),
+    /// `drop NAME`: the callers go away.
+    Drop(String),
     /// `seen NAME N`: waits until an answer has so many tokens.
     Seen(String, usize),
     /// `-> FACT.. | FACT..`: what must be true of all answers that came last.
--- a/tests/support/parse.rs
+++ b/tests/support/parse.rs
@@ -61,6 +61,8 @@
         "ask" => asked(rest).map(|(name, options)| Command::Ask(name, options)),
         "send" => asked(rest).map(|(name, options)| Command::Send(name, options)),
         "await" => Ok(Command::Await(one(rest)?)),
+        "pending" => Ok(Command::Pending(one(rest)?)),
+        "drop" => Ok(Command::Drop(one(rest)?)),
         "seen" => {
             let (name, count) = pair(rest)?;
             let count = count.parse().map_err(|_| "the count is no number")?;
--- a/tests/support/steps.rs
+++ b/tests/support/steps.rs
@@ -33,6 +33,12 @@
         }
         Command::Send(name, options) => send(world, name, options),
         Command::Await(name) => answers(world, name).await,
+        Command::Pending(name) => pending(world, name),
+        Command::Drop(name) => {
+            let sent = world.sent.shift_remove(name).ok_or("nothing was sent")?;
+            sent.iter().for_each(|one| one.reply.abort());
+            Ok(())
+        }
         Command::Seen(name, count) => seen(world, name, *count).await,
         Command::Expect(expected) => expect(world, expected),
         Command::Eventually(name, options, expected) => {
@@ -174,6 +180,12 @@
     Ok(())
 }
 
+fn pending(world: &World, name: &str) -> Result<(), Failure> {
+    let sent = world.sent.get(name).ok_or("nothing of that name was sent")?;
+    let came = sent.iter().filter(|one| one.reply.is_finished()).count();
+    if came == 0 { Ok(()) } else { Err(format!("{came} answers came already")) }
+}
+
 async fn seen(world: &World, name: &str, count: usize) -> Result<(), Failure> {
     let sent = world.sent.get(name).ok_or("nothing of that name was sent")?;
     let start = Instant::now();
