Read what changed in the table once for all parts of a daemon

Ruled out: reading less often per part (the slowest part decides), and one table for all (rows of different kinds need their own keys). Now one read of all followed tables and the watched leases at a poll; parts take from the feed what they have not seen, and an outage looks the same to them. The property test finds the feed equal to the table over 40 random histories.

--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -12,7 +12,7 @@
 use axum::{Json, Router};
 use bytes::Bytes;
 use chestnut_base::{Clock, SystemClock};
-use chestnut_plat::table::{Lookup, Scan};
+use chestnut_plat::table::{Changes, Lookup, Scan};
 use chestnut_plat::{Txn, TxnAnswer, VmRow};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -77,6 +77,7 @@
     let router = Router::new()
         .route("/v1/table/commit", post(commit))
         .route("/v1/table/scan", post(scan))
+        .route("/v1/table/changes", post(changes))
         .route("/v1/table/get", post(lookup))
         .route("/v1/objects", get(list_objects))
         .route(
@@ -143,6 +144,16 @@
     Json(delta).into_response()
 }
 
+async fn changes(State(platform): Shared, Json(ask): Json<Changes>) -> Response {
+    if !admit(&platform.faults, |f| &mut f.table).await {
+        return platform.refuse();
+    }
+    platform.count(|c| c.reads += 1);
+    let now = platform.millis();
+    let changed = platform.tables.lock().expect("no commit panics").changes(&ask, now);
+    Json(changed).into_response()
+}
+
 async fn lookup(State(platform): Shared, Json(lookup): Json<Lookup>) -> Response {
     if !admit(&platform.faults, |f| &mut f.table).await {
         return platform.refuse();
--- a/crates/fake/src/table.rs
+++ b/crates/fake/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use chestnut_plat::table::Scan;
+use chestnut_plat::table::{Changed, Changes, Scan};
 use chestnut_plat::{Check, Delta, Row, Txn, TxnAnswer, Write};
 use serde_json::Value;
 
@@ -66,6 +66,27 @@
         delta
     }
 
+    /// Reads the changes of several tables.
+    pub fn changes(&self, ask: &Changes, now: u64) -> Changed {
+        let mut changed = Changed {
+            rows: Vec::new(),
+            gone: Vec::new(),
+            wanted: Vec::new(),
+            version: self.version,
+            now,
+        };
+        for table in &ask.tables {
+            let (table, since) = (table.clone(), ask.since);
+            let scan = Scan { table: table.clone(), prefix: String::new(), since };
+            let delta = self.scan(&scan, now);
+            changed.rows.extend(delta.rows);
+            changed.gone.extend(delta.gone.into_iter().map(|key| (table.clone(), key)));
+        }
+        let wanted = ask.rows.iter().filter_map(|row| self.get(&row.table, &row.key));
+        changed.wanted.extend(wanted.cloned());
+        changed
+    }
+
     /// Reads one row.
     pub fn get(&self, table: &str, key: &str) -> Option<&Row> {
         self.tables.get(table)?.rows.get(key)
--- a/crates/node/src/confsync.rs
+++ b/crates/node/src/confsync.rs
@@ -15,7 +15,7 @@
 use chestnut_config::rows::{self, Entry, FileRow, Files, Head, Ruling};
 use chestnut_config::{Answer, Applier, Catalog, Change, Handover, Replica};
 use chestnut_member::view::ServerRole;
-use chestnut_plat::{PlatError, Row, Txn, TxnAnswer, VmRole};
+use chestnut_plat::{Delta, PlatError, Row, Txn, TxnAnswer, VmRole};
 use chestnut_wire::{Ask, Say};
 use indexmap::IndexMap;
 use prometheus_client::metrics::counter::Counter;
@@ -91,7 +91,7 @@
     let shared = &node.shared;
     let mut fresh = false;
     loop {
-        if refresh(shared).await.is_err() {
+        if follow(shared).await.is_err() {
             shared.conf.failures.inc();
             if needs_peers(shared) {
                 ask_peers(&node).await;
@@ -152,12 +152,24 @@
     found
 }
 
-/// Reads what changed and publishes the newest declarations.
+/// Takes in what changed, as the feed has it, and publishes the newest
+/// declarations.
+async fn follow(shared: &Shared) -> Result<(), PlatError> {
+    let since = shared.conf.store().replica.version();
+    let (delta, asked) = shared.changes(rows::TABLE, rows::FILES, since).await?;
+    take(shared, delta, asked).map(drop)
+}
+
+/// Reads what changed from the table itself and publishes the newest declarations.
 pub async fn refresh(shared: &Shared) -> Result<Files, PlatError> {
     let asked = shared.clock.now();
     let since = shared.conf.store().replica.version();
     shared.conf.reads.inc();
     let delta = shared.table.scan(rows::TABLE, rows::FILES, since).await?;
+    take(shared, delta, asked)
+}
+
+fn take(shared: &Shared, delta: Delta, asked: Instant) -> Result<Files, PlatError> {
     let found: Result<Vec<FileRow>, _> = delta.rows.into_iter().map(read).collect();
     let mut store = shared.conf.store();
     store.replica.read(found?, delta.version, asked);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod confsync;
 pub mod engine;
 pub mod entry;
+pub mod feed;
 pub mod journal;
 pub mod lead;
 pub mod logs;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -9,6 +9,7 @@
     ClaimKey, ClaimRow, Known, LeaseRow, MemberRow, Server, ServerRole, Step, lapsed,
     plan, watched,
 };
+use chestnut_plat::table::Lookup;
 use chestnut_plat::{PlatError, Row, Txn, TxnAnswer, VmRole, VmRow, VmState};
 use indexmap::{IndexMap, IndexSet};
 use prometheus_client::metrics::counter::Counter;
@@ -17,6 +18,7 @@
 use serde_json::json;
 use slog::{info, warn};
 
+use crate::feed::Feed;
 use crate::shared::Shared;
 
 /// The table of daemons, written when one joins, leaves or is removed.
@@ -30,16 +32,6 @@
 /// The table of operators' orders to drain a VM.
 pub const DRAINS: &str = "drain";
 
-/// Table reads a second that polling may cost the platform altogether.
-///
-/// A quarter of the two thousand that the platform allows. Polls come less often
-/// as the number of daemons grows; without it 2,100 daemons would ask for 21,000
-/// reads a second.
-const READS_PER_SECOND: f64 = 500.0;
-
-/// Table reads at a poll.
-const READS_PER_POLL: f64 = 5.0;
-
 /// An order that a daemon leave.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct DrainRow {
@@ -120,10 +112,9 @@
     /// After an outage of the table all daemons come back within one such pause
     /// and no faster than they always poll, so that the return is no stampede.
     fn pause(&self) -> Duration {
-        let members = self.known.members.len() as f64;
-        let fair = members * READS_PER_POLL / READS_PER_SECOND;
-        let base = self.shared.settings.times.poll.max(Duration::from_secs_f64(fair));
-        base.mul_f64(rand::random_range(0.75..1.25))
+        let poll = self.shared.settings.times.poll;
+        let pace = Feed::pace(poll, self.known.members.len());
+        pace.mul_f64(rand::random_range(0.75..1.25))
     }
 
     async fn poll(&mut self) {
@@ -131,6 +122,9 @@
         let reachable = outcome.is_ok();
         if let Err(error) = outcome {
             self.counters.failures.inc();
+            // Also when the renewal failed before anything was read: those who
+            // follow the feed must not take old rows for confirmed ones.
+            self.shared.feed.note_failure(&error);
             if self.reachable {
                 let why = error.to_string();
                 warn!(self.shared.log, "the table can't be used"; "error" => why);
@@ -197,6 +191,13 @@
     }
 
     async fn read_all(&mut self) -> Result<(), PlatError> {
+        let watched = watched(&self.known, &self.shared.settings.vm);
+        let wanted = watched
+            .into_iter()
+            .map(|vm| Lookup { table: LEASES.into(), key: vm.into() })
+            .collect();
+        let shared = self.shared.clone();
+        let leases = shared.feed.refresh(&shared.table, &*shared.clock, wanted).await?;
         let (rows, gone) = self.changes(MEMBERS).await?;
         for vm in gone.iter().filter_map(|key| VmName::try_from(key.as_str()).ok()) {
             self.known.members.swap_remove(&vm);
@@ -226,21 +227,7 @@
             self.known.servers.insert(name, server);
         }
         self.read_drains().await?;
-        self.read_leases().await
-    }
-
-    /// Reads the leases of the daemons that this one watches.
-    async fn read_leases(&mut self) -> Result<(), PlatError> {
-        let watched = watched(&self.known, &self.shared.settings.vm);
-        if watched.len() + 1 >= self.known.members.len() {
-            let (rows, _) = self.changes(LEASES).await?;
-            self.note_leases(rows);
-            return Ok(());
-        }
-        for vm in watched {
-            let row = self.shared.table.get(LEASES, vm.as_str()).await?;
-            self.note_leases(row.into_iter().collect());
-        }
+        self.note_leases(leases);
         Ok(())
     }
 
@@ -276,7 +263,7 @@
         table: &'static str,
     ) -> Result<(Vec<Row>, Vec<String>), PlatError> {
         let since = self.read.get(table).copied().unwrap_or(0);
-        let delta = self.shared.table.scan(table, "", since).await?;
+        let (delta, _) = self.shared.changes(table, "", since).await?;
         self.read.insert(table, delta.version);
         self.now = delta.now;
         Ok((delta.rows, delta.gone))
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -21,17 +21,12 @@
 use indexmap::IndexMap;
 use tokio::task::JoinHandle;
 
+use crate::feed::Feed;
 use crate::orders::command::Engines;
 use crate::orders::counters::Counters;
 use crate::orders::runner::Runner;
 use crate::shared::Shared;
 
-/// The share of a table read that each member of a full system may cause.
-///
-/// The table service takes about 2,000 reads a second. With two reads per
-/// period and 2,100 members a period of 2.5 ms per member makes 800 of them.
-const PACE_PER_MEMBER: Duration = Duration::from_micros(2_500);
-
 /// Reads the ledger and serves the runners that this daemon leads.
 pub async fn run(shared: Arc<Shared>) {
     let counters = Arc::new(Counters::new(&shared.metrics));
@@ -71,8 +66,7 @@
 
 /// How long to wait between two reads of the table.
 pub fn pace(shared: &Shared) -> Duration {
-    let members = shared.view().members.len() as u32;
-    shared.settings.times.poll.max(PACE_PER_MEMBER * members)
+    Feed::pace(shared.settings.times.poll, shared.view().members.len())
 }
 
 /// The runners that this daemon leads while its lease holds.
--- a/crates/node/src/orders/rows.rs
+++ b/crates/node/src/orders/rows.rs
@@ -57,17 +57,16 @@
         let rows = shared.rows.borrow();
         (rows.ledger_version, rows.plan_version)
     };
-    let sent = shared.clock.now();
-    let ledgers = shared.table.scan(LEDGER, "", ledger_version).await;
-    let plans = shared.table.scan(PLAN, "", plan_version).await;
+    let ledgers = shared.changes(LEDGER, "", ledger_version).await;
+    let plans = shared.changes(PLAN, "", plan_version).await;
     shared.rows.send_modify(|rows| {
         let rows = Arc::make_mut(rows);
-        if let Ok(delta) = ledgers {
+        if let Ok((delta, sent)) = ledgers {
             rows.ledger_version = delta.version;
             rows.now = Some((delta.now, sent));
             take_ledgers(shared, rows, delta);
         }
-        if let Ok(delta) = plans {
+        if let Ok((delta, _)) = plans {
             rows.plan_version = delta.version;
             take_plans(shared, rows, delta);
         }
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -24,6 +24,7 @@
 use tokio::time::timeout;
 
 use crate::engine::CallEnd;
+use crate::feed::Feed;
 use crate::members;
 use crate::node::Node;
 use crate::shared::Shared;
@@ -51,9 +52,6 @@
 /// Beyond it a crash would cost thousands of messages; then the table tells them.
 const SPREAD_LIMIT: usize = 64;
 
-/// Reads a second that all daemons together spend on the table's rows.
-const READS_PER_SECOND: f64 = 100.0;
-
 /// Who is suspect and who is refused, as this daemon knows it.
 pub struct Poison {
     suspects: Mutex<Suspects>,
@@ -286,15 +284,15 @@
 }
 
 fn pause(shared: &Shared) -> Duration {
-    let members = shared.view().members.len() as f64;
-    let fair = Duration::from_secs_f64(members / READS_PER_SECOND);
-    shared.settings.times.poll.max(fair).mul_f64(rand::random_range(0.75..1.25))
+    let members = shared.view().members.len();
+    let pace = Feed::pace(shared.settings.times.poll, members);
+    pace.mul_f64(rand::random_range(0.75..1.25))
 }
 
 async fn exchange(node: &Node, since: u64) -> Result<u64, PlatError> {
     let shared = &node.shared;
     write(node).await?;
-    let delta = shared.table.scan(POISON, "", since).await?;
+    let (delta, _) = shared.changes(POISON, "", since).await?;
     let now = shared.clock.now();
     let mut old = Txn::new();
     for row in &delta.rows {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -9,15 +9,29 @@
 use chestnut_config::{Catalog, Settings};
 use chestnut_member::{Lease, View};
 use chestnut_place::Residence;
-use chestnut_plat::{Objects, Table, VmList};
+use chestnut_plat::{Delta, Objects, PlatError, Table, VmList};
 use indexmap::IndexSet;
 use slog::Logger;
 use tokio::sync::{Notify, watch};
 
 use crate::confsync::{self, Conf};
+use crate::feed::Feed;
 use crate::metrics::Metrics;
 use crate::orders::rows::Rows;
 use crate::orders::usage::Usage;
+use crate::{members, orders, poison};
+
+/// The tables that every daemon follows.
+const FOLLOWED: [&str; 8] = [
+    members::MEMBERS,
+    members::CLAIMS,
+    members::SERVERS,
+    members::DRAINS,
+    chestnut_config::rows::TABLE,
+    orders::rows::LEDGER,
+    orders::rows::PLAN,
+    poison::POISON,
+];
 
 /// What the parts of a daemon share.
 ///
@@ -36,6 +50,9 @@
     pub metrics: Metrics,
     /// The table service.
     pub table: Table,
+    /// The changes of the tables that every daemon follows, read by
+    /// [`crate::members`].
+    pub feed: Feed,
     /// The object store.
     pub objects: Objects,
     /// The platform's list of VMs.
@@ -87,6 +104,7 @@
             log,
             metrics,
             table,
+            feed: Feed::new(&FOLLOWED),
             objects,
             vms,
             catalog: watch::Sender::new(Arc::default()),
@@ -104,6 +122,16 @@
         }
     }
 
+    /// The changes of a followed table after a version, and when they were read.
+    pub async fn changes(
+        &self,
+        table: &str,
+        prefix: &str,
+        since: u64,
+    ) -> Result<(Delta, Instant), PlatError> {
+        self.feed.scan(&self.table, &*self.clock, table, prefix, since).await
+    }
+
     /// The declarations in force.
     pub fn catalog(&self) -> Arc<Catalog> {
         self.catalog.borrow().clone()
--- /dev/null
+++ b/crates/node/tests/feed.rs
@@ -0,0 +1,125 @@
+//! What a part learns from the feed is what the table itself would have told.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chestnut_base::SystemClock;
+use chestnut_fake::{platform, weights::WeightSpeed};
+use chestnut_node::feed::Feed;
+use chestnut_plat::{PlatError, Table, Txn};
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+const TABLES: [&str; 2] = ["claims", "servers"];
+
+#[derive(Debug, Clone)]
+enum Event {
+    Put(usize, u8),
+    Delete(usize, u8),
+    Refresh,
+    Look(usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0..2usize, 0..6u8).prop_map(|(table, key)| Event::Put(table, key)),
+        2 => (0..2usize, 0..6u8).prop_map(|(table, key)| Event::Delete(table, key)),
+        2 => Just(Event::Refresh),
+        2 => (0..2usize).prop_map(Event::Look),
+    ]
+}
+
+/// What a part has put together from the changes of one table.
+#[derive(Default)]
+struct Part {
+    rows: IndexMap<String, Value>,
+    version: u64,
+}
+
+impl Part {
+    async fn look(&mut self, feed: &Feed, table: &Table, name: &str) {
+        let found = feed.scan(table, &SystemClock, name, "", self.version).await;
+        let (delta, _) = found.expect("the platform is up");
+        self.version = delta.version;
+        for key in delta.gone {
+            self.rows.swap_remove(&key);
+        }
+        for row in delta.rows {
+            self.rows.insert(row.key, row.value);
+        }
+    }
+}
+
+async fn start() -> (chestnut_fake::Handle, Table) {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let speed = WeightSpeed { rate: 1.0, parallel: 1, bytes: 1e9 };
+    let platform = platform::start(listen, speed).await.expect("a free port");
+    let table = Table::new(platform.url(), Duration::from_secs(5)).expect("a client");
+    (platform, table)
+}
+
+async fn run(events: Vec<Event>) {
+    let (_platform, table) = start().await;
+    let feed = Feed::new(&TABLES);
+    let mut parts = [Part::default(), Part::default()];
+    for (n, event) in events.into_iter().enumerate() {
+        match event {
+            Event::Put(name, key) => {
+                let txn = Txn::new().put(TABLES[name], key.to_string(), json!(n));
+                table.commit(&txn).await.expect("the platform is up");
+            }
+            Event::Delete(name, key) => {
+                let txn = Txn::new().delete(TABLES[name], key.to_string());
+                table.commit(&txn).await.expect("the platform is up");
+            }
+            Event::Refresh => {
+                let read = feed.refresh(&table, &SystemClock, Vec::new()).await;
+                read.expect("the platform is up");
+            }
+            Event::Look(name) => parts[name].look(&feed, &table, TABLES[name]).await,
+        }
+    }
+    feed.refresh(&table, &SystemClock, Vec::new()).await.expect("the platform is up");
+    for (name, part) in TABLES.iter().zip(&mut parts) {
+        part.look(&feed, &table, name).await;
+        let all = table.scan(name, "", 0).await.expect("the platform is up");
+        let mut rows: IndexMap<String, Value> =
+            all.rows.into_iter().map(|row| (row.key, row.value)).collect();
+        rows.sort_keys();
+        part.rows.sort_keys();
+        assert_eq!(part.rows, rows, "{name}");
+    }
+}
+
+fn block_on(future: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(future);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+
+    #[test]
+    fn parts_see_what_the_table_holds(
+        events in proptest::collection::vec(event(), 1..40),
+    ) {
+        block_on(run(events));
+    }
+}
+
+#[test]
+fn a_failed_read_is_told_to_all_parts() {
+    // An outage of the table must look the same to a part that follows the feed
+    // as to one that asks itself; else old rows would pass for confirmed ones.
+    block_on(async {
+        let (_platform, table) = start().await;
+        let feed = Feed::new(&TABLES);
+        feed.refresh(&table, &SystemClock, Vec::new()).await.expect("it is up");
+        feed.note_failure(&PlatError::Down("outage".into()));
+        let found = feed.scan(&table, &SystemClock, "claims", "", 1).await;
+        assert!(matches!(found, Err(PlatError::Down(_))));
+        feed.refresh(&table, &SystemClock, Vec::new()).await.expect("it is up");
+        assert!(feed.scan(&table, &SystemClock, "claims", "", 1).await.is_ok());
+    });
+}
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -12,5 +12,5 @@
 
 pub use error::PlatError;
 pub use object::Objects;
-pub use table::{Check, Delta, Row, Table, Txn, TxnAnswer, Write};
+pub use table::{Changed, Changes, Check, Delta, Row, Table, Txn, TxnAnswer, Write};
 pub use vms::{VmList, VmRole, VmRow, VmState};
--- a/crates/plat/src/table.rs
+++ b/crates/plat/src/table.rs
@@ -4,6 +4,8 @@
 //! rows and then writes rows, all or nothing. The service stamps each row with
 //! a version that grows over the whole service and with its own clock's time.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use reqwest::{Client, StatusCode};
@@ -12,6 +14,9 @@
 
 use crate::error::PlatError;
 
+/// The path of transactions; all other calls only read.
+const COMMIT: &str = "/v1/table/commit";
+
 /// A row as the service keeps it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -177,6 +182,33 @@
     pub since: u64,
 }
 
+/// What a read of several tables at once asks for.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Changes {
+    /// The tables' names.
+    pub tables: Vec<String>,
+    /// Only changes after this version.
+    pub since: u64,
+    /// Rows that are wanted whether they changed or not.
+    #[serde(default)]
+    pub rows: Vec<Lookup>,
+}
+
+/// What changed in several tables after a version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changed {
+    /// The rows that exist and were written after the version.
+    pub rows: Vec<Row>,
+    /// The tables and keys of rows that were removed after the version.
+    pub gone: Vec<(String, String)>,
+    /// The rows that were wanted besides and exist.
+    pub wanted: Vec<Row>,
+    /// The version up to which this is complete; ask from here next.
+    pub version: u64,
+    /// The service's clock, in milliseconds.
+    pub now: u64,
+}
+
 /// Which row a read asks for.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Lookup {
@@ -196,6 +228,20 @@
 pub struct Table {
     base: String,
     http: Client,
+    traffic: Arc<Traffic>,
+}
+
+/// How much a client has asked of the table service, bodies only.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Transactions that were sent.
+    pub commits: AtomicU64,
+    /// Reads that were sent.
+    pub reads: AtomicU64,
+    /// Bytes of bodies that were sent.
+    pub sent: AtomicU64,
+    /// Bytes of bodies that were received.
+    pub received: AtomicU64,
 }
 
 impl Table {
@@ -204,12 +250,18 @@
     /// Calls that take longer than `timeout` fail.
     pub fn new(base: impl Into<String>, timeout: Duration) -> Result<Self, PlatError> {
         let http = Client::builder().timeout(timeout).no_proxy().build()?;
-        Ok(Self { base: base.into(), http })
+        Ok(Self { base: base.into(), http, traffic: Arc::default() })
+    }
+
+    /// How much this client and its clones have asked of the service.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
     }
 
     /// Commits a transaction.
     pub async fn commit(&self, txn: &Txn) -> Result<TxnAnswer, PlatError> {
-        self.call("/v1/table/commit", txn).await
+        self.traffic.commits.fetch_add(1, Ordering::Relaxed);
+        self.call(COMMIT, txn).await
     }
 
     /// Reads the rows that changed after a version.
@@ -223,6 +275,11 @@
         self.call("/v1/table/scan", &scan).await
     }
 
+    /// Reads what changed in several tables after a version.
+    pub async fn changes(&self, changes: &Changes) -> Result<Changed, PlatError> {
+        self.call("/v1/table/changes", changes).await
+    }
+
     /// Reads one row.
     pub async fn get(&self, table: &str, key: &str) -> Result<Option<Row>, PlatError> {
         let lookup = Lookup { table: table.into(), key: key.into() };
@@ -236,9 +293,18 @@
         question: &Q,
     ) -> Result<A, PlatError> {
         let url = format!("{}{path}", self.base);
-        let answer = self.http.post(url).json(question).send().await?;
+        let body = serde_json::to_vec(question)
+            .map_err(|error| PlatError::Protocol(error.to_string()))?;
+        if path != COMMIT {
+            self.traffic.reads.fetch_add(1, Ordering::Relaxed);
+        }
+        self.traffic.sent.fetch_add(body.len() as u64, Ordering::Relaxed);
+        let call = self.http.post(url).header("content-type", "application/json");
+        let answer = call.body(body).send().await?;
         check_status(answer.status())?;
-        read_json(answer).await
+        let bytes = answer.bytes().await.map_err(lost)?;
+        self.traffic.received.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        parse_json(&bytes)
     }
 }
 
@@ -249,8 +315,11 @@
 pub(crate) async fn read_json<A: for<'de> Deserialize<'de>>(
     answer: reqwest::Response,
 ) -> Result<A, PlatError> {
-    let bytes = answer.bytes().await.map_err(lost)?;
-    serde_json::from_slice(&bytes).map_err(|error| PlatError::Unknown(error.to_string()))
+    parse_json(&answer.bytes().await.map_err(lost)?)
+}
+
+fn parse_json<A: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<A, PlatError> {
+    serde_json::from_slice(bytes).map_err(|error| PlatError::Unknown(error.to_string()))
 }
 
 /// An answer that broke off after its status.
