--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,17 +10,22 @@
 //! 5. [`residence`] is what entries learn of the result.
 
 pub mod asset;
+pub mod balance;
+pub mod demand;
 pub mod fixed;
 pub mod follow;
 pub mod ledger;
+pub mod planner;
 pub mod report;
 pub mod residence;
 pub mod spare;
 
 pub use asset::Asset;
+pub use demand::Demand;
 pub use fixed::{Plan, Runner, Unplaced, place_fixed};
 pub use follow::{Follow, Situation, Want, follow};
 pub use ledger::{Full, Item, ItemState, Ledger, Load, Order, OrderKind, Span};
+pub use planner::{ModelState, Placement, PoolState, RunnerState, plan};
 pub use report::{AssetState, OrderState, Report};
 pub use residence::{Residence, Resident};
 pub use spare::witnesses;
