Run a planner for each claimed pool

The holder of a pool's claim reads digests of demand that entries write, plans, and writes what each runner is to hold under the claim; leads follow it instead of the fixed placement. Requests get the version that is usable while the declared one is loaded. A runner whose engine misses three reports counts as down: entries and other leads no longer rest on it. /debug/state shows the ledgers and what has no room.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -174,6 +174,7 @@
         body,
     };
     let parsed = parse(node, caller, &call, &parts.headers)?;
+    shared.demand.note(&parsed.work);
     if parsed.work.idempotent {
         node.poison.check(parsed.work.digest, shared.clock.now())?;
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod answer;
 mod command;
 pub mod confsync;
+pub mod demand;
 pub mod engine;
 pub mod entry;
 pub mod journal;
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -55,6 +55,8 @@
         "poison": poison(node),
         "view": view(node),
         "residence": residence(node),
+        "ledgers": ledgers(node),
+        "unplaced": shared.rows.borrow().unplaced,
     })
 }
 
@@ -97,3 +99,27 @@
         .collect();
     Value::Object(runners)
 }
+
+/// What each runner's memory is reserved for, and in which state.
+fn ledgers(node: &Node) -> Value {
+    let rows = node.shared.rows.borrow();
+    let runners: serde_json::Map<String, Value> = rows
+        .ledgers
+        .iter()
+        .map(|(name, (ledger, _))| {
+            let items: serde_json::Map<String, Value> = ledger
+                .items
+                .iter()
+                .map(|item| (item.asset.to_string(), json!(item.state)))
+                .collect();
+            let row = json!({
+                "capacity": ledger.capacity,
+                "reserved": ledger.reserved(),
+                "down": ledger.down,
+                "items": items,
+            });
+            (name.to_string(), row)
+        })
+        .collect();
+    Value::Object(runners)
+}
--- a/crates/node/src/orders/rows.rs
+++ b/crates/node/src/orders/rows.rs
@@ -4,8 +4,7 @@
 use std::time::Instant;
 
 use chestnut_base::{PoolName, ServerName};
-use chestnut_member::{ServerRole, View};
-use chestnut_place::{Ledger, Residence, Resident, Runner, Want};
+use chestnut_place::{Ledger, Residence, Resident, Want};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +23,8 @@
     pub ledgers: IndexMap<ServerName, (Ledger, u64)>,
     /// What planners want each runner to hold.
     pub plans: IndexMap<ServerName, PlanRow>,
+    /// What planners could not place.
+    pub unplaced: IndexMap<PoolName, Vec<Unplaced>>,
     /// The version up to which ledgers were read.
     pub ledger_version: u64,
     /// The version up to which plans were read.
@@ -49,6 +50,32 @@
     pub wanted: Vec<Want>,
 }
 
+/// What a planner could not place, in the row `pool/NAME` of the plans' table.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolRow {
+    /// Declared models and adapters for which there is no room.
+    pub unplaced: Vec<Unplaced>,
+}
+
+/// A declared model or adapter for which there is no room.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unplaced {
+    /// The model or adapter.
+    pub name: String,
+    /// The memory of one replica, in bytes.
+    pub bytes: u64,
+    /// How many replicas are missing.
+    pub missing: usize,
+}
+
+/// The start of the keys of rows about a pool; no runner's name holds a slash.
+const POOL_PREFIX: &str = "pool/";
+
+/// The key of a pool's row.
+pub fn pool_key(pool: &PoolName) -> String {
+    format!("{POOL_PREFIX}{pool}")
+}
+
 /// Reads what has changed and publishes what is resident.
 ///
 /// While the table can't be read, what was read last stays in force.
@@ -105,20 +132,6 @@
     });
 }
 
-/// The runners of a pool that stay.
-pub fn pool_runners(view: &View, pool: &PoolName, capacity: u64) -> Vec<Runner> {
-    let runners = view.servers.iter().filter(|(_, server)| {
-        !server.leaving && server.role == ServerRole::Runner(pool.clone())
-    });
-    runners
-        .map(|(name, server)| Runner {
-            name: name.clone(),
-            domain: server.domain.clone(),
-            capacity,
-        })
-        .collect()
-}
-
 fn take_ledgers(shared: &Shared, rows: &mut Rows, delta: chestnut_plat::Delta) {
     for key in delta.gone {
         if let Ok(name) = ServerName::try_from(key) {
@@ -147,6 +160,10 @@
         }
     }
     for row in delta.rows {
+        if let Some(name) = row.key.strip_prefix(POOL_PREFIX) {
+            take_pool(shared, rows, name, row.value);
+            continue;
+        }
         let name = ServerName::try_from(row.key.clone());
         let plan = serde_json::from_value::<PlanRow>(row.value);
         let (Ok(name), Ok(plan)) = (name, plan) else {
@@ -156,3 +173,19 @@
         rows.plans.insert(name, plan);
     }
 }
+
+fn take_pool(shared: &Shared, rows: &mut Rows, name: &str, value: serde_json::Value) {
+    let row = serde_json::from_value::<PoolRow>(value);
+    let (Ok(name), Ok(row)) = (PoolName::try_from(name), row) else {
+        slog::error!(shared.log, "a pool's row can't be read"; "pool" => name);
+        return;
+    };
+    let old = rows.unplaced.insert(name.clone(), row.unplaced.clone());
+    if old.unwrap_or_default() != row.unplaced {
+        let names: Vec<_> = row.unplaced.iter().map(|one| one.name.as_str()).collect();
+        slog::warn!(
+            shared.log, "what has no room has changed";
+            "pool" => %name, "unplaced" => names.join(" ")
+        );
+    }
+}
--- a/crates/node/src/orders/runner.rs
+++ b/crates/node/src/orders/runner.rs
@@ -7,8 +7,7 @@
 use chestnut_base::{OrderId, PoolName, ServerName};
 use chestnut_member::{Claim, ClaimKey, Server, ServerRole};
 use chestnut_place::{
-    Asset, Ledger, Order, OrderKind, Report, Situation, Span, Want, follow, place_fixed,
-    witnesses,
+    Asset, Ledger, Order, OrderKind, Report, Situation, Span, Want, follow, witnesses,
 };
 use chestnut_plat::{PlatError, Txn, TxnAnswer};
 
@@ -24,6 +23,9 @@
 /// How long to wait before an order is sent again, at most.
 const RESEND_LIMIT: Duration = Duration::from_secs(10);
 
+/// How many reports in a row must fail until the engine counts as down.
+const MISSED_REPORTS: u32 = 3;
+
 /// The longest time for which a stream that another lead started is waited for.
 const STREAM_LIMIT: Duration = Duration::from_secs(120);
 
@@ -40,6 +42,8 @@
     row: Option<(Ledger, u64)>,
     /// The number of the last order that earlier leads may have sent.
     earlier: u64,
+    /// How many reports have failed in a row.
+    missed: u32,
     /// The copies that were sent of each order.
     copies: HashMap<OrderId, Count>,
     /// When to send an order about an asset again.
@@ -77,6 +81,7 @@
             since,
             row: None,
             earlier: 0,
+            missed: 0,
             copies: HashMap::new(),
             waits: HashMap::new(),
         }
@@ -128,8 +133,10 @@
         // Without the table's time no late copy can be told from a dead one.
         let Some((from, _)) = self.shared.rows.borrow().now else { return true };
         let Ok(report) = self.engines.report(server.address).await else {
-            return false;
+            self.miss(&held, version).await;
+            return true;
         };
+        self.missed = 0;
         let mut next = held.clone();
         let witnesses = self.decide(&mut next, &report, from, server, pool);
         if next != held {
@@ -138,6 +145,19 @@
         self.send_orders(server, &next).await
     }
 
+    /// Notes that the engine did not answer; after some times it counts as down.
+    ///
+    /// Else entries would go on sending requests there, and other leads would
+    /// drop their replicas because of what this runner once held.
+    async fn miss(&mut self, held: &Ledger, version: u64) {
+        self.missed += 1;
+        if self.missed >= MISSED_REPORTS && !held.down {
+            slog::warn!(self.shared.log, "an engine does not answer"; "runner" => %self.name);
+            let next = Ledger { down: true, ..held.clone() };
+            self.commit(held, &next, version, Vec::new()).await;
+        }
+    }
+
     /// Reads the runner's row, so that all orders of earlier leads are known.
     async fn read_row(&mut self) -> Result<(), PlatError> {
         let row = self.shared.table.get(LEDGER, self.name.as_str()).await?;
@@ -181,7 +201,7 @@
         }
         let Some(declared) = catalog.pools.get(pool) else { return Vec::new() };
         ledger.capacity = declared.memory.min(report.capacity);
-        let wanted = if server.leaving { Some(Vec::new()) } else { self.wanted(pool) };
+        let wanted = if server.leaving { Some(Vec::new()) } else { self.wanted() };
         let Some(wanted) = wanted else { return Vec::new() };
         let view = self.shared.view();
         let stays = |name: &ServerName| {
@@ -202,17 +222,10 @@
             .collect()
     }
 
-    /// What the runner is to hold: the planner's word, else a fixed placement.
-    fn wanted(&self, pool: &PoolName) -> Option<Vec<Want>> {
-        let rows = self.shared.rows.borrow().clone();
-        if let Some(plan) = rows.plans.get(&self.name) {
-            return Some(plan.wanted.clone());
-        }
-        let catalog = self.shared.catalog();
-        let declared = catalog.pools.get(pool)?;
-        let view = self.shared.view();
-        let runners = rows::pool_runners(&view, pool, declared.memory);
-        place_fixed(&catalog, pool, &runners).wanted.shift_remove(&self.name)
+    /// What the runner is to hold; nothing is changed until a planner has said it.
+    fn wanted(&self) -> Option<Vec<Want>> {
+        let rows = self.shared.rows.borrow();
+        rows.plans.get(&self.name).map(|plan| plan.wanted.clone())
     }
 
     /// Whether no request uses an asset, also none that an earlier lead started.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::{AttemptId, Code, Outcome, Refusal, ServerName, Work};
+use chestnut_base::{AttemptId, Code, Outcome, Refusal, ServerName, Target, Work};
 use chestnut_wire::{Ask, Call, Hint, Resume, Run, Say};
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -126,6 +126,7 @@
 
     /// Asks one backend server after the other; nothing if the caller is served.
     async fn round(&mut self, broken: &mut usize) -> Option<Refusal> {
+        self.choose_version();
         let mut last = None;
         while self.tried.len() < ATTEMPTS {
             let picker = &self.node.picker;
@@ -154,6 +155,21 @@
         last.or_else(|| Some(broke_off("no attempt was possible")))
     }
 
+    /// Chooses the version that can be served while the declared one is loaded.
+    ///
+    /// Not once the caller has tokens: another version goes on otherwise.
+    fn choose_version(&mut self) {
+        let Target::Model { model, version, adapter } = &mut self.work.target else {
+            return;
+        };
+        let catalog = self.node.shared.catalog();
+        let Some(declared) = catalog.models.get(model) else { return };
+        if self.have.tokens == 0 {
+            let residence = self.node.shared.residence();
+            *version = residence.version(model, &declared.version, adapter.as_ref());
+        }
+    }
+
     /// Whether an attempt that may have run may be followed by another.
     fn may_try_again(&self, broken: usize) -> bool {
         self.mode == Mode::Many
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -55,6 +55,11 @@
     pub incarnation: u64,
     /// The number of the last order; grows only.
     pub last: u64,
+    /// Whether the engine has not answered for some time.
+    ///
+    /// What it holds is still accounted for, but nobody can use it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub down: bool,
     /// Everything that may hold memory.
     ///
     /// At most one item per asset. The sum of their bytes exceeds `capacity`
@@ -176,6 +181,12 @@
         self.item(asset).is_some_and(|item| item.state == ItemState::Ready)
     }
 
+    /// Whether requests can use an asset: it, and the model below, are loaded and
+    /// the engine answers.
+    pub fn is_usable(&self, asset: &Asset) -> bool {
+        !self.down && self.is_ready(asset) && self.is_ready(&asset.base())
+    }
+
     /// Reserves memory for an asset and creates its load order.
     ///
     /// An asset that is to be dropped is kept instead. One whose unload order
@@ -268,6 +279,7 @@
 
     /// Takes in a report that was asked for after the ledger was read.
     pub fn observe(&mut self, report: &Report, span: Span) {
+        self.down = false;
         if self.incarnation != report.incarnation {
             self.restart(span);
             self.incarnation = report.incarnation;
--- a/crates/place/src/residence.rs
+++ b/crates/place/src/residence.rs
@@ -4,7 +4,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::ledger::{ItemState, Ledger};
+use crate::ledger::Ledger;
 
 /// What is resident on each runner.
 ///
@@ -31,17 +31,16 @@
     /// What may be used of what a runner's ledger holds.
     pub fn of(ledger: &Ledger) -> Self {
         let mut resident = Self::default();
-        for item in ledger.items.iter().filter(|item| item.state == ItemState::Ready) {
+        for item in ledger.items.iter().filter(|item| ledger.is_usable(&item.asset)) {
             let base = (item.asset.model.clone(), item.asset.version.clone());
             match &item.asset.adapter {
                 None => {
                     resident.models.insert(base);
                 }
-                Some(adapter) if ledger.is_ready(&item.asset.base()) => {
+                Some(adapter) => {
                     resident.adapters.insert(adapter.clone());
                     resident.bases.insert(adapter.clone(), base);
                 }
-                Some(_) => {}
             }
         }
         resident
--- a/crates/place/src/spare.rs
+++ b/crates/place/src/spare.rs
@@ -28,12 +28,12 @@
     let parts = ledger.items.iter().map(|item| &item.asset);
     for part in parts.filter(|part| *part == asset || part.is_on(asset)) {
         let Some(kinds) = substitutes(catalog, part) else { continue };
-        if kinds.iter().any(|kind| kind != part && is_usable(ledger, kind)) {
+        if kinds.iter().any(|kind| kind != part && ledger.is_usable(kind)) {
             continue;
         }
         let (name, _) = others
             .clone()
-            .find(|(_, ledger)| kinds.iter().any(|kind| is_usable(ledger, kind)))?;
+            .find(|(_, ledger)| kinds.iter().any(|kind| ledger.is_usable(kind)))?;
         all.push(name.clone());
     }
     Some(all)
@@ -53,7 +53,3 @@
     let declared = Asset { version: model.version.clone(), ..asset.clone() };
     Some(if declared == *asset { vec![declared] } else { vec![declared, asset.clone()] })
 }
-
-fn is_usable(ledger: &Ledger, asset: &Asset) -> bool {
-    ledger.is_ready(asset) && ledger.is_ready(&asset.base())
-}
