Let a scenario say which earlier version may answer during a rollout

Cause: new-model took an answer of v1 for another request's while v2 was still being loaded; the old version answers until then, by design. The check still refuses any other text and the scenario still ends only with v2's whole answer.

--- a/crates/demo/src/burst.rs
+++ b/crates/demo/src/burst.rs
@@ -154,6 +154,7 @@
         What::Tokens { route, tokens, stream } => {
             let known = ROUTES.iter().find(|(name, _)| *name == route);
             Form::Completion(Completion {
+                former: None,
                 route: route.to_owned(),
                 model: known.map_or(route, |(_, model)| model).to_owned(),
                 prompt: text,
--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -314,6 +314,7 @@
 fn probes(entry: &str) -> Vec<Ask> {
     let completion = |(route, model): &(&str, &str)| {
         Form::Completion(Completion {
+            former: None,
             route: route.to_string(),
             model: model.to_string(),
             prompt: "ready?".into(),
--- a/tests/support/ask.rs
+++ b/tests/support/ask.rs
@@ -28,6 +28,7 @@
         let route = options.or("route", "draft").to_owned();
         Form::Completion(Completion {
             model: options.or("model", engine_model(&route)).to_owned(),
+            former: text("former"),
             route,
             prompt: options.or("prompt", "hello").to_owned(),
             tokens: options.number("tokens", 8)? as u32,
