Run the daemon's queues and its choice of backend servers on the pure crates

Before: a plain limit on streams at the lead, and the fewest own attempts at the entry. Now lead.rs is an actor over admit's Lead for each led server (deadline admission, shares, preemption, exact counts by guards), pick.rs chooses with route's Router (load told by leads, prefix, health, retry budget). Say::Preempted is new: the entry offers the rest again from the tokens it has. The picker's count in flight is now a guard in Choice, so Note::Over is gone. The dump shows the leads' load and the retries left.

The comparison's histograms grew only to 2; they resize now.

--- a/crates/admit/src/lead.rs
+++ b/crates/admit/src/lead.rs
@@ -193,6 +193,11 @@
         }
     }
 
+    /// Takes offers again after [`Lead::close`].
+    pub fn reopen(&mut self) {
+        self.closed = false;
+    }
+
     /// Takes the effects that have come up.
     pub fn effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
--- a/crates/lab/src/policies/tally.rs
+++ b/crates/lab/src/policies/tally.rs
@@ -96,7 +96,8 @@
 
 impl Default for Tally {
     fn default() -> Self {
-        let histogram = Histogram::new(3).expect("three digits are supported");
+        let mut histogram = Histogram::new(3).expect("three digits are supported");
+        histogram.auto(true);
         Self {
             runs: 0.0,
             requests: 0.0,
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -1,35 +1,88 @@
 //! The queues of the backend servers that this daemon leads.
+//!
+//! The state is the `admit` crate's and belongs to one actor, [`table`]; streams
+//! of tokens pass beside it and only tell it, a few times a second, how far they
+//! are.
+
+mod table;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use chestnut_base::{Code, Refusal, ServerName, Target};
+use chestnut_admit::{How as End, Job, Limits, Rejection};
+use chestnut_base::{Code, Refusal, ServerName, Target, Urgency};
+use chestnut_config::Catalog;
 use chestnut_member::{ClaimKey, ServerRole};
 use chestnut_wire::{Hint, Load, Run, Say};
 use indexmap::IndexMap;
-use tokio::sync::mpsc;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
 
+use self::table::{Decision, Event, Loads, Offer, Table};
 use crate::engine::{self, CallEnd};
 use crate::node::Node;
+use crate::pick::CALL;
 use crate::shared::Shared;
 use crate::single;
 
-/// The time after which a refused request may come back.
+/// The time after which a request that a passing state refused may come back.
 const COME_BACK: Duration = Duration::from_millis(500);
 
+/// Requests that wait at one backend server's lead.
+///
+/// Eight full batches: with more waiting, the last ones would wait for longer
+/// than the deadlines of most kinds, and each costs time in every decision.
+const QUEUE: usize = 256;
+
+/// Bytes of bodies that wait at this daemon's leads, of the 64 MB that it may use.
+const BODIES: usize = 16 << 20;
+
+/// How often leads look whether what waits can still be in time.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How often a stream tells its lead of its tokens.
+const TELL: Duration = Duration::from_millis(100);
+
 /// The queues of the backend servers that this daemon leads.
 pub struct Leads {
     shared: Arc<Shared>,
-    running: Arc<Mutex<IndexMap<ServerName, u32>>>,
+    table: ActorRef<Table>,
+    loads: Loads,
+    numbers: AtomicU64,
+    /// Bytes of bodies that wait.
+    bodies: Arc<AtomicUsize>,
+    ticker: JoinHandle<()>,
 }
 
 /// The right to run one attempt; dropping it gives the capacity back.
 pub struct Grant {
     /// Where the backend server listens.
     pub address: SocketAddr,
+    hold: Hold,
+    loads: Loads,
+    stopped: Option<oneshot::Receiver<()>>,
+    told: Mutex<Told>,
+}
+
+/// Tokens that the lead was not told of yet.
+struct Told {
+    count: u32,
+    first: bool,
+    at: Instant,
+}
+
+/// A request at its lead; dropping it ends it there.
+struct Hold {
+    shared: Arc<Shared>,
+    table: ActorRef<Table>,
     server: ServerName,
-    running: Arc<Mutex<IndexMap<ServerName, u32>>>,
+    number: u64,
+    call: bool,
+    how: End,
 }
 
 /// How an attempt ended.
@@ -41,53 +94,99 @@
     Refused,
     /// The answer broke off.
     Broken,
-    /// Nobody waits any more.
+    /// Nobody waits any more, or the stream was preempted.
     Abandoned,
 }
 
 impl Leads {
     /// Creates the queues of a daemon that leads nothing yet.
+    ///
+    /// Must be called within the runtime, since it starts the actor.
     pub fn new(shared: Arc<Shared>) -> Self {
-        Self { shared, running: Arc::default() }
+        let loads = Loads::default();
+        // Without a bound, so that the end of a request, which is told when its
+        // guard is dropped, is never lost; the requests themselves are bounded.
+        let state = Table::new(shared.clone(), loads.clone());
+        let table = Table::spawn_with_mailbox(state, mailbox::unbounded());
+        let ticker = tokio::spawn(tick(shared.clone(), table.clone()));
+        Self {
+            shared,
+            table,
+            loads,
+            numbers: AtomicU64::new(0),
+            bodies: Arc::default(),
+            ticker,
+        }
+    }
+
+    /// The load of each backend server that is led.
+    pub fn loads(&self) -> IndexMap<ServerName, Load> {
+        self.loads.lock().expect("no holder of the loads panics").clone()
     }
 
     /// Offers an attempt; returns when it may be dispatched or is refused.
     pub async fn offer(&self, run: &Run) -> Result<Grant, (Refusal, Hint)> {
         let view = self.shared.view();
-        let elsewhere = |code, text: &str| {
-            let refusal = Refusal::not_run(code, text).after(COME_BACK);
-            (refusal, Hint { elsewhere: true, load: None })
-        };
         let led = view
             .holder(&ClaimKey::Server(run.server.clone()))
             .is_some_and(|(claim, _)| claim.holder == self.shared.me);
         let info = view.servers.get(&run.server).filter(|_| led);
         let Some(info) = info.filter(|info| !info.leaving) else {
-            return Err(elsewhere(Code::Unavailable, "this daemon does not lead it"));
+            return Err(passing(Code::Unavailable, "this daemon does not lead it"));
         };
         if !self.holds(run) {
-            return Err(elsewhere(Code::NotResident, "the model is not resident there"));
+            return Err(passing(Code::NotResident, "the model is not resident there"));
         }
         let catalog = self.shared.catalog();
-        let limit = match &info.role {
-            ServerRole::Runner(pool) => {
-                catalog.pools.get(pool).map_or(0, |pool| pool.streams)
-            }
-            ServerRole::Service(name) => {
-                catalog.services.get(name).map_or(0, |service| service.parallel)
-            }
+        let Some(limits) = limits(&catalog, &info.role) else {
+            return Err(passing(Code::Unavailable, "what it serves is not declared"));
         };
-        let mut running = self.running.lock().expect("no holder of the counts panics");
-        let count = running.entry(run.server.clone()).or_default();
-        if *count >= limit {
-            return Err(elsewhere(Code::Overloaded, "all streams are taken; wait"));
-        }
-        *count += 1;
-        Ok(Grant {
-            address: info.address,
+        let Some(_body) = Body::take(&self.bodies, run.call.body.len()) else {
+            return Err(passing(Code::EntryFull, "too many bodies wait at its lead"));
+        };
+        let (hold, decision) = self.send(run, job(&catalog, run, self.now()), limits);
+        match decision.await {
+            Ok(Decision::Dispatch(stopped)) => Ok(Grant {
+                address: info.address,
+                hold,
+                loads: self.loads.clone(),
+                stopped: Some(stopped),
+                told: Mutex::new(Told { count: 0, first: true, at: self.now() }),
+            }),
+            Ok(Decision::Refuse(rejection)) => Err(self.refusal(&run.server, rejection)),
+            Err(_) => Err(passing(Code::Internal, "its lead has stopped")),
+        }
+    }
+
+    /// Sends an offer to the actor.
+    fn send(
+        &self,
+        run: &Run,
+        job: Job,
+        limits: Limits,
+    ) -> (Hold, oneshot::Receiver<Decision>) {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let hold = Hold {
+            shared: self.shared.clone(),
+            table: self.table.clone(),
             server: run.server.clone(),
-            running: self.running.clone(),
-        })
+            number,
+            call: matches!(run.work.target, Target::Service { .. }),
+            how: End::Cancelled,
+        };
+        let (reply, decision) = oneshot::channel();
+        let (server, at) = (run.server.clone(), self.now());
+        let offer = Offer { number, server, job, limits, at, reply };
+        hold.tell(Event::Offer(Box::new(offer)));
+        (hold, decision)
+    }
+
+    fn refusal(&self, server: &ServerName, rejection: Rejection) -> (Refusal, Hint) {
+        let Rejection { reason, retry } = rejection;
+        let mut refusal = Refusal::not_run(reason.code(), reason.message());
+        refusal.retry_after = retry;
+        let elsewhere = reason.elsewhere();
+        (refusal, Hint { elsewhere, load: load(&self.loads, server) })
     }
 
     fn holds(&self, run: &Run) -> bool {
@@ -99,29 +198,157 @@
             Target::Service { .. } => true,
         }
     }
+
+    fn now(&self) -> Instant {
+        self.shared.clock.now()
+    }
+}
+
+impl Drop for Leads {
+    fn drop(&mut self) {
+        self.ticker.abort();
+    }
 }
 
 impl Grant {
-    /// Takes note of tokens that arrived.
-    pub fn tokens(&self, _count: u32) {}
+    /// Takes note of tokens that arrived; the lead is told of them in batches.
+    pub fn tokens(&self, count: u32) {
+        let now = self.hold.shared.clock.now();
+        let mut told = self.told.lock().expect("no holder of the count panics");
+        told.count += count;
+        if told.first || now.saturating_duration_since(told.at) >= TELL {
+            let (number, count) = (self.hold.number, told.count);
+            *told = Told { count: 0, first: false, at: now };
+            self.hold.tell(Event::Tokens { number, count, at: now });
+        }
+    }
+
+    /// A future that ends when the attempt is to give way to urgent work.
+    ///
+    /// The first call takes it; others never end.
+    pub fn preempted(&mut self) -> impl Future<Output = ()> + use<> {
+        let stopped = self.stopped.take();
+        async move {
+            let told = match stopped {
+                Some(stopped) => stopped.await.is_ok(),
+                None => false,
+            };
+            if !told {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
 
     /// Ends the attempt and tells the load that remains.
-    pub fn finish(self, _how: How) -> Load {
-        let running = self.running.lock().expect("no holder of the counts panics");
-        let count = running.get(&self.server).copied().unwrap_or(0);
-        Load { running: count.saturating_sub(1), ..Load::default() }
+    pub fn finish(mut self, how: How) -> Load {
+        self.hold.how = match how {
+            How::Whole => End::Done,
+            How::Refused | How::Broken => End::Broken,
+            How::Abandoned => End::Cancelled,
+        };
+        let load = load(&self.loads, &self.hold.server).unwrap_or_default();
+        Load { running: load.running.saturating_sub(1), ..load }
+    }
+}
+
+impl Hold {
+    fn tell(&self, event: Event) {
+        // The actor stops only with the daemon; then nothing is left to count.
+        drop(self.table.tell(event).try_send());
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let (number, how, call) = (self.number, self.how, self.call);
+        let at = self.shared.clock.now();
+        self.tell(Event::Finish { number, how, call, at });
+    }
+}
+
+/// Bytes of a body that waits; dropping it gives them back.
+struct Body {
+    bodies: Arc<AtomicUsize>,
+    bytes: usize,
+}
+
+impl Body {
+    fn take(bodies: &Arc<AtomicUsize>, bytes: usize) -> Option<Self> {
+        let body = Self { bodies: bodies.clone(), bytes };
+        let before = bodies.fetch_add(bytes, Ordering::Relaxed);
+        (before + bytes <= BODIES).then_some(body)
     }
 }
 
-impl Drop for Grant {
+impl Drop for Body {
     fn drop(&mut self) {
-        let mut running = self.running.lock().expect("no holder of the counts panics");
-        if let Some(count) = running.get_mut(&self.server) {
-            *count -= 1;
+        self.bodies.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+async fn tick(shared: Arc<Shared>, table: ActorRef<Table>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let now = shared.clock.now();
+        if table.tell(Event::Tick(now)).send().await.is_err() {
+            return;
         }
     }
 }
 
+/// What a backend server takes, if what it serves is declared.
+fn limits(catalog: &Catalog, role: &ServerRole) -> Option<Limits> {
+    match role {
+        ServerRole::Runner(pool) => {
+            let pool = catalog.pools.get(pool)?;
+            let (streams, tokens, step) = (pool.streams, pool.tokens, pool.step);
+            Some(Limits { streams, tokens, queue: QUEUE, step })
+        }
+        ServerRole::Service(name) => {
+            let streams = catalog.services.get(name)?.parallel;
+            Some(Limits { streams, tokens: u64::MAX, queue: QUEUE, step: CALL })
+        }
+    }
+}
+
+/// What the lead needs to know of a request.
+fn job(catalog: &Catalog, run: &Run, now: Instant) -> Job {
+    let work = &run.work;
+    let have = run.resume.as_ref().map_or(0, |resume| resume.tokens);
+    let caller = catalog.callers.get(&work.caller);
+    let (prompt, output) = match &work.target {
+        Target::Model { .. } => (work.prompt, work.output),
+        // A call of a plain service counts as one token, so that its time is
+        // measured like a first token's.
+        Target::Service { .. } => (0, 1),
+    };
+    Job {
+        caller: work.caller.clone(),
+        team: caller.map_or(&work.team, |caller| &caller.team).clone(),
+        share: caller.map_or(1, |caller| caller.share),
+        urgency: work.urgency,
+        deadline: now + work.budget,
+        prompt: prompt.saturating_add(have),
+        output: output.saturating_sub(have),
+        resumable: work.idempotent
+            && work.urgency == Urgency::Slow
+            && matches!(work.target, Target::Model { .. }),
+        resumed: have > 0,
+    }
+}
+
+fn load(loads: &Loads, server: &ServerName) -> Option<Load> {
+    loads.lock().expect("no holder of the loads panics").get(server).copied()
+}
+
+fn passing(code: Code, text: &str) -> (Refusal, Hint) {
+    let text = format!("{text}; send the request again after the time given");
+    let refusal = Refusal::not_run(code, text).after(COME_BACK);
+    (refusal, Hint { elsewhere: true, load: None })
+}
+
 /// Carries out one attempt at a backend server that this daemon leads.
 pub async fn serve(node: &Arc<Node>, run: Run, out: mpsc::Sender<Say>) {
     let out = single::outlive(node, &run, out);
@@ -135,7 +362,7 @@
         offered = node.leads.offer(&run) => offered,
         () = out.closed() => return,
     };
-    let grant = match offered {
+    let mut grant = match offered {
         Ok(grant) => grant,
         Err((refusal, hint)) => {
             // The daemon that asked may be gone; then nobody needs the answer.
@@ -151,8 +378,19 @@
             return;
         }
     };
-    let end =
-        engine::call(&node.http, address, &run, &out, |count| grant.tokens(count)).await;
+    let preempted = grant.preempted();
+    let call = engine::call(&node.http, address, &run, &out, |count| grant.tokens(count));
+    let end = tokio::select! {
+        end = call => end,
+        () = preempted => {
+            // The stream is free only when the engine has stopped it.
+            engine::cancel(&node.http, address, &run).await;
+            flight.end(node, address, &CallEnd::Abandoned).await;
+            let load = grant.finish(How::Abandoned);
+            drop(out.send(Say::Preempted { load }).await);
+            return;
+        }
+    };
     let crashed = flight.end(node, address, &end).await;
     let last = match end {
         CallEnd::Whole(reason) => Say::End { reason, load: grant.finish(How::Whole) },
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -51,6 +51,8 @@
             "memory": settings.limits.memory,
             "slots": settings.limits.slots,
         },
+        "leads": leads(node),
+        "retries_left": node.picker.retries_left(),
         "journal": node.slots.state(),
         "poison": poison(node),
         "view": view(node),
@@ -58,6 +60,21 @@
     })
 }
 
+/// The load of each backend server that this daemon leads.
+fn leads(node: &Node) -> Value {
+    let loads = node.leads.loads();
+    let row = |load: chestnut_wire::Load| {
+        json!({
+            "running": load.running,
+            "queued": load.queued,
+            "tokens": load.tokens,
+            "wait_ms": load.wait_ms,
+            "step_us": load.step_us,
+        })
+    };
+    loads.into_iter().map(|(name, load)| (name.to_string(), row(load))).collect()
+}
+
 /// How many digests are suspect and how many convicted.
 fn poison(node: &Node) -> Value {
     let (suspects, convicted) = node.poison.counts();
--- a/crates/node/src/pick.rs
+++ b/crates/node/src/pick.rs
@@ -1,18 +1,44 @@
 //! The choice of a backend server for one attempt.
+//!
+//! The state is the `route` crate's; this module looks the candidates up and
+//! counts attempts in flight by a guard, so that no way out of an attempt can
+//! leave a count behind. (A count that is never taken back makes a server look
+//! busy for good; "Two-Level AI Inference Gateway" tells of one that got no more
+//! requests until a restart, and of the guard as remedy.)
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
-use chestnut_base::{Code, Fence, MemberId, Refusal, ServerName, Target, Work};
-use chestnut_member::{ClaimKey, ServerRole, View};
+use chestnut_base::{Clock, Code, Fence, MemberId, Refusal, ServerName, Target, Work};
+use chestnut_config::Catalog;
+use chestnut_member::{ClaimKey, Server, ServerRole, View};
+use chestnut_route::{Ask, Budget, Candidate, Policy, Report, Router, ServerKey};
 use chestnut_wire::Load;
 use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::engine::engine_model;
 use crate::shared::Shared;
 
+/// What the way to another failure domain costs; they are 0.5 to 1 ms apart.
+const FAR: Duration = Duration::from_millis(1);
+
+/// How long a daemon that did not answer is passed over.
+///
+/// Until its lease lapses, every backend server that it leads would cost each
+/// request a try; after this time one request tries again.
+const SILENT: Duration = Duration::from_secs(1);
+
+/// The expected time of a plain service's call; its lead measures it as one step.
+pub const CALL: Duration = Duration::from_millis(20);
+
+/// Picks after which servers that are gone are forgotten.
+const TIDY: u64 = 4096;
+
 /// The backend server that was chosen and the daemon that leads it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+///
+/// The attempt counts as in flight until this is dropped.
 pub struct Choice {
     /// The backend server.
     pub server: ServerName,
@@ -22,6 +48,7 @@
     pub addr: SocketAddr,
     /// The fence of its claim.
     pub fence: Fence,
+    _flight: Flight,
 }
 
 /// What became of an attempt at a backend server.
@@ -40,20 +67,52 @@
     },
     /// The lead does not answer.
     Unreachable,
-    /// The attempt is over, however it ended.
-    Over,
 }
 
 /// Chooses backend servers by what this entry knows.
-#[derive(Default)]
 pub struct Picker {
-    own: Mutex<IndexMap<ServerName, u32>>,
+    clock: Arc<dyn Clock>,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    router: Router,
+    budget: Budget,
+    picks: u64,
+    /// Who led a backend server when it was last picked.
+    members: IndexMap<ServerName, MemberId>,
+    /// Daemons that did not answer, and when.
+    silent: IndexMap<MemberId, Instant>,
+}
+
+/// One attempt in flight.
+struct Flight {
+    state: Arc<Mutex<State>>,
+    key: ServerKey,
+}
+
+/// A candidate before it is chosen.
+struct Prospect {
+    server: ServerName,
+    member: MemberId,
+    addr: SocketAddr,
+    fence: Fence,
+    far: Duration,
+    streams: u32,
+    step: Duration,
 }
 
 impl Picker {
-    /// Creates a picker that knows no load yet.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates a picker that knows no load yet; daemons need different seeds.
+    pub fn new(clock: Arc<dyn Clock>, seed: u64) -> Self {
+        let state = State {
+            router: Router::new(Policy::Estimate, seed),
+            budget: Budget::new(),
+            picks: 0,
+            members: IndexMap::new(),
+            silent: IndexMap::new(),
+        };
+        Self { clock, state: Arc::new(Mutex::new(state)) }
     }
 
     /// Chooses a backend server that was not tried yet and counts the attempt.
@@ -64,64 +123,178 @@
         tried: &[ServerName],
     ) -> Result<Choice, Refusal> {
         let view = shared.view();
-        let mut own = self.own.lock().expect("no holder of the counts panics");
-        let best = candidates(shared, &view, work)
-            .into_iter()
-            .filter(|choice| !tried.contains(&choice.server))
-            .min_by_key(|choice| own.get(&choice.server).copied().unwrap_or(0));
-        let Some(choice) = best else {
+        let mut options = options(shared, &view, work);
+        options.retain(|option| !tried.contains(&option.server));
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.begin(&view, tried.is_empty());
+        state.pass_over(&mut options, now);
+        let candidates: Vec<Candidate> =
+            options.iter().map(|option| state.candidate(option)).collect();
+        let prefix = prefix(work);
+        let (prompt, output) = match work.target {
+            Target::Model { .. } => (work.prompt, work.output),
+            Target::Service { .. } => (0, 1),
+        };
+        let ask = Ask { prompt, output, prefix: &prefix };
+        let Some(key) = state.router.choose(&candidates, ask, now) else {
             return Err(nowhere(work));
         };
-        *own.entry(choice.server.clone()).or_default() += 1;
-        Ok(choice)
+        let index = candidates.iter().position(|candidate| candidate.server == key);
+        let option = options.swap_remove(index.expect("the router chooses a candidate"));
+        state.router.begin(key, &prefix);
+        state.members.insert(option.server.clone(), option.member);
+        Ok(Choice {
+            server: option.server,
+            member: option.member,
+            addr: option.addr,
+            fence: option.fence,
+            _flight: Flight { state: self.state.clone(), key },
+        })
     }
 
     /// Takes note of what became of an attempt.
     pub fn note(&self, server: &ServerName, note: Note) {
-        if note == Note::Over {
-            let mut own = self.own.lock().expect("no holder of the counts panics");
-            if let Some(count) = own.get_mut(server) {
-                *count = count.saturating_sub(1);
+        use chestnut_route::Note as Learnt;
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let key = state.router.key(server);
+        match note {
+            Note::Load(load) => {
+                state.router.note(key, Learnt::Load(report(load)), now);
+                state.router.note(key, Learnt::Answered, now);
+            }
+            Note::Tokens(_) => state.router.note(key, Learnt::Answered, now),
+            Note::Refused => {}
+            Note::Broken { crashed } => {
+                state.router.note(key, Learnt::Failed, now);
+                if crashed {
+                    state.router.note(key, Learnt::Restarted, now);
+                }
+            }
+            Note::Unreachable => {
+                if let Some(&member) = state.members.get(server) {
+                    state.silent.insert(member, now);
+                }
             }
         }
     }
 
     /// Whether the budget allows one more attempt after a broken one.
     pub fn may_retry(&self, _shared: &Shared) -> bool {
-        true
+        self.lock().budget.take()
+    }
+
+    /// Retries that the budget still allows.
+    pub fn retries_left(&self) -> u32 {
+        self.lock().budget.left()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the state panics")
     }
 }
 
-/// The backend servers that can serve the work and whose lead is known.
-fn candidates(shared: &Shared, view: &View, work: &Work) -> Vec<Choice> {
-    let choice = |server: &ServerName| {
-        let info = view.servers.get(server)?;
-        if info.leaving {
-            return None;
+impl State {
+    /// Counts a pick, and forgets what is gone from time to time.
+    fn begin(&mut self, view: &View, first: bool) {
+        self.picks += 1;
+        if first {
+            self.budget.earn();
+        }
+        if self.picks.is_multiple_of(TIDY) {
+            self.router.retain(|name| view.servers.contains_key(name));
+            self.members.retain(|name, _| view.servers.contains_key(name));
+            self.silent.retain(|member, _| view.members.contains_key(member));
+        }
+    }
+
+    /// Leaves out daemons that did not answer just now, if others are left.
+    fn pass_over(&self, options: &mut Vec<Prospect>, now: Instant) {
+        let silent = |option: &Prospect| {
+            let at = self.silent.get(&option.member);
+            at.is_some_and(|&at| now.saturating_duration_since(at) < SILENT)
+        };
+        if options.iter().any(|option| !silent(option)) {
+            options.retain(|option| !silent(option));
         }
+    }
+
+    fn candidate(&mut self, option: &Prospect) -> Candidate {
+        let server = self.router.key(&option.server);
+        let (far, streams, step) = (option.far, option.streams, option.step);
+        Candidate { server, far, streams, step }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut state = self.state.lock().expect("no holder of the state panics");
+        state.router.end(self.key);
+    }
+}
+
+/// The backend servers that can serve the work and whose lead is known.
+fn options(shared: &Shared, view: &View, work: &Work) -> Vec<Prospect> {
+    let catalog = shared.catalog();
+    let option = |server: &ServerName| {
+        let info = view.servers.get(server).filter(|info| !info.leaving)?;
         let (claim, member) = view.holder(&ClaimKey::Server(server.clone()))?;
-        Some(Choice {
+        let near = info.domain == shared.settings.domain;
+        let (streams, step) = size(&catalog, info)?;
+        Some(Prospect {
             server: server.clone(),
             member: claim.holder,
             addr: member.peer_addr,
             fence: claim.fence,
+            far: if near { Duration::ZERO } else { FAR },
+            streams,
+            step,
         })
     };
     match &work.target {
         Target::Model { model, version, adapter } => shared
             .residence()
             .serving(model, version, adapter.as_ref())
-            .filter_map(choice)
+            .filter_map(option)
             .collect(),
         Target::Service { name } => view
             .servers
             .iter()
             .filter(|(_, info)| info.role == ServerRole::Service(name.clone()))
-            .filter_map(|(server, _)| choice(server))
+            .filter_map(|(server, _)| option(server))
             .collect(),
     }
 }
 
+/// The streams and the declared step time of a backend server.
+fn size(catalog: &Catalog, info: &Server) -> Option<(u32, Duration)> {
+    match &info.role {
+        ServerRole::Runner(pool) => {
+            catalog.pools.get(pool).map(|pool| (pool.streams, pool.step))
+        }
+        ServerRole::Service(name) => {
+            let service = catalog.services.get(name)?;
+            Some((service.parallel, CALL))
+        }
+    }
+}
+
+/// The prompt's blocks, which engines cache for each model and adapter apart.
+fn prefix(work: &Work) -> Vec<u64> {
+    let seed = xxh3_64(engine_model(&work.target).as_bytes());
+    work.prefix.iter().map(|block| block ^ seed).collect()
+}
+
+fn report(load: Load) -> Report {
+    Report {
+        running: load.running,
+        queued: load.queued,
+        wait: Duration::from_millis(load.wait_ms.into()),
+        step: Duration::from_micros(load.step_us.into()),
+    }
+}
+
 fn nowhere(work: &Work) -> Refusal {
     let (code, what) = match &work.target {
         Target::Model { model, .. } => (Code::NotResident, model.to_string()),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -103,6 +103,8 @@
     Elsewhere(Refusal),
     /// The attempt may have run and broke off.
     Broken(String),
+    /// The attempt gave way to urgent work and is to go on from where it is.
+    Preempted,
 }
 
 impl Relay<'_> {
@@ -137,6 +139,11 @@
             let refusal = match self.attempt(&choice).await {
                 Next::Done => return None,
                 Next::Elsewhere(refusal) => refusal,
+                Next::Preempted => {
+                    // Nothing failed: every backend server may be asked again.
+                    self.tried.clear();
+                    continue;
+                }
                 Next::Broken(why) => {
                     *broken += 1;
                     let refusal = broke_off(&why);
@@ -183,9 +190,7 @@
             }
             Err(PeerError::Lost(why)) => return self.lost(choice, why),
         };
-        let next = self.forward(choice, &mut frames).await;
-        self.node.picker.note(&choice.server, Note::Over);
-        next
+        self.forward(choice, &mut frames).await
     }
 
     fn number(&self) -> AttemptId {
@@ -250,6 +255,10 @@
                     }
                     return self.refused(choice, refusal, hint).await;
                 }
+                Say::Preempted { load } => {
+                    self.node.picker.note(&choice.server, Note::Load(load));
+                    return Next::Preempted;
+                }
                 Say::Broken { message, crashed } => {
                     self.node.picker.note(&choice.server, Note::Broken { crashed });
                     return Next::Broken(message);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -179,7 +179,7 @@
     let shared = Arc::new(Shared::new(settings, clock, me, log, table, objects, vms));
     Ok(Node {
         leads: Leads::new(shared.clone()),
-        picker: Picker::new(),
+        picker: Picker::new(shared.clock.clone(), shared.me.0),
         slots: Slots::new(),
         poison: Arc::new(Poison::new(&shared)),
         intake: Intake::new(limits.requests, limits.memory),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -139,6 +139,14 @@
         /// Whether the backend server itself died.
         crashed: bool,
     },
+    /// The attempt was cancelled for more urgent work; the rest is to be offered
+    /// again from the tokens that were sent.
+    ///
+    /// Final.
+    Preempted {
+        /// The load of the backend server after it.
+        load: Load,
+    },
     /// The state of a non-idempotent request; the answer to [`Ask::Lookup`].
     ///
     /// Final.
