Prove at most one run and the isolation of crashing requests with processes

Cause: the relay gave half an answer up as soon as no engine was free, a crash was missed while the dying engine's port was still open, and a request convicted by its last attempt was answered as merely broken. The relay now waits with a begun answer until its deadline, the probe watches a fresh connection for 200 ms, and the relay looks the digest up after a crash.

--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -19,6 +19,7 @@
 use prometheus_client::metrics::counter::Counter;
 use serde_json::json;
 use slog::warn;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::timeout;
@@ -40,6 +41,12 @@
 /// crashed. A VM that lives accepts within a millisecond or two, also when busy.
 const PROBE: Duration = Duration::from_millis(500);
 
+/// How long a fresh connection must stay open to show that the server lives.
+///
+/// Some hundred times what a dying process takes to close its port, and short
+/// against the retry that waits for it. No server closes an idle connection so soon.
+const WATCH: Duration = Duration::from_millis(200);
+
 /// How long the other daemons may take to learn of a crash.
 ///
 /// They are a few milliseconds apart; one that is frozen must not hold up the
@@ -247,11 +254,16 @@
     }
 }
 
-/// Whether nothing listens at a backend server's address.
+/// Whether a backend server whose connection was cut crashed.
 ///
-/// A cut stream alone proves no crash: the network may have lost a connection.
+/// A cut stream alone proves no crash: the network may have lost a connection. A
+/// server that dies may cut its streams a moment before its port closes, so that
+/// a connection that it still accepts is watched for a while.
 async fn is_dead(address: SocketAddr) -> bool {
-    !matches!(timeout(PROBE, TcpStream::connect(address)).await, Ok(Ok(_)))
+    let connected = timeout(PROBE, TcpStream::connect(address)).await;
+    let Ok(Ok(mut stream)) = connected else { return true };
+    let mut byte = [0];
+    timeout(WATCH, stream.read(&mut byte)).await.is_ok()
 }
 
 /// Tells the other daemons before the crash is reported to whoever waits.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -34,6 +34,9 @@
 /// The pause before daemons and backend servers are looked at again.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// The pause before the rest of a broken answer is asked for again.
+const HALF_PAUSE: Duration = Duration::from_millis(200);
+
 const FRAMES_AHEAD: usize = 64;
 
 /// How often a request may be handed to a backend server.
@@ -115,10 +118,16 @@
                 None => return,
             };
             let now = self.node.shared.clock.now();
-            if !is_passing(refusal.code) || self.sent || now >= settled {
+            // Half an answer is of no use to anyone: it waits for its deadline, also
+            // when the other backend servers are full.
+            let half = self.have.tokens > 0;
+            let (until, pause) =
+                if half { (self.end, HALF_PAUSE) } else { (settled, PAUSE) };
+            let passing = is_passing(refusal.code) || half && !refusal.code.is_final();
+            if !passing || !self.may_wait() || now >= until {
                 break refusal;
             }
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(pause).await;
             self.tried.clear();
         };
         self.refuse(refusal).await;
@@ -139,6 +148,10 @@
                 Next::Elsewhere(refusal) => refusal,
                 Next::Broken(why) => {
                     *broken += 1;
+                    let now = self.node.shared.clock.now();
+                    if let Err(refusal) = self.node.poison.check(self.work.digest, now) {
+                        return Some(refusal);
+                    }
                     let refusal = broke_off(&why);
                     if !self.may_try_again(*broken) {
                         return Some(refusal);
@@ -154,6 +167,14 @@
         last.or_else(|| Some(broke_off("no attempt was possible")))
     }
 
+    /// Whether a further attempt later is safe.
+    fn may_wait(&self) -> bool {
+        match self.mode {
+            Mode::Many => !self.begun,
+            Mode::Single(_) => !self.sent,
+        }
+    }
+
     /// Whether an attempt that may have run may be followed by another.
     fn may_try_again(&self, broken: usize) -> bool {
         self.mode == Mode::Many
--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -76,7 +76,7 @@
 
 /// A question about the JSON that a process answers.
 pub struct Look {
-    /// The process.
+    /// The process, or several joined by `+` whose numbers are added up.
     pub name: String,
     /// The path; the process's own page of state if it is empty.
     pub path: String,
--- a/tests/support/steps.rs
+++ b/tests/support/steps.rs
@@ -209,14 +209,27 @@
 }
 
 async fn value(world: &World, look: &Look) -> Result<Value, Failure> {
-    let daemon = world.process(&look.name)?.kind == Kind::Daemon;
+    let mut sum = 0;
+    for name in look.name.split('+') {
+        let found = value_of(world, look, name).await?;
+        match found.as_u64() {
+            Some(number) => sum += number,
+            None if !look.name.contains('+') => return Ok(found),
+            None => return Err(format!("{name} has no number there: {found}")),
+        }
+    }
+    Ok(json!(sum))
+}
+
+async fn value_of(world: &World, look: &Look, name: &str) -> Result<Value, Failure> {
+    let daemon = world.process(name)?.kind == Kind::Daemon;
     let url = match (look.path.as_str(), daemon) {
-        ("", true) => format!("{}/debug/state", world.ops(&look.name)?),
-        ("", false) => format!("{}/counts", world.base(&look.name)?),
+        ("", true) => format!("{}/debug/state", world.ops(name)?),
+        ("", false) => format!("{}/counts", world.base(name)?),
         (path, true) if path.starts_with("/debug") => {
-            format!("{}{path}", world.ops(&look.name)?)
+            format!("{}{path}", world.ops(name)?)
         }
-        (path, _) => format!("{}{path}", world.base(&look.name)?),
+        (path, _) => format!("{}{path}", world.base(name)?),
     };
     let page = world.get(&url).await?;
     let Some(pointer) = look.pointer.strip_suffix('#') else {
