--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,8 +17,10 @@
 pub mod answer;
 mod command;
 pub mod confsync;
+pub mod demand;
 pub mod engine;
 pub mod entry;
+pub mod feed;
 pub mod journal;
 pub mod lead;
 pub mod logs;
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -25,6 +25,7 @@
 use tokio::time::timeout;
 
 use crate::engine::CallEnd;
+use crate::feed::Feed;
 use crate::members;
 use crate::node::Node;
 use crate::shared::Shared;
@@ -58,14 +59,17 @@
 /// Beyond it a crash would cost thousands of messages; then the table tells them.
 const SPREAD_LIMIT: usize = 64;
 
-/// Reads a second that all daemons together spend on the table's rows.
-const READS_PER_SECOND: f64 = 100.0;
-
 /// Who is suspect and who is refused, as this daemon knows it.
 pub struct Poison {
     suspects: Mutex<Suspects>,
     /// Told when a suspect is through, so that the next may run.
     through: Notify,
+    /// Held while a crash is attributed and the other daemons are told.
+    ///
+    /// Each flight that a crash cut reports it. Were the second report passed on
+    /// at once, its request would be retried at a daemon that does not know it for
+    /// a suspect yet, together with others, and the next crash would name nobody.
+    telling: tokio::sync::Mutex<()>,
     /// What is to be written into the table.
     unsaved: Mutex<IndexMap<Digest, Option<Evidence>>>,
     /// Told when there is something to write.
@@ -93,6 +97,7 @@
         Self {
             suspects: Mutex::default(),
             through: Notify::new(),
+            telling: tokio::sync::Mutex::default(),
             unsaved: Mutex::default(),
             changed: Notify::new(),
             counters: Counters::register(shared),
@@ -196,6 +201,7 @@
 
     /// Attributes a crash, unless another flight's report of it came first.
     async fn attribute(&self, node: &Node) {
+        let _telling = self.poison.telling.lock().await;
         let now = node.shared.clock.now();
         let verdicts = {
             let mut suspects = self.poison.lock();
@@ -298,15 +304,15 @@
 }
 
 fn pause(shared: &Shared) -> Duration {
-    let members = shared.view().members.len() as f64;
-    let fair = Duration::from_secs_f64(members / READS_PER_SECOND);
-    shared.settings.times.poll.max(fair).mul_f64(rand::random_range(0.75..1.25))
+    let members = shared.view().members.len();
+    let pace = Feed::pace(shared.settings.times.poll, members);
+    pace.mul_f64(rand::random_range(0.75..1.25))
 }
 
 async fn exchange(node: &Node, since: u64) -> Result<u64, PlatError> {
     let shared = &node.shared;
     write(node).await?;
-    let delta = shared.table.scan(POISON, "", since).await?;
+    let (delta, _) = shared.changes(POISON, "", since).await?;
     let now = shared.clock.now();
     let mut old = Txn::new();
     for row in &delta.rows {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -9,15 +9,30 @@
 use chestnut_config::{Catalog, Settings};
 use chestnut_member::{Lease, View};
 use chestnut_place::Residence;
-use chestnut_plat::{Objects, Table, VmList};
+use chestnut_plat::{Delta, Objects, PlatError, Table, VmList};
 use indexmap::IndexSet;
 use slog::Logger;
 use tokio::sync::{Notify, watch};
 
 use crate::confsync::{self, Conf};
+use crate::demand::Asked;
+use crate::feed::Feed;
 use crate::metrics::Metrics;
 use crate::orders::rows::Rows;
 use crate::orders::usage::Usage;
+use crate::{members, orders, poison};
+
+/// The tables that every daemon follows.
+const FOLLOWED: [&str; 8] = [
+    members::MEMBERS,
+    members::CLAIMS,
+    members::SERVERS,
+    members::DRAINS,
+    chestnut_config::rows::TABLE,
+    orders::rows::LEDGER,
+    orders::rows::PLAN,
+    poison::POISON,
+];
 
 /// What the parts of a daemon share.
 ///
@@ -36,6 +51,9 @@
     pub metrics: Metrics,
     /// The table service.
     pub table: Table,
+    /// The changes of the tables that every daemon follows, read by
+    /// [`crate::members`].
+    pub feed: Feed,
     /// The object store.
     pub objects: Objects,
     /// The platform's list of VMs.
@@ -50,6 +68,8 @@
     pub residence: watch::Sender<Arc<Residence>>,
     /// The ledger's and the plan's rows, written by [`crate::orders`].
     pub rows: watch::Sender<Arc<Rows>>,
+    /// What callers ask of each model, read by [`crate::demand`].
+    pub demand: Asked,
     /// Which requests use which asset of the runners that this daemon leads.
     pub usage: Usage,
     /// Whether this daemon is leaving, written by [`crate::run`].
@@ -87,6 +107,7 @@
             log,
             metrics,
             table,
+            feed: Feed::new(&FOLLOWED),
             objects,
             vms,
             catalog: watch::Sender::new(Arc::default()),
@@ -94,6 +115,7 @@
             view: watch::Sender::new(Arc::default()),
             residence: watch::Sender::new(Arc::default()),
             rows: watch::Sender::new(Arc::default()),
+            demand: Asked::default(),
             usage: Usage::default(),
             leaving: watch::Sender::new(false),
             closed: watch::Sender::new(false),
@@ -104,6 +126,16 @@
         }
     }
 
+    /// The changes of a followed table after a version, and when they were read.
+    pub async fn changes(
+        &self,
+        table: &str,
+        prefix: &str,
+        since: u64,
+    ) -> Result<(Delta, Instant), PlatError> {
+        self.feed.scan(&self.table, &*self.clock, table, prefix, since).await
+    }
+
     /// The declarations in force.
     pub fn catalog(&self) -> Arc<Catalog> {
         self.catalog.borrow().clone()
