--- /dev/null
+++ b/crates/lab/src/journal/daemon.rs
@@ -0,0 +1,319 @@
+//! A daemon of the experiment: its journal, its callers, and what it counts.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chestnut_base::{
+    AttemptId, CallerName, Digest, MemberId, RequestId, ServiceName, SlotId, Target,
+};
+use chestnut_node::journal::{JOURNAL, commit, load};
+use chestnut_once::limits::gap_of;
+use chestnut_once::{
+    Answer, Effect, Event, Journal, Kept, Limits, Record, Reply, Ticket, row_key,
+};
+use chestnut_plat::{Table, Txn};
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+
+/// How long the daemons go on when no new requests come.
+const GRACE: Duration = Duration::from_secs(30);
+
+/// The longest time that is told apart, in microseconds.
+const MINUTE: u64 = 60_000_000;
+
+/// What the experiment counts.
+pub struct Tally {
+    /// Requests that came.
+    pub asked: u64,
+    /// Requests that were answered.
+    pub answered: u64,
+    /// Refusals; each request came back as it was told.
+    pub refused: u64,
+    /// Rows that were written.
+    pub rows: u64,
+    /// When transactions were sent.
+    pub commits: Vec<Instant>,
+    /// From the request to its run, in microseconds.
+    pub started: Histogram<u64>,
+    /// From the end of the run to the end mark, in microseconds.
+    pub ended: Histogram<u64>,
+    /// When the last answer came.
+    pub last: Option<Instant>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        let empty = || Histogram::new_with_bounds(1, MINUTE, 3).expect("valid bounds");
+        Self {
+            asked: 0,
+            answered: 0,
+            refused: 0,
+            rows: 0,
+            commits: Vec::new(),
+            started: empty(),
+            ended: empty(),
+            last: None,
+        }
+    }
+}
+
+impl Tally {
+    /// Adds another daemon's counts.
+    pub fn add(&mut self, other: Self) {
+        self.asked += other.asked;
+        self.answered += other.answered;
+        self.refused += other.refused;
+        self.rows += other.rows;
+        self.commits.extend(other.commits);
+        self.started.add(&other.started).expect("both have the same bounds");
+        self.ended.add(&other.ended).expect("both have the same bounds");
+        self.last = self.last.max(other.last);
+    }
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone)]
+struct Asked {
+    id: RequestId,
+    slot: SlotId,
+    since: Instant,
+}
+
+/// A daemon of the experiment.
+pub struct Daemon {
+    index: u16,
+    table: Table,
+    journal: Journal,
+    claims: Vec<(SlotId, u64)>,
+    inbox: UnboundedSender<Event>,
+    events: UnboundedReceiver<Event>,
+    waiting: IndexMap<Ticket, Asked>,
+    /// When each run ended.
+    ends: IndexMap<RequestId, Instant>,
+    /// Requests that were refused and come back, by number.
+    returning: BinaryHeap<Reverse<(Instant, u64)>>,
+    refused: IndexMap<u64, Asked>,
+    tickets: u64,
+    tally: Tally,
+}
+
+impl Daemon {
+    /// Creates a daemon with these claims, one of `count`.
+    pub fn new(index: u16, count: u16, table: Table, claims: Vec<(SlotId, u64)>) -> Self {
+        let limits = Limits { gap: gap_of(count.into()), ..Limits::default() };
+        let (inbox, events) = mpsc::unbounded_channel();
+        Self {
+            index,
+            table,
+            journal: Journal::new(limits, index.into(), Instant::now()),
+            claims,
+            inbox,
+            events,
+            waiting: IndexMap::new(),
+            ends: IndexMap::new(),
+            returning: BinaryHeap::new(),
+            refused: IndexMap::new(),
+            tickets: 0,
+            tally: Tally::default(),
+        }
+    }
+
+    /// Takes the slots and waits until their rows are read.
+    pub async fn open(&mut self) {
+        for (slot, version) in self.claims.clone() {
+            self.tell(Event::Lead { slot, version });
+        }
+        while self.journal.open_slots() < self.claims.len() {
+            let event = self.events.recv().await.expect("the daemon holds a sender");
+            self.tell(event);
+        }
+    }
+
+    /// The number of ids in memory.
+    pub fn ids(&self) -> usize {
+        self.journal.ids()
+    }
+
+    /// Takes a request every `gap` for `time`, then ends what is left.
+    pub async fn run(mut self, gap: Duration, time: Duration) -> Tally {
+        self.open().await;
+        let start = Instant::now();
+        let mut next = start + gap.mul_f64(f64::from(self.index % 7) / 7.0);
+        let mut number = 0;
+        loop {
+            let now = Instant::now();
+            let open = now < start + time;
+            let done = self.waiting.is_empty() && self.refused.is_empty();
+            if !open && (done || now > start + time + GRACE) {
+                return self.tally;
+            }
+            while open && next <= Instant::now() {
+                number += 1;
+                next += gap;
+                self.ask_new(number);
+            }
+            self.ask_again();
+            let wake = self.journal.wake().unwrap_or(now + gap);
+            let wake = if open { wake.min(next) } else { wake };
+            let back = self.returning.peek().map_or(wake, |Reverse((at, _))| *at);
+            tokio::select! {
+                event = self.events.recv() => {
+                    self.tell(event.expect("the daemon holds a sender"));
+                }
+                () = tokio::time::sleep_until(wake.min(back).into()) => {
+                    self.journal.tick(Instant::now());
+                    self.act();
+                }
+            }
+        }
+    }
+
+    fn ask_new(&mut self, number: u64) {
+        let slot = self.claims[number as usize % self.claims.len()].0;
+        let id = request(&format!("{}-{number}", self.index));
+        self.tally.asked += 1;
+        self.ask(Asked { id, slot, since: Instant::now() });
+    }
+
+    fn ask_again(&mut self) {
+        let now = Instant::now();
+        while let Some(Reverse((at, number))) = self.returning.peek().copied()
+            && at <= now
+        {
+            self.returning.pop();
+            if let Some(mut asked) = self.refused.swap_remove(&number) {
+                asked.since = now;
+                self.ask(asked);
+            }
+        }
+    }
+
+    fn ask(&mut self, asked: Asked) {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let member = MemberId(self.index.into());
+        let event = Event::Ask {
+            ticket,
+            slot: asked.slot,
+            id: asked.id.clone(),
+            digest: Digest(1),
+            attempt: AttemptId { member, number: self.tickets },
+            target: target(),
+        };
+        self.waiting.insert(ticket, asked);
+        self.tell(event);
+    }
+
+    fn tell(&mut self, event: Event) {
+        let now = Instant::now();
+        self.journal.handle(Event::Lease(now + Duration::from_secs(6)), now);
+        self.journal.handle(event, now);
+        self.act();
+    }
+
+    fn act(&mut self) {
+        while let Some(effect) = self.journal.effect() {
+            match effect {
+                Effect::Load { slot, version } => {
+                    let (table, inbox) = (self.table.clone(), self.inbox.clone());
+                    tokio::spawn(async move {
+                        inbox.send(load(&table, slot, version).await).ok();
+                    });
+                }
+                Effect::Commit(batch) => {
+                    self.tally.commits.push(Instant::now());
+                    self.tally.rows += batch.changes.len() as u64;
+                    let (table, inbox) = (self.table.clone(), self.inbox.clone());
+                    tokio::spawn(async move {
+                        let stored = commit(&table, &batch).await;
+                        inbox.send(Event::Stored { number: batch.number, stored }).ok();
+                    });
+                }
+                Effect::Run { ticket, id, attempt } => self.ran(ticket, id, attempt),
+                Effect::Reply { ticket, reply } => self.replied(ticket, reply),
+                _ => {}
+            }
+        }
+    }
+
+    fn ran(&mut self, ticket: Ticket, id: RequestId, attempt: AttemptId) {
+        let now = Instant::now();
+        if let Some(asked) = self.waiting.get(&ticket) {
+            self.tally.started.saturating_record(micros(now - asked.since));
+        }
+        self.ends.insert(id.clone(), now);
+        let answer = answer().into();
+        let kept = Kept::Inline("booked".into());
+        // The daemon holds the receiver.
+        self.inbox.send(Event::Ended { id, attempt, answer, kept }).ok();
+    }
+
+    fn replied(&mut self, ticket: Ticket, reply: Reply) {
+        let Some(asked) = self.waiting.swap_remove(&ticket) else { return };
+        let now = Instant::now();
+        match reply {
+            Reply::Answer(_) => {
+                self.tally.answered += 1;
+                self.tally.last = Some(now);
+                if let Some(end) = self.ends.swap_remove(&asked.id) {
+                    self.tally.ended.saturating_record(micros(now - end));
+                }
+            }
+            Reply::Refused(refusal) => {
+                self.tally.refused += 1;
+                let wait = refusal.retry_after.unwrap_or(Duration::from_secs(1));
+                self.returning.push(Reverse((now + wait, ticket.0)));
+                self.refused.insert(ticket.0, asked);
+            }
+            Reply::Running => {}
+        }
+    }
+}
+
+/// Writes `count` finished ids into a slot.
+pub async fn fill(table: &Table, slot: SlotId, count: usize) {
+    let ids: Vec<usize> = (0..count).collect();
+    for part in ids.chunks(500) {
+        let put = |txn: Txn, number: &usize| {
+            let id = request(&format!("old-{number}"));
+            let record = Record {
+                slot,
+                id: id.clone(),
+                digest: Digest(*number as u128),
+                attempt: AttemptId { member: MemberId(0), number: *number as u64 },
+                target: target(),
+                server: None,
+                answer: Some(answer().summary(Kept::Inline("booked".into()))),
+            };
+            txn.put(JOURNAL, row_key(slot, &id), record.to_value())
+        };
+        let txn = part.iter().fold(Txn::new(), put);
+        table.commit(&txn).await.expect("the stand-in answers");
+    }
+}
+
+fn answer() -> Answer {
+    Answer {
+        status: 200,
+        content_type: "application/json".into(),
+        tokens: None,
+        reason: String::new(),
+        body: Bytes::from_static(b"booked"),
+    }
+}
+
+fn request(key: &str) -> RequestId {
+    let caller = CallerName::try_from("lab").expect("a valid name");
+    RequestId { caller, key: key.to_owned() }
+}
+
+fn target() -> Target {
+    Target::Service { name: ServiceName::try_from("desk").expect("a valid name") }
+}
+
+fn micros(time: Duration) -> u64 {
+    time.as_micros() as u64
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,9 +1,11 @@
 //! Experiments on the decisions and measurements of the daemons.
 //!
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
-//! - [`decisions`]: what one decision costs.
+//! - [`decisions`]: what one decision costs,
+//! - [`journal`]: what the journal of non-idempotent requests adds and writes.
 
 pub mod decisions;
+pub mod journal;
 pub mod policies;
 
 use std::process::ExitCode;
@@ -20,6 +22,9 @@
     /// Measures what a decision costs.
     #[bpaf(command)]
     Decisions(#[bpaf(external(decisions::options))] decisions::Options),
+    /// Measures the journal of non-idempotent requests.
+    #[bpaf(command)]
+    Journal(#[bpaf(external(journal::options))] journal::Options),
 }
 
 /// Runs the program.
@@ -27,6 +32,7 @@
     match command().run() {
         Command::Policies(options) => policies::run(&options),
         Command::Decisions(options) => decisions::run(&options),
+        Command::Journal(options) => journal::run(&options),
     }
     ExitCode::SUCCESS
 }
--- /dev/null
+++ b/crates/once/tests/poison.rs
@@ -0,0 +1,209 @@
+//! A pool under requests that crash every backend server that runs them.
+//!
+//! Callers send a crashing request again under new ids, one copy after the other,
+//! among harmless ones. Each crashing request costs at most two backend servers,
+//! is refused from then on, and everything harmless completes; servers that die
+//! for other reasons convict nobody whose request completes.
+
+use std::time::{Duration, Instant};
+
+use chestnut_base::{Digest, ServerName};
+use chestnut_once::{Evidence, FlightId, Gate, Suspects};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SERVERS: usize = 4;
+
+/// A request on its way through the pool.
+#[derive(Debug, Clone)]
+struct Request {
+    digest: u8,
+    flight: Option<(usize, FlightId)>,
+    over: bool,
+}
+
+#[derive(Debug, Clone)]
+enum Op {
+    /// A caller sends a request; those with small numbers crash servers.
+    Send(u8),
+    /// A request that waits is offered to a server.
+    Offer { request: usize, server: usize },
+    /// A request in flight ends, whole or with a crash.
+    End { request: usize },
+    /// A server dies for a reason of its own.
+    Die { server: usize },
+}
+
+struct Pool {
+    isolate: bool,
+    harmful: u8,
+    suspects: Suspects,
+    now: Instant,
+    requests: Vec<Request>,
+    /// Servers lost per harmful digest.
+    lost: Vec<u32>,
+}
+
+fn server(number: usize) -> ServerName {
+    ServerName::try_from(format!("r{number}")).expect("a valid name")
+}
+
+fn digest(number: u8) -> Digest {
+    Digest(u128::from(number))
+}
+
+impl Pool {
+    fn new(isolate: bool, harmful: u8) -> Self {
+        let (suspects, now) = (Suspects::new(), Instant::now());
+        let lost = vec![0; usize::from(harmful)];
+        Self { isolate, harmful, suspects, now, requests: Vec::new(), lost }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        self.now += Duration::from_millis(10);
+        match *op {
+            Op::Send(digest) => {
+                // Copies of a harmful request come one after the other.
+                let mut known = self.requests.iter();
+                let copy = known.any(|one| one.digest == digest && !one.over);
+                if !copy || digest >= self.harmful {
+                    self.requests.push(Request { digest, flight: None, over: false });
+                }
+            }
+            Op::Offer { request, server } => {
+                self.with(request, false, |pool, at| pool.offer(at, server))
+            }
+            Op::End { request } => self.with(request, true, Self::end),
+            Op::Die { server } => self.crash(server),
+        }
+    }
+
+    fn with(&mut self, pick: usize, flying: bool, act: impl FnOnce(&mut Self, usize)) {
+        let fits = |one: &Request| !one.over && one.flight.is_some() == flying;
+        let fitting: Vec<usize> =
+            (0..self.requests.len()).filter(|&at| fits(&self.requests[at])).collect();
+        if !fitting.is_empty() {
+            act(self, fitting[pick % fitting.len()]);
+        }
+    }
+
+    fn offer(&mut self, at: usize, number: usize) {
+        let digest = digest(self.requests[at].digest);
+        match self.suspects.enter(&server(number), digest, self.now) {
+            Gate::Pass(id) => self.requests[at].flight = Some((number, id)),
+            Gate::Refuse => self.requests[at].over = true,
+            Gate::Wait if self.isolate => {}
+            Gate::Wait => {
+                // Without isolation it runs beside the other suspect: it is let in
+                // as an unknown digest and the crash is still its own.
+                let unknown = Digest(u128::MAX - at as u128);
+                if let Gate::Pass(id) =
+                    self.suspects.enter(&server(number), unknown, self.now)
+                {
+                    self.requests[at].flight = Some((number, id));
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, at: usize) {
+        let request = self.requests[at].clone();
+        let Some((number, id)) = request.flight else { return };
+        if request.digest < self.harmful {
+            self.lost[usize::from(request.digest)] += 1;
+            self.requests[at].over = true;
+            self.crash(number);
+        } else {
+            self.suspects.leave(&server(number), id, true);
+            self.requests[at].over = true;
+        }
+    }
+
+    fn crash(&mut self, number: usize) {
+        self.suspects.crash(&server(number), self.now);
+        for request in &mut self.requests {
+            if request.flight.is_some_and(|(at, _)| at == number) {
+                // Harmless requests run again; a crashing one's caller sends anew.
+                request.flight = None;
+            }
+        }
+    }
+
+    /// Lets everything harmless run to its end.
+    fn drain(&mut self) {
+        for _ in 0..4 * self.requests.len() {
+            for server in 0..SERVERS {
+                self.apply(&Op::Offer { request: server, server });
+            }
+            self.apply(&Op::End { request: 0 });
+        }
+    }
+}
+
+fn op(deaths: u32, kinds: u8) -> impl Strategy<Value = Op> {
+    prop_oneof![
+        6 => (0..kinds).prop_map(Op::Send),
+        10 => (0..64usize, 0..SERVERS)
+            .prop_map(|(request, server)| Op::Offer { request, server }),
+        6 => (0..64usize).prop_map(|request| Op::End { request }),
+        deaths => (0..SERVERS).prop_map(|server| Op::Die { server }),
+    ]
+}
+
+/// Suspects run beside each other: a crash names nobody, and servers go on dying.
+#[test]
+fn more_servers_are_lost_without_isolation() {
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let found = TestRunner::new_with_rng(config, rng).run(
+        &prop::collection::vec(op(0, 3), 1..200),
+        |ops| {
+            let mut pool = Pool::new(false, 1);
+            ops.iter().for_each(|op| pool.apply(op));
+            prop_assert!(pool.lost[0] <= 2, "{} servers lost", pool.lost[0]);
+            Ok(())
+        },
+    );
+    let error = found.expect_err("a broken promise").to_string();
+    assert!(error.contains("3 servers lost"), "{error}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn one_harmful_request_costs_two_servers(
+        ops in prop::collection::vec(op(0, 8), 1..200),
+    ) {
+        let mut pool = Pool::new(true, 1);
+        ops.iter().for_each(|op| pool.apply(op));
+        pool.drain();
+        prop_assert!(pool.lost[0] <= 2, "{} servers lost", pool.lost[0]);
+        let harmless = |one: &&Request| one.digest >= 1;
+        prop_assert!(pool.requests.iter().filter(harmless).all(|one| one.over));
+        for number in 1..8 {
+            let evidence = pool.suspects.evidence(digest(number), pool.now);
+            prop_assert_ne!(evidence, Some(Evidence::Convicted));
+        }
+    }
+
+    #[test]
+    fn harmless_requests_are_cleared_by_completing(
+        ops in prop::collection::vec(op(1, 8), 1..200),
+        number in 0..8u8,
+    ) {
+        let mut pool = Pool::new(true, 0);
+        ops.iter().for_each(|op| pool.apply(op));
+        let convicted = pool.suspects.evidence(digest(number), pool.now);
+        if convicted != Some(Evidence::Convicted) {
+            pool.apply(&Op::Send(number));
+            pool.drain();
+            prop_assert_eq!(pool.suspects.evidence(digest(number), pool.now), None);
+        }
+    }
+}
