--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -19,6 +19,7 @@
 use prometheus_client::metrics::counter::Counter;
 use serde_json::json;
 use slog::warn;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::timeout;
@@ -41,6 +42,12 @@
 /// crashed. A VM that lives accepts within a millisecond or two, also when busy.
 const PROBE: Duration = Duration::from_millis(500);
 
+/// How long a fresh connection must stay open to show that the server lives.
+///
+/// Some hundred times what a dying process takes to close its port, and short
+/// against the retry that waits for it. No server closes an idle connection so soon.
+const WATCH: Duration = Duration::from_millis(200);
+
 /// How long the other daemons may take to learn of a crash.
 ///
 /// They are a few milliseconds apart; one that is frozen must not hold up the
@@ -57,6 +64,12 @@
     suspects: Mutex<Suspects>,
     /// Told when a suspect is through, so that the next may run.
     through: Notify,
+    /// Held while a crash is attributed and the other daemons are told.
+    ///
+    /// Each flight that a crash cut reports it. Were the second report passed on
+    /// at once, its request would be retried at a daemon that does not know it for
+    /// a suspect yet, together with others, and the next crash would name nobody.
+    telling: tokio::sync::Mutex<()>,
     /// What is to be written into the table.
     unsaved: Mutex<IndexMap<Digest, Option<Evidence>>>,
     /// Told when there is something to write.
@@ -84,6 +97,7 @@
         Self {
             suspects: Mutex::default(),
             through: Notify::new(),
+            telling: tokio::sync::Mutex::default(),
             unsaved: Mutex::default(),
             changed: Notify::new(),
             counters: Counters::register(shared),
@@ -187,6 +201,7 @@
 
     /// Attributes a crash, unless another flight's report of it came first.
     async fn attribute(&self, node: &Node) {
+        let _telling = self.poison.telling.lock().await;
         let now = node.shared.clock.now();
         let verdicts = {
             let mut suspects = self.poison.lock();
@@ -245,11 +260,16 @@
     }
 }
 
-/// Whether nothing listens at a backend server's address.
+/// Whether a backend server whose connection was cut crashed.
 ///
-/// A cut stream alone proves no crash: the network may have lost a connection.
+/// A cut stream alone proves no crash: the network may have lost a connection. A
+/// server that dies may cut its streams a moment before its port closes, so that
+/// a connection that it still accepts is watched for a while.
 async fn is_dead(address: SocketAddr) -> bool {
-    !matches!(timeout(PROBE, TcpStream::connect(address)).await, Ok(Ok(_)))
+    let connected = timeout(PROBE, TcpStream::connect(address)).await;
+    let Ok(Ok(mut stream)) = connected else { return true };
+    let mut byte = [0];
+    timeout(WATCH, stream.read(&mut byte)).await.is_ok()
 }
 
 /// Tells the other daemons before the crash is reported to whoever waits.
