--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -111,12 +111,19 @@
 
 impl std::error::Error for Problems {}
 
+/// The longest word for which a similar one is looked for.
+const WORD_LIMIT: usize = 100;
+
 /// The known word that is nearest to what was written, if one is near.
 pub fn nearest<'a>(
     word: &str,
     known: impl IntoIterator<Item = &'a str>,
 ) -> Option<&'a str> {
     let length = word.chars().count();
+    // Comparing costs the product of the lengths; no name is this long.
+    if length > WORD_LIMIT {
+        return None;
+    }
     let limit = if length < 2 { 0 } else { (length / 3).clamp(1, 4) };
     known
         .into_iter()
@@ -126,18 +133,24 @@
         .map(|(_, other)| other)
 }
 
-/// The number of characters to insert, remove or replace to get from `a` to `b`.
+/// The number of characters to insert, remove, replace or swap with the next to get
+/// from `a` to `b`.
 fn distance(a: &str, b: &str) -> usize {
+    let a: Vec<char> = a.chars().collect();
     let b: Vec<char> = b.chars().collect();
-    let mut row: Vec<usize> = (0..=b.len()).collect();
-    for (i, x) in a.chars().enumerate() {
-        let mut diagonal = row[0];
-        row[0] = i + 1;
-        for (j, y) in b.iter().enumerate() {
-            let replaced = diagonal + usize::from(x != *y);
-            diagonal = row[j + 1];
-            row[j + 1] = replaced.min(row[j] + 1).min(diagonal + 1);
+    let mut rows = vec![(0..=b.len()).collect::<Vec<_>>()];
+    for i in 1..=a.len() {
+        let mut row = vec![i];
+        for j in 1..=b.len() {
+            let same = usize::from(a[i - 1] != b[j - 1]);
+            let mut best =
+                (rows[i - 1][j - 1] + same).min(rows[i - 1][j] + 1).min(row[j - 1] + 1);
+            if i > 1 && j > 1 && a[i - 1] == b[j - 2] && a[i - 2] == b[j - 1] {
+                best = best.min(rows[i - 2][j - 2] + 1);
+            }
+            row.push(best);
         }
+        rows.push(row);
     }
-    row[b.len()]
+    rows[a.len()][b.len()]
 }
--- /dev/null
+++ b/crates/ctl/src/output.rs
@@ -0,0 +1,75 @@
+//! Printing rows.
+
+use chestnut_config::Plan;
+use chestnut_config::plan::How;
+use serde_json::Value;
+
+use crate::query::Row;
+use crate::schema::Subject;
+
+/// Rows as a table with aligned columns.
+pub fn table(subject: &Subject, rows: &[Row]) -> String {
+    let names: Vec<&str> = subject.fields.iter().map(|field| field.name).collect();
+    let mut lines = vec![names.iter().map(|name| name.to_uppercase()).collect()];
+    for row in rows {
+        lines.push(names.iter().map(|name| cell(row.get(*name))).collect::<Vec<_>>());
+    }
+    let width = |at: usize| {
+        lines.iter().map(|line: &Vec<String>| line[at].chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..names.len()).map(width).collect();
+    let mut text = String::new();
+    for line in &lines {
+        let mut out = String::new();
+        for (cell, width) in line.iter().zip(&widths) {
+            out.push_str(&format!("{cell:width$}  "));
+        }
+        text.push_str(out.trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+fn cell(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => "-".into(),
+        Some(Value::String(text)) if text.is_empty() => "-".into(),
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Array(list)) => {
+            let list: Vec<String> = list.iter().map(|one| cell(Some(one))).collect();
+            list.join(",")
+        }
+        Some(other) => other.to_string(),
+    }
+}
+
+/// What a change would change and move, for people.
+pub fn plan(plan: &Plan) -> String {
+    let mut text = String::new();
+    for change in &plan.changes {
+        let sign = match change.how {
+            How::Add => '+',
+            How::Remove => '-',
+            How::Change => '~',
+        };
+        text.push_str(&format!("{sign} {} {}\n", change.what, change.name));
+        for (field, (old, new)) in &change.fields {
+            let (old, new) = (cell(Some(old)), cell(Some(new)));
+            text.push_str(&format!("    {field}: {old} -> {new}\n"));
+        }
+    }
+    for it in &plan.moves {
+        let gigabytes = it.bytes as f64 / 1e9;
+        let seconds = it.cold_ms as f64 / 1e3;
+        let line = if it.replicas > 0 {
+            format!(
+                "load {} of {} in {}: {gigabytes:.1} GB, {seconds:.1} s each at least\n",
+                it.replicas, it.model, it.pool
+            )
+        } else {
+            format!("unload {} of {} in {}\n", -it.replicas, it.model, it.pool)
+        };
+        text.push_str(&line);
+    }
+    if text.is_empty() { "changes only comments or layout\n".into() } else { text }
+}
--- /dev/null
+++ b/crates/ctl/src/schema.rs
@@ -0,0 +1,189 @@
+//! What can be shown, and which fields it has.
+
+/// What can be shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Subject {
+    /// Its name in commands and in the daemons' HTTP interface.
+    pub name: &'static str,
+    /// Its fields, in the order of the columns.
+    pub fields: &'static [Field],
+}
+
+/// A field of a subject.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Field {
+    /// Its name.
+    pub name: &'static str,
+    /// What it holds.
+    pub kind: FieldKind,
+}
+
+/// What a field holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FieldKind {
+    /// A text.
+    Text,
+    /// A number without a unit.
+    Number,
+    /// A number of bytes.
+    Bytes,
+    /// A number of milliseconds.
+    Millis,
+    /// True or false.
+    Flag,
+}
+
+impl Subject {
+    /// The subject of a name.
+    pub fn find(name: &str) -> Option<&'static Self> {
+        SUBJECTS.iter().find(|subject| subject.name == name)
+    }
+
+    /// The field of a name.
+    pub fn field(&self, name: &str) -> Option<&'static Field> {
+        self.fields.iter().find(|field| field.name == name)
+    }
+}
+
+const fn field(name: &'static str, kind: FieldKind) -> Field {
+    Field { name, kind }
+}
+
+const fn text(name: &'static str) -> Field {
+    field(name, FieldKind::Text)
+}
+
+const fn number(name: &'static str) -> Field {
+    field(name, FieldKind::Number)
+}
+
+const fn bytes(name: &'static str) -> Field {
+    field(name, FieldKind::Bytes)
+}
+
+const fn millis(name: &'static str) -> Field {
+    field(name, FieldKind::Millis)
+}
+
+const fn flag(name: &'static str) -> Field {
+    field(name, FieldKind::Flag)
+}
+
+/// Everything that can be shown.
+pub const SUBJECTS: &[Subject] = &[
+    Subject {
+        name: "pools",
+        fields: &[
+            text("name"),
+            text("team"),
+            bytes("memory"),
+            number("accelerators"),
+            number("streams"),
+            number("tokens"),
+            millis("step_ms"),
+            flag("fenced"),
+            number("parallel_loads"),
+            number("load_rate"),
+            number("attainment_weight"),
+            number("move_weight"),
+        ],
+    },
+    Subject {
+        name: "models",
+        fields: &[
+            text("name"),
+            text("team"),
+            text("pool"),
+            text("version"),
+            bytes("bytes"),
+            millis("cold_ms"),
+            number("replicas"),
+        ],
+    },
+    Subject {
+        name: "adapters",
+        fields: &[text("name"), text("team"), text("model"), bytes("bytes")],
+    },
+    Subject {
+        name: "services",
+        fields: &[text("name"), text("team"), number("parallel"), text("kind")],
+    },
+    Subject {
+        name: "kinds",
+        fields: &[
+            text("name"),
+            text("team"),
+            text("urgency"),
+            millis("deadline_ms"),
+            flag("idempotent"),
+        ],
+    },
+    Subject {
+        name: "callers",
+        fields: &[text("name"), text("team"), number("share"), text("key_sha256")],
+    },
+    Subject {
+        name: "routes",
+        fields: &[
+            text("name"),
+            text("team"),
+            text("model"),
+            text("adapter"),
+            text("kind"),
+        ],
+    },
+    Subject {
+        name: "files",
+        fields: &[
+            text("name"),
+            text("team"),
+            number("revision"),
+            text("author"),
+            text("change"),
+            bytes("bytes"),
+        ],
+    },
+    Subject {
+        name: "daemons",
+        fields: &[
+            text("name"),
+            text("domain"),
+            number("revision"),
+            number("behind"),
+            flag("leaving"),
+            text("caller_addr"),
+            text("ops_addr"),
+            text("member"),
+        ],
+    },
+    Subject {
+        name: "servers",
+        fields: &[
+            text("name"),
+            text("role"),
+            text("of"),
+            text("domain"),
+            text("address"),
+            flag("leaving"),
+            text("lead"),
+        ],
+    },
+    Subject {
+        name: "residents",
+        fields: &[text("name"), text("kind"), text("version"), text("server")],
+    },
+];
+
+/// The fields of a revision of the history.
+pub const HISTORY: Subject = Subject {
+    name: "history",
+    fields: &[
+        number("revision"),
+        text("team"),
+        text("author"),
+        text("at"),
+        text("files"),
+        text("note"),
+        text("change"),
+    ],
+};
