--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,8 +17,11 @@
 pub mod answer;
 mod command;
 pub mod confsync;
+pub mod demand;
 pub mod engine;
 pub mod entry;
+pub mod feed;
+pub mod journal;
 pub mod lead;
 pub mod logs;
 pub mod members;
@@ -32,9 +35,11 @@
 pub mod peer;
 pub mod pick;
 pub mod planner;
+pub mod poison;
 pub mod relay;
 pub mod run;
 pub mod shared;
+pub mod single;
 pub mod slots;
 pub mod tls;
 
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -51,11 +51,38 @@
             "memory": settings.limits.memory,
             "slots": settings.limits.slots,
         },
+        "leads": leads(node),
+        "retries_left": node.picker.retries_left(),
+        "journal": node.slots.state(),
+        "poison": poison(node),
         "view": view(node),
         "residence": residence(node),
+        "ledgers": ledgers(node),
+        "unplaced": shared.rows.borrow().unplaced,
     })
 }
 
+/// The load of each backend server that this daemon leads.
+fn leads(node: &Node) -> Value {
+    let loads = node.leads.loads();
+    let row = |load: chestnut_wire::Load| {
+        json!({
+            "running": load.running,
+            "queued": load.queued,
+            "tokens": load.tokens,
+            "wait_ms": load.wait_ms,
+            "step_us": load.step_us,
+        })
+    };
+    loads.into_iter().map(|(name, load)| (name.to_string(), row(load))).collect()
+}
+
+/// How many digests are suspect and how many convicted.
+fn poison(node: &Node) -> Value {
+    let (suspects, convicted) = node.poison.counts();
+    json!({ "suspects": suspects, "convicted": convicted })
+}
+
 /// Members, servers and claims, with claims as `server:NAME` and the like.
 fn view(node: &Node) -> Value {
     let view = node.shared.view();
@@ -89,3 +116,27 @@
         .collect();
     Value::Object(runners)
 }
+
+/// What each runner's memory is reserved for, and in which state.
+fn ledgers(node: &Node) -> Value {
+    let rows = node.shared.rows.borrow();
+    let runners: serde_json::Map<String, Value> = rows
+        .ledgers
+        .iter()
+        .map(|(name, (ledger, _))| {
+            let items: serde_json::Map<String, Value> = ledger
+                .items
+                .iter()
+                .map(|item| (item.asset.to_string(), json!(item.state)))
+                .collect();
+            let row = json!({
+                "capacity": ledger.capacity,
+                "reserved": ledger.reserved(),
+                "down": ledger.down,
+                "items": items,
+            });
+            (name.to_string(), row)
+        })
+        .collect();
+    Value::Object(runners)
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::{Code, Outcome, Refusal, ServerName, Work};
+use chestnut_base::{AttemptId, Code, Outcome, Refusal, ServerName, Target, Work};
 use chestnut_wire::{Ask, Call, Hint, Resume, Run, Say};
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -42,7 +42,10 @@
     /// Again after a broken attempt, for idempotent requests.
     Many,
     /// Never again once an attempt may have reached a backend server.
-    Single,
+    ///
+    /// All its attempts carry this number, so that whoever takes the request's
+    /// journal over can ask an engine for the answer.
+    Single(AttemptId),
 }
 
 /// Drives a request and sends the frames of its answer, ending with
@@ -100,6 +103,8 @@
     Elsewhere(Refusal),
     /// The attempt may have run and broke off.
     Broken(String),
+    /// The attempt gave way to urgent work and is to go on from where it is.
+    Preempted,
 }
 
 impl Relay<'_> {
@@ -123,6 +128,7 @@
 
     /// Asks one backend server after the other; nothing if the caller is served.
     async fn round(&mut self, broken: &mut usize) -> Option<Refusal> {
+        self.choose_version();
         let mut last = None;
         while self.tried.len() < ATTEMPTS {
             let picker = &self.node.picker;
@@ -134,6 +140,11 @@
             let refusal = match self.attempt(&choice).await {
                 Next::Done => return None,
                 Next::Elsewhere(refusal) => refusal,
+                Next::Preempted => {
+                    // Nothing failed: every backend server may be asked again.
+                    self.tried.clear();
+                    continue;
+                }
                 Next::Broken(why) => {
                     *broken += 1;
                     let refusal = broke_off(&why);
@@ -151,6 +162,21 @@
         last.or_else(|| Some(broke_off("no attempt was possible")))
     }
 
+    /// Chooses the version that can be served while the declared one is loaded.
+    ///
+    /// Not once the caller has tokens: another version goes on otherwise.
+    fn choose_version(&mut self) {
+        let Target::Model { model, version, adapter } = &mut self.work.target else {
+            return;
+        };
+        let catalog = self.node.shared.catalog();
+        let Some(declared) = catalog.models.get(model) else { return };
+        if self.have.tokens == 0 {
+            let residence = self.node.shared.residence();
+            *version = residence.version(model, &declared.version, adapter.as_ref());
+        }
+    }
+
     /// Whether an attempt that may have run may be followed by another.
     fn may_try_again(&self, broken: usize) -> bool {
         self.mode == Mode::Many
@@ -165,7 +191,7 @@
         work.budget = self.end.saturating_duration_since(now);
         let resume = (self.have.tokens > 0).then(|| self.have.clone());
         let run = Run {
-            attempt: self.node.shared.attempt(),
+            attempt: self.number(),
             server: choice.server.clone(),
             fence: choice.fence,
             work,
@@ -180,9 +206,14 @@
             }
             Err(PeerError::Lost(why)) => return self.lost(choice, why),
         };
-        let next = self.forward(choice, &mut frames).await;
-        self.node.picker.note(&choice.server, Note::Over);
-        next
+        self.forward(choice, &mut frames).await
+    }
+
+    fn number(&self) -> AttemptId {
+        match self.mode {
+            Mode::Many => self.node.shared.attempt(),
+            Mode::Single(attempt) => attempt,
+        }
     }
 
     /// Hands the attempt to the lead, which may be this daemon itself.
@@ -240,6 +271,10 @@
                     }
                     return self.refused(choice, refusal, hint).await;
                 }
+                Say::Preempted { load } => {
+                    self.node.picker.note(&choice.server, Note::Load(load));
+                    return Next::Preempted;
+                }
                 Say::Broken { message, crashed } => {
                     self.node.picker.note(&choice.server, Note::Broken { crashed });
                     return Next::Broken(message);
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -5,13 +5,14 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use chestnut_base::{NameError, RequestId, slot_of};
 use indexmap::IndexMap;
 use reqwest::Client;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use tokio::task::JoinHandle;
 
-use super::ask::{Ask, Reply};
+use super::ask::{self, Ask, Reply};
 use super::certs;
 use super::command::{Kind, Options};
 use super::process::Process;
@@ -20,6 +21,12 @@
 /// The teams whose operators the daemons know; each one's key is `ops-TEAM`.
 const TEAMS: [&str; 3] = ["base", "letters", "seats"];
 
+/// Where the keys lie that the daemons trust; those under `strange` they don't.
+const KEYS: &str = "keys";
+
+/// The slots of the journal.
+const SLOTS: u16 = 8;
+
 /// Options that are not handed to the program.
 const OWN_OPTIONS: [&str; 3] = ["pool", "service", "domain"];
 
@@ -31,6 +38,8 @@
     pub dir: PathBuf,
     /// The processes by name, also those that were killed.
     pub processes: IndexMap<String, Process>,
+    /// Other names of processes.
+    pub aliases: IndexMap<String, String>,
     /// The client of all callers.
     pub http: Client,
     /// The requests that were sent and not awaited.
@@ -59,12 +68,14 @@
         let number = WORLDS.fetch_add(1, Ordering::SeqCst);
         let name = format!("chestnutlane-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&dir).map_err(|error| error.to_string())?;
-        certs::write(&dir)?;
+        for keys in [KEYS, "strange"] {
+            certs::write(&dir.join(keys))?;
+        }
         let http = Client::builder().no_proxy().build().map_err(|e| e.to_string())?;
         Ok(Self {
             dir,
             processes: IndexMap::new(),
+            aliases: IndexMap::new(),
             http,
             sent: IndexMap::new(),
             last: Vec::new(),
@@ -148,11 +159,36 @@
         self.put(&url, &row).await
     }
 
-    /// A process by its name.
+    /// A process by its name or alias.
     pub fn process(&self, name: &str) -> Result<&Process, Failure> {
+        let name = self.real_name(name);
         self.processes.get(name).ok_or_else(|| format!("no process {name}"))
     }
 
+    /// A process by its name or alias, to change it.
+    pub fn process_mut(&mut self, name: &str) -> Result<&mut Process, Failure> {
+        let name = self.real_name(name).to_owned();
+        self.processes.get_mut(&name).ok_or_else(|| format!("no process {name}"))
+    }
+
+    /// The name behind an alias.
+    pub fn real_name<'a>(&'a self, name: &'a str) -> &'a str {
+        self.aliases.get(name).map_or(name, String::as_str)
+    }
+
+    /// The daemon that holds a claim such as `server:r1`, as the daemon `at` knows.
+    pub async fn holder(&self, at: &str, claim: &str) -> Result<String, Failure> {
+        let claim = match claim.strip_prefix("slot:").and_then(|id| id.split_once('/')) {
+            Some((caller, key)) => format!("slot:{}", slot(caller, key)?),
+            None => claim.to_owned(),
+        };
+        let state = self.get(&format!("{}/debug/state", self.ops(at)?)).await?;
+        let holder = &state["view"]["claims"][&claim]["holder"];
+        let holder = holder.as_str().ok_or(format!("nobody holds {claim}"))?;
+        let vm = state["view"]["members"][holder]["vm"].as_str();
+        vm.map(str::to_owned).ok_or(format!("the holder of {claim} is no member"))
+    }
+
     /// The base URL of a stand-in, or the one of a daemon for callers.
     pub fn base(&self, name: &str) -> Result<String, Failure> {
         let process = self.process(name)?;
@@ -265,7 +301,7 @@
         ];
         for mut options in ready {
             options.0.insert("prompt".into(), "ready?".into());
-            let ask = Ask::new(&options, vec![self.base(name)?])?;
+            let ask = ask::read(&options, vec![self.base(name)?])?;
             let start = std::time::Instant::now();
             loop {
                 let reply = ask.clone().run(self.http.clone(), Arc::default()).await;
@@ -273,7 +309,7 @@
                     break;
                 }
                 if start.elapsed() > PATIENCE {
-                    let facts = reply.facts(&ask).join(" ");
+                    let facts = ask::facts(&reply, &ask).join(" ");
                     let body = &reply.body;
                     return Err(format!("{name} never served {ask:?}: {facts} {body}"));
                 }
@@ -325,8 +361,9 @@
     /// Writes a daemon's settings; options such as `times.lease_ms` change them.
     fn write_settings(&self, name: &str, options: &Options) -> Result<PathBuf, Failure> {
         let platform = self.base("platform")?;
-        let file = |name: &str| self.dir.join(name).display().to_string();
-        let keys: IndexMap<&str, String> =
+        let keys = self.dir.join(options.or("keys", KEYS));
+        let file = |name: &str| keys.join(name).display().to_string();
+        let operators: IndexMap<&str, String> =
             TEAMS.iter().map(|team| (*team, sha256(&format!("ops-{team}")))).collect();
         let any = "127.0.0.1:0";
         let mut settings = json!({
@@ -339,12 +376,12 @@
                 "key": file("daemon.key"),
                 "trust": file("trust.pem"),
             },
-            "operators": keys,
+            "operators": operators,
             "times": {
                 "lease_ms": 3000, "renewal_ms": 500, "poll_ms": 100,
                 "platform_ms": 1000, "leave_ms": 1000, "keep_ms": 500,
             },
-            "limits": { "slots": 8 },
+            "limits": { "slots": SLOTS },
         });
         for (option, value) in &options.0 {
             if let Some((group, field)) = option.split_once('.') {
@@ -366,6 +403,13 @@
     }
 }
 
+/// The slot of the journal for a caller's key.
+fn slot(caller: &str, key: &str) -> Result<u16, Failure> {
+    let caller = caller.try_into().map_err(|error: NameError| error.to_string())?;
+    let id = RequestId { caller, key: key.to_owned() };
+    Ok(slot_of(&id, SLOTS).0)
+}
+
 fn sha256(text: &str) -> String {
     Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
 }
