Notice engines that stand still, and end every request at its deadline

Ruled out: a plain timeout between tokens, since a long prompt in the batch keeps all streams waiting for about a second and a cut costs the work done. Now an engine silent for 1 s is asked for its report; one that answers is waited for, else the stream goes on elsewhere from the caller's tokens. A request with no answer begun gets its final answer at its deadline.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -20,6 +20,15 @@
 /// How long a connection to a backend server may take to come up.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// How long an engine may send nothing before it is asked whether it lives.
+///
+/// Steps take some 10 ms, and 95 in 100 tokens come within 58 ms; only a long
+/// prompt in the batch keeps all streams waiting for about a second.
+const STALL: Duration = Duration::from_secs(1);
+
+/// How long an engine may take to tell its load when it is asked whether it lives.
+const PROBE: Duration = Duration::from_secs(1);
+
 /// The mark that ends a whole stream of an engine.
 const DONE: &str = "[DONE]";
 
@@ -88,7 +97,8 @@
         .header("x-priority", priority(run.work.urgency))
         .json(&body)
         .send();
-    let answer = match dispatch(send, out).await {
+    let pulse = Pulse { http, address };
+    let answer = match dispatch(send, out, Some(&pulse)).await {
         Ok(answer) => answer,
         Err(end) => return end,
     };
@@ -96,7 +106,7 @@
         return refused(answer).await;
     }
     let from = run.resume.as_ref().map_or(0, |resume| resume.tokens);
-    read_tokens(answer.bytes_stream(), from, out, seen).await
+    read_tokens(answer.bytes_stream(), from, out, &pulse, seen).await
 }
 
 async fn call_service(
@@ -119,7 +129,7 @@
     if let Some(id) = &run.work.id {
         call = call.header("idempotency-key", &id.key);
     }
-    match dispatch(call.send(), out).await {
+    match dispatch(call.send(), out, None).await {
         Ok(answer) => copy_answer(answer, out).await,
         Err(end) => end,
     }
@@ -129,12 +139,14 @@
 async fn dispatch(
     send: impl Future<Output = reqwest::Result<Response>>,
     out: &mpsc::Sender<Say>,
+    pulse: Option<&Pulse<'_>>,
 ) -> Result<Response, CallEnd> {
     if out.send(Say::Dispatched).await.is_err() {
         return Err(CallEnd::Abandoned);
     }
     let answer = tokio::select! {
         answer = send => answer,
+        () = stopped(pulse) => return Err(stalled()),
         () = out.closed() => return Err(CallEnd::Abandoned),
     };
     answer.map_err(|error| {
@@ -146,6 +158,43 @@
     })
 }
 
+/// Whether an engine lives, asked when it sends nothing.
+///
+/// An engine that stands still keeps its connections open, so that nothing else
+/// shows it: its callers would wait for their whole deadline while another runner
+/// has room. A busy one answers the question and is waited for.
+pub struct Pulse<'a> {
+    /// The client.
+    pub http: &'a Client,
+    /// Where the engine listens.
+    pub address: SocketAddr,
+}
+
+impl Pulse<'_> {
+    async fn beats(&self) -> bool {
+        let url = format!("http://{}/v1/report", self.address);
+        let answer = self.http.get(url).timeout(PROBE).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+}
+
+/// Ends when the engine has been silent and is found not to live.
+async fn stopped(pulse: Option<&Pulse<'_>>) {
+    let Some(pulse) = pulse else {
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::time::sleep(STALL).await;
+        if !pulse.beats().await {
+            return;
+        }
+    }
+}
+
+fn stalled() -> CallEnd {
+    CallEnd::Broken { why: "the engine stands still".into(), cut: true }
+}
+
 /// Reads why an engine refused a request before running it.
 async fn refused(answer: Response) -> CallEnd {
     let status = answer.status();
@@ -221,6 +270,7 @@
     body: impl Stream<Item = reqwest::Result<Bytes>>,
     from: u32,
     out: &mpsc::Sender<Say>,
+    pulse: &Pulse<'_>,
     mut seen: impl FnMut(u32),
 ) -> CallEnd {
     let events = body.eventsource();
@@ -230,6 +280,7 @@
     loop {
         let event = tokio::select! {
             event = events.next() => event,
+            () = stopped(Some(pulse)) => return stalled(),
             () = out.closed() => return CallEnd::Abandoned,
         };
         let data = match event {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,5 +1,6 @@
 //! What callers connect to.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -9,7 +10,7 @@
 use axum::http::HeaderMap;
 use axum::response::Response;
 use axum::routing::{any, get, post};
-use chestnut_base::{CallerName, Code, Refusal, RequestId, Work, slot_of};
+use chestnut_base::{CallerName, Code, MemberId, Refusal, RequestId, Work, slot_of};
 use chestnut_member::ClaimKey;
 use chestnut_wire::{Ask, Call, Once, OnceState, Say};
 use serde_json::{Value, json};
@@ -210,18 +211,36 @@
         let text = "the request's journal has no holder now; wait and send again";
         return refuse(&out, unjournalled(text)).await;
     };
+    let end = node.shared.clock.now() + work.budget;
     let once = Once { work, call };
-    if claim.holder == node.shared.me {
-        return Slots::run(node, once, out).await;
+    tokio::select! {
+        () = ask_once(node, claim.holder, member.peer_addr, once, &out) => {}
+        () = tokio::time::sleep_until(end.into()) => {
+            // The run itself goes on at the slot's lead, and its answer is kept.
+            drop(out.send(overdue()).await);
+        }
     }
-    match node.peers.ask(member.peer_addr, &Ask::Once(once)).await {
+}
+
+/// Passes a non-idempotent request's answer on from the lead of its slot.
+async fn ask_once(
+    node: &Arc<Node>,
+    holder: MemberId,
+    addr: SocketAddr,
+    once: Once,
+    out: &mpsc::Sender<Say>,
+) {
+    if holder == node.shared.me {
+        return Slots::run(node, once, out.clone()).await;
+    }
+    match node.peers.ask(addr, &Ask::Once(once)).await {
         Ok(mut answer) => loop {
             let say = tokio::select! {
                 say = answer.next() => say,
                 () = out.closed() => return,
             };
             let say = say.unwrap_or_else(|error| {
-                node.peers.forget(member.peer_addr);
+                node.peers.forget(addr);
                 lost(&error)
             });
             let last = say.is_final();
@@ -231,7 +250,7 @@
         },
         Err(PeerError::NotSent(_)) => {
             let text = "the lead of the request's journal can't be reached; wait";
-            refuse(&out, unjournalled(text)).await;
+            refuse(out, unjournalled(text)).await;
         }
         Err(error) => drop(out.send(lost(&error)).await),
     }
@@ -259,6 +278,13 @@
     Say::Refused { refusal, hint: Default::default() }
 }
 
+fn overdue() -> Say {
+    let text = "no answer came by the deadline; ask for the outcome under \
+        /v1/requests/KEY";
+    let refusal = Refusal::in_doubt(Code::Deadline, text);
+    Say::Refused { refusal, hint: Default::default() }
+}
+
 fn unjournalled(text: &str) -> Refusal {
     Refusal::not_run(Code::JournalDown, text).after(std::time::Duration::from_secs(1))
 }
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -1,5 +1,6 @@
 //! Carries out what the journal wants of the platform's services.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::engine::{self, CallEnd};
+use crate::engine::{self, CallEnd, Pulse};
 use crate::members::CLAIMS;
 use crate::node::Node;
 use crate::single::{self, Gather};
@@ -201,8 +202,7 @@
     let serving = residence.serving(model, version, adapter.as_ref());
     for name in sought.server.iter().chain(serving) {
         let Some(server) = view.servers.get(name) else { continue };
-        let url = format!("http://{}/v1/requests/{}", server.address, sought.attempt);
-        let answer = read_engine(node, url).await;
+        let answer = read_engine(node, server.address, sought.attempt).await;
         if answer.is_some() {
             return answer;
         }
@@ -210,15 +210,22 @@
     None
 }
 
-async fn read_engine(node: &Arc<Node>, url: String) -> Option<Answer> {
+async fn read_engine(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    attempt: AttemptId,
+) -> Option<Answer> {
+    let url = format!("http://{address}/v1/requests/{attempt}");
     let call = node.http.get(url).query(&[("from", 0)]).send();
     let stream = tokio::time::timeout(ATTACH_WAIT, call).await.ok()?.ok()?;
     if !stream.status().is_success() {
         return None;
     }
     let (out, mut frames) = mpsc::channel(64);
+    let http = node.http.clone();
     let read = tokio::spawn(async move {
-        engine::read_tokens(stream.bytes_stream(), 0, &out, |_| {}).await
+        let pulse = Pulse { http: &http, address };
+        engine::read_tokens(stream.bytes_stream(), 0, &out, &pulse, |_| {}).await
     });
     let mut gather = Gather::new();
     while let Some(say) = frames.recv().await {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -37,6 +37,9 @@
 /// The pause before the rest of a broken answer is asked for again.
 const HALF_PAUSE: Duration = Duration::from_millis(200);
 
+/// When a caller whose request found no answer by its deadline may come back.
+const LATE_RETURN: Duration = Duration::from_secs(2);
+
 const FRAMES_AHEAD: usize = 64;
 
 /// How often a request may be handed to a backend server.
@@ -254,6 +257,7 @@
         loop {
             let say = tokio::select! {
                 say = frames.next() => say,
+                () = self.late() => return self.give_up().await,
                 () = self.out.closed() => return Next::Done,
             };
             let say = match say {
@@ -311,6 +315,25 @@
         }
     }
 
+    /// Ends at the deadline, unless the answer has begun or must not be cut off.
+    ///
+    /// A backend server that took the request and never answers would keep its
+    /// caller waiting for good. An answer that has begun goes on: half of it would
+    /// be worth nothing.
+    async fn late(&self) {
+        if self.begun || self.have.tokens > 0 || self.mode != Mode::Many {
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep_until(self.end.into()).await;
+    }
+
+    async fn give_up(&mut self) -> Next {
+        let text = "no answer came by the deadline; allow more time";
+        let refusal = Refusal::not_run(Code::Deadline, text).after(LATE_RETURN);
+        self.refuse(refusal).await;
+        Next::Done
+    }
+
     async fn refused(&mut self, choice: &Choice, refusal: Refusal, hint: Hint) -> Next {
         self.node.picker.note(&choice.server, Note::Refused);
         if let Some(load) = hint.load {
