--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -30,9 +30,9 @@
     Fault(String, Value),
     /// `vm NAME live|leaving|gone`: changes the platform's list of VMs.
     Vm(String, String),
-    /// `declare TEAM FILE`, then the text up to a line `end`, or `declare TEAM FILE
-    /// removed`; expectations about the answer may follow.
-    Declare { team: String, file: String, text: Option<String>, at: Option<String> },
+    /// `declare TEAM FILE [at=NAME] [base=REVISION]`, then the text up to a line
+    /// `end`, or with the option `removed`; expectations about the answer may follow.
+    Declare { team: String, file: String, text: Option<String>, options: Options },
     /// `ask NAME [OPTION=VALUE]..`: sends requests and waits for the answers.
     Ask(String, Options),
     /// `send NAME [OPTION=VALUE]..`: sends requests and goes on.
--- a/tests/support/parse.rs
+++ b/tests/support/parse.rs
@@ -117,14 +117,13 @@
     };
     let options = options(more)?;
     let (team, file) = (team.clone(), file.clone());
-    let at = options.text("at").map(str::to_owned);
     if options.flag("removed") {
-        return Ok(Command::Declare { team, file, text: None, at });
+        return Ok(Command::Declare { team, file, text: None, options });
     }
     let mut text = String::new();
     for (_, line) in lines {
         if line.trim() == "end" {
-            return Ok(Command::Declare { team, file, text: Some(text), at });
+            return Ok(Command::Declare { team, file, text: Some(text), options });
         }
         text.push_str(line);
         text.push('\n');
--- a/tests/support/steps.rs
+++ b/tests/support/steps.rs
@@ -24,8 +24,8 @@
         Command::Alias { alias, claim, not } => name(world, alias, claim, *not).await,
         Command::Fault(name, fault) => switch(world, name, fault).await,
         Command::Vm(name, state) => vm(world, name, state).await,
-        Command::Declare { team, file, text, at } => {
-            declare(world, at.as_deref(), team, file, text.clone()).await
+        Command::Declare { team, file, text, options } => {
+            declare(world, options, team, file, text.clone()).await
         }
         Command::Ask(name, options) => {
             send(world, name, options)?;
@@ -128,13 +128,17 @@
 
 async fn declare(
     world: &mut World,
-    at: Option<&str>,
+    options: &Options,
     team: &str,
     file: &str,
     text: Option<String>,
 ) -> Result<(), Failure> {
-    let at = at.unwrap_or("e1").to_owned();
-    let (status, answer) = world.declare(&at, team, file, text).await?;
+    let at = options.or("at", "e1");
+    let base = match options.text("base") {
+        Some(_) => Some(options.number("base", 0)?),
+        None => None,
+    };
+    let (status, answer) = world.declare(at, team, file, text, base).await?;
     let mut facts = vec![status.to_string()];
     for pointer in ["/verdict", "/reason", "/reason/reason"] {
         let fact = answer.pointer(pointer).and_then(Value::as_str);
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -245,8 +245,9 @@
         }
         let start = std::time::Instant::now();
         loop {
-            let (status, answer) =
-                self.declare("e1", "base", "base.jsonc", Some(text.clone())).await?;
+            let (status, answer) = self
+                .declare("e1", "base", "base.jsonc", Some(text.clone()), None)
+                .await?;
             if answer["verdict"] == "accepted" {
                 return Ok(());
             }
@@ -258,13 +259,15 @@
         }
     }
 
-    /// Sends a change of one file to a daemon, with the revision it has in force.
+    /// Sends a change of one file to a daemon, made from the revision `base` or from
+    /// the one that the daemon has in force.
     pub async fn declare(
         &mut self,
         at: &str,
         team: &str,
         file: &str,
         text: Option<String>,
+        base: Option<usize>,
     ) -> Result<(u16, Value), Failure> {
         self.changes += 1;
         let ops = self.ops(at)?;
@@ -273,7 +276,7 @@
             "id": format!("change-{}", self.changes),
             "team": team,
             "author": format!("operator of {team}"),
-            "base": state["revision"],
+            "base": base.map_or(state["revision"].clone(), Value::from),
             "edits": {file: text},
         });
         let call = self
