--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod stage;
 pub mod tally;
 
+use std::io::{Write, stdout};
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
 
 use self::stage::{Stage, StageError};
 use self::tally::Tally;
@@ -60,21 +62,37 @@
     }
 }
 
+/// Waits for SIGINT or SIGTERM, so that the temporary keys are removed at the end.
+async fn wait_for_end() {
+    let mut term = match signal(SignalKind::terminate()) {
+        Ok(term) => term,
+        Err(error) => {
+            eprintln!("signals can't be waited for ({error}); the demo ends");
+            return;
+        }
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
+fn print(text: &str) -> Result<(), StageError> {
+    let mut out = stdout();
+    let printed = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    printed.map_err(|error| StageError::Output(error.to_string()))
+}
+
 async fn show(options: &Options) -> Result<Tally, StageError> {
     let stage = Stage::start().await?;
     let results = burst::run(&stage, options.scale.max(1)).await?;
     let tally = Tally::count(&stage, &results).await?;
-    if options.json {
-        println!("{}", json!(tally));
-    } else {
-        print!("{tally}");
-    }
+    let text =
+        if options.json { format!("{}\n", json!(tally)) } else { tally.to_string() };
+    print(&text)?;
     if options.keep {
-        stage.explain();
-        // Without a handler the signal ends the process, which is what is asked.
-        if let Err(error) = tokio::signal::ctrl_c().await {
-            eprintln!("signals can't be waited for ({error}); the demo ends");
-        }
+        print(&stage.explain())?;
+        wait_for_end().await;
     }
     stage.stop().await;
     Ok(tally)
--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -60,6 +60,8 @@
     Start(String),
     /// A call to a stand-in or a daemon failed.
     Call(String),
+    /// Standard output is closed.
+    Output(String),
     /// The declarations were refused.
     Refused(String),
     /// Not everything was served in time.
@@ -77,6 +79,9 @@
             }
             Self::Start(why) => write!(f, "a part does not start ({why}); free its port"),
             Self::Call(why) => write!(f, "a part does not answer ({why}); report it"),
+            Self::Output(why) => {
+                write!(f, "the result can't be printed ({why}); keep the output open")
+            }
             Self::Refused(why) => write!(f, "the declarations were refused: {why}"),
             Self::NotServed(why) => {
                 write!(f, "not everything was served in time ({why}); is the VM busy?")
@@ -133,25 +138,27 @@
         Ok(stage)
     }
 
-    /// Prints commands to try.
-    pub fn explain(&self) {
-        let (entry, ops) = (&self.entries[0], &self.ops[0]);
+    /// Commands to try.
+    pub fn explain(&self) -> String {
+        let (entry, ops, platform) =
+            (&self.entries[0], &self.ops[0], self.platform.url());
         let auth = "-H 'authorization: Bearer key-portal'";
-        println!("\nIt stays up; end it with Ctrl-C. Try:\n");
-        println!("curl {entry}/v1/entry");
-        println!("curl {entry}/v1/models");
+        let key = "-H 'idempotency-key: order-1'";
+        let json = "-H 'content-type: application/json'";
         let body =
             r#"{"model": "proof", "prompt": "Dear", "max_tokens": 20, "stream": true}"#;
-        println!("curl -N {entry}/v1/completions {auth} -d '{body}'");
-        let key = "-H 'idempotency-key: order-1'";
-        println!("curl {entry}/svc/box-office/book {auth} {key} -d 'two seats'");
-        println!("curl {ops}/metrics");
-        println!("curl {ops}/debug/state");
         let fault = r#"{"table": {"down": true}}"#;
-        let platform = self.platform.url();
-        println!(
-            "curl {platform}/faults -H 'content-type: application/json' -d '{fault}'"
-        );
+        [
+            "\nIt stays up; end it with Ctrl-C. Try:\n".to_owned(),
+            format!("curl {entry}/v1/entry"),
+            format!("curl {entry}/v1/models"),
+            format!("curl -N {entry}/v1/completions {auth} -d '{body}'"),
+            format!("curl {entry}/svc/box-office/book {auth} {key} -d 'two seats'"),
+            format!("curl {ops}/metrics"),
+            format!("curl {ops}/debug/state"),
+            format!("curl {platform}/faults {json} -d '{fault}'\n"),
+        ]
+        .join("\n")
     }
 
     /// Stops the daemons as planned and then the stand-ins.
--- /dev/null
+++ b/tests/demo.rs
@@ -0,0 +1,38 @@
+//! The demo, as its reader runs it.
+
+use std::process::{Command, Output};
+
+use serde_json::Value;
+
+fn demo(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_chestnutlane-demo")).args(args).output().unwrap()
+}
+
+/// The callers of the demo see every answer whole, their own, and run once.
+///
+/// A burst of six kinds goes through three daemons; every fourth request that may
+/// run once only is sent to two entries at the same time.
+#[test]
+fn demo_serves_its_burst() {
+    let output = demo(&["--json"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{:?}: {text} {errors}", output.status);
+    let tally: Value = serde_json::from_str(&text).unwrap();
+    for key in ["doubled", "foreign", "broken", "untrue"] {
+        assert_eq!(tally[key], 0, "{key}: {text}");
+    }
+    let number = |key: &str| tally[key].as_u64().unwrap();
+    assert_eq!(number("served") + number("refused"), number("sent"), "{text}");
+    assert_eq!(number("sent"), 325, "{text}");
+}
+
+#[test]
+fn demo_explains_itself() {
+    let output = demo(&["--help"]);
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).unwrap();
+    for flag in ["--json", "--keep", "--scale"] {
+        assert!(text.contains(flag), "{text}");
+    }
+}
