Weigh a prompt that is not cached by the streams that it stalls; count what is cut

Cause: an engine stands still while it computes a prompt, so that a miss costs its prefill once for each stream, which the estimate left out.

--- a/crates/admit/src/lead.rs
+++ b/crates/admit/src/lead.rs
@@ -14,7 +14,10 @@
 use crate::usage::Usage;
 
 /// The least and the greatest time that a caller is told to stay away.
-const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(30));
+///
+/// Below the least, callers of a full system would come back about as often as
+/// hops allow, and their offers would be most of its traffic.
+const RETRY: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(30));
 
 /// How often faded accounts are forgotten.
 const TIDY: Duration = Duration::from_secs(1);
@@ -129,14 +132,16 @@
         let (resumed, entry) =
             (job.resumed, Entry { job, place, state: State::Waiting, charged: 0.0 });
         let ticket = self.jobs.insert(entry);
-        self.waiting.push(ticket);
+        self.enqueue(ticket, now);
         self.charge(ticket, self.cost(ticket), now);
         if self.closed {
             self.refuse(ticket, Reason::Closed, Some(RETRY.0), now);
         } else if !resumed && self.is_short(ticket, now) {
             self.refuse(ticket, Reason::Short, None, now);
         } else {
-            self.settle(now);
+            self.dispatch(now);
+            self.make_room(now);
+            self.bound(now);
         }
         ticket
     }
@@ -173,7 +178,7 @@
             self.pace.ended(entry.job.urgency, got, entry.job.output);
         }
         self.account(&entry.job, spent - entry.charged, now);
-        self.settle(now);
+        self.dispatch(now);
     }
 
     /// Refuses what can no longer be in time; to be called a few times a second.
@@ -182,7 +187,9 @@
             self.usage.tidy(now);
             self.tidied = now;
         }
-        self.settle(now);
+        self.sort(now);
+        self.dispatch(now);
+        self.make_room(now);
     }
 
     /// Refuses everything that waits and all that is offered from now on.
@@ -231,16 +238,17 @@
         self.waiting.len()
     }
 
-    /// Brings the queue in order, makes room, and dispatches what fits.
-    fn settle(&mut self, now: Instant) {
-        self.sort(now);
-        if self.rule.shed != Shed::Full {
-            self.make_room(now);
-        }
-        self.dispatch(now);
-        self.bound(now);
+    /// Puts a request into its place in the queue.
+    fn enqueue(&mut self, ticket: Ticket, now: Instant) {
+        let (jobs, order) = (&self.jobs, self.rule.order);
+        let place = &jobs[ticket].place;
+        let index = self.waiting.partition_point(|&other| {
+            jobs[other].place.compare(place, order, now).is_lt()
+        });
+        self.waiting.insert(index, ticket);
     }
 
+    /// Brings the queue in order again, since requests age.
     fn sort(&mut self, now: Instant) {
         let (jobs, order) = (&self.jobs, self.rule.order);
         self.waiting.sort_by(|&a, &b| jobs[a].place.compare(&jobs[b].place, order, now));
@@ -248,6 +256,9 @@
 
     /// Preempts and refuses until all that wait are foreseen to be in time.
     fn make_room(&mut self, now: Instant) {
+        if self.rule.shed == Shed::Full {
+            return;
+        }
         // Each round preempts or refuses one request, so that it ends.
         while let Some((late, by)) = self.first_late(now) {
             if self.preempt_for(late, now) {
@@ -267,6 +278,9 @@
 
     /// The first waiting request that is foreseen to be late, and by how much.
     fn first_late(&self, now: Instant) -> Option<(Ticket, Duration)> {
+        if self.waiting.is_empty() {
+            return None;
+        }
         let order = self.schedule(now);
         let items = order.iter().map(|&ticket| self.item(ticket));
         let begins = starts(self.room(), now, self.held(now), items);
@@ -364,7 +378,9 @@
         let mut index = 0;
         while let Some(&ticket) = self.waiting.get(index) {
             let item = self.item(ticket);
-            if room.takes(running, used, item.tokens, item.urgent) {
+            if let Some(late) = self.hopeless(ticket, item.run, now) {
+                self.refuse(ticket, Reason::Late, Some(late), now);
+            } else if room.takes(running, used, item.tokens, item.urgent) {
                 self.waiting.remove(index);
                 self.running.push(ticket);
                 let progress = Progress { since: now, last: now, got: 0 };
@@ -381,6 +397,13 @@
         }
     }
 
+    /// By how much a request would be late even if it were dispatched now.
+    fn hopeless(&self, ticket: Ticket, run: Duration, now: Instant) -> Option<Duration> {
+        let job = &self.jobs[ticket].job;
+        let late = (now + run).checked_duration_since(job.deadline)?;
+        (self.rule.shed != Shed::Full && !job.resumed).then_some(late)
+    }
+
     /// Keeps the queue within its bound.
     fn bound(&mut self, now: Instant) {
         while self.waiting.len() > self.limits.queue {
--- a/crates/lab/src/policies/world.rs
+++ b/crates/lab/src/policies/world.rs
@@ -532,7 +532,9 @@
             Place::Away => {}
             Place::Led(server, ticket) => {
                 let now = self.instant();
+                let before = self.fates[index].tokens;
                 self.stop(server, index);
+                self.fates[index].cut = self.fates[index].tokens > before;
                 let state = &mut self.servers[server];
                 state.tickets.swap_remove(&ticket);
                 state.lead.finish(ticket, How::Cancelled, now);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -26,7 +26,7 @@
 pub const LOOK: usize = 48;
 
 /// The time of a token of a prompt that is not cached, until it is measured.
-const PREFILL: Duration = Duration::from_micros(100);
+const PREFILL: Duration = Duration::from_micros(60);
 
 /// Tokens of a block of prompt text.
 const BLOCK_TOKENS: usize = chestnut_base::work::PREFIX_BLOCK / 4;
@@ -138,7 +138,7 @@
             .iter()
             .map(|candidate| self.prospect(candidate, ask, &held, now))
             .collect();
-        let run = looked.first().map_or(0.0, |c| self.run(c, ask, 0, now));
+        let run = looked.first().map_or(0.0, |c| self.decode(c, ask, now));
         let index = self.policy.choose(&options, self.turn, run, &mut self.rng)?;
         Some(looked[index].server)
     }
@@ -220,17 +220,27 @@
         let blocks = held.iter().find(|(server, _)| *server == candidate.server);
         let blocks = blocks.map_or(0, |&(_, blocks)| blocks);
         let server = &self.servers[candidate.server];
-        let run = self.run(candidate, ask, blocks, now);
+        let prefill = self.prefill(ask, blocks);
+        let decode = self.decode(candidate, ask, now);
         let streams = f64::from(candidate.streams.max(1));
-        let busy = server.known.requests(now) / streams;
-        let time = server.known.wait(now, run / streams)
+        let requests = server.known.requests(now);
+        // While an engine computes a prompt all its streams stand still, so that
+        // the prefill costs as often its time as there are streams.
+        let time = server.known.wait(now, (prefill + decode) / streams)
             + candidate.far.as_secs_f64()
-            + run * (1.0 + 0.5 * busy);
+            + prefill * (1.0 + requests.min(streams))
+            + decode * (1.0 + 0.5 * requests / streams);
         Prospect { own: server.known.own(), time, trust: server.health.trust(now) }
     }
 
-    /// Seconds that the request takes on a server that is otherwise idle.
-    fn run(&self, candidate: &Candidate, ask: Ask, blocks: usize, now: Instant) -> f64 {
+    /// Seconds of the part of the prompt that is not cached.
+    fn prefill(&self, ask: Ask, blocks: usize) -> f64 {
+        let cached = (blocks * BLOCK_TOKENS) as f64;
+        (f64::from(ask.prompt) - cached).max(0.0) * PREFILL.as_secs_f64()
+    }
+
+    /// Seconds of the answer on a server that is otherwise idle.
+    fn decode(&self, candidate: &Candidate, ask: Ask, now: Instant) -> f64 {
         let declared = candidate.step.as_secs_f64();
         let step = match self.servers[candidate.server].known.fresh(now) {
             Some((report, belief)) if !report.step.is_zero() => {
@@ -238,8 +248,6 @@
             }
             _ => declared,
         };
-        let cached = (blocks * BLOCK_TOKENS) as f64;
-        let prompt = (f64::from(ask.prompt) - cached).max(0.0);
-        prompt * PREFILL.as_secs_f64() + f64::from(ask.output) * step
+        f64::from(ask.output) * step
     }
 }
