Go on journalling in the object store while the table is down

A slot's starts go into numbered objects, each written only if it does not exist; a new lead seals the log with the next number and reads it before its first request. Found by the search while this was built, and mended: ids of which only the log knows were dropped from memory; a copy did not replace the row of an attempt that was never handed on; unknown was answered without the log; a batch was taken for committed by a row that an earlier lost batch had written (batches carry a stamp now). Without the seal, or without reading the log, the search finds a second run. Before: bookings were refused for the whole outage.

--- a/crates/lab/src/journal.rs
+++ b/crates/lab/src/journal.rs
@@ -14,7 +14,7 @@
 use chestnut_fake::platform;
 use chestnut_fake::weights::WeightSpeed;
 use chestnut_node::members::CLAIMS;
-use chestnut_plat::{Table, Txn, TxnAnswer};
+use chestnut_plat::{Objects, Table, Txn, TxnAnswer};
 use hdrhistogram::Histogram;
 use reqwest::Client;
 use serde_json::json;
@@ -42,6 +42,8 @@
     /// The time that each call to the table takes, in milliseconds.
     #[bpaf(argument("MS"), fallback(5), display_fallback)]
     delay: u64,
+    /// Whether the object store is down with the table.
+    both: bool,
     /// How long the table is down after a third of the time, in seconds.
     #[bpaf(argument("S"), fallback(0), display_fallback)]
     outage: u64,
@@ -62,14 +64,16 @@
     let platform = platform::start(listen, speed).await.expect("a free port");
     let url = platform.url();
     let table = Table::new(&url, TIMEOUT).expect("a client");
+    let objects = Objects::new(&url, TIMEOUT).expect("a client");
     if options.recover > 0 {
-        return recover(&table, &url, options).await;
+        return recover(&table, objects, &url, options).await;
     }
     let mut daemons = Vec::new();
     for index in 0..options.daemons {
         let slots = (0..options.slots).filter(|slot| slot % options.daemons == index);
         let claims = claim(&table, slots.map(SlotId)).await;
-        daemons.push(Daemon::new(index, options.daemons, table.clone(), claims));
+        let (table, objects) = (table.clone(), objects.clone());
+        daemons.push(Daemon::new(index, options.daemons, table, objects, claims));
     }
     fault(&url, json!({ "delay_ms": options.delay })).await;
     let time = Duration::from_secs(options.seconds);
@@ -80,8 +84,12 @@
     if options.outage > 0 {
         tokio::time::sleep(time / 3).await;
         fault(&url, json!({ "down": true })).await;
+        if options.both {
+            fault_objects(&url, true).await;
+        }
         tokio::time::sleep(Duration::from_secs(options.outage)).await;
         fault(&url, json!({ "down": false })).await;
+        fault_objects(&url, false).await;
     }
     let back = start + time / 3 + Duration::from_secs(options.outage);
     let mut sum = Tally::default();
@@ -92,11 +100,11 @@
 }
 
 /// Times how long a slot with many ids takes to be taken over.
-async fn recover(table: &Table, url: &str, options: &Options) {
+async fn recover(table: &Table, objects: Objects, url: &str, options: &Options) {
     let claims = claim(table, [SlotId(0)].into_iter()).await;
     daemon::fill(table, SlotId(0), options.recover).await;
     fault(url, json!({ "delay_ms": options.delay })).await;
-    let mut daemon = Daemon::new(0, 1, table.clone(), claims);
+    let mut daemon = Daemon::new(0, 1, table.clone(), objects, claims);
     let start = Instant::now();
     daemon.open().await;
     let line = json!({
@@ -129,6 +137,12 @@
     call.send().await.expect("the stand-in answers");
 }
 
+async fn fault_objects(url: &str, down: bool) {
+    let fault = json!({ "objects": { "down": down } });
+    let call = Client::new().post(format!("{url}/faults")).json(&fault);
+    call.send().await.expect("the stand-in answers");
+}
+
 fn report(options: &Options, sum: &Tally, start: Instant, back: Instant) {
     let seconds = options.seconds as f64;
     let line = json!({
@@ -145,6 +159,8 @@
         "end_ms": quantiles(&sum.ended),
         "outage_s": options.outage,
         "most_transactions_in_a_second_after": busiest(&sum.commits, back),
+        "appends": sum.appends.len(),
+        "most_appends_in_a_second": busiest(&sum.appends, start),
         "most_before": busiest_before(&sum.commits, start, start + (back - start) / 3),
         "last_answer_after_s": sum.last.map(|last| {
             last.saturating_duration_since(back).as_secs_f64()
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chestnut_base::{AttemptId, RequestId, ServerName, SlotId, Target};
+use chestnut_base::{AttemptId, MemberId, RequestId, ServerName, SlotId, Target};
 use chestnut_member::ClaimKey;
 use chestnut_once::{
     Answer, Batch, Change, Condition, Event, Found, Kept, Known, Record, Stored, row_key,
     row_prefix,
 };
-use chestnut_plat::{PlatError, Row, Table, Txn, TxnAnswer};
+use chestnut_plat::{Objects, PlatError, Row, Table, Txn, TxnAnswer};
 use chestnut_wire::{OnceState, Say};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -19,6 +19,7 @@
 use crate::members::CLAIMS;
 use crate::node::Node;
 use crate::single::{self, Gather};
+use crate::slotlog;
 
 /// The table of the journal's rows.
 pub const JOURNAL: &str = "journal";
@@ -41,20 +42,28 @@
 /// How long an engine may be silent about a request that is asked for.
 const ATTACH_WAIT: Duration = Duration::from_secs(2);
 
-/// Reads a slot's rows with their ages.
-pub async fn load(table: &Table, slot: SlotId, version: u64) -> Event {
-    match table.scan(JOURNAL, &row_prefix(slot), 0).await {
-        Ok(delta) => {
-            let now = delta.now;
-            let aged = |row: Row| {
-                let age = Duration::from_millis(now.saturating_sub(row.modified));
-                (known(row), age)
-            };
-            let rows = delta.rows.into_iter().map(aged).collect();
-            Event::Loaded { slot, version, rows }
-        }
-        Err(_) => Event::Unloaded { slot, version },
-    }
+/// Seals a slot's log and reads the slot's rows with their ages.
+pub async fn load(
+    table: &Table,
+    objects: &Objects,
+    slot: SlotId,
+    version: u64,
+    me: MemberId,
+) -> Event {
+    let mark = format!("{me}/{version}");
+    let log = slotlog::seal(objects, slot, &mark).await;
+    // The rows are read after the log: what is moved from there meanwhile is seen.
+    let delta = table.scan(JOURNAL, &row_prefix(slot), 0).await;
+    let (Ok(log), Ok(delta)) = (log, delta) else {
+        return Event::Unloaded { slot, version };
+    };
+    let now = delta.now;
+    let aged = |row: Row| {
+        let age = Duration::from_millis(now.saturating_sub(row.modified));
+        (known(row), age)
+    };
+    let rows = delta.rows.into_iter().map(aged).collect();
+    Event::Loaded { slot, version, rows, log }
 }
 
 /// Commits a batch.
@@ -121,8 +130,13 @@
     node.shared.objects.get(key).await.ok().flatten()
 }
 
-/// Tells what an id's row says.
+/// Tells what the slot's log and an id's row say.
 pub async fn confirm(node: &Node, slot: SlotId, id: &RequestId) -> OnceState {
+    match slotlog::holds(&node.shared.objects, slot, id).await {
+        Ok(true) => return OnceState::InDoubt,
+        Ok(false) => {}
+        Err(error) => return OnceState::Unreadable(error.to_string()),
+    }
     let row = match node.shared.table.get(JOURNAL, &row_key(slot, id)).await {
         Ok(Some(row)) => known(row),
         Ok(None) => return OnceState::Unknown,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod run;
 pub mod shared;
 pub mod single;
+pub mod slotlog;
 pub mod slots;
 pub mod tls;
 
--- /dev/null
+++ b/crates/node/src/slotlog.rs
@@ -0,0 +1,124 @@
+//! The log of a slot in the object store, for when the table can't be written.
+//!
+//! Each place of the log is an object that is written only if it does not exist.
+//! The last place is never removed, so that whoever led the slot before finds
+//! either its place taken or a later one there.
+
+use bytes::Bytes;
+use chestnut_base::{RequestId, SlotId};
+use chestnut_once::{Appended, Log, Record};
+use chestnut_plat::{Objects, PlatError};
+use serde_json::{Value, json};
+
+/// How often the seal is tried when other leads write at the same time.
+const SEAL_TRIES: usize = 4;
+
+/// Reads the log and takes its next place for the seal.
+///
+/// `mark` tells this lead's seal from another's.
+pub async fn seal(objects: &Objects, slot: SlotId, mark: &str) -> Result<Log, PlatError> {
+    for _ in 0..SEAL_TRIES {
+        let (records, next) = read(objects, slot).await?;
+        if put(objects, slot, next, body(mark, &[])).await? {
+            return Ok(Log { records, next: next + 1 });
+        }
+    }
+    Err(PlatError::Unknown("other daemons write the slot's log; read it again".into()))
+}
+
+/// Writes records to a place that nobody else has.
+pub async fn append(
+    objects: &Objects,
+    slot: SlotId,
+    place: u64,
+    records: &[Record],
+) -> Appended {
+    match put(objects, slot, place, body("", records)).await {
+        Ok(true) => {}
+        Ok(false) => return Appended::Taken,
+        Err(PlatError::Down(_)) => return Appended::Down,
+        Err(PlatError::Unknown(_) | PlatError::Protocol(_)) => return Appended::Lost,
+    }
+    // The place may be free because the log was trimmed beyond it since.
+    match places(objects, slot).await {
+        Ok(places) if places.last() == Some(&place) => Appended::Stored,
+        Ok(_) => Appended::Taken,
+        Err(_) => Appended::Lost,
+    }
+}
+
+/// Removes the places before `place`.
+pub async fn trim(objects: &Objects, slot: SlotId, place: u64) -> Result<(), PlatError> {
+    for old in places(objects, slot).await? {
+        if old < place {
+            objects.delete(&key(slot, old)).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Whether the log holds a record of the id.
+pub async fn holds(
+    objects: &Objects,
+    slot: SlotId,
+    id: &RequestId,
+) -> Result<bool, PlatError> {
+    let (records, _) = read(objects, slot).await?;
+    Ok(records.iter().any(|record| record.id == *id))
+}
+
+async fn read(objects: &Objects, slot: SlotId) -> Result<(Vec<Record>, u64), PlatError> {
+    let places = places(objects, slot).await?;
+    let mut records = Vec::new();
+    for place in &places {
+        // A place that was trimmed meanwhile is in the table.
+        if let Some(bytes) = objects.get(&key(slot, *place)).await? {
+            records.extend(parse(&bytes)?);
+        }
+    }
+    Ok((records, places.last().map_or(0, |place| place + 1)))
+}
+
+/// Puts an object that does not exist, or finds that it was put by this very call.
+async fn put(
+    objects: &Objects,
+    slot: SlotId,
+    place: u64,
+    body: Bytes,
+) -> Result<bool, PlatError> {
+    let key = key(slot, place);
+    if objects.put(&key, body.clone(), true).await? {
+        return Ok(true);
+    }
+    Ok(objects.get(&key).await?.is_some_and(|held| held == body))
+}
+
+async fn places(objects: &Objects, slot: SlotId) -> Result<Vec<u64>, PlatError> {
+    let prefix = prefix(slot);
+    let keys = objects.list(&prefix).await?;
+    let mut places: Vec<u64> =
+        keys.iter().filter_map(|key| key.strip_prefix(&prefix)?.parse().ok()).collect();
+    places.sort_unstable();
+    Ok(places)
+}
+
+fn body(mark: &str, records: &[Record]) -> Bytes {
+    let records: Vec<Value> = records.iter().map(Record::to_value).collect();
+    Bytes::from(json!({ "seal": mark, "records": records }).to_string())
+}
+
+/// Reads a place; one that can't be read may hold starts, so that it is an error.
+fn parse(bytes: &[u8]) -> Result<Vec<Record>, PlatError> {
+    let bad = || PlatError::Protocol("a slot's log is malformed".into());
+    let value: Value = serde_json::from_slice(bytes).map_err(|_| bad())?;
+    let records = value["records"].as_array().ok_or_else(bad)?;
+    records.iter().map(|one| Record::from_value(one.clone()).ok_or_else(bad)).collect()
+}
+
+fn prefix(slot: SlotId) -> String {
+    format!("once/log/{}/", slot.0)
+}
+
+fn key(slot: SlotId, place: u64) -> String {
+    format!("{}{place:016}", prefix(slot))
+}
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -24,6 +24,7 @@
 use crate::node::Node;
 use crate::shared::Shared;
 use crate::single;
+use crate::slotlog;
 
 /// Bytes of bodies that wait for the journal at the same time.
 ///
@@ -170,6 +171,7 @@
     changes: Counter,
     failures: Counter,
     runs: Counter,
+    appends: Counter,
     ids: Gauge,
 }
 
@@ -297,7 +299,9 @@
                 Effect::Reply { ticket, reply } => self.reply(ticket, reply),
                 Effect::Run { ticket, id, attempt } => self.start(ticket, id, attempt),
                 Effect::Load { slot, version } => self.spawn(move |node| async move {
-                    journal::load(&node.shared.table, slot, version).await
+                    let shared = &node.shared;
+                    let (table, objects) = (&shared.table, &shared.objects);
+                    journal::load(table, objects, slot, version, shared.me).await
                 }),
                 Effect::Commit(batch) => {
                     self.counters.batches.inc();
@@ -325,6 +329,22 @@
                     let body = journal::fetch(&node, &key).await;
                     Event::Fetched { id, body }
                 }),
+                Effect::Append { slot, number, place, records } => {
+                    self.counters.appends.inc();
+                    self.spawn(move |node| async move {
+                        let objects = &node.shared.objects;
+                        let appended =
+                            slotlog::append(objects, slot, place, &records).await;
+                        Event::Appended { slot, number, appended }
+                    });
+                }
+                Effect::Trim { slot, place } => {
+                    let node = self.node.clone();
+                    tokio::spawn(async move {
+                        // What stays is read again by the next lead, to no harm.
+                        drop(slotlog::trim(&node.shared.objects, slot, place).await);
+                    });
+                }
                 Effect::Confirm { ticket, slot, id } => self.confirm(ticket, slot, id),
                 Effect::Discard(key) => {
                     let node = self.node.clone();
@@ -414,6 +434,7 @@
             changes: Counter::default(),
             failures: Counter::default(),
             runs: Counter::default(),
+            appends: Counter::default(),
             ids: Gauge::default(),
         };
         shared.metrics.register(|registry| {
@@ -424,6 +445,8 @@
             add("journal_changes", "Rows changed by them", &counters.changes);
             add("journal_failures", "Transactions not answered", &counters.failures);
             add("journal_runs", "Non-idempotent requests handed on", &counters.runs);
+            let help = "Appends to slots' logs while the table was down";
+            add("journal_appends", help, &counters.appends);
             let help = "Ids that the journal holds in memory";
             registry.register("journal_ids", help, counters.ids.clone());
         });
--- a/crates/once/src/batch.rs
+++ b/crates/once/src/batch.rs
@@ -93,6 +93,11 @@
 pub(crate) enum Write {
     /// Records the start of an id, over a row of this version if there is one.
     Start { slot: SlotId, id: RequestId, over: Option<u64> },
+    /// Writes what the slot's log holds of an id into the table.
+    ///
+    /// Over a row of this version if there is one: an attempt that was never handed
+    /// on and whose record was believed lost.
+    Copy { slot: SlotId, id: RequestId, over: Option<u64> },
     /// Records the answer of an id.
     Finish { slot: SlotId, id: RequestId },
     /// Removes the row of an id that was not run or is past its retention.
@@ -104,6 +109,7 @@
     pub fn slot(&self) -> SlotId {
         match self {
             Self::Start { slot, .. }
+            | Self::Copy { slot, .. }
             | Self::Finish { slot, .. }
             | Self::Forget { slot, .. } => *slot,
         }
@@ -113,6 +119,7 @@
     pub fn id(&self) -> &RequestId {
         match self {
             Self::Start { id, .. }
+            | Self::Copy { id, .. }
             | Self::Finish { id, .. }
             | Self::Forget { id, .. } => id,
         }
@@ -121,10 +128,12 @@
     /// The condition on the id's row, if there is one.
     pub fn condition(&self) -> Option<Condition> {
         match self {
-            Self::Start { slot, id, over: None } => {
+            Self::Start { slot, id, over: None }
+            | Self::Copy { slot, id, over: None } => {
                 Some(Condition::Absent { slot: *slot, id: id.clone() })
             }
             Self::Start { slot, id, over: Some(version) }
+            | Self::Copy { slot, id, over: Some(version) }
             | Self::Forget { slot, id, version } => Some(Condition::Version {
                 slot: *slot,
                 id: id.clone(),
--- a/crates/once/src/event.rs
+++ b/crates/once/src/event.rs
@@ -8,7 +8,7 @@
 
 use crate::batch::{Batch, Stored};
 use crate::index::Ticket;
-use crate::record::{Answer, Kept, Known, Summary};
+use crate::record::{Answer, Kept, Known, Record, Summary};
 
 /// What the journal is told.
 #[derive(Debug, Clone)]
@@ -32,6 +32,8 @@
         version: u64,
         /// The rows.
         rows: Vec<(Known, Duration)>,
+        /// The slot's log, sealed against its former leads.
+        log: Log,
     },
     /// The slot's rows could not be read.
     Unloaded {
@@ -71,6 +73,15 @@
         /// The answer.
         stored: Stored,
     },
+    /// An append to a slot's log was answered.
+    Appended {
+        /// The slot.
+        slot: SlotId,
+        /// The number of the append.
+        number: u64,
+        /// The answer.
+        appended: Appended,
+    },
     /// A run ended without being handed to a backend server's connection.
     Refused {
         /// The id.
@@ -118,6 +129,33 @@
     },
 }
 
+/// The log of a slot in the object store.
+///
+/// The table can't be written at times, and requests that must be journalled would
+/// have to wait for it. Then their starts go into objects with numbered names,
+/// each written only if it does not exist. A new lead takes the next number
+/// itself, the seal, so that whoever led the slot before finds its place taken.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Log {
+    /// What it holds, in order.
+    pub records: Vec<Record>,
+    /// The next place.
+    pub next: u64,
+}
+
+/// What became of an append to a slot's log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Appended {
+    /// It is in the log.
+    Stored,
+    /// Another daemon has the place or a later one.
+    Taken,
+    /// Nothing was done.
+    Down,
+    /// The answer was lost.
+    Lost,
+}
+
 /// What is found of an id that an earlier daemon started.
 #[derive(Debug, Clone)]
 pub enum Found {
@@ -151,6 +189,25 @@
     },
     /// Commit a batch and answer with [`Event::Stored`].
     Commit(Batch),
+    /// Write records to a place in a slot's log, which nobody else may have, and
+    /// answer with [`Event::Appended`].
+    Append {
+        /// The slot.
+        slot: SlotId,
+        /// The number of the append.
+        number: u64,
+        /// The place in the log.
+        place: u64,
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// Remove the places of a slot's log before `place`; the table has them.
+    Trim {
+        /// The slot.
+        slot: SlotId,
+        /// The first place that stays.
+        place: u64,
+    },
     /// Hand the request on, once, and answer with `Refused`, `Broke` or `Ended`.
     Run {
         /// The asker that brought the request.
@@ -189,7 +246,7 @@
     },
     /// Remove the body of a forgotten answer from the object store.
     Discard(String),
-    /// Read the id's row and tell the asker what it says.
+    /// Read the slot's log and then the id's row, and tell the asker what they say.
     Confirm {
         /// The asker.
         ticket: Ticket,
--- a/crates/once/src/index.rs
+++ b/crates/once/src/index.rs
@@ -42,6 +42,8 @@
     pub server: Option<ServerName>,
     /// The version of the id's row, once known.
     pub version: Option<u64>,
+    /// Whether its start is in the slot's log and not in the table.
+    pub unsaved: bool,
     /// When the id may be forgotten; absent while it is not finished.
     pub end: Option<Instant>,
     pub state: State,
@@ -58,6 +60,7 @@
             digest: self.digest,
             attempt: self.attempt,
             target: self.target.clone(),
+            stamp: 0,
             server: self.server.clone(),
             answer,
         }
@@ -69,7 +72,7 @@
     }
 
     /// The entry of a record that was read.
-    pub fn of(record: Record, version: u64) -> (RequestId, Self) {
+    pub fn of(record: Record, version: Option<u64>) -> (RequestId, Self) {
         let state = match record.answer {
             Some(summary) => State::Done(summary, None),
             None => State::Doubt(None),
@@ -80,7 +83,8 @@
             attempt: record.attempt,
             target: record.target,
             server: record.server,
-            version: Some(version),
+            version,
+            unsaved: version.is_none(),
             end: None,
             state,
             askers: Vec::new(),
@@ -152,7 +156,10 @@
         while self.entries.len() > limit {
             let Some((end, id)) = self.finished.pop_front() else { break };
             let idle = |entry: &Entry| {
-                entry.end == Some(end) && entry.askers.is_empty() && entry.is_settled()
+                entry.end == Some(end)
+                    && entry.askers.is_empty()
+                    && entry.is_settled()
+                    && !entry.unsaved
             };
             if self.entries.get(&id).is_some_and(idle)
                 && let Some(entry) = self.entries.swap_remove(&id)
--- a/crates/once/src/journal.rs
+++ b/crates/once/src/journal.rs
@@ -12,11 +12,13 @@
 use crate::event::{Effect, Event, Found, Reply};
 use crate::index::{Entry, Index, State, Ticket};
 use crate::limits::{Limits, jitter};
-use crate::record::{Answer, Kept, Known};
-use crate::refuse::{in_doubt, moved, unkept};
+use crate::record::{Answer, Kept, Record};
+use crate::refuse::{in_doubt, unkept};
 
 mod ask;
 mod commit;
+mod lead;
+mod log;
 
 /// How long an id that was looked for in vain is not looked for again.
 const SEEK_PAUSE: Duration = Duration::from_secs(2);
@@ -32,6 +34,12 @@
     phase: Phase,
     /// Whether all ids of the slot that were ever started are in memory.
     complete: bool,
+    /// The next place in the slot's log, once it was read.
+    log: Option<u64>,
+    /// The append that is on its way.
+    append: Option<Append>,
+    /// Whether the log may hold what the table has by now.
+    dirty: bool,
 }
 
 #[derive(Debug)]
@@ -61,11 +69,23 @@
 #[derive(Debug)]
 struct Flight {
     batch: Batch,
+    /// The mark of the batch in the rows that it writes.
+    stamp: u64,
     writes: Vec<Write>,
     /// How often this very batch was sent before and its answer lost.
     lost: u32,
 }
 
+/// Starts on their way into a slot's log.
+#[derive(Debug)]
+struct Append {
+    number: u64,
+    place: u64,
+    records: Vec<Record>,
+    /// How often it was sent before and its answer lost.
+    lost: u32,
+}
+
 /// The journal of the slots that one daemon leads.
 ///
 /// An id is handed on only after its start was committed, and its start is
@@ -73,6 +93,8 @@
 /// handed on. So each id is handed on at most once.
 pub struct Journal {
     limits: Limits,
+    /// What the stamps of this journal's batches start from.
+    origin: u64,
     seed: u64,
     slots: IndexMap<SlotId, Slot>,
     index: Index,
@@ -87,14 +109,20 @@
     /// The earliest start of the next batch.
     next: Instant,
     numbers: u64,
+    /// When the object store is asked again after it failed.
+    log_after: Instant,
     effects: VecDeque<Effect>,
 }
 
 impl Journal {
-    /// Creates a journal that leads no slot; `seed` spreads its retries.
+    /// Creates a journal that leads no slot.
+    ///
+    /// `seed` spreads its retries and marks its batches; it must be another one for
+    /// each start of a daemon.
     pub fn new(limits: Limits, seed: u64, now: Instant) -> Self {
         Self {
             limits,
+            origin: seed,
             seed,
             slots: IndexMap::new(),
             index: Index::default(),
@@ -105,6 +133,7 @@
             lease: now,
             next: now,
             numbers: 0,
+            log_after: now,
             effects: VecDeque::new(),
         }
     }
@@ -120,8 +149,11 @@
             Event::Lead { slot, version } => self.lead(slot, version),
             Event::Unlead(slot) => self.unlead(slot, now),
             Event::Lease(until) => self.lease = until,
-            Event::Loaded { slot, version, rows } => {
-                self.loaded(slot, version, rows, now)
+            Event::Loaded { slot, version, rows, log } => {
+                self.loaded(slot, version, rows, log, now)
+            }
+            Event::Appended { slot, number, appended } => {
+                self.appended(slot, number, appended, now)
             }
             Event::Unloaded { slot, version } => self.unloaded(slot, version, now),
             Event::Ask { .. } => self.ask(event, now),
@@ -148,16 +180,21 @@
         self.reload(now);
         self.forget(now);
         self.pump(now);
+        self.trim_logs();
     }
 
     /// When [`Self::tick`] has something to do next.
     pub fn wake(&self) -> Option<Instant> {
         let patience = self.pending.front().map(|(end, _)| *end);
-        let batch =
-            (!self.queue.is_empty() && self.flight.is_none()).then(|| match self.link {
-                Link::Up => self.next,
-                Link::Down { until, .. } => until.max(self.next),
-            });
+        let batch = (!self.queue.is_empty()).then(|| match self.link {
+            Link::Up if self.flight.is_some() => None,
+            Link::Up => Some(self.next),
+            Link::Down { .. } if self.waits_for_log() => Some(self.next),
+            Link::Down { until, .. } => {
+                self.flight.is_none().then(|| until.max(self.next))
+            }
+        });
+        let batch = batch.flatten();
         let slots = self.slots.values().filter_map(|slot| match &slot.phase {
             Phase::Failed(at) => Some(*at),
             Phase::Loading(waiting) => waiting.first().map(|(end, _)| *end),
@@ -203,97 +240,6 @@
         self.index.entries.values().filter(active).count()
     }
 
-    fn lead(&mut self, slot: SlotId, version: u64) {
-        let same = |known: &Slot| {
-            known.version == version && !matches!(known.phase, Phase::Lost)
-        };
-        if self.slots.get(&slot).is_some_and(same) {
-            return;
-        }
-        self.refuse_starts(slot, &moved());
-        let old = self.slots.swap_remove(&slot).map(|known| known.phase);
-        // Requests that waited for the rows wait on.
-        let waiting = match old {
-            Some(Phase::Loading(waiting)) => waiting,
-            Some(Phase::Failed(_) | Phase::Open | Phase::Lost) | None => Vec::new(),
-        };
-        let phase = Phase::Loading(waiting);
-        self.slots.insert(slot, Slot { version, phase, complete: false });
-        self.effects.push_back(Effect::Load { slot, version });
-    }
-
-    fn unlead(&mut self, slot: SlotId, now: Instant) {
-        let Some(known) = self.slots.get_mut(&slot) else { return };
-        let phase = std::mem::replace(&mut known.phase, Phase::Lost);
-        if let Phase::Loading(waiting) = phase {
-            for (_, event) in waiting {
-                self.handle(event, now);
-            }
-        }
-        self.refuse_starts(slot, &moved());
-        // The next lead's memory is the one that counts; ours may grow stale.
-        self.index.entries.retain(|_, entry| {
-            entry.slot != slot
-                || !entry.askers.is_empty()
-                || matches!(entry.state, State::Running | State::Ending(..))
-        });
-    }
-
-    fn loaded(
-        &mut self,
-        slot: SlotId,
-        version: u64,
-        rows: Vec<(Known, Duration)>,
-        now: Instant,
-    ) {
-        let Some(known) = self.slots.get_mut(&slot) else { return };
-        if known.version != version || !matches!(known.phase, Phase::Loading(_)) {
-            return;
-        }
-        let phase = std::mem::replace(&mut known.phase, Phase::Open);
-        known.complete = rows.iter().all(|(row, _)| row.record.is_some());
-        for (row, age) in rows {
-            let Some(record) = row.record else { continue };
-            let (id, entry) = Entry::of(record, row.version);
-            if self.index.entries.get(&id).is_some_and(|own| !own.is_settled()) {
-                continue;
-            }
-            let end = now + self.limits.retention.saturating_sub(age);
-            self.index.entries.insert(id.clone(), entry);
-            self.index.finish(&id, end);
-        }
-        self.trim();
-        if let Phase::Loading(waiting) = phase {
-            for (_, event) in waiting {
-                self.handle(event, now);
-            }
-        }
-    }
-
-    fn unloaded(&mut self, slot: SlotId, version: u64, now: Instant) {
-        let wait = jitter(self.limits.backoff * 2, &mut self.seed);
-        let Some(known) = self.slots.get_mut(&slot) else { return };
-        if known.version != version {
-            return;
-        }
-        let phase = std::mem::replace(&mut known.phase, Phase::Failed(now + wait));
-        if let Phase::Loading(waiting) = phase {
-            for (_, event) in waiting {
-                self.handle(event, now);
-            }
-        }
-    }
-
-    fn reload(&mut self, now: Instant) {
-        for (slot, known) in &mut self.slots {
-            if matches!(known.phase, Phase::Failed(at) if at <= now) {
-                known.phase = Phase::Loading(Vec::new());
-                let version = known.version;
-                self.effects.push_back(Effect::Load { slot: *slot, version });
-            }
-        }
-    }
-
     fn refused(
         &mut self,
         id: &RequestId,
@@ -303,6 +249,7 @@
     ) {
         let Some(entry) = self.own(id, attempt) else { return };
         entry.state = State::Void;
+        entry.unsaved = false;
         let slot = entry.slot;
         if let Some(version) = entry.version {
             self.queue.push_back(Write::Forget { slot, id: id.clone(), version });
--- a/crates/once/src/journal/ask.rs
+++ b/crates/once/src/journal/ask.rs
@@ -39,7 +39,8 @@
             }
         }
         let full = self.queue.len() >= limits.queue;
-        if full || matches!(self.link, Link::Down { until, .. } if now < until) {
+        let down = matches!(self.link, Link::Down { until, .. } if now < until);
+        if full || down && !self.has_log(slot, now) {
             let refusal = self.down(slot, now);
             return self.reply(ticket, Reply::Refused(refusal));
         }
@@ -57,6 +58,7 @@
             target,
             server: None,
             version: over,
+            unsaved: false,
             end: None,
             state: State::Pending(now),
             askers: vec![ticket],
--- a/crates/once/src/journal/commit.rs
+++ b/crates/once/src/journal/commit.rs
@@ -1,5 +1,6 @@
 //! Batches of the journal: how they are built and what their answers mean.
 
+use std::collections::VecDeque;
 use std::time::Instant;
 
 use chestnut_base::{RequestId, SlotId};
@@ -17,30 +18,33 @@
 const SEND_LIMIT: u32 = 2;
 
 impl Journal {
-    /// Sends the next batch if one is due.
+    /// Sends the next batch if one is due, or the next append while the table is
+    /// down.
     pub(super) fn pump(&mut self, now: Instant) {
-        let down = matches!(self.link, Link::Down { until, .. } if now < until);
-        if self.flight.is_some() || down || now < self.next {
+        let down = matches!(self.link, Link::Down { .. });
+        if now < self.next || self.queue.is_empty() || self.flight.is_some() && !down {
             return;
         }
-        if self.queue.is_empty() {
-            return;
-        }
-        let writes = self.pick();
         self.next = now + self.limits.gap;
-        if writes.is_empty() {
-            return;
+        let rests = matches!(self.link, Link::Down { until, .. } if now < until);
+        if self.flight.is_none() && !rests {
+            let writes = self.pick(now);
+            if !writes.is_empty() {
+                return self.send(writes, 0);
+            }
+        }
+        if down {
+            self.divert(now);
         }
-        self.send(writes, 0);
     }
 
     /// Takes the next changes from the queue that still make sense.
-    fn pick(&mut self) -> Vec<Write> {
+    fn pick(&mut self, now: Instant) -> Vec<Write> {
         let mut writes = Vec::new();
         let mut later = Vec::new();
         while writes.len() < self.limits.batch {
             let Some(write) = self.queue.pop_front() else { break };
-            match self.sense(&write) {
+            match self.sense(&write, now) {
                 Sense::Send => writes.push(write),
                 Sense::Later => later.push(write),
                 Sense::Never => {}
@@ -49,18 +53,31 @@
         self.queue.extend(later);
         // Starts come first, so that a batch whose acknowledgement was lost shows
         // itself by the row of its first start.
-        writes.sort_by_key(|write| !matches!(write, Write::Start { .. }));
+        writes.sort_by_key(|write| {
+            !matches!(write, Write::Start { .. } | Write::Copy { .. })
+        });
         writes
     }
 
-    fn sense(&self, write: &Write) -> Sense {
+    pub(super) fn sense(&self, write: &Write, now: Instant) -> Sense {
         let state = self.index.entries.get(write.id()).map(|entry| &entry.state);
         let phase = self.slots.get(&write.slot()).map(|slot| &slot.phase);
         match write {
-            Write::Start { .. } => match (state, phase) {
+            Write::Start { slot, .. } => match (state, phase) {
+                // They are not kept waiting by a table that may not answer.
+                (Some(State::Pending(_)), Some(Phase::Open))
+                    if !self.is_up() && self.has_log(*slot, now) =>
+                {
+                    Sense::Later
+                }
                 (Some(State::Pending(_)), Some(Phase::Open)) => Sense::Send,
                 _ => Sense::Never,
             },
+            Write::Copy { id, .. } => match phase {
+                Some(Phase::Open) if self.is_unsaved(id) => Sense::Send,
+                Some(Phase::Loading(_) | Phase::Failed(_)) => Sense::Later,
+                _ => Sense::Never,
+            },
             Write::Finish { .. } => match state {
                 Some(State::Ending(..)) => Sense::Send,
                 _ => Sense::Never,
@@ -75,13 +92,15 @@
 
     fn send(&mut self, writes: Vec<Write>, lost: u32) {
         self.numbers += 1;
+        let stamp = self.origin.wrapping_add(self.numbers);
+        let change = |write| self.change(write, stamp);
         let batch = Batch {
             number: self.numbers,
             conditions: self.conditions(&writes),
-            changes: writes.iter().filter_map(|write| self.change(write)).collect(),
+            changes: writes.iter().filter_map(change).collect(),
         };
         self.effects.push_back(Effect::Commit(batch.clone()));
-        self.flight = Some(Flight { batch, writes, lost });
+        self.flight = Some(Flight { batch, stamp, writes, lost });
     }
 
     /// First the claims of the slots, then a condition for each row that needs one.
@@ -102,21 +121,22 @@
         claims.chain(writes.iter().filter_map(Write::condition)).collect()
     }
 
-    fn change(&self, write: &Write) -> Option<Change> {
+    fn change(&self, write: &Write, stamp: u64) -> Option<Change> {
         let id = write.id();
         let slot = write.slot();
         let entry = self.index.entries.get(id);
-        match write {
-            Write::Start { .. } => Some(Change::Put(Box::new(entry?.record(id, None)))),
-            Write::Finish { .. } => match &entry?.state {
-                State::Ending(_, summary) => {
-                    let record = entry?.record(id, Some(summary.clone()));
-                    Some(Change::Put(Box::new(record)))
-                }
-                _ => None,
-            },
-            Write::Forget { .. } => Some(Change::Delete { slot, id: id.clone() }),
+        if matches!(write, Write::Forget { .. }) {
+            return Some(Change::Delete { slot, id: id.clone() });
         }
+        let answer = match (write, &entry?.state) {
+            (Write::Copy { .. }, State::Done(summary, _)) => Some(summary.clone()),
+            (Write::Finish { .. }, State::Ending(_, summary)) => Some(summary.clone()),
+            (Write::Finish { .. }, _) => return None,
+            _ => None,
+        };
+        let mut record = entry?.record(id, answer);
+        record.stamp = stamp;
+        Some(Change::Put(Box::new(record)))
     }
 
     pub(super) fn stored(&mut self, number: u64, stored: Stored, now: Instant) {
@@ -136,11 +156,21 @@
                 self.conflict(flight, condition, row.map(|row| *row), now);
             }
             Stored::Down => self.failed(flight, now),
-            Stored::Lost if flight.lost + 1 < SEND_LIMIT => self.resend(flight),
+            Stored::Lost if self.may_resend(&flight, now) => self.resend(flight),
             Stored::Lost => self.failed(flight, now),
         }
     }
 
+    /// Whether a batch whose answer was lost is sent again at once.
+    ///
+    /// Starts that can go into the log do not wait for a second timeout.
+    fn may_resend(&self, flight: &Flight, now: Instant) -> bool {
+        let diverts = |write: &Write| {
+            matches!(write, Write::Start { .. }) && self.has_log(write.slot(), now)
+        };
+        flight.lost + 1 < SEND_LIMIT && !flight.writes.iter().any(diverts)
+    }
+
     /// Sends the very same batch again: its conditions tell whether it took effect.
     fn resend(&mut self, flight: Flight) {
         self.numbers += 1;
@@ -152,6 +182,7 @@
     fn committed(&mut self, write: Write, version: u64, now: Instant) {
         match write {
             Write::Start { slot, id, .. } => self.started(slot, &id, version),
+            Write::Copy { slot, id, .. } => self.copied(slot, &id, version),
             Write::Finish { id, .. } => self.finished(&id, version, now),
             Write::Forget { id, .. } => self.forgotten(&id),
         }
@@ -180,6 +211,7 @@
         let State::Ending(answer, summary) = &entry.state else { return };
         let (answer, summary) = (answer.clone(), summary.clone());
         entry.version = Some(version);
+        entry.unsaved = false;
         entry.state = State::Done(summary, Some(answer.clone()));
         let slot = entry.slot;
         self.tell(id, &Reply::Answer(answer.clone()));
@@ -228,7 +260,7 @@
             }
             Condition::Absent { id, .. } | Condition::Version { id, .. } => id.clone(),
         };
-        if flight.lost > 0 && self.took_effect(&flight, &id, row.as_ref()) {
+        if flight.lost > 0 && self.took_effect(&flight, row.as_ref()) {
             let version = row.map_or(0, |row| row.version);
             for write in flight.writes {
                 self.committed(write, version, now);
@@ -242,6 +274,7 @@
         self.requeue(rest);
         match hit.pop() {
             Some(Write::Start { slot, id, .. }) => self.taken(slot, &id, row, now),
+            Some(Write::Copy { slot, id, .. }) => self.met(slot, &id, row),
             // The row is gone or another's by now; there is nothing to remove.
             Some(Write::Forget { id, .. }) => self.forgotten(&id),
             Some(Write::Finish { .. }) | None => {}
@@ -250,15 +283,20 @@
 
     /// Whether the conflict shows that the batch took effect when its answer was lost.
     ///
-    /// All of a batch takes effect or nothing. Its starts are checked first, so
-    /// that the row of its first start shows it; a batch that only removes rows
-    /// shows it by a row that is gone.
-    fn took_effect(&self, flight: &Flight, id: &RequestId, row: Option<&Known>) -> bool {
-        let starts = matches!(flight.writes.first(), Some(Write::Start { .. }));
-        let Some(row) = row else { return !starts };
-        let attempt = self.index.entries.get(id).map(|entry| entry.attempt);
-        let record = row.record.as_ref();
-        starts && record.is_some_and(|record| Some(record.attempt) == attempt)
+    /// All of a batch takes effect or nothing, so that any row with the batch's
+    /// stamp shows it. A row of the same attempt does not: an earlier batch that
+    /// was believed lost may have written it, and the other starts of this one
+    /// would be handed on without a record. A batch that only removes rows shows it
+    /// by a row that is gone.
+    fn took_effect(&self, flight: &Flight, row: Option<&Known>) -> bool {
+        match row {
+            Some(row) => {
+                row.record.as_ref().is_some_and(|record| record.stamp == flight.stamp)
+            }
+            None => {
+                flight.writes.iter().all(|write| matches!(write, Write::Forget { .. }))
+            }
+        }
     }
 
     /// The start of an id met a row, or the lack of one.
@@ -281,7 +319,7 @@
         }
         let digest = entry.digest;
         let askers = self.take_askers(id);
-        let (id, known) = Entry::of(record, version);
+        let (id, known) = Entry::of(record, Some(version));
         let same = known.digest == digest;
         self.index.entries.insert(id.clone(), known);
         self.index.finish(&id, now + self.limits.retention);
@@ -293,7 +331,7 @@
         }
     }
 
-    fn deposed(&mut self, slot: SlotId, version: u64) {
+    pub(super) fn deposed(&mut self, slot: SlotId, version: u64) {
         let Some(known) = self.slots.get_mut(&slot) else { return };
         if known.version == version {
             known.phase = Phase::Lost;
@@ -302,7 +340,7 @@
     }
 
     /// Puts changes back, to be sent at once.
-    fn requeue(&mut self, writes: Vec<Write>) {
+    pub(super) fn requeue(&mut self, writes: Vec<Write>) {
         for write in writes.into_iter().rev() {
             self.queue.push_front(write);
         }
@@ -318,9 +356,10 @@
         let until = now + jitter(wait, &mut self.seed);
         self.link = Link::Down { until, tries };
         self.requeue(flight.writes);
-        let (starts, rest) = std::mem::take(&mut self.queue)
-            .into_iter()
-            .partition(|write| matches!(write, Write::Start { .. }));
+        let (starts, rest): (VecDeque<Write>, VecDeque<Write>) =
+            std::mem::take(&mut self.queue).into_iter().partition(|write| {
+                matches!(write, Write::Start { .. }) && !self.has_log(write.slot(), now)
+            });
         self.queue = rest;
         for write in starts {
             let refusal = self.down(write.slot(), now);
@@ -343,7 +382,8 @@
 }
 
 /// Whether a change is to be sent.
-enum Sense {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Sense {
     Send,
     Later,
     Never,
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -32,7 +32,7 @@
 pub mod suspect;
 
 pub use batch::{Batch, Change, Condition, Stored};
-pub use event::{Effect, Event, Found, Reply};
+pub use event::{Appended, Effect, Event, Found, Log, Reply};
 pub use index::Ticket;
 pub use journal::Journal;
 pub use limits::Limits;
--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -34,6 +34,8 @@
     pub attempt: AttemptId,
     /// What the request is sent to.
     pub target: Target,
+    /// The mark of the transaction that wrote the record.
+    pub stamp: u64,
     /// The backend server, if it was known when the record was written.
     pub server: Option<ServerName>,
     /// The answer; a request without one was started and may have run.
@@ -134,6 +136,8 @@
     digest: String,
     member: String,
     number: u64,
+    #[serde(default)]
+    stamp: u64,
     target: Target,
     server: Option<ServerName>,
     answer: Option<Summary>,
@@ -149,6 +153,7 @@
             digest: self.digest.to_string(),
             member: self.attempt.member.to_string(),
             number: self.attempt.number,
+            stamp: self.stamp,
             target: self.target.clone(),
             server: self.server.clone(),
             answer: self.answer.clone(),
@@ -167,6 +172,7 @@
             digest: Digest(digest),
             attempt: AttemptId { member: MemberId(member), number: content.number },
             target: content.target,
+            stamp: content.stamp,
             server: content.server,
             answer: content.answer,
         })
