--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,9 +1,11 @@
 //! Experiments on the decisions and measurements of the daemons.
 //!
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
-//! - [`decisions`]: what one decision costs.
+//! - [`decisions`]: what one decision costs,
+//! - [`moves`]: placements of models under shifting demand, against baselines.
 
 pub mod decisions;
+pub mod moves;
 pub mod policies;
 
 use std::process::ExitCode;
@@ -20,6 +22,9 @@
     /// Measures what a decision costs.
     #[bpaf(command)]
     Decisions(#[bpaf(external(decisions::options))] decisions::Options),
+    /// Compares placements of models under shifting demand, in virtual time.
+    #[bpaf(command)]
+    Moves(#[bpaf(external(moves::options))] moves::Options),
 }
 
 /// Runs the program.
@@ -27,6 +32,7 @@
     match command().run() {
         Command::Policies(options) => policies::run(&options),
         Command::Decisions(options) => decisions::run(&options),
+        Command::Moves(options) => moves::run(&options),
     }
     ExitCode::SUCCESS
 }
--- /dev/null
+++ b/crates/lab/src/moves/policy.rs
@@ -0,0 +1,225 @@
+//! Who decides where models are: the planner and its baselines.
+
+use std::time::Duration;
+
+use chestnut_place::balance::balance;
+use chestnut_place::planner::FILL;
+use chestnut_place::{Demand, ModelState, PoolState, RunnerState, plan};
+
+use super::shifts::STEP;
+use super::site::Site;
+
+/// Who decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// The planner of the daemon.
+    Planner,
+    /// All memory is filled once, evenly, and nothing moves.
+    Static,
+    /// The model that lacks most gets a replica on the emptiest runner, at once.
+    Greedy,
+    /// A model that lacks throughput gets a replica in place of the one that
+    /// was least recently needed; nothing is kept back.
+    LeastRecent,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Self; 4] =
+        [Self::Planner, Self::Static, Self::Greedy, Self::LeastRecent];
+
+    /// The name in the output.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Planner => "planner",
+            Self::Static => "static",
+            Self::Greedy => "greedy",
+            Self::LeastRecent => "lru",
+        }
+    }
+}
+
+/// The state of a policy between its decisions.
+pub struct Decider {
+    policy: Policy,
+    averages: Vec<Demand>,
+    /// For each model and runner, the step at which the replica was last needed.
+    needed: Vec<Vec<u64>>,
+    step: u64,
+}
+
+impl Decider {
+    /// Creates a decider that knows nothing yet.
+    pub fn new(policy: Policy, site: &Site) -> Self {
+        Self {
+            policy,
+            averages: vec![Demand::default(); site.models.len()],
+            needed: vec![vec![0; site.runners]; site.models.len()],
+            step: 0,
+        }
+    }
+
+    /// The placement that is wanted next.
+    pub fn decide(
+        &mut self,
+        site: &Site,
+        observed: &[f64],
+        placed: &[Vec<usize>],
+        loading: &[usize],
+    ) -> Vec<Vec<usize>> {
+        self.step += 1;
+        let time = Duration::from_secs_f64(STEP);
+        for (average, rate) in self.averages.iter_mut().zip(observed) {
+            average.add(rate * STEP, time);
+        }
+        match self.policy {
+            Policy::Planner => self.planned(site, placed, loading),
+            Policy::Static if self.step == 1 => filled(site),
+            Policy::Static => placed.to_vec(),
+            Policy::Greedy => {
+                first_then(site, placed, |held| greedy(site, observed, held))
+            }
+            Policy::LeastRecent => {
+                first_then(site, placed, |held| self.least_recent(site, observed, held))
+            }
+        }
+    }
+
+    fn planned(
+        &self,
+        site: &Site,
+        placed: &[Vec<usize>],
+        loading: &[usize],
+    ) -> Vec<Vec<usize>> {
+        let model = |index: usize| ModelState {
+            bytes: site.models[index].bytes,
+            replicas: 1,
+            cold: site.models[index].cold,
+            demand: self.averages[index].estimate(),
+            placed: placed[index].clone(),
+            loading: loading[index],
+        };
+        let runner = |index| RunnerState {
+            domain: index % site.domains,
+            capacity: site.memory,
+            other: 0,
+            stays: true,
+        };
+        let pool = PoolState {
+            runners: (0..site.runners).map(runner).collect(),
+            models: (0..site.models.len()).map(model).collect(),
+            throughput: site.throughput,
+            parallel: site.parallel,
+            attainment_weight: site.attainment_weight,
+            move_weight: site.move_weight,
+        };
+        plan(&pool).placed
+    }
+
+    /// Replaces the least recently needed replicas by one of the neediest model.
+    fn least_recent(&mut self, site: &Site, observed: &[f64], held: &mut [Vec<usize>]) {
+        let spread = balance(observed, held, site.runners);
+        for (model, at) in held.iter().enumerate() {
+            for (share, runner) in spread.shares[model].iter().zip(at) {
+                if *share > 0.02 * site.throughput {
+                    self.needed[model][*runner] = self.step;
+                }
+            }
+        }
+        let Some(model) = neediest(site, observed, held) else { return };
+        let runner = (0..site.runners)
+            .filter(|runner| !held[model].contains(runner))
+            .min_by(|a, b| spread.loads[*a].total_cmp(&spread.loads[*b]));
+        let Some(runner) = runner else { return };
+        while room(site, held, runner) < site.models[model].bytes {
+            let victim = (0..held.len())
+                .filter(|other| held[*other].contains(&runner))
+                .min_by_key(|other| self.needed[*other][runner]);
+            let Some(victim) = victim else { return };
+            held[victim].retain(|at| *at != runner);
+        }
+        held[model].push(runner);
+    }
+}
+
+/// Starts as the static placement does, so that all start with full memory.
+fn first_then(
+    site: &Site,
+    placed: &[Vec<usize>],
+    step: impl FnOnce(&mut [Vec<usize>]),
+) -> Vec<Vec<usize>> {
+    if placed.iter().all(Vec::is_empty) {
+        return filled(site);
+    }
+    let mut held = placed.to_vec();
+    step(&mut held);
+    held
+}
+
+/// One replica of each model after the other until nothing fits any more.
+fn filled(site: &Site) -> Vec<Vec<usize>> {
+    let mut held = vec![Vec::new(); site.models.len()];
+    let mut order: Vec<usize> = (0..site.models.len()).collect();
+    order.sort_by_key(|model| std::cmp::Reverse(site.models[*model].bytes));
+    loop {
+        let mut placed = false;
+        for model in &order {
+            let runner = (0..site.runners)
+                .filter(|runner| !held[*model].contains(runner))
+                .filter(|runner| room(site, &held, *runner) >= site.models[*model].bytes)
+                .max_by_key(|runner| room(site, &held, *runner));
+            if let Some(runner) = runner {
+                held[*model].push(runner);
+                placed = true;
+            }
+        }
+        if !placed {
+            return held;
+        }
+    }
+}
+
+/// Gives the neediest model a replica, dropping whatever has least demand there.
+fn greedy(site: &Site, observed: &[f64], held: &mut [Vec<usize>]) {
+    let Some(model) = neediest(site, observed, held) else { return };
+    let spread = balance(observed, held, site.runners);
+    let runner = (0..site.runners)
+        .filter(|runner| !held[model].contains(runner))
+        .min_by(|a, b| spread.loads[*a].total_cmp(&spread.loads[*b]));
+    let Some(runner) = runner else { return };
+    let mut next = held.to_vec();
+    while room(site, &next, runner) < site.models[model].bytes {
+        let victim = (0..next.len())
+            .filter(|other| next[*other].contains(&runner) && next[*other].len() > 1)
+            .min_by(|a, b| observed[*a].total_cmp(&observed[*b]));
+        let Some(victim) = victim else { return };
+        next[victim].retain(|at| *at != runner);
+    }
+    next[model].push(runner);
+    held.clone_from_slice(&next);
+}
+
+/// The model whose runners are overloaded most, if any is; one that is nowhere
+/// goes first.
+fn neediest(site: &Site, observed: &[f64], held: &[Vec<usize>]) -> Option<usize> {
+    let spread = balance(observed, held, site.runners);
+    let limit = FILL * site.throughput;
+    let lack = |model: usize| {
+        if held[model].is_empty() {
+            return f64::MAX;
+        }
+        let over = held[model].iter().map(|at| (spread.loads[*at] - limit).max(0.0));
+        over.sum::<f64>().min(observed[model])
+    };
+    (0..held.len())
+        .map(|model| (lack(model), model))
+        .filter(|(lack, _)| *lack > 0.0)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, model)| model)
+}
+
+fn room(site: &Site, held: &[Vec<usize>], runner: usize) -> u64 {
+    let models = held.iter().enumerate().filter(|(_, at)| at.contains(&runner));
+    let used: u64 = models.map(|(model, _)| site.models[model].bytes).sum();
+    site.memory - used
+}
--- /dev/null
+++ b/crates/lab/src/moves/pool.rs
@@ -0,0 +1,172 @@
+//! A pool of runners that load, hold and serve models.
+
+use chestnut_place::balance::balance;
+use chestnut_place::planner::FILL;
+
+use super::policy::{Decider, Policy};
+use super::shifts::{STEP, STEPS, Shifts};
+use super::site::Site;
+
+/// What the weight store still serves beyond its limit, as a part of full speed.
+const SLOWED: f64 = 0.8;
+
+/// The part of its throughput that a runner loses while it loads; an assumption.
+const STALL: f64 = 0.15;
+
+/// Steps at the start of a run that don't count: half an hour for the first loads.
+const WARM_UP: usize = 360;
+
+/// A pool in a run.
+pub struct Pool<'a> {
+    site: &'a Site,
+    shifts: &'a Shifts,
+    decider: Decider,
+    /// For each model, the runners that hold or load it.
+    placed: Vec<Vec<usize>>,
+    loads: Vec<LoadJob>,
+    outcome: Outcome,
+}
+
+/// A load under way.
+#[derive(Debug, Clone, Copy)]
+struct LoadJob {
+    model: usize,
+    runner: usize,
+    /// Seconds at full speed that remain.
+    rest: f64,
+    /// Whether the weight store has begun.
+    begun: bool,
+}
+
+/// What came of a run.
+#[derive(Debug, Clone, Default)]
+pub struct Outcome {
+    demand: f64,
+    served: f64,
+    possible: f64,
+    /// Tokens served in time a second.
+    pub rate: f64,
+    /// Loads an hour.
+    pub moves: f64,
+    /// The part of all models' time without a replica.
+    pub unreachable: f64,
+}
+
+impl Outcome {
+    /// The part of the demand that was served in time.
+    pub fn attainment(&self) -> f64 {
+        self.served / self.demand
+    }
+
+    /// The same as a part of what could have been served if every runner had held
+    /// every model.
+    pub fn of_bound(&self) -> f64 {
+        self.served / self.possible
+    }
+}
+
+impl<'a> Pool<'a> {
+    /// Creates a pool whose runners are empty.
+    pub fn new(site: &'a Site, shifts: &'a Shifts, policy: Policy) -> Self {
+        Self {
+            site,
+            shifts,
+            decider: Decider::new(policy, site),
+            placed: vec![Vec::new(); site.models.len()],
+            loads: Vec::new(),
+            outcome: Outcome::default(),
+        }
+    }
+
+    /// Plays the run.
+    pub fn play(mut self) -> Outcome {
+        for step in 0..STEPS {
+            self.decide(step);
+            self.load();
+            self.serve(step);
+        }
+        let steps = (STEPS - WARM_UP) as f64;
+        let hours = steps * STEP / 3600.0;
+        self.outcome.rate = self.outcome.served / steps;
+        self.outcome.moves /= hours;
+        self.outcome.unreachable /= steps * self.site.models.len() as f64;
+        self.outcome
+    }
+
+    fn decide(&mut self, step: usize) {
+        let mut loading = vec![0; self.placed.len()];
+        self.loads.iter().for_each(|job| loading[job.model] += 1);
+        let observed = &self.shifts.observed[step];
+        let next = self.decider.decide(self.site, observed, &self.placed, &loading);
+        self.loads.retain(|job| next[job.model].contains(&job.runner));
+        for (model, at) in next.iter().enumerate() {
+            for runner in at.iter().filter(|at| !self.placed[model].contains(at)) {
+                let rest = self.site.models[model].cold.as_secs_f64();
+                self.loads.push(LoadJob { model, runner: *runner, rest, begun: false });
+                if step >= WARM_UP {
+                    self.outcome.moves += 1.0;
+                }
+            }
+        }
+        self.placed = next;
+        self.check_memory();
+    }
+
+    fn check_memory(&self) {
+        let mut used = vec![0; self.site.runners];
+        for (model, at) in self.placed.iter().enumerate() {
+            at.iter().for_each(|runner| used[*runner] += self.site.models[model].bytes);
+        }
+        assert!(used.iter().all(|used| *used <= self.site.memory), "overcommitted");
+    }
+
+    /// The weight store shares its speed among all loads that have begun.
+    fn load(&mut self) {
+        let mut starts = (self.site.rate * STEP).max(1.0) as usize;
+        for job in self.loads.iter_mut().filter(|job| !job.begun) {
+            if starts == 0 {
+                break;
+            }
+            job.begun = true;
+            starts -= 1;
+        }
+        let begun = self.loads.iter().filter(|job| job.begun).count();
+        let limit = self.site.parallel;
+        let speed =
+            if begun <= limit { 1.0 } else { SLOWED * limit as f64 / begun as f64 };
+        for job in self.loads.iter_mut().filter(|job| job.begun) {
+            job.rest -= speed * STEP;
+        }
+        self.loads.retain(|job| job.rest > 0.0);
+    }
+
+    fn serve(&mut self, step: usize) {
+        if step < WARM_UP {
+            return;
+        }
+        let loading = |model: usize, runner: usize| {
+            self.loads.iter().any(|job| job.model == model && job.runner == runner)
+        };
+        let ready: Vec<Vec<usize>> = self
+            .placed
+            .iter()
+            .enumerate()
+            .map(|(model, at)| {
+                at.iter().copied().filter(|runner| !loading(model, *runner)).collect()
+            })
+            .collect();
+        let demands = &self.shifts.demands[step];
+        let spread = balance(demands, &ready, self.site.runners);
+        for (runner, load) in spread.loads.iter().enumerate() {
+            let busy = self.loads.iter().any(|job| job.runner == runner && job.begun);
+            let part = if busy { 1.0 - STALL } else { 1.0 };
+            self.outcome.served += load.min(FILL * part * self.site.throughput);
+        }
+        let sum: f64 = demands.iter().sum();
+        let limit = FILL * self.site.throughput * self.site.runners as f64;
+        self.outcome.demand += sum;
+        self.outcome.possible += sum.min(limit);
+        let lacking = ready.iter().filter(|at| at.is_empty()).count();
+        self.outcome.unreachable += lacking as f64;
+    }
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Stages of a placement, none of which needs a network:
 //!
-//! 1. [`fixed`] or the planner says what each runner of a pool is to hold,
+//! 1. [`planner`] says what each runner of a pool is to hold, by [`demand`],
 //! 2. [`follow`] decides the next steps of one runner towards that,
 //! 3. [`spare`] keeps the last replica of everything declared,
 //! 4. [`ledger`] reserves the memory before an order is sent and frees it only
@@ -12,7 +12,6 @@
 pub mod asset;
 pub mod balance;
 pub mod demand;
-pub mod fixed;
 pub mod follow;
 pub mod ledger;
 pub mod planner;
@@ -22,7 +21,6 @@
 
 pub use asset::Asset;
 pub use demand::Demand;
-pub use fixed::{Plan, Runner, Unplaced, place_fixed};
 pub use follow::{Follow, Situation, Want, follow};
 pub use ledger::{Full, Item, ItemState, Ledger, Load, Order, OrderKind, Span};
 pub use planner::{ModelState, Placement, PoolState, RunnerState, plan};
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -29,7 +29,7 @@
 /// The share of a runner's throughput up to which it answers in time.
 ///
 /// Above it, waits grow steeply with the load's variation.
-const FILL: f64 = 0.85;
+pub const FILL: f64 = 0.85;
 
 /// How long a change of demand is expected to last.
 ///
--- /dev/null
+++ b/crates/place/tests/planner.rs
@@ -0,0 +1,160 @@
+//! Plans keep every model reachable, fit the memory and move only what pays.
+
+use std::time::Duration;
+
+use chestnut_place::{ModelState, Placement, PoolState, RunnerState, plan};
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+
+/// Plans that follow each other until nothing is left to do.
+const ROUNDS: usize = 40;
+
+fn runner(domain: usize, capacity: u64) -> RunnerState {
+    RunnerState { domain, capacity, other: 0, stays: true }
+}
+
+fn model(bytes: u64, replicas: usize, demand: f64) -> ModelState {
+    let cold = Duration::from_secs(30);
+    ModelState { bytes, replicas, cold, demand, placed: Vec::new(), loading: 0 }
+}
+
+fn pool(runners: Vec<RunnerState>, models: Vec<ModelState>) -> PoolState {
+    PoolState {
+        runners,
+        models,
+        throughput: 1_000.0,
+        parallel: 2,
+        attainment_weight: 1.0,
+        move_weight: 1.0,
+    }
+}
+
+/// Carries plans out at once; returns the last one and all moves.
+fn settle(pool: &mut PoolState) -> (Placement, usize) {
+    let mut moves = 0;
+    let mut last = Placement::default();
+    for _ in 0..ROUNDS {
+        last = plan(pool);
+        moves += last.moves;
+        for (model, placed) in pool.models.iter_mut().zip(&last.placed) {
+            model.placed.clone_from(placed);
+        }
+    }
+    (last, moves)
+}
+
+fn used(pool: &PoolState, runner: usize) -> u64 {
+    let held = pool.models.iter().filter(|model| model.placed.contains(&runner));
+    held.map(|model| model.bytes).sum()
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 200, failure_persistence: None, ..Config::default()
+    })]
+
+    // Teams declare models of any size and demand shifts at will. A model left
+    // out without a word would be unreachable and nobody would know; a runner
+    // given too much would refuse its loads.
+    #[test]
+    fn models_are_placed_or_named(
+        capacities in prop::collection::vec(50u64..100, 1..6),
+        models in prop::collection::vec((1u64..60, 1usize..3, 0.0..2_000.0), 1..12),
+        shift in prop::collection::vec(0.1..10.0, 12),
+    ) {
+        let runners = capacities.iter().enumerate().map(|(at, c)| runner(at % 3, *c));
+        let models = models.iter().map(|(b, r, d)| model(*b, *r, *d)).collect();
+        let mut pool = pool(runners.collect(), models);
+        settle(&mut pool);
+        for (model, factor) in pool.models.iter_mut().zip(shift) {
+            model.demand *= factor;
+        }
+        let (last, _) = settle(&mut pool);
+        for (index, model) in pool.models.iter().enumerate() {
+            let missing = model.replicas.saturating_sub(model.placed.len());
+            let named = last.unplaced.iter().any(|(at, _)| *at == index);
+            prop_assert_eq!(missing > 0, named, "model {}", index);
+        }
+        for (at, runner) in pool.runners.iter().enumerate() {
+            prop_assert!(used(&pool, at) <= runner.capacity);
+        }
+    }
+
+    // A plan for what is in place already must change nothing, else models would
+    // move for ever and each move stalls a runner.
+    #[test]
+    fn settled_pools_stay(
+        models in prop::collection::vec((5u64..30, 0.0..800.0), 1..12),
+    ) {
+        let models = models.iter().map(|(bytes, demand)| model(*bytes, 1, *demand));
+        let mut pool = pool((0..4).map(|at| runner(at % 2, 80)).collect(), models.collect());
+        settle(&mut pool);
+        let again = plan(&pool);
+        prop_assert_eq!(again.moves, 0);
+    }
+}
+
+#[test]
+fn leaving_runner_is_replaced_first() {
+    // Callers of the model on a VM that leaves must find it elsewhere before the
+    // VM goes, even while other models are overloaded.
+    let mut pool = pool(
+        vec![runner(0, 20), runner(1, 20), runner(2, 20)],
+        vec![model(10, 1, 10.0), model(10, 1, 5_000.0)],
+    );
+    pool.models[0].placed = vec![0];
+    pool.models[1].placed = vec![1];
+    pool.runners[0].stays = false;
+    pool.parallel = 1;
+    let next = plan(&pool);
+    assert_eq!(next.moves, 1);
+    assert!(next.placed[0].iter().any(|at| *at != 0));
+}
+
+#[test]
+fn replicas_are_spread_over_domains() {
+    // With both replicas in one failure domain its loss would take the model.
+    let runners = vec![runner(0, 90), runner(0, 90), runner(1, 30)];
+    let mut pool = pool(runners, vec![model(20, 2, 10.0)]);
+    let (last, _) = settle(&mut pool);
+    let mut domains: Vec<_> =
+        last.placed[0].iter().map(|at| pool.runners[*at].domain).collect();
+    domains.sort();
+    assert_eq!(domains, [0, 1]);
+}
+
+#[test]
+fn overloaded_model_gets_replicas_if_that_pays() {
+    let overloaded = |move_weight| {
+        let runners = (0..3).map(|at| runner(at, 40)).collect();
+        let mut pool = pool(runners, vec![model(10, 1, 1_900.0), model(10, 1, 10.0)]);
+        pool.move_weight = move_weight;
+        settle(&mut pool);
+        pool.models[0].placed.len()
+    };
+    assert_eq!(overloaded(1.0), 3);
+    // A move that costs more than all it gains is not made.
+    assert_eq!(overloaded(100.0), 1);
+}
+
+#[test]
+fn room_is_made_through_another_runner() {
+    // The large model fits on no runner as the small ones lie; one of them has
+    // to be loaded elsewhere before it can go.
+    let mut pool = pool(
+        vec![runner(0, 50), runner(0, 50)],
+        vec![model(20, 1, 1.0), model(20, 1, 1.0), model(45, 1, 1.0)],
+    );
+    pool.models[0].placed = vec![0];
+    pool.models[1].placed = vec![1];
+    let (last, moves) = settle(&mut pool);
+    assert_eq!(last.unplaced, []);
+    assert_eq!(moves, 2);
+}
+
+#[test]
+fn what_does_not_fit_is_named() {
+    let mut pool = pool(vec![runner(0, 50)], vec![model(40, 1, 1.0), model(30, 2, 1.0)]);
+    let (last, _) = settle(&mut pool);
+    assert_eq!(last.unplaced, [(1, 2)]);
+}
