--- a/crates/demo/src/burst.rs
+++ b/crates/demo/src/burst.rs
@@ -154,6 +154,7 @@
         What::Tokens { route, tokens, stream } => {
             let known = ROUTES.iter().find(|(name, _)| *name == route);
             Form::Completion(Completion {
+                former: None,
                 route: route.to_owned(),
                 model: known.map_or(route, |(_, model)| model).to_owned(),
                 prompt: text,
@@ -179,6 +180,7 @@
         kind: (mix.kind != "proof").then(|| mix.kind.to_owned()),
         form,
         deadline: None,
+        safe: !mix.once,
         patience: mix.deadline,
         give_up: mix.deadline,
     }
--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -314,6 +314,7 @@
 fn probes(entry: &str) -> Vec<Ask> {
     let completion = |(route, model): &(&str, &str)| {
         Form::Completion(Completion {
+            former: None,
             route: route.to_string(),
             model: model.to_string(),
             prompt: "ready?".into(),
@@ -342,6 +343,7 @@
         form,
         kind: None,
         deadline: None,
+        safe: false,
         patience: PATIENCE,
         give_up: PATIENCE,
     });
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
 //! - [`decisions`]: what one decision costs,
+//! - [`journal`]: what the journal of non-idempotent requests adds and writes,
 //! - [`moves`]: placements of models under shifting demand, against baselines.
 
 pub mod decisions;
+pub mod journal;
 pub mod moves;
 pub mod policies;
 
@@ -22,6 +24,9 @@
     /// Measures what a decision costs.
     #[bpaf(command)]
     Decisions(#[bpaf(external(decisions::options))] decisions::Options),
+    /// Measures the journal of non-idempotent requests.
+    #[bpaf(command)]
+    Journal(#[bpaf(external(journal::options))] journal::Options),
     /// Compares placements of models under shifting demand, in virtual time.
     #[bpaf(command)]
     Moves(#[bpaf(external(moves::options))] moves::Options),
@@ -32,6 +37,7 @@
     match command().run() {
         Command::Policies(options) => policies::run(&options),
         Command::Decisions(options) => decisions::run(&options),
+        Command::Journal(options) => journal::run(&options),
         Command::Moves(options) => moves::run(&options),
     }
     ExitCode::SUCCESS
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -19,11 +19,13 @@
 use prometheus_client::metrics::counter::Counter;
 use serde_json::json;
 use slog::warn;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::timeout;
 
 use crate::engine::CallEnd;
+use crate::feed::Feed;
 use crate::members;
 use crate::node::Node;
 use crate::shared::Shared;
@@ -40,6 +42,12 @@
 /// crashed. A VM that lives accepts within a millisecond or two, also when busy.
 const PROBE: Duration = Duration::from_millis(500);
 
+/// How long a fresh connection must stay open to show that the server lives.
+///
+/// Some hundred times what a dying process takes to close its port, and short
+/// against the retry that waits for it. No server closes an idle connection so soon.
+const WATCH: Duration = Duration::from_millis(200);
+
 /// How long the other daemons may take to learn of a crash.
 ///
 /// They are a few milliseconds apart; one that is frozen must not hold up the
@@ -51,14 +59,17 @@
 /// Beyond it a crash would cost thousands of messages; then the table tells them.
 const SPREAD_LIMIT: usize = 64;
 
-/// Reads a second that all daemons together spend on the table's rows.
-const READS_PER_SECOND: f64 = 100.0;
-
 /// Who is suspect and who is refused, as this daemon knows it.
 pub struct Poison {
     suspects: Mutex<Suspects>,
     /// Told when a suspect is through, so that the next may run.
     through: Notify,
+    /// Held while a crash is attributed and the other daemons are told.
+    ///
+    /// Each flight that a crash cut reports it. Were the second report passed on
+    /// at once, its request would be retried at a daemon that does not know it for
+    /// a suspect yet, together with others, and the next crash would name nobody.
+    telling: tokio::sync::Mutex<()>,
     /// What is to be written into the table.
     unsaved: Mutex<IndexMap<Digest, Option<Evidence>>>,
     /// Told when there is something to write.
@@ -86,6 +97,7 @@
         Self {
             suspects: Mutex::default(),
             through: Notify::new(),
+            telling: tokio::sync::Mutex::default(),
             unsaved: Mutex::default(),
             changed: Notify::new(),
             counters: Counters::register(shared),
@@ -189,6 +201,7 @@
 
     /// Attributes a crash, unless another flight's report of it came first.
     async fn attribute(&self, node: &Node) {
+        let _telling = self.poison.telling.lock().await;
         let now = node.shared.clock.now();
         let verdicts = {
             let mut suspects = self.poison.lock();
@@ -247,11 +260,16 @@
     }
 }
 
-/// Whether nothing listens at a backend server's address.
+/// Whether a backend server whose connection was cut crashed.
 ///
-/// A cut stream alone proves no crash: the network may have lost a connection.
+/// A cut stream alone proves no crash: the network may have lost a connection. A
+/// server that dies may cut its streams a moment before its port closes, so that
+/// a connection that it still accepts is watched for a while.
 async fn is_dead(address: SocketAddr) -> bool {
-    !matches!(timeout(PROBE, TcpStream::connect(address)).await, Ok(Ok(_)))
+    let connected = timeout(PROBE, TcpStream::connect(address)).await;
+    let Ok(Ok(mut stream)) = connected else { return true };
+    let mut byte = [0];
+    timeout(WATCH, stream.read(&mut byte)).await.is_ok()
 }
 
 /// Tells the other daemons before the crash is reported to whoever waits.
@@ -286,15 +304,15 @@
 }
 
 fn pause(shared: &Shared) -> Duration {
-    let members = shared.view().members.len() as f64;
-    let fair = Duration::from_secs_f64(members / READS_PER_SECOND);
-    shared.settings.times.poll.max(fair).mul_f64(rand::random_range(0.75..1.25))
+    let members = shared.view().members.len();
+    let pace = Feed::pace(shared.settings.times.poll, members);
+    pace.mul_f64(rand::random_range(0.75..1.25))
 }
 
 async fn exchange(node: &Node, since: u64) -> Result<u64, PlatError> {
     let shared = &node.shared;
     write(node).await?;
-    let delta = shared.table.scan(POISON, "", since).await?;
+    let (delta, _) = shared.changes(POISON, "", since).await?;
     let now = shared.clock.now();
     let mut old = Txn::new();
     for row in &delta.rows {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -34,6 +34,9 @@
 /// The pause before daemons and backend servers are looked at again.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// The pause before the rest of a broken answer is asked for again.
+const HALF_PAUSE: Duration = Duration::from_millis(200);
+
 const FRAMES_AHEAD: usize = 64;
 
 /// How often a request may be handed to a backend server.
@@ -103,6 +106,8 @@
     Elsewhere(Refusal),
     /// The attempt may have run and broke off.
     Broken(String),
+    /// The attempt gave way to urgent work and is to go on from where it is.
+    Preempted,
 }
 
 impl Relay<'_> {
@@ -115,10 +120,16 @@
                 None => return,
             };
             let now = self.node.shared.clock.now();
-            if !is_passing(refusal.code) || self.sent || now >= settled {
+            // Half an answer is of no use to anyone: it waits for its deadline, also
+            // when the other backend servers are full.
+            let half = self.have.tokens > 0;
+            let (until, pause) =
+                if half { (self.end, HALF_PAUSE) } else { (settled, PAUSE) };
+            let passing = is_passing(refusal.code) || half && !refusal.code.is_final();
+            if !passing || !self.may_wait() || now >= until {
                 break refusal;
             }
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(pause).await;
             self.tried.clear();
         };
         self.refuse(refusal).await;
@@ -138,8 +149,17 @@
             let refusal = match self.attempt(&choice).await {
                 Next::Done => return None,
                 Next::Elsewhere(refusal) => refusal,
+                Next::Preempted => {
+                    // Nothing failed: every backend server may be asked again.
+                    self.tried.clear();
+                    continue;
+                }
                 Next::Broken(why) => {
                     *broken += 1;
+                    let now = self.node.shared.clock.now();
+                    if let Err(refusal) = self.node.poison.check(self.work.digest, now) {
+                        return Some(refusal);
+                    }
                     let refusal = broke_off(&why);
                     if !self.may_try_again(*broken) {
                         return Some(refusal);
@@ -155,6 +175,14 @@
         last.or_else(|| Some(broke_off("no attempt was possible")))
     }
 
+    /// Whether a further attempt later is safe.
+    fn may_wait(&self) -> bool {
+        match self.mode {
+            Mode::Many => !self.begun,
+            Mode::Single(_) => !self.sent,
+        }
+    }
+
     /// Chooses the version that can be served while the declared one is loaded.
     ///
     /// Not once the caller has tokens: another version goes on otherwise.
@@ -199,9 +227,7 @@
             }
             Err(PeerError::Lost(why)) => return self.lost(choice, why),
         };
-        let next = self.forward(choice, &mut frames).await;
-        self.node.picker.note(&choice.server, Note::Over);
-        next
+        self.forward(choice, &mut frames).await
     }
 
     fn number(&self) -> AttemptId {
@@ -266,6 +292,10 @@
                     }
                     return self.refused(choice, refusal, hint).await;
                 }
+                Say::Preempted { load } => {
+                    self.node.picker.note(&choice.server, Note::Load(load));
+                    return Next::Preempted;
+                }
                 Say::Broken { message, crashed } => {
                     self.node.picker.note(&choice.server, Note::Broken { crashed });
                     return Next::Broken(message);
--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -23,6 +23,9 @@
     Signal(Signal, String),
     /// `exits NAME CODE`: waits until the process ends with this code.
     Exits(String, i32),
+    /// `alias NAME [not] server:NAME|slot:CALLER/KEY`: calls the daemon that leads
+    /// this, or one that does not, by another name.
+    Alias { alias: String, claim: String, not: bool },
     /// `fault NAME JSON`: switches faults of a stand-in.
     Fault(String, Value),
     /// `vm NAME live|leaving|gone`: changes the platform's list of VMs.
@@ -36,6 +39,10 @@
     Send(String, Options),
     /// `await NAME`: waits for the answers to what was sent.
     Await(String),
+    /// `pending NAME`: none of the answers has come yet.
+    Pending(String),
+    /// `drop NAME`: the callers go away.
+    Drop(String),
     /// `seen NAME N`: waits until an answer has so many tokens.
     Seen(String, usize),
     /// `-> FACT.. | FACT..`: what must be true of all answers that came last.
@@ -76,7 +83,7 @@
 
 /// A question about the JSON that a process answers.
 pub struct Look {
-    /// The process.
+    /// The process; `engines` or `services` stand for the sum over all of them.
     pub name: String,
     /// The path; the process's own page of state if it is empty.
     pub path: String,
