--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -33,6 +33,17 @@
     /// `declare TEAM FILE`, then the text up to a line `end`, or `declare TEAM FILE
     /// removed`; expectations about the answer may follow.
     Declare { team: String, file: String, text: Option<String>, at: Option<String> },
+    /// `file DIR FILE`, then the text up to a line `end`, or `file DIR FILE removed`:
+    /// changes a file of an operator's directory.
+    File { dir: String, file: String, text: Option<String> },
+    /// `operate NAME TEAM [at=DAEMONS] WORD..`: starts `chestnutctl` with the words;
+    /// `@DIR` stands for an operator's directory.
+    Operate { name: String, team: String, at: Vec<String>, words: Vec<String> },
+    /// `ended NAME`: waits until an operator's command ends; `-> exit=N WORD..` may
+    /// follow.
+    Ended(String),
+    /// `gone NAME`: an operator is killed.
+    Gone(String),
     /// `ask NAME [OPTION=VALUE]..`: sends requests and waits for the answers.
     Ask(String, Options),
     /// `send NAME [OPTION=VALUE]..`: sends requests and goes on.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod ask;
 pub mod certs;
 pub mod command;
+pub mod operate;
 pub mod parse;
 pub mod process;
 pub mod promises;
--- a/tests/support/parse.rs
+++ b/tests/support/parse.rs
@@ -58,6 +58,10 @@
         }
         "vm" => pair(rest).map(|(name, state)| Command::Vm(name, state)),
         "declare" => declare(rest, lines),
+        "file" => file(rest, lines),
+        "operate" => operate(rest),
+        "ended" => Ok(Command::Ended(one(rest)?)),
+        "gone" => Ok(Command::Gone(one(rest)?)),
         "ask" => asked(rest).map(|(name, options)| Command::Ask(name, options)),
         "send" => asked(rest).map(|(name, options)| Command::Send(name, options)),
         "await" => Ok(Command::Await(one(rest)?)),
@@ -121,10 +125,43 @@
     if options.flag("removed") {
         return Ok(Command::Declare { team, file, text: None, at });
     }
+    Ok(Command::Declare { team, file, text: Some(block(lines)?), at })
+}
+
+fn file(rest: &str, lines: &mut Enumerate<Lines>) -> Result<Command, Failure> {
+    match &words(rest)?[..] {
+        [dir, file] => {
+            let (dir, file) = (dir.clone(), file.clone());
+            Ok(Command::File { dir, file, text: Some(block(lines)?) })
+        }
+        [dir, file, removed] if removed == "removed" => {
+            Ok(Command::File { dir: dir.clone(), file: file.clone(), text: None })
+        }
+        _ => Err("write file DIR FILE [removed]".into()),
+    }
+}
+
+fn operate(rest: &str) -> Result<Command, Failure> {
+    let words = words(rest)?;
+    let [name, team, words @ ..] = &words[..] else {
+        return Err("write operate NAME TEAM WORD..".into());
+    };
+    let (at, words) = match words.split_first() {
+        Some((first, rest)) if first.starts_with("at=") => {
+            (first["at=".len()..].split(',').map(str::to_owned).collect(), rest)
+        }
+        _ => (Vec::new(), words),
+    };
+    let (name, team) = (name.clone(), team.clone());
+    Ok(Command::Operate { name, team, at, words: words.to_vec() })
+}
+
+/// The lines up to a line `end`.
+fn block(lines: &mut Enumerate<Lines>) -> Result<String, Failure> {
     let mut text = String::new();
     for (_, line) in lines {
         if line.trim() == "end" {
-            return Ok(Command::Declare { team, file, text: Some(text), at });
+            return Ok(text);
         }
         text.push_str(line);
         text.push('\n');
--- a/tests/support/steps.rs
+++ b/tests/support/steps.rs
@@ -8,6 +8,7 @@
 
 use super::ask::{self, Ask};
 use super::command::{Command, Compare, Kind, Look, Options, Signal};
+use super::operate::{self, Operator};
 use super::world::{Sent, World};
 use super::{Failure, PATIENCE};
 
@@ -27,6 +28,24 @@
         Command::Declare { team, file, text, at } => {
             declare(world, at.as_deref(), team, file, text.clone()).await
         }
+        Command::File { dir, file, text } => {
+            operate::write(world, dir, file, text.as_deref())
+        }
+        Command::Operate { name, team, at, words } => {
+            let operator = Operator::start(world, name, team, at, words)?;
+            world.operators.insert(name.clone(), operator);
+            Ok(())
+        }
+        Command::Ended(name) => {
+            let operator = world.operators.shift_remove(name);
+            let facts = operator.ok_or("no such operator")?.end().await?;
+            world.last = vec![facts];
+            Ok(())
+        }
+        Command::Gone(name) => {
+            world.operators.shift_remove(name).ok_or("no such operator")?;
+            Ok(())
+        }
         Command::Ask(name, options) => {
             send(world, name, options)?;
             answers(world, name).await
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -15,6 +15,7 @@
 use super::ask::{self, Ask, Reply};
 use super::certs;
 use super::command::{Kind, Options};
+use super::operate::Operator;
 use super::process::Process;
 use super::{Failure, PATIENCE};
 
@@ -48,6 +49,8 @@
     pub last: Vec<Vec<String>>,
     /// All replies.
     pub replies: Vec<(Ask, Reply)>,
+    /// The operators whose commands run.
+    pub operators: IndexMap<String, Operator>,
     /// The number of changes that were sent.
     pub changes: u64,
 }
@@ -80,6 +83,7 @@
             sent: IndexMap::new(),
             last: Vec::new(),
             replies: Vec::new(),
+            operators: IndexMap::new(),
             changes: 0,
         })
     }
@@ -137,7 +141,7 @@
         if kind == Kind::Platform {
             return Ok(());
         }
-        let field = if kind == Kind::Daemon { "caller" } else { "address" };
+        let field = if kind == Kind::Daemon { "peer" } else { "address" };
         let address = self.process(name)?.address(field)?.to_owned();
         let mut row = json!({
             "vm": name, "domain": options.or("domain", "a"), "address": address,
@@ -397,6 +401,7 @@
 
 impl Drop for World {
     fn drop(&mut self) {
+        self.operators.clear();
         self.processes.clear();
         // A directory that can't be removed is the system's to clean up.
         std::fs::remove_dir_all(&self.dir).ok();
