Measure what real daemons cost as the system grows

chestnutlane-lab slopes fills the table with rows of up to 12,000 runners and 2,100 members and watches real daemons, by thread name and /proc.

--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -10,7 +10,7 @@
 use chestnut_config::Settings;
 use chestnut_fake::caller::{Ask, Completion, Form};
 use chestnut_fake::{
-    EngineConfig, Handle, ServiceConfig, WeightSpeed, engine, platform, service,
+    EngineConfig, Handle, ServiceConfig, WeightSpeed, certs, engine, platform, service,
 };
 use chestnut_node::logs;
 use chestnut_node::run::{self, Daemon};
@@ -19,8 +19,6 @@
 use sha2::{Digest, Sha256};
 use tokio::task::JoinSet;
 
-use crate::certs;
-
 /// The failure domains.
 const DOMAINS: [&str; 2] = ["accra-a", "accra-b"];
 
@@ -118,7 +116,7 @@
     /// Starts everything and waits until all that is declared is served.
     pub async fn start() -> Result<Self, StageError> {
         let folder = Folder::new()?;
-        certs::write(&folder.0)?;
+        certs::write(&folder.0).map_err(|error| StageError::Certs(error.to_string()))?;
         let platform = started(platform::start(any(), WeightSpeed::default()).await)?;
         let http = Client::builder().no_proxy().build()?;
         let mut stage = Self {
--- a/crates/demo/src/certs.rs
+++ b/crates/fake/src/certs.rs
@@ -1,5 +1,6 @@
-//! Certificates for the demo's daemons, made anew at each start.
+//! Certificates for daemons of demos and experiments, made anew at each start.
 
+use std::io;
 use std::path::Path;
 
 use rcgen::{
@@ -7,17 +8,14 @@
     KeyUsagePurpose,
 };
 
-use crate::stage::StageError;
-
 /// The name that every daemon's certificate carries.
 const PEER_NAME: &str = "chestnutlane";
 
 /// Writes `trust.pem`, `daemon.pem` and `daemon.key` into a directory.
-pub fn write(dir: &Path) -> Result<(), StageError> {
-    let made = make().map_err(|error| StageError::Certs(error.to_string()))?;
+pub fn write(dir: &Path) -> io::Result<()> {
+    let made = make().map_err(io::Error::other)?;
     for (name, text) in made {
-        std::fs::write(dir.join(name), text)
-            .map_err(|error| StageError::Files(error.to_string()))?;
+        std::fs::write(dir.join(name), text)?;
     }
     Ok(())
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,12 +3,14 @@
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
 //! - [`decisions`]: what one decision costs,
 //! - [`journal`]: what the journal of non-idempotent requests adds and writes,
-//! - [`moves`]: placements of models under shifting demand, against baselines.
+//! - [`moves`]: placements of models under shifting demand, against baselines,
+//! - [`slopes`]: what real daemons cost as the system grows.
 
 pub mod decisions;
 pub mod journal;
 pub mod moves;
 pub mod policies;
+pub mod slopes;
 
 use std::process::ExitCode;
 
@@ -30,6 +32,9 @@
     /// Compares placements of models under shifting demand, in virtual time.
     #[bpaf(command)]
     Moves(#[bpaf(external(moves::options))] moves::Options),
+    /// Measures what real daemons cost as the system grows.
+    #[bpaf(command)]
+    Slopes(#[bpaf(external(slopes::options))] slopes::Options),
 }
 
 /// Runs the program.
@@ -39,6 +44,7 @@
         Command::Decisions(options) => decisions::run(&options),
         Command::Journal(options) => journal::run(&options),
         Command::Moves(options) => moves::run(&options),
+        Command::Slopes(options) => return slopes::run(&options),
     }
     ExitCode::SUCCESS
 }
