--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -6,7 +6,6 @@
 //! 3. [`tally`] counts what the callers received and what really ran.
 
 pub mod burst;
-mod certs;
 pub mod stage;
 pub mod tally;
 
--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -8,19 +8,17 @@
 
 use chestnut_base::SystemClock;
 use chestnut_config::Settings;
+use chestnut_config::keys::sha256;
 use chestnut_fake::caller::{Ask, Completion, Form};
 use chestnut_fake::{
-    EngineConfig, Handle, ServiceConfig, WeightSpeed, engine, platform, service,
+    EngineConfig, Handle, ServiceConfig, WeightSpeed, certs, engine, platform, service,
 };
 use chestnut_node::logs;
 use chestnut_node::run::{self, Daemon};
 use reqwest::Client;
 use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
 use tokio::task::JoinSet;
 
-use crate::certs;
-
 /// The failure domains.
 const DOMAINS: [&str; 2] = ["accra-a", "accra-b"];
 
@@ -52,8 +50,6 @@
 /// Why the demo could not be carried out.
 #[derive(Debug)]
 pub enum StageError {
-    /// Certificates can't be made.
-    Certs(String),
     /// The temporary folder can't be used.
     Files(String),
     /// A stand-in or a daemon does not start.
@@ -71,9 +67,6 @@
 impl Display for StageError {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Certs(why) => {
-                write!(f, "certificates can't be made ({why}); report it")
-            }
             Self::Files(why) => {
                 write!(f, "the temporary folder can't be used ({why}); make it writable")
             }
@@ -118,7 +111,7 @@
     /// Starts everything and waits until all that is declared is served.
     pub async fn start() -> Result<Self, StageError> {
         let folder = Folder::new()?;
-        certs::write(&folder.0)?;
+        certs::write(&folder.0).map_err(|error| StageError::Files(error.to_string()))?;
         let platform = started(platform::start(any(), WeightSpeed::default()).await)?;
         let http = Client::builder().no_proxy().build()?;
         let mut stage = Self {
@@ -394,7 +387,3 @@
 fn any() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
-
-fn sha256(text: &str) -> String {
-    Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/crates/demo/src/certs.rs
+++ b/crates/fake/src/certs.rs
@@ -1,4 +1,4 @@
-//! Certificates for the demo's daemons, made anew at each start.
+//! Certificates that daemons of a test or demo trust, made anew each time.
 
 use std::path::Path;
 
@@ -7,17 +7,13 @@
     KeyUsagePurpose,
 };
 
-use crate::stage::StageError;
-
 /// The name that every daemon's certificate carries.
 const PEER_NAME: &str = "chestnutlane";
 
 /// Writes `trust.pem`, `daemon.pem` and `daemon.key` into a directory.
-pub fn write(dir: &Path) -> Result<(), StageError> {
-    let made = make().map_err(|error| StageError::Certs(error.to_string()))?;
-    for (name, text) in made {
-        std::fs::write(dir.join(name), text)
-            .map_err(|error| StageError::Files(error.to_string()))?;
+pub fn write(dir: &Path) -> std::io::Result<()> {
+    for (name, text) in make().map_err(std::io::Error::other)? {
+        std::fs::write(dir.join(name), text)?;
     }
     Ok(())
 }
--- a/crates/fake/src/engine/http.rs
+++ b/crates/fake/src/engine/http.rs
@@ -1,24 +1,21 @@
 //! The engine's HTTP interface.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use axum::body::Body;
 use axum::extract::{ConnectInfo, Path, Query, Request, State};
-use axum::http::{HeaderMap, StatusCode, header};
+use axum::http::{HeaderMap, StatusCode};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use futures::stream;
 use serde::Deserialize;
 use serde_json::{Value, json};
-use tokio::sync::watch;
 
-use super::batch::{BatchError, End, Progress, Question};
+use super::batch::{BatchError, Question};
+use super::feed::{Feed, Shape};
 use super::orders::{Order, OrderError};
-use super::text::{prompt_tokens, token_text};
+use super::text::prompt_tokens;
 use super::{Engine, EngineCounts};
 use crate::faults::{self, OrderFault};
 use crate::port::Peer;
@@ -70,13 +67,6 @@
     content: String,
 }
 
-/// The shape of an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Shape {
-    Completion,
-    Chat,
-}
-
 async fn complete(
     State(engine): Shared,
     ConnectInfo(peer): ConnectInfo<Peer>,
@@ -182,187 +172,6 @@
     }
 }
 
-/// The answer to one request on its way to one reader.
-struct Feed {
-    engine: Arc<Engine>,
-    peer: Peer,
-    id: String,
-    question: Question,
-    next: u32,
-    shape: Shape,
-    progress: watch::Receiver<Progress>,
-    /// After how many tokens the connection is cut.
-    cut: Option<u32>,
-    /// After how many tokens the answer ends with no end mark.
-    short: Option<u32>,
-    ended: bool,
-}
-
-/// What a feed brings next.
-enum Piece {
-    Token(String),
-    Done,
-    Broken,
-}
-
-impl Feed {
-    fn new(
-        engine: Arc<Engine>,
-        peer: Peer,
-        id: String,
-        question: Question,
-        next: u32,
-        shape: Shape,
-        progress: watch::Receiver<Progress>,
-    ) -> Self {
-        let (cut, short) = {
-            let mut faults = engine.faults.lock();
-            (faults.cut_after.take(), faults.end_after.take())
-        };
-        let ended = false;
-        Self { engine, peer, id, question, next, shape, progress, cut, short, ended }
-    }
-
-    /// Answers with one event for each token.
-    fn stream(self) -> Response {
-        let events = stream::unfold(self, |mut feed| async move {
-            if feed.ended {
-                return None;
-            }
-            let event = match feed.advance().await {
-                Piece::Token(text) => feed.token_event(&text),
-                Piece::Done => {
-                    feed.ended = true;
-                    feed.end_events()
-                }
-                Piece::Broken => return None,
-            };
-            Some((Ok::<_, Infallible>(event), feed))
-        });
-        let kind = [(header::CONTENT_TYPE, "text/event-stream")];
-        (kind, Body::from_stream(events)).into_response()
-    }
-
-    /// Answers when all tokens are there.
-    async fn whole(mut self) -> Response {
-        let mut answer = String::new();
-        loop {
-            match self.advance().await {
-                Piece::Token(text) => answer.push_str(&text),
-                Piece::Done => break,
-                Piece::Broken => {
-                    return self.peer.hang_up().await;
-                }
-            }
-        }
-        let choice = match self.shape {
-            Shape::Completion => {
-                json!({"index": 0, "text": answer, "finish_reason": "length"})
-            }
-            Shape::Chat => json!({
-                "index": 0,
-                "message": {"role": "assistant", "content": answer},
-                "finish_reason": "length",
-            }),
-        };
-        Json(json!({
-            "id": self.id,
-            "object": self.object(),
-            "model": self.question.model,
-            "choices": [choice],
-            "usage": self.usage(),
-        }))
-        .into_response()
-    }
-
-    /// Waits for the next token or the end.
-    async fn advance(&mut self) -> Piece {
-        let sent = self.next.saturating_sub(self.question.from);
-        if self.cut.is_some_and(|cut| sent >= cut) {
-            self.peer.cut();
-            return Piece::Broken;
-        }
-        if self.short.is_some_and(|short| sent >= short) {
-            return Piece::Broken;
-        }
-        let wanted = self.next;
-        let ready =
-            |progress: &Progress| progress.next > wanted || progress.end.is_some();
-        // The sender goes away when the engine crashes.
-        let Ok(progress) = self.progress.wait_for(ready).await.map(|p| *p) else {
-            return Piece::Broken;
-        };
-        if progress.next > wanted {
-            self.next += 1;
-            self.engine.count(|counts| {
-                let run = counts.runs.entry(self.id.clone()).or_default();
-                *run = (*run).max(self.next);
-            });
-            return Piece::Token(token_text(
-                &self.question.model,
-                &self.question.prompt,
-                wanted,
-            ));
-        }
-        match progress.end {
-            Some(End::Length) => Piece::Done,
-            Some(End::Abort) | None => Piece::Broken,
-        }
-    }
-
-    fn token_event(&self, text: &str) -> String {
-        self.event(self.choice(text, Value::Null), None)
-    }
-
-    fn end_events(&self) -> String {
-        let last = self.event(self.choice("", json!("length")), Some(self.usage()));
-        format!("{last}data: [DONE]\n\n")
-    }
-
-    fn choice(&self, text: &str, finish: Value) -> Value {
-        match self.shape {
-            Shape::Completion => {
-                json!({"index": 0, "text": text, "finish_reason": finish})
-            }
-            Shape::Chat => json!({
-                "index": 0,
-                "delta": {"content": text},
-                "finish_reason": finish,
-            }),
-        }
-    }
-
-    fn event(&self, choice: Value, usage: Option<Value>) -> String {
-        let mut data = json!({
-            "id": self.id,
-            "object": self.object(),
-            "model": self.question.model,
-            "choices": [choice],
-            "tokens": self.next,
-        });
-        if let Some(usage) = usage {
-            data["usage"] = usage;
-        }
-        format!("data: {data}\n\n")
-    }
-
-    fn object(&self) -> &'static str {
-        match self.shape {
-            Shape::Completion => "text_completion",
-            Shape::Chat => "chat.completion",
-        }
-    }
-
-    fn usage(&self) -> Value {
-        let (prompt, answer) = (self.question.tokens, self.next);
-        json!({
-            "prompt_tokens": prompt,
-            "completion_tokens": answer,
-            "total_tokens": prompt + answer,
-        })
-    }
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case", tag = "op")]
 enum ModelOrder {
--- a/crates/fake/src/engine/mod.rs
+++ b/crates/fake/src/engine/mod.rs
@@ -1,11 +1,12 @@
 //! A model engine that batches continuously.
 //!
 //! A request is taken by [`http`], waits and runs in the [`batch`], uses the
-//! prefix [`cache`], and its [`text`] depends on the question alone. Orders
-//! change what is in [`memory`].
+//! prefix [`cache`], and its [`text`] depends on the question alone; a [`feed`]
+//! brings the answer to its reader. [`orders`] change what is in [`memory`].
 
 pub mod batch;
 pub mod cache;
+mod feed;
 mod http;
 pub mod memory;
 mod orders;
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -8,11 +8,13 @@
 //! - [`engine`]: a model engine,
 //! - [`service`]: a plain service.
 //!
-//! [`caller`] sends requests and judges the answers.
+//! [`caller`] sends requests and judges the answers, [`certs`] makes daemons'
+//! certificates.
 //!
 //! `POST /faults` switches [`faults`], `GET /counts` tells what really ran.
 
 pub mod caller;
+pub mod certs;
 mod cli;
 pub mod engine;
 pub mod faults;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,7 +6,6 @@
 //! 4. [`promises`] checks at the end what must hold in every scenario.
 
 pub mod ask;
-pub mod certs;
 pub mod command;
 pub mod operate;
 pub mod parse;
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use chestnut_base::{NameError, RequestId, slot_of};
+use chestnut_config::keys::sha256;
+use chestnut_fake::certs;
 use indexmap::IndexMap;
 use reqwest::Client;
 use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
 use tokio::task::JoinHandle;
 
 use super::ask::{self, Ask, Reply};
-use super::certs;
 use super::command::{Kind, Options};
 use super::operate::Operator;
 use super::process::Process;
@@ -72,7 +72,9 @@
         let name = format!("chestnutlane-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(name);
         for keys in [KEYS, "strange"] {
-            certs::write(&dir.join(keys))?;
+            let keys = dir.join(keys);
+            let made = std::fs::create_dir_all(&keys).and_then(|()| certs::write(&keys));
+            made.map_err(|error| error.to_string())?;
         }
         let http = Client::builder().no_proxy().build().map_err(|e| e.to_string())?;
         Ok(Self {
@@ -417,7 +419,3 @@
     let id = RequestId { caller, key: key.to_owned() };
     Ok(slot_of(&id, SLOTS).0)
 }
-
-fn sha256(text: &str) -> String {
-    Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
-}
