--- a/crates/fake/src/certs.rs
+++ b/crates/fake/src/certs.rs
@@ -1,6 +1,5 @@
-//! Certificates for daemons of demos and experiments, made anew at each start.
+//! Certificates that daemons of a test or demo trust, made anew each time.
 
-use std::io;
 use std::path::Path;
 
 use rcgen::{
@@ -12,9 +11,8 @@
 const PEER_NAME: &str = "chestnutlane";
 
 /// Writes `trust.pem`, `daemon.pem` and `daemon.key` into a directory.
-pub fn write(dir: &Path) -> io::Result<()> {
-    let made = make().map_err(io::Error::other)?;
-    for (name, text) in made {
+pub fn write(dir: &Path) -> std::io::Result<()> {
+    for (name, text) in make().map_err(std::io::Error::other)? {
         std::fs::write(dir.join(name), text)?;
     }
     Ok(())
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`engine`]: a model engine,
 //! - [`service`]: a plain service.
 //!
-//! [`caller`] sends requests and judges the answers; [`certs`] makes certificates.
+//! [`caller`] sends requests and judges the answers, [`certs`] makes daemons'
+//! certificates.
 //!
 //! `POST /faults` switches [`faults`], `GET /counts` tells what really ran.
 
