Choose by counts told and own together, and correct foreseen run times by what they were

Cause 1: the lead foresaw 20 to 30 in 100 too short runs in bursts, since prompts fill the steps then. Steps are now fitted against the prompt tokens computed in them, and the mean of actual by foreseen time of whole answers corrects the rest.

--- a/crates/admit/src/lead.rs
+++ b/crates/admit/src/lead.rs
@@ -61,8 +61,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Progress {
     since: Instant,
+    /// How long it was foreseen to run.
+    foreseen: Duration,
     /// When the last token came; the dispatch if none has.
     last: Instant,
+    /// What [`Lead::prompts`] was then.
+    prompts: u64,
     got: u32,
 }
 
@@ -93,6 +97,8 @@
     running: Vec<Ticket>,
     effects: Vec<Effect>,
     number: u64,
+    /// Tokens of prompts that were computed so far.
+    prompts: u64,
     closed: bool,
     tidied: Instant,
 }
@@ -110,6 +116,7 @@
             running: Vec::new(),
             effects: Vec::new(),
             number: 0,
+            prompts: 0,
             closed: false,
             tidied: now,
         }
@@ -148,7 +155,6 @@
 
     /// Notes tokens of a dispatched request; the first ones include the prefill.
     pub fn tokens(&mut self, ticket: Ticket, count: u32, now: Instant) {
-        let running = self.running.len();
         let Some(entry) = self.jobs.get_mut(ticket) else { return };
         let (State::Running(progress) | State::Stopping(progress)) = &mut entry.state
         else {
@@ -157,11 +163,13 @@
         let took = now.saturating_duration_since(progress.last);
         if progress.got == 0 {
             self.pace.first(entry.job.prompt, took);
+            self.prompts += u64::from(entry.job.prompt);
         } else {
-            self.pace.tokens(running, count, took);
+            self.pace.tokens(self.prompts - progress.prompts, count, took);
         }
         progress.got += count;
         progress.last = now;
+        progress.prompts = self.prompts;
     }
 
     /// Notes the end of a request, dispatched or not; later events about it are
@@ -174,7 +182,8 @@
                 (now.saturating_duration_since(at.since).as_secs_f64(), at.got)
             }
         };
-        if how == How::Done {
+        if let (How::Done, State::Running(at)) = (how, entry.state) {
+            self.pace.ran(at.foreseen, now.saturating_duration_since(at.since));
             self.pace.ended(entry.job.urgency, got, entry.job.output);
         }
         self.account(&entry.job, spent - entry.charged, now);
@@ -218,7 +227,7 @@
             queued: self.waiting.len() as u32,
             tokens,
             wait: self.wait(now),
-            step: self.pace.step(self.occupancy()),
+            step: self.step(),
         }
     }
 
@@ -383,7 +392,13 @@
             } else if room.takes(running, used, item.tokens, item.urgent) {
                 self.waiting.remove(index);
                 self.running.push(ticket);
-                let progress = Progress { since: now, last: now, got: 0 };
+                let progress = Progress {
+                    since: now,
+                    foreseen: item.run,
+                    last: now,
+                    prompts: self.prompts,
+                    got: 0,
+                };
                 self.jobs[ticket].state = State::Running(progress);
                 self.effects.push(Effect::Dispatch(ticket));
                 running += 1;
@@ -452,7 +467,7 @@
     /// Whether even an idle backend server could not finish a request in time.
     fn is_short(&self, ticket: Ticket, now: Instant) -> bool {
         let job = &self.jobs[ticket].job;
-        let run = self.pace.run(job.urgency, job.prompt, job.output, 1);
+        let run = self.pace.run(job.urgency, job.prompt, job.output, self.pace.step(0.0));
         self.rule.shed != Shed::Full && now + run > job.deadline
     }
 
@@ -487,17 +502,17 @@
 
     /// The time that a request still takes from its dispatch or its last token.
     fn run(&self, entry: &Entry) -> Duration {
-        let (job, busy) = (&entry.job, self.occupancy());
+        let (job, step) = (&entry.job, self.step());
         match entry.state {
             State::Running(at) if at.got > 0 => {
-                self.pace.rest(job.urgency, job.output, at.got, busy)
+                self.pace.rest(job.urgency, job.output, at.got, step)
             }
             State::Stopping(at) => {
-                self.pace.rest(job.urgency, job.output, at.got, busy)
+                self.pace.rest(job.urgency, job.output, at.got, step)
                     + self.pace.prefill(job.prompt + at.got)
             }
             State::Waiting | State::Running(_) => {
-                self.pace.run(job.urgency, job.prompt, job.output, busy)
+                self.pace.run(job.urgency, job.prompt, job.output, step)
             }
         }
     }
@@ -506,9 +521,17 @@
         self.run(&self.jobs[ticket]).as_secs_f64()
     }
 
-    /// The streams that run once the queue has been served as far as they go.
-    fn occupancy(&self) -> usize {
-        (self.running.len() + self.waiting.len()).clamp(1, self.room().streams)
+    /// The time of a step with the prompts of those that run and wait: while
+    /// `n` streams give a mean answer, they and those after them bring `n` prompts.
+    fn step(&self) -> Duration {
+        let (mut prompts, mut outputs) = (0.0, 0.0);
+        for entry in self.jobs.values() {
+            prompts += f64::from(entry.job.prompt);
+            outputs += self.pace.expected(entry.job.urgency, entry.job.output);
+        }
+        let streams = self.jobs.len().min(self.room().streams) as f64;
+        let share = if outputs > 0.0 { streams * prompts / outputs } else { 0.0 };
+        self.pace.step(share)
     }
 
     fn room(&self) -> Room {
--- a/crates/admit/src/limits.rs
+++ b/crates/admit/src/limits.rs
@@ -86,7 +86,7 @@
             preempt: true,
             reserve: 0.0,
             floor: 0.05,
-            margin: 0.05,
+            margin: 0.15,
         }
     }
 }
--- a/crates/admit/src/pace.rs
+++ b/crates/admit/src/pace.rs
@@ -1,9 +1,11 @@
 //! How fast a backend server is, as measured.
 //!
-//! Load pattern: engines batch, so that a step takes longer the more streams run,
-//! and one server may slow down without failing. Without the measurement a lead
-//! promises by the declared step time, and a burst on a slow server is admitted
-//! and then late as a whole. The weights halve after [`MEMORY`] samples: a
+//! Load pattern: engines batch, and a step takes longer when prompts are computed
+//! in it: in a burst of short requests the prompts, not the answers, fill the
+//! engine, and one server may slow down without failing. Without the measurement
+//! a lead promises by the declared step time, and a burst is admitted and then late
+//! as a whole. So steps are fitted against the prompt tokens computed in them, and
+//! foreseen from the prompts and answers of those that run and wait. The weights halve after [`MEMORY`] samples: a
 //! server that emits 1,000 tokens a second is known again within a second, while
 //! single outliers move the estimate by less than half a percent.
 
@@ -19,7 +21,10 @@
 /// The number of answers after which an old length counts a half.
 const LENGTHS: f64 = 30.0;
 
-/// The least variance of the loads at which a slope is trusted.
+/// The least and the greatest correction of foreseen times.
+const BIAS: (f64, f64) = (0.5, 4.0);
+
+/// The least variance of prompt tokens at which a slope is trusted.
 const SPREAD: f64 = 1.0;
 
 /// A line fitted to samples, old ones fading.
@@ -68,12 +73,14 @@
 /// How fast a backend server is.
 #[derive(Debug, Clone)]
 pub struct Pace {
-    /// Seconds of a step against the streams that run.
+    /// Seconds of a step against the prompt tokens computed in it.
     step: Line,
     /// Seconds to the first token against the tokens of the prompt.
     first: Line,
     /// The part of the allowed length that answers reach, by urgency.
     lengths: [f64; 3],
+    /// How many times as long as foreseen requests have run lately.
+    bias: f64,
 }
 
 impl Pace {
@@ -81,17 +88,19 @@
     pub fn new(limits: &Limits) -> Self {
         let step = limits.step.as_secs_f64();
         Self {
-            step: Line::new(MEMORY, 1.0, step, 5.0),
+            step: Line::new(MEMORY, 0.0, step, 5.0),
             first: Line::new(MEMORY, 0.0, step, 5.0),
             lengths: [1.0; 3],
+            bias: 1.0,
         }
     }
 
-    /// Notes that a stream gave `count` tokens after `took` while `running` ran.
-    pub fn tokens(&mut self, running: usize, count: u32, took: Duration) {
+    /// Notes that a stream gave `count` tokens after `took`, in which the engine
+    /// computed `prompts` tokens of prompts.
+    pub fn tokens(&mut self, prompts: u64, count: u32, took: Duration) {
         if count > 0 {
-            let step = took.as_secs_f64() / f64::from(count);
-            self.step.add(running as f64, step);
+            let count = f64::from(count);
+            self.step.add(prompts as f64 / count, took.as_secs_f64() / count);
         }
     }
 
@@ -109,9 +118,18 @@
         }
     }
 
-    /// The time of a step while `running` streams run.
-    pub fn step(&self, running: usize) -> Duration {
-        seconds(self.step.at(running as f64))
+    /// Notes how long a whole answer took against what was foreseen.
+    pub fn ran(&mut self, foreseen: Duration, took: Duration) {
+        let foreseen = foreseen.as_secs_f64();
+        if foreseen > 0.0 {
+            let times = self.bias * took.as_secs_f64() / foreseen;
+            self.bias += (times.clamp(BIAS.0, BIAS.1) - self.bias) / LENGTHS;
+        }
+    }
+
+    /// The time of a step that computes `prompts` tokens of prompts.
+    pub fn step(&self, prompts: f64) -> Duration {
+        seconds(self.step.at(prompts))
     }
 
     /// The time to the first token of a prompt.
@@ -130,11 +148,10 @@
         urgency: Urgency,
         prompt: u32,
         output: u32,
-        running: usize,
+        step: Duration,
     ) -> Duration {
-        let step = self.step.at(running as f64);
         let rest = (self.expected(urgency, output) - 1.0).max(0.0);
-        seconds(self.first.at(f64::from(prompt)) + rest * step)
+        (self.prefill(prompt) + step.mul_f64(rest)).mul_f64(self.bias)
     }
 
     /// The time that a running stream still takes after `got` tokens.
@@ -143,14 +160,14 @@
         urgency: Urgency,
         allowed: u32,
         got: u32,
-        running: usize,
+        step: Duration,
     ) -> Duration {
         let left = f64::from(allowed.saturating_sub(got));
         let expected = self.expected(urgency, allowed) - f64::from(got);
         // A stream that outlived its expected length ends anywhere before the
         // allowed one.
         let rest = expected.max(left / 2.0).min(left);
-        seconds(rest * self.step.at(running as f64))
+        step.mul_f64(rest * self.bias)
     }
 }
 
--- a/crates/node/src/pick.rs
+++ b/crates/node/src/pick.rs
@@ -199,6 +199,7 @@
     /// Counts a pick, and forgets what is gone from time to time.
     fn begin(&mut self, view: &View, first: bool) {
         self.picks += 1;
+        self.router.set_entries(view.members.len());
         if first {
             self.budget.earn();
         }
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -3,8 +3,10 @@
 //! Load pattern: six entries share the backend servers, and each hears of the
 //! others' requests only through the leads. Taken as it is, an old report sends
 //! all entries to the server that was idle a moment ago. So a report is corrected
-//! by what this entry sent since, its queue is taken to drain as time passes, and
-//! after [`FADE`] it is no longer believed at all.
+//! by what this entry sent since, counts only half beside what this entry has in
+//! flight there, and after [`FADE`] it is no longer believed at all. The waits that
+//! leads told were tried as well and made it worse: they differ more with the one
+//! long stream at hand than with what a server can still take.
 
 use std::time::{Duration, Instant};
 
@@ -67,27 +69,19 @@
     }
 
     /// Requests at the server, as far as can be told.
-    pub fn requests(&self, now: Instant) -> f64 {
+    ///
+    /// The mean of what its lead told and of what this entry has there, taken for
+    /// all entries: the former is exact and old, the latter is new and a sample.
+    /// Together they beat either alone (`docs/POLICY.md`).
+    pub fn requests(&self, now: Instant, entries: f64) -> f64 {
         let own = f64::from(self.own);
         match self.fresh(now) {
             Some((report, _)) => {
                 let told = f64::from(report.running + report.queued);
-                (told + self.since as f64).max(own)
+                let told = (told + self.since as f64).max(own);
+                0.5 * (told + own * entries)
             }
-            None => own,
-        }
-    }
-
-    /// Seconds that a request would wait, as far as can be told.
-    ///
-    /// `turn` is the time in which the server finishes one request.
-    pub fn wait(&self, now: Instant, turn: f64) -> f64 {
-        let Some((report, at)) = self.report else { return 0.0 };
-        if self.fresh(now).is_none() {
-            return 0.0;
+            None => own * entries,
         }
-        let age = now.saturating_duration_since(at).as_secs_f64();
-        let sent = if report.wait.is_zero() { 0.0 } else { self.since as f64 * turn };
-        (report.wait.as_secs_f64() - age + sent).max(0.0)
     }
 }
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -10,7 +10,7 @@
 
 /// The difference, as a part of the run time, that makes a server 2.7 times as
 /// likely as another.
-pub const HEAT: f64 = 0.03;
+pub const HEAT: f64 = 0.05;
 
 /// A way of choosing among candidates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -82,6 +82,8 @@
     servers: SlotMap<ServerKey, Server>,
     prefixes: Prefixes,
     turn: usize,
+    /// Entries that send to the same servers, with this one; at least 1.
+    entries: f64,
     rng: SmallRng,
 }
 
@@ -94,10 +96,16 @@
             servers: SlotMap::with_key(),
             prefixes: Prefixes::default(),
             turn: 0,
+            entries: 1.0,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
+    /// Says how many entries send to the same servers, with this one.
+    pub fn set_entries(&mut self, count: usize) {
+        self.entries = count.max(1) as f64;
+    }
+
     /// The key of a backend server, new if it is not known.
     pub fn key(&mut self, name: &ServerName) -> ServerKey {
         if let Some(&key) = self.names.get(name) {
@@ -223,13 +231,12 @@
         let prefill = self.prefill(ask, blocks);
         let decode = self.decode(candidate, ask, now);
         let streams = f64::from(candidate.streams.max(1));
-        let requests = server.known.requests(now);
+        let requests = server.known.requests(now, self.entries);
         // While an engine computes a prompt all its streams stand still, so that
         // the prefill costs as often its time as there are streams.
-        let time = server.known.wait(now, (prefill + decode) / streams)
-            + candidate.far.as_secs_f64()
+        let time = candidate.far.as_secs_f64()
             + prefill * (1.0 + requests.min(streams))
-            + decode * (1.0 + 0.5 * requests / streams);
+            + decode * (1.0 + requests / streams);
         Prospect { own: server.known.own(), time, trust: server.health.trust(now) }
     }
 
