Give the start of a prompt a home by rendezvous hashing

Each entry remembered for itself where it had sent a start, so that six entries spread each start over all servers.

--- a/crates/lab/src/policies/world.rs
+++ b/crates/lab/src/policies/world.rs
@@ -393,7 +393,6 @@
         let (now, entry) = (self.instant(), self.tracks[index].entry);
         let key = self.entries[entry].keys[server];
         self.entries[entry].router.note(key, Note::Failed, now);
-        self.entries[entry].router.note(key, Note::Restarted, now);
         self.uncount(index);
         if !self.entries[entry].budget.take() {
             return self.tell(index);
--- a/crates/node/src/pick.rs
+++ b/crates/node/src/pick.rs
@@ -166,12 +166,7 @@
             }
             Note::Tokens(_) => state.router.note(key, Learnt::Answered, now),
             Note::Refused => {}
-            Note::Broken { crashed } => {
-                state.router.note(key, Learnt::Failed, now);
-                if crashed {
-                    state.router.note(key, Learnt::Restarted, now);
-                }
-            }
+            Note::Broken { .. } => state.router.note(key, Learnt::Failed, now),
             Note::Unreachable => {
                 if let Some(&member) = state.members.get(server) {
                     state.silent.insert(member, now);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! 1. [`Router::choose`] takes the candidates, without those tried before,
 //! 2. [`health`] leaves out those that fail and lets them back little by little,
-//! 3. [`prefix`] tells how much of the prompt each has probably cached,
+//! 3. [`prefix`] tells where the start of the prompt is probably cached,
 //! 4. [`Policy`] picks one; [`Router::begin`] counts it in flight until
 //!    [`Router::end`],
 //! 5. [`Router::note`] takes the lead's answer,
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -1,71 +1,46 @@
-//! Which backend servers have probably cached which prompt.
+//! How much of a prompt engines have probably cached, and where.
 //!
-//! Load pattern: many requests share the start of their prompt, and an engine
-//! that has it cached skips that part. Without affinity each server computes each
-//! prefix; with strict affinity a hot prefix floods one server. Here the cached
-//! part is only a saving in the estimate, so that a request goes elsewhere as
-//! soon as the wait costs more than the prefix saves. The entry remembers what it
-//! sent itself: cache events come late and with gaps, and a wrong guess costs one
-//! prefill.
-
-use indexmap::IndexMap;
+//! Load pattern: many requests share the start of their prompt, and an engine that
+//! has it cached skips that part; caches hold the starts of a few dozen prompts.
+//! Without affinity every server is sent every start, and each pushes the others
+//! out. If each entry remembers where it sent what, six entries choose different
+//! servers and all caches fill up again. So a start belongs to a server by
+//! rendezvous hashing, which all entries agree on without a word, and the saving
+//! counts in the estimate as what it is, so that a hot start spills to other
+//! servers as soon as the wait costs more. A server that is lost leaves its starts
+//! to the next in rank. Figures of the ways tried are in `docs/POLICY.md`.
+//!
+//! The engines' own cache events are not used: they come late and with gaps, and
+//! a wrong guess costs one prefill.
 
-use crate::router::ServerKey;
+use indexmap::IndexSet;
 
-/// Blocks that are remembered; 48 bytes each, so about 400 KB.
+/// Blocks that are remembered; about 24 bytes each, so 200 KB.
 pub const BLOCKS: usize = 8192;
 
-/// Servers that are remembered for a block.
-const HOLDERS: usize = 4;
-
-/// The servers that hold a block; the one sent to last stands first.
-type Holders = [Option<ServerKey>; HOLDERS];
-
-/// Which servers have probably cached which blocks.
+/// Blocks that were part of a prompt before.
 #[derive(Debug, Clone, Default)]
-pub struct Prefixes {
-    blocks: IndexMap<u64, Holders>,
+pub struct Seen {
+    blocks: IndexSet<u64>,
     /// The place that is given up next when all are taken.
     hand: usize,
 }
 
-impl Prefixes {
-    /// Notes that a prompt was sent to a server.
-    pub fn sent(&mut self, prefix: &[u64], server: ServerKey) {
+impl Seen {
+    /// Notes the blocks of a prompt.
+    pub fn note(&mut self, prefix: &[u64]) {
         for &block in prefix {
-            match self.blocks.get_mut(&block) {
-                Some(holders) => touch(holders, server),
-                None => self.add(block, server),
+            if self.blocks.len() >= BLOCKS && !self.blocks.contains(&block) {
+                self.hand = (self.hand + 1) % BLOCKS;
+                self.blocks.swap_remove_index(self.hand);
             }
+            self.blocks.insert(block);
         }
     }
 
-    /// How many blocks of a prompt each server has; servers with none are left out.
-    pub fn held(&self, prefix: &[u64]) -> Vec<(ServerKey, usize)> {
-        let mut held: Vec<(ServerKey, usize)> = Vec::new();
-        for (index, block) in prefix.iter().enumerate() {
-            let Some(holders) = self.blocks.get(block) else { break };
-            for server in holders.iter().flatten() {
-                match held.iter_mut().find(|(other, _)| other == server) {
-                    // Blocks are chained: a gap ends what the engine can use.
-                    Some((_, count)) if *count == index => *count += 1,
-                    None if index == 0 => held.push((*server, 1)),
-                    _ => {}
-                }
-            }
-        }
-        held
-    }
-
-    /// Forgets what a server had, as after its restart.
-    pub fn forget(&mut self, server: ServerKey) {
-        for holders in self.blocks.values_mut() {
-            for holder in holders {
-                if *holder == Some(server) {
-                    *holder = None;
-                }
-            }
-        }
+    /// How many blocks of a prompt's start were part of a prompt before.
+    pub fn depth(&self, prefix: &[u64]) -> usize {
+        prefix.iter().take_while(|&block| self.blocks.contains(block)).count()
     }
 
     /// The number of blocks that are remembered.
@@ -77,19 +52,15 @@
     pub fn is_empty(&self) -> bool {
         self.blocks.is_empty()
     }
-
-    fn add(&mut self, block: u64, server: ServerKey) {
-        if self.blocks.len() >= BLOCKS {
-            self.hand = (self.hand + 1) % BLOCKS;
-            self.blocks.swap_remove_index(self.hand);
-        }
-        self.blocks.insert(block, [Some(server), None, None, None]);
-    }
 }
 
-fn touch(holders: &mut Holders, server: ServerKey) {
-    let place = holders.iter().position(|&other| other == Some(server));
-    let end = place.unwrap_or(HOLDERS - 1);
-    holders[..=end].rotate_right(1);
-    holders[0] = Some(server);
+/// The rank of a server for a prompt's start; the greatest wins.
+///
+/// `server` is a hash of the server's name, so that all entries agree.
+pub fn rank(block: u64, server: u64) -> u64 {
+    // The finaliser of SplitMix64, which spreads any difference over all bits.
+    let mut x = block ^ server;
+    x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    x ^ (x >> 31)
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::ServerName;
+use chestnut_base::id::rendezvous;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -11,7 +12,7 @@
 use crate::health::Health;
 use crate::load::{Known, Report};
 use crate::policy::{Policy, Prospect};
-use crate::prefix::Prefixes;
+use crate::prefix::{Seen, rank};
 
 new_key_type! {
     /// A backend server, as the router knows it.
@@ -20,7 +21,7 @@
 
 /// The candidates that are looked at in one choice at most.
 ///
-/// Of more, this many are drawn, beside those that hold the prefix: the best of
+/// Of more, this many are drawn, beside the one that the prefix belongs to: the best of
 /// 48 drawn is within the best 5 in 100 nine times out of ten, and a choice among
 /// 1,200 costs no more than one among 48.
 pub const LOOK: usize = 48;
@@ -64,23 +65,31 @@
     Answered,
     /// The server itself failed.
     Failed,
-    /// The server restarted and has lost its cache.
-    Restarted,
 }
 
 #[derive(Debug, Clone, Default)]
 struct Server {
+    /// A hash of the name.
+    hash: u64,
     known: Known,
     health: Health,
 }
 
+/// Where the start of a prompt belongs.
+#[derive(Debug, Clone, Copy, Default)]
+struct Affinity {
+    home: Option<ServerKey>,
+    /// Blocks that are cached there if it had such a prompt lately.
+    blocks: usize,
+}
+
 /// The state from which an entry chooses.
 #[derive(Debug)]
 pub struct Router {
     policy: Policy,
     names: IndexMap<ServerName, ServerKey>,
     servers: SlotMap<ServerKey, Server>,
-    prefixes: Prefixes,
+    seen: Seen,
     turn: usize,
     /// Entries that send to the same servers, with this one; at least 1.
     entries: f64,
@@ -94,7 +103,7 @@
             policy,
             names: IndexMap::new(),
             servers: SlotMap::with_key(),
-            prefixes: Prefixes::default(),
+            seen: Seen::default(),
             turn: 0,
             entries: 1.0,
             rng: SmallRng::seed_from_u64(seed),
@@ -111,19 +120,19 @@
         if let Some(&key) = self.names.get(name) {
             return key;
         }
-        let key = self.servers.insert(Server::default());
+        let hash = rendezvous("prefix", name.as_str());
+        let key = self.servers.insert(Server { hash, ..Server::default() });
         self.names.insert(name.clone(), key);
         key
     }
 
     /// Forgets backend servers that are gone and have nothing in flight.
     pub fn retain(&mut self, keep: impl Fn(&ServerName) -> bool) {
-        let Self { names, servers, prefixes, .. } = self;
+        let Self { names, servers, .. } = self;
         names.retain(|name, &mut key| {
             let stays = keep(name) || servers[key].known.own() > 0;
             if !stays {
                 servers.remove(key);
-                prefixes.forget(key);
             }
             stays
         });
@@ -137,14 +146,14 @@
         now: Instant,
     ) -> Option<ServerKey> {
         self.turn += 1;
-        let held = match self.policy {
-            Policy::Estimate => self.prefixes.held(ask.prefix),
-            _ => Vec::new(),
+        let affinity = match self.policy {
+            Policy::Estimate => self.affinity(candidates, ask),
+            _ => Affinity::default(),
         };
-        let looked = self.look(candidates, &held, now);
+        let looked = self.look(candidates, affinity, now);
         let options: Vec<_> = looked
             .iter()
-            .map(|candidate| self.prospect(candidate, ask, &held, now))
+            .map(|candidate| self.prospect(candidate, ask, affinity, now))
             .collect();
         let run = looked.first().map_or(0.0, |c| self.decode(c, ask, now));
         let index = self.policy.choose(&options, self.turn, run, &mut self.rng)?;
@@ -157,7 +166,7 @@
             server.known.begin();
         }
         if self.policy == Policy::Estimate {
-            self.prefixes.sent(prefix, server);
+            self.seen.note(prefix);
         }
     }
 
@@ -175,7 +184,6 @@
             Note::Load(report) => server.known.set(report, now),
             Note::Answered => server.health.answered(now),
             Note::Failed => server.health.failed(now),
-            Note::Restarted => self.prefixes.forget(key),
         }
     }
 
@@ -184,11 +192,19 @@
         self.servers.get(server).map_or(0, |server| server.known.own())
     }
 
+    /// Where the start of a prompt belongs, and how much of it is known.
+    fn affinity(&self, candidates: &[Candidate], ask: Ask) -> Affinity {
+        let Some(&first) = ask.prefix.first() else { return Affinity::default() };
+        let rank = |c: &&Candidate| rank(first, self.servers[c.server].hash);
+        let home = candidates.iter().max_by_key(rank).map(|c| c.server);
+        Affinity { home, blocks: self.seen.depth(ask.prefix) }
+    }
+
     /// The candidates to look at: usable ones, drawn if there are many.
     fn look(
         &mut self,
         candidates: &[Candidate],
-        held: &[(ServerKey, usize)],
+        affinity: Affinity,
         now: Instant,
     ) -> Vec<Candidate> {
         let Self { servers, rng, policy, .. } = self;
@@ -204,11 +220,9 @@
             }
             return all;
         }
-        let mut drawn: Vec<Candidate> = Vec::with_capacity(LOOK + held.len());
-        let holds = |c: &&Candidate| held.iter().any(|(server, _)| *server == c.server);
-        if !held.is_empty() {
-            drawn.extend(candidates.iter().filter(holds).filter(|c| usable(c)));
-        }
+        let mut drawn: Vec<Candidate> = Vec::with_capacity(LOOK + 1);
+        let home = candidates.iter().find(|c| Some(c.server) == affinity.home);
+        drawn.extend(home.filter(|c| usable(c)));
         for _ in 0..LOOK {
             let candidate = candidates[rng.random_range(0..candidates.len())];
             if usable(&candidate) {
@@ -222,11 +236,11 @@
         &self,
         candidate: &Candidate,
         ask: Ask,
-        held: &[(ServerKey, usize)],
+        affinity: Affinity,
         now: Instant,
     ) -> Prospect {
-        let blocks = held.iter().find(|(server, _)| *server == candidate.server);
-        let blocks = blocks.map_or(0, |&(_, blocks)| blocks);
+        let home = affinity.home == Some(candidate.server);
+        let blocks = if home { affinity.blocks } else { 0 };
         let server = &self.servers[candidate.server];
         let prefill = self.prefill(ask, blocks);
         let decode = self.decode(candidate, ask, now);
