--- a/crates/admit/src/lead.rs
+++ b/crates/admit/src/lead.rs
@@ -19,6 +19,13 @@
 /// hops allow, and their offers would be most of its traffic.
 const RETRY: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(30));
 
+/// How often a caller may come back at most in the time that it has.
+///
+/// Who is refused by a full system is often late by a little only; told no more
+/// than that, callers with much time came back 22 times each at five times the
+/// capacity, with no more answers.
+const RETURNS: u32 = 10;
+
 /// How often faded accounts are forgotten.
 const TIDY: Duration = Duration::from_secs(1);
 
@@ -99,6 +106,8 @@
     number: u64,
     /// Tokens of prompts that were computed so far.
     prompts: u64,
+    /// The foreseen time of a step, as of the last event.
+    step: Duration,
     closed: bool,
     tidied: Instant,
 }
@@ -117,6 +126,7 @@
             effects: Vec::new(),
             number: 0,
             prompts: 0,
+            step: limits.step,
             closed: false,
             tidied: now,
         }
@@ -140,6 +150,7 @@
             (job.resumed, Entry { job, place, state: State::Waiting, charged: 0.0 });
         let ticket = self.jobs.insert(entry);
         self.enqueue(ticket, now);
+        self.step = self.foresee_step();
         self.charge(ticket, self.cost(ticket), now);
         if self.closed {
             self.refuse(ticket, Reason::Closed, Some(RETRY.0), now);
@@ -187,6 +198,7 @@
             self.pace.ended(entry.job.urgency, got, entry.job.output);
         }
         self.account(&entry.job, spent - entry.charged, now);
+        self.step = self.foresee_step();
         self.dispatch(now);
     }
 
@@ -196,6 +208,7 @@
             self.usage.tidy(now);
             self.tidied = now;
         }
+        self.step = self.foresee_step();
         self.sort(now);
         self.dispatch(now);
         self.make_room(now);
@@ -227,7 +240,7 @@
             queued: self.waiting.len() as u32,
             tokens,
             wait: self.wait(now),
-            step: self.step(),
+            step: self.step,
         }
     }
 
@@ -441,7 +454,8 @@
     ) {
         let Some(entry) = self.remove(ticket) else { return };
         self.account(&entry.job, -entry.charged, now);
-        let retry = retry.map(|wait| wait.clamp(RETRY.0, RETRY.1));
+        let left = entry.job.deadline.saturating_duration_since(now);
+        let retry = retry.map(|wait| wait.max(left / RETURNS).clamp(RETRY.0, RETRY.1));
         self.effects.push(Effect::Refuse(ticket, Rejection { reason, retry }));
     }
 
@@ -502,7 +516,7 @@
 
     /// The time that a request still takes from its dispatch or its last token.
     fn run(&self, entry: &Entry) -> Duration {
-        let (job, step) = (&entry.job, self.step());
+        let (job, step) = (&entry.job, self.step);
         match entry.state {
             State::Running(at) if at.got > 0 => {
                 self.pace.rest(job.urgency, job.output, at.got, step)
@@ -523,7 +537,7 @@
 
     /// The time of a step with the prompts of those that run and wait: while
     /// `n` streams give a mean answer, they and those after them bring `n` prompts.
-    fn step(&self) -> Duration {
+    fn foresee_step(&self) -> Duration {
         let (mut prompts, mut outputs) = (0.0, 0.0);
         for entry in self.jobs.values() {
             prompts += f64::from(entry.job.prompt);
--- a/crates/lab/src/policies/world.rs
+++ b/crates/lab/src/policies/world.rs
@@ -11,7 +11,9 @@
 use chestnut_admit::{Effect, How, Job, Lead, Limits, Rejection, Ticket};
 use chestnut_base::{CallerName, TeamName};
 use chestnut_route::retry::TRIES;
-use chestnut_route::{Ask, Backoff, Budget, Candidate, Note, Report, Router, ServerKey};
+use chestnut_route::{
+    Ask, Backoff, Budget, Candidate, Note, Policy, Report, Router, ServerKey,
+};
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -415,6 +417,9 @@
 
     /// Takes the lead's load, which came with its answer.
     fn report(&mut self, index: usize, server: usize) {
+        if self.contender.policy != Policy::Estimate {
+            return;
+        }
         let (now, entry) = (self.instant(), self.tracks[index].entry);
         let load = self.servers[server].lead.snapshot(now);
         let report = Report {
