Count the cuts of a dying server as one crash, and carry suspicion with the retry

Cause: a server that is dying still takes connections for some milliseconds; a suspect bystander that was handed to it then was convicted by the same crash. Ruled out by the logs: late news of the first crash; the retry carries it now all the same (Run::suspect), for daemons that the news did not reach.

--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -127,6 +127,11 @@
         out: &mpsc::Sender<Say>,
     ) -> Result<Flight, Refusal> {
         let end = shared.clock.now() + run.work.budget;
+        if run.suspect {
+            // The news of the crash may not have come here yet.
+            let blame = Blame { digest: run.work.digest, convicted: false };
+            self.learn(&[blame], shared.clock.now());
+        }
         loop {
             let through = self.through.notified();
             let now = shared.clock.now();
@@ -214,6 +219,8 @@
         let counters = &self.poison.counters;
         counters.crashes.inc();
         counters.suspects.inc_by(verdicts.len() as u64);
+        warn!(node.shared.log, "a backend server crashed"; "server" => self.server.as_str(),
+            "in_flight" => verdicts.len());
         for verdict in &verdicts {
             if verdict.evidence == Some(Evidence::Convicted) {
                 counters.convicted.inc();
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -72,6 +72,7 @@
         sent: false,
         begun: false,
         have: Resume { tokens: 0, text: String::new() },
+        suspect: false,
     };
     relay.drive().await;
 }
@@ -96,6 +97,8 @@
     begun: bool,
     /// The tokens that the caller has.
     have: Resume,
+    /// Whether a backend server crashed under an attempt.
+    suspect: bool,
 }
 
 /// What comes after an attempt.
@@ -218,6 +221,7 @@
             work,
             call: self.call.clone(),
             resume,
+            suspect: self.suspect,
         };
         let mut frames = match self.open(choice, run).await {
             Ok(frames) => frames,
@@ -297,6 +301,7 @@
                     return Next::Preempted;
                 }
                 Say::Broken { message, crashed } => {
+                    self.suspect |= crashed;
                     self.node.picker.note(&choice.server, Note::Broken { crashed });
                     return Next::Broken(message);
                 }
--- a/crates/once/src/suspect.rs
+++ b/crates/once/src/suspect.rs
@@ -33,6 +33,14 @@
 /// Callers send a broken request again within their deadlines, which are minutes.
 pub const SUSPICION: Duration = Duration::from_secs(600);
 
+/// How long after a crash of a backend server another cut there is the same crash.
+///
+/// A dying process still accepts connections for some milliseconds; what is handed
+/// to it then is cut again, and an innocent suspect would be convicted by it.
+/// Engines need many seconds to start and load a model, so that no second crash
+/// falls into this time.
+pub const AFTERSHOCK: Duration = Duration::from_secs(1);
+
 /// How long a convicted digest is refused.
 ///
 /// A day: by then people have looked at the request or the engine was mended.
@@ -94,6 +102,8 @@
 pub struct Suspects {
     held: IndexMap<Digest, Held>,
     flights: IndexMap<ServerName, Vec<Flight>>,
+    /// When backend servers crashed last; kept for [`AFTERSHOCK`].
+    crashes: IndexMap<ServerName, Instant>,
     numbers: u64,
 }
 
@@ -167,8 +177,11 @@
             .copied()
             .filter(|digest| self.evidence(*digest, now).is_some())
             .collect();
+        self.crashes.retain(|_, at| now < *at + AFTERSHOCK);
+        let again = self.crashes.contains_key(server);
+        self.crashes.entry(server.clone()).or_insert(now);
         let lone = match suspects.as_slice() {
-            [lone] => Some(*lone),
+            [lone] if !again => Some(*lone),
             // Nothing was suspect before, or the suspects became so while they ran
             // together: each of them may have done it.
             _ => None,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -52,6 +52,8 @@
     pub call: Call,
     /// Where to go on if an earlier attempt broke off.
     pub resume: Option<Resume>,
+    /// Whether a backend server crashed under an earlier attempt.
+    pub suspect: bool,
 }
 
 /// The call as the caller made it.
