--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
 //! - [`decisions`]: what one decision costs,
-//! - [`journal`]: what the journal of non-idempotent requests adds and writes.
+//! - [`journal`]: what the journal of non-idempotent requests adds and writes,
+//! - [`moves`]: placements of models under shifting demand, against baselines.
 
 pub mod decisions;
 pub mod journal;
+pub mod moves;
 pub mod policies;
 
 use std::process::ExitCode;
@@ -25,6 +27,9 @@
     /// Measures the journal of non-idempotent requests.
     #[bpaf(command)]
     Journal(#[bpaf(external(journal::options))] journal::Options),
+    /// Compares placements of models under shifting demand, in virtual time.
+    #[bpaf(command)]
+    Moves(#[bpaf(external(moves::options))] moves::Options),
 }
 
 /// Runs the program.
@@ -33,6 +38,7 @@
         Command::Policies(options) => policies::run(&options),
         Command::Decisions(options) => decisions::run(&options),
         Command::Journal(options) => journal::run(&options),
+        Command::Moves(options) => moves::run(&options),
     }
     ExitCode::SUCCESS
 }
