Wait a moment for a slot's next lead at the entry

Cause: while a slot changes hands its requests were refused, though the next lead is there some hundred milliseconds later. A slot without a lead is answered as in doubt: an earlier try under the same key may have run.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use axum::Router;
 use axum::body::to_bytes;
@@ -25,6 +26,15 @@
 
 const FRAMES_AHEAD: usize = 64;
 
+/// How long a request waits for its slot to have a lead before it is refused.
+///
+/// A planned handover takes some hundred milliseconds until all know of it. After
+/// a kill the lease must lapse first; then the caller is told when to return.
+const SETTLE: Duration = Duration::from_millis(1200);
+
+/// The pause before the slot's lead is looked for again.
+const PAUSE: Duration = Duration::from_millis(50);
+
 /// The routes that callers use.
 pub fn router(node: Arc<Node>) -> Router {
     Router::new()
@@ -206,15 +216,19 @@
         return refuse(&out, refusal).await;
     };
     let key = ClaimKey::Slot(slot_of(&id, node.shared.settings.limits.slots));
-    let view = node.shared.view();
-    let Some((claim, member)) = view.holder(&key) else {
-        let text = "the request's journal has no holder now; wait and send again";
-        return refuse(&out, unjournalled(text)).await;
-    };
-    let end = node.shared.clock.now() + work.budget;
+    let now = node.shared.clock.now();
+    let (end, settled) = (now + work.budget, now + SETTLE.min(work.budget));
     let once = Once { work, call };
+    let served = async {
+        while let Some(refusal) = hand_over(node, &key, once.clone(), &out).await {
+            if node.shared.clock.now() >= settled {
+                return refuse(&out, refusal).await;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
     tokio::select! {
-        () = ask_once(node, claim.holder, member.peer_addr, once, &out) => {}
+        () = served => {}
         () = tokio::time::sleep_until(end.into()) => {
             // The run itself goes on at the slot's lead, and its answer is kept.
             drop(out.send(overdue()).await);
@@ -222,6 +236,40 @@
     }
 }
 
+/// Hands a request to the lead of its slot and its frames to the caller.
+///
+/// Returns a refusal if the slot has no lead just now. Asking again is safe: the
+/// journal runs an id once, however often it is asked for.
+async fn hand_over(
+    node: &Arc<Node>,
+    key: &ClaimKey,
+    once: Once,
+    out: &mpsc::Sender<Say>,
+) -> Option<Refusal> {
+    let view = node.shared.view();
+    let Some((claim, member)) = view.holder(key) else {
+        return Some(leadless("has no lead now"));
+    };
+    let (holder, addr) = (claim.holder, member.peer_addr);
+    let (own, mut frames) = mpsc::channel(FRAMES_AHEAD);
+    let job = node.clone();
+    tokio::spawn(async move { ask_once(&job, holder, addr, once, &own).await });
+    loop {
+        let say = tokio::select! {
+            say = frames.recv() => say?,
+            () = out.closed() => return None,
+        };
+        if let Say::Refused { refusal, .. } = &say
+            && refusal.code == Code::Unavailable
+        {
+            return Some(refusal.clone());
+        }
+        if out.send(say).await.is_err() {
+            return None;
+        }
+    }
+}
+
 /// Passes a non-idempotent request's answer on from the lead of its slot.
 async fn ask_once(
     node: &Arc<Node>,
@@ -249,8 +297,7 @@
             }
         },
         Err(PeerError::NotSent(_)) => {
-            let text = "the lead of the request's journal can't be reached; wait";
-            refuse(out, unjournalled(text)).await;
+            refuse(out, leadless("can't be reached")).await;
         }
         Err(error) => drop(out.send(lost(&error)).await),
     }
@@ -285,13 +332,19 @@
     Say::Refused { refusal, hint: Default::default() }
 }
 
-fn unjournalled(text: &str) -> Refusal {
-    Refusal::not_run(Code::JournalDown, text).after(std::time::Duration::from_secs(1))
+/// The refusal of a request whose slot has no lead that can be asked.
+///
+/// An earlier try under the same key may have run, so that it is in doubt.
+fn leadless(why: &str) -> Refusal {
+    let text = format!(
+        "the journal of the request's key {why}; send it again with the same key"
+    );
+    Refusal::in_doubt(Code::Unavailable, text).after(Duration::from_secs(1))
 }
 
 fn entry_full() -> Refusal {
     let text = "this entry holds as many requests as it may; use another address";
-    Refusal::not_run(Code::EntryFull, text).after(std::time::Duration::from_millis(500))
+    Refusal::not_run(Code::EntryFull, text).after(Duration::from_millis(500))
 }
 
 async fn refuse(out: &mpsc::Sender<Say>, refusal: Refusal) {
