--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -75,6 +75,7 @@
         sent: false,
         begun: false,
         have: Resume { tokens: 0, text: String::new() },
+        suspect: false,
     };
     relay.drive().await;
 }
@@ -99,6 +100,8 @@
     begun: bool,
     /// The tokens that the caller has.
     have: Resume,
+    /// Whether a backend server crashed under an attempt.
+    suspect: bool,
 }
 
 /// What comes after an attempt.
@@ -221,6 +224,7 @@
             work,
             call: self.call.clone(),
             resume,
+            suspect: self.suspect,
         };
         let mut frames = match self.open(choice, run).await {
             Ok(frames) => frames,
@@ -301,6 +305,7 @@
                     return Next::Preempted;
                 }
                 Say::Broken { message, crashed } => {
+                    self.suspect |= crashed;
                     self.node.picker.note(&choice.server, Note::Broken { crashed });
                     return Next::Broken(message);
                 }
