Keep history and answers out of the table that daemons follow; measure changes

chestnutlane-lab config starts real daemons and measures the time from the answer to in force everywhere, and bytes and calls at the table. Before: a change of a file of 2,000 bytes cost each daemon its text about twice, with the history's entry, as the feed follows whole tables. The places of texts are found by an index of lines.

--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -19,14 +19,27 @@
     pub field: String,
 }
 
-impl Spot {
-    /// The place of a byte of a text.
-    pub fn new(file: &Arc<str>, text: &str, byte: usize, field: String) -> Self {
-        let before = text.get(..byte).unwrap_or(text);
-        let line = before.matches('\n').count() + 1;
-        let start = before.rfind('\n').map_or(0, |at| at + 1);
-        let column = before[start..].chars().count() + 1;
-        Self { file: file.clone(), line, column, field }
+/// Where the lines of a text start, so that a place is found without a search
+/// through the whole text.
+#[derive(Debug, Clone)]
+pub struct Lines<'a> {
+    text: &'a str,
+    starts: Vec<usize>,
+}
+
+impl<'a> Lines<'a> {
+    /// Finds the lines of a text.
+    pub fn new(text: &'a str) -> Self {
+        let ends = text.match_indices('\n').map(|(at, _)| at + 1);
+        Self { text, starts: std::iter::once(0).chain(ends).collect() }
+    }
+
+    /// The place of a byte of the text.
+    pub fn spot(&self, file: &Arc<str>, byte: usize, field: String) -> Spot {
+        let line = self.starts.partition_point(|start| *start <= byte);
+        let start = self.starts[line - 1];
+        let before = self.text.get(start..byte).unwrap_or_default();
+        Spot { file: file.clone(), line, column: before.chars().count() + 1, field }
     }
 }
 
--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -98,14 +98,3 @@
         self.confirmed = self.confirmed.max(Some(asked));
     }
 }
-
-/// Reads of the configuration that all daemons together send to the table.
-///
-/// The platform takes about 2,000 reads a second for everything; a tenth of it
-/// lets 2,100 daemons read every 10.5 s, within the 20 s that a change may take.
-pub const READ_BUDGET: f64 = 200.0;
-
-/// How often a daemon reads the table when there are `members` daemons.
-pub fn pace(poll: Duration, members: usize) -> Duration {
-    poll.max(Duration::from_secs_f64(members as f64 / READ_BUDGET))
-}
--- a/crates/config/src/rows.rs
+++ b/crates/config/src/rows.rs
@@ -7,9 +7,10 @@
 //! | `rev:NUMBER` | [`Entry`] | once, by the change that made the revision |
 //! | `change:TEAM/ID` | [`Ruling`] | once, by the first final answer to the change |
 //!
-//! Daemons read only what changed under `file:`, so that a change costs each of
-//! them just the files it touches. A removed file keeps its row without a text,
-//! so that the greatest revision of the rows never falls.
+//! The first two are in the table [`TABLE`], which daemons follow, so that a change
+//! costs each of them just the files it touches; the others are in [`LOG`]. A
+//! removed file keeps its row without a text, so that the greatest revision of the
+//! rows never falls.
 
 use chestnut_base::{Revision, TeamName};
 use indexmap::IndexMap;
@@ -18,9 +19,14 @@
 use crate::change::Verdict;
 use crate::declare::TeamText;
 
-/// The table's name.
+/// The table of the head and the files, which every daemon follows.
 pub const TABLE: &str = "config";
 
+/// The table of the history and the answers, read only when an operator asks.
+///
+/// Apart from the files, so that a change costs every daemon just its new text.
+pub const LOG: &str = "config-log";
+
 /// The key of the head.
 pub const HEAD: &str = "head";
 
@@ -30,9 +36,17 @@
 /// The start of the keys of the history.
 pub const HISTORY: &str = "rev:";
 
+/// The start of the keys of answers to changes.
+const ANSWERS: &str = "change:";
+
 /// The number of revisions that one read of the history gets.
 pub const BLOCK: u64 = 100;
 
+/// The table in which the row of a key is kept.
+pub fn table_of(key: &str) -> &'static str {
+    if key.starts_with(HISTORY) || key.starts_with(ANSWERS) { LOG } else { TABLE }
+}
+
 /// The key of a file.
 pub fn file_key(team: &TeamName, file: &str) -> String {
     format!("{FILES}{team}/{file}")
@@ -52,7 +66,7 @@
 
 /// The key of the answer to a team's change.
 pub fn change_key(team: &TeamName, id: &str) -> String {
-    format!("change:{team}/{id}")
+    format!("{ANSWERS}{team}/{id}")
 }
 
 /// The newest revision; each change checks that it is as the change saw it.
--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 use serde_with::{DeserializeAs, Same};
 
-use crate::problem::{Problems, Spot, nearest};
+use crate::problem::{Lines, Problems, Spot, nearest};
 
 const OPTIONS: ParseOptions = ParseOptions {
     allow_comments: true,
@@ -37,21 +37,22 @@
     read: impl FnOnce(&mut Fields<'_>) -> Option<T>,
 ) -> Option<T> {
     let file: Arc<str> = file.into();
+    let lines = Lines::new(text);
+    let place = Place { file: &file, lines: &lines };
     let value = match parse_to_ast(text, &CollectOptions::default(), &OPTIONS) {
         Ok(result) => result.value,
         Err(error) => {
-            let at = Spot::new(&file, text, error.range().start, String::new());
+            let at = place.spot(error.range().start, String::new());
             let what = error.kind().to_string();
             problems.add(at, what, "correct the JSON; comments are allowed");
             return None;
         }
     };
     let Some(value) = value else {
-        let at = Spot::new(&file, text, 0, String::new());
+        let at = place.spot(0, String::new());
         problems.add(at, "the file is empty", "write an object `{ ... }`");
         return None;
     };
-    let place = Place { file: &file, text };
     let mut fields = Fields::of(place, String::new(), &value, problems)?;
     let result = read(&mut fields);
     fields.finish();
@@ -62,7 +63,13 @@
 #[derive(Clone, Copy)]
 struct Place<'a> {
     file: &'a Arc<str>,
-    text: &'a str,
+    lines: &'a Lines<'a>,
+}
+
+impl Place<'_> {
+    fn spot(self, byte: usize, field: String) -> Spot {
+        self.lines.spot(self.file, byte, field)
+    }
 }
 
 /// The fields of one object.
@@ -84,7 +91,7 @@
     ) -> Option<Self> {
         let start = value.range().start;
         let Value::Object(object) = value else {
-            let at = Spot::new(place.file, place.text, start, path);
+            let at = place.spot(start, path);
             problems.add(at, "this is not an object", "write `{ ... }`");
             return None;
         };
@@ -92,12 +99,7 @@
         for prop in &object.properties {
             let name = prop.name.as_str();
             if left.insert(name, prop).is_some() {
-                let at = Spot::new(
-                    place.file,
-                    place.text,
-                    prop.range.start,
-                    join(&path, name),
-                );
+                let at = place.spot(prop.range.start, join(&path, name));
                 problems.add(at, "the field stands twice", "remove one of the two");
             }
         }
@@ -107,7 +109,7 @@
     /// The place of a field, or of the object if the field is absent.
     pub fn spot(&self, name: &str) -> Spot {
         let byte = self.seen.get(name).copied().unwrap_or(self.start);
-        Spot::new(self.place.file, self.place.text, byte, join(&self.path, name))
+        self.place.spot(byte, join(&self.path, name))
     }
 
     /// Notes a problem with a field.
@@ -200,12 +202,7 @@
         let Some(map) = map else { return };
         for (key, prop) in map.left {
             let path = join(&map.path, key);
-            let at = Spot::new(
-                self.place.file,
-                self.place.text,
-                prop.range.start,
-                path.clone(),
-            );
+            let at = self.place.spot(prop.range.start, path.clone());
             if let Some(mut fields) =
                 Fields::of(self.place, path, &prop.value, map.problems)
             {
@@ -224,7 +221,7 @@
         let mut found = Vec::new();
         for (key, prop) in map.left {
             let path = join(&map.path, key);
-            let at = Spot::new(self.place.file, self.place.text, prop.range.start, path);
+            let at = self.place.spot(prop.range.start, path);
             match &prop.value {
                 Value::StringLit(text) => {
                     found.push((key.to_owned(), text.value.to_string(), at));
@@ -249,12 +246,8 @@
         match U::deserialize_as(value) {
             Ok(value) => Some(value),
             Err(error) => {
-                let at = Spot::new(
-                    self.place.file,
-                    self.place.text,
-                    prop.value.range().start,
-                    join(&self.path, name),
-                );
+                let at =
+                    self.place.spot(prop.value.range().start, join(&self.path, name));
                 self.problems.add(at, error.to_string(), format!("write {form}"));
                 None
             }
@@ -263,12 +256,7 @@
 
     fn finish(self) {
         for (name, prop) in &self.left {
-            let at = Spot::new(
-                self.place.file,
-                self.place.text,
-                prop.range.start,
-                join(&self.path, name),
-            );
+            let at = self.place.spot(prop.range.start, join(&self.path, name));
             let known = self.seen.keys().copied();
             let remedy = match nearest(name, known.clone()) {
                 Some(near) => format!("did you mean `{near}`?"),
--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -203,7 +203,7 @@
             self.entries.push(format!("http://{}", addresses.caller));
             self.ops.push(format!("http://{}", addresses.ops));
             self.daemons.push(daemon);
-            self.list(&name, index, addresses.caller, json!({"role": "entry"})).await?;
+            self.list(&name, index, addresses.peer, json!({"role": "entry"})).await?;
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/lab/src/config.rs
@@ -0,0 +1,164 @@
+//! Measures how soon accepted declarations are in force and what that costs.
+//!
+//! Real daemons with an embedded stand-in of the platform, over HTTP and QUIC on
+//! loopback. Each daemon reaches the table through a relay that counts bytes.
+
+mod relay;
+mod stage;
+
+use std::time::{Duration, Instant};
+
+use bpaf::Bpaf;
+use chestnut_base::{Revision, TeamName};
+use chestnut_config::{Catalog, TeamText};
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+
+use self::stage::Stage;
+
+/// The changes a day that the system is designed for.
+const DAY: f64 = 86_400.0;
+
+/// Models at the size that the system is designed for.
+const MODELS: usize = 1_900;
+
+/// Teams at that size.
+const TEAMS: usize = 100;
+
+/// The longest time that is told apart, in microseconds.
+const LONGEST: u64 = 600_000_000;
+
+/// Measures how soon accepted declarations are in force and what that costs.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Options {
+    /// Daemons.
+    #[bpaf(argument("NUMBER"), fallback(6), display_fallback)]
+    daemons: usize,
+    /// How often a daemon reads the table, in milliseconds.
+    #[bpaf(argument("MS"), fallback(500), display_fallback)]
+    poll: u64,
+    /// Files that are declared.
+    #[bpaf(argument("NUMBER"), fallback(50), display_fallback)]
+    files: usize,
+    /// The size of a file, in bytes.
+    #[bpaf(argument("BYTES"), fallback(2000), display_fallback)]
+    size: usize,
+    /// Changes a day; may be repeated.
+    #[bpaf(argument("NUMBER"))]
+    rate: Vec<f64>,
+    /// How long each rate lasts, in seconds.
+    #[bpaf(argument("S"), fallback(20), display_fallback)]
+    seconds: u64,
+    /// The time that each call to the table takes, in milliseconds.
+    #[bpaf(argument("MS"), fallback(5), display_fallback)]
+    delay: u64,
+}
+
+/// Runs the experiment and prints a line of JSON for each rate.
+pub fn run(options: &Options) {
+    println!("{}", check_cost());
+    let runtime = tokio::runtime::Runtime::new().expect("threads can be started");
+    runtime.block_on(async {
+        let mut stage = Stage::start(options).await;
+        let rates = if options.rate.is_empty() {
+            vec![0.0, 1_900.0, 19_000.0, 190_000.0, 864_000.0]
+        } else {
+            options.rate.clone()
+        };
+        for rate in rates {
+            println!("{}", at_rate(&mut stage, options, rate).await);
+        }
+    });
+}
+
+/// Changes files at a rate and tells what came of it.
+async fn at_rate(stage: &mut Stage, options: &Options, rate: f64) -> Value {
+    let before = stage.costs().await;
+    let start = Instant::now();
+    let end = start + Duration::from_secs(options.seconds);
+    let gap = Duration::from_secs_f64(DAY / rate.max(1.0));
+    let mut sent = Vec::new();
+    let mut next = start + gap.min(Duration::from_secs(options.seconds)) / 2;
+    while rate > 0.0 && next < end {
+        tokio::time::sleep_until(next.into()).await;
+        sent.push(stage.change(options.size).await);
+        next += gap;
+    }
+    tokio::time::sleep_until(end.into()).await;
+    let after = stage.costs().await;
+    stage.settle().await;
+    let spent = start.elapsed().as_secs_f64().max(options.seconds as f64);
+    let (mut told, mut whole) = (histogram(), histogram());
+    for change in &sent {
+        let seen = stage.in_force(change.revision);
+        told.saturating_record(micros(seen.saturating_duration_since(change.told)));
+        whole.saturating_record(micros(seen.saturating_duration_since(change.sent)));
+    }
+    let daemons = options.daemons as f64;
+    let each = |count: u64| count as f64 / spent / daemons;
+    json!({
+        "changes_per_day": rate, "changes": sent.len(), "daemons": options.daemons,
+        "from_answer_ms": quantiles(&told), "from_sending_ms": quantiles(&whole),
+        "table_bytes_per_s": each(after.bytes - before.bytes),
+        "table_calls_per_s": each(after.calls - before.calls),
+    })
+}
+
+/// The cost of checking all declarations at the size the system is designed for.
+fn check_cost() -> Value {
+    let mut teams = IndexMap::new();
+    let each = MODELS / TEAMS;
+    let mut bytes = 0;
+    for team in 0..TEAMS {
+        let mut models = Vec::new();
+        let mut routes = Vec::new();
+        for number in 0..each {
+            let name = format!("model-{team}-{number}");
+            models.push(format!(
+                "\"{name}\": {{ \"pool\": \"p\", \"version\": \"v1\", \"bytes\": \
+                 14000000000, \"cold_ms\": 30000 }}"
+            ));
+            routes
+                .push(format!("\"route-{team}-{number}\": {{ \"model\": \"{name}\" }}"));
+        }
+        let pool = "\"pools\": { \"p\": { \"memory\": 80000000000, \"accelerators\": 4, \
+             \"streams\": 64, \"tokens\": 400000, \"step_ms\": 10, \"fenced\": true, \
+             \"parallel_loads\": 2, \"load_rate\": 1.0 } },";
+        let text = format!(
+            "{{ {} \"models\": {{ {} }}, \"routes\": {{ {} }} }}",
+            if team == 0 { pool } else { "" },
+            models.join(",\n"),
+            routes.join(",\n")
+        );
+        bytes += text.len();
+        let files = [("all.jsonc".to_owned(), text)].into_iter().collect();
+        let name = TeamName::try_from(format!("team-{team}")).expect("the name is valid");
+        teams.insert(name, TeamText { files });
+    }
+    let mut best = Duration::MAX;
+    for _ in 0..5 {
+        let start = Instant::now();
+        let catalog = Catalog::union(Revision(1), &teams).expect("they are valid");
+        assert_eq!(catalog.models.len(), MODELS);
+        best = best.min(start.elapsed());
+    }
+    json!({ "models": MODELS, "teams": TEAMS, "bytes": bytes,
+            "check_ms": best.as_secs_f64() * 1e3 })
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST, 3).expect("the bounds are valid")
+}
+
+fn micros(time: Duration) -> u64 {
+    time.as_micros() as u64
+}
+
+fn quantiles(times: &Histogram<u64>) -> Value {
+    if times.is_empty() {
+        return Value::Null;
+    }
+    let at = |quantile: f64| times.value_at_quantile(quantile) as f64 / 1e3;
+    json!({ "p50": at(0.5), "p99": at(0.99), "max": times.max() as f64 / 1e3 })
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,9 +1,11 @@
 //! Experiments on the decisions and measurements of the daemons.
 //!
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
+//! - [`config`]: how soon accepted declarations are in force and what it costs,
 //! - [`decisions`]: what one decision costs,
 //! - [`journal`]: what the journal of non-idempotent requests adds and writes.
 
+pub mod config;
 pub mod decisions;
 pub mod journal;
 pub mod policies;
@@ -22,6 +24,9 @@
     /// Measures what a decision costs.
     #[bpaf(command)]
     Decisions(#[bpaf(external(decisions::options))] decisions::Options),
+    /// Measures how soon accepted declarations are in force and what that costs.
+    #[bpaf(command)]
+    Config(#[bpaf(external(config::options))] config::Options),
     /// Measures the journal of non-idempotent requests.
     #[bpaf(command)]
     Journal(#[bpaf(external(journal::options))] journal::Options),
@@ -32,6 +37,7 @@
     match command().run() {
         Command::Policies(options) => policies::run(&options),
         Command::Decisions(options) => decisions::run(&options),
+        Command::Config(options) => config::run(&options),
         Command::Journal(options) => journal::run(&options),
     }
     ExitCode::SUCCESS
--- a/crates/node/src/confsync.rs
+++ b/crates/node/src/confsync.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use chestnut_base::{PoolName, Revision, TeamName};
 use chestnut_config::apply::{Commit, Event, KEPT, Snapshot, Step};
-use chestnut_config::replica::pace;
 use chestnut_config::rows::{self, Entry, FileRow, Files, Head, Ruling};
 use chestnut_config::{Answer, Applier, Catalog, Change, Handover, Replica};
 use chestnut_member::view::ServerRole;
@@ -24,6 +23,7 @@
 use serde::de::DeserializeOwned;
 use tokio::task::JoinSet;
 
+use crate::feed::Feed;
 use crate::members;
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -103,7 +103,7 @@
             fresh = now;
         }
         let members = shared.view().members.len();
-        let pause = pace(shared.settings.times.poll, members);
+        let pause = Feed::pace(shared.settings.times.poll, members);
         // Without the spread all daemons would read at once after an outage.
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
     }
@@ -242,16 +242,16 @@
 }
 
 async fn send(shared: &Shared, commit: Commit) -> Event {
-    let mut txn = Txn::new().absent(rows::TABLE, commit.fresh);
+    let mut txn = Txn::new().absent(rows::table_of(&commit.fresh), commit.fresh);
     txn = match commit.head {
         Some(version) => txn.version(rows::TABLE, rows::HEAD, version),
         None => txn.absent(rows::TABLE, rows::HEAD),
     };
     for (key, value) in commit.writes {
-        txn = txn.put(rows::TABLE, key, value);
+        txn = txn.put(rows::table_of(&key), key, value);
     }
     for key in commit.removals {
-        txn = txn.delete(rows::TABLE, key);
+        txn = txn.delete(rows::table_of(&key), key);
     }
     match shared.table.commit(&txn).await {
         Ok(TxnAnswer::Committed { .. }) => Event::Committed,
@@ -273,7 +273,7 @@
 /// The entries of the block of the history that holds a revision, newest first.
 pub async fn block(shared: &Shared, revision: Revision) -> Result<Vec<Entry>, PlatError> {
     let prefix = rows::block_prefix(revision);
-    let delta = shared.table.scan(rows::TABLE, &prefix, 0).await?;
+    let delta = shared.table.scan(rows::LOG, &prefix, 0).await?;
     let entries: Result<Vec<Entry>, _> = delta.rows.into_iter().map(read).collect();
     let mut entries = entries?;
     entries.sort_by_key(|entry| std::cmp::Reverse(entry.revision));
@@ -320,7 +320,7 @@
     shared: &Shared,
     key: &str,
 ) -> Result<Option<T>, PlatError> {
-    shared.table.get(rows::TABLE, key).await?.map(read).transpose()
+    shared.table.get(rows::table_of(key), key).await?.map(read).transpose()
 }
 
 fn read<T: DeserializeOwned>(row: Row) -> Result<T, PlatError> {
