--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,11 +3,13 @@
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
 //! - [`config`]: how soon accepted declarations are in force and what it costs,
 //! - [`decisions`]: what one decision costs,
-//! - [`journal`]: what the journal of non-idempotent requests adds and writes.
+//! - [`journal`]: what the journal of non-idempotent requests adds and writes,
+//! - [`moves`]: placements of models under shifting demand, against baselines.
 
 pub mod config;
 pub mod decisions;
 pub mod journal;
+pub mod moves;
 pub mod policies;
 
 use std::process::ExitCode;
@@ -30,6 +32,9 @@
     /// Measures the journal of non-idempotent requests.
     #[bpaf(command)]
     Journal(#[bpaf(external(journal::options))] journal::Options),
+    /// Compares placements of models under shifting demand, in virtual time.
+    #[bpaf(command)]
+    Moves(#[bpaf(external(moves::options))] moves::Options),
 }
 
 /// Runs the program.
@@ -39,6 +44,7 @@
         Command::Decisions(options) => decisions::run(&options),
         Command::Config(options) => config::run(&options),
         Command::Journal(options) => journal::run(&options),
+        Command::Moves(options) => moves::run(&options),
     }
     ExitCode::SUCCESS
 }
--- a/tests/support/parse.rs
+++ b/tests/support/parse.rs
@@ -121,11 +121,10 @@
     };
     let options = options(more)?;
     let (team, file) = (team.clone(), file.clone());
-    let at = options.text("at").map(str::to_owned);
     if options.flag("removed") {
-        return Ok(Command::Declare { team, file, text: None, at });
+        return Ok(Command::Declare { team, file, text: None, options });
     }
-    Ok(Command::Declare { team, file, text: Some(block(lines)?), at })
+    Ok(Command::Declare { team, file, text: Some(block(lines)?), options })
 }
 
 fn file(rest: &str, lines: &mut Enumerate<Lines>) -> Result<Command, Failure> {
