--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,11 +1,13 @@
 //! Experiments on the decisions and measurements of the daemons.
 //!
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
+//! - [`config`]: how soon accepted declarations are in force and what it costs,
 //! - [`decisions`]: what one decision costs,
 //! - [`journal`]: what the journal of non-idempotent requests adds and writes,
 //! - [`moves`]: placements of models under shifting demand, against baselines,
 //! - [`slopes`]: what real daemons cost as the system grows.
 
+pub mod config;
 pub mod decisions;
 pub mod journal;
 pub mod moves;
@@ -26,6 +28,9 @@
     /// Measures what a decision costs.
     #[bpaf(command)]
     Decisions(#[bpaf(external(decisions::options))] decisions::Options),
+    /// Measures how soon accepted declarations are in force and what that costs.
+    #[bpaf(command)]
+    Config(#[bpaf(external(config::options))] config::Options),
     /// Measures the journal of non-idempotent requests.
     #[bpaf(command)]
     Journal(#[bpaf(external(journal::options))] journal::Options),
@@ -42,6 +47,7 @@
     match command().run() {
         Command::Policies(options) => policies::run(&options),
         Command::Decisions(options) => decisions::run(&options),
+        Command::Config(options) => config::run(&options),
         Command::Journal(options) => journal::run(&options),
         Command::Moves(options) => moves::run(&options),
         Command::Slopes(options) => return slopes::run(&options),
