Keep the cost of knowing thousands of runners off the polls

Cause: each poll ranked all members for every claim, put the view and the residence together anew and compared them; each request looked through all runners for its model; a start read whole tables of JSON at once. Now claims in others' living hands are not ranked, view and residence are put together only when rows changed, residence is indexed by model and shares what did not change, and tables are read in parts of some 500 rows.

--- a/crates/fake/src/table.rs
+++ b/crates/fake/src/table.rs
@@ -45,21 +45,30 @@
 
     /// Reads the changes of a table.
     pub fn scan(&self, scan: &Scan, now: u64) -> Delta {
-        let mut delta =
-            Delta { rows: Vec::new(), gone: Vec::new(), version: self.version, now };
+        let mut delta = Delta {
+            rows: Vec::new(),
+            gone: Vec::new(),
+            version: self.version,
+            more: false,
+            now,
+        };
         let Some(table) = self.tables.get(&scan.table) else { return delta };
-        if scan.since == 0 {
-            let from = table.rows.range(scan.prefix.clone()..);
-            let rows = from.take_while(|(key, _)| key.starts_with(&scan.prefix));
-            delta.rows.extend(rows.map(|(_, row)| row.clone()));
-            return delta;
-        }
-        for (_, key) in table.log.range((scan.since + 1, String::new())..) {
+        let limit = scan.limit.unwrap_or(usize::MAX);
+        let mut last = 0;
+        for (version, key) in table.log.range((scan.since + 1, String::new())..) {
             if !key.starts_with(&scan.prefix) {
                 continue;
             }
+            if delta.rows.len() + delta.gone.len() >= limit && *version > last {
+                delta.version = last;
+                delta.more = true;
+                break;
+            }
+            last = *version;
             match table.rows.get(key) {
                 Some(row) => delta.rows.push(row.clone()),
+                // Whoever reads all rows never knew of those that are gone.
+                None if scan.since == 0 => {}
                 None => delta.gone.push(key.clone()),
             }
         }
@@ -77,7 +86,8 @@
         };
         for table in &ask.tables {
             let (table, since) = (table.clone(), ask.since);
-            let scan = Scan { table: table.clone(), prefix: String::new(), since };
+            let prefix = String::new();
+            let scan = Scan { table: table.clone(), prefix, since, limit: None };
             let delta = self.scan(&scan, now);
             changed.rows.extend(delta.rows);
             changed.gone.extend(delta.gone.into_iter().map(|key| (table.clone(), key)));
--- a/crates/member/src/assign.rs
+++ b/crates/member/src/assign.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::id::rendezvous;
-use chestnut_base::{MemberId, VmName};
+use chestnut_base::{Fence, MemberId, VmName};
 use indexmap::IndexMap;
 
 use crate::known::{ClaimRow, Known};
@@ -76,30 +76,33 @@
 
     let mut steps = Vec::new();
     for key in keys {
-        let winner = winner(key, &able);
         let current = known.claims.get(key);
         let version = current.map_or(0, |(_, version)| *version);
         let last = current.map_or(0, |(row, _)| row.fence.0);
-        let next = |holder| ClaimRow { holder, fence: chestnut_base::Fence(last + 1) };
-        match current.and_then(|(row, _)| row.holder) {
-            Some(holder) if holder == me => {
-                let away = winner.filter(|&winner| winner != me);
-                if leaving {
-                    let row = next(away);
-                    steps.push(Step { key: key.clone(), version, row });
-                } else if spare > 0 && away.as_ref().is_some_and(stable) {
-                    spare -= 1;
-                    let row = next(away);
-                    steps.push(Step { key: key.clone(), version, row });
-                }
-            }
-            Some(holder) if alive.contains_key(&holder) => {}
-            _ if winner == Some(me) => {
-                let row = next(Some(me));
-                steps.push(Step { key: key.clone(), version, row });
-            }
-            _ => {}
+        let holder = current.and_then(|(row, _)| row.holder);
+        // Ranking all members is the expensive part: it is left out for the many
+        // claims that are in living hands other than the own.
+        if holder.is_some_and(|holder| holder != me && alive.contains_key(&holder)) {
+            continue;
         }
+        let winner = winner(key, &able);
+        let next = if holder == Some(me) {
+            let away = winner.filter(|&winner| winner != me);
+            if leaving {
+                away
+            } else if spare > 0 && away.as_ref().is_some_and(stable) {
+                spare -= 1;
+                away
+            } else {
+                continue;
+            }
+        } else if winner == Some(me) {
+            winner
+        } else {
+            continue;
+        };
+        let row = ClaimRow { holder: next, fence: Fence(last + 1) };
+        steps.push(Step { key: key.clone(), version, row });
     }
     Plan { steps }
 }
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -26,6 +26,9 @@
 /// three changes come in a second; this is over half an hour of them.
 const KEPT: usize = 8192;
 
+/// About how many rows are read at once when a part reads its table anew.
+const PART: usize = 500;
+
 /// The changes of the tables that every daemon follows.
 pub struct Feed {
     tables: Vec<String>,
@@ -120,7 +123,10 @@
             return Ok(found);
         }
         let asked = clock.now();
-        let delta = table.scan(name, prefix, since).await?;
+        let delta = match prefix {
+            "" => table.scan_part(name, since, PART).await?,
+            prefix => table.scan(name, prefix, since).await?,
+        };
         Ok((delta, asked))
     }
 
@@ -171,8 +177,13 @@
         if since < self.base || since == 0 {
             return Ok(None);
         }
-        let mut delta =
-            Delta { rows: Vec::new(), gone: Vec::new(), version, now: self.now };
+        let mut delta = Delta {
+            rows: Vec::new(),
+            gone: Vec::new(),
+            version,
+            more: false,
+            now: self.now,
+        };
         delta.version = version.max(since);
         let newer = self.log.iter().rev().take_while(|change| change.version > since);
         for change in newer {
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -192,9 +192,9 @@
     fn holds(&self, run: &Run) -> bool {
         let residence = self.shared.residence();
         match &run.work.target {
-            Target::Model { model, version, adapter } => residence
-                .serving(model, version, adapter.as_ref())
-                .any(|server| *server == run.server),
+            Target::Model { model, version, adapter } => {
+                residence.serves(&run.server, model, version, adapter.as_ref())
+            }
             Target::Service { .. } => true,
         }
     }
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -10,7 +10,7 @@
     plan, watched,
 };
 use chestnut_plat::table::Lookup;
-use chestnut_plat::{PlatError, Row, Txn, TxnAnswer, VmRole, VmRow, VmState};
+use chestnut_plat::{Delta, PlatError, Row, Txn, TxnAnswer, VmRole, VmRow, VmState};
 use indexmap::{IndexMap, IndexSet};
 use prometheus_client::metrics::counter::Counter;
 use serde::de::DeserializeOwned;
@@ -32,6 +32,11 @@
 /// The table of operators' orders to drain a VM.
 pub const DRAINS: &str = "drain";
 
+/// After how many polls without news the claims are looked at all the same.
+///
+/// Looking through all claims takes milliseconds at thousands of runners.
+const IDLE_POLLS: u32 = 4;
+
 /// An order that a daemon leave.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct DrainRow {
@@ -76,6 +81,12 @@
     /// The table's clock at the last read, in milliseconds.
     now: u64,
     joined: bool,
+    /// Whether anything changed that was not published yet.
+    changed: bool,
+    /// Whether anything was published after the claims were looked at last.
+    unplanned: bool,
+    /// Polls since the claims were looked at last.
+    idle_polls: u32,
     renew_at: std::time::Instant,
     reachable: bool,
     counters: Counters,
@@ -101,6 +112,9 @@
             read: IndexMap::new(),
             now: 0,
             joined: false,
+            changed: true,
+            unplanned: true,
+            idle_polls: 0,
             renew_at,
             reachable: true,
             counters,
@@ -149,16 +163,16 @@
     /// Joins if this daemon has no row, else renews the lease when it is due.
     async fn renew(&mut self) -> Result<(), PlatError> {
         let now = self.shared.clock.now();
-        if self.joined && now < self.renew_at {
+        let leaving = self.shared.is_leaving();
+        let own = self.known.own(&self.shared.settings.vm, self.shared.me);
+        let written = own.filter(|(row, _)| row.leaving == leaving);
+        if self.joined && written.is_some() && now < self.renew_at {
             return Ok(());
         }
         let vm = self.shared.settings.vm.as_str();
         let revision = self.shared.catalog().revision;
         let lease = LeaseRow { member: self.shared.me, revision, modified: 0 };
         let mut txn = Txn::new().put(LEASES, vm, json!(lease));
-        let leaving = self.shared.is_leaving();
-        let own = self.known.own(&self.shared.settings.vm, self.shared.me);
-        let written = own.filter(|(row, _)| row.leaving == leaving);
         match written {
             // A daemon whose row was removed finds out here and joins again.
             Some((_, version)) => txn = txn.version(MEMBERS, vm, version),
@@ -198,53 +212,69 @@
             .collect();
         let shared = self.shared.clone();
         let leases = shared.feed.refresh(&shared.table, &*shared.clock, wanted).await?;
-        let (rows, gone) = self.changes(MEMBERS).await?;
-        for vm in gone.iter().filter_map(|key| VmName::try_from(key.as_str()).ok()) {
+        while self.read_members().await? {}
+        while self.read_claims().await? {}
+        while self.read_servers().await? {}
+        self.read_drains().await?;
+        self.note_leases(leases);
+        Ok(())
+    }
+
+    fn note_leases(&mut self, rows: Vec<Row>) {
+        for row in rows {
+            let vm = VmName::try_from(row.key.as_str());
+            let lease = serde_json::from_value::<LeaseRow>(row.value);
+            if let (Ok(vm), Ok(mut lease)) = (vm, lease) {
+                lease.modified = row.modified;
+                self.leases.insert(vm, lease);
+            }
+        }
+    }
+
+    async fn read_members(&mut self) -> Result<bool, PlatError> {
+        let delta = self.changes(MEMBERS).await?;
+        for vm in delta.gone.iter().filter_map(|key| VmName::try_from(key.as_str()).ok())
+        {
             self.known.members.swap_remove(&vm);
             self.leases.swap_remove(&vm);
         }
-        for (vm, row, version) in parse::<VmName, MemberRow>(&rows) {
+        for (vm, row, version) in parse::<VmName, MemberRow>(&delta.rows) {
             self.known.members.insert(vm, (row, version));
         }
         self.known.note_seen(self.shared.clock.now());
-        let (rows, gone) = self.changes(CLAIMS).await?;
-        for key in gone.iter().filter_map(|key| key.parse::<ClaimKey>().ok()) {
+        Ok(delta.more)
+    }
+
+    async fn read_claims(&mut self) -> Result<bool, PlatError> {
+        let delta = self.changes(CLAIMS).await?;
+        for key in delta.gone.iter().filter_map(|key| key.parse::<ClaimKey>().ok()) {
             self.known.claims.swap_remove(&key);
         }
-        for row in rows {
+        for row in delta.rows {
             if let (Ok(key), Ok(claim)) =
                 (row.key.parse(), serde_json::from_value::<ClaimRow>(row.value))
             {
                 self.known.claims.insert(key, (claim, row.version));
             }
         }
-        let (rows, gone) = self.changes(SERVERS).await?;
-        for name in gone.iter().filter_map(|key| ServerName::try_from(key.as_str()).ok())
-        {
+        Ok(delta.more)
+    }
+
+    async fn read_servers(&mut self) -> Result<bool, PlatError> {
+        let delta = self.changes(SERVERS).await?;
+        let gone = delta.gone.iter();
+        for name in gone.filter_map(|key| ServerName::try_from(key.as_str()).ok()) {
             self.known.servers.swap_remove(&name);
         }
-        for (name, server, _) in parse::<ServerName, Server>(&rows) {
+        for (name, server, _) in parse::<ServerName, Server>(&delta.rows) {
             self.known.servers.insert(name, server);
         }
-        self.read_drains().await?;
-        self.note_leases(leases);
-        Ok(())
-    }
-
-    fn note_leases(&mut self, rows: Vec<Row>) {
-        for row in rows {
-            let vm = VmName::try_from(row.key.as_str());
-            let lease = serde_json::from_value::<LeaseRow>(row.value);
-            if let (Ok(vm), Ok(mut lease)) = (vm, lease) {
-                lease.modified = row.modified;
-                self.leases.insert(vm, lease);
-            }
-        }
+        Ok(delta.more)
     }
 
     /// Follows an operator's order that this VM be drained.
     async fn read_drains(&mut self) -> Result<(), PlatError> {
-        let (rows, _) = self.changes(DRAINS).await?;
+        let rows = self.changes(DRAINS).await?.rows;
         let vm = self.shared.settings.vm.as_str();
         // The row names the start of the daemon that is meant, so that the one
         // that takes its place does not leave at once as well.
@@ -258,15 +288,13 @@
         Ok(())
     }
 
-    async fn changes(
-        &mut self,
-        table: &'static str,
-    ) -> Result<(Vec<Row>, Vec<String>), PlatError> {
+    async fn changes(&mut self, table: &'static str) -> Result<Delta, PlatError> {
         let since = self.read.get(table).copied().unwrap_or(0);
         let (delta, _) = self.shared.changes(table, "", since).await?;
         self.read.insert(table, delta.version);
         self.now = delta.now;
-        Ok((delta.rows, delta.gone))
+        self.changed |= !delta.is_empty();
+        Ok(delta)
     }
 
     /// Removes the rows of watched daemons whose lease lapsed.
@@ -285,6 +313,7 @@
             if let TxnAnswer::Committed { .. } = self.shared.table.commit(&txn).await? {
                 self.counters.removals.inc();
                 info!(self.shared.log, "a daemon's lease lapsed"; "vm" => key);
+                self.changed = true;
                 self.known.members.swap_remove(&vm);
                 self.leases.swap_remove(&vm);
             }
@@ -332,6 +361,7 @@
         }
         if let TxnAnswer::Committed { .. } = self.shared.table.commit(&txn).await? {
             self.known.servers = servers;
+            self.changed = true;
         }
         Ok(())
     }
@@ -345,15 +375,20 @@
     }
 
     async fn take_claims(&mut self) -> Result<(), PlatError> {
-        self.known.leaving =
-            self.shared.left.lock().expect("no holder of the list panics").clone();
-        let me = self.shared.me;
         let now = self.shared.clock.now();
         if !self.shared.lease_holds(now) {
             return Ok(());
         }
+        // Time alone changes little: only that a member has been there for long.
+        self.idle_polls += 1;
+        if !self.unplanned && self.idle_polls < IDLE_POLLS {
+            return Ok(());
+        }
+        self.idle_polls = 0;
         let keys = self.keys();
-        let steps = plan(&self.known, &self.shared.settings.vm, me, &keys, now).steps;
+        let steps =
+            plan(&self.known, &self.shared.settings.vm, self.shared.me, &keys, now).steps;
+        self.unplanned = !steps.is_empty();
         if steps.is_empty() {
             return Ok(());
         }
@@ -382,6 +417,7 @@
         };
         for step in steps {
             self.known.claims.insert(step.key.clone(), (step.row, version));
+            self.changed = true;
             self.counters.claims.inc();
         }
         Ok(true)
@@ -398,17 +434,19 @@
         keys
     }
 
+    /// Publishes what is known if any of it changed.
+    ///
+    /// Putting the view together takes milliseconds at thousands of runners, and
+    /// most polls bring nothing new.
     fn publish(&mut self) {
-        self.known.leaving =
-            self.shared.left.lock().expect("no holder of the list panics").clone();
-        let view = Arc::new(self.known.view());
-        self.shared.view.send_if_modified(|old| {
-            let changed = **old != *view;
-            if changed {
-                *old = view;
-            }
-            changed
-        });
+        let left = self.shared.left.lock().expect("no holder of the list panics").clone();
+        if !self.changed && left == self.known.leaving {
+            return;
+        }
+        self.known.leaving = left;
+        self.changed = false;
+        self.unplanned = true;
+        self.shared.view.send_replace(Arc::new(self.known.view()));
     }
 }
 
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -103,7 +103,7 @@
 fn residence(node: &Node) -> Value {
     let residence = node.shared.residence();
     let runners: serde_json::Map<String, Value> = residence
-        .runners
+        .runners()
         .iter()
         .map(|(name, held)| {
             let models: Vec<String> = held
--- a/crates/node/src/opsrows.rs
+++ b/crates/node/src/opsrows.rs
@@ -257,7 +257,7 @@
 fn residents(shared: &Shared) -> Vec<Row> {
     let residence = shared.residence();
     let mut rows = Vec::new();
-    for (server, held) in &residence.runners {
+    for (server, held) in residence.runners() {
         for (model, version) in &held.models {
             rows.push(object(json!({
                 "name": model, "kind": "model", "version": version, "server": server,
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -39,7 +39,8 @@
     };
     let mut tasks: IndexMap<ServerName, (Claim, JoinHandle<()>)> = IndexMap::new();
     loop {
-        rows::refresh(&shared).await;
+        // A daemon that starts reads thousands of rows in parts.
+        while rows::refresh(&shared).await {}
         let led = led_runners(&shared);
         tasks.retain(|name, (claim, task)| {
             let keep = led.get(name) == Some(claim) && !task.is_finished();
--- a/crates/node/src/orders/rows.rs
+++ b/crates/node/src/orders/rows.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use chestnut_base::{PoolName, ServerName};
+use chestnut_member::View;
 use chestnut_place::{Ledger, Residence, Resident, Want};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,8 @@
     pub ledger_version: u64,
     /// The version up to which plans were read.
     pub plan_version: u64,
+    /// The view by which what is resident was put together last.
+    pub view: Arc<View>,
     /// The table service's time at the last read of ledgers, in milliseconds,
     /// and when that read was sent.
     pub now: Option<(u64, Instant)>,
@@ -76,29 +79,42 @@
     format!("{POOL_PREFIX}{pool}")
 }
 
-/// Reads what has changed and publishes what is resident.
+/// Reads what has changed and publishes what is resident; whether there is more.
 ///
 /// While the table can't be read, what was read last stays in force.
-pub async fn refresh(shared: &Shared) {
+pub async fn refresh(shared: &Shared) -> bool {
     let (ledger_version, plan_version) = {
         let rows = shared.rows.borrow();
         (rows.ledger_version, rows.plan_version)
     };
     let ledgers = shared.changes(LEDGER, "", ledger_version).await;
     let plans = shared.changes(PLAN, "", plan_version).await;
+    let view = shared.view();
+    let mut changed = false;
+    let mut more = false;
     shared.rows.send_modify(|rows| {
         let rows = Arc::make_mut(rows);
         if let Ok((delta, sent)) = ledgers {
             rows.ledger_version = delta.version;
             rows.now = Some((delta.now, sent));
+            changed = !delta.is_empty();
+            more = delta.more;
             take_ledgers(shared, rows, delta);
         }
         if let Ok((delta, _)) = plans {
             rows.plan_version = delta.version;
+            more |= delta.more;
             take_plans(shared, rows, delta);
         }
+        // Runners that left the platform's list are left out.
+        changed |= !Arc::ptr_eq(&rows.view, &view);
+        rows.view = view;
     });
-    publish(shared);
+    // Putting it all together anew takes milliseconds at thousands of runners.
+    if changed {
+        publish(shared);
+    }
+    more
 }
 
 /// Notes a row that this daemon has committed, before it is read back.
@@ -116,12 +132,16 @@
 pub fn publish(shared: &Shared) {
     let view = shared.view();
     let rows = shared.rows.borrow().clone();
-    let runners = rows
-        .ledgers
-        .iter()
-        .filter(|(name, _)| view.servers.contains_key(*name))
-        .map(|(name, (ledger, _))| (name.clone(), Resident::of(ledger)));
-    let residence = Residence { runners: runners.collect() };
+    let old = shared.residence();
+    let runners =
+        rows.ledgers.iter().filter(|(name, _)| view.servers.contains_key(*name)).map(
+            |(name, (ledger, _))| {
+                let held = Resident::of(ledger);
+                let same = old.runners().get(name).filter(|old| ***old == held);
+                (name.clone(), same.cloned().unwrap_or_else(|| Arc::new(held)))
+            },
+        );
+    let residence = Residence::new(runners.collect());
     shared.residence.send_if_modified(|old| {
         let changed = **old != residence;
         if changed {
--- a/crates/place/src/residence.rs
+++ b/crates/place/src/residence.rs
@@ -1,5 +1,7 @@
 //! What is resident where, as entries know it.
 
+use std::sync::Arc;
+
 use chestnut_base::{AdapterName, ModelName, ServerName, VersionName};
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -9,10 +11,16 @@
 /// What is resident on each runner.
 ///
 /// It lags behind the ledger, so that the runner's lead checks it again.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Residence {
-    /// Runners and what they hold.
-    pub runners: IndexMap<ServerName, Resident>,
+    /// Runners and what they hold; shared with earlier and later states, since a
+    /// move changes one of thousands.
+    runners: IndexMap<ServerName, Arc<Resident>>,
+    /// The positions in `runners` of those that hold each model in any version.
+    ///
+    /// Every request looks for the runners of its model; without this it would
+    /// look through all of them.
+    models: IndexMap<ModelName, Vec<usize>>,
 }
 
 /// What a runner holds and may be asked for.
@@ -60,6 +68,51 @@
 }
 
 impl Residence {
+    /// Creates the state from what each runner holds.
+    pub fn new(runners: IndexMap<ServerName, Arc<Resident>>) -> Self {
+        let mut models: IndexMap<ModelName, Vec<usize>> = IndexMap::new();
+        for (at, held) in runners.values().enumerate() {
+            for (model, _) in &held.models {
+                match models.get_mut(model) {
+                    // A runner may hold two versions of a model.
+                    Some(list) if list.last() == Some(&at) => {}
+                    Some(list) => list.push(at),
+                    None => drop(models.insert(model.clone(), vec![at])),
+                }
+            }
+        }
+        Self { runners, models }
+    }
+
+    /// Runners and what they hold.
+    pub fn runners(&self) -> &IndexMap<ServerName, Arc<Resident>> {
+        &self.runners
+    }
+
+    /// Whether a runner can serve a model with an adapter on top.
+    pub fn serves(
+        &self,
+        runner: &ServerName,
+        model: &ModelName,
+        version: &VersionName,
+        adapter: Option<&AdapterName>,
+    ) -> bool {
+        let held = self.runners.get(runner);
+        held.is_some_and(|held| held.serves(model, version, adapter))
+    }
+
+    /// The runners that hold a model in any version, and what they hold.
+    fn holding(
+        &self,
+        model: &ModelName,
+    ) -> impl Iterator<Item = (&ServerName, &Resident)> + use<'_> {
+        let list = self.models.get(model).map_or(&[][..], Vec::as_slice);
+        list.iter().filter_map(|&at| {
+            let (name, held) = self.runners.get_index(at)?;
+            Some((name, &**held))
+        })
+    }
+
     /// The runners that can serve a model with an adapter on top.
     pub fn serving(
         &self,
@@ -67,10 +120,10 @@
         version: &VersionName,
         adapter: Option<&AdapterName>,
     ) -> impl Iterator<Item = &ServerName> {
+        let runners = self.holding(model);
         let (model, version) = (model.clone(), version.clone());
         let adapter = adapter.cloned();
-        self.runners
-            .iter()
+        runners
             .filter(move |(_, held)| held.serves(&model, &version, adapter.as_ref()))
             .map(|(name, _)| name)
     }
@@ -88,7 +141,7 @@
         if self.serving(model, wanted, adapter).next().is_some() {
             return wanted.clone();
         }
-        let held = self.runners.values().flat_map(|held| {
+        let held = self.holding(model).flat_map(|(_, held)| {
             held.models.iter().filter(move |(name, version)| {
                 name == model && held.serves(model, version, adapter)
             })
--- a/crates/plat/src/table.rs
+++ b/crates/plat/src/table.rs
@@ -165,10 +165,20 @@
     pub gone: Vec<String>,
     /// The version up to which this is complete; ask from here next.
     pub version: u64,
+    /// Whether there are changes after that version.
+    #[serde(default)]
+    pub more: bool,
     /// The service's clock, in milliseconds.
     pub now: u64,
 }
 
+impl Delta {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.gone.is_empty()
+    }
+}
+
 /// What a read asks for.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Scan {
@@ -180,6 +190,10 @@
     /// Only changes after this version; 0 reads all rows.
     #[serde(default)]
     pub since: u64,
+    /// About how many changes are wanted at once; those of one transaction stay
+    /// together. All of them if absent.
+    #[serde(default)]
+    pub limit: Option<usize>,
 }
 
 /// What a read of several tables at once asks for.
@@ -271,7 +285,23 @@
         prefix: &str,
         since: u64,
     ) -> Result<Delta, PlatError> {
-        let scan = Scan { table: table.into(), prefix: prefix.into(), since };
+        let scan =
+            Scan { table: table.into(), prefix: prefix.into(), since, limit: None };
+        self.call("/v1/table/scan", &scan).await
+    }
+
+    /// Reads the first of the rows that changed after a version.
+    ///
+    /// A table of thousands of rows, read at once, takes tens of megabytes that the
+    /// process never gives back.
+    pub async fn scan_part(
+        &self,
+        table: &str,
+        since: u64,
+        limit: usize,
+    ) -> Result<Delta, PlatError> {
+        let (table, prefix, limit) = (table.into(), String::new(), Some(limit));
+        let scan = Scan { table, prefix, since, limit };
         self.call("/v1/table/scan", &scan).await
     }
 
