--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -8,19 +8,17 @@
 
 use chestnut_base::SystemClock;
 use chestnut_config::Settings;
+use chestnut_config::keys::sha256;
 use chestnut_fake::caller::{Ask, Completion, Form};
 use chestnut_fake::{
-    EngineConfig, Handle, ServiceConfig, WeightSpeed, engine, platform, service,
+    EngineConfig, Handle, ServiceConfig, WeightSpeed, certs, engine, platform, service,
 };
 use chestnut_node::logs;
 use chestnut_node::run::{self, Daemon};
 use reqwest::Client;
 use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
 use tokio::task::JoinSet;
 
-use crate::certs;
-
 /// The failure domains.
 const DOMAINS: [&str; 2] = ["accra-a", "accra-b"];
 
@@ -52,14 +50,14 @@
 /// Why the demo could not be carried out.
 #[derive(Debug)]
 pub enum StageError {
-    /// Certificates can't be made.
-    Certs(String),
     /// The temporary folder can't be used.
     Files(String),
     /// A stand-in or a daemon does not start.
     Start(String),
     /// A call to a stand-in or a daemon failed.
     Call(String),
+    /// Standard output is closed.
+    Output(String),
     /// The declarations were refused.
     Refused(String),
     /// Not everything was served in time.
@@ -69,14 +67,14 @@
 impl Display for StageError {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Certs(why) => {
-                write!(f, "certificates can't be made ({why}); report it")
-            }
             Self::Files(why) => {
                 write!(f, "the temporary folder can't be used ({why}); make it writable")
             }
             Self::Start(why) => write!(f, "a part does not start ({why}); free its port"),
             Self::Call(why) => write!(f, "a part does not answer ({why}); report it"),
+            Self::Output(why) => {
+                write!(f, "the result can't be printed ({why}); keep the output open")
+            }
             Self::Refused(why) => write!(f, "the declarations were refused: {why}"),
             Self::NotServed(why) => {
                 write!(f, "not everything was served in time ({why}); is the VM busy?")
@@ -113,7 +111,7 @@
     /// Starts everything and waits until all that is declared is served.
     pub async fn start() -> Result<Self, StageError> {
         let folder = Folder::new()?;
-        certs::write(&folder.0)?;
+        certs::write(&folder.0).map_err(|error| StageError::Files(error.to_string()))?;
         let platform = started(platform::start(any(), WeightSpeed::default()).await)?;
         let http = Client::builder().no_proxy().build()?;
         let mut stage = Self {
@@ -133,25 +131,27 @@
         Ok(stage)
     }
 
-    /// Prints commands to try.
-    pub fn explain(&self) {
-        let (entry, ops) = (&self.entries[0], &self.ops[0]);
+    /// Commands to try.
+    pub fn explain(&self) -> String {
+        let (entry, ops, platform) =
+            (&self.entries[0], &self.ops[0], self.platform.url());
         let auth = "-H 'authorization: Bearer key-portal'";
-        println!("\nIt stays up; end it with Ctrl-C. Try:\n");
-        println!("curl {entry}/v1/entry");
-        println!("curl {entry}/v1/models");
+        let key = "-H 'idempotency-key: order-1'";
+        let json = "-H 'content-type: application/json'";
         let body =
             r#"{"model": "proof", "prompt": "Dear", "max_tokens": 20, "stream": true}"#;
-        println!("curl -N {entry}/v1/completions {auth} -d '{body}'");
-        let key = "-H 'idempotency-key: order-1'";
-        println!("curl {entry}/svc/box-office/book {auth} {key} -d 'two seats'");
-        println!("curl {ops}/metrics");
-        println!("curl {ops}/debug/state");
         let fault = r#"{"table": {"down": true}}"#;
-        let platform = self.platform.url();
-        println!(
-            "curl {platform}/faults -H 'content-type: application/json' -d '{fault}'"
-        );
+        [
+            "\nIt stays up; end it with Ctrl-C. Try:\n".to_owned(),
+            format!("curl {entry}/v1/entry"),
+            format!("curl {entry}/v1/models"),
+            format!("curl -N {entry}/v1/completions {auth} -d '{body}'"),
+            format!("curl {entry}/svc/box-office/book {auth} {key} -d 'two seats'"),
+            format!("curl {ops}/metrics"),
+            format!("curl {ops}/debug/state"),
+            format!("curl {platform}/faults {json} -d '{fault}'\n"),
+        ]
+        .join("\n")
     }
 
     /// Stops the daemons as planned and then the stand-ins.
@@ -203,7 +203,7 @@
             self.entries.push(format!("http://{}", addresses.caller));
             self.ops.push(format!("http://{}", addresses.ops));
             self.daemons.push(daemon);
-            self.list(&name, index, addresses.caller, json!({"role": "entry"})).await?;
+            self.list(&name, index, addresses.peer, json!({"role": "entry"})).await?;
         }
         Ok(())
     }
@@ -314,6 +314,7 @@
 fn probes(entry: &str) -> Vec<Ask> {
     let completion = |(route, model): &(&str, &str)| {
         Form::Completion(Completion {
+            former: None,
             route: route.to_string(),
             model: model.to_string(),
             prompt: "ready?".into(),
@@ -342,6 +343,7 @@
         form,
         kind: None,
         deadline: None,
+        safe: false,
         patience: PATIENCE,
         give_up: PATIENCE,
     });
@@ -385,7 +387,3 @@
 fn any() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
-
-fn sha256(text: &str) -> String {
-    Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod answer;
 mod command;
 pub mod confsync;
+pub mod demand;
 pub mod engine;
 pub mod entry;
 pub mod feed;
@@ -39,6 +40,7 @@
 pub mod run;
 pub mod shared;
 pub mod single;
+pub mod slotlog;
 pub mod slots;
 pub mod tls;
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::{AttemptId, Code, Outcome, Refusal, ServerName, Work};
+use chestnut_base::{AttemptId, Code, Outcome, Refusal, ServerName, Target, Work};
 use chestnut_wire::{Ask, Call, Hint, Resume, Run, Say};
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -34,6 +34,12 @@
 /// The pause before daemons and backend servers are looked at again.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// The pause before the rest of a broken answer is asked for again.
+const HALF_PAUSE: Duration = Duration::from_millis(200);
+
+/// When a caller whose request found no answer by its deadline may come back.
+const LATE_RETURN: Duration = Duration::from_secs(2);
+
 const FRAMES_AHEAD: usize = 64;
 
 /// How often a request may be handed to a backend server.
@@ -69,6 +75,7 @@
         sent: false,
         begun: false,
         have: Resume { tokens: 0, text: String::new() },
+        suspect: false,
     };
     relay.drive().await;
 }
@@ -93,6 +100,8 @@
     begun: bool,
     /// The tokens that the caller has.
     have: Resume,
+    /// Whether a backend server crashed under an attempt.
+    suspect: bool,
 }
 
 /// What comes after an attempt.
@@ -117,10 +126,16 @@
                 None => return,
             };
             let now = self.node.shared.clock.now();
-            if !is_passing(refusal.code) || self.sent || now >= settled {
+            // Half an answer is of no use to anyone: it waits for its deadline, also
+            // when the other backend servers are full.
+            let half = self.have.tokens > 0;
+            let (until, pause) =
+                if half { (self.end, HALF_PAUSE) } else { (settled, PAUSE) };
+            let passing = is_passing(refusal.code) || half && !refusal.code.is_final();
+            if !passing || !self.may_wait() || now >= until {
                 break refusal;
             }
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(pause).await;
             self.tried.clear();
         };
         self.refuse(refusal).await;
@@ -128,6 +143,7 @@
 
     /// Asks one backend server after the other; nothing if the caller is served.
     async fn round(&mut self, broken: &mut usize) -> Option<Refusal> {
+        self.choose_version();
         let mut last = None;
         while self.tried.len() < ATTEMPTS {
             let picker = &self.node.picker;
@@ -146,6 +162,10 @@
                 }
                 Next::Broken(why) => {
                     *broken += 1;
+                    let now = self.node.shared.clock.now();
+                    if let Err(refusal) = self.node.poison.check(self.work.digest, now) {
+                        return Some(refusal);
+                    }
                     let refusal = broke_off(&why);
                     if !self.may_try_again(*broken) {
                         return Some(refusal);
@@ -161,6 +181,29 @@
         last.or_else(|| Some(broke_off("no attempt was possible")))
     }
 
+    /// Whether a further attempt later is safe.
+    fn may_wait(&self) -> bool {
+        match self.mode {
+            Mode::Many => !self.begun,
+            Mode::Single(_) => !self.sent,
+        }
+    }
+
+    /// Chooses the version that can be served while the declared one is loaded.
+    ///
+    /// Not once the caller has tokens: another version goes on otherwise.
+    fn choose_version(&mut self) {
+        let Target::Model { model, version, adapter } = &mut self.work.target else {
+            return;
+        };
+        let catalog = self.node.shared.catalog();
+        let Some(declared) = catalog.models.get(model) else { return };
+        if self.have.tokens == 0 {
+            let residence = self.node.shared.residence();
+            *version = residence.version(model, &declared.version, adapter.as_ref());
+        }
+    }
+
     /// Whether an attempt that may have run may be followed by another.
     fn may_try_again(&self, broken: usize) -> bool {
         self.mode == Mode::Many
@@ -181,6 +224,7 @@
             work,
             call: self.call.clone(),
             resume,
+            suspect: self.suspect,
         };
         let mut frames = match self.open(choice, run).await {
             Ok(frames) => frames,
@@ -217,6 +261,7 @@
         loop {
             let say = tokio::select! {
                 say = frames.next() => say,
+                () = self.late() => return self.give_up().await,
                 () = self.out.closed() => return Next::Done,
             };
             let say = match say {
@@ -260,6 +305,7 @@
                     return Next::Preempted;
                 }
                 Say::Broken { message, crashed } => {
+                    self.suspect |= crashed;
                     self.node.picker.note(&choice.server, Note::Broken { crashed });
                     return Next::Broken(message);
                 }
@@ -274,6 +320,25 @@
         }
     }
 
+    /// Ends at the deadline, unless the answer has begun or must not be cut off.
+    ///
+    /// A backend server that took the request and never answers would keep its
+    /// caller waiting for good. An answer that has begun goes on: half of it would
+    /// be worth nothing.
+    async fn late(&self) {
+        if self.begun || self.have.tokens > 0 || self.mode != Mode::Many {
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep_until(self.end.into()).await;
+    }
+
+    async fn give_up(&mut self) -> Next {
+        let text = "no answer came by the deadline; allow more time";
+        let refusal = Refusal::not_run(Code::Deadline, text).after(LATE_RETURN);
+        self.refuse(refusal).await;
+        Next::Done
+    }
+
     async fn refused(&mut self, choice: &Choice, refusal: Refusal, hint: Hint) -> Next {
         self.node.picker.note(&choice.server, Note::Refused);
         if let Some(load) = hint.load {
--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -23,19 +23,37 @@
     Signal(Signal, String),
     /// `exits NAME CODE`: waits until the process ends with this code.
     Exits(String, i32),
+    /// `alias NAME [not] server:NAME|slot:CALLER/KEY`: calls the daemon that leads
+    /// this, or one that does not, by another name.
+    Alias { alias: String, claim: String, not: bool },
     /// `fault NAME JSON`: switches faults of a stand-in.
     Fault(String, Value),
     /// `vm NAME live|leaving|gone`: changes the platform's list of VMs.
     Vm(String, String),
-    /// `declare TEAM FILE`, then the text up to a line `end`, or `declare TEAM FILE
-    /// removed`; expectations about the answer may follow.
-    Declare { team: String, file: String, text: Option<String>, at: Option<String> },
+    /// `declare TEAM FILE [at=NAME] [base=REVISION]`, then the text up to a line
+    /// `end`, or with the option `removed`; expectations about the answer may follow.
+    Declare { team: String, file: String, text: Option<String>, options: Options },
+    /// `file DIR FILE`, then the text up to a line `end`, or `file DIR FILE removed`:
+    /// changes a file of an operator's directory.
+    File { dir: String, file: String, text: Option<String> },
+    /// `operate NAME TEAM [at=DAEMONS] WORD..`: starts `chestnutctl` with the words;
+    /// `@DIR` stands for an operator's directory.
+    Operate { name: String, team: String, at: Vec<String>, words: Vec<String> },
+    /// `ended NAME`: waits until an operator's command ends; `-> exit=N WORD..` may
+    /// follow.
+    Ended(String),
+    /// `gone NAME`: an operator is killed.
+    Gone(String),
     /// `ask NAME [OPTION=VALUE]..`: sends requests and waits for the answers.
     Ask(String, Options),
     /// `send NAME [OPTION=VALUE]..`: sends requests and goes on.
     Send(String, Options),
     /// `await NAME`: waits for the answers to what was sent.
     Await(String),
+    /// `pending NAME`: none of the answers has come yet.
+    Pending(String),
+    /// `drop NAME`: the callers go away.
+    Drop(String),
     /// `seen NAME N`: waits until an answer has so many tokens.
     Seen(String, usize),
     /// `-> FACT.. | FACT..`: what must be true of all answers that came last.
@@ -76,7 +94,7 @@
 
 /// A question about the JSON that a process answers.
 pub struct Look {
-    /// The process.
+    /// The process; `engines` or `services` stand for the sum over all of them.
     pub name: String,
     /// The path; the process's own page of state if it is empty.
     pub path: String,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,8 +6,8 @@
 //! 4. [`promises`] checks at the end what must hold in every scenario.
 
 pub mod ask;
-pub mod certs;
 pub mod command;
+pub mod operate;
 pub mod parse;
 pub mod process;
 pub mod promises;
--- a/tests/support/parse.rs
+++ b/tests/support/parse.rs
@@ -50,6 +50,7 @@
             let code = code.parse().map_err(|_| "the exit code is no number")?;
             Ok(Command::Exits(name, code))
         }
+        "alias" => alias(rest),
         "fault" => {
             let (name, json) = pair(rest)?;
             let fault = serde_json::from_str(&json).map_err(|e| e.to_string())?;
@@ -57,9 +58,15 @@
         }
         "vm" => pair(rest).map(|(name, state)| Command::Vm(name, state)),
         "declare" => declare(rest, lines),
+        "file" => file(rest, lines),
+        "operate" => operate(rest),
+        "ended" => Ok(Command::Ended(one(rest)?)),
+        "gone" => Ok(Command::Gone(one(rest)?)),
         "ask" => asked(rest).map(|(name, options)| Command::Ask(name, options)),
         "send" => asked(rest).map(|(name, options)| Command::Send(name, options)),
         "await" => Ok(Command::Await(one(rest)?)),
+        "pending" => Ok(Command::Pending(one(rest)?)),
+        "drop" => Ok(Command::Drop(one(rest)?)),
         "seen" => {
             let (name, count) = pair(rest)?;
             let count = count.parse().map_err(|_| "the count is no number")?;
@@ -97,6 +104,16 @@
     Ok(Command::Signal(signal, one(rest)?))
 }
 
+fn alias(rest: &str) -> Result<Command, Failure> {
+    let words = words(rest)?;
+    let (alias, claim, not) = match &words[..] {
+        [alias, claim] => (alias, claim, false),
+        [alias, not, claim] if not == "not" => (alias, claim, true),
+        _ => return Err("write alias NAME [not] CLAIM".into()),
+    };
+    Ok(Command::Alias { alias: alias.clone(), claim: claim.clone(), not })
+}
+
 fn declare(rest: &str, lines: &mut Enumerate<Lines>) -> Result<Command, Failure> {
     let words = words(rest)?;
     let [team, file, more @ ..] = &words[..] else {
@@ -104,14 +121,46 @@
     };
     let options = options(more)?;
     let (team, file) = (team.clone(), file.clone());
-    let at = options.text("at").map(str::to_owned);
     if options.flag("removed") {
-        return Ok(Command::Declare { team, file, text: None, at });
+        return Ok(Command::Declare { team, file, text: None, options });
+    }
+    Ok(Command::Declare { team, file, text: Some(block(lines)?), options })
+}
+
+fn file(rest: &str, lines: &mut Enumerate<Lines>) -> Result<Command, Failure> {
+    match &words(rest)?[..] {
+        [dir, file] => {
+            let (dir, file) = (dir.clone(), file.clone());
+            Ok(Command::File { dir, file, text: Some(block(lines)?) })
+        }
+        [dir, file, removed] if removed == "removed" => {
+            Ok(Command::File { dir: dir.clone(), file: file.clone(), text: None })
+        }
+        _ => Err("write file DIR FILE [removed]".into()),
     }
+}
+
+fn operate(rest: &str) -> Result<Command, Failure> {
+    let words = words(rest)?;
+    let [name, team, words @ ..] = &words[..] else {
+        return Err("write operate NAME TEAM WORD..".into());
+    };
+    let (at, words) = match words.split_first() {
+        Some((first, rest)) if first.starts_with("at=") => {
+            (first["at=".len()..].split(',').map(str::to_owned).collect(), rest)
+        }
+        _ => (Vec::new(), words),
+    };
+    let (name, team) = (name.clone(), team.clone());
+    Ok(Command::Operate { name, team, at, words: words.to_vec() })
+}
+
+/// The lines up to a line `end`.
+fn block(lines: &mut Enumerate<Lines>) -> Result<String, Failure> {
     let mut text = String::new();
     for (_, line) in lines {
         if line.trim() == "end" {
-            return Ok(Command::Declare { team, file, text: Some(text), at });
+            return Ok(text);
         }
         text.push_str(line);
         text.push('\n');
