--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -152,6 +152,36 @@
     ops
 }
 
+/// The start of a letter is thought lost, and the object store is down, so that it
+/// is refused. It comes again together with another one; their transaction is
+/// really lost. Before it is sent again the first start arrives. The second letter
+/// must not be taken for recorded; else it runs again after a takeover.
+fn late_start() -> Vec<Op> {
+    let step = |link| Op::Step { daemon: 0, link };
+    let ask = |daemon, id| Op::Ask { daemon, id, body: 0 };
+    let pass = |millis| Op::Pass { millis };
+    let mut ops = vec![good(0), pass(10), good(0)];
+    ops.extend([ask(0, 0), step(Link::Late), pass(10), step(Link::Down), pass(240)]);
+    ops.extend([ask(0, 1), ask(0, 0), ask(0, 2), good(0), good(0), pass(5)]);
+    ops.extend([step(Link::Late), Op::Arrive, good(0), pass(10), good(0), good(0)]);
+    ops.extend([good(0), good(0), good(0), Op::Dispatch { run: 0 }]);
+    ops.extend([Op::Dispatch { run: 0 }, Op::Dispatch { run: 0 }]);
+    ops.extend([Op::Takeover { daemon: 1 }, good(1), ask(1, 2), pass(10), good(1)]);
+    ops.extend([good(1), good(1), Op::Dispatch { run: 0 }]);
+    ops
+}
+
+#[test]
+fn a_late_start_does_not_stand_for_others() {
+    play(Guard::All, &late_start()).settle(IDS);
+}
+
+#[test]
+#[should_panic(expected = "letter-2 ran 2 times")]
+fn breaks_if_a_row_of_the_attempt_stands_for_the_transaction() {
+    play(Guard::NoStamp, &late_start());
+}
+
 #[test]
 fn a_late_removal_does_not_free_a_run_id() {
     play(Guard::All, &late_removal()).settle(IDS);
--- a/crates/once/tests/model/mod.rs
+++ b/crates/once/tests/model/mod.rs
@@ -37,6 +37,8 @@
     NoRecovery,
     /// A daemon always believes that its lease holds.
     NoLease,
+    /// A row of the same attempt counts as one of the same transaction.
+    NoStamp,
     /// A new lead does not take a place in the log for its seal.
     NoSeal,
     /// A new lead does not read the log.
@@ -528,7 +530,8 @@
         for (condition, check) in batch.conditions.iter().enumerate() {
             let (holds, row) = self.holds(check);
             if !holds {
-                return Stored::Conflict { condition, row: row.map(Box::new) };
+                let row = row.map(|row| Box::new(self.stamped(row, batch)));
+                return Stored::Conflict { condition, row };
             }
         }
         self.version += 1;
@@ -546,6 +549,19 @@
         Stored::Committed { version: self.version }
     }
 
+    /// Without the stamps, a row looks like the one that the batch writes.
+    fn stamped(&self, mut row: Known, batch: &Batch) -> Known {
+        let Some(held) = row.record.as_mut() else { return row };
+        for change in &batch.changes {
+            if let (Change::Put(record), Guard::NoStamp) = (change, self.guard)
+                && record.attempt == held.attempt
+            {
+                held.stamp = record.stamp;
+            }
+        }
+        row
+    }
+
     fn holds(&self, check: &Condition) -> (bool, Option<Known>) {
         let known = |id: &RequestId| {
             let row = self.rows.get(id);
