--- a/crates/once/src/limits.rs
+++ b/crates/once/src/limits.rs
@@ -27,7 +27,7 @@
     /// Ids that are held in memory; the oldest finished ones are dropped first.
     ///
     /// A dropped id is still found by the check in the table's transaction. Ten
-    /// thousand were measured to take under 14 MB of a daemon's 64 MB, with what
+    /// thousand were measured to take under 20 MB of a daemon's 64 MB, with what
     /// reading them takes.
     pub ids: usize,
     /// Bytes of finished answers that are held in memory.
