--- a/crates/once/tests/model/mod.rs
+++ b/crates/once/tests/model/mod.rs
@@ -9,84 +9,21 @@
     ServiceName, SlotId, Target,
 };
 use chestnut_once::{
-    Answer, Appended, Batch, Change, Condition, Effect, Event, Found, Journal, Kept,
-    Known, Limits, Log, Record, Reply, Stored, Ticket,
+    Answer, Batch, Effect, Event, Found, Journal, Kept, Limits, Record, Reply, Ticket,
 };
 use indexmap::IndexMap;
 
+mod op;
+mod platform;
+
+pub use op::{Guard, Link, Op};
+
 /// How long a daemon's lease holds in the model.
 const LEASE: Duration = Duration::from_secs(6);
 
 const SLOT: SlotId = SlotId(0);
 const DAEMONS: usize = 3;
 
-/// A safeguard that the model can leave out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Guard {
-    /// Nothing is left out.
-    All,
-    /// The table ignores the claims in a batch and whether rows exist.
-    NoFence,
-    /// The table ignores whether rows exist.
-    NoAbsent,
-    /// The table ignores the versions of rows.
-    NoVersion,
-    /// A lost acknowledgement counts as success.
-    NoReadBack,
-    /// A new lead does not read the journal, and the table ignores existing rows.
-    NoRecovery,
-    /// A daemon always believes that its lease holds.
-    NoLease,
-    /// A row of the same attempt counts as one of the same transaction.
-    NoStamp,
-    /// A new lead does not take a place in the log for its seal.
-    NoSeal,
-    /// A new lead does not read the log.
-    NoLog,
-}
-
-/// One step of the world.
-#[derive(Debug, Clone)]
-pub enum Op {
-    /// A caller sends an id with a body to a daemon.
-    Ask { daemon: usize, id: u8, body: u8 },
-    /// A caller asks a daemon what became of an id.
-    Lookup { daemon: usize, id: u8 },
-    /// A daemon carries out its next effect; the platform takes it as `link` says.
-    Step { daemon: usize, link: Link },
-    /// A change that was believed lost takes effect now.
-    Arrive,
-    /// A run is handed to the backend server, if it is still to be.
-    Dispatch { run: usize },
-    /// A run is refused before it is handed over.
-    Refuse { run: usize },
-    /// A run that was handed over ends whole, or breaks off.
-    End { run: usize, whole: bool },
-    /// Another daemon takes the slot over once the lease has lapsed.
-    Takeover { daemon: usize },
-    /// A daemon gives its slot up to another.
-    Release { daemon: usize },
-    /// A daemon learns who holds the slot, and renews its lease.
-    Notice { daemon: usize },
-    /// A daemon dies and starts anew.
-    Crash { daemon: usize },
-    /// Time passes.
-    Pass { millis: u16 },
-}
-
-/// How the table service takes a change.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Link {
-    /// It does it and says so.
-    Good,
-    /// It does it and the answer is lost.
-    Lost,
-    /// It does it some time after the asker gave up.
-    Late,
-    /// It refuses.
-    Down,
-}
-
 /// A change that was believed lost and takes effect later.
 enum Late {
     Batch(Batch),
@@ -431,66 +368,6 @@
         }
     }
 
-    fn arrive(&mut self, late: Late) {
-        match late {
-            Late::Batch(batch) => drop(self.commit(&batch)),
-            Late::Append(place, records) => {
-                self.log.entry(place).or_insert(records);
-            }
-        }
-    }
-
-    /// Reads the log and takes its next place.
-    fn seal(&mut self) -> Log {
-        let records = match self.guard {
-            Guard::NoLog => Vec::new(),
-            _ => {
-                let mut places: Vec<_> = self.log.iter().collect();
-                places.sort_by_key(|(place, _)| **place);
-                places.into_iter().flat_map(|(_, records)| records.clone()).collect()
-            }
-        };
-        let next = self.log.keys().max().map_or(0, |place| place + 1);
-        if self.guard == Guard::NoSeal {
-            return Log { records, next };
-        }
-        self.log.insert(next, Vec::new());
-        Log { records, next: next + 1 }
-    }
-
-    fn append(&mut self, place: u64, records: Vec<Record>, link: Link) -> Appended {
-        match link {
-            Link::Good => self.put(place, records),
-            Link::Lost => {
-                self.put(place, records);
-                Appended::Lost
-            }
-            Link::Late => {
-                self.late.push_back(Late::Append(place, records));
-                Appended::Lost
-            }
-            Link::Down => Appended::Down,
-        }
-    }
-
-    fn put(&mut self, place: u64, records: Vec<Record>) -> Appended {
-        let held = self.log.entry(place).or_insert_with(|| records.clone());
-        let own = *held == records;
-        let last = self.log.keys().max() == Some(&place);
-        if own && last { Appended::Stored } else { Appended::Taken }
-    }
-
-    fn read(&self) -> Vec<(Known, Duration)> {
-        if self.guard == Guard::NoRecovery {
-            return Vec::new();
-        }
-        let known = |(record, version): &(Record, u64)| {
-            let known = Known { record: Some(record.clone()), version: *version };
-            (known, Duration::ZERO)
-        };
-        self.rows.values().map(known).collect()
-    }
-
     fn seek(&self, id: &RequestId, attempt: AttemptId, link: Link) -> Found {
         let row = self.rows.get(id).and_then(|(record, version)| {
             let summary = record.answer.clone()?;
@@ -507,86 +384,6 @@
         }
     }
 
-    fn send(&mut self, batch: &Batch, link: Link) -> Stored {
-        let lost = match self.guard {
-            Guard::NoReadBack => Stored::Committed { version: self.version },
-            _ => Stored::Lost,
-        };
-        match link {
-            Link::Good => self.commit(batch),
-            Link::Lost => {
-                self.commit(batch);
-                lost
-            }
-            Link::Late => {
-                self.late.push_back(Late::Batch(batch.clone()));
-                lost
-            }
-            Link::Down => Stored::Down,
-        }
-    }
-
-    fn commit(&mut self, batch: &Batch) -> Stored {
-        for (condition, check) in batch.conditions.iter().enumerate() {
-            let (holds, row) = self.holds(check);
-            if !holds {
-                let row = row.map(|row| Box::new(self.stamped(row, batch)));
-                return Stored::Conflict { condition, row };
-            }
-        }
-        self.version += 1;
-        for change in &batch.changes {
-            match change {
-                Change::Put(record) => {
-                    let row = ((**record).clone(), self.version);
-                    self.rows.insert(record.id.clone(), row);
-                }
-                Change::Delete { id, .. } => {
-                    self.rows.swap_remove(id);
-                }
-            }
-        }
-        Stored::Committed { version: self.version }
-    }
-
-    /// Without the stamps, a row looks like the one that the batch writes.
-    fn stamped(&self, mut row: Known, batch: &Batch) -> Known {
-        let Some(held) = row.record.as_mut() else { return row };
-        for change in &batch.changes {
-            if let (Change::Put(record), Guard::NoStamp) = (change, self.guard)
-                && record.attempt == held.attempt
-            {
-                held.stamp = record.stamp;
-            }
-        }
-        row
-    }
-
-    fn holds(&self, check: &Condition) -> (bool, Option<Known>) {
-        let known = |id: &RequestId| {
-            let row = self.rows.get(id);
-            row.map(|(record, version)| Known {
-                record: Some(record.clone()),
-                version: *version,
-            })
-        };
-        match check {
-            Condition::Claim { version, .. } => {
-                (*version == self.claim || self.guard == Guard::NoFence, None)
-            }
-            Condition::Absent { id, .. } => {
-                let ignored = [Guard::NoFence, Guard::NoAbsent, Guard::NoRecovery];
-                let row = known(id);
-                (row.is_none() || ignored.contains(&self.guard), row)
-            }
-            Condition::Version { id, version, .. } => {
-                let row = known(id);
-                let same = row.as_ref().is_some_and(|row| row.version == *version);
-                (same || self.guard == Guard::NoVersion, row)
-            }
-        }
-    }
-
     /// Ends all faults, asks for each id again and checks the last answers.
     pub fn settle(&mut self, ids: u8) {
         while let Some(late) = self.late.pop_front() {
