Let adapters follow a new version, and make way for declared replicas

A second declared replica that fits nowhere stayed out although another model could move aside; now room is made as for first replicas.

--- a/crates/node/src/planner/scene.rs
+++ b/crates/node/src/planner/scene.rs
@@ -220,7 +220,8 @@
     /// The runners that hold a model or are to hold it, leaving ones included.
     ///
     /// One that holds its last replica in another version counts only if both
-    /// versions fit; else the new one has to be loaded elsewhere first.
+    /// versions fit and no adapter is on top, which can't be on both; else the
+    /// new one has to be loaded elsewhere first.
     fn placed(
         &self,
         name: &ModelName,
@@ -228,6 +229,7 @@
         usable: &HashMap<&ModelName, usize>,
     ) -> Vec<usize> {
         let count = usable.get(name).copied().unwrap_or(0);
+        let adapted = self.catalog.adapters.values().any(|a| a.model == *name);
         let is_placed = |runner: &usize| {
             let (server, _) = self.runners[*runner];
             let ledger = self.ledger(*runner);
@@ -249,7 +251,7 @@
             };
             let held = ledger.is_some_and(|ledger| ledger.is_usable(&want.asset));
             let last = want.asset.version != model.version && held && count <= 1;
-            !last || ledger.is_some_and(|ledger| ledger.free() >= model.bytes)
+            !last || (!adapted && ledger.is_some_and(|held| held.free() >= model.bytes))
         };
         (0..self.runners.len()).filter(is_placed).collect()
     }
--- a/crates/place/src/follow.rs
+++ b/crates/place/src/follow.rs
@@ -50,11 +50,11 @@
 /// most first.
 pub fn follow(ledger: &mut Ledger, wanted: &[Want], situation: &Situation) -> Follow {
     let mut found = Follow::default();
+    let mut blocking = Vec::new();
     for want in wanted {
-        if !is_free(ledger, &want.asset) {
-            continue;
-        }
-        if let Err(full) = ledger.want(&want.asset, want.bytes) {
+        if let Some(other) = namesake(ledger, &want.asset) {
+            blocking.push(other);
+        } else if let Err(full) = ledger.want(&want.asset, want.bytes) {
             found.lacking.push(full);
         }
     }
@@ -63,36 +63,41 @@
     // nobody knows yet that it must not be used.
     unload_idle(ledger, situation);
     if settled || !found.lacking.is_empty() {
-        drain_one(ledger, wanted, situation, &mut found);
+        let extra = unwanted(ledger, wanted);
+        drain_one(ledger, extra, situation, &mut found);
+    } else {
+        drain_one(ledger, blocking, situation, &mut found);
     }
     found
 }
 
-/// Whether the adapter's name is not taken on the runner by the same adapter
-/// on another version; engines know adapters by their name alone.
-fn is_free(ledger: &Ledger, asset: &Asset) -> bool {
-    asset.adapter.is_none()
-        || !ledger.items.iter().any(|item| {
-            item.asset != *asset
-                && item.asset.adapter == asset.adapter
-                && item.state != ItemState::Spent
-        })
+/// The same adapter on another version, which has to go first: engines know
+/// adapters by their name alone.
+fn namesake(ledger: &Ledger, asset: &Asset) -> Option<Asset> {
+    asset.adapter.as_ref()?;
+    let other = ledger.items.iter().find(|item| {
+        item.asset != *asset
+            && item.asset.adapter == asset.adapter
+            && item.state != ItemState::Spent
+    });
+    other.map(|item| item.asset.clone())
+}
+
+/// What is usable and not wanted.
+fn unwanted(ledger: &Ledger, wanted: &[Want]) -> Vec<Asset> {
+    let is_wanted = |asset: &Asset| wanted.iter().any(|want| want.asset == *asset);
+    let items = ledger.items.iter().filter(|item| item.state == ItemState::Ready);
+    items.map(|item| item.asset.clone()).filter(|asset| !is_wanted(asset)).collect()
 }
 
+/// Drains the first of some assets that may be dropped.
 fn drain_one(
     ledger: &mut Ledger,
-    wanted: &[Want],
+    candidates: Vec<Asset>,
     situation: &Situation,
     found: &mut Follow,
 ) {
-    let candidates: Vec<_> = ledger
-        .items
-        .iter()
-        .filter(|item| item.state == ItemState::Ready)
-        .filter(|item| wanted.iter().all(|want| want.asset != item.asset))
-        .map(|item| item.asset.clone())
-        .collect();
-    for asset in candidates {
+    for asset in candidates.into_iter().filter(|asset| ledger.is_ready(asset)) {
         if let Some(witnesses) = (situation.spare)(ledger, &asset) {
             ledger.drain(&asset);
             found.witnesses.extend(witnesses);
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -193,9 +193,7 @@
     fn fill(&mut self, model: usize, replicas: usize) {
         while self.placed[model].len() < replicas {
             let Some(site) = self.best_site(model) else {
-                if self.placed[model].is_empty() {
-                    self.make_way(model);
-                }
+                self.make_way(model);
                 let missing = replicas - self.placed[model].len();
                 self.unplaced.retain(|(other, _)| *other != model);
                 self.unplaced.push((model, missing));
@@ -220,6 +218,7 @@
             self.held[runner].iter().map(move |other| (runner, *other))
         });
         let way = ways
+            .filter(|(runner, _)| !self.held[*runner].contains(&model))
             .filter(|(runner, other)| {
                 let bytes = self.pool.models[*other].bytes;
                 self.pool.runners[*runner].stays && self.room[*runner] + bytes >= needed
