--- a/tests/support/steps.rs
+++ b/tests/support/steps.rs
@@ -8,6 +8,7 @@
 
 use super::ask::{self, Ask};
 use super::command::{Command, Compare, Kind, Look, Options, Signal};
+use super::operate::{self, Operator};
 use super::world::{Sent, World};
 use super::{Failure, PATIENCE};
 
@@ -24,8 +25,26 @@
         Command::Alias { alias, claim, not } => name(world, alias, claim, *not).await,
         Command::Fault(name, fault) => switch(world, name, fault).await,
         Command::Vm(name, state) => vm(world, name, state).await,
-        Command::Declare { team, file, text, at } => {
-            declare(world, at.as_deref(), team, file, text.clone()).await
+        Command::Declare { team, file, text, options } => {
+            declare(world, options, team, file, text.clone()).await
+        }
+        Command::File { dir, file, text } => {
+            operate::write(world, dir, file, text.as_deref())
+        }
+        Command::Operate { name, team, at, words } => {
+            let operator = Operator::start(world, name, team, at, words)?;
+            world.operators.insert(name.clone(), operator);
+            Ok(())
+        }
+        Command::Ended(name) => {
+            let operator = world.operators.shift_remove(name);
+            let facts = operator.ok_or("no such operator")?.end().await?;
+            world.last = vec![facts];
+            Ok(())
+        }
+        Command::Gone(name) => {
+            world.operators.shift_remove(name).ok_or("no such operator")?;
+            Ok(())
         }
         Command::Ask(name, options) => {
             send(world, name, options)?;
@@ -128,13 +147,17 @@
 
 async fn declare(
     world: &mut World,
-    at: Option<&str>,
+    options: &Options,
     team: &str,
     file: &str,
     text: Option<String>,
 ) -> Result<(), Failure> {
-    let at = at.unwrap_or("e1").to_owned();
-    let (status, answer) = world.declare(&at, team, file, text).await?;
+    let at = options.or("at", "e1");
+    let base = match options.text("base") {
+        Some(_) => Some(options.number("base", 0)?),
+        None => None,
+    };
+    let (status, answer) = world.declare(at, team, file, text, base).await?;
     let mut facts = vec![status.to_string()];
     for pointer in ["/verdict", "/reason", "/reason/reason"] {
         let fact = answer.pointer(pointer).and_then(Value::as_str);
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -15,6 +15,7 @@
 use super::ask::{self, Ask, Reply};
 use super::certs;
 use super::command::{Kind, Options};
+use super::operate::Operator;
 use super::process::Process;
 use super::{Failure, PATIENCE};
 
@@ -48,6 +49,8 @@
     pub last: Vec<Vec<String>>,
     /// All replies.
     pub replies: Vec<(Ask, Reply)>,
+    /// The operators whose commands run.
+    pub operators: IndexMap<String, Operator>,
     /// The number of changes that were sent.
     pub changes: u64,
 }
@@ -80,6 +83,7 @@
             sent: IndexMap::new(),
             last: Vec::new(),
             replies: Vec::new(),
+            operators: IndexMap::new(),
             changes: 0,
         })
     }
@@ -137,7 +141,7 @@
         if kind == Kind::Platform {
             return Ok(());
         }
-        let field = if kind == Kind::Daemon { "caller" } else { "address" };
+        let field = if kind == Kind::Daemon { "peer" } else { "address" };
         let address = self.process(name)?.address(field)?.to_owned();
         let mut row = json!({
             "vm": name, "domain": options.or("domain", "a"), "address": address,
@@ -245,8 +249,9 @@
         }
         let start = std::time::Instant::now();
         loop {
-            let (status, answer) =
-                self.declare("e1", "base", "base.jsonc", Some(text.clone())).await?;
+            let (status, answer) = self
+                .declare("e1", "base", "base.jsonc", Some(text.clone()), None)
+                .await?;
             if answer["verdict"] == "accepted" {
                 return Ok(());
             }
@@ -258,13 +263,15 @@
         }
     }
 
-    /// Sends a change of one file to a daemon, with the revision it has in force.
+    /// Sends a change of one file to a daemon, made from the revision `base` or from
+    /// the one that the daemon has in force.
     pub async fn declare(
         &mut self,
         at: &str,
         team: &str,
         file: &str,
         text: Option<String>,
+        base: Option<usize>,
     ) -> Result<(u16, Value), Failure> {
         self.changes += 1;
         let ops = self.ops(at)?;
@@ -273,7 +280,7 @@
             "id": format!("change-{}", self.changes),
             "team": team,
             "author": format!("operator of {team}"),
-            "base": state["revision"],
+            "base": base.map_or(state["revision"].clone(), Value::from),
             "edits": {file: text},
         });
         let call = self
@@ -397,6 +404,7 @@
 
 impl Drop for World {
     fn drop(&mut self) {
+        self.operators.clear();
         self.processes.clear();
         // A directory that can't be removed is the system's to clean up.
         std::fs::remove_dir_all(&self.dir).ok();
