Keep what requests use resident under the new leads

The lead's actor had lost the hold that keeps a model from being unloaded under a stream; it is taken again before the check that the model is resident. A lead that nobody preceded does not wait for the engine to fall idle any more.

--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -25,6 +25,7 @@
 use self::table::{Decision, Event, Loads, Offer, Table};
 use crate::engine::{self, CallEnd};
 use crate::node::Node;
+use crate::orders::usage;
 use crate::pick::CALL;
 use crate::shared::Shared;
 use crate::single;
@@ -63,6 +64,8 @@
     /// Where the backend server listens.
     pub address: SocketAddr,
     hold: Hold,
+    /// Keeps the model resident while the attempt runs.
+    _used: Option<usage::Hold>,
     loads: Loads,
     stopped: Option<oneshot::Receiver<()>>,
     told: Mutex<Told>,
@@ -134,6 +137,8 @@
         let Some(info) = info.filter(|info| !info.leaving) else {
             return Err(passing(Code::Unavailable, "this daemon does not lead it"));
         };
+        // Before the check, so that the model is not unloaded in between.
+        let used = self.shared.usage.hold_target(&run.server, &run.work.target);
         if !self.holds(run) {
             return Err(passing(Code::NotResident, "the model is not resident there"));
         }
@@ -149,6 +154,7 @@
             Ok(Decision::Dispatch(stopped)) => Ok(Grant {
                 address: info.address,
                 hold,
+                _used: used,
                 loads: self.loads.clone(),
                 stopped: Some(stopped),
                 told: Mutex::new(Told { count: 0, first: true, at: self.now() }),
--- a/crates/node/src/orders/runner.rs
+++ b/crates/node/src/orders/runner.rs
@@ -40,6 +40,8 @@
     since: Instant,
     /// The row as committed, with its version; 0 if there is none yet.
     row: Option<(Ledger, u64)>,
+    /// Whether nobody led the runner before, so that all streams are known here.
+    first: bool,
     /// The number of the last order that earlier leads may have sent.
     earlier: u64,
     /// How many reports have failed in a row.
@@ -80,6 +82,7 @@
             claim,
             since,
             row: None,
+            first: false,
             earlier: 0,
             missed: 0,
             copies: HashMap::new(),
@@ -162,7 +165,10 @@
     async fn read_row(&mut self) -> Result<(), PlatError> {
         let row = self.shared.table.get(LEDGER, self.name.as_str()).await?;
         let (ledger, version) = match row {
-            None => (Ledger::default(), 0),
+            None => {
+                self.first = true;
+                (Ledger::default(), 0)
+            }
             Some(row) => match serde_json::from_value::<Ledger>(row.value) {
                 Ok(ledger) => (ledger, row.version),
                 Err(error) => {
@@ -231,7 +237,7 @@
     /// Whether no request uses an asset, also none that an earlier lead started.
     fn is_idle(&self, asset: &Asset, report: &Report) -> bool {
         let held = self.shared.clock.now().saturating_duration_since(self.since);
-        let alone = report.running == 0 && report.waiting == 0;
+        let alone = self.first || (report.running == 0 && report.waiting == 0);
         self.shared.usage.is_idle(&self.name, asset) && (alone || held >= STREAM_LIMIT)
     }
 
