--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,14 +1,18 @@
 //! Experiments on the decisions and measurements of the daemons.
 //!
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
+//! - [`config`]: how soon accepted declarations are in force and what it costs,
 //! - [`decisions`]: what one decision costs,
 //! - [`journal`]: what the journal of non-idempotent requests adds and writes,
-//! - [`moves`]: placements of models under shifting demand, against baselines.
+//! - [`moves`]: placements of models under shifting demand, against baselines,
+//! - [`slopes`]: what real daemons cost as the system grows.
 
+pub mod config;
 pub mod decisions;
 pub mod journal;
 pub mod moves;
 pub mod policies;
+pub mod slopes;
 
 use std::process::ExitCode;
 
@@ -24,12 +28,18 @@
     /// Measures what a decision costs.
     #[bpaf(command)]
     Decisions(#[bpaf(external(decisions::options))] decisions::Options),
+    /// Measures how soon accepted declarations are in force and what that costs.
+    #[bpaf(command)]
+    Config(#[bpaf(external(config::options))] config::Options),
     /// Measures the journal of non-idempotent requests.
     #[bpaf(command)]
     Journal(#[bpaf(external(journal::options))] journal::Options),
     /// Compares placements of models under shifting demand, in virtual time.
     #[bpaf(command)]
     Moves(#[bpaf(external(moves::options))] moves::Options),
+    /// Measures what real daemons cost as the system grows.
+    #[bpaf(command)]
+    Slopes(#[bpaf(external(slopes::options))] slopes::Options),
 }
 
 /// Runs the program.
@@ -37,8 +47,10 @@
     match command().run() {
         Command::Policies(options) => policies::run(&options),
         Command::Decisions(options) => decisions::run(&options),
+        Command::Config(options) => config::run(&options),
         Command::Journal(options) => journal::run(&options),
         Command::Moves(options) => moves::run(&options),
+        Command::Slopes(options) => return slopes::run(&options),
     }
     ExitCode::SUCCESS
 }
--- a/crates/node/src/pick.rs
+++ b/crates/node/src/pick.rs
@@ -166,12 +166,7 @@
             }
             Note::Tokens(_) => state.router.note(key, Learnt::Answered, now),
             Note::Refused => {}
-            Note::Broken { crashed } => {
-                state.router.note(key, Learnt::Failed, now);
-                if crashed {
-                    state.router.note(key, Learnt::Restarted, now);
-                }
-            }
+            Note::Broken { .. } => state.router.note(key, Learnt::Failed, now),
             Note::Unreachable => {
                 if let Some(&member) = state.members.get(server) {
                     state.silent.insert(member, now);
@@ -199,6 +194,7 @@
     /// Counts a pick, and forgets what is gone from time to time.
     fn begin(&mut self, view: &View, first: bool) {
         self.picks += 1;
+        self.router.set_entries(view.members.len());
         if first {
             self.budget.earn();
         }
