--- a/crates/node/src/orders/runner.rs
+++ b/crates/node/src/orders/runner.rs
@@ -98,11 +98,9 @@
         }
     }
 
-    /// The runner, as long as this daemon holds the claim under which it began.
+    /// The runner, as long as this daemon is known to hold the claim under which
+    /// it began.
     fn server(&self) -> Option<Server> {
-        if !self.shared.lease_holds(self.shared.clock.now()) {
-            return None;
-        }
         let view = self.shared.view();
         let (claim, _) = view.holder(&ClaimKey::Server(self.name.clone()))?;
         (claim == self.claim).then(|| view.servers.get(&self.name).cloned())?
@@ -308,13 +306,23 @@
         self.waits.retain(|asset, _| orders.iter().any(|order| order.asset == *asset));
         for order in &orders {
             let known = self.row.as_ref().is_some_and(|(row, _)| row.knows(order));
-            if known && self.is_due(order) && self.server().is_some() {
+            if known && self.may_send(order) && self.is_due(order) {
                 self.send(server, order).await;
             }
         }
         next.is_moving()
     }
 
+    /// Whether an order may be sent under the claim as it is.
+    ///
+    /// With a lapsed lease only loads: a successor reads their numbers in the row
+    /// and counts with their copies. Without them an engine that restarts while
+    /// the table is down would stay empty until the end of the outage.
+    fn may_send(&self, order: &Order) -> bool {
+        let holds = self.shared.lease_holds(self.shared.clock.now());
+        self.server().is_some() && (holds || order.kind == OrderKind::Load)
+    }
+
     fn is_due(&mut self, order: &Order) -> bool {
         let now = self.shared.clock.now();
         let wait = self.waits.get(&order.asset).copied();
--- a/crates/node/src/planner.rs
+++ b/crates/node/src/planner.rs
@@ -14,7 +14,7 @@
 use chestnut_member::{Claim, ClaimKey};
 use chestnut_place::{Demand, plan};
 use chestnut_plat::{PlatError, Txn, TxnAnswer};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use serde_json::json;
@@ -122,6 +122,9 @@
     claim: Claim,
     averages: IndexMap<ModelName, Demand>,
     averaged: Instant,
+    /// The digests of entries by their row's key, and the version they were read to.
+    digests: IndexMap<String, Digest>,
+    digest_version: u64,
     /// When a replica was first seen as wanted and not loaded.
     awaited: IndexMap<(ServerName, ModelName), Instant>,
     /// When a runner was first missing from the platform's list.
@@ -134,6 +137,8 @@
             claim,
             averages: IndexMap::new(),
             averaged: now,
+            digests: IndexMap::new(),
+            digest_version: 0,
             awaited: IndexMap::new(),
             missing: IndexMap::new(),
         }
@@ -150,7 +155,7 @@
         if rows.now.is_none() {
             return Ok(());
         }
-        self.read_demand(shared, pool).await?;
+        let stale = self.read_demand(shared, pool).await?;
         let now = shared.clock.now();
         let catalog = shared.catalog();
         let view = shared.view();
@@ -174,6 +179,7 @@
             let value = json!(PoolRow { unplaced });
             txns.push(Txn::new().put(PLAN, pool_key(pool), value));
         }
+        txns.extend(stale.into_iter().map(|key| Txn::new().delete(DEMAND, key)));
         for name in self.gone(&scene, now) {
             let key = name.as_str();
             txns.push(Txn::new().delete(PLAN, key).delete(LEDGER, key));
@@ -182,22 +188,35 @@
     }
 
     /// Takes what entries have written into the averages.
+    ///
+    /// Returns the keys of digests of daemons that are gone.
     async fn read_demand(
         &mut self,
         shared: &Shared,
         pool: &PoolName,
-    ) -> Result<(), PlatError> {
-        let delta = shared.table.scan(DEMAND, &format!("{pool}/"), 0).await?;
+    ) -> Result<Vec<String>, PlatError> {
+        let prefix = format!("{pool}/");
+        let delta = shared.table.scan(DEMAND, &prefix, self.digest_version).await?;
+        self.digest_version = delta.version;
+        for key in delta.gone {
+            self.digests.swap_remove(&key);
+        }
+        for row in delta.rows {
+            if let Ok(digest) = serde_json::from_value::<Digest>(row.value) {
+                self.digests.insert(row.key, digest);
+            }
+        }
         let view = shared.view();
+        let keys: IndexSet<String> =
+            view.members.keys().map(|id| demand::key(pool, *id)).collect();
+        let digests = std::mem::take(&mut self.digests);
+        let (kept, stale): (IndexMap<_, _>, IndexMap<_, _>) =
+            digests.into_iter().partition(|(key, _)| keys.contains(key));
+        self.digests = kept;
         let scale = demand::scale(&view);
         let mut rates: IndexMap<ModelName, f64> = IndexMap::new();
-        for row in delta.rows {
-            let known = view.members.keys().any(|id| demand::key(pool, *id) == row.key);
-            let digest = serde_json::from_value::<Digest>(row.value);
-            let Some(digest) = digest.ok().filter(|_| known) else { continue };
-            for (model, rate) in digest.rates {
-                *rates.entry(model).or_default() += rate * scale;
-            }
+        for (model, rate) in self.digests.values().flat_map(|digest| &digest.rates) {
+            *rates.entry(model.clone()).or_default() += rate * scale;
         }
         let now = shared.clock.now();
         let time = now.saturating_duration_since(self.averaged);
@@ -209,7 +228,7 @@
             let rate = rates.get(model).copied().unwrap_or(0.0);
             average.add(rate * time.as_secs_f64(), time);
         }
-        Ok(())
+        Ok(stale.into_keys().collect())
     }
 
     /// Runners that are no longer on the platform's list for some time.
