Let a daemon take work only once another one trusts it

Cause: a daemon with keys that the others don't trust joined by its row in the table, was named to callers and took claims; what it led could not be reached. Ruled out: checking keys at the table, which is not ours. It now joins as one that takes no work until another daemon has answered it, unless it is alone.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -11,14 +11,17 @@
 };
 use chestnut_plat::table::Lookup;
 use chestnut_plat::{Delta, PlatError, Row, Txn, TxnAnswer, VmRole, VmRow, VmState};
+use chestnut_wire::Ask;
 use indexmap::{IndexMap, IndexSet};
 use prometheus_client::metrics::counter::Counter;
+use rand::seq::SliceRandom;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use slog::{info, warn};
 
 use crate::feed::Feed;
+use crate::node::Node;
 use crate::shared::Shared;
 
 /// The table of daemons, written when one joins, leaves or is removed.
@@ -37,6 +40,11 @@
 /// Looking through all claims takes milliseconds at thousands of runners.
 const IDLE_POLLS: u32 = 4;
 
+/// How many other daemons are asked whether they trust this one.
+///
+/// More than one, since some may have died; few, since thousands may start in a day.
+const GREETED: usize = 3;
+
 /// An order that a daemon leave.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct DrainRow {
@@ -58,9 +66,12 @@
 }
 
 /// Keeps the daemon a member until the process ends.
-pub async fn run(shared: Arc<Shared>, addresses: Addresses) {
-    let mut members = Members::new(shared, addresses);
+pub async fn run(node: Arc<Node>, addresses: Addresses) {
+    let mut members = Members::new(node.shared.clone(), addresses);
     loop {
+        if !members.admitted {
+            members.admitted = members.is_trusted(&node).await;
+        }
         members.poll().await;
         let pause = members.pause();
         tokio::select! {
@@ -81,6 +92,14 @@
     /// The table's clock at the last read, in milliseconds.
     now: u64,
     joined: bool,
+    /// Whether another daemon has answered this one, or there is no other.
+    ///
+    /// Until then the own row says that it takes no work. A daemon whose keys the
+    /// others don't trust can write to the table all the same; if it took claims
+    /// or callers, what it leads could not be reached.
+    admitted: bool,
+    /// Whether no other daemon answered when it was last tried.
+    refused: bool,
     /// Whether anything changed that was not published yet.
     changed: bool,
     /// Whether anything was published after the claims were looked at last.
@@ -112,6 +131,8 @@
             read: IndexMap::new(),
             now: 0,
             joined: false,
+            admitted: false,
+            refused: false,
             changed: true,
             unplanned: true,
             idle_polls: 0,
@@ -131,6 +152,30 @@
         pace.mul_f64(rand::random_range(0.75..1.25))
     }
 
+    /// Whether this daemon has read who is there, and one of them trusts it.
+    async fn is_trusted(&mut self, node: &Node) -> bool {
+        if !self.joined {
+            return false;
+        }
+        let mut others = others(&self.shared);
+        if others.is_empty() {
+            return true;
+        }
+        others.shuffle(&mut rand::rng());
+        others.truncate(GREETED);
+        let calls =
+            others.iter().map(|(_, addr)| node.peers.ask_once(*addr, &Ask::Status));
+        let answers = futures::future::join_all(calls).await;
+        let trusted = answers.iter().any(Result::is_ok);
+        if !trusted {
+            warn!(
+                self.shared.log,
+                "no other daemon answers; check `tls` and `peer_addr`"
+            );
+        }
+        trusted
+    }
+
     async fn poll(&mut self) {
         let outcome = self.step().await;
         let reachable = outcome.is_ok();
@@ -163,7 +208,7 @@
     /// Joins if this daemon has no row, else renews the lease when it is due.
     async fn renew(&mut self) -> Result<(), PlatError> {
         let now = self.shared.clock.now();
-        let leaving = self.shared.is_leaving();
+        let leaving = self.shared.is_leaving() || !self.admitted;
         let own = self.known.own(&self.shared.settings.vm, self.shared.me);
         let written = own.filter(|(row, _)| row.leaving == leaving);
         if self.joined && written.is_some() && now < self.renew_at {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -84,7 +84,7 @@
     let listeners = CancellationToken::new();
     let endpoint = node.peers.endpoint().clone();
     tasks.spawn(peer::accept(endpoint, node.clone()));
-    tasks.spawn(members::run(node.shared.clone(), addresses));
+    tasks.spawn(members::run(node.clone(), addresses));
     tasks.spawn(confsync::run(node.clone()));
     tasks.spawn(orders::run(node.shared.clone()));
     tasks.spawn(poison::run(node.clone()));
