--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -35,7 +35,15 @@
 const INLINE_AT_NEED: usize = 64 * 1024;
 
 /// How long the answer of an earlier daemon's run is looked for.
-const SEEK_TIME: Duration = Duration::from_secs(5);
+///
+/// Short, as the caller hears nothing meanwhile; it is told when to ask again, and
+/// then it is looked for again.
+const SEEK_TIME: Duration = Duration::from_secs(1);
+
+/// How long it is looked for while the earlier daemon still is a member.
+///
+/// It gave the slot up as planned and finishes what it runs; most runs end by then.
+const SEEK_LIVING: Duration = Duration::from_secs(10);
 
 /// The pause between two looks; each costs the platform two reads.
 const SEEK_PAUSE: Duration = Duration::from_millis(400);
@@ -185,12 +193,14 @@
 /// The earlier daemon may live and store it yet, the lead of the backend server
 /// may have kept it, and an engine may still have it under the attempt's id.
 pub async fn seek(node: &Arc<Node>, sought: &Sought) -> Found {
-    let end = node.shared.clock.now() + SEEK_TIME;
+    let start = node.shared.clock.now();
     loop {
         if let Some(found) = look(node, sought).await {
             return found;
         }
-        if node.shared.clock.now() >= end {
+        let lives = node.shared.view().members.contains_key(&sought.attempt.member);
+        let time = if lives { SEEK_LIVING } else { SEEK_TIME };
+        if node.shared.clock.now() >= start + time {
             return Found::Nothing;
         }
         sleep(SEEK_PAUSE.mul_f64(rand::random_range(0.75..1.25))).await;
