--- a/crates/node/src/orders/runner.rs
+++ b/crates/node/src/orders/runner.rs
@@ -40,6 +40,8 @@
     since: Instant,
     /// The row as committed, with its version; 0 if there is none yet.
     row: Option<(Ledger, u64)>,
+    /// Whether nobody led the runner before, so that all streams are known here.
+    first: bool,
     /// The number of the last order that earlier leads may have sent.
     earlier: u64,
     /// How many reports have failed in a row.
@@ -80,6 +82,7 @@
             claim,
             since,
             row: None,
+            first: false,
             earlier: 0,
             missed: 0,
             copies: HashMap::new(),
@@ -95,11 +98,9 @@
         }
     }
 
-    /// The runner, as long as this daemon holds the claim under which it began.
+    /// The runner, as long as this daemon is known to hold the claim under which
+    /// it began.
     fn server(&self) -> Option<Server> {
-        if !self.shared.lease_holds(self.shared.clock.now()) {
-            return None;
-        }
         let view = self.shared.view();
         let (claim, _) = view.holder(&ClaimKey::Server(self.name.clone()))?;
         (claim == self.claim).then(|| view.servers.get(&self.name).cloned())?
@@ -162,7 +163,10 @@
     async fn read_row(&mut self) -> Result<(), PlatError> {
         let row = self.shared.table.get(LEDGER, self.name.as_str()).await?;
         let (ledger, version) = match row {
-            None => (Ledger::default(), 0),
+            None => {
+                self.first = true;
+                (Ledger::default(), 0)
+            }
             Some(row) => match serde_json::from_value::<Ledger>(row.value) {
                 Ok(ledger) => (ledger, row.version),
                 Err(error) => {
@@ -231,7 +235,7 @@
     /// Whether no request uses an asset, also none that an earlier lead started.
     fn is_idle(&self, asset: &Asset, report: &Report) -> bool {
         let held = self.shared.clock.now().saturating_duration_since(self.since);
-        let alone = report.running == 0 && report.waiting == 0;
+        let alone = self.first || (report.running == 0 && report.waiting == 0);
         self.shared.usage.is_idle(&self.name, asset) && (alone || held >= STREAM_LIMIT)
     }
 
@@ -302,13 +306,23 @@
         self.waits.retain(|asset, _| orders.iter().any(|order| order.asset == *asset));
         for order in &orders {
             let known = self.row.as_ref().is_some_and(|(row, _)| row.knows(order));
-            if known && self.is_due(order) && self.server().is_some() {
+            if known && self.may_send(order) && self.is_due(order) {
                 self.send(server, order).await;
             }
         }
         next.is_moving()
     }
 
+    /// Whether an order may be sent under the claim as it is.
+    ///
+    /// With a lapsed lease only loads: a successor reads their numbers in the row
+    /// and counts with their copies. Without them an engine that restarts while
+    /// the table is down would stay empty until the end of the outage.
+    fn may_send(&self, order: &Order) -> bool {
+        let holds = self.shared.lease_holds(self.shared.clock.now());
+        self.server().is_some() && (holds || order.kind == OrderKind::Load)
+    }
+
     fn is_due(&mut self, order: &Order) -> bool {
         let now = self.shared.clock.now();
         let wait = self.waits.get(&order.asset).copied();
