Bound by 15 s how long a daemon serves without confirming its declarations

Cause: with 30 s a daemon that was frozen or cut off for 25 s could take new work by declarations that were replaced 20 s ago or more. Ruled out: that a long outage of the table then stops callers; config-long-outage holds an outage of four times the bound (1.5 s there), and a daemon left alone refuses as not run.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -80,6 +80,10 @@
     /// How long a leaving daemon still takes new requests.
     pub leave: Duration,
     /// How long a daemon may go without confirming its revision.
+    ///
+    /// It takes no new work after that, so that this also bounds how long any daemon
+    /// serves by declarations that were replaced. Changes are to be in force within
+    /// 20 s; the default leaves a quarter of it to their acceptance.
     pub stale: Duration,
     /// How long a caller may keep an address.
     pub keep: Duration,
@@ -106,7 +110,7 @@
             poll: Duration::from_millis(500),
             platform: Duration::from_secs(2),
             leave: Duration::from_secs(3),
-            stale: Duration::from_secs(30),
+            stale: Duration::from_secs(15),
             keep: Duration::from_secs(2),
         }
     }
