--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -167,12 +167,11 @@
             others.iter().map(|(_, addr)| node.peers.ask_once(*addr, &Ask::Status));
         let answers = futures::future::join_all(calls).await;
         let trusted = answers.iter().any(Result::is_ok);
-        if !trusted {
-            warn!(
-                self.shared.log,
-                "no other daemon answers; check `tls` and `peer_addr`"
-            );
+        if !trusted && !self.refused {
+            let text = "no other daemon answers; check `tls` and `peer_addr`";
+            warn!(self.shared.log, "{}", text);
         }
+        self.refused = !trusted;
         trusted
     }
 
