--- a/crates/ctl/src/files.rs
+++ b/crates/ctl/src/files.rs
@@ -73,7 +73,9 @@
     if file.is_dir() {
         let text = read(path)?;
         check_text(path, &text)?;
-        return Ok(format!("{} files of declarations", text.files.len()));
+        let count = text.files.len();
+        let files = if count == 1 { "file" } else { "files" };
+        return Ok(format!("{count} {files} of declarations"));
     }
     let content = fs::read_to_string(file)
         .map_err(|error| FileError::Read(path.to_owned(), error))?;
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -26,27 +26,31 @@
     }
 }
 
+/// The commands and exit codes, for `--help`; four blanks keep a line as it
+/// is, and an empty line would hide the rest.
+const FOOTER: &str = "The words after the options are one command:
+    check FILE|DIR     check settings or declarations without a daemon
+    plan DIR           tell what applying a directory would do
+    apply DIR          put a directory's files in force
+    show WHAT [where CONDITION] [sort by FIELD [desc]] [limit N]
+    explain request model = NAME [kind = NAME] [caller = NAME]
+    history [limit N]
+    rollback to N      put the team's files of revision N in force again
+    change ID          tell the answer to an earlier change
+    drain VM           tell a daemon to leave
+    exit codes: 0 done, 1 refused, 2 command can't be read, 3 files have problems,
+    4 undecided (repeat with --change), 5 accepted and not in force in time,
+    6 key missing or wrong, 7 no answer, 8 declined
+docs/LANGUAGE.md describes the language.";
+
 /// The options and the command.
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version)]
-/// Asks and changes what a system of chestnutlane serves.
-///
-/// The words after the options are one command:
-///
-///   check FILE|DIR     check settings (settings.jsonc) or declarations
-///   plan DIR           tell what applying a directory would do
-///   apply DIR          put a directory's files in force
-///   show WHAT [where CONDITION] [sort by FIELD [desc]] [limit N]
-///   explain request model = NAME [kind = NAME] [caller = NAME]
-///   history [limit N]
-///   rollback to N      put the team's files of revision N in force again
-///   change ID          tell the answer to an earlier change
-///   drain VM           tell a daemon to leave
-///
-/// Exit codes: 0 done, 1 refused, 2 command can't be read, 3 files have problems,
-/// 4 undecided (repeat with --change), 5 accepted but not in force everywhere in
-/// time, 6 key missing or wrong, 7 no answer, 8 declined. The language has its
-/// page, docs/LANGUAGE.md.
+#[bpaf(
+    options,
+    version,
+    descr("Asks and changes what a system of chestnutlane serves"),
+    footer(FOOTER)
+)]
 pub struct Options {
     /// The operators' address of a daemon; may be repeated, the first that answers
     /// is used
