--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -98,6 +98,8 @@
     /// others don't trust can write to the table all the same; if it took claims
     /// or callers, what it leads could not be reached.
     admitted: bool,
+    /// Whether no other daemon answered when it was last tried.
+    refused: bool,
     /// Whether anything changed that was not published yet.
     changed: bool,
     /// Whether anything was published after the claims were looked at last.
@@ -130,6 +132,7 @@
             now: 0,
             joined: false,
             admitted: false,
+            refused: false,
             changed: true,
             unplanned: true,
             idle_polls: 0,
