--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -20,13 +20,12 @@
 /// The exit code of a daemon that could not start.
 const NOT_STARTED: u8 = 1;
 
-/// What the command line asks for.
-#[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version)]
 /// Serves many bursty models from fewer accelerators: the daemon of an entry VM.
 ///
 /// Exit codes: 0 after a planned stop, 1 if it could not start, 2 if the settings
 /// can't be used.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
 enum Options {
     /// Check a settings file without starting
     #[bpaf(command)]
