Take no requests before it is known what is resident where

Cause: a daemon that started in an outage of the table, or joined just before, had declarations from its peers and no residence, and refused every model as not resident for as long as the outage lasted. It now names other addresses instead, and is named to callers only once it has read the ledgers. Before: 503 not_resident throughout the outage.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -152,9 +152,10 @@
         pace.mul_f64(rand::random_range(0.75..1.25))
     }
 
-    /// Whether this daemon has read who is there, and one of them trusts it.
+    /// Whether this daemon has read who is there and what is resident where, and
+    /// one of the others trusts it.
     async fn is_trusted(&mut self, node: &Node) -> bool {
-        if !self.joined {
+        if !self.joined || !self.shared.knows_residence() {
             return false;
         }
         let mut others = others(&self.shared);
--- a/crates/node/src/orders/rows.rs
+++ b/crates/node/src/orders/rows.rs
@@ -96,7 +96,10 @@
         let rows = Arc::make_mut(rows);
         if let Ok((delta, sent)) = ledgers {
             rows.ledger_version = delta.version;
-            rows.now = Some((delta.now, sent));
+            // Only once all rows were read: until then nobody may rest on them.
+            if !delta.more {
+                rows.now = Some((delta.now, sent));
+            }
             changed = !delta.is_empty();
             more = delta.more;
             take_ledgers(shared, rows, delta);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -166,7 +166,10 @@
         let elsewhere = self.entries();
         let others = |text: &str| {
             let list: Vec<String> = elsewhere.iter().map(SocketAddr::to_string).collect();
-            let text = format!("{text}; use one of: {}", list.join(", "));
+            let text = match list[..] {
+                [] => format!("{text}; use another address"),
+                _ => format!("{text}; use one of: {}", list.join(", ")),
+            };
             Refusal::not_run(Code::Leaving, text).after(Duration::ZERO)
         };
         if *self.closed.borrow() {
@@ -176,9 +179,20 @@
             return Err(others("this daemon can't confirm its configuration")
                 .after(Duration::from_secs(1)));
         }
+        // Otherwise a daemon that joined just before an outage of the table would
+        // refuse every model as not resident for as long as the outage lasts.
+        if !self.knows_residence() {
+            return Err(others("this daemon does not know yet what is resident where")
+                .after(Duration::from_secs(1)));
+        }
         Ok(())
     }
 
+    /// Whether it was read at least once what is resident where.
+    pub fn knows_residence(&self) -> bool {
+        self.rows.borrow().now.is_some()
+    }
+
     /// Whether the declarations in force are recent enough to serve by.
     pub fn is_fresh(&self) -> bool {
         confsync::is_fresh(self, self.clock.now())
