--- a/crates/lab/src/policies/mod.rs
+++ b/crates/lab/src/policies/mod.rs
@@ -15,8 +15,6 @@
 pub mod traffic;
 pub mod world;
 
-use std::str::FromStr;
-
 use bpaf::Bpaf;
 use chestnut_admit::Rule;
 use chestnut_route::Policy;
@@ -37,10 +35,10 @@
     pub seeds: u64,
     /// Only this pattern.
     #[bpaf(argument("P"))]
-    pub pattern: Option<String>,
+    pub pattern: Option<Pattern>,
     /// Only this deployment.
     #[bpaf(argument("D"))]
-    pub deployment: Option<String>,
+    pub deployment: Option<Deployment>,
     /// Only this policy.
     #[bpaf(argument("NAME"))]
     pub policy: Option<String>,
@@ -64,8 +62,8 @@
     if !options.json {
         println!("{}", tally::header());
     }
-    for deployment in wanted(&Deployment::ALL, &options.deployment) {
-        for pattern in wanted(&Pattern::ALL, &options.pattern) {
+    for deployment in wanted(&Deployment::ALL, options.deployment) {
+        for pattern in wanted(&Pattern::ALL, options.pattern) {
             for contender in contenders() {
                 let name = options.policy.as_deref();
                 if name.is_none_or(|name| name == contender.name) {
@@ -113,9 +111,6 @@
 }
 
 /// All variants, or the one that is named.
-fn wanted<T: Copy + FromStr>(all: &[T], name: &Option<String>) -> Vec<T> {
-    match name {
-        None => all.to_vec(),
-        Some(name) => T::from_str(name).into_iter().collect(),
-    }
+fn wanted<T: Copy>(all: &[T], only: Option<T>) -> Vec<T> {
+    only.map_or_else(|| all.to_vec(), |only| vec![only])
 }
--- a/crates/lab/src/policies/shape.rs
+++ b/crates/lab/src/policies/shape.rs
@@ -98,7 +98,18 @@
 
 /// A name that is not in the list of variants.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct UnknownName;
+pub struct UnknownName {
+    /// The names that are.
+    known: Vec<String>,
+}
+
+impl Display for UnknownName {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "there is no such name; use one of {}", self.known.join(", "))
+    }
+}
+
+impl std::error::Error for UnknownName {}
 
 impl FromStr for Deployment {
     type Err = UnknownName;
@@ -117,7 +128,8 @@
 }
 
 fn find<T: Copy + Display>(all: &[T], text: &str) -> Result<T, UnknownName> {
-    all.iter().copied().find(|one| one.to_string() == text).ok_or(UnknownName)
+    let found = all.iter().copied().find(|one| one.to_string() == text);
+    found.ok_or_else(|| UnknownName { known: all.iter().map(T::to_string).collect() })
 }
 
 /// One class of a deployment's requests.
