--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -1,25 +1,28 @@
 //! Membership and claims: renews the lease, reads changes, takes claims.
 
+mod counters;
+mod list;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chestnut_base::{MemberId, ServerName, SlotId, VmName};
 use chestnut_member::{
-    ClaimKey, ClaimRow, Known, LeaseRow, MemberRow, Server, ServerRole, Step, lapsed,
-    plan, watched,
+    ClaimKey, ClaimRow, Known, LeaseRow, MemberRow, Server, Step, lapsed, plan, watched,
 };
 use chestnut_plat::table::Lookup;
-use chestnut_plat::{Delta, PlatError, Row, Txn, TxnAnswer, VmRole, VmRow, VmState};
+use chestnut_plat::{Delta, PlatError, Row, Txn, TxnAnswer, VmRow};
 use chestnut_wire::Ask;
-use indexmap::{IndexMap, IndexSet};
-use prometheus_client::metrics::counter::Counter;
+use indexmap::IndexMap;
 use rand::seq::SliceRandom;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use slog::{info, warn};
 
+use self::counters::Counters;
+use self::list::{leaving_entries, server};
 use crate::feed::Feed;
 use crate::node::Node;
 use crate::shared::Shared;
@@ -111,14 +114,6 @@
     counters: Counters,
 }
 
-/// What the loop counts.
-struct Counters {
-    renewals: Counter,
-    failures: Counter,
-    claims: Counter,
-    removals: Counter,
-}
-
 impl Members {
     fn new(shared: Arc<Shared>, addresses: Addresses) -> Self {
         let renew_at = shared.clock.now();
@@ -495,31 +490,6 @@
     }
 }
 
-impl Counters {
-    fn register(shared: &Shared) -> Self {
-        let counters = Self {
-            renewals: Counter::default(),
-            failures: Counter::default(),
-            claims: Counter::default(),
-            removals: Counter::default(),
-        };
-        shared.metrics.register(|registry| {
-            let mut add = |name, help, counter: &Counter| {
-                registry.register(name, help, counter.clone());
-            };
-            add("lease_renewals", "Renewals of the own lease", &counters.renewals);
-            add(
-                "member_poll_failures",
-                "Polls that the table failed",
-                &counters.failures,
-            );
-            add("claim_changes", "Claims taken or handed over", &counters.claims);
-            add("member_removals", "Lapsed daemons removed", &counters.removals);
-        });
-        counters
-    }
-}
-
 /// Removes the rows of this start of the daemon, if they still stand.
 pub async fn resign(shared: &Shared) -> Result<(), PlatError> {
     let vm = shared.settings.vm.as_str();
@@ -558,27 +528,3 @@
     };
     rows.iter().filter_map(one).collect()
 }
-
-fn server(row: &VmRow) -> Option<(ServerName, Server)> {
-    let role = match &row.role {
-        VmRole::Entry => return None,
-        VmRole::Runner { pool } => ServerRole::Runner(pool.clone()),
-        VmRole::Service { service } => ServerRole::Service(service.clone()),
-    };
-    let name = ServerName::try_from(row.vm.as_str()).ok()?;
-    let server = Server {
-        address: row.address,
-        domain: row.domain.clone(),
-        leaving: row.state == VmState::Leaving,
-        role,
-    };
-    Some((name, server))
-}
-
-fn leaving_entries(list: &[VmRow]) -> impl Iterator<Item = VmName> + '_ {
-    let mut seen = IndexSet::new();
-    list.iter()
-        .filter(|row| row.role == VmRole::Entry && row.state == VmState::Leaving)
-        .filter(move |row| seen.insert(row.vm.clone()))
-        .map(|row| row.vm.clone())
-}
--- /dev/null
+++ b/crates/node/src/members/list.rs
@@ -0,0 +1,32 @@
+//! What the platform's list of VMs says of daemons and backend servers.
+
+use chestnut_base::{ServerName, VmName};
+use chestnut_member::{Server, ServerRole};
+use chestnut_plat::{VmRole, VmRow, VmState};
+use indexmap::IndexSet;
+
+/// The backend server that an entry of the list stands for, if it does.
+pub fn server(row: &VmRow) -> Option<(ServerName, Server)> {
+    let role = match &row.role {
+        VmRole::Entry => return None,
+        VmRole::Runner { pool } => ServerRole::Runner(pool.clone()),
+        VmRole::Service { service } => ServerRole::Service(service.clone()),
+    };
+    let name = ServerName::try_from(row.vm.as_str()).ok()?;
+    let server = Server {
+        address: row.address,
+        domain: row.domain.clone(),
+        leaving: row.state == VmState::Leaving,
+        role,
+    };
+    Some((name, server))
+}
+
+/// The entry VMs that are leaving.
+pub fn leaving_entries(list: &[VmRow]) -> impl Iterator<Item = VmName> + '_ {
+    let mut seen = IndexSet::new();
+    list.iter()
+        .filter(|row| row.role == VmRole::Entry && row.state == VmState::Leaving)
+        .filter(move |row| seen.insert(row.vm.clone()))
+        .map(|row| row.vm.clone())
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use chestnut_base::{Code, Refusal};
-use chestnut_wire::{Ask, Hint, Say, Status};
+use chestnut_wire::{Ask, Say, Status};
 use reqwest::Client;
 use tokio::sync::mpsc;
 
@@ -46,7 +45,6 @@
             Ask::Run(run) => return lead::serve(&self, run, out).await,
             Ask::Once(once) => return Slots::run(&self, once, out).await,
             Ask::Lookup(id) => Say::Once(Slots::lookup(&self, &id).await),
-            Ask::Gossip(_) => refuse("this version spreads nothing by gossip"),
             Ask::Config(have) => Say::Config(Some(confsync::tell(&self.shared, have))),
             Ask::Status => Say::Status(self.status()),
             Ask::Blame(blames) => {
@@ -103,8 +101,3 @@
         }
     }
 }
-
-fn refuse(why: &str) -> Say {
-    let refusal = Refusal::not_run(Code::BadRequest, why);
-    Say::Refused { refusal, hint: Hint::default() }
-}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -317,11 +317,7 @@
                     self.node.picker.note(&choice.server, Note::Broken { crashed });
                     return Next::Broken(message);
                 }
-                Say::Once(_)
-                | Say::Gossip(_)
-                | Say::Config(_)
-                | Say::Status(_)
-                | Say::Noted => {
+                Say::Once(_) | Say::Config(_) | Say::Status(_) | Say::Noted => {
                     return Next::Broken("an answer to another question".into());
                 }
             }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -16,8 +16,6 @@
     Once(Once),
     /// Tell what became of a non-idempotent request.
     Lookup(RequestId),
-    /// Take part in spreading what members know; the content is the `member` crate's.
-    Gossip(Bytes),
     /// Hand over what changed in the configuration after a revision.
     Config(Revision),
     /// Tell how the other daemon is.
@@ -153,10 +151,6 @@
     ///
     /// Final.
     Once(OnceState),
-    /// The answer to [`Ask::Gossip`].
-    ///
-    /// Final.
-    Gossip(Bytes),
     /// What changed in the configuration, in the form of the `config` crate.
     ///
     /// Final.
