--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -53,8 +53,14 @@
 }
 
 /// Creates the client for all backend servers.
+///
+/// Every call gets a connection of its own. A kept one may belong to a server that
+/// has died since: the call on it would count as handed over, so that a letter
+/// would be in doubt, and a request that did nothing would be blamed for the crash.
+/// Connecting to a dead server fails before anything is sent.
 pub fn client() -> reqwest::Result<Client> {
-    Client::builder().no_proxy().connect_timeout(CONNECT).build()
+    let builder = Client::builder().no_proxy().connect_timeout(CONNECT);
+    builder.pool_max_idle_per_host(0).build()
 }
 
 /// Calls a backend server and sends the frames of its answer.
