Serve callers on the users' platform: the thin path

Cause: the program spoke its own protocol alone. What binds: adapters and models that are not loaded, and runners chosen by each daemon's own counts alone.

--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -28,6 +28,8 @@
     UnknownService,
     /// No kind of request of that name is declared.
     UnknownKind,
+    /// No route leads from the request's host and path to a service.
+    UnknownRoute,
     /// The request can't be read.
     BadRequest,
     /// The body is larger than the limit.
@@ -56,6 +58,8 @@
     Poison,
     /// The daemon is leaving or not up to date; use another address.
     Leaving,
+    /// The time ran out after the request was handed over.
+    Late,
     /// The backend server broke off.
     Broken,
     /// The caller cancelled the request.
@@ -68,7 +72,8 @@
     /// The HTTP status that carries the code.
     pub fn status(self) -> u16 {
         match self {
-            Self::UnknownModel | Self::UnknownService => 404,
+            Self::UnknownModel | Self::UnknownService | Self::UnknownRoute => 404,
+            Self::Late => 504,
             Self::UnknownKind | Self::BadRequest => 400,
             Self::TooLarge => 413,
             Self::Unauthorised => 401,
@@ -94,6 +99,7 @@
             Self::UnknownModel
                 | Self::UnknownService
                 | Self::UnknownKind
+                | Self::UnknownRoute
                 | Self::BadRequest
                 | Self::TooLarge
                 | Self::Unauthorised
--- /dev/null
+++ b/crates/edge/src/declared.rs
@@ -0,0 +1,161 @@
+//! Routes, services and models that operators declare.
+
+use std::time::Duration;
+
+use chestnut_base::{ModelName, Revision, ServiceName};
+use indexmap::IndexMap;
+
+/// Everything that is declared, as of one revision.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Declared {
+    /// Grows with each change, in uneven steps.
+    pub revision: Revision,
+    /// Which requests go where.
+    pub routes: Vec<Route>,
+    /// What requests can be sent to.
+    pub services: IndexMap<ServiceName, Service>,
+    /// What callers are held to.
+    pub limits: CallLimits,
+}
+
+/// What may be repeated of the requests on a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// Plain requests that may run more than once.
+    Idempotent,
+    /// Plain requests that may run at most once.
+    NonIdempotent,
+    /// Answers in numbered events.
+    Stream {
+        /// Whether a broken stream may go on at another server.
+        resumable: bool,
+        /// The longest pause between events for which an answer is on time.
+        pause: Option<Duration>,
+    },
+}
+
+impl RouteKind {
+    /// Whether a request may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        match self {
+            Self::Idempotent => true,
+            Self::NonIdempotent => false,
+            Self::Stream { resumable, .. } => resumable,
+        }
+    }
+
+    /// Whether answers come as events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// A part of a route's requests that goes to one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceName,
+    /// The part, relative to the other shares of the route.
+    pub weight: f64,
+}
+
+/// Where requests with a host and path go, and what they may expect.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// The route's name, for logs.
+    pub name: String,
+    /// The host, in lower case.
+    pub host: String,
+    /// Begins and ends with a slash; the longest one that begins the path counts.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// The longest time that a caller is kept waiting for its whole answer.
+    pub timeout: Duration,
+    /// The time to the answer, or to a stream's first event, that counts as on time.
+    pub objective: Duration,
+    /// How urgent requests are; 0 goes first.
+    pub urgency: u8,
+    /// The greatest number of backend servers that may run one attempt.
+    pub attempts: u32,
+    /// Where requests go; never empty.
+    pub shares: Vec<Share>,
+}
+
+/// A group of backend servers that answer the same requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Connections that one backend server accepts, from all daemons together.
+    pub connections: u32,
+    /// How the servers run models, if they do.
+    pub engine: Option<Engine>,
+}
+
+/// How the backend servers of a service run models.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// Requests that one server runs at the same time.
+    pub slots: u32,
+    /// Tokens that fit into one server's KV cache.
+    pub kv_tokens: u64,
+    /// Memory for weights and adapters of one server, in megabytes.
+    pub memory_mb: f64,
+    /// Adapters that one server holds at most.
+    pub adapter_slots: usize,
+    /// Loads from the weight store that may begin in a second, over all servers.
+    pub loads_per_s: f64,
+    /// The models that requests may name.
+    pub models: IndexMap<ModelName, Model>,
+}
+
+/// A model that an engine can hold.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Model {
+    /// The size of the weights, in megabytes.
+    pub weights_mb: f64,
+    /// The number of adapters.
+    pub adapters: u32,
+    /// The size of one adapter, in megabytes.
+    pub adapter_mb: f64,
+    /// How long a load from the weight store takes while few are on the way.
+    pub load: Duration,
+    /// How long a load from the server's own memory takes.
+    pub warm_load: Duration,
+    /// How long a load from the server's own disk takes.
+    pub disk_load: Duration,
+}
+
+/// What callers are held to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallLimits {
+    /// The largest head of a request, in bytes.
+    pub head: usize,
+    /// The largest body of a request, in bytes.
+    pub body: usize,
+    /// How long a caller may take to send a head.
+    pub head_time: Duration,
+    /// How long a connection may be idle.
+    pub idle_time: Duration,
+}
+
+impl Default for CallLimits {
+    /// Limits for the time before the first declarations are known.
+    fn default() -> Self {
+        Self {
+            head: 16 * 1024,
+            body: 4 * 1024 * 1024,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+impl Declared {
+    /// The route of a request: the longest prefix among those of the host.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .filter(|route| route.host == host && path.starts_with(&route.prefix))
+            .max_by_key(|route| route.prefix.len())
+    }
+}
--- /dev/null
+++ b/crates/gate/src/answer.rs
@@ -0,0 +1,271 @@
+//! Passes a backend server's answer on to the caller.
+//!
+//! An answer that breaks off on its way must not look complete: the connection to
+//! the caller is cut then, unless another server can go on where the answer broke.
+
+use bytes::{Bytes, BytesMut};
+use chestnut_base::{Code, Refusal};
+use futures::stream::unfold;
+use http::header::CONTENT_TYPE;
+use http::{Response, response};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use slog::info;
+use tokio::time::timeout_at;
+
+use crate::attempt::{Answered, Missed, attempt};
+use crate::events::Events;
+use crate::job::Job;
+use crate::serve::{pick, whole};
+
+/// The body of an answer to a caller.
+pub type OutBody = UnsyncBoxBody<Bytes, Cut>;
+
+/// An answer that breaks off: the connection to the caller is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer broke off; send the request again if it may run twice")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// Plain answers up to this size are read whole before the caller gets any of them,
+/// so that one that breaks off can still be replaced by a clear failure.
+const WHOLE_LIMIT: usize = 256 * 1024;
+
+/// Passes an answer on.
+pub async fn forward(
+    job: Box<Job>,
+    answered: Answered,
+) -> Result<Response<OutBody>, (Refusal, Box<Job>)> {
+    job.shared.metrics.first_byte(job.arrived.elapsed());
+    if is_event_stream(&answered.head) {
+        let head = answered.head.clone();
+        let relay = Relay::new(job, answered);
+        let headers = relay.job.shared.dialect.write_reply(&head);
+        let body = StreamBody::new(unfold(relay, Relay::step));
+        return Ok(respond(&head, headers, BodyExt::boxed_unsync(body)));
+    }
+    forward_plain(job, answered).await
+}
+
+async fn forward_plain(
+    job: Box<Job>,
+    mut answered: Answered,
+) -> Result<Response<OutBody>, (Refusal, Box<Job>)> {
+    let deadline = tokio::time::Instant::from_std(job.deadline);
+    let read = timeout_at(deadline, read_whole(&mut answered.body)).await;
+    let fault = match read {
+        Ok(Ok(bytes)) => {
+            let server = answered.place.name.to_string();
+            let status = answered.head.status.as_str();
+            job.ended("answered", &server, status);
+            let headers = job.shared.dialect.write_reply(&answered.head);
+            let (addr, hold) = (answered.place.addr, answered.reply.keep_alive);
+            job.shared.client.keep(addr, answered.connection, hold);
+            return Ok(respond(&answered.head, headers, whole(bytes)));
+        }
+        Ok(Err(why)) => {
+            let now = job.shared.now();
+            if let Some(server) = job.shared.fleet().get_mut(answered.place.key) {
+                server.health.failed(now);
+            }
+            let message = format!("the server's answer broke off ({why})");
+            Refusal::in_doubt(Code::Broken, message)
+        }
+        Err(_) => {
+            let message = "the time ran out before the answer was whole; allow more time";
+            Refusal::in_doubt(Code::Late, message)
+        }
+    };
+    Err((fault, job))
+}
+
+async fn read_whole(body: &mut Incoming) -> Result<Bytes, String> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        if let Some(data) = frame.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+        if bytes.len() > WHOLE_LIMIT {
+            return Err(format!("over {WHOLE_LIMIT} bytes"));
+        }
+    }
+    Ok(bytes.freeze())
+}
+
+fn respond(
+    head: &response::Parts,
+    headers: http::HeaderMap,
+    body: OutBody,
+) -> Response<OutBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn is_event_stream(head: &response::Parts) -> bool {
+    let kind = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    head.status.is_success()
+        && kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+/// A stream on its way from a server to a caller.
+struct Relay {
+    job: Box<Job>,
+    /// The server's answer; nothing once it has ended.
+    source: Option<Answered>,
+    events: Events,
+    /// The number of the last event that was passed on.
+    last: Option<u64>,
+    passed: u64,
+    ended: bool,
+}
+
+/// What the server's answer brings next.
+enum Next {
+    Event(Bytes),
+    End,
+    Broken(String),
+    Late,
+}
+
+impl Relay {
+    fn new(job: Box<Job>, answered: Answered) -> Self {
+        let last = job.call.resume_after;
+        let events = Events::default();
+        Self { job, source: Some(answered), events, last, passed: 0, ended: false }
+    }
+
+    async fn step(mut self) -> Option<(Result<Frame<Bytes>, Cut>, Self)> {
+        loop {
+            match self.next().await {
+                Next::Event(bytes) => return Some((Ok(Frame::data(bytes)), self)),
+                Next::End => {
+                    self.finish("answered", "");
+                    self.keep();
+                    return None;
+                }
+                Next::Late => {
+                    self.finish("late", "");
+                    return Some((Err(Cut), self));
+                }
+                Next::Broken(why) => {
+                    if self.ended {
+                        return None;
+                    }
+                    if self.resume(&why).await {
+                        continue;
+                    }
+                    self.finish("broken", &why);
+                    return Some((Err(Cut), self));
+                }
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Next {
+        let deadline = tokio::time::Instant::from_std(self.job.deadline);
+        loop {
+            if let Some(event) = self.events.take_next() {
+                return self.take(event);
+            }
+            let Some(source) = &mut self.source else {
+                return Next::Broken("no source".into());
+            };
+            let frame = match timeout_at(deadline, source.body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => return Next::Late,
+            };
+            match frame {
+                None if self.events.is_partial() => {
+                    return Next::Broken("it ended within an event".into());
+                }
+                None => return Next::End,
+                Some(Err(error)) => return Next::Broken(error.to_string()),
+                Some(Ok(frame)) => {
+                    let Some(data) = frame.data_ref() else { continue };
+                    source.flight.begun();
+                    if self.events.push(data).is_err() {
+                        return Next::Broken("an event is too large".into());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes an event on unless the caller has it.
+    fn take(&mut self, event: crate::events::Event) -> Next {
+        if let (Some(last), Some(id)) = (self.last, event.id)
+            && id <= last
+        {
+            return Next::Broken(format!("event {id} after event {last}"));
+        }
+        self.last = event.id.or(self.last);
+        self.passed += 1;
+        Next::Event(event.bytes)
+    }
+
+    /// Lets another server go on after the last event that was passed on.
+    async fn resume(&mut self, why: &str) -> bool {
+        let old = self.source.take();
+        let server = old.as_ref().map(|old| old.place.name.to_string());
+        if let Some(old) = &old {
+            let now = self.job.shared.now();
+            if let Some(server) = self.job.shared.fleet().get_mut(old.place.key) {
+                server.health.failed(now);
+            }
+        }
+        // The old run ends with its connection, before the new one begins.
+        drop(old);
+        self.events.reset();
+        if !self.job.route().kind.is_repeatable() {
+            return false;
+        }
+        info!(self.job.shared.log, "stream resumes elsewhere"; "id" => self.job.id(),
+            "server" => server.unwrap_or_default(), "why" => why, "after" => self.last);
+        while self.job.shared.take_repeat(&self.job.service) {
+            self.job.shared.metrics.repeated("resumed");
+            let Some(place) = pick(&self.job).await else { return false };
+            match attempt(&self.job, &place, self.last).await {
+                Ok(answered) if is_event_stream(&answered.head) => {
+                    self.source = Some(answered);
+                    return true;
+                }
+                Ok(_) | Err(Missed::Late) => return false,
+                Err(_) => {}
+            }
+        }
+        false
+    }
+
+    fn keep(&mut self) {
+        if let Some(source) = self.source.take() {
+            let (addr, hold) = (source.place.addr, source.reply.keep_alive);
+            self.job.shared.client.keep(addr, source.connection, hold);
+        }
+    }
+
+    fn finish(&mut self, end: &str, why: &str) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let place = self.source.as_ref().map(|source| source.place.name.to_string());
+        let detail = format!("{} events {why}", self.passed);
+        self.job.ended(end, &place.unwrap_or_default(), &detail);
+    }
+}
+
+impl Drop for Relay {
+    /// The caller has left, unless the stream has ended.
+    fn drop(&mut self) {
+        self.finish("caller left", "");
+    }
+}
--- /dev/null
+++ b/crates/gate/src/attempt.rs
@@ -0,0 +1,156 @@
+//! One attempt: a request sent to one backend server, up to the answer's head.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use chestnut_base::ServerName;
+use chestnut_edge::{Attempt, Reply};
+use chestnut_pool::{Flight, ServerKey};
+use http::{Request, response};
+use hyper::body::Incoming;
+use tokio::time::timeout_at;
+
+use crate::client::{Connection, SendFault};
+use crate::job::Job;
+use crate::shared::Shared;
+
+/// A request in flight; dropping it takes it out of the count.
+pub struct InFlight {
+    shared: Arc<Shared>,
+    /// The server.
+    pub key: ServerKey,
+    flight: Flight,
+}
+
+impl InFlight {
+    /// Counts a request.
+    pub fn new(shared: Arc<Shared>, key: ServerKey, flight: Flight) -> Self {
+        shared.fleet().begin(key, flight);
+        Self { shared, key, flight }
+    }
+
+    /// Takes note that the server has begun to answer.
+    pub fn begun(&mut self) {
+        if self.flight.begun {
+            return;
+        }
+        let mut fleet = self.shared.fleet();
+        fleet.end(self.key, self.flight);
+        self.flight.begun = true;
+        fleet.begin(self.key, self.flight);
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.fleet().end(self.key, self.flight);
+    }
+}
+
+/// Where a request is sent.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// The server.
+    pub key: ServerKey,
+    /// Its name.
+    pub name: ServerName,
+    /// Where it listens.
+    pub addr: std::net::SocketAddr,
+}
+
+/// An answer whose head has arrived.
+pub struct Answered {
+    /// The head.
+    pub head: response::Parts,
+    /// What it says.
+    pub reply: Reply,
+    /// The rest.
+    pub body: Incoming,
+    /// The connection that it comes on.
+    pub connection: Connection,
+    /// The server that answers.
+    pub place: Place,
+    /// The count in flight.
+    pub flight: InFlight,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Missed {
+    /// No byte was sent: the server could not be connected to.
+    Unreachable(String),
+    /// The server said that it did not run the request and never will.
+    Rejected(u16),
+    /// It was sent and may have run.
+    Lost(String),
+    /// The time ran out after it was sent.
+    Late,
+}
+
+/// Sends a request to a server and waits for the head of its answer.
+pub async fn attempt(
+    job: &Job,
+    place: &Place,
+    resume_after: Option<u64>,
+) -> Result<Answered, Missed> {
+    let shared = &job.shared;
+    let flight = Flight { size: job.call.size, begun: false };
+    let flight = InFlight::new(shared.clone(), place.key, flight);
+    let result = exchange(job, place, resume_after).await;
+    let now = shared.now();
+    if let Some(server) = shared.fleet().get_mut(place.key) {
+        match &result {
+            Ok((head, ..)) if head.status.is_server_error() => server.health.failed(now),
+            Ok(_) => server.health.answered(now),
+            Err(Missed::Unreachable(_)) => server.health.refused(now),
+            Err(Missed::Lost(_)) => server.health.failed(now),
+            Err(Missed::Rejected(_) | Missed::Late) => {}
+        }
+    }
+    let (head, reply, body, connection) = result?;
+    Ok(Answered { head, reply, body, connection, place: place.clone(), flight })
+}
+
+type Exchanged = (response::Parts, Reply, Incoming, Connection);
+
+async fn exchange(
+    job: &Job,
+    place: &Place,
+    resume_after: Option<u64>,
+) -> Result<Exchanged, Missed> {
+    let shared = &job.shared;
+    let deadline = tokio::time::Instant::from_std(job.deadline);
+    let connected = timeout_at(deadline, shared.client.connect(place.addr)).await;
+    let connected = connected.map_err(|_| Missed::Unreachable("no time left".into()))?;
+    let connection = connected.map_err(|fault| Missed::Unreachable(fault.to_string()))?;
+    let request = write(job, place, resume_after);
+    let answer = timeout_at(deadline, connection.send(request)).await;
+    let (response, connection) = match answer.map_err(|_| Missed::Late)? {
+        Ok(answer) => answer,
+        Err(SendFault::NotSent(why)) => return Err(Missed::Unreachable(why)),
+        Err(SendFault::Lost(why)) => return Err(Missed::Lost(why)),
+    };
+    let (head, body) = response.into_parts();
+    let reply = shared.dialect.read_reply(&head);
+    if reply.id.is_some() && reply.id != job.call.id {
+        // An answer to an earlier request on this connection; what became of this
+        // one is not known.
+        return Err(Missed::Lost("the answer is another request's".into()));
+    }
+    if reply.not_run || reply.misdirected {
+        return Err(Missed::Rejected(head.status.as_u16()));
+    }
+    Ok((head, reply, body, connection))
+}
+
+fn write(job: &Job, place: &Place, resume_after: Option<u64>) -> Request<Bytes> {
+    let attempt = Attempt {
+        server: place.name.clone(),
+        budget: job.deadline.saturating_duration_since(Instant::now()),
+        urgency: job.route().urgency.min(9),
+        resume_after,
+    };
+    let head = job.shared.dialect.write_attempt(&job.head, &attempt);
+    Request::from_parts(head, job.body.clone())
+}
--- /dev/null
+++ b/crates/gate/src/command.rs
@@ -0,0 +1,87 @@
+//! The daemon's command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use bpaf::Bpaf;
+use chestnut_base::SystemClock;
+use chestnut_edge::Dialect;
+
+use crate::settings::Settings;
+use crate::{logs, run};
+
+/// The environment variable that names the settings file.
+const SETTINGS_VARIABLE: &str = "CHESTNUTLANE_CONFIG";
+
+/// The exit code for settings that can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+/// The exit code of a daemon that could not start.
+const NOT_STARTED: u8 = 1;
+
+/// Serves many bursty models from fewer accelerators: the daemon of an entry VM.
+///
+/// Exit codes: 0 after a planned stop, 1 if it could not start, 2 if the settings
+/// can't be used.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum Options {
+    /// Check a settings file without starting
+    #[bpaf(command)]
+    Check {
+        /// The settings, JSON with comments; else the file that CHESTNUTLANE_CONFIG names
+        #[bpaf(positional("FILE"), optional)]
+        file: Option<PathBuf>,
+    },
+    /// Run the daemon until SIGTERM
+    #[bpaf(command)]
+    Run {
+        /// The settings, JSON with comments; else the file that CHESTNUTLANE_CONFIG names
+        #[bpaf(positional("FILE"), optional)]
+        file: Option<PathBuf>,
+    },
+}
+
+/// Runs the daemon's command line with a deployment's adapter.
+pub fn main(dialect: Arc<dyn Dialect>) -> ExitCode {
+    let (file, check) = match options().run() {
+        Options::Check { file } => (file, true),
+        Options::Run { file } => (file, false),
+    };
+    let Some(file) = file.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(Into::into))
+    else {
+        eprintln!("no settings file; name one or set {SETTINGS_VARIABLE}");
+        return ExitCode::from(BAD_SETTINGS);
+    };
+    match Settings::read(&file) {
+        Err(error) => {
+            eprintln!("{}: {error}", file.display());
+            ExitCode::from(BAD_SETTINGS)
+        }
+        Ok(settings) if check => {
+            println!("{}: fine, for {}", file.display(), settings.vm);
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => serve(settings, dialect),
+    }
+}
+
+fn serve(settings: Settings, dialect: Arc<dyn Dialect>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the runtime can't start ({error}); free descriptors");
+            return ExitCode::from(NOT_STARTED);
+        }
+    };
+    let log = logs::logger(settings.vm.as_str());
+    match runtime.block_on(run::run(settings, dialect, Arc::new(SystemClock), log)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(NOT_STARTED)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/directory.rs
@@ -0,0 +1,55 @@
+//! Tells callers where to connect, and the platform whether the daemon is ready.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::{RawQuery, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use http_body_util::Full;
+
+use crate::shared::Shared;
+
+/// How long callers keep an answer.
+///
+/// Short, so that callers leave a daemon that stops or died within a second or
+/// three; a question costs some 30 µs.
+const HOLD: Duration = Duration::from_secs(1);
+
+/// Tells callers where to connect.
+pub fn directory(shared: Arc<Shared>) -> Router {
+    let path = shared.dialect.directory_path();
+    Router::new().route(path, get(addresses)).with_state(shared)
+}
+
+/// Tells the platform whether the daemon is ready.
+pub fn readiness(shared: Arc<Shared>) -> Router {
+    let path = shared.dialect.readiness_path();
+    Router::new()
+        .route(path, get(ready))
+        .route("/metrics", get(metrics))
+        .with_state(shared)
+}
+
+async fn addresses(
+    State(shared): State<Arc<Shared>>,
+    RawQuery(_query): RawQuery,
+) -> Response {
+    let addresses = vec![shared.settings.callers];
+    let hold = HOLD.min(shared.settings.bounds.directory);
+    let answer = shared.dialect.write_directory(&addresses, hold);
+    answer.map(|body| axum::body::Body::new(Full::new(body))).into_response()
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
+    match shared.is_ready() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn metrics(State(shared): State<Arc<Shared>>) -> String {
+    shared.metrics.render()
+}
--- /dev/null
+++ b/crates/gate/src/job.rs
@@ -0,0 +1,70 @@
+//! A caller's request while it is being served.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use chestnut_base::{Refusal, ServiceName};
+use chestnut_edge::{Call, Declared, Route};
+use chestnut_pool::Want;
+use http::request;
+use slog::info;
+
+use crate::shared::Shared;
+
+/// A caller's request while it is being served.
+pub struct Job {
+    /// The daemon.
+    pub shared: Arc<Shared>,
+    /// The request as the caller sent it.
+    pub head: request::Parts,
+    /// The whole body.
+    pub body: Bytes,
+    /// The request as far as the system reads it.
+    pub call: Call,
+    /// The declarations that it is served by.
+    pub declared: Arc<Declared>,
+    /// The index of its route in `declared`.
+    pub route: usize,
+    /// The service that it goes to.
+    pub service: ServiceName,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// When the caller or the route gives up.
+    pub deadline: Instant,
+}
+
+impl Job {
+    /// The route.
+    pub fn route(&self) -> &Route {
+        &self.declared.routes[self.route]
+    }
+
+    /// The caller's name for the attempt, for logs.
+    pub fn id(&self) -> &str {
+        self.call.id.as_deref().unwrap_or("-")
+    }
+
+    /// What the request needs of a server.
+    pub fn want(&self) -> Want {
+        Want { target: self.call.target.clone(), size: self.call.size }
+    }
+
+    /// Records how the request ended.
+    pub fn ended(&self, end: &str, server: &str, detail: &str) {
+        let time = self.arrived.elapsed();
+        let route = self.route();
+        self.shared.metrics.ended(&route.name, end);
+        self.shared.metrics.whole_answer(time);
+        info!(self.shared.log, "request ended"; "id" => self.id(), "end" => end,
+            "route" => &route.name, "server" => server, "detail" => detail,
+            "ms" => time.as_millis() as u64);
+    }
+
+    /// Records that the request is refused.
+    pub fn refused(&self, refusal: &Refusal) {
+        let end = format!("{:?}", refusal.code);
+        let detail = format!("{:?}", refusal.outcome);
+        self.ended(&end, "", &detail);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/read.rs
@@ -0,0 +1,106 @@
+//! Reads a request: its head, its route, its body.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnut_base::{Code, Refusal, ServiceName};
+use chestnut_edge::{Call, Declared, Route};
+use http::{Response, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::{Rng, RngExt};
+use slog::info;
+
+use crate::answer::OutBody;
+use crate::job::Job;
+use crate::serve::whole;
+use crate::shared::Shared;
+
+/// How long a caller is told to stay away from a daemon that knows nothing yet.
+const START_TIME: Duration = Duration::from_millis(300);
+
+/// A request that is refused before it has a route.
+pub struct Unread {
+    refusal: Refusal,
+    id: Option<String>,
+}
+
+impl Unread {
+    /// The answer to the caller.
+    pub fn response(&self, shared: &Shared) -> Response<OutBody> {
+        let code = format!("{:?}", self.refusal.code);
+        shared.metrics.ended("", &code);
+        info!(shared.log, "request refused"; "id" => self.id.as_deref().unwrap_or("-"),
+            "code" => code, "why" => &self.refusal.message);
+        let id = self.id.as_deref();
+        shared.dialect.write_refusal(&self.refusal, id).map(whole)
+    }
+}
+
+/// Reads a request whole.
+pub async fn job(
+    shared: Arc<Shared>,
+    head: request::Parts,
+    body: Incoming,
+) -> Result<Job, Unread> {
+    let arrived = shared.now();
+    let call = match shared.dialect.read_call(&head) {
+        Ok(call) => call,
+        Err(fault) => {
+            let refusal = Refusal::not_run(Code::BadRequest, fault.to_string());
+            return Err(Unread { refusal, id: None });
+        }
+    };
+    let refused = |refusal| Unread { refusal, id: call.id.clone() };
+    let declared = shared.declared().ok_or_else(|| refused(unknown_yet()))?;
+    let route = find_route(&declared, &call).ok_or_else(|| refused(no_route(&call)))?;
+    let body = read_body(body, declared.limits.body).await.map_err(&refused)?;
+    let budget = call.budget.unwrap_or(Duration::MAX).min(declared.routes[route].timeout);
+    let service = draw_service(&declared.routes[route], &mut rand::rng());
+    let deadline = arrived + budget;
+    Ok(Job { shared, head, body, call, declared, route, service, arrived, deadline })
+}
+
+fn find_route(declared: &Declared, call: &Call) -> Option<usize> {
+    let route = declared.route(&call.host, &call.path)?;
+    declared.routes.iter().position(|one| std::ptr::eq(one, route))
+}
+
+fn unknown_yet() -> Refusal {
+    let message = "the daemon has just started and knows no routes yet; use another";
+    Refusal::not_run(Code::Leaving, message).after(START_TIME)
+}
+
+fn no_route(call: &Call) -> Refusal {
+    let message = format!("no route for {}{}; check host and path", call.host, call.path);
+    Refusal::not_run(Code::UnknownRoute, message)
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let message = format!("the body is over {limit} bytes; send less");
+            Err(Refusal::not_run(Code::TooLarge, message))
+        }
+        Err(error) => {
+            let message = format!("the body broke off ({error}); send it whole");
+            Err(Refusal::not_run(Code::BadRequest, message))
+        }
+    }
+}
+
+/// Draws one of the route's services by their weights.
+fn draw_service(route: &Route, rng: &mut impl Rng) -> ServiceName {
+    let total: f64 = route.shares.iter().map(|share| share.weight).sum();
+    let mut at = rng.random::<f64>() * total;
+    for share in &route.shares {
+        at -= share.weight;
+        if at < 0.0 {
+            return share.service.clone();
+        }
+    }
+    // Rounding may leave `at` at zero; a route has at least one share.
+    route.shares[route.shares.len() - 1].service.clone()
+}
--- /dev/null
+++ b/crates/gate/src/run.rs
@@ -0,0 +1,121 @@
+//! Starts and stops a daemon.
+
+use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use chestnut_base::Clock;
+use chestnut_edge::Dialect;
+use error_stack::{Report, ResultExt};
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
+
+use crate::registry::{Declarations, Servers};
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::{directory, follow, front};
+
+/// How long a leaving daemon takes requests that callers send to addresses they hold.
+///
+/// Callers keep an answer of the directory for a second, some three times as long.
+const LEAVE_TIME: Duration = Duration::from_millis(3200);
+
+/// What is left of the time to stop for the end of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// How often idle connections and servers that are gone are cleared away.
+const TIDY_PERIOD: Duration = Duration::from_secs(1);
+
+/// A daemon that could not be started.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address can't be bound.
+    Bind(SocketAddr),
+    /// Signals can't be received.
+    Signals,
+}
+
+impl Display for StartError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind(addr) => {
+                write!(f, "{addr} can't be bound; choose a free address in the settings")
+            }
+            Self::Signals => write!(f, "signals can't be received; free descriptors"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Runs a daemon until it was told to stop and has finished its work.
+pub async fn run(
+    settings: Settings,
+    dialect: Arc<dyn Dialect>,
+    clock: Arc<dyn Clock>,
+    log: Logger,
+) -> Result<(), Report<StartError>> {
+    let callers = bind(settings.callers).await?;
+    let readiness = bind(settings.readiness).await?;
+    let directory = bind(settings.directory).await?;
+    let mut term = signal(SignalKind::terminate()).change_context(StartError::Signals)?;
+    let mut hup = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
+    let shared = Arc::new(Shared::new(settings, dialect, clock, log));
+    info!(shared.log, "started"; "callers" => shared.settings.callers.to_string(),
+        "directory" => shared.settings.directory.to_string());
+
+    let declarations = Declarations(shared.clone());
+    let table = shared.dialect.declared_table();
+    tokio::spawn(follow::run(shared.clone(), table, declarations));
+    let servers = Servers(shared.clone());
+    let table = shared.dialect.servers_table();
+    tokio::spawn(follow::run(shared.clone(), table, servers));
+    tokio::spawn(front::run(shared.clone(), callers));
+    tokio::spawn(serve(readiness, directory::readiness(shared.clone())));
+    tokio::spawn(serve(directory, directory::directory(shared.clone())));
+    tokio::spawn(tidy(shared.clone()));
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => info!(shared.log, "settings changed, nothing to take over"),
+        }
+    }
+    leave(&shared).await;
+    Ok(())
+}
+
+/// Takes no new callers, and finishes what is in flight.
+async fn leave(shared: &Shared) {
+    info!(shared.log, "leaving");
+    shared.leaving.send_replace(true);
+    let limit = shared.settings.bounds.stop.saturating_sub(STOP_MARGIN);
+    let finished = async {
+        sleep(LEAVE_TIME).await;
+        while shared.fleet().iter().any(|(_, server)| server.own.requests > 0) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let whole = timeout(limit, finished).await.is_ok();
+    info!(shared.log, "left"; "finished" => whole);
+}
+
+async fn tidy(shared: Arc<Shared>) {
+    loop {
+        sleep(TIDY_PERIOD).await;
+        shared.client.tidy();
+        shared.fleet().tidy(shared.now());
+    }
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, Report<StartError>> {
+    TcpListener::bind(addr).await.change_context(StartError::Bind(addr))
+}
+
+async fn serve(listener: TcpListener, router: Router) {
+    // Serving ends with an error only if the listener is gone, and then so is this.
+    drop(axum::serve(listener, router).await);
+}
--- /dev/null
+++ b/crates/gate/src/serve.rs
@@ -0,0 +1,189 @@
+//! Serves one request from its head to the end of its answer.
+//!
+//! The request is read ([`read`]), a server is picked, and the request is sent; as
+//! long as no server has run it, or it may run again, another one is tried. What a
+//! server answers goes to the caller unchanged.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnut_base::{Code, Refusal};
+use chestnut_edge::RouteKind;
+use chestnut_pool::choose;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use slog::info;
+use tokio::time::{Instant, timeout_at};
+
+use crate::answer::{self, OutBody};
+use crate::attempt::{Answered, Missed, Place, attempt};
+use crate::job::Job;
+use crate::read;
+use crate::shared::Shared;
+
+/// Servers that are tried for one request, at most.
+const TRIES: usize = 6;
+
+/// How long a request waits for a server that holds its model.
+///
+/// A load from the weight store takes one to two seconds; later than that another
+/// one would not have been missed.
+const RESIDENCE_WAIT: Duration = Duration::from_secs(4);
+
+/// How long callers are told to stay away when no server can take a request.
+const AWAY: Duration = Duration::from_millis(500);
+
+/// Serves one request.
+pub async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<OutBody>, Infallible> {
+    let (head, body) = request.into_parts();
+    let job = match read::job(shared.clone(), head, body).await {
+        Ok(job) => job,
+        Err(refused) => return Ok(refused.response(&shared)),
+    };
+    let response = match run(job).await {
+        Ok(response) => response,
+        Err((refusal, job)) => {
+            job.refused(&refusal);
+            let id = job.call.id.as_deref();
+            let response = shared.dialect.write_refusal(&refusal, id);
+            response.map(whole)
+        }
+    };
+    Ok(closing(&shared, response))
+}
+
+/// Asks callers to open another connection, elsewhere, if the daemon is leaving.
+fn closing(shared: &Shared, mut response: Response<OutBody>) -> Response<OutBody> {
+    if *shared.leaving.borrow() {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+type Refused = (Refusal, Box<Job>);
+
+async fn run(job: Job) -> Result<Response<OutBody>, Refused> {
+    let job = Box::new(job);
+    job.shared.note_request(&job.service);
+    let mut lost = None;
+    for _ in 0..TRIES {
+        let Some(place) = pick(&job).await else {
+            return Err((no_server(&job, lost), job));
+        };
+        let missed = match attempt(&job, &place, job.call.resume_after).await {
+            Ok(answered) => match again(&job, &answered, &mut lost) {
+                true => continue,
+                false => return answer::forward(job, answered).await,
+            },
+            Err(missed) => missed,
+        };
+        info!(job.shared.log, "attempt missed"; "id" => job.id(),
+            "server" => place.name.to_string(), "why" => format!("{missed:?}"));
+        if let Err(refusal) = allow_another(&job, missed, &mut lost) {
+            return Err((refusal, job));
+        }
+    }
+    Err((no_server(&job, lost), job))
+}
+
+/// Whether a server's own failure is worth another try elsewhere.
+fn again(job: &Job, answered: &Answered, lost: &mut Option<String>) -> bool {
+    let plain = job.route().kind == RouteKind::Idempotent;
+    let failed = answered.head.status.is_server_error();
+    if !(plain && failed && lost.is_none() && job.route().attempts > 1) {
+        return false;
+    }
+    let granted = job.shared.take_repeat(&job.service);
+    if granted {
+        job.shared.metrics.repeated("failed");
+        *lost = Some(format!("status {}", answered.head.status));
+    }
+    granted
+}
+
+/// Whether another server may be tried after one brought no answer.
+fn allow_another(
+    job: &Job,
+    missed: Missed,
+    lost: &mut Option<String>,
+) -> Result<(), Refusal> {
+    let granted = |cause| {
+        let granted = job.shared.take_repeat(&job.service);
+        if granted {
+            job.shared.metrics.repeated(cause);
+        }
+        granted
+    };
+    match missed {
+        Missed::Unreachable(_) => Ok(()),
+        Missed::Rejected(_) if granted("rejected") => Ok(()),
+        Missed::Rejected(_) => Err(no_server(job, lost.take())),
+        Missed::Late => {
+            let message = "the time ran out before the answer began; allow more time";
+            Err(Refusal::in_doubt(Code::Late, message))
+        }
+        Missed::Lost(why) if job.route().kind.is_repeatable() && granted("lost") => {
+            *lost = Some(why);
+            Ok(())
+        }
+        Missed::Lost(_) => {
+            let message = "the server broke off and may have run the request";
+            Err(Refusal::in_doubt(Code::Broken, message))
+        }
+    }
+}
+
+fn no_server(job: &Job, lost: Option<String>) -> Refusal {
+    if Instant::now().into_std() >= job.deadline {
+        let message = "the time ran out before a server could take the request";
+        return match lost {
+            Some(_) => Refusal::in_doubt(Code::Late, message),
+            None => Refusal::not_run(Code::Deadline, message).after(Duration::ZERO),
+        };
+    }
+    let message = "no server can take the request now; come back when told";
+    match lost {
+        Some(_) => Refusal::in_doubt(Code::Broken, message),
+        None => Refusal::not_run(Code::Unavailable, message).after(AWAY),
+    }
+}
+
+/// Picks a server; waits for one if none can take the request.
+pub async fn pick(job: &Job) -> Option<Place> {
+    let limit = job.deadline.min(job.shared.now() + RESIDENCE_WAIT);
+    let limit = Instant::from_std(limit);
+    let mut listed = job.shared.listed.subscribe();
+    loop {
+        listed.borrow_and_update();
+        if let Some(place) = pick_now(job) {
+            return Some(place);
+        }
+        job.call.target.as_ref()?;
+        timeout_at(limit, listed.changed()).await.ok()?.ok()?;
+    }
+}
+
+fn pick_now(job: &Job) -> Option<Place> {
+    let shared = &job.shared;
+    let (now, domain) = (shared.now(), &shared.settings.domain);
+    let fleet = shared.fleet();
+    let chosen = choose(fleet.open(&job.service, now), &job.want(), domain, now)?;
+    let server = fleet.get(chosen.key)?;
+    let (name, addr) = (server.entry.name.clone(), server.entry.address);
+    info!(shared.log, "server picked"; "id" => job.id(), "server" => name.to_string(),
+        "cost_ms" => chosen.cost as u64, "requests" => server.own.requests,
+        "unread" => server.own.unread);
+    Some(Place { key: chosen.key, name, addr })
+}
+
+/// A body of bytes that are all there.
+pub fn whole(bytes: Bytes) -> OutBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
--- /dev/null
+++ b/crates/gate/src/settings.rs
@@ -0,0 +1,132 @@
+//! The daemon's settings: JSON with comments.
+
+use std::fmt::{self, Display, Formatter};
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use chestnut_base::{DomainName, VmName};
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
+
+/// Settings that can't be used.
+#[derive(Debug)]
+pub enum SettingsError {
+    /// The file can't be read.
+    Read(std::io::Error),
+    /// The file is no JSON with comments.
+    Syntax(String),
+    /// A field is missing or has another type.
+    Field(String),
+    /// A field's value can't be used.
+    Value(&'static str, &'static str),
+}
+
+impl Display for SettingsError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read(error) => {
+                write!(f, "the settings can't be read ({error}); name an existing file")
+            }
+            Self::Syntax(why) => {
+                write!(f, "the settings are no JSON with comments ({why}); correct them")
+            }
+            Self::Field(why) => {
+                write!(f, "{why}; see docs/CONFIGURATION.md for the fields")
+            }
+            Self::Value(field, remedy) => write!(f, "`{field}` can't be used; {remedy}"),
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// The checked settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Settings {
+    /// The VM that the daemon runs on.
+    pub vm: VmName,
+    /// The VM's failure domain.
+    pub domain: DomainName,
+    /// The VM's own address.
+    pub ip: IpAddr,
+    /// Where callers send requests.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether the daemon is ready.
+    pub readiness: SocketAddr,
+    /// Where callers ask which address to use.
+    pub directory: SocketAddr,
+    /// The first and the last port for traffic between daemons.
+    pub ports: (u16, u16),
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Times and bounds that the operators set.
+    pub bounds: Bounds,
+}
+
+/// Times and bounds that the operators set.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Bounds {
+    /// How long a process may take to stop after it was told to.
+    #[serde(rename = "stop_s")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    pub stop: Duration,
+    /// The longest that a caller may keep the directory's answer.
+    #[serde(rename = "directory_s")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    pub directory: Duration,
+    /// Repeats for each request of a service.
+    pub retry_ratio: f64,
+    /// Repeats besides, over all daemons.
+    pub retry_slack: f64,
+    /// The window in which repeats are counted.
+    #[serde(rename = "retry_window_s")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    pub retry_window: Duration,
+    /// The least time between orders of two holders to one engine.
+    #[serde(rename = "turn_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub turn: Duration,
+    /// The window in which loads from the weight store are counted.
+    #[serde(rename = "load_window_s")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    pub load_window: Duration,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(SettingsError::Read)?;
+        Self::parse(&text)
+    }
+
+    /// Checks settings; unknown fields are passed over.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let options = jsonc_parser::ParseOptions::default();
+        let value =
+            jsonc_parser::parse_to_serde_value::<serde_json::Value>(text, &options);
+        let value = value.map_err(|error| SettingsError::Syntax(error.to_string()))?;
+        let settings: Self = serde_json::from_value(value)
+            .map_err(|error| SettingsError::Field(error.to_string()))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let (first, last) = self.ports;
+        if first == 0 || last < first {
+            return Err(SettingsError::Value("ports", "give the first and last port"));
+        }
+        if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
+            return Err(SettingsError::Value(
+                "bounds.retry_ratio",
+                "give a number between 0 and 1",
+            ));
+        }
+        if self.bounds.stop < Duration::from_secs(1) {
+            return Err(SettingsError::Value("bounds.stop_s", "give a second or more"));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pool/src/fleet.rs
@@ -0,0 +1,164 @@
+//! The table of backend servers as the registry lists them.
+
+use std::time::{Duration, Instant};
+
+use chestnut_base::{ServerName, ServiceName};
+use chestnut_edge::{Phase, ServerEntry, TargetModel};
+use indexmap::IndexMap;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::health::Health;
+use crate::usage::{Flight, Usage};
+
+new_key_type! {
+    /// A run of a backend server: a server that starts again gets a new key.
+    pub struct ServerKey;
+}
+
+/// A backend server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// What it last said of itself.
+    pub entry: ServerEntry,
+    /// How far its answers can be trusted.
+    pub health: Health,
+    /// What this daemon has in flight there.
+    pub own: Usage,
+    /// Since when the registry does not list it.
+    pub missing: Option<Instant>,
+}
+
+/// The table of backend servers.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    servers: SlotMap<ServerKey, Server>,
+    names: IndexMap<ServerName, ServerKey>,
+    /// Until when entries may be missing since the registry was away.
+    excused: Option<Instant>,
+}
+
+/// How long after an outage of the registry a missing entry may still return.
+///
+/// The platform says about two seconds.
+pub const RETURN_TIME: Duration = Duration::from_secs(2);
+
+impl Fleet {
+    /// Takes in what a server says of itself.
+    pub fn list(&mut self, entry: ServerEntry) -> ServerKey {
+        let known = self.names.get(&entry.name).copied();
+        if let Some(key) = known
+            && let Some(server) = self.servers.get_mut(key)
+            && server.entry.born == entry.born
+        {
+            server.entry = entry;
+            server.missing = None;
+            return key;
+        }
+        if let Some(key) = known {
+            self.servers.remove(key);
+        }
+        let name = entry.name.clone();
+        let (health, own) = (Health::default(), Usage::default());
+        let key = self.servers.insert(Server { entry, health, own, missing: None });
+        self.names.insert(name, key);
+        key
+    }
+
+    /// Takes in that the registry no longer lists a server.
+    ///
+    /// It may be a server that leaves and still serves, so that it is kept for what
+    /// is in flight; it gets nothing new, unless the registry was away.
+    pub fn unlist(&mut self, name: &ServerName, now: Instant) {
+        if let Some(key) = self.names.get(name)
+            && let Some(server) = self.servers.get_mut(*key)
+        {
+            server.missing.get_or_insert(now);
+        }
+    }
+
+    /// Takes note that the registry could not be read until now.
+    ///
+    /// Entries lapse meanwhile though their servers live.
+    pub fn excuse(&mut self, now: Instant) {
+        self.excused = Some(now + RETURN_TIME);
+    }
+
+    /// Forgets servers that are gone and have nothing in flight.
+    pub fn tidy(&mut self, now: Instant) {
+        let excused = self.excused.is_some_and(|until| now < until);
+        if excused {
+            return;
+        }
+        let gone = |server: &Server| server.missing.is_some() && server.own.requests == 0;
+        self.servers.retain(|_, server| !gone(server));
+        let servers = &self.servers;
+        self.names.retain(|_, key| servers.contains_key(*key));
+    }
+
+    /// Whether a server may get new requests.
+    pub fn takes_work(&self, server: &Server, now: Instant) -> bool {
+        let excused = self.excused.is_some_and(|until| now < until);
+        let listed = server.missing.is_none() || excused;
+        listed && server.entry.phase == Phase::Ready && server.health.is_open(now)
+    }
+
+    /// The servers of a service that may get new requests.
+    pub fn open<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        now: Instant,
+    ) -> impl Iterator<Item = (ServerKey, &'a Server)> {
+        self.servers.iter().filter(move |(_, server)| {
+            server.entry.service == *service && self.takes_work(server, now)
+        })
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.servers.iter()
+    }
+
+    /// A server.
+    pub fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// A server.
+    pub fn get_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
+        self.servers.get_mut(key)
+    }
+
+    /// The current run of a server.
+    pub fn key(&self, name: &ServerName) -> Option<ServerKey> {
+        self.names.get(name).copied()
+    }
+
+    /// Counts a request that is sent.
+    pub fn begin(&mut self, key: ServerKey, flight: Flight) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.own += flight.into();
+        }
+    }
+
+    /// Counts a request that has ended.
+    pub fn end(&mut self, key: ServerKey, flight: Flight) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.own -= flight.into();
+        }
+    }
+}
+
+impl Server {
+    /// Whether the server holds what the request is for.
+    pub fn holds(&self, target: &TargetModel) -> bool {
+        let model = self.entry.models.iter().find(|held| held.model == target.model);
+        model.is_some_and(|held| {
+            target.adapter.as_ref().is_none_or(|name| held.adapters.contains(name))
+        })
+    }
+
+    /// Whether the server holds the base model that the request is for.
+    pub fn holds_base(&self, target: &TargetModel) -> bool {
+        self.entry.models.iter().any(|held| held.model == target.model)
+    }
+}
