--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -233,7 +233,7 @@
             "server" => server.unwrap_or_default(), "why" => why, "after" => self.last);
         while self.job.shared.take_repeat(&self.job.service) {
             self.job.shared.metrics.repeated("resumed");
-            let Some(place) = pick(&self.job).await else { return false };
+            let Some(place) = pick(&self.job, None, &[]).await else { return false };
             match attempt(&self.job, &place, self.last).await {
                 Ok(answered) if is_event_stream(&answered.head) => {
                     self.source = Some(answered);
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::client::{Connection, SendFault};
 use crate::job::Job;
 use crate::shared::Shared;
+use crate::sums;
 
 /// A request in flight; dropping it takes it out of the count.
 pub struct InFlight {
@@ -25,8 +26,11 @@
 
 impl InFlight {
     /// Counts a request.
-    pub fn new(shared: Arc<Shared>, key: ServerKey, flight: Flight) -> Self {
+    pub fn new(job: &Job, key: ServerKey) -> Self {
+        let shared = job.shared.clone();
+        let flight = Flight { size: job.call.size, begun: false };
         shared.fleet().begin(key, flight);
+        sums::tell(&shared, key, job.call.target.clone());
         Self { shared, key, flight }
     }
 
@@ -35,16 +39,20 @@
         if self.flight.begun {
             return;
         }
-        let mut fleet = self.shared.fleet();
-        fleet.end(self.key, self.flight);
-        self.flight.begun = true;
-        fleet.begin(self.key, self.flight);
+        {
+            let mut fleet = self.shared.fleet();
+            fleet.end(self.key, self.flight);
+            self.flight.begun = true;
+            fleet.begin(self.key, self.flight);
+        }
+        sums::tell(&self.shared, self.key, None);
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.shared.fleet().end(self.key, self.flight);
+        sums::tell(&self.shared, self.key, None);
     }
 }
 
@@ -95,8 +103,7 @@
     resume_after: Option<u64>,
 ) -> Result<Answered, Missed> {
     let shared = &job.shared;
-    let flight = Flight { size: job.call.size, begun: false };
-    let flight = InFlight::new(shared.clone(), place.key, flight);
+    let flight = InFlight::new(job, place.key);
     let result = exchange(job, place, resume_after).await;
     let now = shared.now();
     if let Some(server) = shared.fleet().get_mut(place.key) {
--- /dev/null
+++ b/crates/gate/src/claims.rs
@@ -0,0 +1,183 @@
+//! Which daemon gives a runner its orders, and which plans for a service.
+//!
+//! A claim is a row that names holder and fence. It is taken in a transaction that
+//! checks the row's version, and only once the former holder's own row is gone;
+//! engines refuse orders with an older fence.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use chestnut_base::{Fence, PoolName, ServerName, ServiceName};
+use chestnut_edge::{Change, Commit, CommitAnswer};
+use chestnut_member::{ClaimKey, ClaimRow, Step, plan};
+use slog::{info, warn};
+
+use crate::follow::Follower;
+use crate::shared::Shared;
+use crate::{holder, store};
+
+/// The table of claims.
+pub const CLAIMS: &str = "claim";
+
+/// How long a daemon waits after its start before it takes claims that nobody holds.
+///
+/// All daemons start at the same moment; the first one would take everything and
+/// hand most of it over again.
+const GATHER: Duration = Duration::from_millis(1500);
+
+/// What is added to the time between orders of two holders.
+///
+/// For orders of the former holder that were on their way when its claim was taken.
+const TURN_MARGIN: Duration = Duration::from_millis(500);
+
+/// Takes in the table of claims.
+pub struct Claims(pub Arc<Shared>);
+
+impl Follower for Claims {
+    fn changed(&mut self, change: Change) {
+        let Self(shared) = self;
+        let Ok(key) = change.key.parse::<ClaimKey>() else { return };
+        let row = change.value.as_ref().map(|value| serde_json::from_slice(value));
+        let row: Option<ClaimRow> = match row.transpose() {
+            Ok(row) => row,
+            Err(error) => {
+                warn!(shared.log, "claim refused"; "key" => &change.key,
+                    "error" => error.to_string());
+                None
+            }
+        };
+        let before = take(shared, key.clone(), row, change.version);
+        let me = Some(shared.peers.me);
+        let (was, is) = (before == me, row.and_then(|row| row.holder) == me);
+        if is && !was {
+            // Handed over by a daemon that leaves.
+            shared.note_turn(key, turn_from(shared));
+        }
+        if was && !is {
+            info!(shared.log, "claim lost"; "claim" => &change.key,
+                "version" => change.version);
+        }
+    }
+
+    fn settled(&mut self) {
+        self.0.claims_read.send_replace(true);
+        holder::follow_claims(&self.0);
+    }
+}
+
+/// Notes a claim's row; returns its holder before.
+fn take(
+    shared: &Shared,
+    key: ClaimKey,
+    row: Option<ClaimRow>,
+    version: u64,
+) -> Option<chestnut_base::MemberId> {
+    let mut known = shared.known();
+    match row {
+        Some(row) => {
+            let newer = |(_, old): &&(ClaimRow, u64)| *old < version;
+            let before = known.claims.get(&key).copied();
+            if before.as_ref().is_none_or(|old| newer(&old)) {
+                known.claims.insert(key, (row, version));
+            }
+            before.and_then(|(row, _)| row.holder)
+        }
+        None => known.claims.swap_remove(&key).and_then(|(row, _)| row.holder),
+    }
+}
+
+/// Takes, hands over and gives up claims.
+pub async fn tick(shared: &Arc<Shared>) {
+    let read = *shared.claims_read.borrow() && *shared.members_read.borrow();
+    let gathered = shared.started.elapsed() >= GATHER || shared.is_back();
+    if !read || !gathered {
+        return;
+    }
+    let keys = keys(shared);
+    let steps = {
+        let known = shared.known();
+        plan(&known, &shared.settings.vm, shared.peers.me, &keys, shared.now()).steps
+    };
+    if steps.is_empty() {
+        return;
+    }
+    let fresh: Vec<bool> = steps.iter().map(|step| is_fresh(shared, step)).collect();
+    let commit = steps.iter().fold(Commit::default(), add);
+    match store::commit(shared, &commit).await {
+        Ok(CommitAnswer::Done { version }) => {
+            for (step, fresh) in steps.into_iter().zip(fresh) {
+                took(shared, step, version, fresh);
+            }
+            holder::follow_claims(shared);
+        }
+        Ok(CommitAnswer::Conflict) => {
+            info!(shared.log, "claims changed meanwhile"; "steps" => steps.len());
+        }
+        Ok(CommitAnswer::Refused) => {}
+        Err(fault) => warn!(shared.log, "claims not taken"; "error" => fault.to_string()),
+    }
+}
+
+fn add(commit: Commit, step: &Step) -> Commit {
+    let key = step.key.to_string();
+    // Claims are plain structs, which always serialize.
+    let value = serde_json::to_vec(&step.row).unwrap_or_default();
+    commit.check(CLAIMS, &key, step.version).put(CLAIMS, &key, value)
+}
+
+/// Whether no other VM can have given orders under the claim lately.
+fn is_fresh(shared: &Shared, step: &Step) -> bool {
+    let known = shared.known();
+    let holder = known.claims.get(&step.key).and_then(|(row, _)| row.holder);
+    // An earlier process on this VM is the same holder to the engine.
+    step.version == 0 || holder.is_some() && holder == shared.previous()
+}
+
+fn took(shared: &Shared, step: Step, version: u64, fresh: bool) {
+    take(shared, step.key.clone(), Some(step.row), version);
+    let mine = step.row.holder == Some(shared.peers.me);
+    let from = if fresh { shared.now() } else { turn_from(shared) };
+    if mine {
+        shared.note_turn(step.key.clone(), from);
+    }
+    info!(shared.log, "{}", if mine { "claim taken" } else { "claim handed over" };
+        "claim" => step.key.to_string(), "fence" => step.row.fence.0, "version" => version);
+}
+
+fn turn_from(shared: &Shared) -> Instant {
+    shared.now() + shared.settings.bounds.turn + TURN_MARGIN
+}
+
+/// Everything that is claimed: runners that are listed, and services with models.
+fn keys(shared: &Shared) -> Vec<ClaimKey> {
+    let Some(declared) = shared.declared() else { return Vec::new() };
+    let engines: Vec<&ServiceName> = declared
+        .services
+        .iter()
+        .filter(|(_, service)| service.engine.is_some())
+        .map(|(name, _)| name)
+        .collect();
+    let fleet = shared.fleet();
+    let runners = fleet
+        .iter()
+        .filter(|(_, server)| engines.contains(&&server.entry.service))
+        .map(|(_, server)| ClaimKey::Server(server.entry.name.clone()));
+    let pools = engines.iter().filter_map(|name| pool_key(name));
+    runners.chain(pools).collect()
+}
+
+/// The claim of a service's planner.
+pub fn pool_key(service: &ServiceName) -> Option<ClaimKey> {
+    PoolName::try_from(service.as_str()).ok().map(ClaimKey::Pool)
+}
+
+/// The fence under which this daemon may give a runner orders now.
+pub fn fence(shared: &Shared, server: &ServerName) -> Option<Fence> {
+    let key = ClaimKey::Server(server.clone());
+    let turn = shared.turn(&key);
+    let known = shared.known();
+    let (row, _) = known.claims.get(&key)?;
+    let mine = row.holder == Some(shared.peers.me);
+    let open = turn.is_none_or(|from| shared.now() >= from);
+    (mine && open).then_some(row.fence)
+}
--- a/crates/gate/src/directory.rs
+++ b/crates/gate/src/directory.rs
@@ -1,5 +1,6 @@
 //! Tells callers where to connect, and the platform whether the daemon is ready.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,9 @@
 /// three; a question costs some 30 µs.
 const HOLD: Duration = Duration::from_secs(1);
 
+/// The addresses that one answer holds at most; callers read no more.
+const ADDRESS_LIMIT: usize = 64;
+
 /// Tells callers where to connect.
 pub fn directory(shared: Arc<Shared>) -> Router {
     let path = shared.dialect.directory_path();
@@ -37,12 +41,28 @@
     State(shared): State<Arc<Shared>>,
     RawQuery(_query): RawQuery,
 ) -> Response {
-    let addresses = vec![shared.settings.callers];
+    let addresses = ready_addresses(&shared);
     let hold = HOLD.min(shared.settings.bounds.directory);
     let answer = shared.dialect.write_directory(&addresses, hold);
     answer.map(|body| axum::body::Body::new(Full::new(body))).into_response()
 }
 
+/// Where callers can connect: daemons that say that they are ready.
+fn ready_addresses(shared: &Shared) -> Vec<SocketAddr> {
+    let now = shared.now();
+    let known = shared.known();
+    let ready = |member| {
+        let heard = shared.peers.heard(member);
+        let beat = heard.filter(|_| shared.peers.is_alive(member, now));
+        beat.and_then(|heard| heard.beat).is_some_and(|beat| beat.ready && !beat.leaving)
+    };
+    let me = shared.peers.me;
+    let own = shared.is_ready();
+    let rows = known.members.values().map(|(row, _)| row);
+    let open = rows.filter(|row| if row.member == me { own } else { ready(row.member) });
+    open.map(|row| row.caller_addr).take(ADDRESS_LIMIT).collect()
+}
+
 async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
     match shared.is_ready() {
         true => StatusCode::OK,
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -7,13 +7,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnut_edge::{Change, Page};
-use http::StatusCode;
+use chestnut_edge::Change;
 use indexmap::IndexMap;
 use slog::{info, warn};
 use tokio::time::sleep;
 
 use crate::shared::Shared;
+use crate::store::{self, StoreFault};
 
 /// How long the store may hold a call that waits for changes.
 ///
@@ -24,9 +24,6 @@
 /// How much later than `HOLD` an answer may come.
 const HOLD_SLACK: Duration = Duration::from_secs(1);
 
-/// How long the store may take for other calls.
-const CALL_TIME: Duration = Duration::from_millis(1500);
-
 /// The first pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
@@ -35,10 +32,6 @@
 /// Changes must be in force within two seconds of an outage's end.
 const LAST_PAUSE: Duration = Duration::from_millis(500);
 
-/// The largest answer that is read, in bytes; the store sends 1 MB at most, and
-/// Base64 makes a row a third longer.
-const ANSWER_LIMIT: usize = 8 << 20;
-
 /// Who takes in what changed.
 pub trait Follower: Send {
     /// A row was written or removed.
@@ -51,9 +44,6 @@
     fn regained(&mut self) {}
 }
 
-/// Why the store could not be read.
-struct Failed(String);
-
 /// A copy of a table of the store.
 struct Copy {
     table: &'static str,
@@ -80,7 +70,7 @@
                 }
                 follower.settled();
             }
-            Err(Failed(why)) => {
+            Err(StoreFault(why)) => {
                 if !std::mem::replace(&mut lost, true) {
                     warn!(shared.log, "store lost"; "table" => table, "error" => why);
                 }
@@ -96,7 +86,7 @@
         &mut self,
         shared: &Shared,
         follower: &mut impl Follower,
-    ) -> Result<(), Failed> {
+    ) -> Result<(), StoreFault> {
         match self.version {
             None => self.read_whole(shared, follower).await,
             Some(version) => self.read_changes(shared, follower, version).await,
@@ -108,9 +98,9 @@
         shared: &Shared,
         follower: &mut impl Follower,
         after: u64,
-    ) -> Result<(), Failed> {
+    ) -> Result<(), StoreFault> {
         let request = shared.dialect.ask_changes(self.table, after, HOLD);
-        let answer = call(shared, request, HOLD + HOLD_SLACK).await?;
+        let answer = store::call(shared, request, HOLD + HOLD_SLACK).await?;
         let (status, body) = (answer.status(), answer.into_body());
         match shared.dialect.read_changes(status, &body) {
             Ok(Some(delta)) => {
@@ -126,7 +116,7 @@
                 self.version = None;
                 Ok(())
             }
-            Err(error) => Err(Failed(error.to_string())),
+            Err(error) => Err(StoreFault(error.to_string())),
         }
     }
 
@@ -134,16 +124,16 @@
         &mut self,
         shared: &Shared,
         follower: &mut impl Follower,
-    ) -> Result<(), Failed> {
+    ) -> Result<(), StoreFault> {
         let mut listed = IndexMap::new();
         let mut version = None;
         let mut after: Option<String> = None;
         loop {
-            let page = read_page(shared, self.table, after.as_deref()).await?;
+            let page = store::rows(shared, self.table, after.as_deref()).await?;
             // The first page is the oldest: changes after it are read again.
             version.get_or_insert(page.version);
             if self.newest > page.version {
-                return Err(Failed(format!("an old read, {} behind", self.newest)));
+                return Err(StoreFault(format!("an old read, {} behind", self.newest)));
             }
             after = page.rows.last().map(|row| row.key.clone());
             listed.extend(page.rows.into_iter().map(|row| (row.key.clone(), row)));
@@ -188,27 +178,3 @@
         follower.changed(change);
     }
 }
-
-async fn read_page(
-    shared: &Shared,
-    table: &str,
-    after: Option<&str>,
-) -> Result<Page, Failed> {
-    let request = shared.dialect.ask_rows(table, after);
-    let answer = call(shared, request, CALL_TIME).await?;
-    if answer.status() != StatusCode::OK {
-        return Err(Failed(format!("status {}", answer.status())));
-    }
-    let page = shared.dialect.read_rows(answer.body());
-    page.map_err(|error| Failed(error.to_string()))
-}
-
-async fn call(
-    shared: &Shared,
-    request: http::Request<bytes::Bytes>,
-    wait: Duration,
-) -> Result<http::Response<bytes::Bytes>, Failed> {
-    let store = shared.settings.store;
-    let answer = shared.client.call(store, request, ANSWER_LIMIT, wait).await;
-    answer.map_err(|fault| Failed(fault.to_string()))
-}
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use chestnut_base::{Refusal, ServiceName};
-use chestnut_edge::{Call, Declared, Route};
+use chestnut_edge::{Call, Declared, Engine, Route};
 use chestnut_pool::Want;
 use http::request;
 use slog::info;
@@ -50,6 +50,11 @@
         Want { target: self.call.target.clone(), size: self.call.size }
     }
 
+    /// The engine of the service, if it runs models.
+    pub fn engine(&self) -> Option<Engine> {
+        self.declared.services.get(&self.service)?.engine.clone()
+    }
+
     /// Records how the request ended.
     pub fn ended(&self, end: &str, server: &str, detail: &str) {
         let time = self.arrived.elapsed();
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,27 +9,42 @@
 //! 5. [`answer`] passes the answer on, and lets another server go on where a
 //!    stream of numbered [`events`] breaks.
 //!
+//! A server is picked by asking ([`ask`]) the daemons that hold the runners' claims.
+//! [`members`] and [`claims`] settle who that is; a [`holder`] gives its runner
+//! orders and knows from [`sums`] what is in flight there; the [`planner`] says which
+//! model goes where. Daemons exchange datagrams: [`message`], [`peers`], [`receive`].
+//!
 //! Beside it, [`follow`] and [`registry`] keep declarations and the list of backend
 //! servers up to date, and [`directory`] tells callers where to connect. All of it
 //! goes through one [`client`] and meets in [`shared`].
 
 pub mod answer;
+pub mod ask;
 pub mod attempt;
+pub mod claims;
 pub mod client;
 mod command;
 pub mod directory;
 pub mod events;
 pub mod follow;
 pub mod front;
+pub mod holder;
 pub mod job;
 pub mod logs;
+pub mod members;
+pub mod message;
 pub mod metrics;
+pub mod peers;
+pub mod planner;
 pub mod read;
+pub mod receive;
 pub mod registry;
 pub mod run;
 pub mod serve;
 pub mod settings;
 pub mod shared;
+pub mod store;
+pub mod sums;
 
 pub use command::main;
 pub use settings::Settings;
--- /dev/null
+++ b/crates/gate/src/members.rs
@@ -0,0 +1,231 @@
+//! Which daemons there are.
+//!
+//! Each daemon has a row in the store from its start to its end. Daemons send each
+//! other beats; one that nobody hears any more has its row removed by those that
+//! watch it, and only then may others take over what it held. The row's removal is
+//! what all daemons go by: a beat that one link loses proves nothing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnut_base::{MemberId, VmName};
+use chestnut_edge::{Change, Commit, CommitAnswer};
+use chestnut_member::{MemberRow, watched};
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::follow::Follower;
+use crate::message::{Beat, Message};
+use crate::shared::Shared;
+use crate::{claims, store};
+
+/// The table of daemons, by VM.
+pub const MEMBERS: &str = "member";
+
+/// How often a daemon says that it lives.
+const BEAT_PERIOD: Duration = Duration::from_millis(250);
+
+/// How long a daemon may be silent to all before its row is removed.
+///
+/// Longer than a garbage of lost datagrams, shorter than the time in which a killed
+/// process is back; what it held can't be used meanwhile.
+const SILENCE: Duration = Duration::from_millis(1500);
+
+/// The pause after a failed call of the store.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Takes in the table of daemons.
+pub struct Members(pub Arc<Shared>);
+
+impl Follower for Members {
+    fn changed(&mut self, change: Change) {
+        let Self(shared) = self;
+        let Ok(vm) = VmName::try_from(change.key.as_str()) else { return };
+        let row = change.value.as_ref().map(|value| serde_json::from_slice(value));
+        let row: Option<MemberRow> = match row.transpose() {
+            Ok(row) => row,
+            Err(error) => {
+                warn!(shared.log, "daemon's row refused"; "key" => &change.key,
+                    "error" => error.to_string());
+                None
+            }
+        };
+        let mut known = shared.known();
+        match row {
+            Some(row) => {
+                info!(shared.log, "daemon listed"; "member" => vm.to_string(),
+                    "version" => change.version, "leaving" => row.leaving);
+                known.members.insert(vm, (row, change.version));
+            }
+            None => {
+                info!(shared.log, "daemon gone"; "member" => vm.to_string(),
+                    "version" => change.version);
+                known.members.swap_remove(&vm);
+            }
+        }
+    }
+
+    fn settled(&mut self) {
+        self.0.known().note_seen(self.0.now());
+        self.0.members_read.send_replace(true);
+    }
+}
+
+/// Joins, says regularly that the daemon lives, and watches others.
+pub async fn run(shared: Arc<Shared>) {
+    join(&shared).await;
+    loop {
+        beat(&shared);
+        claims::tick(&shared).await;
+        remove_silent(&shared).await;
+        if is_removed(&shared) {
+            info!(shared.log, "own row was removed, joining again");
+            join(&shared).await;
+        }
+        sleep(BEAT_PERIOD).await;
+    }
+}
+
+/// Writes the own row, over that of an earlier process on this VM.
+async fn join(shared: &Shared) {
+    let row = own_row(shared);
+    let vm = shared.settings.vm.as_str();
+    find_previous(shared).await;
+    while let Err(why) = put_row(shared, vm, &row).await {
+        warn!(shared.log, "not joined yet"; "why" => why);
+        sleep(PAUSE).await;
+    }
+    info!(shared.log, "joined"; "me" => shared.peers.me.to_string());
+}
+
+/// Learns which process ran on this VM before, if its row still stands.
+async fn find_previous(shared: &Shared) {
+    let page = match store::rows(shared, MEMBERS, None).await {
+        Ok(page) => page,
+        Err(fault) => {
+            info!(shared.log, "earlier process not known"; "error" => fault.to_string());
+            return;
+        }
+    };
+    let vm = shared.settings.vm.as_str();
+    let own = page.rows.into_iter().find(|row| row.key == vm);
+    let value = own.and_then(|row| row.value);
+    let row = value.and_then(|value| serde_json::from_slice::<MemberRow>(&value).ok());
+    if let Some(row) = row
+        && row.member != shared.peers.me
+    {
+        shared.note_previous(row.member);
+    }
+}
+
+async fn put_row(shared: &Shared, vm: &str, row: &MemberRow) -> Result<(), String> {
+    let value = serde_json::to_vec(row).map_err(|error| error.to_string())?;
+    let commit = Commit::default().put(MEMBERS, vm, value);
+    match store::commit(shared, &commit).await {
+        Ok(CommitAnswer::Done { version }) => {
+            let vm = shared.settings.vm.clone();
+            shared.known().members.insert(vm, (row.clone(), version));
+            Ok(())
+        }
+        Ok(answer) => Err(format!("{answer:?}")),
+        Err(fault) => Err(fault.to_string()),
+    }
+}
+
+fn own_row(shared: &Shared) -> MemberRow {
+    let settings = &shared.settings;
+    MemberRow {
+        member: shared.peers.me,
+        domain: settings.domain.clone(),
+        caller_addr: settings.callers,
+        peer_addr: settings.peer_addr(),
+        ops_addr: settings.readiness,
+        leaving: *shared.leaving.borrow(),
+    }
+}
+
+/// Tells others that the daemon lives.
+pub fn beat(shared: &Shared) {
+    let now = shared.now();
+    let beat = Beat {
+        ready: shared.is_ready(),
+        leaving: *shared.leaving.borrow(),
+        revision: shared.declared().map(|declared| declared.revision).unwrap_or_default(),
+        heard: shared.peers.alive(now),
+    };
+    for (_, addr) in others(shared) {
+        shared.peers.send(addr, Message::Beat(beat.clone()));
+    }
+}
+
+/// All other daemons and where they receive datagrams.
+pub fn others(shared: &Shared) -> Vec<(MemberId, SocketAddr)> {
+    let me = shared.peers.me;
+    let known = shared.known();
+    let rows = known.members.values().map(|(row, _)| (row.member, row.peer_addr));
+    rows.filter(|(member, _)| *member != me).collect()
+}
+
+/// The number of daemons, this one included.
+pub fn count(shared: &Shared) -> usize {
+    shared.known().members.len().max(1)
+}
+
+/// Takes in a beat of another daemon.
+pub fn heard(shared: &Shared, from: MemberId, beat: &Beat) {
+    let mut known = shared.known();
+    match beat.leaving {
+        true => drop(known.leaving.insert(from)),
+        false => drop(known.leaving.swap_remove(&from)),
+    }
+}
+
+async fn remove_silent(shared: &Shared) {
+    for (vm, row, version) in silent(shared) {
+        info!(shared.log, "daemon is silent, removing its row"; "member" => vm.to_string(),
+            "version" => version, "id" => row.member.to_string());
+        let key = vm.as_str();
+        let commit = Commit::default().check(MEMBERS, key, version).remove(MEMBERS, key);
+        if let Err(fault) = store::commit(shared, &commit).await {
+            warn!(shared.log, "row not removed"; "error" => fault.to_string());
+        }
+    }
+}
+
+/// Watched daemons that neither this one nor others hear.
+fn silent(shared: &Shared) -> Vec<(VmName, MemberRow, u64)> {
+    let now = shared.now();
+    let peers = &shared.peers;
+    let known = shared.known();
+    let quiet = |member| match peers.heard(member) {
+        Some(heard) => now.saturating_duration_since(heard.at) > SILENCE,
+        // It has just joined, or was gone before this daemon started.
+        None => known.is_stable(member, now, SILENCE * 2),
+    };
+    watched(&known, &shared.settings.vm)
+        .into_iter()
+        .filter_map(|vm| {
+            let (row, version) = known.members.get(&vm)?;
+            let gone = quiet(row.member) && !peers.is_vouched_for(row.member, now);
+            gone.then(|| (vm, row.clone(), *version))
+        })
+        .collect()
+}
+
+fn is_removed(shared: &Shared) -> bool {
+    let known = shared.known();
+    known.own(&shared.settings.vm, shared.peers.me).is_none()
+}
+
+/// Removes the own row at the end.
+pub async fn resign(shared: &Shared) {
+    let vm = &shared.settings.vm;
+    let version = shared.known().own(vm, shared.peers.me).map(|(_, version)| version);
+    let Some(version) = version else { return };
+    let key = vm.as_str();
+    let commit = Commit::default().check(MEMBERS, key, version).remove(MEMBERS, key);
+    if let Err(fault) = store::commit(shared, &commit).await {
+        warn!(shared.log, "own row remains"; "error" => fault.to_string());
+    }
+}
--- /dev/null
+++ b/crates/gate/src/message.rs
@@ -0,0 +1,105 @@
+//! Datagrams between daemons.
+//!
+//! Each stands for itself: sums are whole, questions carry a number, and whatever
+//! is lost is repeated or done without.
+
+use chestnut_base::{
+    AdapterName, MemberId, ModelName, Revision, ServerName, ServiceName,
+};
+use chestnut_edge::TargetModel;
+use chestnut_pool::{Bid, Usage, Want};
+use serde::{Deserialize, Serialize};
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Packet {
+    /// The start of the daemon that sent it.
+    pub from: MemberId,
+    /// What it says.
+    pub message: Message,
+}
+
+/// What a datagram says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The daemon lives.
+    Beat(Beat),
+    /// What the daemon has in flight at a runner that the receiver holds.
+    Sum {
+        /// The runner.
+        server: ServerName,
+        /// All that the daemon has in flight there.
+        usage: Usage,
+        /// The model of a request that was just sent.
+        target: Option<TargetModel>,
+    },
+    /// Asks how soon runners that the receiver holds would answer.
+    Ask {
+        /// Names the question in the answer.
+        number: u64,
+        /// The runners.
+        servers: Vec<ServerName>,
+        /// What the request needs.
+        want: Want,
+    },
+    /// Answers `Ask`.
+    Bids {
+        /// The question's number.
+        number: u64,
+        /// The estimates; runners that the daemon does not hold are left out.
+        bids: Vec<(ServerName, Bid)>,
+    },
+    /// Asks for an adapter to be loaded on a runner that the receiver holds.
+    Prepare {
+        /// Names the question in the answer.
+        number: u64,
+        /// The runner.
+        server: ServerName,
+        /// The adapter's model.
+        model: ModelName,
+        /// The adapter.
+        adapter: AdapterName,
+        /// Whether the runner has just said that it does not have it.
+        missed: bool,
+    },
+    /// Answers `Prepare`.
+    Prepared {
+        /// The question's number.
+        number: u64,
+        /// In how many milliseconds the adapter is there; nothing if it will not be.
+        ready_ms: Option<u32>,
+    },
+    /// What callers have asked of a service's models, to the planner.
+    Demand {
+        /// The service.
+        service: ServiceName,
+        /// Tokens asked for since the daemon's start, by model.
+        tokens: Vec<(ModelName, f64)>,
+    },
+    /// The planner asks a runner's holder to change what the runner holds.
+    Move(Move),
+}
+
+/// The daemon lives.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// Whether it was told to stop.
+    pub leaving: bool,
+    /// The revision that is in force there.
+    pub revision: Revision,
+    /// The daemons that it has heard from lately.
+    pub heard: Vec<MemberId>,
+}
+
+/// A change of what a runner holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Move {
+    /// The runner.
+    pub server: ServerName,
+    /// Models that make room; each has other replicas.
+    pub drop: Vec<ModelName>,
+    /// The model to load.
+    pub load: ModelName,
+}
--- /dev/null
+++ b/crates/gate/src/peers.rs
@@ -0,0 +1,151 @@
+//! Datagrams to and from other daemons.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use chestnut_base::MemberId;
+use indexmap::IndexMap;
+use slog::{Logger, warn};
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use crate::message::{Beat, Message, Packet};
+
+/// The largest datagram that is read, in bytes.
+pub const PACKET_LIMIT: usize = 16 * 1024;
+
+/// How long a daemon that was heard from counts as alive.
+///
+/// Three beats: datagrams are lost now and then.
+pub const ALIVE_TIME: Duration = Duration::from_millis(900);
+
+/// What was last heard from a daemon.
+#[derive(Debug, Clone)]
+pub struct Heard {
+    /// When anything was heard.
+    pub at: Instant,
+    /// Its last beat.
+    pub beat: Option<Beat>,
+}
+
+/// Datagrams to and from other daemons.
+pub struct Peers {
+    /// This start of the daemon.
+    pub me: MemberId,
+    socket: UdpSocket,
+    log: Logger,
+    heard: Mutex<IndexMap<MemberId, Heard>>,
+    waiting: Mutex<Waiting>,
+}
+
+/// Questions that wait for their answers.
+#[derive(Default)]
+struct Waiting {
+    last: u64,
+    senders: IndexMap<u64, oneshot::Sender<Message>>,
+}
+
+impl Peers {
+    /// Binds the socket for datagrams between daemons.
+    pub async fn bind(
+        me: MemberId,
+        addr: SocketAddr,
+        log: Logger,
+    ) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(addr).await?;
+        let (heard, waiting) = (Mutex::default(), Mutex::default());
+        Ok(Self { me, socket, log, heard, waiting })
+    }
+
+    /// Sends a message; what can't be sent now is lost.
+    ///
+    /// All messages are repeated or done without, so that a full socket must not
+    /// hold up a request.
+    pub fn send(&self, to: SocketAddr, message: Message) {
+        let packet = Packet { from: self.me, message };
+        match postcard::to_allocvec(&packet) {
+            Ok(bytes) => drop(self.socket.try_send_to(&bytes, to)),
+            Err(error) => {
+                warn!(self.log, "datagram not written"; "error" => error.to_string());
+            }
+        }
+    }
+
+    /// Receives the next datagram that can be read.
+    pub async fn receive(&self) -> (Packet, SocketAddr) {
+        let mut buffer = vec![0; PACKET_LIMIT];
+        loop {
+            let Ok((len, from)) = self.socket.recv_from(&mut buffer).await else {
+                // A reset of an earlier datagram shows here; the next may be fine.
+                continue;
+            };
+            if let Ok(packet) = postcard::from_bytes::<Packet>(&buffer[..len]) {
+                self.note(&packet);
+                return (packet, from);
+            }
+        }
+    }
+
+    /// Draws a number for a question; the answer comes to the receiver.
+    pub fn expect(&self) -> (u64, oneshot::Receiver<Message>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiting = self.waiting.lock().expect("no holder of the lock panics");
+        waiting.last += 1;
+        let number = waiting.last;
+        waiting.senders.retain(|_, sender| !sender.is_closed());
+        waiting.senders.insert(number, sender);
+        (number, receiver)
+    }
+
+    /// Hands an answer to whoever waits for it.
+    pub fn answer(&self, number: u64, message: Message) {
+        let mut waiting = self.waiting.lock().expect("no holder of the lock panics");
+        if let Some(sender) = waiting.senders.swap_remove(&number) {
+            // Whoever asked may have given up.
+            drop(sender.send(message));
+        }
+    }
+
+    /// What was last heard from a daemon.
+    pub fn heard(&self, member: MemberId) -> Option<Heard> {
+        let heard = self.heard.lock().expect("no holder of the lock panics");
+        heard.get(&member).cloned()
+    }
+
+    /// Whether a daemon was heard from lately.
+    pub fn is_alive(&self, member: MemberId, now: Instant) -> bool {
+        let heard = self.heard(member);
+        heard.is_some_and(|heard| now.saturating_duration_since(heard.at) < ALIVE_TIME)
+    }
+
+    /// The daemons that were heard from lately.
+    pub fn alive(&self, now: Instant) -> Vec<MemberId> {
+        let heard = self.heard.lock().expect("no holder of the lock panics");
+        let fresh = |heard: &Heard| now.saturating_duration_since(heard.at) < ALIVE_TIME;
+        heard.iter().filter(|(_, heard)| fresh(heard)).map(|(id, _)| *id).collect()
+    }
+
+    /// Whether a daemon that was heard from lately has itself heard from `member`.
+    pub fn is_vouched_for(&self, member: MemberId, now: Instant) -> bool {
+        let heard = self.heard.lock().expect("no holder of the lock panics");
+        heard.iter().any(|(id, heard)| {
+            let fresh = now.saturating_duration_since(heard.at) < ALIVE_TIME;
+            let names = heard.beat.as_ref().is_some_and(|b| b.heard.contains(&member));
+            *id != member && fresh && names
+        })
+    }
+
+    fn note(&self, packet: &Packet) {
+        let mut heard = self.heard.lock().expect("no holder of the lock panics");
+        let now = Instant::now();
+        let entry = heard.entry(packet.from).or_insert(Heard { at: now, beat: None });
+        entry.at = now;
+        if let Message::Beat(beat) = &packet.message {
+            entry.beat = Some(beat.clone());
+        }
+        // Restarted daemons have new numbers; the old ones fade.
+        let limit = Duration::from_secs(60);
+        heard.retain(|_, heard| now.saturating_duration_since(heard.at) < limit);
+    }
+}
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use axum::Router;
-use chestnut_base::Clock;
+use chestnut_base::{Clock, MemberId};
 use chestnut_edge::Dialect;
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info};
@@ -14,10 +14,13 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{sleep, timeout};
 
+use crate::claims::{CLAIMS, Claims};
+use crate::members::{MEMBERS, Members};
+use crate::peers::Peers;
 use crate::registry::{Declarations, Servers};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{directory, follow, front};
+use crate::{directory, follow, front, members, planner, receive, sums};
 
 /// How long a leaving daemon takes requests that callers send to addresses they hold.
 ///
@@ -64,7 +67,11 @@
     let directory = bind(settings.directory).await?;
     let mut term = signal(SignalKind::terminate()).change_context(StartError::Signals)?;
     let mut hup = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
-    let shared = Arc::new(Shared::new(settings, dialect, clock, log));
+    let me = MemberId(rand::random());
+    let peer_addr = settings.peer_addr();
+    let peers = Peers::bind(me, peer_addr, log.clone()).await;
+    let peers = peers.change_context(StartError::Bind(peer_addr))?;
+    let shared = Arc::new(Shared::new(settings, dialect, clock, log, peers));
     info!(shared.log, "started"; "callers" => shared.settings.callers.to_string(),
         "directory" => shared.settings.directory.to_string());
 
@@ -74,6 +81,12 @@
     let servers = Servers(shared.clone());
     let table = shared.dialect.servers_table();
     tokio::spawn(follow::run(shared.clone(), table, servers));
+    tokio::spawn(follow::run(shared.clone(), MEMBERS, Members(shared.clone())));
+    tokio::spawn(follow::run(shared.clone(), CLAIMS, Claims(shared.clone())));
+    tokio::spawn(receive::run(shared.clone()));
+    tokio::spawn(members::run(shared.clone()));
+    tokio::spawn(sums::repeat(shared.clone()));
+    tokio::spawn(planner::run(shared.clone()));
     tokio::spawn(front::run(shared.clone(), callers));
     tokio::spawn(serve(readiness, directory::readiness(shared.clone())));
     tokio::spawn(serve(directory, directory::directory(shared.clone())));
@@ -92,6 +105,7 @@
 async fn leave(shared: &Shared) {
     info!(shared.log, "leaving");
     shared.leaving.send_replace(true);
+    members::beat(shared);
     let limit = shared.settings.bounds.stop.saturating_sub(STOP_MARGIN);
     let finished = async {
         sleep(LEAVE_TIME).await;
@@ -100,6 +114,7 @@
         }
     };
     let whole = timeout(limit, finished).await.is_ok();
+    members::resign(shared).await;
     info!(shared.log, "left"; "finished" => whole);
 }
 
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chestnut_base::{Code, Refusal};
+use chestnut_base::{Code, Refusal, ServerName};
 use chestnut_edge::RouteKind;
-use chestnut_pool::choose;
+use chestnut_pool::{Candidate, choose};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -21,12 +21,15 @@
 use crate::answer::{self, OutBody};
 use crate::attempt::{Answered, Missed, Place, attempt};
 use crate::job::Job;
-use crate::read;
 use crate::shared::Shared;
+use crate::{ask, planner, read};
 
 /// Servers that are tried for one request, at most.
 const TRIES: usize = 6;
 
+/// The status by which a server says that it lacks the model or the adapter.
+const MISDIRECTED: u16 = 421;
+
 /// How long a request waits for a server that holds its model.
 ///
 /// A load from the weight store takes one to two seconds; later than that another
@@ -72,9 +75,17 @@
 async fn run(job: Job) -> Result<Response<OutBody>, Refused> {
     let job = Box::new(job);
     job.shared.note_request(&job.service);
+    if let Some(target) = &job.call.target {
+        let size = job.call.size;
+        let tokens =
+            f64::from(size.prompt) + f64::from(size.output) * planner::OUTPUT_WEIGHT;
+        planner::note(&job.shared, &job.service, &target.model, tokens);
+    }
     let mut lost = None;
+    let mut lacking = None;
+    let mut rejected = Vec::new();
     for _ in 0..TRIES {
-        let Some(place) = pick(&job).await else {
+        let Some(place) = pick(&job, lacking.take(), &rejected).await else {
             return Err((no_server(&job, lost), job));
         };
         let missed = match attempt(&job, &place, job.call.resume_after).await {
@@ -86,6 +97,11 @@
         };
         info!(job.shared.log, "attempt missed"; "id" => job.id(),
             "server" => place.name.to_string(), "why" => format!("{missed:?}"));
+        match missed {
+            Missed::Rejected(MISDIRECTED) => lacking = Some(place.name),
+            Missed::Rejected(_) => rejected.push(place.name),
+            Missed::Unreachable(_) | Missed::Lost(_) | Missed::Late => {}
+        }
         if let Err(refusal) = allow_another(&job, missed, &mut lost) {
             return Err((refusal, job));
         }
@@ -156,30 +172,65 @@
 }
 
 /// Picks a server; waits for one if none can take the request.
-pub async fn pick(job: &Job) -> Option<Place> {
+///
+/// `lacking` is a server that turned out not to have the request's adapter;
+/// servers on `rejected` did not take the request and are asked only at last.
+pub async fn pick(
+    job: &Job,
+    lacking: Option<ServerName>,
+    rejected: &[ServerName],
+) -> Option<Place> {
     let limit = job.deadline.min(job.shared.now() + RESIDENCE_WAIT);
     let limit = Instant::from_std(limit);
     let mut listed = job.shared.listed.subscribe();
+    let mut avoid = rejected.to_vec();
     loop {
         listed.borrow_and_update();
-        if let Some(place) = pick_now(job) {
+        if let Some(place) = pick_now(job, &mut avoid, lacking.as_ref()).await {
             return Some(place);
         }
         job.call.target.as_ref()?;
+        avoid.clear();
         timeout_at(limit, listed.changed()).await.ok()?.ok()?;
     }
 }
 
-fn pick_now(job: &Job) -> Option<Place> {
+/// Picks a server that can take the request now; those whose adapter can't be
+/// loaded go to `avoid`.
+async fn pick_now(
+    job: &Job,
+    avoid: &mut Vec<ServerName>,
+    lacking: Option<&ServerName>,
+) -> Option<Place> {
+    loop {
+        let chosen = match job.call.target {
+            Some(_) => ask::pick(job, avoid).await?,
+            None => pick_plain(job)?,
+        };
+        let place = place(job, chosen)?;
+        let missed = lacking == Some(&place.name);
+        let ready = !chosen.bid.prepare && !missed;
+        if ready || ask::prepare(job, &place.name, missed).await {
+            return Some(place);
+        }
+        avoid.push(place.name);
+    }
+}
+
+fn pick_plain(job: &Job) -> Option<Candidate> {
     let shared = &job.shared;
     let (now, domain) = (shared.now(), &shared.settings.domain);
     let fleet = shared.fleet();
-    let chosen = choose(fleet.open(&job.service, now), &job.want(), domain, now)?;
+    choose(fleet.open(&job.service, now), &job.want(), domain, now)
+}
+
+fn place(job: &Job, chosen: Candidate) -> Option<Place> {
+    let fleet = job.shared.fleet();
     let server = fleet.get(chosen.key)?;
     let (name, addr) = (server.entry.name.clone(), server.entry.address);
-    info!(shared.log, "server picked"; "id" => job.id(), "server" => name.to_string(),
-        "cost_ms" => chosen.cost as u64, "requests" => server.own.requests,
-        "unread" => server.own.unread);
+    info!(job.shared.log, "server picked"; "id" => job.id(), "server" => name.to_string(),
+        "cost_ms" => chosen.bid.cost as u64, "requests" => chosen.bid.requests,
+        "prepare" => chosen.bid.prepare);
     Some(Place { key: chosen.key, name, addr })
 }
 
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -113,6 +113,11 @@
         Ok(settings)
     }
 
+    /// Where datagrams of other daemons are received.
+    pub fn peer_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.ports.0)
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         let (first, last) = self.ports;
         if first == 0 || last < first {
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -3,8 +3,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
-use chestnut_base::{Clock, ServiceName};
+use chestnut_base::{Clock, MemberId, ServerName, ServiceName};
 use chestnut_edge::{Declared, Dialect};
+use chestnut_member::{ClaimKey, Known};
 use chestnut_pool::budget::RetryBound;
 use chestnut_pool::{Fleet, RetryBudget};
 use indexmap::IndexMap;
@@ -12,7 +13,11 @@
 use tokio::sync::watch;
 
 use crate::client::Client;
+use crate::holder::Holder;
+use crate::members;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::planner::{Counts, Plans};
 use crate::settings::Settings;
 
 /// What the parts of the daemon share.
@@ -31,14 +36,30 @@
     pub metrics: Metrics,
     /// Connections to backend servers, the store and other daemons.
     pub client: Client,
+    /// Datagrams to and from other daemons.
+    pub peers: Peers,
+    /// When the daemon started.
+    pub started: Instant,
     /// The declarations in force; nothing until they are first known.
     pub declared: watch::Sender<Option<Arc<Declared>>>,
     /// Grows with each change of what backend servers say of themselves.
     pub listed: watch::Sender<u64>,
     /// Whether the daemon was told to stop.
     pub leaving: watch::Sender<bool>,
+    /// Whether the table of daemons was read.
+    pub members_read: watch::Sender<bool>,
+    /// Whether the table of claims was read.
+    pub claims_read: watch::Sender<bool>,
     fleet: Mutex<Fleet>,
+    known: Mutex<Known>,
+    holders: Mutex<IndexMap<ServerName, Arc<Holder>>>,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
+    counts: Mutex<Counts>,
+    plans: Mutex<IndexMap<ServiceName, Plans>>,
+    /// From when on this daemon may give orders under claims that it took.
+    turns: Mutex<IndexMap<ClaimKey, Instant>>,
+    /// The process that ran on this VM before.
+    previous: Mutex<Option<MemberId>>,
 }
 
 impl Shared {
@@ -48,8 +69,11 @@
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         log: Logger,
+        peers: Peers,
     ) -> Self {
         Self {
+            started: clock.now(),
+            peers,
             settings,
             dialect,
             clock,
@@ -59,8 +83,16 @@
             declared: watch::Sender::new(None),
             listed: watch::Sender::new(0),
             leaving: watch::Sender::new(false),
+            members_read: watch::Sender::new(false),
+            claims_read: watch::Sender::new(false),
             fleet: Mutex::default(),
+            known: Mutex::default(),
+            holders: Mutex::default(),
             budgets: Mutex::default(),
+            counts: Mutex::default(),
+            plans: Mutex::default(),
+            turns: Mutex::default(),
+            previous: Mutex::default(),
         }
     }
 
@@ -74,6 +106,56 @@
         self.fleet.lock().expect("no holder of the lock panics")
     }
 
+    /// Daemons and claims.
+    pub fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().expect("no holder of the lock panics")
+    }
+
+    /// The runners whose claims this daemon holds.
+    pub fn holders(&self) -> MutexGuard<'_, IndexMap<ServerName, Arc<Holder>>> {
+        self.holders.lock().expect("no holder of the lock panics")
+    }
+
+    /// A runner whose claim this daemon holds.
+    pub fn holder(&self, server: &ServerName) -> Option<Arc<Holder>> {
+        self.holders().get(server).cloned()
+    }
+
+    /// What callers have asked of this daemon's models.
+    pub fn counts(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().expect("no holder of the lock panics")
+    }
+
+    /// What is known of the services that this daemon plans for.
+    pub fn plans(&self) -> MutexGuard<'_, IndexMap<ServiceName, Plans>> {
+        self.plans.lock().expect("no holder of the lock panics")
+    }
+
+    /// Notes from when on orders may be given under a claim.
+    pub fn note_turn(&self, key: ClaimKey, from: Instant) {
+        self.turns.lock().expect("no holder of the lock panics").insert(key, from);
+    }
+
+    /// From when on orders may be given under a claim.
+    pub fn turn(&self, key: &ClaimKey) -> Option<Instant> {
+        self.turns.lock().expect("no holder of the lock panics").get(key).copied()
+    }
+
+    /// Notes the process that ran on this VM before.
+    pub fn note_previous(&self, member: MemberId) {
+        *self.previous.lock().expect("no holder of the lock panics") = Some(member);
+    }
+
+    /// The process that ran on this VM before.
+    pub fn previous(&self) -> Option<MemberId> {
+        *self.previous.lock().expect("no holder of the lock panics")
+    }
+
+    /// Whether this VM's daemon was there before, so that others have their claims.
+    pub fn is_back(&self) -> bool {
+        self.previous().is_some()
+    }
+
     /// The declarations in force.
     pub fn declared(&self) -> Option<Arc<Declared>> {
         self.declared.borrow().clone()
@@ -102,7 +184,7 @@
             slack: bounds.retry_slack,
             window: bounds.retry_window,
         };
-        let daemons = 6;
+        let daemons = members::count(self);
         let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
         budgets.entry(service.clone()).or_default().take(bound, daemons, now)
     }
--- /dev/null
+++ b/crates/gate/src/sums.rs
@@ -0,0 +1,79 @@
+//! Tells the holders of runners what this daemon has in flight there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnut_base::{MemberId, ServerName};
+use chestnut_edge::TargetModel;
+use chestnut_pool::{ServerKey, Usage};
+use tokio::time::sleep;
+
+use crate::ask::holder_addr;
+use crate::message::Message;
+use crate::shared::Shared;
+
+/// How often sums that are not zero are repeated.
+///
+/// A lost datagram leaves a holder's total wrong for that long; a holder that takes
+/// a claim over knows all sums after it.
+const REPEAT: Duration = Duration::from_secs(1);
+
+/// Tells a runner's holder what this daemon has in flight there now.
+pub fn tell(shared: &Shared, key: ServerKey, target: Option<TargetModel>) {
+    let (server, usage) = {
+        let fleet = shared.fleet();
+        let Some(server) = fleet.get(key) else { return };
+        if server.entry.models.is_empty() {
+            return;
+        }
+        (server.entry.name.clone(), server.own)
+    };
+    tell_sum(shared, server, usage, target);
+}
+
+fn tell_sum(
+    shared: &Shared,
+    server: ServerName,
+    usage: Usage,
+    target: Option<TargetModel>,
+) {
+    if shared.holder(&server).is_some() {
+        take(shared, shared.peers.me, &server, usage, target.as_ref());
+    } else if let Some(addr) = holder_addr(shared, &server) {
+        shared.peers.send(addr, Message::Sum { server, usage, target });
+    }
+}
+
+/// Takes in what a daemon has in flight at a runner.
+pub fn take(
+    shared: &Shared,
+    from: MemberId,
+    server: &ServerName,
+    usage: Usage,
+    target: Option<&TargetModel>,
+) {
+    let Some(holder) = shared.holder(server) else { return };
+    let now = shared.now();
+    let mut state = holder.state();
+    state.report(from, usage, now);
+    if let Some(target) = target {
+        state.touch(target, now);
+    }
+}
+
+/// Repeats sums that are not zero.
+pub async fn repeat(shared: Arc<Shared>) {
+    loop {
+        sleep(REPEAT).await;
+        let sums: Vec<(ServerName, Usage)> = {
+            let fleet = shared.fleet();
+            let busy = fleet.iter().filter(|(_, server)| server.own.requests > 0);
+            busy.filter(|(_, server)| !server.entry.models.is_empty())
+                .map(|(_, server)| (server.entry.name.clone(), server.own))
+                .collect()
+        };
+        for (server, usage) in sums {
+            tell_sum(&shared, server, usage, None);
+        }
+    }
+}
--- a/crates/lab/src/moves/mod.rs
+++ b/crates/lab/src/moves/mod.rs
@@ -202,5 +202,6 @@
         parallel: models * 2,
         attainment_weight: 1.0,
         move_weight: 1.0,
+        horizon: chestnut_place::planner::HORIZON,
     }
 }
--- a/crates/lab/src/moves/policy.rs
+++ b/crates/lab/src/moves/policy.rs
@@ -112,6 +112,7 @@
             parallel: site.parallel,
             attainment_weight: site.attainment_weight,
             move_weight: site.move_weight,
+            horizon: chestnut_place::planner::HORIZON,
         };
         plan(&pool).placed
     }
--- a/crates/node/src/planner/scene.rs
+++ b/crates/node/src/planner/scene.rs
@@ -110,6 +110,7 @@
             parallel: self.declared.parallel_loads.max(1) as usize,
             attainment_weight: self.declared.attainment_weight,
             move_weight: self.declared.move_weight,
+            horizon: chestnut_place::planner::HORIZON,
         }
     }
 
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -20,14 +20,27 @@
 pub const SLOW_HALF: Duration = Duration::from_secs(600);
 
 /// The averages of one model's demand, in tokens a second.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Demand {
     fast: f64,
     slow: f64,
     started: bool,
+    fast_half: Duration,
+    slow_half: Duration,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Self::with_halves(FAST_HALF, SLOW_HALF)
+    }
 }
 
 impl Demand {
+    /// Creates averages that forget half in these times.
+    pub fn with_halves(fast_half: Duration, slow_half: Duration) -> Self {
+        Self { fast: 0.0, slow: 0.0, started: false, fast_half, slow_half }
+    }
+
     /// Takes in the tokens that were asked for during `time`.
     ///
     /// The first call sets both averages.
@@ -37,11 +50,11 @@
         }
         let rate = tokens / time.as_secs_f64();
         if !self.started {
-            *self = Self { fast: rate, slow: rate, started: true };
+            (self.fast, self.slow, self.started) = (rate, rate, true);
             return;
         }
-        self.fast += (rate - self.fast) * weight(time, FAST_HALF);
-        self.slow += (rate - self.slow) * weight(time, SLOW_HALF);
+        self.fast += (rate - self.fast) * weight(time, self.fast_half);
+        self.slow += (rate - self.slow) * weight(time, self.slow_half);
     }
 
     /// The demand to plan for, in tokens a second.
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -31,11 +31,11 @@
 /// Above it, waits grow steeply with the load's variation.
 pub const FILL: f64 = 0.85;
 
-/// How long a change of demand is expected to last.
+/// How long a change of demand is expected to last where loads take a minute.
 ///
 /// A load that takes this long gains nothing. Demand that moves tenfold within
 /// an hour stays on a level for some ten minutes.
-const HORIZON: Duration = Duration::from_secs(600);
+pub const HORIZON: Duration = Duration::from_secs(600);
 
 /// How many times its cost a move must be worth, for weights of 1.
 ///
@@ -63,6 +63,8 @@
     pub attainment_weight: f64,
     /// What one move costs.
     pub move_weight: f64,
+    /// How long a change of demand is expected to last.
+    pub horizon: Duration,
 }
 
 /// A runner.
@@ -279,7 +281,7 @@
         let pool = self.pool;
         let gained = excess.min(self.spare(site.runner, &site.evicted)) - site.loss;
         let percent = 100.0 * gained / pool.throughput;
-        let cold = pool.models[model].cold.as_secs_f64() / HORIZON.as_secs_f64();
+        let cold = pool.models[model].cold.as_secs_f64() / pool.horizon.as_secs_f64();
         let gain = pool.attainment_weight * percent * (1.0 - cold).max(0.0);
         let loads = 1.0 + EVICTION * site.evicted.len() as f64;
         gain - pool.move_weight * loads * PAYBACK
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -26,6 +26,7 @@
         parallel: 2,
         attainment_weight: 1.0,
         move_weight: 1.0,
+        horizon: chestnut_place::planner::HORIZON,
     }
 }
 
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -1,14 +1,23 @@
 //! Which server gets a request.
+//!
+//! Load pattern: bursts of generations whose prompts differ a hundredfold, over
+//! runners that many daemons send to. A daemon that goes by its own counts sends
+//! into queues that it does not see; the busiest runner then has twice the mean.
+//! Each runner's holder therefore estimates, from the sums of all daemons, when a
+//! request's first event would come, and the daemon takes the least estimate.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use chestnut_base::DomainName;
 use chestnut_edge::{Size, TargetModel};
+use serde::{Deserialize, Serialize};
 
 use crate::fleet::{Server, ServerKey};
+use crate::runner::{AdapterState, Runner};
+use crate::usage::Usage;
 
 /// What a request needs.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Want {
     /// The model, if it is a generation.
     pub target: Option<TargetModel>,
@@ -16,20 +25,31 @@
     pub size: Size,
 }
 
+/// An estimate of how soon a server would answer.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Bid {
+    /// The time to the first event, in milliseconds.
+    pub cost: f64,
+    /// Whether an adapter has to be loaded first.
+    pub prepare: bool,
+    /// Requests in flight there, from all daemons.
+    pub requests: u32,
+}
+
 /// A server that could take a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
     /// The server.
     pub key: ServerKey,
-    /// The estimated time to its first byte, in milliseconds.
-    pub cost: f64,
+    /// What its holder estimates.
+    pub bid: Bid,
 }
 
-/// Prompt tokens that a runner reads in a millisecond.
+/// Prompt tokens that a runner reads in a millisecond, about.
 const READ_RATE: f64 = 20.0;
 
 /// How much later a first event is for each request that runs, in milliseconds.
-const RUN_COST: f64 = 1.0;
+const RUN_COST: f64 = 2.0;
 
 /// What an earlier failure costs, in milliseconds.
 const FAILURE_COST: f64 = 400.0;
@@ -37,26 +57,68 @@
 /// What a way to another failure domain costs, in milliseconds.
 const DOMAIN_COST: f64 = 3.0;
 
-/// Picks the server that is expected to answer first.
+/// What the load of an adapter costs, in milliseconds: the load and two orders.
+const ADAPTER_COST: f64 = 25.0;
+
+/// What it costs to take the place of another adapter, in milliseconds; it may be
+/// asked for again.
+const EVICTION_COST: f64 = 40.0;
+
+/// What it costs to wait for a place among adapters in use, in milliseconds.
+const FULL_COST: f64 = 2000.0;
+
+/// What a server costs whose holder did not answer, in milliseconds.
+pub const SILENT_COST: f64 = 60.0;
+
+/// Estimates a server's answer from what is in flight there.
+pub fn estimate(usage: Usage, size: Size) -> f64 {
+    let unread = usage.unread as f64 + f64::from(size.prompt);
+    unread / READ_RATE + f64::from(usage.requests) * RUN_COST
+}
+
+/// The estimate of a runner's holder.
+pub fn bid(runner: &Runner, want: &Want, places: usize, now: Instant) -> Bid {
+    let total = runner.total(now);
+    let gone = |target: &TargetModel| runner.unloads(&target.model);
+    if want.target.as_ref().is_some_and(gone) {
+        return Bid { cost: f64::INFINITY, prepare: false, requests: total.requests };
+    }
+    let ready = AdapterState::Ready;
+    let state = want.target.as_ref().map_or(ready, |t| runner.adapter(t, places, now));
+    // The runner takes one order at a time.
+    let busy = millis(runner.busy(now));
+    let (extra, prepare) = match state {
+        AdapterState::Ready => (0.0, false),
+        AdapterState::Coming(left) => (millis(left), true),
+        AdapterState::Free => (busy + ADAPTER_COST, true),
+        AdapterState::Evict => (busy + ADAPTER_COST + EVICTION_COST, true),
+        AdapterState::Full => (busy + FULL_COST, true),
+    };
+    let cost = estimate(total, want.size) + extra;
+    Bid { cost, prepare, requests: total.requests }
+}
+
+/// What a daemon itself adds to a server's cost, in milliseconds.
+pub fn local_cost(server: &Server, domain: &DomainName, now: Instant) -> f64 {
+    let away = if server.entry.domain == *domain { 0.0 } else { DOMAIN_COST };
+    server.health.penalty(now) * FAILURE_COST + away
+}
+
+/// Picks a server by this daemon's own counts.
 pub fn choose<'a>(
     servers: impl Iterator<Item = (ServerKey, &'a Server)>,
     want: &Want,
     domain: &DomainName,
     now: Instant,
 ) -> Option<Candidate> {
-    servers
-        .filter(|(_, server)| {
-            want.target.as_ref().is_none_or(|target| server.holds(target))
-        })
-        .map(|(key, server)| Candidate { key, cost: cost(server, want, domain, now) })
-        .min_by(|a, b| a.cost.total_cmp(&b.cost))
+    let candidate = |(key, server): (ServerKey, &Server)| {
+        let cost = estimate(server.own, want.size) + local_cost(server, domain, now);
+        let bid = Bid { cost, prepare: false, requests: server.own.requests };
+        Candidate { key, bid }
+    };
+    servers.map(candidate).min_by(|a, b| a.bid.cost.total_cmp(&b.bid.cost))
 }
 
-fn cost(server: &Server, want: &Want, domain: &DomainName, now: Instant) -> f64 {
-    let unread = server.own.unread as f64 + f64::from(want.size.prompt);
-    let away = if server.entry.domain == *domain { 0.0 } else { DOMAIN_COST };
-    unread / READ_RATE
-        + f64::from(server.own.requests) * RUN_COST
-        + server.health.penalty(now) * FAILURE_COST
-        + away
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -5,17 +5,24 @@
 //! 1. [`fleet`] is the table of servers as the registry lists them,
 //! 2. [`health`] tells how far a server's recent answers can be trusted,
 //! 3. [`usage`] counts what is in flight where,
-//! 4. [`choose`] picks the server for a request,
-//! 5. [`budget`] bounds how often requests are sent again.
+//! 4. [`runner`] is what the holder of a runner's claim knows of it,
+//! 5. [`choose`] estimates and picks the server for a request,
+//! 6. [`budget`] bounds how often requests are sent again.
+//!
+//! Beside them, [`pace`] bounds how fast models are loaded.
 
 pub mod budget;
 pub mod choose;
 pub mod fleet;
 pub mod health;
+pub mod pace;
+pub mod runner;
 pub mod usage;
 
 pub use budget::RetryBudget;
-pub use choose::{Candidate, Want, choose};
+pub use choose::{Bid, Candidate, Want, bid, choose, estimate, local_cost};
 pub use fleet::{Fleet, Server, ServerKey};
 pub use health::Health;
+pub use pace::Pace;
+pub use runner::{AdapterState, Runner};
 pub use usage::{Flight, Usage};
--- /dev/null
+++ b/crates/pool/src/runner.rs
@@ -0,0 +1,257 @@
+//! What the holder of a runner's claim knows of it.
+//!
+//! Every daemon that sends requests to the runner tells the holder its own sum, so
+//! that the holder's total is exact but for messages on their way. The holder alone
+//! gives orders, so that it also knows what the runner holds before the registry
+//! says so.
+
+use std::time::{Duration, Instant};
+
+use chestnut_base::{AdapterName, MemberId, ModelName};
+use chestnut_edge::{EngineReport, HeldModel, OrderStep, TargetModel};
+use indexmap::IndexMap;
+
+use crate::usage::Usage;
+
+/// How long a daemon's sum counts without being repeated.
+///
+/// Daemons repeat sums that are not zero every second; three lost messages in a
+/// row mean that the daemon is gone.
+const SUM_TIME: Duration = Duration::from_millis(3500);
+
+/// How long an adapter counts as in use after it was last asked for.
+///
+/// A note of 70 tokens takes about a second; unloading an adapter that is in use
+/// holds up the runner's orders until its runs have ended.
+const ADAPTER_USE: Duration = Duration::from_secs(2);
+
+/// How long a runner that reports an order in progress is left alone.
+const BUSY_TIME: Duration = Duration::from_millis(200);
+
+/// An adapter on a runner.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Slot {
+    /// When its load is expected to be complete.
+    ready: Instant,
+    /// When it was last asked for.
+    used: Instant,
+}
+
+/// How far a runner is from serving an adapter.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum AdapterState {
+    /// It is there.
+    Ready,
+    /// It is on its way.
+    Coming(Duration),
+    /// It is not there, and a place is free.
+    Free,
+    /// It is not there, and another one that is not in use has to go.
+    Evict,
+    /// It is not there, and all places are in use.
+    Full,
+}
+
+/// What the holder of a runner's claim knows of it.
+#[derive(Debug, Default)]
+pub struct Runner {
+    /// What each daemon has in flight there.
+    sums: IndexMap<MemberId, (Usage, Instant)>,
+    adapters: IndexMap<TargetModel, Slot>,
+    models: Vec<ModelName>,
+    /// The model that is being unloaded; requests for it are rejected.
+    leaving: Option<ModelName>,
+    /// The number of orders that the runner has accepted; nothing if unknown.
+    orders: Option<u64>,
+    /// Orders that it is known to have accepted; older reports tell nothing.
+    floor: u64,
+    /// Until when an order is expected to be in progress.
+    busy: Option<Instant>,
+}
+
+impl Runner {
+    /// Takes in what a daemon has in flight.
+    pub fn report(&mut self, from: MemberId, usage: Usage, now: Instant) {
+        match usage == Usage::default() {
+            true => drop(self.sums.swap_remove(&from)),
+            false => drop(self.sums.insert(from, (usage, now))),
+        }
+    }
+
+    /// What all daemons have in flight.
+    pub fn total(&self, now: Instant) -> Usage {
+        let fresh = |at: Instant| now.saturating_duration_since(at) < SUM_TIME;
+        let mut total = Usage::default();
+        for (usage, at) in self.sums.values() {
+            if fresh(*at) {
+                total += *usage;
+            }
+        }
+        total
+    }
+
+    /// Takes in a report; returns whether it tells what the runner holds now.
+    ///
+    /// Reports are some hundred milliseconds old. One from before the last order
+    /// shows models that are gone and memory that is taken: loading by it would
+    /// crash the runner.
+    pub fn learn(&mut self, report: &EngineReport, now: Instant) -> bool {
+        if report.orders < self.floor {
+            return false;
+        }
+        self.floor = report.orders;
+        if report.busy {
+            // A model on its way is not among those that the report lists.
+            self.busy = Some(now + BUSY_TIME);
+            return false;
+        }
+        self.orders = Some(report.orders);
+        self.busy = None;
+        self.leaving = None;
+        self.learn_models(&report.models, now);
+        for (model, adapter) in &report.coming {
+            let slot = Slot { ready: now, used: now };
+            self.adapters.entry(target(model, adapter)).or_insert(slot);
+        }
+        true
+    }
+
+    /// Takes in which models and adapters the runner holds.
+    fn learn_models(&mut self, held: &[HeldModel], now: Instant) {
+        self.models = held.iter().map(|held| held.model.clone()).collect();
+        let mut adapters = IndexMap::new();
+        for model in held {
+            for adapter in &model.adapters {
+                let target = TargetModel {
+                    model: model.model.clone(),
+                    adapter: Some(adapter.clone()),
+                };
+                let known = self.adapters.get(&target).copied();
+                let slot = known.unwrap_or(Slot { ready: now, used: now });
+                adapters.insert(target, slot);
+            }
+        }
+        self.adapters = adapters;
+    }
+
+    /// Forgets what is known of the runner's orders, after an answer that does not
+    /// fit or was lost.
+    pub fn doubt(&mut self) {
+        self.orders = None;
+    }
+
+    /// The number of orders that the runner has accepted.
+    pub fn orders(&self) -> Option<u64> {
+        self.orders
+    }
+
+    /// The models that the runner holds.
+    pub fn models(&self) -> &[ModelName] {
+        &self.models
+    }
+
+    /// Whether a model is being unloaded.
+    pub fn unloads(&self, model: &ModelName) -> bool {
+        self.leaving.as_ref() == Some(model)
+    }
+
+    /// How long an order is expected to be in progress.
+    pub fn busy(&self, now: Instant) -> Duration {
+        self.busy.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Takes in that the runner has accepted an order that takes `time`.
+    pub fn accepted(&mut self, step: &OrderStep, time: Duration, now: Instant) {
+        self.orders = self.orders.map(|orders| orders + 1);
+        self.floor = self.orders.unwrap_or(self.floor);
+        match step {
+            OrderStep::Load(model) => {
+                self.busy = Some(now + time);
+                self.models.push(model.clone());
+            }
+            // The model keeps its memory until its runs have ended.
+            OrderStep::Unload(model) => {
+                self.busy = Some(now + time);
+                self.leaving = Some(model.clone());
+            }
+            OrderStep::LoadAdapter(model, adapter) => {
+                let slot = Slot { ready: now + time, used: now };
+                self.adapters.insert(target(model, adapter), slot);
+            }
+            OrderStep::UnloadAdapter(..) => {}
+        }
+    }
+
+    /// Takes in that what was ordered holds.
+    pub fn holds(&mut self, step: &OrderStep, now: Instant) {
+        match step {
+            OrderStep::Load(model) if !self.models.contains(model) => {
+                self.models.push(model.clone());
+            }
+            OrderStep::Load(_) => {}
+            OrderStep::Unload(model) => {
+                self.models.retain(|held| held != model);
+                self.adapters.retain(|target, _| target.model != *model);
+            }
+            OrderStep::LoadAdapter(model, adapter) => {
+                let slot = Slot { ready: now, used: now };
+                self.adapters.insert(target(model, adapter), slot);
+            }
+            // An adapter that nothing uses is dropped at once, by an accepted order.
+            OrderStep::UnloadAdapter(model, adapter) => {
+                self.adapters.swap_remove(&target(model, adapter));
+                self.orders = self.orders.map(|orders| orders + 1);
+                self.floor = self.orders.unwrap_or(self.floor);
+            }
+        }
+    }
+
+    /// Takes note that a request for an adapter is sent.
+    pub fn touch(&mut self, target: &TargetModel, now: Instant) {
+        if let Some(slot) = self.adapters.get_mut(target) {
+            slot.used = now;
+        }
+    }
+
+    /// Takes note that the runner does not have an adapter that it was thought to.
+    pub fn lacks(&mut self, target: &TargetModel) {
+        self.adapters.swap_remove(target);
+    }
+
+    /// How far the runner is from serving an adapter; it has `places` in all.
+    pub fn adapter(
+        &self,
+        target: &TargetModel,
+        places: usize,
+        now: Instant,
+    ) -> AdapterState {
+        if target.adapter.is_none() {
+            return AdapterState::Ready;
+        }
+        if let Some(slot) = self.adapters.get(target) {
+            let left = slot.ready.saturating_duration_since(now);
+            return match left.is_zero() {
+                true => AdapterState::Ready,
+                false => AdapterState::Coming(left),
+            };
+        }
+        if self.adapters.len() < places {
+            return AdapterState::Free;
+        }
+        match self.victim(now) {
+            Some(_) => AdapterState::Evict,
+            None => AdapterState::Full,
+        }
+    }
+
+    /// The adapter that was not asked for the longest, if it is not in use.
+    pub fn victim(&self, now: Instant) -> Option<&TargetModel> {
+        let idle = |slot: &Slot| now.saturating_duration_since(slot.used) >= ADAPTER_USE;
+        let oldest = self.adapters.iter().min_by_key(|(_, slot)| slot.used)?;
+        idle(oldest.1).then_some(oldest.0)
+    }
+}
+
+fn target(model: &ModelName, adapter: &AdapterName) -> TargetModel {
+    TargetModel { model: model.clone(), adapter: Some(adapter.clone()) }
+}
