--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -35,6 +35,13 @@
     pub output: u32,
 }
 
+impl Size {
+    /// The tokens that the generation takes in the KV cache.
+    pub fn tokens(self) -> u64 {
+        u64::from(self.prompt) + u64::from(self.output)
+    }
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PromptPart {
--- a/crates/edge/src/declared.rs
+++ b/crates/edge/src/declared.rs
@@ -150,6 +150,14 @@
     }
 }
 
+impl Engine {
+    /// Memory that is kept free for a server's adapters, in megabytes.
+    pub fn adapter_reserve(&self) -> f64 {
+        let largest = self.models.values().map(|model| model.adapter_mb);
+        largest.fold(0.0, f64::max) * self.adapter_slots as f64
+    }
+}
+
 impl Declared {
     /// The route of a request: the longest prefix among those of the host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -3,6 +3,8 @@
 //! An answer that breaks off on its way must not look complete: the connection to
 //! the caller is cut then, unless another server can go on where the answer broke.
 
+use std::time::{Duration, Instant};
+
 use bytes::{Bytes, BytesMut};
 use chestnut_base::{Code, Refusal};
 use futures::stream::unfold;
@@ -127,6 +129,11 @@
     last: Option<u64>,
     passed: u64,
     ended: bool,
+    /// From the sending to the first event.
+    first: Option<Duration>,
+    /// The longest pause between events.
+    pause: Duration,
+    at: Instant,
 }
 
 /// What the server's answer brings next.
@@ -141,7 +148,17 @@
     fn new(job: Box<Job>, answered: Answered) -> Self {
         let last = job.call.resume_after;
         let events = Events::default();
-        Self { job, source: Some(answered), events, last, passed: 0, ended: false }
+        Self {
+            job,
+            source: Some(answered),
+            events,
+            last,
+            passed: 0,
+            ended: false,
+            first: None,
+            pause: Duration::ZERO,
+            at: Instant::now(),
+        }
     }
 
     async fn step(mut self) -> Option<(Result<Frame<Bytes>, Cut>, Self)> {
@@ -210,6 +227,14 @@
         }
         self.last = event.id.or(self.last);
         self.passed += 1;
+        let now = Instant::now();
+        let gap = now.duration_since(self.at);
+        self.at = now;
+        if self.first.is_none() {
+            self.first = Some(now.duration_since(self.job.sent));
+        } else {
+            self.pause = self.pause.max(gap);
+        }
         Next::Event(event.bytes)
     }
 
@@ -258,7 +283,14 @@
             return;
         }
         let place = self.source.as_ref().map(|source| source.place.name.to_string());
-        let detail = format!("{} events {why}", self.passed);
+        let detail = format!(
+            "{} events first {} pause {} prompt {} out {} {why}",
+            self.passed,
+            self.first.map_or(-1, |t| t.as_millis() as i64),
+            self.pause.as_millis(),
+            self.job.call.size.prompt,
+            self.job.call.size.output
+        );
         self.job.ended(end, &place.unwrap_or_default(), &detail);
     }
 }
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -5,18 +5,20 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{MemberId, ServerName};
-use chestnut_edge::{Engine, TargetModel};
+use chestnut_edge::Engine;
 use chestnut_member::ClaimKey;
 use chestnut_pool::choose::SILENT_COST;
 use chestnut_pool::{Bid, Candidate, ServerKey, Want, bid, estimate, local_cost};
 use futures::future::join_all;
 use indexmap::IndexMap;
 use slog::info;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
-use crate::holder::{Holder, adapter_target};
+use crate::grant::{self, Reply};
+use crate::holder::{self, Holder};
 use crate::job::Job;
-use crate::message::Message;
+use crate::message::{Message, Verdict};
 use crate::shared::Shared;
 
 /// How long other daemons may take to answer.
@@ -25,14 +27,14 @@
 /// answer could gain is less.
 const BID_TIME: Duration = Duration::from_millis(12);
 
-/// How long the load of an adapter may take to be ordered, in tries of this time.
-const PREPARE_TIME: Duration = Duration::from_millis(60);
+/// How long a holder may take to say that a request waits.
+const TAKE_TIME: Duration = Duration::from_millis(20);
 
-/// Tries to have an adapter loaded.
-const PREPARE_TRIES: usize = 2;
+/// How long a holder may be silent about a request that waits.
+const QUEUE_TIME: Duration = Duration::from_millis(250);
 
-/// What is left to an adapter's load after which a request may be sent.
-const PREPARE_SLACK: Duration = Duration::from_millis(1);
+/// Questions in a row without an answer after which a holder counts as gone.
+const TAKE_TRIES: usize = 3;
 
 /// A runner that could take a request.
 struct Runner {
@@ -61,7 +63,7 @@
     if runners.is_empty() {
         return None;
     }
-    let want = job.want();
+    let want = job.want()?;
     let mut bids = ask(&job.shared, &runners, &want, &job.engine()?).await;
     let cost = |runner: &Runner| {
         let bid = bids.get(&runner.name);
@@ -69,7 +71,7 @@
         cost + runner.local
     };
     let best = runners.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-    let silent = Bid { cost: best.own, prepare: want.target.is_some(), requests: 0 };
+    let silent = Bid { cost: best.own, requests: 0 };
     let bid = bids.swap_remove(&best.name).unwrap_or(silent);
     if bid.cost.is_infinite() {
         return None;
@@ -146,11 +148,11 @@
     servers: Vec<ServerName>,
     want: &Want,
 ) -> Vec<(ServerName, Bid)> {
-    let (number, answer) = shared.peers.expect();
+    let (number, mut answer) = shared.peers.expect();
     let message = Message::Ask { number, servers, want: want.clone() };
     shared.peers.send(addr, message);
-    match timeout(BID_TIME, answer).await {
-        Ok(Ok(Message::Bids { bids, .. })) => bids,
+    match timeout(BID_TIME, answer.recv()).await {
+        Ok(Some(Message::Bids { bids, .. })) => bids,
         // Lost or late: the runners are judged by this daemon's own counts.
         _ => Vec::new(),
     }
@@ -182,80 +184,104 @@
     Some(declared.services.get(&service)?.engine.as_ref()?.adapter_slots)
 }
 
-/// Has an adapter loaded on a runner and waits until it is there.
-pub async fn prepare(job: &Job, server: &ServerName, missed: bool) -> bool {
-    let Some(target) = job.call.target.clone() else { return true };
+/// What came of asking to send a request to a runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// It is to be sent now.
+    Send,
+    /// It can't be sent to this runner.
+    Denied,
+    /// The runner's holder does not answer.
+    Silent,
+}
+
+/// Waits for a request's turn at a runner.
+///
+/// `missed` says that the runner has just said that it lacks the adapter.
+pub async fn turn(job: &Job, server: &ServerName, missed: bool) -> Turn {
     let began = Instant::now();
-    let ready = order_adapter(&job.shared, server, &target, missed).await;
-    info!(job.shared.log, "adapter asked for"; "id" => job.id(), "server" => server.to_string(),
-        "adapter" => target.to_string(), "missed" => missed,
-        "took_ms" => began.elapsed().as_millis() as u64,
-        "ready_ms" => ready.map(|ready| ready.as_millis() as u64));
-    let Some(ready) = ready else { return false };
-    if !ready.is_zero() {
-        sleep(ready + PREPARE_SLACK).await;
-    }
-    true
+    let (number, receiver) = job.shared.peers.expect();
+    let place = Place { job, server, number, settled: false };
+    let turn = match job.shared.holder(server) {
+        Some(holder) => place.here(&holder, missed).await,
+        None => place.there(receiver, missed).await,
+    };
+    info!(job.shared.log, "turn"; "id" => job.id(), "server" => server.to_string(),
+        "turn" => format!("{turn:?}"), "missed" => missed,
+        "waited_ms" => began.elapsed().as_millis() as u64);
+    turn
 }
 
-async fn order_adapter(
-    shared: &Shared,
-    server: &ServerName,
-    target: &TargetModel,
-    missed: bool,
-) -> Option<Duration> {
-    if let Some(holder) = shared.holder(server) {
-        return prepare_here(holder, target.clone(), missed).await;
-    }
-    let addr = holder_addr(shared, server)?;
-    for attempt in 0..PREPARE_TRIES {
-        let (number, answer) = shared.peers.expect();
-        let message = Message::Prepare {
-            number,
-            server: server.clone(),
-            model: target.model.clone(),
-            adapter: target.adapter.clone()?,
-            missed: missed && attempt == 0,
-        };
-        shared.peers.send(addr, message);
-        if let Ok(Ok(Message::Prepared { ready_ms, .. })) =
-            timeout(PREPARE_TIME, answer).await
-        {
-            return ready_ms.map(|ms| Duration::from_millis(ms.into()));
+/// A request's place in a runner's lane; given up when dropped before its turn.
+struct Place<'a> {
+    job: &'a Job,
+    server: &'a ServerName,
+    number: u64,
+    settled: bool,
+}
+
+impl Place<'_> {
+    async fn here(mut self, holder: &Arc<Holder>, missed: bool) -> Turn {
+        let shared = &self.job.shared;
+        let (sender, receiver) = oneshot::channel();
+        let Some(want) = self.job.want() else { return Turn::Denied };
+        let asker = (shared.peers.me, self.number);
+        grant::take(shared, holder, asker, want, missed, Reply::Here(sender));
+        let verdict = receiver.await;
+        self.settled = true;
+        match verdict {
+            Ok(Verdict::Send) => Turn::Send,
+            Ok(Verdict::Denied | Verdict::Queued) => Turn::Denied,
+            // The claim was lost.
+            Err(_) => Turn::Silent,
         }
     }
-    None
-}
 
-async fn prepare_here(
-    holder: Arc<Holder>,
-    target: TargetModel,
-    missed: bool,
-) -> Option<Duration> {
-    let limit = PREPARE_TIME * PREPARE_TRIES as u32;
-    timeout(limit, holder.prepare(target, missed)).await.ok().flatten()
-}
+    async fn there(
+        mut self,
+        mut receiver: mpsc::UnboundedReceiver<Message>,
+        missed: bool,
+    ) -> Turn {
+        let shared = &self.job.shared;
+        let mut silent = 0;
+        while silent < TAKE_TRIES {
+            let Some(want) = self.job.want() else { return Turn::Denied };
+            let Some(addr) = holder::addr(shared, self.server) else { break };
+            let (number, server) = (self.number, self.server.clone());
+            shared.peers.send(addr, Message::Take { number, server, want, missed });
+            let mut wait = TAKE_TIME;
+            loop {
+                let answer = timeout(wait, receiver.recv()).await;
+                let Ok(Some(Message::Taken { verdict, .. })) = answer else { break };
+                silent = 0;
+                match verdict {
+                    Verdict::Queued => wait = QUEUE_TIME,
+                    Verdict::Send => return self.settle(Turn::Send),
+                    Verdict::Denied => return self.settle(Turn::Denied),
+                }
+            }
+            silent += 1;
+        }
+        Turn::Silent
+    }
 
-/// Answers another daemon that wants an adapter loaded.
-pub async fn answer_prepare(
-    shared: Arc<Shared>,
-    from: SocketAddr,
-    number: u64,
-    server: ServerName,
-    (model, adapter): (chestnut_base::ModelName, chestnut_base::AdapterName),
-    missed: bool,
-) {
-    let Some(holder) = shared.holder(&server) else { return };
-    let ready = holder.prepare(adapter_target(model, adapter), missed).await;
-    let ready_ms = ready.map(|ready| ready.as_millis() as u32);
-    shared.peers.send(from, Message::Prepared { number, ready_ms });
+    fn settle(&mut self, turn: Turn) -> Turn {
+        self.settled = true;
+        turn
+    }
 }
 
-/// Where the holder of a runner's claim receives datagrams.
-pub fn holder_addr(shared: &Shared, server: &ServerName) -> Option<SocketAddr> {
-    let known = shared.known();
-    let (row, _) = known.claims.get(&ClaimKey::Server(server.clone()))?;
-    let holder = row.holder?;
-    let mut rows = known.members.values();
-    rows.find(|(row, _)| row.member == holder).map(|(row, _)| row.peer_addr)
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let shared = &self.job.shared;
+        let (number, server) = (self.number, self.server.clone());
+        if let Some(holder) = shared.holder(&server) {
+            grant::leave(&holder, (shared.peers.me, number));
+        } else if let Some(addr) = holder::addr(shared, &server) {
+            shared.peers.send(addr, Message::Leave { number, server });
+        }
+    }
 }
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -28,7 +28,7 @@
     /// Counts a request.
     pub fn new(job: &Job, key: ServerKey) -> Self {
         let shared = job.shared.clone();
-        let flight = Flight { size: job.call.size, begun: false };
+        let flight = Flight { size: job.size(), begun: false };
         shared.fleet().begin(key, flight);
         sums::tell(&shared, key, job.call.target.clone());
         Self { shared, key, flight }
--- /dev/null
+++ b/crates/gate/src/driver.rs
@@ -0,0 +1,257 @@
+//! Gives a runner its orders.
+//!
+//! A runner carries out one order at a time. Each order names the number of orders
+//! that the runner has accepted before, so that one whose answer was lost can't act
+//! after a later one: what the runner holds is known whenever an order is given.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chestnut_base::ModelName;
+use chestnut_edge::{Engine, Order, OrderAnswer, OrderStep, ServerEntry, TargetModel};
+use chestnut_pool::AdapterState;
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::claims;
+use crate::holder::Holder;
+use crate::message::Move;
+use crate::shared::Shared;
+
+/// How long an engine may take to answer an order or a question.
+///
+/// It answers within its link's delay; an order without an answer may act later.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+
+/// The largest report that is read, in bytes.
+const REPORT_LIMIT: usize = 1 << 20;
+
+/// How old an engine's report may be, at most.
+///
+/// After an answer that did not fit, a newer report is needed.
+const REPORT_AGE: Duration = Duration::from_millis(300);
+
+/// How long the load of an adapter takes.
+///
+/// Engines fetch one in 5 to 14 ms while few are on their way.
+const ADAPTER_TIME: Duration = Duration::from_millis(16);
+
+/// How often models that are being unloaded are looked for.
+const UNLOAD_POLL: Duration = Duration::from_millis(100);
+
+/// How long runs on a model may take to end before its unload is given up.
+const UNLOAD_TIME: Duration = Duration::from_secs(10);
+
+/// Steps that the load of an adapter may take: making room, loading, and both once
+/// more after an answer that did not fit.
+const ADAPTER_STEPS: usize = 4;
+
+/// Gives a runner its orders.
+pub struct Driver<'a> {
+    /// The daemon.
+    pub shared: &'a Shared,
+    /// The runner.
+    pub holder: &'a Holder,
+}
+
+impl Driver<'_> {
+    /// Has an adapter loaded; returns in how long it is there.
+    pub async fn adapter(&self, target: &TargetModel, missed: bool) -> Option<Duration> {
+        let adapter = target.adapter.clone()?;
+        if missed {
+            self.holder.state().lacks(target);
+        }
+        for _ in 0..ADAPTER_STEPS {
+            self.known().await?;
+            let places = self.places()?;
+            let now = self.shared.now();
+            let state = self.holder.state().adapter(target, places, now);
+            let step = match state {
+                AdapterState::Ready => return Some(Duration::ZERO),
+                AdapterState::Coming(left) => return Some(left),
+                AdapterState::Free => {
+                    OrderStep::LoadAdapter(target.model.clone(), adapter.clone())
+                }
+                AdapterState::Evict => {
+                    let victim = self.holder.state().victim(now).cloned()?;
+                    OrderStep::UnloadAdapter(victim.model, victim.adapter?)
+                }
+                AdapterState::Full => return None,
+            };
+            self.order(step, ADAPTER_TIME).await;
+        }
+        None
+    }
+
+    /// Changes the models: makes room first, then loads.
+    pub async fn change(&self, change: &Move) {
+        if self.known().await.is_none() || !self.is_at_rest() {
+            return;
+        }
+        if self.holder.state().models().contains(&change.load) {
+            return;
+        }
+        for model in &change.drop {
+            if self.fits(&change.load) {
+                break;
+            }
+            if self.holder.state().models().contains(model) {
+                self.unload(model).await;
+            }
+        }
+        if !self.fits(&change.load) {
+            info!(self.shared.log, "no room for a model"; "server" => self.holder.server.to_string(),
+                "model" => change.load.to_string());
+            return;
+        }
+        let time = self.load_time(&change.load);
+        self.order(OrderStep::Load(change.load.clone()), time).await;
+    }
+
+    async fn unload(&self, model: &ModelName) {
+        let answer = self.order(OrderStep::Unload(model.clone()), UNLOAD_POLL).await;
+        if answer != Some(OrderAnswer::Accepted) {
+            return;
+        }
+        // Its runs end first; nothing else may be ordered until then.
+        self.holder.state().doubt();
+        let limit = self.shared.now() + UNLOAD_TIME;
+        while self.shared.now() < limit {
+            sleep(UNLOAD_POLL).await;
+            if self.known().await.is_some() {
+                return;
+            }
+        }
+    }
+
+    /// Whether a model fits beside what the runner holds.
+    fn fits(&self, model: &ModelName) -> bool {
+        let Some(engine) = self.engine() else { return false };
+        let size = |name: &ModelName| engine.models.get(name).map(|m| m.weights_mb);
+        let held: Option<f64> = self.holder.state().models().iter().map(size).sum();
+        match (held, size(model)) {
+            (Some(held), Some(size)) => {
+                held + size + engine.adapter_reserve() <= engine.memory_mb
+            }
+            // A model of unknown size may take any room.
+            _ => false,
+        }
+    }
+
+    fn load_time(&self, model: &ModelName) -> Duration {
+        let engine = self.engine();
+        let declared = engine.as_ref().and_then(|engine| engine.models.get(model));
+        declared.map_or(ANSWER_TIME, |model| model.load)
+    }
+
+    fn places(&self) -> Option<usize> {
+        self.engine().map(|engine| engine.adapter_slots)
+    }
+
+    fn engine(&self) -> Option<Engine> {
+        let declared = self.shared.declared()?;
+        let service = declared.services.get(&self.entry()?.service)?;
+        service.engine.clone()
+    }
+
+    fn is_at_rest(&self) -> bool {
+        self.holder.state().busy(self.shared.now()).is_zero()
+    }
+
+    fn entry(&self) -> Option<ServerEntry> {
+        let fleet = self.shared.fleet();
+        let key = fleet.key(&self.holder.server)?;
+        fleet.get(key).map(|server| server.entry.clone())
+    }
+
+    fn addr(&self) -> Option<SocketAddr> {
+        self.entry().map(|entry| entry.address)
+    }
+
+    /// Asks the runner what it holds unless that is known.
+    async fn known(&self) -> Option<()> {
+        if self.holder.state().orders().is_some() {
+            return Some(());
+        }
+        if !self.is_at_rest() {
+            return None;
+        }
+        let addr = self.addr()?;
+        let request = self.shared.dialect.ask_report();
+        let client = &self.shared.client;
+        let answer = client.call(addr, request, REPORT_LIMIT, ANSWER_TIME).await;
+        let report = match answer {
+            Ok(answer) => self.shared.dialect.read_report(answer.body()),
+            Err(fault) => {
+                info!(self.shared.log, "no report"; "server" => self.holder.server.to_string(),
+                    "error" => fault.to_string());
+                return None;
+            }
+        };
+        match report {
+            Ok(report) => {
+                let current = report.born == self.entry().and_then(|entry| entry.born);
+                let now = self.shared.now();
+                let taken = current && self.holder.state().learn(&report, now);
+                info!(self.shared.log, "report"; "server" => self.holder.server.to_string(),
+                    "orders" => report.orders, "busy" => report.busy, "taken" => taken,
+                    "models" => report.models.len());
+                taken.then_some(())
+            }
+            Err(error) => {
+                warn!(self.shared.log, "report refused"; "server" => self.holder.server.to_string(),
+                    "error" => error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Gives an order; returns the answer if the order could be given.
+    async fn order(&self, step: OrderStep, time: Duration) -> Option<OrderAnswer> {
+        let server = &self.holder.server;
+        let fence = claims::fence(self.shared, server)?;
+        let addr = self.addr()?;
+        let after = self.holder.state().orders()?;
+        let holder = self.shared.settings.vm.clone();
+        let order = Order { server: server.clone(), step, after, holder, fence };
+        let request = self.shared.dialect.write_order(&order);
+        let client = &self.shared.client;
+        let answer = client.call(addr, request, REPORT_LIMIT, ANSWER_TIME).await;
+        let answer = match answer {
+            Ok(answer) => {
+                self.shared.dialect.read_order_answer(answer.status(), answer.headers())
+            }
+            Err(fault) => {
+                info!(self.shared.log, "order not answered"; "server" => server.to_string(),
+                    "error" => fault.to_string());
+                OrderAnswer::Unknown
+            }
+        };
+        info!(self.shared.log, "order"; "server" => server.to_string(),
+            "step" => format!("{:?}", order.step), "after" => after,
+            "fence" => fence.0, "answer" => format!("{answer:?}"));
+        self.take_answer(&order.step, answer, time).await;
+        Some(answer)
+    }
+
+    async fn take_answer(&self, step: &OrderStep, answer: OrderAnswer, time: Duration) {
+        let now = self.shared.now();
+        match answer {
+            OrderAnswer::Accepted => {
+                self.holder.state().accepted(step, time, now);
+                if matches!(step, OrderStep::UnloadAdapter(..)) {
+                    // Requests use it still; its place is free once a report says so.
+                    self.holder.state().doubt();
+                }
+            }
+            OrderAnswer::Holds => self.holder.state().holds(step, now),
+            OrderAnswer::Conflict | OrderAnswer::Unknown | OrderAnswer::Busy => {
+                self.holder.state().doubt();
+                sleep(REPORT_AGE).await;
+            }
+            OrderAnswer::Fenced | OrderAnswer::Misdirected | OrderAnswer::Invalid => {
+                self.holder.state().doubt();
+            }
+        }
+    }
+}
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use chestnut_base::{Refusal, ServiceName};
-use chestnut_edge::{Call, Declared, Engine, Route};
+use chestnut_edge::{Call, Declared, Engine, Route, Size};
 use chestnut_pool::Want;
 use http::request;
 use slog::info;
@@ -32,6 +32,8 @@
     pub arrived: Instant,
     /// When the caller or the route gives up.
     pub deadline: Instant,
+    /// When it was last sent.
+    pub sent: Instant,
 }
 
 impl Job {
@@ -45,9 +47,25 @@
         self.call.id.as_deref().unwrap_or("-")
     }
 
-    /// What the request needs of a server.
-    pub fn want(&self) -> Want {
-        Want { target: self.call.target.clone(), size: self.call.size }
+    /// What the request needs of a runner, if it is a generation.
+    pub fn want(&self) -> Option<Want> {
+        let now = self.shared.now();
+        let on_time = self.arrived + self.route().objective;
+        Some(Want {
+            target: self.call.target.clone()?,
+            size: self.size(),
+            parts: self.call.parts.clone(),
+            urgency: self.route().urgency,
+            target_time: on_time.saturating_duration_since(now),
+            budget: self.deadline.saturating_duration_since(now),
+        })
+    }
+
+    /// The size to plan with: callers' guesses are right at the median.
+    pub fn size(&self) -> Size {
+        let size = self.call.size;
+        let guess = self.call.guess.map_or(size.output, |guess| guess.saturating_mul(2));
+        Size { output: size.output.min(guess), ..size }
     }
 
     /// The engine of the service, if it runs models.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,9 +10,9 @@
 //!    stream of numbered [`events`] breaks.
 //!
 //! A server is picked by asking ([`ask`]) the daemons that hold the runners' claims.
-//! [`members`] and [`claims`] settle who that is; a [`holder`] gives its runner
-//! orders and knows from [`sums`] what is in flight there; the [`planner`] says which
-//! model goes where. Daemons exchange datagrams: [`message`], [`peers`], [`receive`].
+//! [`members`] and [`claims`] settle who that is; a [`holder`] knows from [`sums`] what
+//! is in flight at its runner, [`grant`]s requests their turn and gives orders by its
+//! [`driver`]; the [`planner`] says which model goes where. Daemons exchange datagrams: [`message`], [`peers`], [`receive`].
 //!
 //! Beside it, [`follow`] and [`registry`] keep declarations and the list of backend
 //! servers up to date, and [`directory`] tells callers where to connect. All of it
@@ -25,9 +25,11 @@
 pub mod client;
 mod command;
 pub mod directory;
+pub mod driver;
 pub mod events;
 pub mod follow;
 pub mod front;
+pub mod grant;
 pub mod holder;
 pub mod job;
 pub mod logs;
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -3,9 +3,7 @@
 //! Each stands for itself: sums are whole, questions carry a number, and whatever
 //! is lost is repeated or done without.
 
-use chestnut_base::{
-    AdapterName, MemberId, ModelName, Revision, ServerName, ServiceName,
-};
+use chestnut_base::{MemberId, ModelName, Revision, ServerName, ServiceName};
 use chestnut_edge::TargetModel;
 use chestnut_pool::{Bid, Usage, Want};
 use serde::{Deserialize, Serialize};
@@ -49,25 +47,32 @@
         /// The estimates; runners that the daemon does not hold are left out.
         bids: Vec<(ServerName, Bid)>,
     },
-    /// Asks for an adapter to be loaded on a runner that the receiver holds.
-    Prepare {
-        /// Names the question in the answer.
+    /// Asks when a runner that the receiver holds can be sent a request.
+    ///
+    /// Repeated while the answer is awaited; the number names the request.
+    Take {
+        /// Names the request.
         number: u64,
         /// The runner.
         server: ServerName,
-        /// The adapter's model.
-        model: ModelName,
-        /// The adapter.
-        adapter: AdapterName,
-        /// Whether the runner has just said that it does not have it.
+        /// What the request needs.
+        want: Want,
+        /// Whether the runner has just said that it does not have the adapter.
         missed: bool,
     },
-    /// Answers `Prepare`.
-    Prepared {
-        /// The question's number.
+    /// Answers `Take`.
+    Taken {
+        /// The request's number.
+        number: u64,
+        /// What became of it.
+        verdict: Verdict,
+    },
+    /// A request that was asked for with `Take` is not sent after all.
+    Leave {
+        /// The request's number.
         number: u64,
-        /// In how many milliseconds the adapter is there; nothing if it will not be.
-        ready_ms: Option<u32>,
+        /// The runner.
+        server: ServerName,
     },
     /// What callers have asked of a service's models, to the planner.
     Demand {
@@ -80,6 +85,17 @@
     Move(Move),
 }
 
+/// What becomes of a request that waits to be sent to a runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It waits.
+    Queued,
+    /// It is to be sent now.
+    Send,
+    /// It can't be sent to this runner.
+    Denied,
+}
+
 /// The daemon lives.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 
 use crate::message::{Beat, Message, Packet};
 
@@ -43,7 +43,7 @@
 #[derive(Default)]
 struct Waiting {
     last: u64,
-    senders: IndexMap<u64, oneshot::Sender<Message>>,
+    senders: IndexMap<u64, mpsc::UnboundedSender<Message>>,
 }
 
 impl Peers {
@@ -87,9 +87,11 @@
         }
     }
 
-    /// Draws a number for a question; the answer comes to the receiver.
-    pub fn expect(&self) -> (u64, oneshot::Receiver<Message>) {
-        let (sender, receiver) = oneshot::channel();
+    /// Draws a number for a question; answers come to the receiver.
+    ///
+    /// A question gets one answer, or one for each time that it is repeated.
+    pub fn expect(&self) -> (u64, mpsc::UnboundedReceiver<Message>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
         let mut waiting = self.waiting.lock().expect("no holder of the lock panics");
         waiting.last += 1;
         let number = waiting.last;
@@ -100,8 +102,8 @@
 
     /// Hands an answer to whoever waits for it.
     pub fn answer(&self, number: u64, message: Message) {
-        let mut waiting = self.waiting.lock().expect("no holder of the lock panics");
-        if let Some(sender) = waiting.senders.swap_remove(&number) {
+        let waiting = self.waiting.lock().expect("no holder of the lock panics");
+        if let Some(sender) = waiting.senders.get(&number) {
             // Whoever asked may have given up.
             drop(sender.send(message));
         }
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -17,8 +17,8 @@
 use slog::info;
 use tokio::time::sleep;
 
-use crate::ask;
 use crate::claims::pool_key;
+use crate::holder;
 use crate::message::{Message, Move};
 use crate::shared::Shared;
 
@@ -227,7 +227,7 @@
 fn send(shared: &Shared, change: Move) {
     if let Some(holder) = shared.holder(&change.server) {
         holder.change(change);
-    } else if let Some(addr) = ask::holder_addr(shared, &change.server) {
+    } else if let Some(addr) = holder::addr(shared, &change.server) {
         shared.peers.send(addr, Message::Move(change));
     }
 }
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -59,7 +59,18 @@
     let budget = call.budget.unwrap_or(Duration::MAX).min(declared.routes[route].timeout);
     let service = draw_service(&declared.routes[route], &mut rand::rng());
     let deadline = arrived + budget;
-    Ok(Job { shared, head, body, call, declared, route, service, arrived, deadline })
+    Ok(Job {
+        shared,
+        head,
+        body,
+        call,
+        declared,
+        route,
+        service,
+        arrived,
+        deadline,
+        sent: arrived,
+    })
 }
 
 fn find_route(declared: &Declared, call: &Call) -> Option<usize> {
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::message::{Message, Packet};
+use crate::grant::{self, Reply};
+use crate::message::{Message, Packet, Verdict};
 use crate::shared::Shared;
 use crate::{ask, members, planner, sums};
 
@@ -25,14 +26,26 @@
             let bids = ask::answer(shared, servers, &want);
             shared.peers.send(from, Message::Bids { number, bids });
         }
-        Message::Prepare { number, server, model, adapter, missed } => {
-            let shared = shared.clone();
-            let target = (model, adapter);
-            let answer =
-                ask::answer_prepare(shared, from, number, server, target, missed);
-            tokio::spawn(answer);
+        Message::Take { number, server, want, missed } => {
+            let reply = Reply::There(from);
+            match shared.holder(&server) {
+                Some(holder) => {
+                    let asker = (packet.from, number);
+                    grant::take(shared, &holder, asker, want, missed, reply);
+                }
+                // The claim has moved; the daemon that asks goes by its own counts.
+                None => {
+                    let verdict = Verdict::Denied;
+                    shared.peers.send(from, Message::Taken { number, verdict });
+                }
+            }
+        }
+        Message::Leave { number, server } => {
+            if let Some(holder) = shared.holder(&server) {
+                grant::leave(&holder, (packet.from, number));
+            }
         }
-        Message::Bids { number, .. } | Message::Prepared { number, .. } => {
+        Message::Bids { number, .. } | Message::Taken { number, .. } => {
             shared.peers.answer(number, packet.message);
         }
         Message::Demand { service, tokens } => {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{self, OutBody};
+use crate::ask::Turn;
 use crate::attempt::{Answered, Missed, Place, attempt};
 use crate::job::Job;
 use crate::shared::Shared;
@@ -73,7 +74,7 @@
 type Refused = (Refusal, Box<Job>);
 
 async fn run(job: Job) -> Result<Response<OutBody>, Refused> {
-    let job = Box::new(job);
+    let mut job = Box::new(job);
     job.shared.note_request(&job.service);
     if let Some(target) = &job.call.target {
         let size = job.call.size;
@@ -88,6 +89,7 @@
         let Some(place) = pick(&job, lacking.take(), &rejected).await else {
             return Err((no_server(&job, lost), job));
         };
+        job.sent = job.shared.now();
         let missed = match attempt(&job, &place, job.call.resume_after).await {
             Ok(answered) => match again(&job, &answered, &mut lost) {
                 true => continue,
@@ -203,17 +205,16 @@
     lacking: Option<&ServerName>,
 ) -> Option<Place> {
     loop {
-        let chosen = match job.call.target {
-            Some(_) => ask::pick(job, avoid).await?,
-            None => pick_plain(job)?,
-        };
-        let place = place(job, chosen)?;
+        if job.call.target.is_none() {
+            return place(job, pick_plain(job)?);
+        }
+        let place = place(job, ask::pick(job, avoid).await?)?;
         let missed = lacking == Some(&place.name);
-        let ready = !chosen.bid.prepare && !missed;
-        if ready || ask::prepare(job, &place.name, missed).await {
-            return Some(place);
+        match ask::turn(job, &place.name, missed).await {
+            // Without its holder the runner is sent to as it was before.
+            Turn::Send | Turn::Silent => return Some(place),
+            Turn::Denied => avoid.push(place.name),
         }
-        avoid.push(place.name);
     }
 }
 
@@ -221,7 +222,7 @@
     let shared = &job.shared;
     let (now, domain) = (shared.now(), &shared.settings.domain);
     let fleet = shared.fleet();
-    choose(fleet.open(&job.service, now), &job.want(), domain, now)
+    choose(fleet.open(&job.service, now), job.call.size, domain, now)
 }
 
 fn place(job: &Job, chosen: Candidate) -> Option<Place> {
@@ -229,8 +230,7 @@
     let server = fleet.get(chosen.key)?;
     let (name, addr) = (server.entry.name.clone(), server.entry.address);
     info!(job.shared.log, "server picked"; "id" => job.id(), "server" => name.to_string(),
-        "cost_ms" => chosen.bid.cost as u64, "requests" => chosen.bid.requests,
-        "prepare" => chosen.bid.prepare);
+        "cost_ms" => chosen.bid.cost as u64, "requests" => chosen.bid.requests);
     Some(Place { key: chosen.key, name, addr })
 }
 
--- a/crates/gate/src/sums.rs
+++ b/crates/gate/src/sums.rs
@@ -8,7 +8,7 @@
 use chestnut_pool::{ServerKey, Usage};
 use tokio::time::sleep;
 
-use crate::ask::holder_addr;
+use crate::holder;
 use crate::message::Message;
 use crate::shared::Shared;
 
@@ -39,7 +39,7 @@
 ) {
     if shared.holder(&server).is_some() {
         take(shared, shared.peers.me, &server, usage, target.as_ref());
-    } else if let Some(addr) = holder_addr(shared, &server) {
+    } else if let Some(addr) = holder::addr(shared, &server) {
         shared.peers.send(addr, Message::Sum { server, usage, target });
     }
 }
@@ -54,11 +54,15 @@
 ) {
     let Some(holder) = shared.holder(server) else { return };
     let now = shared.now();
-    let mut state = holder.state();
-    state.report(from, usage, now);
-    if let Some(target) = target {
-        state.touch(target, now);
+    {
+        let mut state = holder.state();
+        state.report(from, usage, now);
+        if let Some(target) = target {
+            state.touch(target, now);
+        }
     }
+    // What has ended makes room.
+    holder.changed.notify_one();
 }
 
 /// Repeats sums that are not zero.
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -9,20 +9,32 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::DomainName;
-use chestnut_edge::{Size, TargetModel};
+use chestnut_edge::{PromptPart, Size, TargetModel};
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::fleet::{Server, ServerKey};
 use crate::runner::{AdapterState, Runner};
 use crate::usage::Usage;
 
-/// What a request needs.
+/// What a generation needs.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Want {
-    /// The model, if it is a generation.
-    pub target: Option<TargetModel>,
+    /// The model.
+    pub target: TargetModel,
     /// The size of the generation.
     pub size: Size,
+    /// The parts of the prompt.
+    pub parts: Vec<PromptPart>,
+    /// How urgent it is; 0 goes first.
+    pub urgency: u8,
+    /// The time that is left to a first event that is on time.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub target_time: Duration,
+    /// The time that is left to the whole answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub budget: Duration,
 }
 
 /// An estimate of how soon a server would answer.
@@ -30,8 +42,6 @@
 pub struct Bid {
     /// The time to the first event, in milliseconds.
     pub cost: f64,
-    /// Whether an adapter has to be loaded first.
-    pub prepare: bool,
     /// Requests in flight there, from all daemons.
     pub requests: u32,
 }
@@ -48,7 +58,8 @@
 /// Prompt tokens that a runner reads in a millisecond, about.
 const READ_RATE: f64 = 20.0;
 
-/// How much later a first event is for each request that runs, in milliseconds.
+/// How much later the events of an answer are for each request that runs, in
+/// milliseconds of a first event's wait.
 const RUN_COST: f64 = 2.0;
 
 /// What an earlier failure costs, in milliseconds.
@@ -70,32 +81,41 @@
 /// What a server costs whose holder did not answer, in milliseconds.
 pub const SILENT_COST: f64 = 60.0;
 
+/// How long a runner takes to read prompt tokens.
+pub fn reading(tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / READ_RATE / 1000.0)
+}
+
+/// How long a runner takes to read what it does not keep of a prompt.
+pub fn work(runner: &Runner, want: &Want) -> Duration {
+    let kept = runner.prefixes.kept(&want.target, &want.parts);
+    reading(want.size.prompt.saturating_sub(kept))
+}
+
 /// Estimates a server's answer from what is in flight there.
 pub fn estimate(usage: Usage, size: Size) -> f64 {
     let unread = usage.unread as f64 + f64::from(size.prompt);
     unread / READ_RATE + f64::from(usage.requests) * RUN_COST
 }
 
-/// The estimate of a runner's holder.
+/// The estimate of a runner's holder; `places` is the number of its adapters.
 pub fn bid(runner: &Runner, want: &Want, places: usize, now: Instant) -> Bid {
-    let total = runner.total(now);
-    let gone = |target: &TargetModel| runner.unloads(&target.model);
-    if want.target.as_ref().is_some_and(gone) {
-        return Bid { cost: f64::INFINITY, prepare: false, requests: total.requests };
+    let requests = runner.total(now).requests;
+    if runner.unloads(&want.target.model) {
+        return Bid { cost: f64::INFINITY, requests };
     }
-    let ready = AdapterState::Ready;
-    let state = want.target.as_ref().map_or(ready, |t| runner.adapter(t, places, now));
     // The runner takes one order at a time.
     let busy = millis(runner.busy(now));
-    let (extra, prepare) = match state {
-        AdapterState::Ready => (0.0, false),
-        AdapterState::Coming(left) => (millis(left), true),
-        AdapterState::Free => (busy + ADAPTER_COST, true),
-        AdapterState::Evict => (busy + ADAPTER_COST + EVICTION_COST, true),
-        AdapterState::Full => (busy + FULL_COST, true),
+    let prepare = match runner.adapter(&want.target, places, now) {
+        AdapterState::Ready => 0.0,
+        AdapterState::Coming(left) => millis(left),
+        AdapterState::Free => busy + ADAPTER_COST,
+        AdapterState::Evict => busy + ADAPTER_COST + EVICTION_COST,
+        AdapterState::Full => busy + FULL_COST,
     };
-    let cost = estimate(total, want.size) + extra;
-    Bid { cost, prepare, requests: total.requests }
+    let wait = millis(runner.lane.backlog(want.urgency, now)).max(prepare);
+    let cost = wait + millis(work(runner, want)) + f64::from(requests) * RUN_COST;
+    Bid { cost, requests }
 }
 
 /// What a daemon itself adds to a server's cost, in milliseconds.
@@ -107,13 +127,13 @@
 /// Picks a server by this daemon's own counts.
 pub fn choose<'a>(
     servers: impl Iterator<Item = (ServerKey, &'a Server)>,
-    want: &Want,
+    size: Size,
     domain: &DomainName,
     now: Instant,
 ) -> Option<Candidate> {
     let candidate = |(key, server): (ServerKey, &Server)| {
-        let cost = estimate(server.own, want.size) + local_cost(server, domain, now);
-        let bid = Bid { cost, prepare: false, requests: server.own.requests };
+        let cost = estimate(server.own, size) + local_cost(server, domain, now);
+        let bid = Bid { cost, requests: server.own.requests };
         Candidate { key, bid }
     };
     servers.map(candidate).min_by(|a, b| a.bid.cost.total_cmp(&b.bid.cost))
--- /dev/null
+++ b/crates/pool/src/lane.rs
@@ -0,0 +1,172 @@
+//! When a runner gets its next prompt.
+//!
+//! Load pattern: bursts of prompts of very different length at a runner on which
+//! twenty streams run. An engine reads waiting prompts between the tokens of those
+//! streams, several at a time; each prompt that it reads makes all of them pause. Sent
+//! as they come, three long prompts at once make every stream on the runner late,
+//! though the runner has time to spare a moment later. The lane therefore sends
+//! prompts one after another, as fast as the engine reads them, with a breath after
+//! long ones.
+//!
+//! When prompts come faster than the engine reads, those that can still be on time
+//! go first, by urgency; one that is late anyway loses little more by waiting.
+
+use std::time::{Duration, Instant};
+
+/// The longest time that an engine may read prompts within three steps.
+///
+/// Streams whose events hold three tokens pause for three steps; operators allow
+/// pauses of 250 ms and more, and the steps themselves take 30 ms.
+const READ_LIMIT: Duration = Duration::from_millis(190);
+
+/// How long a lane rests after more than [`READ_LIMIT`]: two steps and a margin.
+const REST: Duration = Duration::from_millis(25);
+
+/// Names a prompt that waits in a lane.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Ticket(pub u64);
+
+/// A prompt that waits.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Waiting {
+    /// Its name.
+    pub ticket: Ticket,
+    /// How long the engine takes to read it.
+    pub work: Duration,
+    /// The tokens that it takes in the KV cache with its answer.
+    pub tokens: u64,
+    /// How urgent it is; 0 goes first.
+    pub urgency: u8,
+    /// When its first event has to come to be on time.
+    pub target: Instant,
+    /// When its caller gives up.
+    pub deadline: Instant,
+    /// When its adapter is there; nothing while that is not known.
+    pub ready: Option<Instant>,
+}
+
+/// What a runner has room for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// Further requests.
+    pub requests: u32,
+    /// Further tokens in the KV cache.
+    pub tokens: u64,
+}
+
+/// What a lane does next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Next {
+    /// The prompt may be sent now.
+    Send(Waiting),
+    /// The prompt's caller has given up.
+    Expired(Waiting),
+    /// Nothing can be sent before this time.
+    Wait(Instant),
+    /// Nothing can be sent until something changes.
+    Idle,
+}
+
+/// Prompts on their way to a runner.
+#[derive(Debug, Default)]
+pub struct Lane {
+    waiting: Vec<Waiting>,
+    /// When the engine has read what was sent.
+    free: Option<Instant>,
+    /// How long it takes for the last prompt.
+    last: Duration,
+}
+
+impl Lane {
+    /// Adds a prompt.
+    pub fn push(&mut self, waiting: Waiting) {
+        self.waiting.push(waiting);
+    }
+
+    /// Takes a prompt out; returns whether it waited.
+    pub fn remove(&mut self, ticket: Ticket) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+        self.waiting.len() < before
+    }
+
+    /// Whether a prompt waits.
+    pub fn contains(&self, ticket: Ticket) -> bool {
+        self.waiting.iter().any(|waiting| waiting.ticket == ticket)
+    }
+
+    /// Takes note of when a prompt's adapter is there.
+    pub fn set_ready(&mut self, ticket: Ticket, at: Instant) {
+        let mut waiting = self.waiting.iter_mut();
+        if let Some(one) = waiting.find(|waiting| waiting.ticket == ticket) {
+            one.ready = Some(at);
+        }
+    }
+
+    /// The number of prompts that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no prompt waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// How long a prompt would wait that came now.
+    pub fn backlog(&self, urgency: u8, now: Instant) -> Duration {
+        let reading =
+            self.free.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
+        let before = self
+            .waiting
+            .iter()
+            .filter(|waiting| waiting.urgency <= urgency && !is_late(waiting, now));
+        reading + before.map(|waiting| waiting.work).sum::<Duration>()
+    }
+
+    /// Decides what to do now, with the runner's room.
+    pub fn next(&mut self, room: Room, now: Instant) -> Next {
+        if let Some(at) = self.waiting.iter().position(|one| now >= one.deadline) {
+            return Next::Expired(self.waiting.swap_remove(at));
+        }
+        let Some(at) = self.best(room, now) else { return self.sleep(now) };
+        let start = self.start(self.waiting[at].work);
+        if start.is_some_and(|start| start > now) {
+            return Next::Wait(start.unwrap_or(now));
+        }
+        let waiting = self.waiting.swap_remove(at);
+        self.free = Some(now + waiting.work);
+        self.last = waiting.work;
+        Next::Send(waiting)
+    }
+
+    /// The prompt to send first among those that can be sent.
+    fn best(&self, room: Room, now: Instant) -> Option<usize> {
+        let fits = |waiting: &Waiting| room.requests > 0 && waiting.tokens <= room.tokens;
+        let ready = |waiting: &Waiting| waiting.ready.is_some_and(|at| at <= now);
+        let able = |(_, waiting): &(usize, &Waiting)| ready(waiting) && fits(waiting);
+        let rank =
+            |waiting: &Waiting| (is_late(waiting, now), waiting.urgency, waiting.target);
+        let able = self.waiting.iter().enumerate().filter(able);
+        able.min_by_key(|(_, waiting)| rank(waiting)).map(|(index, _)| index)
+    }
+
+    /// When a prompt of `work` may be sent at the earliest.
+    fn start(&self, work: Duration) -> Option<Instant> {
+        let rest = if self.last + work > READ_LIMIT { REST } else { Duration::ZERO };
+        self.free.map(|free| free + rest)
+    }
+
+    /// Until when nothing can be sent, as far as time alone decides.
+    fn sleep(&self, now: Instant) -> Next {
+        let ready = self.waiting.iter().filter_map(|waiting| waiting.ready);
+        let deadlines = self.waiting.iter().map(|waiting| waiting.deadline);
+        let times = ready.filter(|at| *at > now).chain(deadlines);
+        times.min().map_or(Next::Idle, Next::Wait)
+    }
+}
+
+/// Whether a prompt's first event would be late if it were sent now.
+fn is_late(waiting: &Waiting, now: Instant) -> bool {
+    now + waiting.work > waiting.target
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -5,9 +5,11 @@
 //! 1. [`fleet`] is the table of servers as the registry lists them,
 //! 2. [`health`] tells how far a server's recent answers can be trusted,
 //! 3. [`usage`] counts what is in flight where,
-//! 4. [`runner`] is what the holder of a runner's claim knows of it,
+//! 4. [`runner`] is what the holder of a runner's claim knows of it, with the
+//!    [`prefix`]es that it has read,
 //! 5. [`choose`] estimates and picks the server for a request,
-//! 6. [`budget`] bounds how often requests are sent again.
+//! 6. [`lane`] says when the runner gets which prompt,
+//! 7. [`budget`] bounds how often requests are sent again.
 //!
 //! Beside them, [`pace`] bounds how fast models are loaded.
 
@@ -15,14 +17,18 @@
 pub mod choose;
 pub mod fleet;
 pub mod health;
+pub mod lane;
 pub mod pace;
+pub mod prefix;
 pub mod runner;
 pub mod usage;
 
 pub use budget::RetryBudget;
-pub use choose::{Bid, Candidate, Want, bid, choose, estimate, local_cost};
+pub use choose::{Bid, Candidate, Want, bid, choose, estimate, local_cost, work};
 pub use fleet::{Fleet, Server, ServerKey};
 pub use health::Health;
+pub use lane::{Lane, Next, Room, Ticket, Waiting};
 pub use pace::Pace;
+pub use prefix::Prefixes;
 pub use runner::{AdapterState, Runner};
 pub use usage::{Flight, Usage};
--- a/crates/pool/src/runner.rs
+++ b/crates/pool/src/runner.rs
@@ -11,6 +11,8 @@
 use chestnut_edge::{EngineReport, HeldModel, OrderStep, TargetModel};
 use indexmap::IndexMap;
 
+use crate::lane::Lane;
+use crate::prefix::Prefixes;
 use crate::usage::Usage;
 
 /// How long a daemon's sum counts without being repeated.
@@ -67,6 +69,10 @@
     floor: u64,
     /// Until when an order is expected to be in progress.
     busy: Option<Instant>,
+    /// Prompts that wait to be sent to the runner.
+    pub lane: Lane,
+    /// What it has read lately.
+    pub prefixes: Prefixes,
 }
 
 impl Runner {
