--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -209,7 +209,7 @@
                 Some(Err(error)) => return Next::Broken(error.to_string()),
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else { continue };
-                    source.flight.begun();
+                    source.flight.begun(source.place.number);
                     if self.events.push(data).is_err() {
                         return Next::Broken("an event is too large".into());
                     }
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -109,7 +109,10 @@
     let mut bids = IndexMap::new();
     for name in asked.here {
         if let Some(holder) = shared.holder(&name) {
-            bids.insert(name, bid(&holder.state(), want, engine.adapter_slots, now));
+            bids.insert(
+                name,
+                bid(&holder.state(), want, &shared.speeds(), engine.adapter_slots, now),
+            );
         }
     }
     let questions = asked
@@ -168,7 +171,7 @@
     let place = |name: ServerName| {
         let holder = shared.holder(&name)?;
         let places = places(shared, &name)?;
-        let bid = bid(&holder.state(), want, places, now);
+        let bid = bid(&holder.state(), want, &shared.speeds(), places, now);
         Some((name, bid))
     };
     servers.into_iter().filter_map(place).collect()
@@ -187,8 +190,8 @@
 /// What came of asking to send a request to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
-    /// It is to be sent now.
-    Send,
+    /// It is to be sent now; the number names it to the runner's holder.
+    Send(u64),
     /// It can't be sent to this runner.
     Denied,
     /// The runner's holder does not answer.
@@ -230,7 +233,7 @@
         let verdict = receiver.await;
         self.settled = true;
         match verdict {
-            Ok(Verdict::Send) => Turn::Send,
+            Ok(Verdict::Send) => Turn::Send(self.number),
             Ok(Verdict::Denied | Verdict::Queued) => Turn::Denied,
             // The claim was lost.
             Err(_) => Turn::Silent,
@@ -256,7 +259,7 @@
                 silent = 0;
                 match verdict {
                     Verdict::Queued => wait = QUEUE_TIME,
-                    Verdict::Send => return self.settle(Turn::Send),
+                    Verdict::Send => return self.settle(Turn::Send(number)),
                     Verdict::Denied => return self.settle(Turn::Denied),
                 }
             }
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -13,6 +13,7 @@
 
 use crate::client::{Connection, SendFault};
 use crate::job::Job;
+use crate::message::Begun;
 use crate::shared::Shared;
 use crate::sums;
 
@@ -22,6 +23,7 @@
     /// The server.
     pub key: ServerKey,
     flight: Flight,
+    sent: Instant,
 }
 
 impl InFlight {
@@ -30,12 +32,14 @@
         let shared = job.shared.clone();
         let flight = Flight { size: job.size(), begun: false };
         shared.fleet().begin(key, flight);
-        sums::tell(&shared, key, job.call.target.clone());
-        Self { shared, key, flight }
+        sums::tell(&shared, key, job.call.target.clone(), None);
+        Self { shared, key, flight, sent: Instant::now() }
     }
 
     /// Takes note that the server has begun to answer.
-    pub fn begun(&mut self) {
+    ///
+    /// `number` names the request to the runner's holder.
+    pub fn begun(&mut self, number: Option<u64>) {
         if self.flight.begun {
             return;
         }
@@ -45,14 +49,16 @@
             self.flight.begun = true;
             fleet.begin(self.key, self.flight);
         }
-        sums::tell(&self.shared, self.key, None);
+        let after_ms = self.sent.elapsed().as_millis() as u32;
+        let begun = number.map(|number| Begun { number, after_ms });
+        sums::tell(&self.shared, self.key, None, begun);
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.shared.fleet().end(self.key, self.flight);
-        sums::tell(&self.shared, self.key, None);
+        sums::tell(&self.shared, self.key, None, None);
     }
 }
 
@@ -65,6 +71,8 @@
     pub name: ServerName,
     /// Where it listens.
     pub addr: std::net::SocketAddr,
+    /// Names the request to the server's holder, if it was asked for a turn.
+    pub number: Option<u64>,
 }
 
 /// An answer whose head has arrived.
--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -10,14 +10,14 @@
 
 use chestnut_base::MemberId;
 use chestnut_edge::Engine;
-use chestnut_pool::{AdapterState, Next, Room, Ticket, Waiting, Want, work};
+use chestnut_pool::{AdapterState, Next, Room, Ticket, Waiting, Want};
 use indexmap::IndexMap;
 use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
 use crate::holder::Holder;
-use crate::message::{Message, Verdict};
+use crate::message::{Begun, Message, Verdict};
 use crate::shared::Shared;
 
 /// How long a question that was answered is remembered.
@@ -47,6 +47,8 @@
 struct Entry {
     ticket: Ticket,
     want: Want,
+    /// The prompt tokens that the runner had to read.
+    unread: u32,
     reply: Reply,
     /// What became of it and when, once it is decided.
     decided: Option<(Verdict, Instant)>,
@@ -81,7 +83,8 @@
         let message = Message::Taken { number: asker.1, verdict: Verdict::Queued };
         shared.peers.send(*addr, message);
     }
-    let (ticket, prepare) = enqueue(holder, asker, &want, missed, reply, &engine, now);
+    let (ticket, prepare) =
+        enqueue(shared, holder, asker, &want, missed, reply, &engine, now);
     if prepare {
         let (shared, holder) = (shared.clone(), holder.clone());
         tokio::spawn(async move {
@@ -108,6 +111,14 @@
     holder.changed.notify_one();
 }
 
+/// Takes in the first event of a request that was sent in its turn.
+pub fn begun(shared: &Shared, holder: &Holder, from: MemberId, begun: Begun) {
+    let desk = holder.desk.lock().expect("no holder of the lock panics");
+    let Some(entry) = desk.open.get(&(from, begun.number)) else { return };
+    let time = Duration::from_millis(begun.after_ms.into());
+    shared.speeds().learn(&entry.want.target.model, entry.unread, time);
+}
+
 /// Sees to a runner's lane until its claim is lost.
 pub async fn run(shared: Arc<Shared>, holder: Weak<Holder>) {
     loop {
@@ -143,6 +154,7 @@
 }
 
 fn enqueue(
+    shared: &Shared,
     holder: &Holder,
     asker: Asker,
     want: &Want,
@@ -158,7 +170,8 @@
         });
         desk.last += 1;
         let ticket = Ticket(desk.last);
-        let entry = Entry { ticket, want: want.clone(), reply, decided: None };
+        let unread = want.size.prompt;
+        let entry = Entry { ticket, want: want.clone(), unread, reply, decided: None };
         desk.open.insert(asker, entry);
         ticket
     };
@@ -169,7 +182,7 @@
         AdapterState::Coming(left) if !missed => Some(now + left),
         _ => None,
     };
-    let work = work(&state, want);
+    let work = state.reading(want, &shared.speeds());
     state.lane.push(Waiting {
         ticket,
         work,
@@ -201,6 +214,7 @@
     if verdict == Verdict::Send {
         let capacity = engine(shared, holder).map_or(0, |engine| engine.kv_tokens);
         let mut state = holder.state();
+        entry.unread = state.unread(&entry.want);
         state.prefixes.sent(&entry.want.target, &entry.want.parts, capacity);
         state.touch(&entry.want.target, now);
     }
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -30,6 +30,8 @@
         usage: Usage,
         /// The model of a request that was just sent.
         target: Option<TargetModel>,
+        /// The first event of a request that was asked for with `Take`.
+        begun: Option<Begun>,
     },
     /// Asks how soon runners that the receiver holds would answer.
     Ask {
@@ -85,6 +87,15 @@
     Move(Move),
 }
 
+/// The first event of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Begun {
+    /// The request's number.
+    pub number: u64,
+    /// How long after its sending the event came, in milliseconds.
+    pub after_ms: u32,
+}
+
 /// What becomes of a request that waits to be sent to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -31,7 +31,7 @@
 const FAST_HALF: Duration = Duration::from_millis(700);
 
 /// The time in which the slow average of demand forgets half.
-const SLOW_HALF: Duration = Duration::from_secs(3);
+const SLOW_HALF: Duration = Duration::from_millis(1500);
 
 /// How long a change of demand is expected to last, against the time of a load.
 const HORIZON: Duration = Duration::from_secs(20);
@@ -42,6 +42,10 @@
 /// the tokens between come in time.
 const THROUGHPUT: f64 = 14_000.0;
 
+/// The share of their throughput that runners of an evenly loaded pool have in use,
+/// at most.
+const FULL: f64 = 0.7;
+
 /// How many prompt tokens an output token is worth.
 ///
 /// A batch of 16 makes 16 tokens in a step of 10 ms, in which 200 prompt tokens
@@ -288,10 +292,15 @@
             loading: runners.iter().filter(|runner| loads(runner)).count(),
         }
     };
+    let models: Vec<ModelState> = models.iter().map(model_state).collect();
+    let asked: f64 = models.iter().map(|model| model.demand).sum();
+    // When more is asked for than the pool can serve, every runner is overloaded and
+    // no move seems to gain; what counts then is the balance.
+    let even = asked / (runners.len().max(1) as f64 * FULL);
     PoolState {
         runners: runners.iter().map(runner_state).collect(),
-        models: models.iter().map(model_state).collect(),
-        throughput: THROUGHPUT,
+        models,
+        throughput: THROUGHPUT.max(even),
         parallel: parallel + plans.moving.len(),
         attainment_weight: 1.0,
         move_weight: 0.5,
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -19,8 +19,8 @@
 fn take(shared: &Arc<Shared>, packet: Packet, from: SocketAddr) {
     match packet.message {
         Message::Beat(beat) => members::heard(shared, packet.from, &beat),
-        Message::Sum { server, usage, target } => {
-            sums::take(shared, packet.from, &server, usage, target.as_ref());
+        Message::Sum { server, usage, target, begun } => {
+            sums::take(shared, packet.from, &server, usage, target.as_ref(), begun);
         }
         Message::Ask { number, servers, want } => {
             let bids = ask::answer(shared, servers, &want);
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnut_base::{Revision, ServerName};
-use chestnut_edge::Change;
+use chestnut_edge::{Change, ServerEntry};
 use slog::{info, warn};
 
 use crate::follow::Follower;
@@ -61,7 +61,7 @@
             Ok(entry) => {
                 info!(shared.log, "server listed"; "server" => entry.name.to_string(),
                     "version" => change.version, "service" => entry.service.to_string(),
-                    "phase" => format!("{:?}", entry.phase), "models" => entry.models.len());
+                    "phase" => format!("{:?}", entry.phase), "models" => names(&entry));
                 shared.fleet().list(entry);
             }
             Err(error) => {
@@ -85,6 +85,12 @@
     }
 }
 
+/// The models that a server holds, for logs.
+fn names(entry: &ServerEntry) -> String {
+    let names: Vec<&str> = entry.models.iter().map(|held| held.model.as_str()).collect();
+    names.join(" ")
+}
+
 fn unlist(shared: &Shared, key: &str, version: u64) {
     let Ok(name) = ServerName::try_from(key) else { return };
     info!(shared.log, "server gone from the registry"; "server" => key, "version" => version);
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -105,6 +105,8 @@
 async fn leave(shared: &Shared) {
     info!(shared.log, "leaving");
     shared.leaving.send_replace(true);
+    // From now on its claims fall to others.
+    shared.known().leaving.insert(shared.peers.me);
     members::beat(shared);
     let limit = shared.settings.bounds.stop.saturating_sub(STOP_MARGIN);
     let finished = async {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -77,7 +77,7 @@
     let mut job = Box::new(job);
     job.shared.note_request(&job.service);
     if let Some(target) = &job.call.target {
-        let size = job.call.size;
+        let size = job.size();
         let tokens =
             f64::from(size.prompt) + f64::from(size.output) * planner::OUTPUT_WEIGHT;
         planner::note(&job.shared, &job.service, &target.model, tokens);
@@ -208,11 +208,15 @@
         if job.call.target.is_none() {
             return place(job, pick_plain(job)?);
         }
-        let place = place(job, ask::pick(job, avoid).await?)?;
+        let mut place = place(job, ask::pick(job, avoid).await?)?;
         let missed = lacking == Some(&place.name);
         match ask::turn(job, &place.name, missed).await {
+            Turn::Send(number) => {
+                place.number = Some(number);
+                return Some(place);
+            }
             // Without its holder the runner is sent to as it was before.
-            Turn::Send | Turn::Silent => return Some(place),
+            Turn::Silent => return Some(place),
             Turn::Denied => avoid.push(place.name),
         }
     }
@@ -230,8 +234,9 @@
     let server = fleet.get(chosen.key)?;
     let (name, addr) = (server.entry.name.clone(), server.entry.address);
     info!(job.shared.log, "server picked"; "id" => job.id(), "server" => name.to_string(),
+        "target" => job.call.target.as_ref().map(|target| target.to_string()),
         "cost_ms" => chosen.bid.cost as u64, "requests" => chosen.bid.requests);
-    Some(Place { key: chosen.key, name, addr })
+    Some(Place { key: chosen.key, name, addr, number: None })
 }
 
 /// A body of bytes that are all there.
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -7,7 +7,7 @@
 use chestnut_edge::{Declared, Dialect};
 use chestnut_member::{ClaimKey, Known};
 use chestnut_pool::budget::RetryBound;
-use chestnut_pool::{Fleet, RetryBudget};
+use chestnut_pool::{Fleet, RetryBudget, Speeds};
 use indexmap::IndexMap;
 use slog::Logger;
 use tokio::sync::watch;
@@ -54,6 +54,7 @@
     known: Mutex<Known>,
     holders: Mutex<IndexMap<ServerName, Arc<Holder>>>,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
+    speeds: Mutex<Speeds>,
     counts: Mutex<Counts>,
     plans: Mutex<IndexMap<ServiceName, Plans>>,
     /// From when on this daemon may give orders under claims that it took.
@@ -89,6 +90,7 @@
             known: Mutex::default(),
             holders: Mutex::default(),
             budgets: Mutex::default(),
+            speeds: Mutex::default(),
             counts: Mutex::default(),
             plans: Mutex::default(),
             turns: Mutex::default(),
@@ -121,6 +123,11 @@
         self.holders().get(server).cloned()
     }
 
+    /// How fast runners read prompts.
+    pub fn speeds(&self) -> MutexGuard<'_, Speeds> {
+        self.speeds.lock().expect("no holder of the lock panics")
+    }
+
     /// What callers have asked of this daemon's models.
     pub fn counts(&self) -> MutexGuard<'_, Counts> {
         self.counts.lock().expect("no holder of the lock panics")
--- a/crates/gate/src/sums.rs
+++ b/crates/gate/src/sums.rs
@@ -8,9 +8,9 @@
 use chestnut_pool::{ServerKey, Usage};
 use tokio::time::sleep;
 
-use crate::holder;
-use crate::message::Message;
+use crate::message::{Begun, Message};
 use crate::shared::Shared;
+use crate::{grant, holder};
 
 /// How often sums that are not zero are repeated.
 ///
@@ -19,7 +19,12 @@
 const REPEAT: Duration = Duration::from_secs(1);
 
 /// Tells a runner's holder what this daemon has in flight there now.
-pub fn tell(shared: &Shared, key: ServerKey, target: Option<TargetModel>) {
+pub fn tell(
+    shared: &Shared,
+    key: ServerKey,
+    target: Option<TargetModel>,
+    begun: Option<Begun>,
+) {
     let (server, usage) = {
         let fleet = shared.fleet();
         let Some(server) = fleet.get(key) else { return };
@@ -28,7 +33,7 @@
         }
         (server.entry.name.clone(), server.own)
     };
-    tell_sum(shared, server, usage, target);
+    tell_sum(shared, server, usage, target, begun);
 }
 
 fn tell_sum(
@@ -36,11 +41,12 @@
     server: ServerName,
     usage: Usage,
     target: Option<TargetModel>,
+    begun: Option<Begun>,
 ) {
     if shared.holder(&server).is_some() {
-        take(shared, shared.peers.me, &server, usage, target.as_ref());
+        take(shared, shared.peers.me, &server, usage, target.as_ref(), begun);
     } else if let Some(addr) = holder::addr(shared, &server) {
-        shared.peers.send(addr, Message::Sum { server, usage, target });
+        shared.peers.send(addr, Message::Sum { server, usage, target, begun });
     }
 }
 
@@ -51,6 +57,7 @@
     server: &ServerName,
     usage: Usage,
     target: Option<&TargetModel>,
+    begun: Option<Begun>,
 ) {
     let Some(holder) = shared.holder(server) else { return };
     let now = shared.now();
@@ -61,6 +68,9 @@
             state.touch(target, now);
         }
     }
+    if let Some(begun) = begun {
+        grant::begun(shared, &holder, from, begun);
+    }
     // What has ended makes room.
     holder.changed.notify_one();
 }
@@ -77,7 +87,7 @@
                 .collect()
         };
         for (server, usage) in sums {
-            tell_sum(&shared, server, usage, None);
+            tell_sum(&shared, server, usage, None, None);
         }
     }
 }
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -7,10 +7,12 @@
 //!
 //! Stages of a plan:
 //!
-//! 1. every model gets one replica, then its declared number; replicas on
-//!    runners that leave don't count, so that replacements are loaded first,
+//! 1. every model that is asked for gets one replica; replicas on runners that
+//!    leave don't count, so that replacements are loaded first,
 //! 2. overloaded models get further replicas where runners have throughput to
-//!    spare, if that is worth the move.
+//!    spare, if that is worth the move,
+//! 3. every other model gets one replica, then each its declared number. Loads are
+//!    few when many runners are lost at once; what nobody asks for can wait.
 //!
 //! A plan starts from the present placement and changes it by few steps: as many
 //! loads as the weight store serves at full speed may be under way. Nothing is
@@ -112,8 +114,10 @@
 /// Plans the next steps from the present placement.
 pub fn plan(pool: &PoolState) -> Placement {
     let mut planner = Planner::new(pool);
-    planner.repair();
+    planner.repair_first(|model| model.demand > 0.0);
     planner.improve();
+    planner.repair_first(|_| true);
+    planner.repair_rest();
     Placement { placed: planner.placed, unplaced: planner.unplaced, moves: planner.moves }
 }
 
@@ -177,21 +181,31 @@
         planner
     }
 
-    /// Gives every model its declared replicas, the first ones before the others.
-    fn repair(&mut self) {
-        let mut order: Vec<usize> = (0..self.pool.models.len()).collect();
-        // Large models first: the small ones still fit into what they leave.
-        order.sort_by_key(|model| Reverse(self.pool.models[*model].bytes));
+    /// Gives models their first replicas.
+    fn repair_first(&mut self, which: impl Fn(&ModelState) -> bool) {
         self.sparse = true;
-        for model in &order {
-            self.fill(*model, 1);
+        for model in self.by_size() {
+            if which(&self.pool.models[model]) {
+                self.fill(model, 1);
+            }
         }
         self.sparse = false;
-        for model in &order {
-            self.fill(*model, self.pool.models[*model].replicas.max(1));
+    }
+
+    /// Gives models their declared replicas.
+    fn repair_rest(&mut self) {
+        for model in self.by_size() {
+            self.fill(model, self.pool.models[model].replicas.max(1));
         }
     }
 
+    /// Large models first: the small ones still fit into what they leave.
+    fn by_size(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.pool.models.len()).collect();
+        order.sort_by_key(|model| Reverse(self.pool.models[*model].bytes));
+        order
+    }
+
     fn fill(&mut self, model: usize, replicas: usize) {
         while self.placed[model].len() < replicas {
             let Some(site) = self.best_site(model) else {
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -15,6 +15,7 @@
 
 use crate::fleet::{Server, ServerKey};
 use crate::runner::{AdapterState, Runner};
+use crate::speed::Speeds;
 use crate::usage::Usage;
 
 /// What a generation needs.
@@ -81,17 +82,6 @@
 /// What a server costs whose holder did not answer, in milliseconds.
 pub const SILENT_COST: f64 = 60.0;
 
-/// How long a runner takes to read prompt tokens.
-pub fn reading(tokens: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(tokens) / READ_RATE / 1000.0)
-}
-
-/// How long a runner takes to read what it does not keep of a prompt.
-pub fn work(runner: &Runner, want: &Want) -> Duration {
-    let kept = runner.prefixes.kept(&want.target, &want.parts);
-    reading(want.size.prompt.saturating_sub(kept))
-}
-
 /// Estimates a server's answer from what is in flight there.
 pub fn estimate(usage: Usage, size: Size) -> f64 {
     let unread = usage.unread as f64 + f64::from(size.prompt);
@@ -99,7 +89,13 @@
 }
 
 /// The estimate of a runner's holder; `places` is the number of its adapters.
-pub fn bid(runner: &Runner, want: &Want, places: usize, now: Instant) -> Bid {
+pub fn bid(
+    runner: &Runner,
+    want: &Want,
+    speeds: &Speeds,
+    places: usize,
+    now: Instant,
+) -> Bid {
     let requests = runner.total(now).requests;
     if runner.unloads(&want.target.model) {
         return Bid { cost: f64::INFINITY, requests };
@@ -114,7 +110,8 @@
         AdapterState::Full => busy + FULL_COST,
     };
     let wait = millis(runner.lane.backlog(want.urgency, now)).max(prepare);
-    let cost = wait + millis(work(runner, want)) + f64::from(requests) * RUN_COST;
+    let cost =
+        wait + millis(runner.reading(want, speeds)) + f64::from(requests) * RUN_COST;
     Bid { cost, requests }
 }
 
--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -22,6 +22,9 @@
 /// How long a lane rests after more than [`READ_LIMIT`]: two steps and a margin.
 const REST: Duration = Duration::from_millis(25);
 
+/// The time of an engine's step beside what it reads, with some twenty streams.
+const STEP: Duration = Duration::from_millis(10);
+
 /// Names a prompt that waits in a lane.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Ticket(pub u64);
@@ -135,7 +138,7 @@
             return Next::Wait(start.unwrap_or(now));
         }
         let waiting = self.waiting.swap_remove(at);
-        self.free = Some(now + waiting.work);
+        self.free = Some(now + waiting.work + STEP);
         self.last = waiting.work;
         Next::Send(waiting)
     }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,7 +8,8 @@
 //! 4. [`runner`] is what the holder of a runner's claim knows of it, with the
 //!    [`prefix`]es that it has read,
 //! 5. [`choose`] estimates and picks the server for a request,
-//! 6. [`lane`] says when the runner gets which prompt,
+//! 6. [`lane`] says when the runner gets which prompt, by the [`speed`] at which it
+//!    reads,
 //! 7. [`budget`] bounds how often requests are sent again.
 //!
 //! Beside them, [`pace`] bounds how fast models are loaded.
@@ -21,14 +22,16 @@
 pub mod pace;
 pub mod prefix;
 pub mod runner;
+pub mod speed;
 pub mod usage;
 
 pub use budget::RetryBudget;
-pub use choose::{Bid, Candidate, Want, bid, choose, estimate, local_cost, work};
+pub use choose::{Bid, Candidate, Want, bid, choose, estimate, local_cost};
 pub use fleet::{Fleet, Server, ServerKey};
 pub use health::Health;
 pub use lane::{Lane, Next, Room, Ticket, Waiting};
 pub use pace::Pace;
 pub use prefix::Prefixes;
 pub use runner::{AdapterState, Runner};
+pub use speed::Speeds;
 pub use usage::{Flight, Usage};
--- a/crates/pool/src/runner.rs
+++ b/crates/pool/src/runner.rs
@@ -11,8 +11,10 @@
 use chestnut_edge::{EngineReport, HeldModel, OrderStep, TargetModel};
 use indexmap::IndexMap;
 
+use crate::choose::Want;
 use crate::lane::Lane;
 use crate::prefix::Prefixes;
+use crate::speed::Speeds;
 use crate::usage::Usage;
 
 /// How long a daemon's sum counts without being repeated.
@@ -161,6 +163,17 @@
         self.leaving.as_ref() == Some(model)
     }
 
+    /// The tokens that the runner has to read of a prompt.
+    pub fn unread(&self, want: &Want) -> u32 {
+        let kept = self.prefixes.kept(&want.target, &want.parts);
+        want.size.prompt.saturating_sub(kept)
+    }
+
+    /// How long the runner takes to read a prompt.
+    pub fn reading(&self, want: &Want, speeds: &Speeds) -> Duration {
+        speeds.reading(&want.target.model, self.unread(want))
+    }
+
     /// How long an order is expected to be in progress.
     pub fn busy(&self, now: Instant) -> Duration {
         self.busy.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
