--- a/crates/edge/src/declared.rs
+++ b/crates/edge/src/declared.rs
@@ -159,6 +159,15 @@
 }
 
 impl Declared {
+    /// The longest pause between events for which streams of every route are on time.
+    pub fn least_pause(&self) -> Option<Duration> {
+        let pauses = self.routes.iter().filter_map(|route| match route.kind {
+            RouteKind::Stream { pause, .. } => pause,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => None,
+        });
+        pauses.min()
+    }
+
     /// The route of a request: the longest prefix among those of the host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.routes
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -10,12 +10,12 @@
 use chestnut_base::ModelName;
 use chestnut_edge::{Engine, Order, OrderAnswer, OrderStep, ServerEntry, TargetModel};
 use chestnut_pool::AdapterState;
+use chestnut_pool::placing::Move;
 use slog::{info, warn};
 use tokio::time::sleep;
 
 use crate::claims;
 use crate::holder::Holder;
-use crate::message::Move;
 use crate::shared::Shared;
 
 /// How long an engine may take to answer an order or a question.
@@ -88,24 +88,30 @@
         if self.known().await.is_none() || !self.is_at_rest() {
             return;
         }
-        if self.holder.state().models().contains(&change.load) {
+        let held = |model: &ModelName| self.holder.state().models().contains(model);
+        if change.load.as_ref().is_some_and(held) {
             return;
         }
-        for model in &change.drop {
-            if self.fits(&change.load) {
+        for model in change.drop.iter().filter(|model| held(model)) {
+            if change.load.as_ref().is_some_and(|load| self.fits(load)) {
                 break;
             }
-            if self.holder.state().models().contains(model) {
-                self.unload(model).await;
-            }
+            self.unload(model).await;
+        }
+        if let Some(model) = &change.load {
+            self.load(model).await;
         }
-        if !self.fits(&change.load) {
-            info!(self.shared.log, "no room for a model"; "server" => self.holder.server.to_string(),
-                "model" => change.load.to_string());
+    }
+
+    async fn load(&self, model: &ModelName) {
+        if !self.fits(model) {
+            let server = self.holder.server.to_string();
+            info!(self.shared.log, "no room for a model"; "server" => server,
+                "model" => model.to_string());
             return;
         }
-        let time = self.load_time(&change.load);
-        self.order(OrderStep::Load(change.load.clone()), time).await;
+        let time = self.load_time(model);
+        self.order(OrderStep::Load(model.clone()), time).await;
     }
 
     async fn unload(&self, model: &ModelName) {
--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -254,5 +254,6 @@
     Some(Room {
         requests: engine.slots.saturating_sub(total.requests),
         tokens: tokens.saturating_sub(total.tokens),
+        pause: shared.declared().and_then(|declared| declared.least_pause()),
     })
 }
--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -12,11 +12,11 @@
 use chestnut_edge::TargetModel;
 use chestnut_member::ClaimKey;
 use chestnut_pool::Runner;
+use chestnut_pool::placing::Move;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::driver::Driver;
 use crate::grant::{self, Desk};
-use crate::message::Move;
 use crate::shared::Shared;
 
 /// How long a wanted change of models is good for.
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -5,6 +5,7 @@
 
 use chestnut_base::{MemberId, ModelName, Revision, ServerName, ServiceName};
 use chestnut_edge::TargetModel;
+use chestnut_pool::placing::Move;
 use chestnut_pool::{Bid, Usage, Want};
 use serde::{Deserialize, Serialize};
 
@@ -119,14 +120,3 @@
     /// The daemons that it has heard from lately.
     pub heard: Vec<MemberId>,
 }
-
-/// A change of what a runner holds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Move {
-    /// The runner.
-    pub server: ServerName,
-    /// Models that make room; each has other replicas.
-    pub drop: Vec<ModelName>,
-    /// The model to load.
-    pub load: ModelName,
-}
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -7,6 +7,7 @@
 use chestnut_edge::{Declared, Dialect};
 use chestnut_member::{ClaimKey, Known};
 use chestnut_pool::budget::RetryBound;
+use chestnut_pool::placing::Placing;
 use chestnut_pool::{Fleet, RetryBudget, Speeds};
 use indexmap::IndexMap;
 use slog::Logger;
@@ -17,7 +18,7 @@
 use crate::members;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::planner::{Counts, Plans};
+use crate::planner::Counts;
 use crate::settings::Settings;
 
 /// What the parts of the daemon share.
@@ -56,7 +57,7 @@
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
     speeds: Mutex<Speeds>,
     counts: Mutex<Counts>,
-    plans: Mutex<IndexMap<ServiceName, Plans>>,
+    plans: Mutex<IndexMap<ServiceName, Placing>>,
     /// From when on this daemon may give orders under claims that it took.
     turns: Mutex<IndexMap<ClaimKey, Instant>>,
     /// The process that ran on this VM before.
@@ -134,7 +135,7 @@
     }
 
     /// What is known of the services that this daemon plans for.
-    pub fn plans(&self) -> MutexGuard<'_, IndexMap<ServiceName, Plans>> {
+    pub fn plans(&self) -> MutexGuard<'_, IndexMap<ServiceName, Placing>> {
         self.plans.lock().expect("no holder of the lock panics")
     }
 
--- a/crates/lab/src/moves/mod.rs
+++ b/crates/lab/src/moves/mod.rs
@@ -192,6 +192,7 @@
         demand: demand * 10.0_f64.powf(rng.random_range(-1.0..1.0)) / 2.15,
         placed: Vec::new(),
         loading: 0,
+        copies: Vec::new(),
     };
     let state =
         |runner| RunnerState { domain: runner % 20, capacity: 80, other: 0, stays: true };
--- a/crates/lab/src/moves/policy.rs
+++ b/crates/lab/src/moves/policy.rs
@@ -98,6 +98,7 @@
             demand: self.averages[index].estimate(),
             placed: placed[index].clone(),
             loading: loading[index],
+            copies: Vec::new(),
         };
         let runner = |index| RunnerState {
             domain: index % site.domains,
--- a/crates/node/src/planner/scene.rs
+++ b/crates/node/src/planner/scene.rs
@@ -80,6 +80,7 @@
                 demand: averages.get(*name).map_or(0.0, Demand::estimate),
                 placed: Vec::new(),
                 loading: 0,
+                copies: Vec::new(),
             };
             for runner in self.placed(name, model, &usable) {
                 let server = self.runners[runner].0;
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -98,6 +98,9 @@
     pub placed: Vec<usize>,
     /// How many of them are still loading it.
     pub loading: usize,
+    /// Runners that have a copy of the weights, so that a load there does not need
+    /// the weight store.
+    pub copies: Vec<usize>,
 }
 
 /// A plan.
@@ -139,7 +142,7 @@
     /// For each runner, the memory that is not planned for.
     room: Vec<u64>,
     balance: Balance,
-    /// Loads that may still be started.
+    /// Loads from the weight store that may still be started.
     budget: usize,
     /// Whether first replicas are being placed, for which declared further
     /// replicas of other models may go.
@@ -216,7 +219,7 @@
                 return;
             };
             // The next plan goes on; there is a place.
-            if self.budget == 0 {
+            if !self.may_load(model, site.runner) {
                 return;
             }
             self.place(model, &site);
@@ -258,12 +261,21 @@
 
     /// Gives overloaded models further replicas as far as that pays.
     fn improve(&mut self) {
-        while self.budget > 0 {
-            let Some((model, site)) = self.best_move() else { return };
+        while let Some((model, site)) = self.best_move() {
             self.place(model, &site);
         }
     }
 
+    /// Whether a load may be started: from a copy always, from the store as long as
+    /// the budget lasts.
+    fn may_load(&self, model: usize, runner: usize) -> bool {
+        self.budget > 0 || self.has_copy(model, runner)
+    }
+
+    fn has_copy(&self, model: usize, runner: usize) -> bool {
+        self.pool.models[model].copies.contains(&runner)
+    }
+
     fn best_move(&self) -> Option<(usize, Site)> {
         let mut needs: Vec<(f64, usize)> = (0..self.pool.models.len())
             .map(|model| (self.excess(model), model))
@@ -276,6 +288,7 @@
             .filter_map(|(excess, model)| {
                 let site = self.best_site(model)?;
                 let worth = self.worth(model, excess, &site);
+                let worth = if self.may_load(model, site.runner) { worth } else { 0.0 };
                 (worth > 0.0).then_some((worth, model, site))
             })
             .max_by(|a, b| a.0.total_cmp(&b.0))
@@ -316,8 +329,8 @@
     /// The runner that is best for a further replica.
     ///
     /// Least loss first, then the failure domain with the fewest replicas if it
-    /// is a declared one, then the fewest evictions, then the most throughput to
-    /// spare.
+    /// is a declared one, then a copy of the weights at hand, then the fewest
+    /// evictions, then the most throughput to spare.
     fn best_site(&self, model: usize) -> Option<Site> {
         let mut domains = vec![0usize; self.domains()];
         for runner in &self.placed[model] {
@@ -329,6 +342,7 @@
             let Some(site) = self.site(model, runner) else { continue };
             let rank = Rank {
                 loss: site.loss,
+                far: !self.has_copy(model, runner),
                 domain: if declared {
                     domains[self.pool.runners[runner].domain]
                 } else {
@@ -396,7 +410,9 @@
         self.held[site.runner].push(model);
         let bytes = self.pool.models[model].bytes;
         self.room[site.runner] = self.room[site.runner].saturating_sub(bytes);
-        self.budget -= 1;
+        if !self.has_copy(model, site.runner) {
+            self.budget = self.budget.saturating_sub(1);
+        }
         self.moves += 1;
         self.rebalance();
     }
@@ -414,6 +430,7 @@
 /// How good a place is.
 struct Rank {
     loss: f64,
+    far: bool,
     domain: usize,
     evictions: usize,
     spare: f64,
@@ -424,6 +441,7 @@
         self.loss
             .total_cmp(&other.loss)
             .then(self.domain.cmp(&other.domain))
+            .then(self.far.cmp(&other.far))
             .then(self.evictions.cmp(&other.evictions))
             .then(other.spare.total_cmp(&self.spare))
             .is_lt()
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -15,7 +15,8 @@
 
 fn model(bytes: u64, replicas: usize, demand: f64) -> ModelState {
     let cold = Duration::from_secs(30);
-    ModelState { bytes, replicas, cold, demand, placed: Vec::new(), loading: 0 }
+    let (placed, copies) = (Vec::new(), Vec::new());
+    ModelState { bytes, replicas, cold, demand, placed, loading: 0, copies }
 }
 
 fn pool(runners: Vec<RunnerState>, models: Vec<ModelState>) -> PoolState {
--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -13,17 +13,17 @@
 
 use std::time::{Duration, Instant};
 
-/// The longest time that an engine may read prompts within three steps.
-///
-/// Streams whose events hold three tokens pause for three steps; operators allow
-/// pauses of 250 ms and more, and the steps themselves take 30 ms.
-const READ_LIMIT: Duration = Duration::from_millis(190);
+/// The time of an engine's step beside what it reads, with some thirty streams.
+const STEP: Duration = Duration::from_millis(12);
 
-/// How long a lane rests after more than [`READ_LIMIT`]: two steps and a margin.
-const REST: Duration = Duration::from_millis(25);
+/// The steps that one event of a stream takes; events hold three tokens or so.
+const EVENT_STEPS: u32 = 3;
 
-/// The time of an engine's step beside what it reads, with some twenty streams.
-const STEP: Duration = Duration::from_millis(10);
+/// What is left of the longest pause for estimates that are off.
+const MARGIN: Duration = Duration::from_millis(15);
+
+/// The longest pause between events where none is declared.
+const PAUSE: Duration = Duration::from_millis(250);
 
 /// Names a prompt that waits in a lane.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -55,6 +55,8 @@
     pub requests: u32,
     /// Further tokens in the KV cache.
     pub tokens: u64,
+    /// The longest pause between events for which its streams are on time.
+    pub pause: Option<Duration>,
 }
 
 /// What a lane does next.
@@ -74,10 +76,19 @@
 #[derive(Debug, Default)]
 pub struct Lane {
     waiting: Vec<Waiting>,
-    /// When the engine has read what was sent.
-    free: Option<Instant>,
-    /// How long it takes for the last prompt.
-    last: Duration,
+    /// The last prompt that was sent.
+    last: Option<Sent>,
+    /// The one before it, if the engine reads it in the step before.
+    before: Option<Sent>,
+}
+
+/// A prompt that was sent.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    /// How long the engine takes to read it.
+    work: Duration,
+    /// When it has read it.
+    end: Instant,
 }
 
 impl Lane {
@@ -118,8 +129,9 @@
 
     /// How long a prompt would wait that came now.
     pub fn backlog(&self, urgency: u8, now: Instant) -> Duration {
-        let reading =
-            self.free.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
+        let reading = self
+            .last
+            .map_or(Duration::ZERO, |sent| sent.end.saturating_duration_since(now));
         let before = self
             .waiting
             .iter()
@@ -133,16 +145,22 @@
             return Next::Expired(self.waiting.swap_remove(at));
         }
         let Some(at) = self.best(room, now) else { return self.sleep(now) };
-        let start = self.start(self.waiting[at].work);
-        if start.is_some_and(|start| start > now) {
-            return Next::Wait(start.unwrap_or(now));
+        if let Some(start) = self.start(self.waiting[at].work, room)
+            && start > now
+        {
+            return Next::Wait(start);
         }
         let waiting = self.waiting.swap_remove(at);
-        self.free = Some(now + waiting.work + STEP);
-        self.last = waiting.work;
+        self.note_sent(waiting.work, now);
         Next::Send(waiting)
     }
 
+    fn note_sent(&mut self, work: Duration, now: Instant) {
+        let adjoins = |sent: &Sent| now < sent.end + STEP;
+        self.before = self.last.filter(adjoins);
+        self.last = Some(Sent { work, end: now + work + STEP });
+    }
+
     /// The prompt to send first among those that can be sent.
     fn best(&self, room: Room, now: Instant) -> Option<usize> {
         let fits = |waiting: &Waiting| room.requests > 0 && waiting.tokens <= room.tokens;
@@ -155,9 +173,22 @@
     }
 
     /// When a prompt of `work` may be sent at the earliest.
-    fn start(&self, work: Duration) -> Option<Instant> {
-        let rest = if self.last + work > READ_LIMIT { REST } else { Duration::ZERO };
-        self.free.map(|free| free + rest)
+    ///
+    /// An event takes three steps; what is read in any three of them has to fit into
+    /// the longest pause.
+    fn start(&self, work: Duration, room: Room) -> Option<Instant> {
+        let last = self.last?;
+        let pause = room.pause.unwrap_or(PAUSE);
+        let limit = pause.saturating_sub(STEP * EVENT_STEPS + MARGIN);
+        let before = self.before.map_or(Duration::ZERO, |sent| sent.work);
+        let rest = if work + last.work + before <= limit {
+            Duration::ZERO
+        } else if work + last.work <= limit {
+            STEP
+        } else {
+            STEP * 2
+        };
+        Some(last.end + rest)
     }
 
     /// Until when nothing can be sent, as far as time alone decides.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -12,14 +12,17 @@
 //!    reads,
 //! 7. [`budget`] bounds how often requests are sent again.
 //!
-//! Beside them, [`pace`] bounds how fast models are loaded.
+//! Beside them, [`placing`] says which runner holds which model, by [`demand`] and at
+//! a [`pace`] that the weight store allows.
 
 pub mod budget;
 pub mod choose;
+pub mod demand;
 pub mod fleet;
 pub mod health;
 pub mod lane;
 pub mod pace;
+pub mod placing;
 pub mod prefix;
 pub mod runner;
 pub mod speed;
--- /dev/null
+++ b/crates/pool/src/placing.rs
@@ -0,0 +1,310 @@
+//! Which runner is to load or drop which model.
+//!
+//! Load pattern: callers ask for a few of many models, and within seconds for
+//! others. The weight store allows a load or two a second, a load takes about a
+//! second, and dropping a model waits for the runs on it. Without this module the
+//! models that everybody asks for stand on one or two runners while most are idle.
+//!
+//! Demand is planned for with room to grow, since loads come late; replicas that
+//! nobody asks for go before their room is needed, since that room can't be had at
+//! once when it is; the last replica of a model stays. Where replicas go is decided
+//! by the planner of `chestnut-place`.
+
+use std::time::{Duration, Instant};
+
+use chestnut_base::{DomainName, MemberId, ModelName, ServerName};
+use chestnut_edge::{Engine, ServerEntry};
+use chestnut_place::planner::{ModelState, Placement, PoolState, RunnerState, plan};
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+
+use crate::demand::Demands;
+use crate::pace::Pace;
+
+/// The tokens a second, prompt and weighted output, that one runner serves in time.
+///
+/// Engines read 20 to 26 prompt tokens a millisecond; at half of that the steps
+/// between still come in time.
+const THROUGHPUT: f64 = 14_000.0;
+
+/// The share of their throughput that runners of an evenly loaded pool have in use,
+/// at most.
+const FULL: f64 = 0.7;
+
+/// How long a change of demand is expected to last, against the time of a load.
+const HORIZON: Duration = Duration::from_secs(20);
+
+/// What a move costs against a percent of a runner's throughput.
+const MOVE_WEIGHT: f64 = 2.0;
+
+/// How much demand is expected to grow while loads are under way.
+///
+/// When callers turn to other models, the second in demand becomes the first within
+/// five seconds, in which four replicas can be loaded.
+const GROWTH: f64 = 2.0;
+
+/// The share of all demand from which on a model's growth is planned for.
+const GROWING: f64 = 0.08;
+
+/// How long a move that was asked for counts as under way, beyond its load.
+const MOVE_SLACK: Duration = Duration::from_millis(1500);
+
+/// The share of a runner's throughput that a replica has to be asked for to stay
+/// where room is wanted.
+const WORTH_KEEPING: f64 = 0.15;
+
+/// Bytes in a megabyte, as sizes are declared.
+const MB: f64 = 1e6;
+
+/// A change of what a runner holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Move {
+    /// The runner.
+    pub server: ServerName,
+    /// Models that make room; each has other replicas.
+    pub drop: Vec<ModelName>,
+    /// The model to load, if it is not only room that is wanted.
+    pub load: Option<ModelName>,
+}
+
+/// What is known of a service's placement.
+#[derive(Debug)]
+pub struct Placing {
+    demands: Demands,
+    pace: Pace,
+    /// Moves under way and until when they count as such.
+    moving: IndexMap<ServerName, (Move, Instant)>,
+}
+
+/// A service's runners as the registry lists them, and what it declares.
+pub struct Scene<'a> {
+    /// Runners that take new requests.
+    pub runners: &'a [ServerEntry],
+    /// What is declared of them.
+    pub engine: &'a Engine,
+}
+
+impl Placing {
+    /// Starts to plan, with no load saved up.
+    pub fn new(now: Instant) -> Self {
+        Self { demands: Demands::new(now), pace: Pace::new(now), moving: IndexMap::new() }
+    }
+
+    /// Takes in a daemon's count of tokens asked for since its start.
+    pub fn count(&mut self, from: MemberId, tokens: Vec<(ModelName, f64)>) {
+        self.demands.count(from, tokens);
+    }
+
+    /// The demand for a model, in tokens a second.
+    pub fn demand(&self, model: &ModelName) -> f64 {
+        self.demands.estimate(model)
+    }
+
+    /// Decides what to move; returns the moves that are new.
+    pub fn decide(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
+        self.demands.average(scene.engine.models.keys(), now);
+        self.forget_done(scene, now);
+        let mut fresh = self.loads(scene, now);
+        fresh.extend(self.drops(scene, now));
+        fresh
+    }
+
+    /// All moves under way.
+    pub fn moving(&self) -> impl Iterator<Item = &Move> {
+        self.moving.values().map(|(change, _)| change)
+    }
+
+    fn forget_done(&mut self, scene: &Scene, now: Instant) {
+        self.moving.retain(|server, (change, until)| {
+            let runner = scene.runners.iter().find(|runner| runner.name == *server);
+            let done = |runner: &ServerEntry| match &change.load {
+                Some(model) => holds(runner, model),
+                None => !change.drop.iter().any(|model| holds(runner, model)),
+            };
+            now < *until && runner.is_some_and(|runner| !done(runner))
+        });
+    }
+
+    fn loads(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
+        let rate = scene.engine.loads_per_s;
+        let free = self.pace.left(rate, now);
+        let pool = self.pool_state(scene, free);
+        let placement = plan(&pool);
+        let mut fresh = Vec::new();
+        for change in moves(scene, &pool, &placement) {
+            let Some(model) = change.load.clone() else { continue };
+            if self.moving.contains_key(&change.server) {
+                continue;
+            }
+            let mut runners = scene.runners.iter();
+            let runner = runners.find(|runner| runner.name == change.server);
+            if !runner.is_some_and(|runner| is_near(runner, &model)) {
+                if self.pace.left(rate, now) == 0 {
+                    continue;
+                }
+                self.pace.take();
+            }
+            let until = now + scene.engine.models[&model].load + MOVE_SLACK;
+            self.moving.insert(change.server.clone(), (change.clone(), until));
+            fresh.push(change);
+        }
+        fresh
+    }
+
+    /// Drops replicas that are not asked for where no room is left for a load.
+    fn drops(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
+        let mut replicas: IndexMap<&ModelName, usize> = IndexMap::new();
+        for model in scene.runners.iter().flat_map(|runner| &runner.models) {
+            *replicas.entry(&model.model).or_default() += 1;
+        }
+        for model in self.moving.values().flat_map(|(change, _)| &change.drop) {
+            if let Some(count) = replicas.get_mut(model) {
+                *count = count.saturating_sub(1);
+            }
+        }
+        let mut fresh = Vec::new();
+        if !self.demands.is_known() {
+            return fresh;
+        }
+        for runner in scene.runners {
+            if self.moving.contains_key(&runner.name) || has_room(scene.engine, runner) {
+                continue;
+            }
+            let idle = |model: &&ModelName| {
+                let count = replicas.get(model).copied().unwrap_or_default();
+                count > 1 && self.is_idle(model, count)
+            };
+            let models = runner.models.iter().map(|held| &held.model);
+            let Some(model) = models
+                .filter(idle)
+                .min_by(|a, b| self.demand(a).total_cmp(&self.demand(b)))
+            else {
+                continue;
+            };
+            if let Some(count) = replicas.get_mut(model) {
+                *count -= 1;
+            }
+            let drop = vec![model.clone()];
+            let change = Move { server: runner.name.clone(), drop, load: None };
+            let until = now + MOVE_SLACK;
+            self.moving.insert(runner.name.clone(), (change.clone(), until));
+            fresh.push(change);
+        }
+        fresh
+    }
+
+    /// Whether one replica less would still serve a model with ease.
+    fn is_idle(&self, model: &ModelName, replicas: usize) -> bool {
+        let each = self.demands.lately(model) / (replicas - 1) as f64;
+        each < WORTH_KEEPING * THROUGHPUT
+    }
+
+    fn pool_state(&self, scene: &Scene, parallel: usize) -> PoolState {
+        let runners = scene.runners;
+        let domains: IndexSet<&DomainName> =
+            runners.iter().map(|runner| &runner.domain).collect();
+        let runner_state = |runner: &ServerEntry| RunnerState {
+            domain: domains.get_index_of(&runner.domain).unwrap_or_default(),
+            capacity: (scene.engine.memory_mb * MB) as u64,
+            other: (scene.engine.adapter_reserve() * MB) as u64,
+            stays: true,
+        };
+        let planned = self.planned(scene.engine);
+        let names = scene.engine.models.keys();
+        let models: Vec<ModelState> =
+            names.map(|name| self.model_state(scene, name, planned[name])).collect();
+        let asked: f64 = models.iter().map(|model| model.demand).sum();
+        // When more is asked for than the pool can serve, every runner is overloaded
+        // and no move seems to gain; what counts then is the balance.
+        let even = asked / (runners.len().max(1) as f64 * FULL);
+        PoolState {
+            runners: runners.iter().map(runner_state).collect(),
+            models,
+            throughput: THROUGHPUT.max(even),
+            parallel: parallel + self.loading(),
+            attainment_weight: 1.0,
+            move_weight: MOVE_WEIGHT,
+            horizon: HORIZON,
+        }
+    }
+
+    fn loading(&self) -> usize {
+        self.moving.values().filter(|(change, _)| change.load.is_some()).count()
+    }
+
+    /// The demand to plan for: models that many ask for may soon be asked for more.
+    fn planned(&self, engine: &Engine) -> IndexMap<ModelName, f64> {
+        let demand = |name: &ModelName| self.demand(name);
+        let total: f64 = engine.models.keys().map(demand).sum();
+        let most = engine.models.keys().map(demand).fold(0.0, f64::max);
+        let planned = |name: &ModelName| {
+            let now = demand(name);
+            let grown =
+                if now > GROWING * total { (now * GROWTH).min(most) } else { now };
+            (name.clone(), grown.max(now))
+        };
+        engine.models.keys().map(planned).collect()
+    }
+
+    fn model_state(&self, scene: &Scene, name: &ModelName, demand: f64) -> ModelState {
+        let declared = &scene.engine.models[name];
+        let moving = |runner: &ServerEntry| self.moving.get(&runner.name);
+        let loads = |runner: &ServerEntry| {
+            moving(runner).is_some_and(|(change, _)| change.load.as_ref() == Some(name))
+        };
+        let drops = |runner: &ServerEntry| {
+            moving(runner).is_some_and(|(change, _)| change.drop.contains(name))
+        };
+        let there =
+            |runner: &ServerEntry| loads(runner) || holds(runner, name) && !drops(runner);
+        let indices = |which: &dyn Fn(&ServerEntry) -> bool| {
+            let runners = scene.runners.iter().enumerate();
+            runners.filter(|(_, runner)| which(runner)).map(|(index, _)| index).collect()
+        };
+        ModelState {
+            bytes: (declared.weights_mb * MB) as u64,
+            replicas: 1,
+            cold: declared.load,
+            demand,
+            placed: indices(&there),
+            loading: scene.runners.iter().filter(|runner| loads(runner)).count(),
+            copies: indices(&|runner| is_near(runner, name)),
+        }
+    }
+}
+
+fn holds(runner: &ServerEntry, model: &ModelName) -> bool {
+    runner.models.iter().any(|held| held.model == *model)
+}
+
+/// Whether the runner has a copy of the weights, so that the store isn't needed.
+fn is_near(runner: &ServerEntry, model: &ModelName) -> bool {
+    runner.warm.contains(model) || runner.on_disk.contains(model)
+}
+
+/// Whether the largest model fits beside what the runner holds.
+fn has_room(engine: &Engine, runner: &ServerEntry) -> bool {
+    let size = |name: &ModelName| engine.models.get(name).map_or(0.0, |m| m.weights_mb);
+    let held: f64 = runner.models.iter().map(|held| size(&held.model)).sum();
+    let largest = engine.models.values().map(|m| m.weights_mb).fold(0.0, f64::max);
+    held + largest + engine.adapter_reserve() <= engine.memory_mb
+}
+
+/// The changes that lead from what runners hold to a placement.
+fn moves(scene: &Scene, pool: &PoolState, placement: &Placement) -> Vec<Move> {
+    let models: Vec<&ModelName> = scene.engine.models.keys().collect();
+    let mut moves = Vec::new();
+    for (index, runner) in scene.runners.iter().enumerate() {
+        let wanted = |model: &usize| placement.placed[*model].contains(&index);
+        let before = |model: &usize| pool.models[*model].placed.contains(&index);
+        let load = (0..models.len()).find(|model| wanted(model) && !before(model));
+        let Some(load) = load else { continue };
+        let drop = (0..models.len()).filter(|model| before(model) && !wanted(model));
+        moves.push(Move {
+            server: runner.name.clone(),
+            drop: drop.map(|model| models[model].clone()).collect(),
+            load: Some(models[load].clone()),
+        });
+    }
+    moves
+}
--- a/crates/pool/src/speed.rs
+++ b/crates/pool/src/speed.rs
@@ -13,8 +13,15 @@
 
 /// The time for a token that is assumed at first, in milliseconds.
 ///
-/// Engines of the users' deployments read 19 to 26 tokens in a millisecond.
-const FIRST_GUESS: f64 = 1.0 / 20.0;
+/// Engines of the users' deployments read 19 to 26 tokens in a millisecond; too slow
+/// a guess costs little for the second in which it is corrected.
+const FIRST_GUESS: f64 = 1.0 / 17.0;
+
+/// The length at which a prompt takes twice the time for each token.
+///
+/// Each token is compared with all before it; for prompts of 4,000 tokens this makes
+/// up an eighth to a fifth of the time.
+const DOUBLE_AT: f64 = 25_000.0;
 
 /// The least and the greatest time for a token that is believed, in milliseconds.
 const BOUNDS: (f64, f64) = (1.0 / 100.0, 1.0 / 5.0);
@@ -85,12 +92,18 @@
     pub fn learn(&mut self, model: &ModelName, tokens: u32, time: Duration) {
         let line = self.models.entry(model.clone()).or_insert_with(Line::new);
         let millis = time.as_secs_f64() * 1000.0;
-        *line = line.with(f64::from(tokens), millis, 1.0, FADE);
+        *line = line.with(effort(tokens), millis, 1.0, FADE);
     }
 
     /// How long a runner takes to read tokens.
     pub fn reading(&self, model: &ModelName, tokens: u32) -> Duration {
         let slope = self.models.get(model).map_or(FIRST_GUESS, Line::slope);
-        Duration::from_secs_f64(f64::from(tokens) * slope / 1000.0)
+        Duration::from_secs_f64(effort(tokens) * slope / 1000.0)
     }
 }
+
+/// The length of a prompt as far as it takes time.
+fn effort(tokens: u32) -> f64 {
+    let tokens = f64::from(tokens);
+    tokens * (1.0 + tokens / DOUBLE_AT)
+}
