Let one daemon read each table, finish what is in flight at a stop

Now one daemon reads a table closely, the others learn of news from beats and fetch it from each other, and read the store themselves when nobody has had its word for 1.2 s. A stop waits for all requests and refuses new ones near its end; a daemon that has just started looks for what it needs before it refuses.

--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -12,12 +12,12 @@
 use chestnut_member::{ClaimKey, ClaimRow, Step, plan};
 use slog::{info, warn};
 
-use crate::follow::Follower;
+use crate::follow::{Follower, OWN};
 use crate::shared::Shared;
 use crate::{holder, store};
 
-/// The table of claims.
-pub const CLAIMS: &str = "claim";
+/// How keys of claims' rows begin; the claim follows.
+pub const PREFIX: &str = "claim:";
 
 /// How long a daemon waits after its start before it takes claims that nobody holds.
 ///
@@ -36,7 +36,8 @@
 impl Follower for Claims {
     fn changed(&mut self, change: Change) {
         let Self(shared) = self;
-        let Ok(key) = change.key.parse::<ClaimKey>() else { return };
+        let name = change.key.strip_prefix(PREFIX).unwrap_or_default();
+        let Ok(key) = name.parse::<ClaimKey>() else { return };
         let row = change.value.as_ref().map(|value| serde_json::from_slice(value));
         let row: Option<ClaimRow> = match row.transpose() {
             Ok(row) => row,
@@ -60,7 +61,7 @@
     }
 
     fn settled(&mut self) {
-        self.0.claims_read.send_replace(true);
+        self.0.own_read.send_replace(true);
         holder::follow_claims(&self.0);
     }
 }
@@ -88,7 +89,7 @@
 
 /// Takes, hands over and gives up claims.
 pub async fn tick(shared: &Arc<Shared>) {
-    let read = *shared.claims_read.borrow() && *shared.members_read.borrow();
+    let read = *shared.own_read.borrow();
     let gathered = shared.started.elapsed() >= GATHER || shared.is_back();
     if !read || !gathered {
         return;
@@ -119,10 +120,10 @@
 }
 
 fn add(commit: Commit, step: &Step) -> Commit {
-    let key = step.key.to_string();
+    let key = format!("{PREFIX}{}", step.key);
     // Claims are plain structs, which always serialize.
     let value = serde_json::to_vec(&step.row).unwrap_or_default();
-    commit.check(CLAIMS, &key, step.version).put(CLAIMS, &key, value)
+    commit.check(OWN, &key, step.version).put(OWN, &key, value)
 }
 
 /// Whether no other VM can have given orders under the claim lately.
@@ -145,7 +146,7 @@
 }
 
 fn turn_from(shared: &Shared) -> Instant {
-    shared.now() + shared.settings.bounds.turn + TURN_MARGIN
+    shared.now() + shared.bounds.borrow().turn + TURN_MARGIN
 }
 
 /// Everything that is claimed: runners that are listed, and services with models.
--- a/crates/gate/src/directory.rs
+++ b/crates/gate/src/directory.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::extract::{RawQuery, State};
+use axum::extract::{Path, RawQuery, State};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
+use chestnut_member::MemberRow;
 use http_body_util::Full;
 
+use crate::follow;
 use crate::shared::Shared;
 
 /// How long callers keep an answer.
@@ -42,7 +44,7 @@
     RawQuery(_query): RawQuery,
 ) -> Response {
     let addresses = ready_addresses(&shared);
-    let hold = HOLD.min(shared.settings.bounds.directory);
+    let hold = HOLD.min(shared.bounds.borrow().directory);
     let answer = shared.dialect.write_directory(&addresses, hold);
     answer.map(|body| axum::body::Body::new(Full::new(body))).into_response()
 }
@@ -58,9 +60,20 @@
     };
     let me = shared.peers.me;
     let own = shared.is_ready();
-    let rows = known.members.values().map(|(row, _)| row);
-    let open = rows.filter(|row| if row.member == me { own } else { ready(row.member) });
-    open.map(|row| row.caller_addr).take(ADDRESS_LIMIT).collect()
+    let rows: Vec<&MemberRow> = known.members.values().map(|(row, _)| row).collect();
+    let ready = |row: &MemberRow| if row.member == me { own } else { ready(row.member) };
+    let addresses = |which: &dyn Fn(&MemberRow) -> bool| -> Vec<SocketAddr> {
+        let open = rows.iter().filter(|row| which(row));
+        open.map(|row| row.caller_addr).take(ADDRESS_LIMIT).collect()
+    };
+    let open = addresses(&ready);
+    if !open.is_empty() {
+        return open;
+    }
+    // All have just started, or none hears the others: any may serve, and says when
+    // to come back if it can't.
+    let listed = addresses(&|row| known.takes_claims(row));
+    if listed.is_empty() { vec![shared.settings.callers] } else { listed }
 }
 
 async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
@@ -70,6 +83,25 @@
     }
 }
 
+/// Tells other daemons what changed in the copies of the store's tables.
+pub fn rows(shared: Arc<Shared>) -> Router {
+    Router::new().route("/changes/{table}/{after}", get(changes)).with_state(shared)
+}
+
+async fn changes(
+    State(shared): State<Arc<Shared>>,
+    Path((table, after)): Path<(String, u64)>,
+) -> Response {
+    let tables = follow::tables(&shared);
+    let table = tables.into_iter().find(|one| one.name == table);
+    let changes = table.and_then(|table| table.mirror().changes(after));
+    match changes.map(|changes| postcard::to_allocvec(&changes)) {
+        Some(Ok(bytes)) => bytes.into_response(),
+        Some(Err(_)) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
 async fn metrics(State(shared): State<Arc<Shared>>) -> String {
     shared.metrics.render()
 }
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -1,37 +1,66 @@
-//! Keeps a copy of a table of the store up to date.
+//! Keeps copies of the store's tables up to date.
 //!
-//! The table is read whole once; from then on the store answers a waiting call as
-//! soon as a row changes. Where the store no longer has the history that the copy
-//! lacks, the table is read whole again.
+//! One daemon reads a table closely: the store answers its waiting call as soon as a
+//! row changes. The others learn from daemons' beats that a newer version is known,
+//! and fetch what changed from whoever knows it; that costs the store nothing. A
+//! daemon reads the store itself when nobody says that the store has confirmed the
+//! copy lately: the reader may be gone, frozen or cut off, and changes have to be in
+//! force in time nonetheless. A daemon that the store turns away learns from others.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use chestnut_base::MemberId;
+use chestnut_base::id::rendezvous;
 use chestnut_edge::Change;
-use indexmap::IndexMap;
 use slog::{info, warn};
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
+use crate::mirror::{Changes, Mirror};
 use crate::shared::Shared;
 use crate::store::{self, StoreFault};
+use crate::{claims, members};
 
-/// How long the store may hold a call that waits for changes.
+/// How long the store may hold the reader's call that waits for changes.
 ///
-/// A connection that fell silent is noticed by its probes within seconds; the
-/// limit is for a store that forgot the call.
-const HOLD: Duration = Duration::from_secs(10);
+/// With the beats' period and an answer's delay it keeps below [`FRESH`].
+const HOLD: Duration = Duration::from_millis(700);
 
 /// How much later than `HOLD` an answer may come.
-const HOLD_SLACK: Duration = Duration::from_secs(1);
+const HOLD_SLACK: Duration = Duration::from_millis(300);
 
-/// The first pause after a failed call.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// How long a copy counts as up to date after the store confirmed it.
+///
+/// Changes have to be in force within two seconds; a read of its own takes a daemon
+/// some milliseconds.
+const FRESH: Duration = Duration::from_millis(1200);
+
+/// How much later than the first daemon each next one reads the store itself, so
+/// that one read serves all.
+const STAGGER: Duration = Duration::from_millis(60);
+
+/// How often a daemon looks whether its copy is up to date.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// How long another daemon may take to say what changed.
+const PEER_TIME: Duration = Duration::from_millis(250);
+
+/// The pause between changes of a table that changes all the time.
+const BREATH: Duration = Duration::from_millis(60);
+
+/// The first pause after a failed call of the store.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
 
 /// The longest pause after failed calls.
-///
-/// Changes must be in force within two seconds of an outage's end.
 const LAST_PAUSE: Duration = Duration::from_millis(500);
 
+/// After how long without the store's word its return is worth telling.
+///
+/// Entries of servers lapse after three of their beats without the store.
+const OUTAGE: Duration = Duration::from_millis(2500);
+
 /// Who takes in what changed.
 pub trait Follower: Send {
     /// A row was written or removed.
@@ -44,137 +73,294 @@
     fn regained(&mut self) {}
 }
 
-/// A copy of a table of the store.
-struct Copy {
-    table: &'static str,
-    /// The versions of the rows, to tell old reads from new ones.
-    rows: IndexMap<String, u64>,
-    /// Up to where the copy is complete; nothing before the first whole read.
-    version: Option<u64>,
-    /// The newest version that was ever seen.
-    newest: u64,
+/// A table of the store that daemons follow.
+pub struct Table {
+    /// Its name.
+    pub name: &'static str,
+    /// The copy.
+    pub mirror: std::sync::Mutex<Mirror>,
+    /// A daemon that knows a newer version.
+    pub newer: watch::Sender<Option<(MemberId, u64)>>,
+}
+
+impl Table {
+    /// Creates an empty copy.
+    pub fn new(name: &'static str) -> Self {
+        Self { name, mirror: Default::default(), newer: watch::Sender::new(None) }
+    }
+
+    /// The copy.
+    pub fn mirror(&self) -> std::sync::MutexGuard<'_, Mirror> {
+        self.mirror.lock().expect("no holder of the lock panics")
+    }
+
+    /// What this daemon says of the table in its beats: the version, and how many
+    /// milliseconds ago the store confirmed it.
+    pub fn news(&self, now: Instant) -> Option<(u64, u32)> {
+        let mirror = self.mirror();
+        let age = now.saturating_duration_since(mirror.confirmed()?);
+        Some((mirror.version()?, age.as_millis() as u32))
+    }
+
+    /// Takes in what another daemon says of the table.
+    pub fn hear(&self, from: MemberId, version: u64, age_ms: u32, now: Instant) {
+        let confirmed = now.checked_sub(Duration::from_millis(age_ms.into()));
+        let mut mirror = self.mirror();
+        if let Some(confirmed) = confirmed {
+            mirror.confirm(version, confirmed);
+        }
+        if mirror.version().is_some_and(|own| own < version) {
+            self.newer.send_replace(Some((from, version)));
+        }
+    }
 }
 
 /// Follows a table for as long as the daemon runs.
-pub async fn run(shared: Arc<Shared>, table: &'static str, mut follower: impl Follower) {
-    let mut copy = Copy { table, rows: IndexMap::new(), version: None, newest: 0 };
-    let mut pause = FIRST_PAUSE;
-    let mut lost = false;
+pub async fn run(shared: Arc<Shared>, table: Arc<Table>, follower: impl Follower) {
+    let outage = Outage { since: None };
+    let mut follow = Follow { shared, table, follower, outage, pause: FIRST_PAUSE };
     loop {
-        match copy.advance(&shared, &mut follower).await {
-            Ok(()) => {
-                pause = FIRST_PAUSE;
-                if std::mem::take(&mut lost) {
-                    info!(shared.log, "store regained"; "table" => table);
-                    follower.regained();
-                }
-                follower.settled();
+        follow.step().await;
+    }
+}
+
+/// How long the store has not been heard of.
+struct Outage {
+    since: Option<Instant>,
+}
+
+struct Follow<F> {
+    shared: Arc<Shared>,
+    table: Arc<Table>,
+    follower: F,
+    outage: Outage,
+    pause: Duration,
+}
+
+/// Where the next changes come from.
+enum Source {
+    /// The store, which may hold its answer that long.
+    Store(Duration),
+    /// A daemon that knows a newer version.
+    Peer(SocketAddr),
+    /// Nothing is needed.
+    Nobody,
+}
+
+impl<F: Follower> Follow<F> {
+    async fn step(&mut self) {
+        self.note_outage();
+        let result = match self.source() {
+            Source::Store(hold) => self.read_store(hold).await,
+            Source::Peer(addr) => self.read_peer(addr).await,
+            Source::Nobody => {
+                let mut newer = self.table.newer.subscribe();
+                newer.borrow_and_update();
+                // Either there is news or it is time to look again.
+                let _ = timeout(LOOK, newer.changed()).await;
+                return;
             }
+        };
+        match result {
+            Ok(()) => self.pause = FIRST_PAUSE,
             Err(StoreFault(why)) => {
-                if !std::mem::replace(&mut lost, true) {
-                    warn!(shared.log, "store lost"; "table" => table, "error" => why);
-                }
-                sleep(pause).await;
-                pause = (pause * 2).min(LAST_PAUSE);
+                warn!(self.shared.log, "table not read"; "table" => self.table.name,
+                    "error" => why, "age_ms" => self.age().map(|age| age.as_millis() as u64));
+                sleep(self.pause).await;
+                self.pause = (self.pause * 2).min(LAST_PAUSE);
             }
         }
     }
-}
 
-impl Copy {
-    async fn advance(
-        &mut self,
-        shared: &Shared,
-        follower: &mut impl Follower,
-    ) -> Result<(), StoreFault> {
-        match self.version {
-            None => self.read_whole(shared, follower).await,
-            Some(version) => self.read_changes(shared, follower, version).await,
+    /// Decides where the next changes come from.
+    fn source(&self) -> Source {
+        let now = self.shared.now();
+        if self.table.mirror().version().is_none() {
+            return Source::Store(Duration::ZERO);
+        }
+        let rank = rank(&self.shared, self.table.name);
+        if rank == 0 {
+            return Source::Store(HOLD);
+        }
+        if let Some(addr) = self.newer_peer(now) {
+            return Source::Peer(addr);
+        }
+        let limit = FRESH + STAGGER * rank.min(20) as u32;
+        match self.age() {
+            Some(age) if age < limit => Source::Nobody,
+            _ => Source::Store(Duration::ZERO),
         }
     }
 
-    async fn read_changes(
-        &mut self,
-        shared: &Shared,
-        follower: &mut impl Follower,
-        after: u64,
-    ) -> Result<(), StoreFault> {
-        let request = shared.dialect.ask_changes(self.table, after, HOLD);
-        let answer = store::call(shared, request, HOLD + HOLD_SLACK).await?;
-        let (status, body) = (answer.status(), answer.into_body());
-        match shared.dialect.read_changes(status, &body) {
-            Ok(Some(delta)) => {
-                for change in delta.changes {
-                    self.take(change, follower);
-                }
-                self.newest = after.max(delta.version);
-                self.version = Some(self.newest);
-                Ok(())
-            }
-            Ok(None) => {
-                info!(shared.log, "history gone, reading the table whole"; "table" => self.table);
-                self.version = None;
-                Ok(())
-            }
-            Err(error) => Err(StoreFault(error.to_string())),
+    /// How long ago the store confirmed the copy.
+    fn age(&self) -> Option<Duration> {
+        let confirmed = self.table.mirror().confirmed()?;
+        Some(self.shared.now().saturating_duration_since(confirmed))
+    }
+
+    /// A daemon that knows a newer version and was heard from lately.
+    fn newer_peer(&self, now: Instant) -> Option<SocketAddr> {
+        let (member, version) = (*self.table.newer.borrow())?;
+        let own = self.table.mirror().version()?;
+        let alive = self.shared.peers.is_alive(member, now);
+        if version <= own || !alive {
+            return None;
         }
+        members::rows_addr(&self.shared, member)
     }
 
-    async fn read_whole(
-        &mut self,
-        shared: &Shared,
-        follower: &mut impl Follower,
-    ) -> Result<(), StoreFault> {
-        let mut listed = IndexMap::new();
-        let mut version = None;
-        let mut after: Option<String> = None;
-        loop {
-            let page = store::rows(shared, self.table, after.as_deref()).await?;
-            // The first page is the oldest: changes after it are read again.
-            version.get_or_insert(page.version);
-            if self.newest > page.version {
-                return Err(StoreFault(format!("an old read, {} behind", self.newest)));
-            }
-            after = page.rows.last().map(|row| row.key.clone());
-            listed.extend(page.rows.into_iter().map(|row| (row.key.clone(), row)));
-            if !page.more || after.is_none() {
-                break;
+    async fn read_peer(&mut self, addr: SocketAddr) -> Result<(), StoreFault> {
+        let own = self.table.mirror().version().unwrap_or_default();
+        let changes =
+            store::peer_changes(&self.shared, addr, self.table.name, own, PEER_TIME);
+        let changes = changes.await.inspect_err(|_| {
+            // Another daemon may know it too, and says so in its next beat.
+            self.table.newer.send_replace(None);
+        })?;
+        self.take(changes);
+        Ok(())
+    }
+
+    fn take(&mut self, changes: Changes) {
+        let Changes { rows, whole, version } = changes;
+        let rows: Vec<Change> = rows.into_iter().map(Change::from).collect();
+        let fresh = {
+            let mut mirror = self.table.mirror();
+            match whole {
+                true => mirror.take_whole(rows, version).unwrap_or_default(),
+                false => mirror.take(rows, version),
             }
+        };
+        self.hand_on(fresh);
+    }
+
+    async fn read_store(&mut self, hold: Duration) -> Result<(), StoreFault> {
+        let version = self.table.mirror().version();
+        let Some(after) = version else { return self.read_whole().await };
+        let request = self.shared.dialect.ask_changes(self.table.name, after, hold);
+        let answer = store::call(&self.shared, request, hold + HOLD_SLACK).await?;
+        let (status, body) = (answer.status(), answer.into_body());
+        let delta = self.shared.dialect.read_changes(status, &body);
+        let Some(delta) = delta.map_err(|error| StoreFault(error.to_string()))? else {
+            info!(self.shared.log, "history gone, reading the table whole";
+                "table" => self.table.name, "version" => after);
+            return self.read_whole().await;
+        };
+        let busy = !delta.changes.is_empty();
+        let now = self.shared.now();
+        let fresh = {
+            let mut mirror = self.table.mirror();
+            let fresh = mirror.take(delta.changes, delta.version);
+            mirror.confirm(delta.version, now);
+            fresh
+        };
+        self.hand_on(fresh);
+        if busy {
+            // Others learn of it at once, and the store is not asked for each row.
+            members::beat(&self.shared);
+            sleep(BREATH).await;
         }
-        let version = version.unwrap_or_default();
-        self.remove_missing(&listed, version, follower);
-        for row in listed.into_values() {
-            self.take(row, follower);
-        }
-        self.newest = version;
-        self.version = Some(version);
         Ok(())
     }
 
-    fn remove_missing(
-        &mut self,
-        listed: &IndexMap<String, Change>,
-        version: u64,
-        follower: &mut impl Follower,
-    ) {
-        let missing = |key: &&String| !listed.contains_key(*key);
-        let missing: Vec<String> = self.rows.keys().filter(missing).cloned().collect();
-        for key in missing {
-            self.take(Change { key, version, value: None }, follower);
+    async fn read_whole(&mut self) -> Result<(), StoreFault> {
+        let (rows, version) = store::table(&self.shared, self.table.name).await?;
+        let now = self.shared.now();
+        let fresh = {
+            let mut mirror = self.table.mirror();
+            let fresh = mirror.take_whole(rows, version);
+            let fresh =
+                fresh.ok_or_else(|| StoreFault(format!("an old read, {version}")))?;
+            mirror.confirm(version, now);
+            fresh
+        };
+        self.hand_on(fresh);
+        Ok(())
+    }
+
+    fn hand_on(&mut self, fresh: Vec<Change>) {
+        for change in fresh {
+            self.follower.changed(change);
+        }
+        self.follower.settled();
+    }
+
+    /// Tells the follower when the store is back after an outage.
+    fn note_outage(&mut self) {
+        let now = self.shared.now();
+        let age = self.age();
+        match (age, self.outage.since) {
+            (Some(age), None) if age > OUTAGE => {
+                warn!(self.shared.log, "store lost"; "table" => self.table.name,
+                    "age_ms" => age.as_millis() as u64);
+                self.outage.since = Some(now);
+            }
+            (Some(age), Some(since)) if age < OUTAGE => {
+                info!(self.shared.log, "store regained"; "table" => self.table.name,
+                    "lost_ms" => now.duration_since(since).as_millis() as u64);
+                self.outage.since = None;
+                self.follower.regained();
+            }
+            _ => {}
         }
     }
+}
+
+/// This daemon's place in the order in which daemons read a table; 0 is the reader.
+fn rank(shared: &Shared, table: &str) -> usize {
+    let me = &shared.settings.vm;
+    let known = shared.known();
+    let now = shared.now();
+    let own = rendezvous(table, me.as_str());
+    let others = known.members.iter().filter(|(vm, (row, _))| {
+        *vm != me && known.takes_claims(row) && shared.peers.is_alive(row.member, now)
+    });
+    others.filter(|(vm, _)| rendezvous(table, vm.as_str()) > own).count()
+}
+
+/// The tables that a daemon follows.
+pub fn tables(shared: &Shared) -> [&Arc<Table>; 3] {
+    [&shared.tables.declared, &shared.tables.servers, &shared.tables.own]
+}
+
+/// What this daemon says of its tables in its beats.
+pub fn news(shared: &Shared) -> Vec<Option<(u64, u32)>> {
+    let now = shared.now();
+    tables(shared).into_iter().map(|table| table.news(now)).collect()
+}
 
-    /// Takes in a row unless a newer state of it is known: a call that was answered
-    /// late must not bring back what was replaced.
-    fn take(&mut self, change: Change, follower: &mut impl Follower) {
-        let known = self.rows.get(&change.key).copied().unwrap_or_default();
-        if change.version <= known {
-            return;
+/// Takes in what another daemon says of its tables.
+pub fn hear(shared: &Shared, from: MemberId, news: &[Option<(u64, u32)>]) {
+    let now = shared.now();
+    for (table, news) in tables(shared).into_iter().zip(news) {
+        if let Some((version, age)) = news {
+            table.hear(from, *version, *age, now);
         }
-        self.rows.insert(change.key.clone(), change.version);
-        if change.value.is_none() {
-            self.rows.swap_remove(&change.key);
+    }
+}
+
+/// The system's own table: daemons and claims, told apart by the start of the key.
+pub const OWN: &str = "chestnut";
+
+/// Takes in the system's own table.
+pub struct Own {
+    /// Takes in daemons.
+    pub members: members::Members,
+    /// Takes in claims.
+    pub claims: claims::Claims,
+}
+
+impl Follower for Own {
+    fn changed(&mut self, change: Change) {
+        if change.key.starts_with(members::PREFIX) {
+            self.members.changed(change);
+        } else if change.key.starts_with(claims::PREFIX) {
+            self.claims.changed(change);
         }
-        follower.changed(change);
+    }
+
+    fn settled(&mut self) {
+        self.members.settled();
+        self.claims.settled();
     }
 }
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -10,7 +10,7 @@
 use http::request;
 use slog::info;
 
-use crate::shared::Shared;
+use crate::shared::{Active, Shared};
 
 /// A caller's request while it is being served.
 pub struct Job {
@@ -28,6 +28,8 @@
     pub route: usize,
     /// The service that it goes to.
     pub service: ServiceName,
+    /// Counts the request among those that are being served.
+    pub active: Active,
     /// When its head was read.
     pub arrived: Instant,
     /// When the caller or the route gives up.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,8 +14,9 @@
 //! is in flight at its runner, [`grant`]s requests their turn and gives orders by its
 //! [`driver`]; the [`planner`] says which model goes where. Daemons exchange datagrams: [`message`], [`peers`], [`receive`].
 //!
-//! Beside it, [`follow`] and [`registry`] keep declarations and the list of backend
-//! servers up to date, and [`directory`] tells callers where to connect. All of it
+//! Beside it, [`follow`] keeps [`mirror`]s of the [`store`]'s tables, [`registry`] takes
+//! in declarations and backend servers from them, and [`directory`] tells callers where
+//! to connect. All of it
 //! goes through one [`client`] and meets in [`shared`].
 
 pub mod answer;
@@ -36,6 +37,7 @@
 pub mod members;
 pub mod message;
 pub mod metrics;
+pub mod mirror;
 pub mod peers;
 pub mod planner;
 pub mod read;
--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -15,13 +15,13 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
-use crate::follow::Follower;
+use crate::follow::{self, Follower, OWN};
 use crate::message::{Beat, Message};
 use crate::shared::Shared;
 use crate::{claims, store};
 
-/// The table of daemons, by VM.
-pub const MEMBERS: &str = "member";
+/// How keys of daemons' rows begin; the VM's name follows.
+pub const PREFIX: &str = "daemon:";
 
 /// How often a daemon says that it lives.
 const BEAT_PERIOD: Duration = Duration::from_millis(250);
@@ -41,7 +41,8 @@
 impl Follower for Members {
     fn changed(&mut self, change: Change) {
         let Self(shared) = self;
-        let Ok(vm) = VmName::try_from(change.key.as_str()) else { return };
+        let name = change.key.strip_prefix(PREFIX).unwrap_or_default();
+        let Ok(vm) = VmName::try_from(name) else { return };
         let row = change.value.as_ref().map(|value| serde_json::from_slice(value));
         let row: Option<MemberRow> = match row.transpose() {
             Ok(row) => row,
@@ -68,7 +69,6 @@
 
     fn settled(&mut self) {
         self.0.known().note_seen(self.0.now());
-        self.0.members_read.send_replace(true);
     }
 }
 
@@ -101,15 +101,15 @@
 
 /// Learns which process ran on this VM before, if its row still stands.
 async fn find_previous(shared: &Shared) {
-    let page = match store::rows(shared, MEMBERS, None).await {
-        Ok(page) => page,
+    let rows = match store::table(shared, OWN).await {
+        Ok((rows, _)) => rows,
         Err(fault) => {
             info!(shared.log, "earlier process not known"; "error" => fault.to_string());
             return;
         }
     };
     let vm = shared.settings.vm.as_str();
-    let own = page.rows.into_iter().find(|row| row.key == vm);
+    let own = rows.into_iter().find(|row| row.key == key(vm));
     let value = own.and_then(|row| row.value);
     let row = value.and_then(|value| serde_json::from_slice::<MemberRow>(&value).ok());
     if let Some(row) = row
@@ -121,7 +121,7 @@
 
 async fn put_row(shared: &Shared, vm: &str, row: &MemberRow) -> Result<(), String> {
     let value = serde_json::to_vec(row).map_err(|error| error.to_string())?;
-    let commit = Commit::default().put(MEMBERS, vm, value);
+    let commit = Commit::default().put(OWN, &key(vm), value);
     match store::commit(shared, &commit).await {
         Ok(CommitAnswer::Done { version }) => {
             let vm = shared.settings.vm.clone();
@@ -140,19 +140,31 @@
         domain: settings.domain.clone(),
         caller_addr: settings.callers,
         peer_addr: settings.peer_addr(),
-        ops_addr: settings.readiness,
+        ops_addr: settings.rows_addr(),
         leaving: *shared.leaving.borrow(),
     }
 }
 
+/// The key of a daemon's row.
+fn key(vm: &str) -> String {
+    format!("{PREFIX}{vm}")
+}
+
+/// Where a daemon says what changed in its copies of the store's tables.
+pub fn rows_addr(shared: &Shared, member: MemberId) -> Option<SocketAddr> {
+    let known = shared.known();
+    let mut rows = known.members.values();
+    rows.find(|(row, _)| row.member == member).map(|(row, _)| row.ops_addr)
+}
+
 /// Tells others that the daemon lives.
 pub fn beat(shared: &Shared) {
     let now = shared.now();
     let beat = Beat {
         ready: shared.is_ready(),
         leaving: *shared.leaving.borrow(),
-        revision: shared.declared().map(|declared| declared.revision).unwrap_or_default(),
         heard: shared.peers.alive(now),
+        tables: follow::news(shared),
     };
     for (_, addr) in others(shared) {
         shared.peers.send(addr, Message::Beat(beat.clone()));
@@ -174,6 +186,7 @@
 
 /// Takes in a beat of another daemon.
 pub fn heard(shared: &Shared, from: MemberId, beat: &Beat) {
+    follow::hear(shared, from, &beat.tables);
     let mut known = shared.known();
     match beat.leaving {
         true => drop(known.leaving.insert(from)),
@@ -185,8 +198,8 @@
     for (vm, row, version) in silent(shared) {
         info!(shared.log, "daemon is silent, removing its row"; "member" => vm.to_string(),
             "version" => version, "id" => row.member.to_string());
-        let key = vm.as_str();
-        let commit = Commit::default().check(MEMBERS, key, version).remove(MEMBERS, key);
+        let key = key(vm.as_str());
+        let commit = Commit::default().check(OWN, &key, version).remove(OWN, &key);
         if let Err(fault) = store::commit(shared, &commit).await {
             warn!(shared.log, "row not removed"; "error" => fault.to_string());
         }
@@ -223,8 +236,8 @@
     let vm = &shared.settings.vm;
     let version = shared.known().own(vm, shared.peers.me).map(|(_, version)| version);
     let Some(version) = version else { return };
-    let key = vm.as_str();
-    let commit = Commit::default().check(MEMBERS, key, version).remove(MEMBERS, key);
+    let key = key(vm.as_str());
+    let commit = Commit::default().check(OWN, &key, version).remove(OWN, &key);
     if let Err(fault) = store::commit(shared, &commit).await {
         warn!(shared.log, "own row remains"; "error" => fault.to_string());
     }
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -3,7 +3,7 @@
 //! Each stands for itself: sums are whole, questions carry a number, and whatever
 //! is lost is repeated or done without.
 
-use chestnut_base::{MemberId, ModelName, Revision, ServerName, ServiceName};
+use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
 use chestnut_edge::TargetModel;
 use chestnut_pool::placing::Move;
 use chestnut_pool::{Bid, Usage, Want};
@@ -115,8 +115,9 @@
     pub ready: bool,
     /// Whether it was told to stop.
     pub leaving: bool,
-    /// The revision that is in force there.
-    pub revision: Revision,
     /// The daemons that it has heard from lately.
     pub heard: Vec<MemberId>,
+    /// What it knows of the store's tables: the version, and how many milliseconds
+    /// ago the store confirmed it.
+    pub tables: Vec<Option<(u64, u32)>>,
 }
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -11,13 +11,17 @@
 use hyper::body::Incoming;
 use rand::{Rng, RngExt};
 use slog::info;
+use tokio::time::timeout;
 
 use crate::answer::OutBody;
 use crate::job::Job;
 use crate::serve::whole;
 use crate::shared::Shared;
 
-/// How long a caller is told to stay away from a daemon that knows nothing yet.
+/// How long a daemon that has just started looks for what it needs, and how long a
+/// caller is told to stay away if that was in vain.
+///
+/// Two reads of the store take some 10 ms.
 const START_TIME: Duration = Duration::from_millis(300);
 
 /// A request that is refused before it has a route.
@@ -45,6 +49,7 @@
     body: Incoming,
 ) -> Result<Job, Unread> {
     let arrived = shared.now();
+    let active = shared.active.enter();
     let call = match shared.dialect.read_call(&head) {
         Ok(call) => call,
         Err(fault) => {
@@ -53,7 +58,10 @@
         }
     };
     let refused = |refusal| Unread { refusal, id: call.id.clone() };
-    let declared = shared.declared().ok_or_else(|| refused(unknown_yet()))?;
+    if shared.is_closing() {
+        return Err(refused(closing()));
+    }
+    let declared = declared(&shared).await.ok_or_else(|| refused(unknown_yet()))?;
     let route = find_route(&declared, &call).ok_or_else(|| refused(no_route(&call)))?;
     let body = read_body(body, declared.limits.body).await.map_err(&refused)?;
     let budget = call.budget.unwrap_or(Duration::MAX).min(declared.routes[route].timeout);
@@ -67,12 +75,33 @@
         declared,
         route,
         service,
+        active,
         arrived,
         deadline,
         sent: arrived,
     })
 }
 
+/// The declarations in force; a daemon that has just started waits for them.
+async fn declared(shared: &Shared) -> Option<Arc<Declared>> {
+    if !shared.is_known() {
+        let mut declared = shared.declared.subscribe();
+        let mut listed = shared.listed.subscribe();
+        let known = async {
+            declared.wait_for(Option::is_some).await.is_ok()
+                && listed.wait_for(|count| *count > 0).await.is_ok()
+        };
+        // What is not known by then is refused.
+        let _ = timeout(START_TIME, known).await;
+    }
+    shared.declared()
+}
+
+fn closing() -> Refusal {
+    let message = "the daemon is about to end; use another address";
+    Refusal::not_run(Code::Leaving, message).after(Duration::ZERO)
+}
+
 fn find_route(declared: &Declared, call: &Call) -> Option<usize> {
     let route = declared.route(&call.host, &call.path)?;
     declared.routes.iter().position(|one| std::ptr::eq(one, route))
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -9,13 +9,14 @@
 use chestnut_base::{Clock, MemberId};
 use chestnut_edge::Dialect;
 use error_stack::{Report, ResultExt};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{sleep, timeout};
 
-use crate::claims::{CLAIMS, Claims};
-use crate::members::{MEMBERS, Members};
+use crate::claims::Claims;
+use crate::follow::Own;
+use crate::members::Members;
 use crate::peers::Peers;
 use crate::registry::{Declarations, Servers};
 use crate::settings::Settings;
@@ -24,12 +25,22 @@
 
 /// How long a leaving daemon takes requests that callers send to addresses they hold.
 ///
-/// Callers keep an answer of the directory for a second, some three times as long.
-const LEAVE_TIME: Duration = Duration::from_millis(3200);
+/// Callers keep an answer of the directory for a second, some three times as long;
+/// what is taken later may not be finished in time.
+const LEAVE_TIME: Duration = Duration::from_millis(2800);
+
+/// How long the last answers may take to reach their callers.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
+/// How often a leaving daemon looks whether it has finished.
+const LEAVE_CHECK: Duration = Duration::from_millis(20);
 
 /// What is left of the time to stop for the end of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
+/// How often the settings file is looked at.
+const RELOAD_PERIOD: Duration = Duration::from_secs(2);
+
 /// How often idle connections and servers that are gone are cleared away.
 const TIDY_PERIOD: Duration = Duration::from_secs(1);
 
@@ -65,6 +76,7 @@
     let callers = bind(settings.callers).await?;
     let readiness = bind(settings.readiness).await?;
     let directory = bind(settings.directory).await?;
+    let rows = bind(settings.rows_addr()).await?;
     let mut term = signal(SignalKind::terminate()).change_context(StartError::Signals)?;
     let mut hup = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
     let me = MemberId(rand::random());
@@ -75,14 +87,7 @@
     info!(shared.log, "started"; "callers" => shared.settings.callers.to_string(),
         "directory" => shared.settings.directory.to_string());
 
-    let declarations = Declarations(shared.clone());
-    let table = shared.dialect.declared_table();
-    tokio::spawn(follow::run(shared.clone(), table, declarations));
-    let servers = Servers(shared.clone());
-    let table = shared.dialect.servers_table();
-    tokio::spawn(follow::run(shared.clone(), table, servers));
-    tokio::spawn(follow::run(shared.clone(), MEMBERS, Members(shared.clone())));
-    tokio::spawn(follow::run(shared.clone(), CLAIMS, Claims(shared.clone())));
+    follow_tables(&shared);
     tokio::spawn(receive::run(shared.clone()));
     tokio::spawn(members::run(shared.clone()));
     tokio::spawn(sums::repeat(shared.clone()));
@@ -90,17 +95,47 @@
     tokio::spawn(front::run(shared.clone(), callers));
     tokio::spawn(serve(readiness, directory::readiness(shared.clone())));
     tokio::spawn(serve(directory, directory::directory(shared.clone())));
+    tokio::spawn(serve(rows, directory::rows(shared.clone())));
     tokio::spawn(tidy(shared.clone()));
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            _ = hup.recv() => info!(shared.log, "settings changed, nothing to take over"),
+            _ = hup.recv() => reload(&shared),
+            // The file may change without a signal.
+            () = sleep(RELOAD_PERIOD) => reload(&shared),
         }
     }
     leave(&shared).await;
     Ok(())
 }
 
+fn follow_tables(shared: &Arc<Shared>) {
+    let tables = &shared.tables;
+    let declarations = Declarations(shared.clone());
+    tokio::spawn(follow::run(shared.clone(), tables.declared.clone(), declarations));
+    let servers = Servers(shared.clone());
+    tokio::spawn(follow::run(shared.clone(), tables.servers.clone(), servers));
+    let own = Own { members: Members(shared.clone()), claims: Claims(shared.clone()) };
+    tokio::spawn(follow::run(shared.clone(), tables.own.clone(), own));
+}
+
+/// Takes over what changed in the settings file; nothing is interrupted by it.
+fn reload(shared: &Shared) {
+    let Some(path) = &shared.settings.path else { return };
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            warn!(shared.log, "settings not taken over"; "error" => error.to_string());
+            return;
+        }
+    };
+    let same = *shared.bounds.borrow() == settings.bounds;
+    if !same {
+        info!(shared.log, "settings taken over"; "bounds" => format!("{:?}", settings.bounds));
+        shared.bounds.send_replace(settings.bounds);
+    }
+}
+
 /// Takes no new callers, and finishes what is in flight.
 async fn leave(shared: &Shared) {
     info!(shared.log, "leaving");
@@ -108,12 +143,15 @@
     // From now on its claims fall to others.
     shared.known().leaving.insert(shared.peers.me);
     members::beat(shared);
-    let limit = shared.settings.bounds.stop.saturating_sub(STOP_MARGIN);
+    let stop = shared.bounds.borrow().stop;
+    let limit = stop.saturating_sub(STOP_MARGIN);
     let finished = async {
         sleep(LEAVE_TIME).await;
-        while shared.fleet().iter().any(|(_, server)| server.own.requests > 0) {
-            sleep(Duration::from_millis(20)).await;
+        shared.closing.send_replace(true);
+        while shared.active.count() > 0 {
+            sleep(LEAVE_CHECK).await;
         }
+        sleep(FLUSH_TIME).await;
     };
     let whole = timeout(limit, finished).await.is_ok();
     members::resign(shared).await;
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{self, Display, Formatter};
 use std::net::{IpAddr, SocketAddr};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use chestnut_base::{DomainName, VmName};
@@ -62,6 +62,9 @@
     pub store: SocketAddr,
     /// Times and bounds that the operators set.
     pub bounds: Bounds,
+    /// The file that the settings were read from.
+    #[serde(skip)]
+    pub path: Option<PathBuf>,
 }
 
 /// Times and bounds that the operators set.
@@ -98,7 +101,8 @@
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path).map_err(SettingsError::Read)?;
-        Self::parse(&text)
+        let settings = Self::parse(&text)?;
+        Ok(Self { path: Some(path.to_owned()), ..settings })
     }
 
     /// Checks settings; unknown fields are passed over.
@@ -118,10 +122,18 @@
         SocketAddr::new(self.ip, self.ports.0)
     }
 
+    /// Where other daemons ask for changes of the store's tables.
+    pub fn rows_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.ports.1)
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         let (first, last) = self.ports;
-        if first == 0 || last < first {
-            return Err(SettingsError::Value("ports", "give the first and last port"));
+        if first == 0 || last <= first {
+            return Err(SettingsError::Value(
+                "ports",
+                "give a first and a later last port",
+            ));
         }
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
             return Err(SettingsError::Value(
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -14,19 +14,48 @@
 use tokio::sync::watch;
 
 use crate::client::Client;
+use crate::follow::{OWN, Table};
 use crate::holder::Holder;
 use crate::members;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::planner::Counts;
-use crate::settings::Settings;
+use crate::settings::{Bounds, Settings};
+
+/// A count of requests that are being served.
+#[derive(Debug, Default, Clone)]
+pub struct Active(Arc<()>);
+
+impl Active {
+    /// Counts a request until the copy that is returned is dropped.
+    pub fn enter(&self) -> Self {
+        self.clone()
+    }
+
+    /// The number of requests.
+    pub fn count(&self) -> usize {
+        Arc::strong_count(&self.0) - 1
+    }
+}
+
+/// Copies of the store's tables.
+pub struct Tables {
+    /// What operators declare.
+    pub declared: Arc<Table>,
+    /// The registry of backend servers.
+    pub servers: Arc<Table>,
+    /// The system's own: daemons and claims.
+    pub own: Arc<Table>,
+}
 
 /// What the parts of the daemon share.
 ///
 /// Locks are held for a few steps only, and never while anything is waited for.
 pub struct Shared {
-    /// The daemon's settings.
+    /// The settings that the daemon was started with.
     pub settings: Settings,
+    /// Times and bounds as the settings file says now.
+    pub bounds: watch::Sender<Bounds>,
     /// The deployment's adapter.
     pub dialect: Arc<dyn Dialect>,
     /// The time.
@@ -47,10 +76,14 @@
     pub listed: watch::Sender<u64>,
     /// Whether the daemon was told to stop.
     pub leaving: watch::Sender<bool>,
-    /// Whether the table of daemons was read.
-    pub members_read: watch::Sender<bool>,
-    /// Whether the table of claims was read.
-    pub claims_read: watch::Sender<bool>,
+    /// Whether the daemon takes no more requests.
+    pub closing: watch::Sender<bool>,
+    /// Callers' requests that are being served.
+    pub active: Active,
+    /// Copies of the store's tables.
+    pub tables: Tables,
+    /// Whether daemons and claims were read.
+    pub own_read: watch::Sender<bool>,
     fleet: Mutex<Fleet>,
     known: Mutex<Known>,
     holders: Mutex<IndexMap<ServerName, Arc<Holder>>>,
@@ -73,8 +106,16 @@
         log: Logger,
         peers: Peers,
     ) -> Self {
+        let table = |name| Arc::new(Table::new(name));
+        let tables = Tables {
+            declared: table(dialect.declared_table()),
+            servers: table(dialect.servers_table()),
+            own: table(OWN),
+        };
         Self {
             started: clock.now(),
+            bounds: watch::Sender::new(settings.bounds.clone()),
+            active: Active::default(),
             peers,
             settings,
             dialect,
@@ -85,8 +126,9 @@
             declared: watch::Sender::new(None),
             listed: watch::Sender::new(0),
             leaving: watch::Sender::new(false),
-            members_read: watch::Sender::new(false),
-            claims_read: watch::Sender::new(false),
+            closing: watch::Sender::new(false),
+            tables,
+            own_read: watch::Sender::new(false),
             fleet: Mutex::default(),
             known: Mutex::default(),
             holders: Mutex::default(),
@@ -172,8 +214,17 @@
     /// Whether the daemon can serve: declarations and servers are known, and it
     /// was not told to stop.
     pub fn is_ready(&self) -> bool {
-        let known = self.declared.borrow().is_some() && *self.listed.borrow() > 0;
-        known && !*self.leaving.borrow()
+        self.is_known() && !*self.leaving.borrow()
+    }
+
+    /// Whether declarations and servers are known.
+    pub fn is_known(&self) -> bool {
+        self.declared.borrow().is_some() && *self.listed.borrow() > 0
+    }
+
+    /// Whether a leaving daemon takes no more requests.
+    pub fn is_closing(&self) -> bool {
+        *self.closing.borrow()
     }
 
     /// Takes note of a request for a service.
@@ -186,7 +237,7 @@
     /// Takes a repeat out of the service's budget, if there is one.
     pub fn take_repeat(&self, service: &ServiceName) -> bool {
         let now = self.now();
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds.borrow().clone();
         let bound = RetryBound {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
--- a/crates/gate/src/store.rs
+++ b/crates/gate/src/store.rs
@@ -1,12 +1,14 @@
-//! Calls of the platform's store.
+//! Calls of the platform's store, and of other daemons for their copies of it.
 
 use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use chestnut_edge::{Commit, CommitAnswer, Page};
+use chestnut_edge::{Change, Commit, CommitAnswer, Page};
 use http::{Request, Response, StatusCode};
 
+use crate::mirror::Changes;
 use crate::shared::Shared;
 
 /// How long the store may take for a call that does not wait for changes.
@@ -39,8 +41,27 @@
     read.map_err(|error| StoreFault(error.to_string()))
 }
 
-/// Reads rows of a table from a key on.
-pub async fn rows(
+/// Reads all rows of a table, and the version up to which they are complete.
+pub async fn table(
+    shared: &Shared,
+    table: &str,
+) -> Result<(Vec<Change>, u64), StoreFault> {
+    let mut rows: Vec<Change> = Vec::new();
+    let mut version = None;
+    loop {
+        let after = rows.last().map(|row| row.key.clone());
+        let page = rows_after(shared, table, after.as_deref()).await?;
+        // The first page is the oldest: changes after it are read again.
+        let version = *version.get_or_insert(page.version);
+        let more = page.more && !page.rows.is_empty();
+        rows.extend(page.rows);
+        if !more {
+            return Ok((rows, version));
+        }
+    }
+}
+
+async fn rows_after(
     shared: &Shared,
     table: &str,
     after: Option<&str>,
@@ -63,3 +84,23 @@
     let answer = shared.client.call(store, request, ANSWER_LIMIT, wait).await;
     answer.map_err(|fault| StoreFault(fault.to_string()))
 }
+
+/// Asks another daemon what changed in its copy of a table.
+pub async fn peer_changes(
+    shared: &Shared,
+    addr: SocketAddr,
+    table: &str,
+    after: u64,
+    wait: Duration,
+) -> Result<Changes, StoreFault> {
+    let uri = format!("/changes/{table}/{after}");
+    let request = Request::builder().uri(uri).body(Bytes::new());
+    let request = request.map_err(|error| StoreFault(error.to_string()))?;
+    let answer = shared.client.call(addr, request, ANSWER_LIMIT, wait).await;
+    let answer = answer.map_err(|fault| StoreFault(fault.to_string()))?;
+    if answer.status() != StatusCode::OK {
+        return Err(StoreFault(format!("status {} of a daemon", answer.status())));
+    }
+    let changes = postcard::from_bytes(answer.body());
+    changes.map_err(|error| StoreFault(format!("a daemon's changes: {error}")))
+}
