--- a/crates/edge/src/declared.rs
+++ b/crates/edge/src/declared.rs
@@ -74,6 +74,8 @@
     pub timeout: Duration,
     /// The time to the answer, or to a stream's first event, that counts as on time.
     pub objective: Duration,
+    /// How long callers wait for a stream's first or next event before they leave.
+    pub patience: Duration,
     /// How urgent requests are; 0 goes first.
     pub urgency: u8,
     /// The greatest number of backend servers that may run one attempt.
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-use crate::grant::{self, Reply};
+use crate::grant::{self, Question, Reply};
 use crate::holder::{self, Holder};
 use crate::job::Job;
 use crate::message::{Message, Verdict};
@@ -33,6 +33,12 @@
 /// How long a holder may be silent about a request that waits.
 const QUEUE_TIME: Duration = Duration::from_millis(250);
 
+/// How long a request waits at one runner before all are looked at again.
+///
+/// Its place is by when it has to be served, not by when it came, so that it loses
+/// nothing if it comes back.
+const LOOK_AGAIN: Duration = Duration::from_millis(400);
+
 /// Questions in a row without an answer after which a holder counts as gone.
 const TAKE_TRIES: usize = 3;
 
@@ -196,6 +202,8 @@
     Denied,
     /// The runner's holder does not answer.
     Silent,
+    /// It has waited for a while; another runner may be sooner by now.
+    Again,
 }
 
 /// Waits for a request's turn at a runner.
@@ -229,8 +237,9 @@
         let (sender, receiver) = oneshot::channel();
         let Some(want) = self.job.want() else { return Turn::Denied };
         let asker = (shared.peers.me, self.number);
-        grant::take(shared, holder, asker, want, missed, Reply::Here(sender));
-        let verdict = receiver.await;
+        let question = Question { asker, want, missed };
+        grant::take(shared, holder, question, Reply::Here(sender));
+        let Ok(verdict) = timeout(LOOK_AGAIN, receiver).await else { return Turn::Again };
         self.settled = true;
         match verdict {
             Ok(Verdict::Send) => Turn::Send(self.number),
@@ -247,7 +256,11 @@
     ) -> Turn {
         let shared = &self.job.shared;
         let mut silent = 0;
+        let limit = shared.now() + LOOK_AGAIN;
         while silent < TAKE_TRIES {
+            if shared.now() >= limit {
+                return Turn::Again;
+            }
             let Some(want) = self.job.want() else { return Turn::Denied };
             let Some(addr) = holder::addr(shared, self.server) else { break };
             let (number, server) = (self.number, self.server.clone());
@@ -258,7 +271,10 @@
                 let Ok(Some(Message::Taken { verdict, .. })) = answer else { break };
                 silent = 0;
                 match verdict {
-                    Verdict::Queued => wait = QUEUE_TIME,
+                    Verdict::Queued => {
+                        wait =
+                            limit.saturating_duration_since(shared.now()).min(QUEUE_TIME);
+                    }
                     Verdict::Send => return self.settle(Turn::Send(number)),
                     Verdict::Denied => return self.settle(Turn::Denied),
                 }
--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -22,8 +22,8 @@
 
 /// How long a question that was answered is remembered.
 ///
-/// Daemons ask again within a fraction of a second.
-const MEMORY: Duration = Duration::from_secs(2);
+/// Daemons ask again within a fraction of a second, and first events come later.
+const MEMORY: Duration = Duration::from_secs(3);
 
 /// How long the lane sleeps at most; sums of daemons that died fade meanwhile.
 const PATIENCE: Duration = Duration::from_millis(250);
@@ -37,6 +37,24 @@
 /// Names a request: the daemon that asks, and its number there.
 pub type Asker = (MemberId, u64);
 
+/// Asks when a request may be sent.
+pub struct Question {
+    /// Names the request.
+    pub asker: Asker,
+    /// What it needs.
+    pub want: Want,
+    /// Whether the runner has just said that it does not have the adapter.
+    pub missed: bool,
+}
+
+/// Where the answer goes.
+pub enum Reply {
+    /// To a request of this daemon.
+    Here(oneshot::Sender<Verdict>),
+    /// To another daemon.
+    There(SocketAddr),
+}
+
 /// Who waits to send to a runner.
 #[derive(Default)]
 pub struct Desk {
@@ -47,34 +65,55 @@
 struct Entry {
     ticket: Ticket,
     want: Want,
-    /// The prompt tokens that the runner had to read.
+    /// The prompt tokens that the runner had to read when the request was sent.
     unread: u32,
-    reply: Reply,
+    /// Where the answer goes; nothing once a request of this daemon has it.
+    reply: Option<Reply>,
     /// What became of it and when, once it is decided.
     decided: Option<(Verdict, Instant)>,
 }
 
-/// Where the answer goes.
-pub enum Reply {
-    /// To a request of this daemon.
-    Here(oneshot::Sender<Verdict>),
-    /// To another daemon.
-    There(SocketAddr),
+impl Desk {
+    /// What became of a request that was asked for before.
+    fn verdict(&self, asker: Asker) -> Option<Verdict> {
+        let entry = self.open.get(&asker)?;
+        Some(entry.decided.map_or(Verdict::Queued, |(verdict, _)| verdict))
+    }
+
+    fn enter(&mut self, asker: Asker, want: Want, reply: Reply, now: Instant) -> Ticket {
+        let fresh = |at: Instant| now.saturating_duration_since(at) < MEMORY;
+        self.open.retain(|_, entry| entry.decided.is_none_or(|(_, at)| fresh(at)));
+        self.last += 1;
+        let ticket = Ticket(self.last);
+        let (unread, reply) = (want.size.prompt, Some(reply));
+        let entry = Entry { ticket, want, unread, reply, decided: None };
+        self.open.insert(asker, entry);
+        ticket
+    }
+
+    fn find(&mut self, ticket: Ticket) -> Option<(Asker, &mut Entry)> {
+        let mut open = self.open.iter_mut();
+        let (asker, entry) = open.find(|(_, entry)| entry.ticket == ticket)?;
+        Some((*asker, entry))
+    }
+
+    fn undecided(&self) -> Vec<Ticket> {
+        let open = self.open.values().filter(|entry| entry.decided.is_none());
+        open.map(|entry| entry.ticket).collect()
+    }
 }
 
 /// Takes in that a daemon wants to send a request.
 pub fn take(
     shared: &Arc<Shared>,
     holder: &Arc<Holder>,
-    asker: Asker,
-    want: Want,
-    missed: bool,
+    question: Question,
     reply: Reply,
 ) {
-    let now = shared.now();
-    if let Some(verdict) = known_verdict(holder, asker) {
-        answer(shared, asker.1, reply, verdict);
-        return;
+    let Question { asker, want, missed } = question;
+    let known = holder.desk().verdict(asker);
+    if let Some(verdict) = known {
+        return answer(shared, asker.1, reply, verdict);
     }
     let Some(engine) = engine(shared, holder) else {
         return answer(shared, asker.1, reply, Verdict::Denied);
@@ -83,37 +122,80 @@
         let message = Message::Taken { number: asker.1, verdict: Verdict::Queued };
         shared.peers.send(*addr, message);
     }
-    let (ticket, prepare) =
-        enqueue(shared, holder, asker, &want, missed, reply, &engine, now);
-    if prepare {
+    let now = shared.now();
+    let ticket = holder.desk().enter(asker, want.clone(), reply, now);
+    let ready = adapter_ready(holder, &want, missed, &engine, now);
+    enqueue(shared, holder, ticket, &want, ready);
+    if ready.is_none() {
         let (shared, holder) = (shared.clone(), holder.clone());
-        tokio::spawn(async move {
-            let ready = holder.prepare(want.target, missed).await;
-            match ready {
-                Some(ready) => {
-                    let at = shared.now() + ready;
-                    holder.state().lane.set_ready(ticket, at);
-                }
-                None => decide(&shared, &holder, ticket, Verdict::Denied),
-            }
-            holder.changed.notify_one();
-        });
+        tokio::spawn(
+            async move { prepare(&shared, &holder, ticket, want, missed).await },
+        );
+    }
+    holder.changed.notify_one();
+}
+
+/// When the runner has the adapter; nothing if it has to be loaded.
+fn adapter_ready(
+    holder: &Holder,
+    want: &Want,
+    missed: bool,
+    engine: &Engine,
+    now: Instant,
+) -> Option<Instant> {
+    match holder.state().adapter(&want.target, engine.adapter_slots, now) {
+        AdapterState::Ready if !missed => Some(now),
+        AdapterState::Coming(left) if !missed => Some(now + left),
+        _ => None,
+    }
+}
+
+fn enqueue(
+    shared: &Shared,
+    holder: &Holder,
+    ticket: Ticket,
+    want: &Want,
+    ready: Option<Instant>,
+) {
+    let now = shared.now();
+    let mut state = holder.state();
+    let work = state.reading(want, &shared.speeds());
+    state.lane.push(Waiting {
+        ticket,
+        work,
+        tokens: want.size.tokens(),
+        urgency: want.urgency,
+        target: now + want.target_time,
+        deadline: now + want.patience,
+        ready,
+    });
+}
+
+/// Has the adapter of a request that waits loaded.
+async fn prepare(
+    shared: &Shared,
+    holder: &Holder,
+    ticket: Ticket,
+    want: Want,
+    missed: bool,
+) {
+    match holder.prepare(want.target, missed).await {
+        Some(ready) => holder.state().lane.set_ready(ticket, shared.now() + ready),
+        None => decide(shared, holder, ticket, Verdict::Denied),
     }
     holder.changed.notify_one();
 }
 
 /// Takes in that a request is not sent after all.
 pub fn leave(holder: &Holder, asker: Asker) {
-    let mut desk = holder.desk.lock().expect("no holder of the lock panics");
-    let Some(entry) = desk.open.swap_remove(&asker) else { return };
-    drop(desk);
+    let Some(entry) = holder.desk().open.swap_remove(&asker) else { return };
     holder.state().lane.remove(entry.ticket);
     holder.changed.notify_one();
 }
 
 /// Takes in the first event of a request that was sent in its turn.
 pub fn begun(shared: &Shared, holder: &Holder, from: MemberId, begun: Begun) {
-    let desk = holder.desk.lock().expect("no holder of the lock panics");
+    let desk = holder.desk();
     let Some(entry) = desk.open.get(&(from, begun.number)) else { return };
     let time = Duration::from_millis(begun.after_ms.into());
     shared.speeds().learn(&entry.want.target.model, entry.unread, time);
@@ -123,108 +205,81 @@
 pub async fn run(shared: Arc<Shared>, holder: Weak<Holder>) {
     loop {
         let Some(held) = holder.upgrade() else { return };
-        let now = shared.now();
-        let next = match room(&shared, &held, now) {
-            Some(room) => held.state().lane.next(room, now),
-            None => Next::Idle,
-        };
-        let until = match next {
-            Next::Send(waiting) => {
-                decide(&shared, &held, waiting.ticket, Verdict::Send);
-                continue;
-            }
-            Next::Expired(waiting) => {
-                decide(&shared, &held, waiting.ticket, Verdict::Denied);
-                continue;
-            }
-            Next::Wait(until) => until.min(now + PATIENCE),
-            Next::Idle => now + PATIENCE,
-        };
+        let Some(until) = next(&shared, &held) else { continue };
         let until = tokio::time::Instant::from_std(until);
         // Either something changed or it is time to look again.
         let _ = timeout_at(until, held.changed.notified()).await;
     }
 }
 
-/// What became of a request that was asked for before; its place is kept.
-fn known_verdict(holder: &Holder, asker: Asker) -> Option<Verdict> {
-    let desk = holder.desk.lock().expect("no holder of the lock panics");
-    let entry = desk.open.get(&asker)?;
-    Some(entry.decided.map_or(Verdict::Queued, |(verdict, _)| verdict))
+/// Decides about the next request; returns until when nothing more can be decided.
+fn next(shared: &Shared, holder: &Holder) -> Option<Instant> {
+    let now = shared.now();
+    let later = now + PATIENCE;
+    let Some(room) = room(shared, holder, now) else {
+        deny_all(shared, holder);
+        return Some(later);
+    };
+    let next = holder.state().lane.next(room, now);
+    match next {
+        Next::Send(waiting) => decide(shared, holder, waiting.ticket, Verdict::Send),
+        Next::Expired(waiting) => decide(shared, holder, waiting.ticket, Verdict::Denied),
+        Next::Wait(until) => return Some(until.min(later)),
+        Next::Idle => return Some(later),
+    }
+    None
 }
 
-fn enqueue(
-    shared: &Shared,
-    holder: &Holder,
-    asker: Asker,
-    want: &Want,
-    missed: bool,
-    reply: Reply,
-    engine: &Engine,
-    now: Instant,
-) -> (Ticket, bool) {
-    let ticket = {
-        let mut desk = holder.desk.lock().expect("no holder of the lock panics");
-        desk.open.retain(|_, entry| {
-            entry.decided.is_none_or(|(_, at)| now.duration_since(at) < MEMORY)
-        });
-        desk.last += 1;
-        let ticket = Ticket(desk.last);
-        let unread = want.size.prompt;
-        let entry = Entry { ticket, want: want.clone(), unread, reply, decided: None };
-        desk.open.insert(asker, entry);
-        ticket
-    };
-    let mut state = holder.state();
-    let adapter = state.adapter(&want.target, engine.adapter_slots, now);
-    let ready = match adapter {
-        AdapterState::Ready if !missed => Some(now),
-        AdapterState::Coming(left) if !missed => Some(now + left),
-        _ => None,
-    };
-    let work = state.reading(want, &shared.speeds());
-    state.lane.push(Waiting {
-        ticket,
-        work,
-        tokens: want.size.tokens(),
-        urgency: want.urgency,
-        target: now + want.target_time,
-        deadline: now + want.budget,
-        ready,
-    });
-    (ticket, ready.is_none())
+/// Sends all that wait elsewhere: the runner takes no new requests.
+///
+/// A request that waited through the runner's notice would reach it after the time
+/// in which all daemons have to stop sending.
+fn deny_all(shared: &Shared, holder: &Holder) {
+    let waiting = holder.desk().undecided();
+    for ticket in waiting {
+        decide(shared, holder, ticket, Verdict::Denied);
+    }
 }
 
 /// Decides what becomes of a request and tells who asked.
 fn decide(shared: &Shared, holder: &Holder, ticket: Ticket, verdict: Verdict) {
     let now = shared.now();
-    let mut desk = holder.desk.lock().expect("no holder of the lock panics");
-    let entry = desk.open.iter_mut().find(|(_, entry)| entry.ticket == ticket);
-    let Some((asker, entry)) = entry else { return };
-    entry.decided = Some((verdict, now));
-    let there = match &entry.reply {
-        Reply::Here(_) => None,
-        Reply::There(addr) => Some(*addr),
+    let (asker, reply, want) = {
+        let mut desk = holder.desk();
+        let Some((asker, entry)) = desk.find(ticket) else { return };
+        entry.decided = Some((verdict, now));
+        let reply = match &entry.reply {
+            Some(Reply::There(addr)) => Some(Reply::There(*addr)),
+            _ => entry.reply.take(),
+        };
+        (asker, reply, entry.want.clone())
     };
-    let reply = there.map_or_else(
-        || std::mem::replace(&mut entry.reply, Reply::There(shared.settings.peer_addr())),
-        Reply::There,
-    );
-    let number = asker.1;
-    if verdict == Verdict::Send {
-        let capacity = engine(shared, holder).map_or(0, |engine| engine.kv_tokens);
-        let mut state = holder.state();
-        entry.unread = state.unread(&entry.want);
-        state.prefixes.sent(&entry.want.target, &entry.want.parts, capacity);
-        state.touch(&entry.want.target, now);
+    match verdict {
+        Verdict::Send => note_sent(shared, holder, ticket, &want),
+        Verdict::Denied | Verdict::Queued => {
+            holder.state().lane.remove(ticket);
+            info!(shared.log, "turn denied"; "server" => holder.server.to_string(),
+                "daemon" => asker.0.to_string(), "number" => asker.1);
+        }
     }
-    drop(desk);
-    if verdict == Verdict::Denied {
-        holder.state().lane.remove(ticket);
-        info!(shared.log, "request denied at a runner"; "number" => number,
-            "server" => holder.server.to_string());
+    if let Some(reply) = reply {
+        answer(shared, asker.1, reply, verdict);
+    }
+}
+
+fn note_sent(shared: &Shared, holder: &Holder, ticket: Ticket, want: &Want) {
+    let now = shared.now();
+    let capacity = engine(shared, holder).map_or(0, |engine| engine.kv_tokens);
+    let unread = {
+        let mut state = holder.state();
+        let unread = state.unread(want);
+        state.prefixes.sent(&want.target, &want.parts, capacity);
+        state.touch(&want.target, now);
+        unread
+    };
+    if let Some((_, entry)) = holder.desk().find(ticket) {
+        entry.unread = unread;
     }
-    answer(shared, number, reply, verdict);
 }
 
 fn answer(shared: &Shared, number: u64, reply: Reply, verdict: Verdict) {
@@ -237,6 +292,7 @@
     }
 }
 
+/// How the runner's service runs models.
 fn engine(shared: &Shared, holder: &Holder) -> Option<Engine> {
     let declared = shared.declared()?;
     let service = {
@@ -246,8 +302,16 @@
     declared.services.get(&service)?.engine.clone()
 }
 
-/// What the runner has room for.
+/// What the runner has room for; nothing if it takes no new requests.
 fn room(shared: &Shared, holder: &Holder, now: Instant) -> Option<Room> {
+    let open = {
+        let fleet = shared.fleet();
+        let server = fleet.get(fleet.key(&holder.server)?)?;
+        fleet.is_listed(server, now)
+    };
+    if !open {
+        return None;
+    }
     let engine = engine(shared, holder)?;
     let total = holder.state().total(now);
     let tokens = (engine.kv_tokens as f64 * KV_SHARE) as u64;
--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -31,8 +31,7 @@
 pub struct Holder {
     /// The runner's name.
     pub server: ServerName,
-    /// Who waits to send to it.
-    pub desk: Mutex<Desk>,
+    desk: Mutex<Desk>,
     /// Wakes whoever sees to the runner's lane.
     pub changed: Notify,
     state: Mutex<Runner>,
@@ -58,6 +57,11 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
+    /// Who waits to send to it.
+    pub fn desk(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().expect("no holder of the lock panics")
+    }
+
     /// Asks for an adapter; returns in how long it is there.
     pub async fn prepare(&self, target: TargetModel, missed: bool) -> Option<Duration> {
         let (reply, answer) = oneshot::channel();
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -59,10 +59,15 @@
             parts: self.call.parts.clone(),
             urgency: self.route().urgency,
             target_time: on_time.saturating_duration_since(now),
-            budget: self.deadline.saturating_duration_since(now),
+            patience: self.patience().saturating_duration_since(now),
         })
     }
 
+    /// Until when the caller waits for the first event.
+    pub fn patience(&self) -> Instant {
+        self.deadline.min(self.arrived + self.route().patience)
+    }
+
     /// The size to plan with: callers' guesses are right at the median.
     pub fn size(&self) -> Size {
         let size = self.call.size;
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::grant::{self, Reply};
+use crate::grant::{self, Question, Reply};
 use crate::message::{Message, Packet, Verdict};
 use crate::shared::Shared;
 use crate::{ask, members, planner, sums};
@@ -31,7 +31,8 @@
             match shared.holder(&server) {
                 Some(holder) => {
                     let asker = (packet.from, number);
-                    grant::take(shared, &holder, asker, want, missed, reply);
+                    let question = Question { asker, want, missed };
+                    grant::take(shared, &holder, question, reply);
                 }
                 // The claim has moved; the daemon that asks goes by its own counts.
                 None => {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -182,7 +182,7 @@
     lacking: Option<ServerName>,
     rejected: &[ServerName],
 ) -> Option<Place> {
-    let limit = job.deadline.min(job.shared.now() + RESIDENCE_WAIT);
+    let limit = job.patience().min(job.shared.now() + RESIDENCE_WAIT);
     let limit = Instant::from_std(limit);
     let mut listed = job.shared.listed.subscribe();
     let mut avoid = rejected.to_vec();
@@ -218,6 +218,8 @@
             // Without its holder the runner is sent to as it was before.
             Turn::Silent => return Some(place),
             Turn::Denied => avoid.push(place.name),
+            Turn::Again if job.shared.now() < job.patience() => {}
+            Turn::Again => return None,
         }
     }
 }
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -33,9 +33,9 @@
     /// The time that is left to a first event that is on time.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub target_time: Duration,
-    /// The time that is left to the whole answer.
+    /// How much longer the caller waits for a first event.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub budget: Duration,
+    pub patience: Duration,
 }
 
 /// An estimate of how soon a server would answer.
--- a/crates/pool/src/fleet.rs
+++ b/crates/pool/src/fleet.rs
@@ -95,11 +95,15 @@
         self.names.retain(|_, key| servers.contains_key(*key));
     }
 
+    /// Whether the registry lists a server as one that takes new requests.
+    pub fn is_listed(&self, server: &Server, now: Instant) -> bool {
+        let excused = self.excused.is_some_and(|until| now < until);
+        (server.missing.is_none() || excused) && server.entry.phase == Phase::Ready
+    }
+
     /// Whether a server may get new requests.
     pub fn takes_work(&self, server: &Server, now: Instant) -> bool {
-        let excused = self.excused.is_some_and(|until| now < until);
-        let listed = server.missing.is_none() || excused;
-        listed && server.entry.phase == Phase::Ready && server.health.is_open(now)
+        self.is_listed(server, now) && server.health.is_open(now)
     }
 
     /// The servers of a service that may get new requests.
