--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -1,9 +1,11 @@
 //! Asks the holders of runners which one would answer a request soonest.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use chestnut_base::id::rendezvous;
 use chestnut_base::{MemberId, ServerName};
 use chestnut_edge::Engine;
 use chestnut_member::ClaimKey;
@@ -39,6 +41,10 @@
 /// nothing if it comes back.
 const LOOK_AGAIN: Duration = Duration::from_millis(400);
 
+/// The runners that are asked about one request, and how many of them suit it.
+const SHORTLIST: usize = 8;
+const SUITED: usize = 4;
+
 /// Questions in a row without an answer after which a holder counts as gone.
 const TAKE_TRIES: usize = 3;
 
@@ -65,7 +71,7 @@
 ///
 /// Runners on `avoid` are left out.
 pub async fn pick(job: &Job, avoid: &[ServerName]) -> Option<Candidate> {
-    let runners = runners(job, avoid);
+    let runners = shortlist(job, runners(job, avoid));
     if runners.is_empty() {
         return None;
     }
@@ -104,6 +110,26 @@
         .collect()
 }
 
+/// Leaves a few of many runners: some that suit the request's adapter and prompt, and
+/// some at random.
+///
+/// Those that suit are the same for all daemons, so that adapters and prompts stay
+/// together; the random ones take what is too much for them. Asking all of a hundred
+/// runners would cost more than it gains.
+fn shortlist(job: &Job, mut runners: Vec<Runner>) -> Vec<Runner> {
+    if runners.len() <= SHORTLIST {
+        return runners;
+    }
+    let affinity = job.affinity();
+    runners.sort_by_key(|runner| Reverse(rendezvous(&affinity, runner.name.as_str())));
+    let mut rest = runners.split_off(SUITED);
+    for _ in SUITED..SHORTLIST {
+        let index = rand::random_range(0..rest.len());
+        runners.push(rest.swap_remove(index));
+    }
+    runners
+}
+
 async fn ask(
     shared: &Shared,
     runners: &[Runner],
@@ -124,7 +150,7 @@
     let questions = asked
         .there
         .into_iter()
-        .filter(|((member, _), _)| shared.peers.is_alive(*member, now))
+        .filter(|((member, _), _)| shared.is_alive(*member, now))
         .map(|((_, addr), servers)| ask_one(shared, addr, servers, want));
     for answer in join_all(questions).await {
         bids.extend(answer);
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -49,9 +49,10 @@
         };
         let before = take(shared, key.clone(), row, change.version);
         let me = Some(shared.peers.me);
-        let (was, is) = (before == me, row.and_then(|row| row.holder) == me);
-        if is && !was {
-            // Handed over by a daemon that leaves.
+        let holder = row.and_then(|row| row.holder);
+        let (was, is) = (before == me, holder == me);
+        if holder != before && before.is_some() {
+            // Another VM gives the orders from now on.
             shared.note_turn(key, turn_from(shared));
         }
         if was && !is {
--- a/crates/gate/src/directory.rs
+++ b/crates/gate/src/directory.rs
@@ -49,19 +49,18 @@
     answer.map(|body| axum::body::Body::new(Full::new(body))).into_response()
 }
 
-/// Where callers can connect: daemons that say that they are ready.
+/// Where callers can connect: daemons that have joined and neither leave nor are
+/// silent.
 fn ready_addresses(shared: &Shared) -> Vec<SocketAddr> {
     let now = shared.now();
     let known = shared.known();
-    let ready = |member| {
-        let heard = shared.peers.heard(member);
-        let beat = heard.filter(|_| shared.peers.is_alive(member, now));
-        beat.and_then(|heard| heard.beat).is_some_and(|beat| beat.ready && !beat.leaving)
-    };
     let me = shared.peers.me;
     let own = shared.is_ready();
     let rows: Vec<&MemberRow> = known.members.values().map(|(row, _)| row).collect();
-    let ready = |row: &MemberRow| if row.member == me { own } else { ready(row.member) };
+    let ready = |row: &MemberRow| match row.member == me {
+        true => own,
+        false => known.takes_claims(row) && shared.is_alive(row.member, now),
+    };
     let addresses = |which: &dyn Fn(&MemberRow) -> bool| -> Vec<SocketAddr> {
         let open = rows.iter().filter(|row| which(row));
         open.map(|row| row.caller_addr).take(ADDRESS_LIMIT).collect()
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -42,6 +42,12 @@
 /// How long runs on a model may take to end before its unload is given up.
 const UNLOAD_TIME: Duration = Duration::from_secs(10);
 
+/// How long after its decision a model's load may begin.
+///
+/// Loads from the weight store are paced when they are decided; loads that waited for
+/// room would begin together with later ones.
+const CHANGE_TIME: Duration = Duration::from_millis(1500);
+
 /// Steps that the load of an adapter may take: making room, loading, and both once
 /// more after an answer that did not fit.
 const ADAPTER_STEPS: usize = 4;
@@ -83,41 +89,57 @@
         None
     }
 
-    /// Changes the models: makes room first, then loads.
-    pub async fn change(&self, change: &Move) {
-        if self.known().await.is_none() || !self.is_at_rest() {
-            return;
+    /// Changes the models: makes room first, then loads; returns whether it was or is
+    /// being done.
+    pub async fn change(&self, change: &Move) -> bool {
+        if !self.is_at_rest() {
+            // An earlier move is under way.
+            return true;
         }
+        if self.known().await.is_none() {
+            return false;
+        }
+        let began = self.shared.now();
         let held = |model: &ModelName| self.holder.state().models().contains(model);
         if change.load.as_ref().is_some_and(held) {
-            return;
+            return true;
         }
         for model in change.drop.iter().filter(|model| held(model)) {
             if change.load.as_ref().is_some_and(|load| self.fits(load)) {
                 break;
             }
-            self.unload(model).await;
+            if !self.unload(model).await {
+                return false;
+            }
         }
-        if let Some(model) = &change.load {
-            self.load(model).await;
+        let late = self.shared.now().duration_since(began) > CHANGE_TIME;
+        match &change.load {
+            // The load was counted for its time; the planner counts it again.
+            Some(_) if late => true,
+            Some(model) => self.load(model).await,
+            None => true,
         }
     }
 
-    async fn load(&self, model: &ModelName) {
+    async fn load(&self, model: &ModelName) -> bool {
         if !self.fits(model) {
             let server = self.holder.server.to_string();
             info!(self.shared.log, "no room for a model"; "server" => server,
                 "model" => model.to_string());
-            return;
+            return false;
         }
         let time = self.load_time(model);
-        self.order(OrderStep::Load(model.clone()), time).await;
+        let answer = self.order(OrderStep::Load(model.clone()), time).await;
+        matches!(answer, Some(OrderAnswer::Accepted | OrderAnswer::Holds))
     }
 
-    async fn unload(&self, model: &ModelName) {
+    /// Has a model unloaded and waits until its runs have ended.
+    async fn unload(&self, model: &ModelName) -> bool {
         let answer = self.order(OrderStep::Unload(model.clone()), UNLOAD_POLL).await;
-        if answer != Some(OrderAnswer::Accepted) {
-            return;
+        match answer {
+            Some(OrderAnswer::Holds) => return true,
+            Some(OrderAnswer::Accepted) => {}
+            _ => return false,
         }
         // Its runs end first; nothing else may be ordered until then.
         self.holder.state().doubt();
@@ -125,9 +147,10 @@
         while self.shared.now() < limit {
             sleep(UNLOAD_POLL).await;
             if self.known().await.is_some() {
-                return;
+                return true;
             }
         }
+        false
     }
 
     /// Whether a model fits beside what the runner holds.
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -26,7 +26,7 @@
 /// How long the store may hold the reader's call that waits for changes.
 ///
 /// With the beats' period and an answer's delay it keeps below [`FRESH`].
-const HOLD: Duration = Duration::from_millis(700);
+const HOLD: Duration = Duration::from_millis(500);
 
 /// How much later than `HOLD` an answer may come.
 const HOLD_SLACK: Duration = Duration::from_millis(300);
@@ -34,12 +34,13 @@
 /// How long a copy counts as up to date after the store confirmed it.
 ///
 /// Changes have to be in force within two seconds; a read of its own takes a daemon
-/// some milliseconds.
-const FRESH: Duration = Duration::from_millis(1200);
+/// some milliseconds. The word of the store takes up to a call's hold and, among
+/// thousands of daemons, three or four beats.
+const FRESH: Duration = Duration::from_millis(1500);
 
 /// How much later than the first daemon each next one reads the store itself, so
 /// that one read serves all.
-const STAGGER: Duration = Duration::from_millis(60);
+const STAGGER: Duration = Duration::from_millis(40);
 
 /// How often a daemon looks whether its copy is up to date.
 const LOOK: Duration = Duration::from_millis(100);
@@ -61,6 +62,9 @@
 /// Entries of servers lapse after three of their beats without the store.
 const OUTAGE: Duration = Duration::from_millis(2500);
 
+/// How long after its start a daemon knows which others there are.
+const SETTLED: Duration = Duration::from_secs(1);
+
 /// Who takes in what changed.
 pub trait Follower: Send {
     /// A row was written or removed.
@@ -179,13 +183,15 @@
             return Source::Store(Duration::ZERO);
         }
         let rank = rank(&self.shared, self.table.name);
-        if rank == 0 {
+        // Right after its start a daemon knows no others and takes itself for the reader.
+        let settled = self.shared.started.elapsed() > SETTLED;
+        if rank == 0 && settled {
             return Source::Store(HOLD);
         }
         if let Some(addr) = self.newer_peer(now) {
             return Source::Peer(addr);
         }
-        let limit = FRESH + STAGGER * rank.min(20) as u32;
+        let limit = FRESH + STAGGER * rank.min(10) as u32;
         match self.age() {
             Some(age) if age < limit => Source::Nobody,
             _ => Source::Store(Duration::ZERO),
@@ -202,7 +208,7 @@
     fn newer_peer(&self, now: Instant) -> Option<SocketAddr> {
         let (member, version) = (*self.table.newer.borrow())?;
         let own = self.table.mirror().version()?;
-        let alive = self.shared.peers.is_alive(member, now);
+        let alive = self.shared.is_alive(member, now);
         if version <= own || !alive {
             return None;
         }
@@ -217,11 +223,14 @@
             // Another daemon may know it too, and says so in its next beat.
             self.table.newer.send_replace(None);
         })?;
-        self.take(changes);
+        if self.take(changes) {
+            members::beat(&self.shared);
+        }
         Ok(())
     }
 
-    fn take(&mut self, changes: Changes) {
+    /// Takes in what another daemon says changed; returns whether any of it is new.
+    fn take(&mut self, changes: Changes) -> bool {
         let Changes { rows, whole, version } = changes;
         let rows: Vec<Change> = rows.into_iter().map(Change::from).collect();
         let fresh = {
@@ -231,7 +240,9 @@
                 false => mirror.take(rows, version),
             }
         };
+        let news = !fresh.is_empty();
         self.hand_on(fresh);
+        news
     }
 
     async fn read_store(&mut self, hold: Duration) -> Result<(), StoreFault> {
@@ -313,7 +324,7 @@
     let now = shared.now();
     let own = rendezvous(table, me.as_str());
     let others = known.members.iter().filter(|(vm, (row, _))| {
-        *vm != me && known.takes_claims(row) && shared.peers.is_alive(row.member, now)
+        *vm != me && known.takes_claims(row) && shared.is_alive(row.member, now)
     });
     others.filter(|(vm, _)| rendezvous(table, vm.as_str()) > own).count()
 }
--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -195,10 +195,18 @@
 
 /// Takes in the first event of a request that was sent in its turn.
 pub fn begun(shared: &Shared, holder: &Holder, from: MemberId, begun: Begun) {
-    let desk = holder.desk();
-    let Some(entry) = desk.open.get(&(from, begun.number)) else { return };
+    let (ticket, model, unread) = {
+        let desk = holder.desk();
+        let Some(entry) = desk.open.get(&(from, begun.number)) else { return };
+        (entry.ticket, entry.want.target.model.clone(), entry.unread)
+    };
     let time = Duration::from_millis(begun.after_ms.into());
-    shared.speeds().learn(&entry.want.target.model, entry.unread, time);
+    let base = {
+        let mut speeds = shared.speeds();
+        speeds.learn(&model, unread, time);
+        speeds.base(&model)
+    };
+    holder.state().lane.begun(ticket, time, base);
 }
 
 /// Sees to a runner's lane until its claim is lost.
--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -17,6 +17,8 @@
 
 use crate::driver::Driver;
 use crate::grant::{self, Desk};
+use crate::message::Message;
+use crate::planner;
 use crate::shared::Shared;
 
 /// How long a wanted change of models is good for.
@@ -48,7 +50,12 @@
         reply: oneshot::Sender<Option<Duration>>,
     },
     /// Change the models.
-    Move(Move, Instant),
+    Move {
+        change: Move,
+        at: Instant,
+        /// The planner, if it is another daemon.
+        planner: Option<SocketAddr>,
+    },
 }
 
 impl Holder {
@@ -70,10 +77,11 @@
         answer.await.ok().flatten()
     }
 
-    /// Asks for a change of models.
-    pub fn change(&self, change: Move) {
+    /// Asks for a change of models for a planner, which may be another daemon.
+    pub fn change(&self, change: Move, planner: Option<SocketAddr>) {
+        let at = Instant::now();
         // The planner repeats what still stands.
-        drop(self.commands.try_send(Command::Move(change, Instant::now())));
+        drop(self.commands.try_send(Command::Move { change, at, planner }));
     }
 }
 
@@ -120,14 +128,23 @@
                 // Whoever asked may have given up.
                 let _ = reply.send(ready);
             }
-            Command::Move(change, at) if at.elapsed() < MOVE_TIME => {
-                driver.change(&change).await;
+            Command::Move { change, at, planner } if at.elapsed() < MOVE_TIME => {
+                if !driver.change(&change).await {
+                    tell_failed(&shared, change, planner);
+                }
             }
-            Command::Move(..) => {}
+            Command::Move { .. } => {}
         }
     }
 }
 
+fn tell_failed(shared: &Shared, change: Move, planner: Option<SocketAddr>) {
+    match planner {
+        Some(addr) => shared.peers.send(addr, Message::Failed(change)),
+        None => planner::fail(shared, &change),
+    }
+}
+
 /// Where the holder of a runner's claim receives datagrams.
 pub fn addr(shared: &Shared, server: &ServerName) -> Option<SocketAddr> {
     let known = shared.known();
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -10,8 +10,12 @@
 use http::request;
 use slog::info;
 
+use crate::planner;
 use crate::shared::{Active, Shared};
 
+/// The mean length of answers against callers' guesses, which are right at the median.
+const GUESS_MEAN: f64 = 1.5;
+
 /// A caller's request while it is being served.
 pub struct Job {
     /// The daemon.
@@ -68,6 +72,14 @@
         self.deadline.min(self.arrived + self.route().patience)
     }
 
+    /// The tokens that the request is expected to cost, as planners count them.
+    pub fn demand(&self) -> f64 {
+        let size = self.call.size;
+        let guess = self.call.guess.map_or(f64::from(size.output), f64::from);
+        let output = (guess * GUESS_MEAN).min(size.output.into());
+        f64::from(size.prompt) + output * planner::OUTPUT_WEIGHT
+    }
+
     /// The size to plan with: callers' guesses are right at the median.
     pub fn size(&self) -> Size {
         let size = self.call.size;
@@ -75,6 +87,18 @@
         Size { output: size.output.min(guess), ..size }
     }
 
+    /// What requests have in common that are better served by the same runner: the
+    /// adapter, or the beginning of the prompt.
+    pub fn affinity(&self) -> String {
+        let target = self.call.target.as_ref();
+        let target = target.map(|target| target.to_string()).unwrap_or_default();
+        let with_adapter = self.call.target.as_ref().is_some_and(|t| t.adapter.is_some());
+        match self.call.parts.first() {
+            Some(part) if !with_adapter => format!("{target}:{:x}", part.id),
+            _ => target,
+        }
+    }
+
     /// The engine of the service, if it runs models.
     pub fn engine(&self) -> Option<Engine> {
         self.declared.services.get(&self.service)?.engine.clone()
--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -11,7 +11,8 @@
 
 use chestnut_base::{MemberId, VmName};
 use chestnut_edge::{Change, Commit, CommitAnswer};
-use chestnut_member::{MemberRow, watched};
+use chestnut_member::{Known, MemberRow, watched, watchers};
+use indexmap::IndexMap;
 use slog::{info, warn};
 use tokio::time::sleep;
 
@@ -32,6 +33,9 @@
 /// process is back; what it held can't be used meanwhile.
 const SILENCE: Duration = Duration::from_millis(1500);
 
+/// How often a daemon that starts looks whether it can serve.
+const START_LOOK: Duration = Duration::from_millis(10);
+
 /// The pause after a failed call of the store.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -68,12 +72,21 @@
     }
 
     fn settled(&mut self) {
-        self.0.known().note_seen(self.0.now());
+        let Self(shared) = self;
+        let neighbours = {
+            let mut known = shared.known();
+            known.note_seen(shared.now());
+            Neighbours::find(&known, &shared.settings.vm, shared.peers.me)
+        };
+        *shared.neighbours() = neighbours;
     }
 }
 
 /// Joins, says regularly that the daemon lives, and watches others.
+///
+/// The daemon joins once it can serve: callers are sent to all that have joined.
 pub async fn run(shared: Arc<Shared>) {
+    wait_until_known(&shared).await;
     join(&shared).await;
     loop {
         beat(&shared);
@@ -87,11 +100,20 @@
     }
 }
 
+async fn wait_until_known(shared: &Shared) {
+    let mut own = shared.own_read.subscribe();
+    // The sender lives in `shared`, so that waiting can't fail.
+    let _ = own.wait_for(|read| *read).await;
+    while !shared.is_known() {
+        sleep(START_LOOK).await;
+    }
+}
+
 /// Writes the own row, over that of an earlier process on this VM.
 async fn join(shared: &Shared) {
     let row = own_row(shared);
     let vm = shared.settings.vm.as_str();
-    find_previous(shared).await;
+    find_previous(shared);
     while let Err(why) = put_row(shared, vm, &row).await {
         warn!(shared.log, "not joined yet"; "why" => why);
         sleep(PAUSE).await;
@@ -100,19 +122,10 @@
 }
 
 /// Learns which process ran on this VM before, if its row still stands.
-async fn find_previous(shared: &Shared) {
-    let rows = match store::table(shared, OWN).await {
-        Ok((rows, _)) => rows,
-        Err(fault) => {
-            info!(shared.log, "earlier process not known"; "error" => fault.to_string());
-            return;
-        }
-    };
-    let vm = shared.settings.vm.as_str();
-    let own = rows.into_iter().find(|row| row.key == key(vm));
-    let value = own.and_then(|row| row.value);
-    let row = value.and_then(|value| serde_json::from_slice::<MemberRow>(&value).ok());
-    if let Some(row) = row
+fn find_previous(shared: &Shared) {
+    let known = shared.known();
+    let row = known.members.get(&shared.settings.vm);
+    if let Some((row, _)) = row
         && row.member != shared.peers.me
     {
         shared.note_previous(row.member);
@@ -166,11 +179,51 @@
         heard: shared.peers.alive(now),
         tables: follow::news(shared),
     };
+    let addrs: Vec<SocketAddr> = shared.neighbours().addrs.values().copied().collect();
+    for addr in addrs {
+        shared.peers.send(addr, Message::Beat(beat.clone()));
+    }
+}
+
+/// Tells all daemons that this one leaves, so that none sends callers to it.
+pub fn say_leaving(shared: &Shared) {
+    let beat = Beat { leaving: true, ..Beat::default() };
     for (_, addr) in others(shared) {
         shared.peers.send(addr, Message::Beat(beat.clone()));
     }
 }
 
+/// Up to how many daemons all exchange beats with all.
+///
+/// Ten daemons send 400 beats a second in all; 78 would send 24,000.
+const MESH: usize = 12;
+
+/// The daemons that a daemon exchanges beats with: all of a few, else those that it
+/// watches and those that watch it.
+#[derive(Debug, Default)]
+pub struct Neighbours {
+    addrs: IndexMap<MemberId, SocketAddr>,
+}
+
+impl Neighbours {
+    /// Whether beats of a daemon are expected.
+    pub fn expects(&self, member: MemberId) -> bool {
+        self.addrs.contains_key(&member)
+    }
+
+    fn find(known: &Known, vm: &VmName, me: MemberId) -> Self {
+        let few = known.members.len() <= MESH;
+        let near: Vec<VmName> = match few {
+            true => known.members.keys().cloned().collect(),
+            false => watched(known, vm).into_iter().chain(watchers(known, vm)).collect(),
+        };
+        let rows = near.iter().filter_map(|vm| known.members.get(vm));
+        let others = rows.filter(|(row, _)| row.member != me);
+        let addrs = others.map(|(row, _)| (row.member, row.peer_addr)).collect();
+        Self { addrs }
+    }
+}
+
 /// All other daemons and where they receive datagrams.
 pub fn others(shared: &Shared) -> Vec<(MemberId, SocketAddr)> {
     let me = shared.peers.me;
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -83,9 +83,13 @@
         service: ServiceName,
         /// Tokens asked for since the daemon's start, by model.
         tokens: Vec<(ModelName, f64)>,
+        /// Servers that the daemon can't connect to.
+        lost: Vec<ServerName>,
     },
     /// The planner asks a runner's holder to change what the runner holds.
     Move(Move),
+    /// The holder could not make a move.
+    Failed(Move),
 }
 
 /// The first event of a request.
@@ -109,7 +113,7 @@
 }
 
 /// The daemon lives.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
     /// Whether it takes new work.
     pub ready: bool,
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -9,17 +9,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnut_base::{MemberId, ModelName, ServiceName};
+use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
 use chestnut_edge::{Engine, ServerEntry};
+use chestnut_member::ClaimKey;
 use chestnut_pool::placing::{Move, Placing, Scene};
 use indexmap::IndexMap;
 use slog::info;
 use tokio::time::sleep;
 
 use crate::claims::pool_key;
-use crate::holder;
 use crate::message::Message;
 use crate::shared::Shared;
+use crate::{holder, members};
 
 /// How often the planner plans and daemons tell it what is asked for.
 const PERIOD: Duration = Duration::from_millis(250);
@@ -55,10 +56,21 @@
     from: MemberId,
     service: ServiceName,
     tokens: Vec<(ModelName, f64)>,
+    lost: Vec<ServerName>,
 ) {
     let now = shared.now();
     let mut plans = shared.plans();
-    plans.entry(service).or_insert_with(|| Placing::new(now)).count(from, tokens);
+    let placing = plans.entry(service).or_insert_with(|| Placing::new(now));
+    placing.count(from, tokens);
+    placing.hear_lost(from, lost, now);
+}
+
+/// Takes in that a runner's holder could not make a move.
+pub fn fail(shared: &Shared, change: &Move) {
+    let now = shared.now();
+    for placing in shared.plans().values_mut() {
+        placing.fail(change, now);
+    }
 }
 
 /// Tells planners what is asked for, and plans where this daemon is the planner.
@@ -68,16 +80,17 @@
         let Some(declared) = shared.declared() else { continue };
         for (name, service) in &declared.services {
             let Some(engine) = &service.engine else { continue };
-            let counts = own_counts(&shared, name);
+            let tokens = own_counts(&shared, name);
+            let lost = unreachable(&shared, name);
             match planner_of(&shared, name) {
                 Planner::Here => {
-                    take(&shared, shared.peers.me, name.clone(), counts);
+                    take(&shared, shared.peers.me, name.clone(), tokens, lost);
                     plan_service(&shared, name, engine);
                 }
                 Planner::There(addr) => {
                     shared.plans().swap_remove(name);
-                    let message =
-                        Message::Demand { service: name.clone(), tokens: counts };
+                    let service = name.clone();
+                    let message = Message::Demand { service, tokens, lost };
                     shared.peers.send(addr, message);
                 }
                 Planner::Nobody => {}
@@ -114,10 +127,24 @@
     models.map(|(model, tokens)| (model.clone(), *tokens)).collect()
 }
 
+/// Servers of a service that this daemon can't connect to.
+fn unreachable(shared: &Shared, service: &ServiceName) -> Vec<ServerName> {
+    let now = shared.now();
+    let fleet = shared.fleet();
+    let ours = fleet.iter().filter(|(_, server)| server.entry.service == *service);
+    let lost = ours.filter(|(_, server)| server.health.is_unreachable(now));
+    lost.map(|(_, server)| server.entry.name.clone()).collect()
+}
+
 fn plan_service(shared: &Shared, service: &ServiceName, engine: &Engine) {
     let now = shared.now();
-    let runners = runners(shared, service);
-    let scene = Scene { runners: &runners, engine };
+    let daemons = members::count(shared);
+    let mut runners = runners(shared, service);
+    if let Some(placing) = shared.plans().get(service) {
+        runners.retain(|runner| !placing.is_lost(&runner.name, daemons, now));
+    }
+    let fixed = fixed(shared, &runners);
+    let scene = Scene { runners: &runners, fixed: &fixed, engine };
     let changes: Vec<Move> = {
         let mut plans = shared.plans();
         let Some(placing) = plans.get_mut(service) else { return };
@@ -135,9 +162,27 @@
     }
 }
 
+/// Runners that nobody can give orders to now: the daemon that held the claim is gone,
+/// or the one that has just taken it waits for its turn.
+fn fixed(shared: &Shared, runners: &[ServerEntry]) -> Vec<ServerName> {
+    let now = shared.now();
+    let orderless = |name: &&ServerName| {
+        let key = ClaimKey::Server((*name).clone());
+        let holder = {
+            let known = shared.known();
+            known.claims.get(&key).and_then(|(row, _)| row.holder)
+        };
+        let alive = holder.is_some_and(|holder| {
+            holder == shared.peers.me || shared.is_alive(holder, now)
+        });
+        !alive || shared.turn(&key).is_some_and(|from| now < from)
+    };
+    runners.iter().map(|runner| &runner.name).filter(orderless).cloned().collect()
+}
+
 fn send(shared: &Shared, change: Move) {
     if let Some(holder) = shared.holder(&change.server) {
-        holder.change(change);
+        holder.change(change, None);
     } else if let Some(addr) = holder::addr(shared, &change.server) {
         shared.peers.send(addr, Message::Move(change));
     }
@@ -146,5 +191,7 @@
 fn runners(shared: &Shared, service: &ServiceName) -> Vec<ServerEntry> {
     let now = shared.now();
     let fleet = shared.fleet();
-    fleet.open(service, now).map(|(_, server)| server.entry.clone()).collect()
+    let ours = fleet.iter().filter(|(_, server)| server.entry.service == *service);
+    let listed = ours.filter(|(_, server)| fleet.is_listed(server, now));
+    listed.map(|(_, server)| server.entry.clone()).collect()
 }
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -49,13 +49,14 @@
         Message::Bids { number, .. } | Message::Taken { number, .. } => {
             shared.peers.answer(number, packet.message);
         }
-        Message::Demand { service, tokens } => {
-            planner::take(shared, packet.from, service, tokens);
+        Message::Demand { service, tokens, lost } => {
+            planner::take(shared, packet.from, service, tokens, lost);
         }
         Message::Move(change) => {
             if let Some(holder) = shared.holder(&change.server) {
-                holder.change(change);
+                holder.change(change, Some(from));
             }
         }
+        Message::Failed(change) => planner::fail(shared, &change),
     }
 }
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -142,7 +142,7 @@
     shared.leaving.send_replace(true);
     // From now on its claims fall to others.
     shared.known().leaving.insert(shared.peers.me);
-    members::beat(shared);
+    members::say_leaving(shared);
     let stop = shared.bounds.borrow().stop;
     let limit = stop.saturating_sub(STOP_MARGIN);
     let finished = async {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -77,10 +77,7 @@
     let mut job = Box::new(job);
     job.shared.note_request(&job.service);
     if let Some(target) = &job.call.target {
-        let size = job.size();
-        let tokens =
-            f64::from(size.prompt) + f64::from(size.output) * planner::OUTPUT_WEIGHT;
-        planner::note(&job.shared, &job.service, &target.model, tokens);
+        planner::note(&job.shared, &job.service, &target.model, job.demand());
     }
     let mut lost = None;
     let mut lacking = None;
@@ -182,7 +179,7 @@
     lacking: Option<ServerName>,
     rejected: &[ServerName],
 ) -> Option<Place> {
-    let limit = job.patience().min(job.shared.now() + RESIDENCE_WAIT);
+    let limit = job.patience().min(job.arrived + RESIDENCE_WAIT);
     let limit = Instant::from_std(limit);
     let mut listed = job.shared.listed.subscribe();
     let mut avoid = rejected.to_vec();
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -16,7 +16,7 @@
 use crate::client::Client;
 use crate::follow::{OWN, Table};
 use crate::holder::Holder;
-use crate::members;
+use crate::members::{self, Neighbours};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::planner::Counts;
@@ -86,6 +86,8 @@
     pub own_read: watch::Sender<bool>,
     fleet: Mutex<Fleet>,
     known: Mutex<Known>,
+    /// The daemons that this one exchanges beats with.
+    neighbours: Mutex<Neighbours>,
     holders: Mutex<IndexMap<ServerName, Arc<Holder>>>,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
     speeds: Mutex<Speeds>,
@@ -131,6 +133,7 @@
             own_read: watch::Sender::new(false),
             fleet: Mutex::default(),
             known: Mutex::default(),
+            neighbours: Mutex::default(),
             holders: Mutex::default(),
             budgets: Mutex::default(),
             speeds: Mutex::default(),
@@ -156,6 +159,19 @@
         self.known.lock().expect("no holder of the lock panics")
     }
 
+    /// The daemons that this one exchanges beats with.
+    pub fn neighbours(&self) -> MutexGuard<'_, Neighbours> {
+        self.neighbours.lock().expect("no holder of the lock panics")
+    }
+
+    /// Whether a daemon is not known to be gone.
+    ///
+    /// A neighbour that has sent nothing lately is; of others only their rows tell.
+    pub fn is_alive(&self, member: MemberId, now: Instant) -> bool {
+        let expected = self.neighbours().expects(member);
+        !expected || self.peers.is_alive(member, now)
+    }
+
     /// The runners whose claims this daemon holds.
     pub fn holders(&self) -> MutexGuard<'_, IndexMap<ServerName, Arc<Holder>>> {
         self.holders.lock().expect("no holder of the lock panics")
--- a/crates/lab/src/moves/mod.rs
+++ b/crates/lab/src/moves/mod.rs
@@ -194,8 +194,13 @@
         loading: 0,
         copies: Vec::new(),
     };
-    let state =
-        |runner| RunnerState { domain: runner % 20, capacity: 80, other: 0, stays: true };
+    let state = |runner| RunnerState {
+        domain: runner % 20,
+        capacity: 80,
+        other: 0,
+        stays: true,
+        fixed: false,
+    };
     PoolState {
         models: (0..models).map(model).collect(),
         runners: (0..runners).map(state).collect(),
--- a/crates/lab/src/moves/policy.rs
+++ b/crates/lab/src/moves/policy.rs
@@ -105,6 +105,7 @@
             capacity: site.memory,
             other: 0,
             stays: true,
+            fixed: false,
         };
         let pool = PoolState {
             runners: (0..site.runners).map(runner).collect(),
--- a/crates/member/src/lease.rs
+++ b/crates/member/src/lease.rs
@@ -73,12 +73,25 @@
 
 /// The VMs whose leases this daemon watches.
 pub fn watched(known: &Known, me: &VmName) -> Vec<VmName> {
-    let mut ranked: Vec<_> = known
-        .members
-        .keys()
-        .filter(|vm| *vm != me)
-        .map(|vm| (rendezvous(vm.as_str(), me.as_str()), vm))
-        .collect();
+    let others = known.members.keys().filter(|vm| *vm != me);
+    first(others, |vm| rendezvous(vm.as_str(), me.as_str()))
+}
+
+/// The VMs whose daemons watch this one's lease.
+///
+/// Each of the others watches [`WATCHED`]; those are found by ranking for each of
+/// them, so that the result is kept until members change.
+pub fn watchers(known: &Known, me: &VmName) -> Vec<VmName> {
+    let others = known.members.keys().filter(|vm| *vm != me);
+    others.filter(|vm| watched(known, vm).contains(me)).cloned().collect()
+}
+
+/// The [`WATCHED`] VMs with the greatest rank.
+fn first<'a>(
+    vms: impl Iterator<Item = &'a VmName>,
+    rank: impl Fn(&VmName) -> u64,
+) -> Vec<VmName> {
+    let mut ranked: Vec<_> = vms.map(|vm| (rank(vm), vm)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked.truncate(WATCHED);
     ranked.into_iter().map(|(_, vm)| vm.clone()).collect()
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use assign::{Plan, Step, plan};
 pub use known::{ClaimRow, Known, LeaseRow, MemberRow};
-pub use lease::{Lease, lapsed, watched};
+pub use lease::{Lease, lapsed, watched, watchers};
 pub use view::{Claim, ClaimKey, Member, Server, ServerRole, View};
--- a/crates/node/src/planner/scene.rs
+++ b/crates/node/src/planner/scene.rs
@@ -278,7 +278,13 @@
         });
         let domain = self.domains.binary_search(&&server.domain).unwrap_or(0);
         let down = ledger.is_some_and(|ledger| ledger.down);
-        RunnerState { domain, capacity, other, stays: !server.leaving && !down }
+        RunnerState {
+            domain,
+            capacity,
+            other,
+            stays: !server.leaving && !down,
+            fixed: false,
+        }
     }
 
     /// Whether an item takes memory that no placed model accounts for and that
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -81,6 +81,8 @@
     pub other: u64,
     /// Whether it may be given models; not if it is leaving.
     pub stays: bool,
+    /// Whether nothing can be loaded or dropped there for now.
+    pub fixed: bool,
 }
 
 /// A model in its declared version, with the adapters on top.
@@ -240,7 +242,8 @@
             .filter(|(runner, _)| !self.held[*runner].contains(&model))
             .filter(|(runner, other)| {
                 let bytes = self.pool.models[*other].bytes;
-                self.pool.runners[*runner].stays && self.room[*runner] + bytes >= needed
+                let state = &self.pool.runners[*runner];
+                state.stays && !state.fixed && self.room[*runner] + bytes >= needed
             })
             .filter(|(_, other)| self.pool.models[*other].bytes < needed)
             .filter_map(|(runner, other)| {
@@ -248,6 +251,7 @@
                 let to = (0..self.held.len()).find(|to| {
                     *to != runner
                         && self.pool.runners[*to].stays
+                        && !self.pool.runners[*to].fixed
                         && self.room[*to] >= bytes
                         && !self.held[*to].contains(&other)
                 })?;
@@ -329,8 +333,9 @@
     /// The runner that is best for a further replica.
     ///
     /// Least loss first, then the failure domain with the fewest replicas if it
-    /// is a declared one, then a copy of the weights at hand, then the fewest
-    /// evictions, then the most throughput to spare.
+    /// is a declared one, then the fewest evictions, as runs on what is evicted have
+    /// to end first, then a copy of the weights at hand, then the most throughput to
+    /// spare.
     fn best_site(&self, model: usize) -> Option<Site> {
         let mut domains = vec![0usize; self.domains()];
         for runner in &self.placed[model] {
@@ -361,7 +366,8 @@
     /// A runner as the place of a further replica, if there can be room.
     fn site(&self, model: usize, runner: usize) -> Option<Site> {
         let needed = self.pool.models[model].bytes;
-        if !self.pool.runners[runner].stays || self.held[runner].contains(&model) {
+        let state = &self.pool.runners[runner];
+        if !state.stays || state.fixed || self.held[runner].contains(&model) {
             return None;
         }
         let mut room = self.room[runner];
@@ -441,8 +447,8 @@
         self.loss
             .total_cmp(&other.loss)
             .then(self.domain.cmp(&other.domain))
-            .then(self.far.cmp(&other.far))
             .then(self.evictions.cmp(&other.evictions))
+            .then(self.far.cmp(&other.far))
             .then(other.spare.total_cmp(&self.spare))
             .is_lt()
     }
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -10,7 +10,7 @@
 const ROUNDS: usize = 40;
 
 fn runner(domain: usize, capacity: u64) -> RunnerState {
-    RunnerState { domain, capacity, other: 0, stays: true }
+    RunnerState { domain, capacity, other: 0, stays: true, fixed: false }
 }
 
 fn model(bytes: u64, replicas: usize, demand: f64) -> ModelState {
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -67,7 +67,10 @@
 const FAILURE_COST: f64 = 400.0;
 
 /// What a way to another failure domain costs, in milliseconds.
-const DOMAIN_COST: f64 = 3.0;
+///
+/// More than the two milliseconds that it takes: what goes between failure domains is
+/// paid for.
+const DOMAIN_COST: f64 = 8.0;
 
 /// What the load of an adapter costs, in milliseconds: the load and two orders.
 const ADAPTER_COST: f64 = 25.0;
--- a/crates/pool/src/demand.rs
+++ b/crates/pool/src/demand.rs
@@ -1,29 +1,49 @@
 //! How much callers ask for of each model of a service.
 //!
+//! Load pattern: within five seconds callers turn from one model to another. A long
+//! average is late by seconds; a short one lets go of a model in each lull, and it is
+//! dropped and loaded in turns. The greater of both rises soon and falls late.
+//!
 //! Every daemon counts what its own callers ask for and tells its sum since its
 //! start, so that a lost message only delays what it says.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use chestnut_base::{MemberId, ModelName};
-use chestnut_place::Demand;
 use indexmap::IndexMap;
 
-/// The time in which the fast average of demand forgets half.
-///
-/// Loads take about a second: a rise that lasts as long is worth following.
-const FAST_HALF: Duration = Duration::from_millis(700);
-
-/// The time in which the slow average of demand forgets half.
-const SLOW_HALF: Duration = Duration::from_millis(1500);
-
-/// The span of what was asked for lately.
-const LATELY: Duration = Duration::from_millis(1200);
+/// How far back the two averages look.
+const FAST: Duration = Duration::from_millis(500);
+const SLOW: Duration = Duration::from_millis(1500);
 
 /// How long requests have to be seen before a model counts as not asked for.
 const KNOWN: Duration = Duration::from_millis(2500);
 
+/// The averages of one model's demand, in tokens a second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Averages {
+    fast: f64,
+    slow: f64,
+}
+
+impl Averages {
+    fn add(&mut self, tokens: f64, time: Duration) {
+        if time.is_zero() {
+            return;
+        }
+        let rate = tokens / time.as_secs_f64();
+        let weight =
+            |span: Duration| 1.0 - (-time.as_secs_f64() / span.as_secs_f64()).exp();
+        self.fast += (rate - self.fast) * weight(FAST);
+        self.slow += (rate - self.slow) * weight(SLOW);
+    }
+
+    /// The demand to plan for.
+    fn estimate(&self) -> f64 {
+        self.fast.max(self.slow)
+    }
+}
+
 /// How much callers ask for of each model.
 #[derive(Debug)]
 pub struct Demands {
@@ -31,9 +51,7 @@
     counts: IndexMap<MemberId, IndexMap<ModelName, f64>>,
     /// Tokens that were asked for since the last average.
     fresh: IndexMap<ModelName, f64>,
-    averages: IndexMap<ModelName, Demand>,
-    /// What was asked for in each span between averages, the last ones.
-    lately: VecDeque<(Instant, IndexMap<ModelName, f64>)>,
+    averages: IndexMap<ModelName, Averages>,
     /// For how long anything was asked for.
     known: Duration,
     at: Instant,
@@ -46,7 +64,6 @@
             counts: IndexMap::new(),
             fresh: IndexMap::new(),
             averages: IndexMap::new(),
-            lately: VecDeque::new(),
             known: Duration::ZERO,
             at: now,
         }
@@ -79,15 +96,7 @@
         }
         for model in models {
             let tokens = fresh.get(model).copied().unwrap_or_default();
-            let average = self.averages.entry(model.clone());
-            let average =
-                average.or_insert_with(|| Demand::with_halves(FAST_HALF, SLOW_HALF));
-            average.add(tokens, time);
-        }
-        self.lately.push_back((now, fresh));
-        let old = |at: Instant| now.saturating_duration_since(at) > LATELY;
-        while self.lately.front().is_some_and(|(at, _)| old(*at)) {
-            self.lately.pop_front();
+            self.averages.entry(model.clone()).or_default().add(tokens, time);
         }
     }
 
@@ -98,12 +107,6 @@
 
     /// The demand to plan for, in tokens a second.
     pub fn estimate(&self, model: &ModelName) -> f64 {
-        self.averages.get(model).map_or(0.0, Demand::estimate)
-    }
-
-    /// What was asked for in the last second or so, in tokens a second.
-    pub fn lately(&self, model: &ModelName) -> f64 {
-        let tokens = self.lately.iter().filter_map(|(_, tokens)| tokens.get(model));
-        tokens.sum::<f64>() / LATELY.as_secs_f64()
+        self.averages.get(model).map_or(0.0, Averages::estimate)
     }
 }
--- a/crates/pool/src/health.rs
+++ b/crates/pool/src/health.rs
@@ -26,6 +26,9 @@
 /// its share, and one that has recovered be back at half of it after four.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// How long a failed connection counts as news.
+const UNREACHABLE: Duration = Duration::from_millis(1500);
+
 /// The greatest penalty.
 const LIMIT: f64 = 8.0;
 
@@ -39,6 +42,8 @@
     refused: u32,
     /// Until when the server is left alone.
     blocked: Option<Instant>,
+    /// When a connection failed last.
+    refused_at: Option<Instant>,
 }
 
 impl Health {
@@ -60,6 +65,7 @@
     pub fn refused(&mut self, now: Instant) {
         let pause = FIRST_PAUSE * (1 << self.refused.min(4));
         self.refused += 1;
+        self.refused_at = Some(now);
         self.blocked = Some(now + pause.min(LAST_PAUSE));
     }
 
@@ -68,6 +74,12 @@
         self.blocked.is_none_or(|until| now >= until)
     }
 
+    /// Whether connections failed lately and none was answered since.
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        let lately = |at: Instant| now.saturating_duration_since(at) < UNREACHABLE;
+        self.refused > 0 && self.refused_at.is_some_and(lately)
+    }
+
     /// The number of recent failures.
     pub fn penalty(&self, now: Instant) -> f64 {
         let Some(at) = self.at else { return 0.0 };
--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -11,6 +11,7 @@
 //! When prompts come faster than the engine reads, those that can still be on time
 //! go first, by urgency; one that is late anyway loses little more by waiting.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// The time of an engine's step beside what it reads, with some thirty streams.
@@ -25,6 +26,9 @@
 /// The longest pause between events where none is declared.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// How long a first event is waited for to correct what is assumed of the engine.
+const OPEN_TIME: Duration = Duration::from_secs(2);
+
 /// Names a prompt that waits in a lane.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Ticket(pub u64);
@@ -80,6 +84,16 @@
     last: Option<Sent>,
     /// The one before it, if the engine reads it in the step before.
     before: Option<Sent>,
+    /// Prompts that were sent and have no first event yet, in order.
+    open: VecDeque<Open>,
+}
+
+/// A prompt that was sent and has no first event yet.
+#[derive(Debug, Clone, Copy)]
+struct Open {
+    ticket: Ticket,
+    work: Duration,
+    at: Instant,
 }
 
 /// A prompt that was sent.
@@ -151,11 +165,36 @@
             return Next::Wait(start);
         }
         let waiting = self.waiting.swap_remove(at);
-        self.note_sent(waiting.work, now);
+        self.note_sent(&waiting, now);
         Next::Send(waiting)
     }
 
-    fn note_sent(&mut self, work: Duration, now: Instant) {
+    /// Takes in that a prompt had its first event, and `base` of the time since its
+    /// sending was not spent on reading.
+    ///
+    /// The engine may be behind, or ahead of, what was assumed; what was sent after
+    /// this prompt is read from now on.
+    pub fn begun(&mut self, ticket: Ticket, after: Duration, base: Duration) {
+        let Some(place) = self.open.iter().position(|open| open.ticket == ticket) else {
+            return;
+        };
+        let begun = self.open[place];
+        self.open.drain(..=place);
+        let Some(last) = &mut self.last else { return };
+        let mut end = begun.at + after.saturating_sub(base).max(begun.work);
+        for open in &self.open {
+            end = end.max(open.at) + open.work + STEP;
+        }
+        last.end = end;
+    }
+
+    fn note_sent(&mut self, waiting: &Waiting, now: Instant) {
+        let work = waiting.work;
+        let old = |open: &Open| now.saturating_duration_since(open.at) > OPEN_TIME;
+        while self.open.front().is_some_and(old) {
+            self.open.pop_front();
+        }
+        self.open.push_back(Open { ticket: waiting.ticket, work, at: now });
         let adjoins = |sent: &Sent| now < sent.end + STEP;
         self.before = self.last.filter(adjoins);
         self.last = Some(Sent { work, end: now + work + STEP });
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,7 +13,7 @@
 //! 7. [`budget`] bounds how often requests are sent again.
 //!
 //! Beside them, [`placing`] says which runner holds which model, by [`demand`] and at
-//! a [`pace`] that the weight store allows.
+//! a [`pace`] that the weight store allows, without servers that are [`lost`].
 
 pub mod budget;
 pub mod choose;
@@ -21,6 +21,7 @@
 pub mod fleet;
 pub mod health;
 pub mod lane;
+pub mod lost;
 pub mod pace;
 pub mod placing;
 pub mod prefix;
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -19,17 +19,18 @@
 use serde::{Deserialize, Serialize};
 
 use crate::demand::Demands;
+use crate::lost::Lost;
 use crate::pace::Pace;
 
 /// The tokens a second, prompt and weighted output, that one runner serves in time.
 ///
 /// Engines read 20 to 26 prompt tokens a millisecond; at half of that the steps
 /// between still come in time.
-const THROUGHPUT: f64 = 14_000.0;
+const THROUGHPUT: f64 = 16_000.0;
 
 /// The share of their throughput that runners of an evenly loaded pool have in use,
 /// at most.
-const FULL: f64 = 0.7;
+const FULL: f64 = 0.8;
 
 /// How long a change of demand is expected to last, against the time of a load.
 const HORIZON: Duration = Duration::from_secs(20);
@@ -49,9 +50,18 @@
 /// How long a move that was asked for counts as under way, beyond its load.
 const MOVE_SLACK: Duration = Duration::from_millis(1500);
 
-/// The share of a runner's throughput that a replica has to be asked for to stay
-/// where room is wanted.
-const WORTH_KEEPING: f64 = 0.15;
+/// How long a runner is left alone after a move failed there.
+///
+/// An order that was not answered may act for seconds, and the next one fails as
+/// often; another runner serves sooner.
+const FAILED_TIME: Duration = Duration::from_secs(2);
+
+/// The share of a runner's throughput up to which the replicas that stay may be asked
+/// for when one is dropped.
+///
+/// Half of where a further one would be loaded, so that none is loaded and dropped in
+/// turns.
+const WORTH_KEEPING: f64 = 0.35;
 
 /// Bytes in a megabyte, as sizes are declared.
 const MB: f64 = 1e6;
@@ -72,14 +82,19 @@
 pub struct Placing {
     demands: Demands,
     pace: Pace,
+    lost: Lost,
     /// Moves under way and until when they count as such.
     moving: IndexMap<ServerName, (Move, Instant)>,
+    /// Runners where a move failed, and until when they are left alone.
+    failed: IndexMap<ServerName, Instant>,
 }
 
 /// A service's runners as the registry lists them, and what it declares.
 pub struct Scene<'a> {
     /// Runners that take new requests.
     pub runners: &'a [ServerEntry],
+    /// Runners that nobody can give orders to now.
+    pub fixed: &'a [ServerName],
     /// What is declared of them.
     pub engine: &'a Engine,
 }
@@ -87,7 +102,13 @@
 impl Placing {
     /// Starts to plan, with no load saved up.
     pub fn new(now: Instant) -> Self {
-        Self { demands: Demands::new(now), pace: Pace::new(now), moving: IndexMap::new() }
+        Self {
+            demands: Demands::new(now),
+            pace: Pace::new(now),
+            lost: Lost::default(),
+            moving: IndexMap::new(),
+            failed: IndexMap::new(),
+        }
     }
 
     /// Takes in a daemon's count of tokens asked for since its start.
@@ -95,6 +116,24 @@
         self.demands.count(from, tokens);
     }
 
+    /// Takes in which servers a daemon can't connect to.
+    pub fn hear_lost(&mut self, from: MemberId, servers: Vec<ServerName>, now: Instant) {
+        self.lost.hear(from, servers, now);
+    }
+
+    /// Whether daemons can't connect to a server; `daemons` is their number.
+    pub fn is_lost(&self, server: &ServerName, daemons: usize, now: Instant) -> bool {
+        self.lost.is_lost(server, daemons, now)
+    }
+
+    /// Takes in that a runner's holder could not make a move.
+    pub fn fail(&mut self, change: &Move, now: Instant) {
+        if self.moving.get(&change.server).is_some_and(|(known, _)| known == change) {
+            self.moving.swap_remove(&change.server);
+            self.failed.insert(change.server.clone(), now + FAILED_TIME);
+        }
+    }
+
     /// The demand for a model, in tokens a second.
     pub fn demand(&self, model: &ModelName) -> f64 {
         self.demands.estimate(model)
@@ -115,6 +154,7 @@
     }
 
     fn forget_done(&mut self, scene: &Scene, now: Instant) {
+        self.failed.retain(|_, until| now < *until);
         self.moving.retain(|server, (change, until)| {
             let runner = scene.runners.iter().find(|runner| runner.name == *server);
             let done = |runner: &ServerEntry| match &change.load {
@@ -162,17 +202,21 @@
                 *count = count.saturating_sub(1);
             }
         }
+        let planned = self.planned(scene.engine);
         let mut fresh = Vec::new();
         if !self.demands.is_known() {
             return fresh;
         }
         for runner in scene.runners {
-            if self.moving.contains_key(&runner.name) || has_room(scene.engine, runner) {
+            let held = runner.models.iter().all(|held| planned.contains_key(&held.model));
+            let fixed = self.is_fixed(scene, runner);
+            let moving = self.moving.contains_key(&runner.name);
+            if !held || fixed || moving || has_room(scene.engine, runner) {
                 continue;
             }
             let idle = |model: &&ModelName| {
                 let count = replicas.get(model).copied().unwrap_or_default();
-                count > 1 && self.is_idle(model, count)
+                count > 1 && Self::is_idle(planned[*model], count)
             };
             let models = runner.models.iter().map(|held| &held.model);
             let Some(model) = models
@@ -194,8 +238,8 @@
     }
 
     /// Whether one replica less would still serve a model with ease.
-    fn is_idle(&self, model: &ModelName, replicas: usize) -> bool {
-        let each = self.demands.lately(model) / (replicas - 1) as f64;
+    fn is_idle(planned: f64, replicas: usize) -> bool {
+        let each = planned / (replicas - 1) as f64;
         each < WORTH_KEEPING * THROUGHPUT
     }
 
@@ -208,6 +252,7 @@
             capacity: (scene.engine.memory_mb * MB) as u64,
             other: (scene.engine.adapter_reserve() * MB) as u64,
             stays: true,
+            fixed: self.is_fixed(scene, runner),
         };
         let planned = self.planned(scene.engine);
         let names = scene.engine.models.keys();
@@ -228,6 +273,11 @@
         }
     }
 
+    fn is_fixed(&self, scene: &Scene, runner: &ServerEntry) -> bool {
+        let failed = self.failed.contains_key(&runner.name);
+        failed || scene.fixed.contains(&runner.name)
+    }
+
     fn loading(&self) -> usize {
         self.moving.values().filter(|(change, _)| change.load.is_some()).count()
     }
--- a/crates/pool/src/speed.rs
+++ b/crates/pool/src/speed.rs
@@ -80,6 +80,14 @@
     }
 }
 
+impl Line {
+    /// The time that a first event takes besides reading, in milliseconds.
+    fn base(&self) -> f64 {
+        let (tokens, time) = (self.tokens / self.weight, self.time / self.weight);
+        (time - tokens * self.slope()).max(0.0)
+    }
+}
+
 /// How fast a service's runners read prompts of each model.
 #[derive(Debug, Default)]
 pub struct Speeds {
@@ -95,6 +103,12 @@
         *line = line.with(effort(tokens), millis, 1.0, FADE);
     }
 
+    /// How long a first event takes besides reading.
+    pub fn base(&self, model: &ModelName) -> Duration {
+        let base = self.models.get(model).map_or(0.0, Line::base);
+        Duration::from_secs_f64(base / 1000.0)
+    }
+
     /// How long a runner takes to read tokens.
     pub fn reading(&self, model: &ModelName, tokens: u32) -> Duration {
         let slope = self.models.get(model).map_or(FIRST_GUESS, Line::slope);
