Touch no replica twice in a plan

Found by logging what the planner was given; that state is the test. Also: beats apart from what waits for the store.

--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -82,14 +82,23 @@
     }
 }
 
-/// Joins, says regularly that the daemon lives, and watches others.
+/// Says regularly that the daemon lives.
+///
+/// Apart from everything that waits for the store: a daemon whose calls hang is alive.
+pub async fn run_beats(shared: Arc<Shared>) {
+    loop {
+        beat(&shared);
+        sleep(BEAT_PERIOD).await;
+    }
+}
+
+/// Joins, takes claims, and watches others.
 ///
 /// The daemon joins once it can serve: callers are sent to all that have joined.
 pub async fn run(shared: Arc<Shared>) {
     wait_until_known(&shared).await;
     join(&shared).await;
     loop {
-        beat(&shared);
         claims::tick(&shared).await;
         remove_silent(&shared).await;
         if is_removed(&shared) {
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -90,6 +90,7 @@
     follow_tables(&shared);
     tokio::spawn(receive::run(shared.clone()));
     tokio::spawn(members::run(shared.clone()));
+    tokio::spawn(members::run_beats(shared.clone()));
     tokio::spawn(sums::repeat(shared.clone()));
     tokio::spawn(planner::run(shared.clone()));
     tokio::spawn(front::run(shared.clone(), callers));
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -146,6 +146,11 @@
     balance: Balance,
     /// Loads from the weight store that may still be started.
     budget: usize,
+    /// Replicas that this plan has added or evicted, by model and runner.
+    ///
+    /// None of them is touched again: where loads are not limited, two models that are
+    /// asked for alike would take each other's place without end.
+    touched: Vec<(usize, usize)>,
     /// Whether first replicas are being placed, for which declared further
     /// replicas of other models may go.
     sparse: bool,
@@ -178,6 +183,7 @@
             room,
             balance: Balance::default(),
             budget: pool.parallel.max(1).saturating_sub(loading),
+            touched: Vec::new(),
             sparse: false,
             unplaced: Vec::new(),
             moves: 0,
@@ -367,7 +373,8 @@
     fn site(&self, model: usize, runner: usize) -> Option<Site> {
         let needed = self.pool.models[model].bytes;
         let state = &self.pool.runners[runner];
-        if !state.stays || state.fixed || self.held[runner].contains(&model) {
+        let held = self.held[runner].contains(&model);
+        if !state.stays || state.fixed || held || self.is_touched(model, runner) {
             return None;
         }
         let mut room = self.room[runner];
@@ -377,7 +384,7 @@
         }
         let mut spare: Vec<_> = self.held[runner]
             .iter()
-            .filter(|other| self.is_extra(**other))
+            .filter(|other| self.is_extra(**other) && !self.is_touched(**other, runner))
             .map(|other| (self.eviction_loss(*other, runner), *other))
             .collect();
         spare.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -392,6 +399,10 @@
         None
     }
 
+    fn is_touched(&self, model: usize, runner: usize) -> bool {
+        self.touched.contains(&(model, runner))
+    }
+
     /// Whether a model has more replicas than needed, not counting unloaded ones.
     fn is_extra(&self, model: usize) -> bool {
         let state = &self.pool.models[model];
@@ -407,7 +418,9 @@
     }
 
     fn place(&mut self, model: usize, site: &Site) {
+        self.touched.push((model, site.runner));
         for other in &site.evicted {
+            self.touched.push((*other, site.runner));
             self.placed[*other].retain(|at| *at != site.runner);
             self.held[site.runner].retain(|at| at != other);
             self.room[site.runner] += self.pool.models[*other].bytes;
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -96,6 +96,62 @@
     }
 }
 
+#[test]
+fn models_do_not_take_turns_within_a_plan() {
+    // Callers turn from one model to another and ask for both alike for a moment. Both
+    // have copies of their weights on most runners, where loads are not limited. The
+    // daemon that planned exchanged them there without end, answered nobody, and the
+    // next one that took over did the same.
+    let gigabytes: [u64; 13] = [73, 73, 73, 65, 73, 34, 65, 73, 34, 66, 65, 73, 34];
+    let demands = [
+        0.0, 33_917.0, 0.0, 1_057.0, 33_917.0, 19_076.0, 657.0, 473.0, 231.0, 971.0,
+        77.0, 310.0, 2_108.0,
+    ];
+    let placed: [&[usize]; 13] = [
+        &[8],
+        &[0, 1, 2, 6, 7],
+        &[8],
+        &[1],
+        &[0, 3, 4, 5, 7],
+        &[0],
+        &[5],
+        &[6],
+        &[3],
+        &[4],
+        &[2],
+        &[3],
+        &[5],
+    ];
+    let copies: [&[usize]; 13] = [
+        &[0, 1, 3, 5, 6, 7, 8],
+        &[0, 1, 2, 3, 4, 6, 7],
+        &[0, 8],
+        &[1, 5],
+        &[0, 1, 2, 3, 4, 5, 6, 7],
+        &[0, 1, 4, 5, 7],
+        &[2, 3, 5, 6, 7, 8],
+        &[4, 6],
+        &[0, 2, 3],
+        &[1, 2, 4, 8],
+        &[2, 4, 7, 8],
+        &[3],
+        &[0, 5],
+    ];
+    let models = (0..13).map(|index| ModelState {
+        placed: placed[index].to_vec(),
+        copies: copies[index].to_vec(),
+        cold: Duration::from_millis(1200),
+        ..model(gigabytes[index], 1, demands[index])
+    });
+    let mut pool = pool((0..9).map(|at| runner(at % 3, 199)).collect(), models.collect());
+    pool.throughput = 16_000.0;
+    pool.parallel = 2;
+    pool.move_weight = 2.0;
+    pool.horizon = Duration::from_secs(20);
+    let placement = plan(&pool);
+    assert!(placement.moves <= 9);
+}
+
 #[test]
 fn leaving_runner_is_replaced_first() {
     // Callers of the model on a VM that leaves must find it elsewhere before the
