Test the decisions by the loads that they answer, and convict no bystander

The pool's decisions stand in tests that replay their load with the naive policy beside it: a third of the streams are late when prompts are sent as they come, none through the lane; by daemons' own counts a runner has four more requests than the mean, by holders' sums one. Known red: servers that die together convicted a request that was in flight at one after the other; crashes within a second are one event now, also where another daemon saw the first.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -40,6 +40,11 @@
 /// For how long an idle connection is kept if the server does not say.
 const IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// How long the body of a call's answer may take.
+///
+/// Half a megabyte takes half a second over the thinnest links of 10 Mbit/s.
+const BODY_TIME: Duration = Duration::from_millis(2500);
+
 /// Idle connections that are kept for one address.
 const IDLE_LIMIT: usize = 64;
 
@@ -143,6 +148,8 @@
     }
 
     /// Makes a whole call: sends a request and reads the answer to its end.
+    ///
+    /// `wait` is the time to the answer's head; a long body may take longer.
     pub async fn call(
         &self,
         addr: SocketAddr,
@@ -150,25 +157,27 @@
         limit: usize,
         wait: Duration,
     ) -> Result<Response<Bytes>, SendFault> {
-        let call = self.call_whole(addr, request, limit);
-        let late = || SendFault::Lost(format!("nothing within {} ms", wait.as_millis()));
-        timeout(wait, call).await.unwrap_or_else(|_| Err(late()))
+        let late = |what, wait: Duration| {
+            SendFault::Lost(format!("no {what} within {} ms", wait.as_millis()))
+        };
+        let head = timeout(wait, self.call_head(addr, request)).await;
+        let (response, connection) =
+            head.unwrap_or_else(|_| Err(late("answer", wait)))?;
+        let (head, body) = response.into_parts();
+        let body = timeout(BODY_TIME, Limited::new(body, limit).collect()).await;
+        let body = body.map_err(|_| late("end of the answer", BODY_TIME))?;
+        let body = body.map_err(|error| SendFault::Lost(error.to_string()))?;
+        self.keep(addr, connection, None);
+        Ok(Response::from_parts(head, body.to_bytes()))
     }
 
-    async fn call_whole(
+    async fn call_head(
         &self,
         addr: SocketAddr,
         request: Request<Bytes>,
-        limit: usize,
-    ) -> Result<Response<Bytes>, SendFault> {
+    ) -> Result<Answer, SendFault> {
         let connection = self.connect(addr).await?;
-        let request = with_host(request, addr);
-        let (response, connection) = connection.send(request).await?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, limit).collect().await;
-        let body = body.map_err(|error| SendFault::Lost(error.to_string()))?;
-        self.keep(addr, connection, None);
-        Ok(Response::from_parts(head, body.to_bytes()))
+        connection.send(with_host(request, addr)).await
     }
 
     fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
--- a/crates/gate/src/directory.rs
+++ b/crates/gate/src/directory.rs
@@ -84,17 +84,24 @@
 
 /// Tells other daemons what changed in the copies of the store's tables.
 pub fn rows(shared: Arc<Shared>) -> Router {
-    Router::new().route("/changes/{table}/{after}", get(changes)).with_state(shared)
+    Router::new()
+        .route("/changes/{table}/{after}/{limit}", get(changes))
+        .with_state(shared)
 }
 
 async fn changes(
     State(shared): State<Arc<Shared>>,
-    Path((table, after)): Path<(String, u64)>,
+    Path((table, after, limit)): Path<(String, u64, usize)>,
 ) -> Response {
     let tables = follow::tables(&shared);
     let table = tables.into_iter().find(|one| one.name == table);
     let changes = table.and_then(|table| table.mirror().changes(after));
     match changes.map(|changes| postcard::to_allocvec(&changes)) {
+        // Some sixty daemons that fetch a large configuration from one over a thin link
+        // have it long after its time; the store's link is wide.
+        Some(Ok(bytes)) if bytes.len() > limit => {
+            StatusCode::PAYLOAD_TOO_LARGE.into_response()
+        }
         Some(Ok(bytes)) => bytes.into_response(),
         Some(Err(_)) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -9,7 +9,7 @@
 
 use chestnut_base::ModelName;
 use chestnut_edge::{Engine, Order, OrderAnswer, OrderStep, ServerEntry, TargetModel};
-use chestnut_pool::AdapterState;
+use chestnut_pool::AdapterNeed;
 use chestnut_pool::placing::Move;
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -63,28 +63,18 @@
 impl Driver<'_> {
     /// Has an adapter loaded; returns in how long it is there.
     pub async fn adapter(&self, target: &TargetModel, missed: bool) -> Option<Duration> {
-        let adapter = target.adapter.clone()?;
         if missed {
             self.holder.state().lacks(target);
         }
         for _ in 0..ADAPTER_STEPS {
             self.known().await?;
-            let places = self.places()?;
-            let now = self.shared.now();
-            let state = self.holder.state().adapter(target, places, now);
-            let step = match state {
-                AdapterState::Ready => return Some(Duration::ZERO),
-                AdapterState::Coming(left) => return Some(left),
-                AdapterState::Free => {
-                    OrderStep::LoadAdapter(target.model.clone(), adapter.clone())
-                }
-                AdapterState::Evict => {
-                    let victim = self.holder.state().victim(now).cloned()?;
-                    OrderStep::UnloadAdapter(victim.model, victim.adapter?)
-                }
-                AdapterState::Full => return None,
-            };
-            self.order(step, ADAPTER_TIME).await;
+            let places = self.engine()?.adapter_slots;
+            let need = self.holder.state().need(target, places, self.shared.now());
+            match need {
+                AdapterNeed::Ready(time) => return Some(time),
+                AdapterNeed::Full => return None,
+                AdapterNeed::Order(step) => drop(self.order(step, ADAPTER_TIME).await),
+            }
         }
         None
     }
@@ -155,16 +145,7 @@
 
     /// Whether a model fits beside what the runner holds.
     fn fits(&self, model: &ModelName) -> bool {
-        let Some(engine) = self.engine() else { return false };
-        let size = |name: &ModelName| engine.models.get(name).map(|m| m.weights_mb);
-        let held: Option<f64> = self.holder.state().models().iter().map(size).sum();
-        match (held, size(model)) {
-            (Some(held), Some(size)) => {
-                held + size + engine.adapter_reserve() <= engine.memory_mb
-            }
-            // A model of unknown size may take any room.
-            _ => false,
-        }
+        self.engine().is_some_and(|engine| self.holder.state().fits(model, &engine))
     }
 
     fn load_time(&self, model: &ModelName) -> Duration {
@@ -173,10 +154,6 @@
         declared.map_or(ANSWER_TIME, |model| model.load)
     }
 
-    fn places(&self) -> Option<usize> {
-        self.engine().map(|engine| engine.adapter_slots)
-    }
-
     fn engine(&self) -> Option<Engine> {
         let declared = self.shared.declared()?;
         let service = declared.services.get(&self.entry()?.service)?;
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -20,7 +20,7 @@
 
 use crate::mirror::{Changes, Mirror};
 use crate::shared::Shared;
-use crate::store::{self, StoreFault};
+use crate::store::{self, Fetch, StoreFault};
 use crate::{claims, members};
 
 /// How long the store may hold the reader's call that waits for changes.
@@ -45,8 +45,13 @@
 /// How often a daemon looks whether its copy is up to date.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// How long another daemon may take to say what changed.
-const PEER_TIME: Duration = Duration::from_millis(250);
+/// What is fetched from another daemon while the store can be read.
+///
+/// More than this goes faster over the store's wide link than over a daemon's.
+const FETCH: Fetch = Fetch { limit: 64 << 10, wait: Duration::from_millis(250) };
+
+/// What is fetched from another daemon while the store turns this one away.
+const FETCH_ALL: Fetch = Fetch { limit: 8 << 20, wait: Duration::from_millis(2500) };
 
 /// The pause between changes of a table that changes all the time.
 const BREATH: Duration = Duration::from_millis(60);
@@ -122,7 +127,14 @@
 /// Follows a table for as long as the daemon runs.
 pub async fn run(shared: Arc<Shared>, table: Arc<Table>, follower: impl Follower) {
     let outage = Outage { since: None };
-    let mut follow = Follow { shared, table, follower, outage, pause: FIRST_PAUSE };
+    let mut follow = Follow {
+        shared,
+        table,
+        follower,
+        outage,
+        turned_away: false,
+        pause: FIRST_PAUSE,
+    };
     loop {
         follow.step().await;
     }
@@ -138,6 +150,8 @@
     table: Arc<Table>,
     follower: F,
     outage: Outage,
+    /// Whether the last call of the store failed.
+    turned_away: bool,
     pause: Duration,
 }
 
@@ -217,12 +231,18 @@
 
     async fn read_peer(&mut self, addr: SocketAddr) -> Result<(), StoreFault> {
         let own = self.table.mirror().version().unwrap_or_default();
+        let fetch = if self.turned_away { FETCH_ALL } else { FETCH };
         let changes =
-            store::peer_changes(&self.shared, addr, self.table.name, own, PEER_TIME);
-        let changes = changes.await.inspect_err(|_| {
-            // Another daemon may know it too, and says so in its next beat.
-            self.table.newer.send_replace(None);
-        })?;
+            store::peer_changes(&self.shared, addr, self.table.name, own, fetch);
+        let changes = match changes.await {
+            Ok(changes) => changes,
+            Err(_) if !self.turned_away => return self.read_store(Duration::ZERO).await,
+            Err(fault) => {
+                // Another daemon may know it too, and says so in its next beat.
+                self.table.newer.send_replace(None);
+                return Err(fault);
+            }
+        };
         if self.take(changes) {
             members::beat(&self.shared);
         }
@@ -249,9 +269,12 @@
         let version = self.table.mirror().version();
         let Some(after) = version else { return self.read_whole().await };
         let request = self.shared.dialect.ask_changes(self.table.name, after, hold);
-        let answer = store::call(&self.shared, request, hold + HOLD_SLACK).await?;
+        let answer = store::call(&self.shared, request, hold + HOLD_SLACK).await;
+        self.turned_away = answer.is_err();
+        let answer = answer?;
         let (status, body) = (answer.status(), answer.into_body());
         let delta = self.shared.dialect.read_changes(status, &body);
+        self.turned_away = delta.is_err();
         let Some(delta) = delta.map_err(|error| StoreFault(error.to_string()))? else {
             info!(self.shared.log, "history gone, reading the table whole";
                 "table" => self.table.name, "version" => after);
--- a/crates/gate/src/store.rs
+++ b/crates/gate/src/store.rs
@@ -85,15 +85,24 @@
     answer.map_err(|fault| StoreFault(fault.to_string()))
 }
 
+/// What is wanted of another daemon's copy.
+#[derive(Debug, Clone, Copy)]
+pub struct Fetch {
+    /// The most bytes that it is to send.
+    pub limit: usize,
+    /// How long it may take.
+    pub wait: Duration,
+}
+
 /// Asks another daemon what changed in its copy of a table.
 pub async fn peer_changes(
     shared: &Shared,
     addr: SocketAddr,
     table: &str,
     after: u64,
-    wait: Duration,
+    Fetch { limit, wait }: Fetch,
 ) -> Result<Changes, StoreFault> {
-    let uri = format!("/changes/{table}/{after}");
+    let uri = format!("/changes/{table}/{after}/{limit}");
     let request = Request::builder().uri(uri).body(Bytes::new());
     let request = request.map_err(|error| StoreFault(error.to_string()))?;
     let answer = shared.client.call(addr, request, ANSWER_LIMIT, wait).await;
--- a/crates/once/src/suspect.rs
+++ b/crates/once/src/suspect.rs
@@ -16,6 +16,12 @@
 //! come one after another. Suspects that complete are cleared, as are those that
 //! nothing happened to for [`SUSPICION`].
 //!
+//! Servers that die with their rack die within a second, and a request that is sent
+//! again at once may be in flight at two of them. Crashes within [`AFTERSHOCK`] are
+//! therefore one event: they convict nobody if a server died that did not run the
+//! request, and else only the third one does. A request that kills servers within
+//! milliseconds costs three.
+//!
 //! # Grounds
 //!
 //! A server may die for another reason while a suspect runs alone, which convicts
@@ -89,6 +95,18 @@
 struct Held {
     evidence: Evidence,
     until: Instant,
+    /// Crashes at which it was in flight.
+    strikes: u32,
+    /// When the last of them was.
+    at: Instant,
+}
+
+/// The crash of a backend server.
+#[derive(Debug, Clone)]
+struct Crash {
+    at: Instant,
+    /// What was in flight there.
+    digests: IndexSet<Digest>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -103,7 +121,7 @@
     held: IndexMap<Digest, Held>,
     flights: IndexMap<ServerName, Vec<Flight>>,
     /// When backend servers crashed last; kept for [`AFTERSHOCK`].
-    crashes: IndexMap<ServerName, Instant>,
+    crashes: IndexMap<ServerName, Crash>,
     numbers: u64,
 }
 
@@ -177,15 +195,17 @@
             .copied()
             .filter(|digest| self.evidence(*digest, now).is_some())
             .collect();
-        self.crashes.retain(|_, at| now < *at + AFTERSHOCK);
+        self.crashes.retain(|_, crash| now < crash.at + AFTERSHOCK);
         let again = self.crashes.contains_key(server);
-        self.crashes.entry(server.clone()).or_insert(now);
         let lone = match suspects.as_slice() {
-            [lone] if !again => Some(*lone),
+            [lone] if !again && self.is_proven(*lone, now) => Some(*lone),
             // Nothing was suspect before, or the suspects became so while they ran
             // together: each of them may have done it.
             _ => None,
         };
+        let cleared = self.clear_bystanders(&digests, now);
+        let crash = Crash { at: now, digests: digests.clone() };
+        self.crashes.entry(server.clone()).or_insert(crash);
         let verdict = |digest: Digest| {
             let evidence = match lone == Some(digest) {
                 true => Evidence::Convicted,
@@ -193,13 +213,37 @@
             };
             Verdict { digest, evidence: Some(evidence) }
         };
-        let verdicts: Vec<_> = digests.into_iter().map(verdict).collect();
+        let mut verdicts: Vec<_> = digests.into_iter().map(verdict).collect();
+        verdicts.extend(cleared);
         for verdict in &verdicts {
             self.learn(*verdict, now);
         }
         verdicts
     }
 
+    /// Whether one more crash convicts a suspect, as far as is known of crashes at the
+    /// same time; another daemon may have seen the one that made it suspect.
+    fn is_proven(&self, digest: Digest, now: Instant) -> bool {
+        let Some(held) = self.held.get(&digest) else { return false };
+        let same_time = now < held.at + AFTERSHOCK || !self.crashes.is_empty();
+        let mut others = self.crashes.values();
+        let in_all = others.all(|crash| crash.digests.contains(&digest));
+        !same_time || held.strikes >= 2 && in_all
+    }
+
+    /// Clears what was convicted by crashes that were part of a wider failure: a server
+    /// that did not run it dies at the same time.
+    fn clear_bystanders(&self, digests: &IndexSet<Digest>, now: Instant) -> Vec<Verdict> {
+        let wrong = |(digest, held): &(&Digest, &Held)| {
+            let lately = now < held.at + AFTERSHOCK;
+            let convicted = held.evidence == Evidence::Convicted;
+            // One that was convicted by a crash of its own alone stays so.
+            convicted && lately && held.strikes > 2 && !digests.contains(*digest)
+        };
+        let wrong = self.held.iter().filter(wrong);
+        wrong.map(|(digest, _)| Verdict { digest: *digest, evidence: None }).collect()
+    }
+
     /// Takes in a verdict, whoever came to it; a conviction outlasts a suspicion.
     pub fn learn(&mut self, verdict: Verdict, now: Instant) {
         let Some(evidence) = verdict.evidence else {
@@ -214,7 +258,9 @@
             Evidence::Suspect => SUSPICION,
             Evidence::Convicted => CONVICTION,
         };
-        self.held.insert(verdict.digest, Held { evidence, until: now + time });
+        let strikes = self.held.get(&verdict.digest).map_or(0, |held| held.strikes);
+        let (until, strikes) = (now + time, strikes + 1);
+        self.held.insert(verdict.digest, Held { evidence, until, strikes, at: now });
         if self.held.len() > DIGEST_LIMIT {
             self.make_room(now);
         }
--- a/crates/once/tests/poison.rs
+++ b/crates/once/tests/poison.rs
@@ -9,7 +9,7 @@
 
 use chestnut_base::{Digest, ServerName};
 use chestnut_once::suspect::AFTERSHOCK;
-use chestnut_once::{Evidence, FlightId, Gate, Suspects};
+use chestnut_once::{Evidence, FlightId, Gate, Suspects, Verdict};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -183,6 +183,66 @@
     assert_eq!(suspects.evidence(innocent, now), Some(Evidence::Suspect));
 }
 
+/// A letter is refused for a day though nothing is wrong with it: two servers die with
+/// their rack within 50 ms, and the letter was in flight at the first, sent again, and
+/// in flight at the second.
+#[test]
+fn servers_that_die_together_convict_nobody() {
+    let (mut suspects, now) = (Suspects::new(), Instant::now());
+    let innocent = digest(1);
+    suspects.enter(&server(0), innocent, now);
+    suspects.enter(&server(0), digest(2), now);
+    suspects.crash(&server(0), now);
+    suspects.enter(&server(1), innocent, now);
+    suspects.crash(&server(1), now + AFTERSHOCK / 20);
+    assert_eq!(suspects.evidence(innocent, now), Some(Evidence::Suspect));
+}
+
+/// The same where another daemon saw the first crash and told of it.
+#[test]
+fn a_suspicion_just_heard_of_convicts_nobody() {
+    let (mut suspects, now) = (Suspects::new(), Instant::now());
+    let innocent = digest(1);
+    let heard = Verdict { digest: innocent, evidence: Some(Evidence::Suspect) };
+    suspects.learn(heard, now);
+    suspects.enter(&server(1), innocent, now);
+    suspects.crash(&server(1), now + AFTERSHOCK / 200);
+    assert_eq!(suspects.evidence(innocent, now), Some(Evidence::Suspect));
+}
+
+/// The same with a third server, at which the letter was not: something else kills
+/// servers, whichever crash is noticed first.
+#[test]
+fn a_wider_failure_convicts_nobody() {
+    let later = AFTERSHOCK / 20;
+    for bystander_first in [true, false] {
+        let (mut suspects, now) = (Suspects::new(), Instant::now());
+        let innocent = digest(1);
+        for number in 0..3 {
+            if number == 2 && bystander_first {
+                suspects.crash(&server(3), now + later * 2);
+            }
+            suspects.enter(&server(number), innocent, now);
+            suspects.crash(&server(number), now + later * number as u32);
+        }
+        if !bystander_first {
+            suspects.crash(&server(3), now + later * 3);
+        }
+        assert_ne!(suspects.evidence(innocent, now), Some(Evidence::Convicted));
+    }
+}
+
+/// A request that kills each server within milliseconds is convicted by the third.
+#[test]
+fn a_fast_killer_costs_three_servers() {
+    let (mut suspects, now) = (Suspects::new(), Instant::now());
+    for number in 0..3 {
+        suspects.enter(&server(number), digest(0), now);
+        suspects.crash(&server(number), now + AFTERSHOCK / 20 * number as u32);
+    }
+    assert_eq!(suspects.evidence(digest(0), now), Some(Evidence::Convicted));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 400,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -36,6 +36,6 @@
 pub use lane::{Lane, Next, Room, Ticket, Waiting};
 pub use pace::Pace;
 pub use prefix::Prefixes;
-pub use runner::{AdapterState, Runner};
+pub use runner::{AdapterNeed, AdapterState, Runner};
 pub use speed::Speeds;
 pub use usage::{Flight, Usage};
--- a/crates/pool/src/runner.rs
+++ b/crates/pool/src/runner.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{AdapterName, MemberId, ModelName};
-use chestnut_edge::{EngineReport, HeldModel, OrderStep, TargetModel};
+use chestnut_edge::{Engine, EngineReport, HeldModel, OrderStep, TargetModel};
 use indexmap::IndexMap;
 
 use crate::choose::Want;
@@ -56,6 +56,17 @@
     Full,
 }
 
+/// What is to be done to have an adapter on a runner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AdapterNeed {
+    /// Nothing; it is there in this time.
+    Ready(Duration),
+    /// This order.
+    Order(OrderStep),
+    /// It can't be had: all places are in use.
+    Full,
+}
+
 /// What the holder of a runner's claim knows of it.
 #[derive(Debug, Default)]
 pub struct Runner {
@@ -263,6 +274,41 @@
         }
     }
 
+    /// What is to be done to have an adapter; the runner has `places` in all.
+    pub fn need(&self, target: &TargetModel, places: usize, now: Instant) -> AdapterNeed {
+        let Some(adapter) = target.adapter.clone() else {
+            return AdapterNeed::Ready(Duration::ZERO);
+        };
+        match self.adapter(target, places, now) {
+            AdapterState::Ready => AdapterNeed::Ready(Duration::ZERO),
+            AdapterState::Coming(left) => AdapterNeed::Ready(left),
+            AdapterState::Free => {
+                let step = OrderStep::LoadAdapter(target.model.clone(), adapter);
+                AdapterNeed::Order(step)
+            }
+            AdapterState::Evict | AdapterState::Full => {
+                let victim = self.victim(now).cloned();
+                let step = victim.and_then(|victim| {
+                    Some(OrderStep::UnloadAdapter(victim.model, victim.adapter?))
+                });
+                step.map_or(AdapterNeed::Full, AdapterNeed::Order)
+            }
+        }
+    }
+
+    /// Whether a model fits beside what the runner holds or has on its way.
+    pub fn fits(&self, model: &ModelName, engine: &Engine) -> bool {
+        let size = |name: &ModelName| engine.models.get(name).map(|m| m.weights_mb);
+        let held: Option<f64> = self.models.iter().map(size).sum();
+        match (held, size(model)) {
+            (Some(held), Some(size)) => {
+                held + size + engine.adapter_reserve() <= engine.memory_mb
+            }
+            // A model of unknown size may take any room.
+            _ => false,
+        }
+    }
+
     /// The adapter that was not asked for the longest, if it is not in use.
     pub fn victim(&self, now: Instant) -> Option<&TargetModel> {
         let idle = |slot: &Slot| now.saturating_duration_since(slot.used) >= ADAPTER_USE;
--- /dev/null
+++ b/crates/pool/tests/bounds.rs
@@ -0,0 +1,68 @@
+//! What operators bound: repeats over all daemons, loads from the weight store.
+
+use std::time::{Duration, Instant};
+
+use chestnut_pool::budget::RetryBound;
+use chestnut_pool::{Pace, RetryBudget};
+use proptest::prelude::*;
+
+const BOUND: RetryBound =
+    RetryBound { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
+
+proptest! {
+    // All servers fail, and every daemon repeats all it may. In no window do the repeats
+    // of all daemons together exceed what operators allow for the requests of that
+    // window and the one before.
+    #[test]
+    fn repeats_stay_within_the_bound(
+        steps in prop::collection::vec((0u64..120, 0usize..6, 0u32..4), 1..400),
+    ) {
+        let mut now = Instant::now();
+        let mut daemons: Vec<RetryBudget> = Vec::new();
+        daemons.resize_with(6, RetryBudget::default);
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (wait, daemon, tries) in steps {
+            now += Duration::from_millis(wait);
+            daemons[daemon].request(now);
+            requests.push(now);
+            for _ in 0..tries {
+                if daemons[daemon].take(BOUND, 6, now) {
+                    repeats.push(now);
+                }
+            }
+            let within = |times: &[Instant], span: Duration| {
+                times.iter().filter(|at| now.duration_since(**at) <= span).count() as f64
+            };
+            let seen = within(&requests, BOUND.window * 2);
+            let allowed = seen * BOUND.ratio + BOUND.slack;
+            prop_assert!(within(&repeats, BOUND.window) <= allowed);
+        }
+    }
+
+    // Loads are wanted all the time. In no window of five seconds do more begin than
+    // the rate allows with a tenth and three on top, not even when another planner
+    // takes over at any time.
+    #[test]
+    fn loads_stay_within_the_ceiling(
+        waits in prop::collection::vec(0u64..400, 1..300),
+        takeover in 0usize..300,
+    ) {
+        let rate = 1.1;
+        let mut now = Instant::now();
+        let mut pace = Pace::new(now);
+        let mut loads: Vec<Instant> = Vec::new();
+        for (index, wait) in waits.into_iter().enumerate() {
+            now += Duration::from_millis(wait);
+            if index == takeover {
+                pace = Pace::new(now);
+            }
+            while pace.left(rate, now) > 0 {
+                pace.take();
+                loads.push(now);
+            }
+            let window = Duration::from_secs(5);
+            let begun = loads.iter().filter(|at| now.duration_since(**at) <= window).count();
+            prop_assert!(begun as f64 <= rate * 5.0 * 1.1 + 3.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/tests/choose.rs
@@ -0,0 +1,162 @@
+//! Which runner gets a request, when many daemons send to the same ones.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use chestnut_base::MemberId;
+use chestnut_edge::{HeldModel, PromptPart, Size};
+use chestnut_pool::{Bid, Prefixes, Runner, Speeds, Usage, Want, bid};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use support::{base, model, with_adapter};
+
+const DAEMONS: usize = 6;
+const RUNNERS: usize = 9;
+const PLACES: usize = 8;
+
+fn want(target: chestnut_edge::TargetModel, prompt: u32) -> Want {
+    Want {
+        target,
+        size: Size { prompt, output: 150 },
+        parts: Vec::new(),
+        urgency: 0,
+        target_time: Duration::from_millis(800),
+        patience: Duration::from_secs(3),
+    }
+}
+
+fn usage(requests: u32, unread: u64) -> Usage {
+    Usage { requests, unread, tokens: unread }
+}
+
+/// The requests of each runner after a burst, and how they were chosen.
+fn burst(shared: bool) -> Vec<u32> {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let now = Instant::now();
+    let mut counts = [[0u32; RUNNERS]; DAEMONS];
+    let speeds = Speeds::default();
+    for _ in 0..120 {
+        let daemon = rng.random_range(0..DAEMONS);
+        let cost = |runner: usize| {
+            let mut known = Runner::default();
+            for (other, counts) in counts.iter().enumerate() {
+                if shared || other == daemon {
+                    let sum = usage(counts[runner], 0);
+                    known.report(MemberId(other as u64), sum, now);
+                }
+            }
+            bid(&known, &want(base("m"), 500), &speeds, PLACES, now).cost
+        };
+        let best = (0..RUNNERS).min_by(|a, b| cost(*a).total_cmp(&cost(*b)));
+        counts[daemon][best.expect("there are runners")] += 1;
+    }
+    (0..RUNNERS).map(|runner| counts.iter().map(|counts| counts[runner]).sum()).collect()
+}
+
+#[test]
+fn a_burst_is_spread_evenly() {
+    // A burst of 120 requests comes in at six daemons. Where each goes by its own
+    // counts, the first runner gets most of every daemon's rest; by the sums that
+    // holders know, no runner has more than one above the mean.
+    let mean = 120 / RUNNERS as u32;
+    let own = *burst(false).iter().max().expect("there are runners");
+    let sums = *burst(true).iter().max().expect("there are runners");
+    assert!(own > mean + 3, "{own} by own counts");
+    assert!(sums <= mean + 1, "{sums} by sums");
+}
+
+#[test]
+fn sums_of_daemons_that_died_fade() {
+    // A daemon dies with 40 requests in flight at a runner and never says that they
+    // ended. The runner must not look full for ever.
+    let mut runner = Runner::default();
+    let now = Instant::now();
+    runner.report(MemberId(1), usage(40, 9_000), now);
+    assert_eq!(runner.total(now).requests, 40);
+    assert_eq!(runner.total(now + Duration::from_secs(5)).requests, 0);
+}
+
+fn loaded(adapters: usize, now: Instant) -> Runner {
+    let names = (0..adapters).map(|n| support::adapter(&format!("a{n}")));
+    let held = HeldModel { model: model("m"), version: 1, adapters: names.collect() };
+    let report = chestnut_edge::EngineReport {
+        models: vec![held],
+        orders: 1,
+        ..Default::default()
+    };
+    let mut runner = Runner::default();
+    assert!(runner.learn(&report, now));
+    runner
+}
+
+fn cost(runner: &Runner, target: chestnut_edge::TargetModel, now: Instant) -> Bid {
+    bid(runner, &want(target, 500), &Speeds::default(), PLACES, now)
+}
+
+#[test]
+fn runners_with_the_adapter_come_first() {
+    // Three runners hold the model: one with the adapter, one with a free place, one
+    // whose places are all in use. Loading it is 25 ms late, taking a place that is in
+    // use holds up other callers for seconds.
+    let start = Instant::now();
+    let later = start + Duration::from_secs(10);
+    let there = cost(&loaded(5, start), with_adapter("m", 3), later).cost;
+    let free = cost(&loaded(3, start), with_adapter("m", 7), later).cost;
+    let evict = cost(&loaded(PLACES, start), with_adapter("m", 20), later).cost;
+    let full = cost(&loaded(PLACES, later), with_adapter("m", 20), later).cost;
+    assert!(there < free && free < evict && evict < full);
+}
+
+#[test]
+fn a_model_that_is_being_unloaded_is_not_offered() {
+    // The runner rejects requests for it from the order on, long before the registry
+    // says so; callers would be sent there again and again.
+    let now = Instant::now();
+    let mut runner = loaded(0, now);
+    let step = chestnut_edge::OrderStep::Unload(model("m"));
+    runner.accepted(&step, Duration::from_secs(1), now);
+    assert!(cost(&runner, base("m"), now).cost.is_infinite());
+}
+
+#[test]
+fn a_prompt_that_was_read_is_cheaper_there() {
+    // Callers of one client account share the first 800 tokens. The runner that has
+    // read them is free for the answer 40 ms sooner.
+    let part = |id, tokens| PromptPart { id, tokens };
+    let parts = [part(1, 500), part(2, 300), part(3, 200)];
+    let mut prefixes = Prefixes::default();
+    prefixes.sent(&base("m"), &parts, 100_000);
+    let other = [part(1, 500), part(2, 300), part(9, 200)];
+    assert_eq!(prefixes.kept(&base("m"), &other), 800);
+    // Another adapter's cache is of no use, nor is a part whose beginning differs.
+    assert_eq!(prefixes.kept(&with_adapter("m", 1), &other), 0);
+    assert_eq!(prefixes.kept(&base("m"), &other[1..]), 0);
+}
+
+#[test]
+fn old_prompts_are_forgotten_as_the_cache_fills() {
+    let mut prefixes = Prefixes::default();
+    let parts = |id| [PromptPart { id, tokens: 1000 }];
+    for id in 0..100 {
+        prefixes.sent(&base("m"), &parts(id), 10_000);
+    }
+    assert_eq!(prefixes.kept(&base("m"), &parts(0)), 0);
+    assert_eq!(prefixes.kept(&base("m"), &parts(99)), 1000);
+}
+
+#[test]
+fn reading_speed_is_learnt() {
+    // An engine reads ten tokens in a millisecond, half as many as assumed, and a first
+    // event takes 80 ms besides. Prompts that are sent as fast as assumed pile up.
+    let mut speeds = Speeds::default();
+    let mut rng = SmallRng::seed_from_u64(3);
+    for _ in 0..200 {
+        let tokens = rng.random_range(100..3000);
+        let time = 80.0 + f64::from(tokens) / 10.0 + rng.random_range(0.0..15.0);
+        speeds.learn(&model("m"), tokens, Duration::from_secs_f64(time / 1000.0));
+    }
+    let learnt = speeds.reading(&model("m"), 1000).as_secs_f64() * 1000.0;
+    assert!((85.0..115.0).contains(&learnt), "{learnt} ms for 1000 tokens");
+}
--- /dev/null
+++ b/crates/pool/tests/lane.rs
@@ -0,0 +1,205 @@
+//! Prompts on their way to a runner, when more come than it reads at once.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use chestnut_pool::{Lane, Next, Room, Ticket, Waiting};
+use proptest::prelude::*;
+
+use support::{Answer, TimedEngine, at};
+
+/// The longest pause between events for which a stream is on time.
+const PAUSE: f64 = 250.0;
+
+fn room() -> Room {
+    let pause = Some(Duration::from_millis(PAUSE as u64));
+    Room { requests: 64, tokens: 150_000, pause }
+}
+
+fn waiting(number: u64, tokens: u32, urgency: u8, start: Instant) -> Waiting {
+    Waiting {
+        ticket: Ticket(number),
+        work: Duration::from_micros(u64::from(tokens) * 50),
+        tokens: u64::from(tokens),
+        urgency,
+        target: start + Duration::from_millis(800),
+        deadline: start + Duration::from_secs(15),
+        ready: Some(start),
+    }
+}
+
+/// Waves of prompts of very different length, as (time in ms, tokens).
+fn waves() -> Vec<(f64, u32)> {
+    let lengths = [300, 3700, 900, 1500, 200, 2800, 600, 1200, 3900, 500];
+    let wave = |wave: usize| {
+        let prompt = move |at: usize| (wave as f64 * 900.0, lengths[(wave + at) % 10]);
+        (0..5).map(prompt)
+    };
+    (0..12).flat_map(wave).collect()
+}
+
+/// Sends everything as it comes.
+fn at_once(load: &[(f64, u32)]) -> Vec<Answer> {
+    let mut engine = TimedEngine::default();
+    let mut sent = 0;
+    while sent < load.len() || engine.load() > 0 {
+        while sent < load.len() && load[sent].0 <= engine.now {
+            engine.take(sent, load[sent].1, 40);
+            sent += 1;
+        }
+        engine.step();
+    }
+    engine.answers.into_values().collect()
+}
+
+/// Sends what the lane says.
+fn through_lane(load: &[(f64, u32)]) -> Vec<Answer> {
+    let start = Instant::now();
+    let mut engine = TimedEngine::default();
+    let mut lane = Lane::default();
+    let mut came = 0;
+    while came < load.len() || engine.load() > 0 || !lane.is_empty() {
+        let now = at(start, engine.now);
+        while came < load.len() && load[came].0 <= engine.now {
+            lane.push(waiting(came as u64, load[came].1, 0, now));
+            came += 1;
+        }
+        while let Next::Send(one) = lane.next(room(), now) {
+            engine.take(one.ticket.0 as usize, one.tokens as u32, 40);
+        }
+        engine.step();
+    }
+    engine.answers.into_values().collect()
+}
+
+fn late(answers: &[Answer]) -> usize {
+    answers.iter().filter(|answer| answer.pause > PAUSE).count()
+}
+
+#[test]
+fn waves_of_prompts_pause_no_stream() {
+    // Five prompts come at once, some of them long. Sent as they come, the engine reads
+    // several between two tokens, and the streams of all callers on the runner pause
+    // for half a second. Through the lane they come one after another.
+    let load = waves();
+    let (baseline, lane) = (late(&at_once(&load)), late(&through_lane(&load)));
+    assert!(baseline >= load.len() / 3, "{baseline} streams are late without a lane");
+    assert_eq!(lane, 0, "streams are late with a lane");
+}
+
+#[test]
+fn what_can_be_on_time_goes_before_what_is_late() {
+    // The runner was behind: an old request is late in any case. One that came just now
+    // can still be on time and goes first; the old one is not forgotten.
+    let start = Instant::now();
+    let mut lane = Lane::default();
+    let old = Waiting { target: start, ..waiting(1, 1000, 0, start) };
+    lane.push(old);
+    lane.push(waiting(2, 1000, 2, start));
+    let now = start + Duration::from_millis(100);
+    let sent = |lane: &mut Lane, now| match lane.next(room(), now) {
+        Next::Send(one) => Some(one.ticket.0),
+        _ => None,
+    };
+    assert_eq!(sent(&mut lane, now), Some(2));
+    assert_eq!(sent(&mut lane, now + Duration::from_millis(200)), Some(1));
+}
+
+#[test]
+fn urgent_requests_go_first() {
+    let start = Instant::now();
+    let mut lane = Lane::default();
+    lane.push(waiting(1, 400, 2, start));
+    lane.push(waiting(2, 400, 0, start));
+    assert!(
+        matches!(lane.next(room(), start), Next::Send(one) if one.ticket == Ticket(2))
+    );
+}
+
+#[test]
+fn a_request_waits_for_its_adapter_and_holds_up_nobody() {
+    // A caller's adapter is on its way for 20 ms. Others' prompts go meanwhile.
+    let start = Instant::now();
+    let mut lane = Lane::default();
+    lane.push(Waiting { ready: None, ..waiting(1, 100, 0, start) });
+    lane.push(waiting(2, 100, 2, start));
+    assert!(
+        matches!(lane.next(room(), start), Next::Send(one) if one.ticket == Ticket(2))
+    );
+    let ready = start + Duration::from_millis(20);
+    lane.set_ready(Ticket(1), ready);
+    assert_eq!(lane.next(room(), start), Next::Wait(ready));
+    assert!(
+        matches!(lane.next(room(), ready), Next::Send(one) if one.ticket == Ticket(1))
+    );
+}
+
+#[test]
+fn nothing_is_sent_into_a_full_runner() {
+    // All slots are taken: a request that is sent nonetheless waits at the engine, out
+    // of reach of the order by urgency, and is rejected when the queue there is full.
+    let start = Instant::now();
+    let mut lane = Lane::default();
+    lane.push(waiting(1, 100, 0, start));
+    let full = Room { requests: 0, ..room() };
+    assert!(!matches!(lane.next(full, start), Next::Send(_)));
+    assert!(matches!(lane.next(room(), start), Next::Send(_)));
+}
+
+#[test]
+fn a_caller_that_has_left_is_not_served() {
+    let start = Instant::now();
+    let mut lane = Lane::default();
+    lane.push(waiting(1, 100, 0, start));
+    let late = start + Duration::from_secs(16);
+    assert!(
+        matches!(lane.next(room(), late), Next::Expired(one) if one.ticket == Ticket(1))
+    );
+    assert!(lane.is_empty());
+}
+
+#[test]
+fn a_lane_waits_for_an_engine_that_is_behind() {
+    // The engine is slower than assumed: the first event comes 200 ms late. What was
+    // sent is still being read, and the next prompt waits for it.
+    let start = Instant::now();
+    let mut lane = Lane::default();
+    lane.push(waiting(1, 400, 0, start));
+    assert!(matches!(lane.next(room(), start), Next::Send(_)));
+    lane.push(waiting(2, 400, 0, start));
+    assert!(!matches!(lane.next(room(), start), Next::Send(_)));
+    lane.begun(Ticket(1), Duration::from_millis(220), Duration::ZERO);
+    let assumed = start + Duration::from_millis(60);
+    assert!(!matches!(lane.next(room(), assumed), Next::Send(_)));
+    let read = start + Duration::from_millis(221);
+    assert!(matches!(lane.next(room(), read), Next::Send(_)));
+}
+
+proptest! {
+    // Whatever comes when, everything is sent once or expires, and the lane never
+    // says to wait for a time that is past.
+    #[test]
+    fn everything_is_sent_once(
+        load in prop::collection::vec((0u64..3000, 50u32..4000, 0u8..3), 1..40),
+    ) {
+        let start = Instant::now();
+        let mut lane = Lane::default();
+        for (number, (_, tokens, urgency)) in load.iter().enumerate() {
+            lane.push(waiting(number as u64, *tokens, *urgency, start));
+        }
+        let (mut now, mut sent) = (start, Vec::new());
+        for _ in 0..load.len() * 4 {
+            match lane.next(room(), now) {
+                Next::Send(one) | Next::Expired(one) => sent.push(one.ticket.0),
+                Next::Wait(until) => {
+                    prop_assert!(until > now);
+                    now = until;
+                }
+                Next::Idle => break,
+            }
+        }
+        sent.sort_unstable();
+        prop_assert_eq!(sent, (0..load.len() as u64).collect::<Vec<_>>());
+    }
+}
--- /dev/null
+++ b/crates/pool/tests/servers.rs
@@ -0,0 +1,121 @@
+//! What the registry says of backend servers, and what can be trusted of it.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use chestnut_base::{DomainName, MemberId, ServerName, ServiceName};
+use chestnut_edge::{Phase, ServerEntry, Size};
+use chestnut_pool::lost::Lost;
+use chestnut_pool::{Fleet, Flight, Health};
+
+fn entry(name: &str, born: u64, phase: Phase) -> ServerEntry {
+    ServerEntry {
+        name: server(name),
+        born: Some(born),
+        service: ServiceName::try_from("letters").expect("a valid name"),
+        address: "10.0.0.1:80".parse().expect("a valid address"),
+        domain: DomainName::try_from("a").expect("a valid name"),
+        slots: 6,
+        phase,
+        cold: Duration::ZERO,
+        orders: 0,
+        models: Vec::new(),
+        warm: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn server(name: &str) -> ServerName {
+    ServerName::try_from(name).expect("a valid name")
+}
+
+fn open(fleet: &Fleet, now: Instant) -> usize {
+    let service = ServiceName::try_from("letters").expect("a valid name");
+    fleet.open(&service, now).count()
+}
+
+#[test]
+fn leaving_and_missing_servers_get_nothing_new() {
+    // A runner says that it leaves, another one's entry vanishes without a word: it may
+    // be leaving too. Callers' new requests go to neither.
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    fleet.list(entry("r1", 1, Phase::Ready));
+    fleet.list(entry("r2", 1, Phase::Ready));
+    assert_eq!(open(&fleet, now), 2);
+    fleet.list(entry("r1", 1, Phase::Leaving(None)));
+    fleet.unlist(&server("r2"), now);
+    assert_eq!(open(&fleet, now), 0);
+}
+
+#[test]
+fn entries_that_lapse_with_the_registry_are_kept_for_a_while() {
+    // The registry is down; servers can't renew their entries, which lapse one by one as
+    // it returns. The servers live. Two seconds later a missing one is gone for good.
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    fleet.list(entry("r1", 1, Phase::Ready));
+    fleet.excuse(now);
+    fleet.unlist(&server("r1"), now);
+    fleet.tidy(now);
+    assert_eq!(open(&fleet, now + Duration::from_millis(1900)), 1);
+    assert_eq!(open(&fleet, now + Duration::from_millis(2100)), 0);
+}
+
+#[test]
+fn a_server_that_starts_again_is_another_one() {
+    // A runner crashes and is back under its name. What was counted there is gone with
+    // its former run, and the end of an old request must not count against the new run.
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    let size = Size { prompt: 100, output: 10 };
+    let flight = Flight { size, begun: false };
+    let old = fleet.list(entry("r1", 1, Phase::Ready));
+    fleet.begin(old, flight);
+    let new = fleet.list(entry("r1", 2, Phase::Ready));
+    fleet.begin(new, flight);
+    fleet.end(old, flight);
+    assert_eq!(fleet.get(new).map(|server| server.own.requests), Some(1));
+    assert!(fleet.get(old).is_none());
+    assert_eq!(open(&fleet, now), 1);
+}
+
+#[test]
+fn a_server_that_refuses_connections_is_left_alone_for_a_moment() {
+    // A crashed runner refuses at once and would draw a burst of requests; it is tried
+    // again soon, as it is back after seconds.
+    let (mut health, now) = (Health::default(), Instant::now());
+    health.refused(now);
+    assert!(!health.is_open(now + Duration::from_millis(100)));
+    assert!(health.is_open(now + Duration::from_millis(250)));
+    for _ in 0..10 {
+        health.refused(now);
+    }
+    assert!(health.is_open(now + Duration::from_millis(1001)));
+    health.answered(now);
+    assert!(health.is_open(now));
+}
+
+#[test]
+fn failures_fade() {
+    // A server fails half of its requests for a while, with its health check good. It
+    // keeps little of its share meanwhile and has it back some seconds later.
+    let (mut health, now) = (Health::default(), Instant::now());
+    for _ in 0..4 {
+        health.failed(now);
+    }
+    let soon = health.penalty(now + Duration::from_millis(100));
+    let later = health.penalty(now + Duration::from_secs(10));
+    assert!(soon > 3.0 && later < 0.2, "{soon}, {later}");
+}
+
+#[test]
+fn one_daemon_alone_declares_no_server_lost() {
+    // A daemon is cut off from half of the runners. Its word must not move their models;
+    // two daemons' word must, long before the registry forgets the runners.
+    let (mut lost, now) = (Lost::default(), Instant::now());
+    lost.hear(MemberId(1), vec![server("r1")], now);
+    assert!(!lost.is_lost(&server("r1"), 6, now));
+    assert!(lost.is_lost(&server("r1"), 1, now));
+    lost.hear(MemberId(2), vec![server("r1")], now);
+    assert!(lost.is_lost(&server("r1"), 6, now));
+    assert!(!lost.is_lost(&server("r1"), 6, now + Duration::from_secs(1)));
+}
