--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use chestnut_base::{Code, Refusal};
+use chestnut_base::{Code, Refusal, ServerName};
 use futures::stream::unfold;
 use http::header::CONTENT_TYPE;
 use http::{Response, response};
@@ -124,6 +124,8 @@
     job: Box<Job>,
     /// The server's answer; nothing once it has ended.
     source: Option<Answered>,
+    /// The server that answered last.
+    server: ServerName,
     events: Events,
     /// The number of the last event that was passed on.
     last: Option<u64>,
@@ -150,6 +152,7 @@
         let events = Events::default();
         Self {
             job,
+            server: answered.place.name.clone(),
             source: Some(answered),
             events,
             last,
@@ -241,7 +244,6 @@
     /// Lets another server go on after the last event that was passed on.
     async fn resume(&mut self, why: &str) -> bool {
         let old = self.source.take();
-        let server = old.as_ref().map(|old| old.place.name.to_string());
         if let Some(old) = &old {
             let now = self.job.shared.now();
             if let Some(server) = self.job.shared.fleet().get_mut(old.place.key) {
@@ -255,12 +257,13 @@
             return false;
         }
         info!(self.job.shared.log, "stream resumes elsewhere"; "id" => self.job.id(),
-            "server" => server.unwrap_or_default(), "why" => why, "after" => self.last);
+            "server" => self.server.to_string(), "why" => why, "after" => self.last);
         while self.job.shared.take_repeat(&self.job.service) {
             self.job.shared.metrics.repeated("resumed");
             let Some(place) = pick(&self.job, None, &[]).await else { return false };
             match attempt(&self.job, &place, self.last).await {
                 Ok(answered) if is_event_stream(&answered.head) => {
+                    self.server = answered.place.name.clone();
                     self.source = Some(answered);
                     return true;
                 }
@@ -282,7 +285,6 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
-        let place = self.source.as_ref().map(|source| source.place.name.to_string());
         let detail = format!(
             "{} events first {} pause {} prompt {} out {} {why}",
             self.passed,
@@ -291,7 +293,7 @@
             self.job.call.size.prompt,
             self.job.call.size.output
         );
-        self.job.ended(end, &place.unwrap_or_default(), &detail);
+        self.job.ended(end, self.server.as_str(), &detail);
     }
 }
 
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -203,7 +203,7 @@
 ) -> Option<Place> {
     loop {
         if job.call.target.is_none() {
-            return place(job, pick_plain(job)?);
+            return place(job, pick_plain(job, avoid)?);
         }
         let mut place = place(job, ask::pick(job, avoid).await?)?;
         let missed = lacking == Some(&place.name);
@@ -221,11 +221,15 @@
     }
 }
 
-fn pick_plain(job: &Job) -> Option<Candidate> {
+fn pick_plain(job: &Job, avoid: &[ServerName]) -> Option<Candidate> {
     let shared = &job.shared;
     let (now, domain) = (shared.now(), &shared.settings.domain);
     let fleet = shared.fleet();
-    choose(fleet.open(&job.service, now), job.call.size, domain, now)
+    let open = || fleet.open(&job.service, now);
+    let fresh = open().filter(|(_, server)| !avoid.contains(&server.entry.name));
+    // Where all have rejected it, one may have room by now.
+    choose(fresh, job.call.size, domain, now)
+        .or_else(|| choose(open(), job.call.size, domain, now))
 }
 
 fn place(job: &Job, chosen: Candidate) -> Option<Place> {
