--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -118,8 +118,8 @@
 
     /// Registers a request that is about to be handed over.
     ///
-    /// A suspect waits until no other suspect runs on the backend server, or until
-    /// nobody waits for it any more.
+    /// A suspect waits until the crash is a while ago and no other suspect runs on the
+    /// backend server, or until nobody waits for it any more.
     pub async fn enter(
         self: &Arc<Self>,
         shared: &Shared,
@@ -135,6 +135,7 @@
         loop {
             let through = self.through.notified();
             let now = shared.clock.now();
+            let mut next = end;
             match self.lock().enter(&run.server, run.work.digest, now) {
                 Gate::Pass(id) => {
                     let server = run.server.clone();
@@ -144,12 +145,14 @@
                     self.counters.refused.inc();
                     return Err(poisonous());
                 }
+                Gate::Settle(settled) if settled >= end => return Err(isolated()),
                 Gate::Wait if now >= end => return Err(isolated()),
+                Gate::Settle(settled) => next = settled,
                 Gate::Wait => {}
             }
             tokio::select! {
                 () = through => {}
-                () = tokio::time::sleep_until(end.into()) => {}
+                () = tokio::time::sleep_until(next.into()) => {}
                 () = out.closed() => return Err(isolated()),
             }
         }
--- a/crates/once/src/suspect.rs
+++ b/crates/once/src/suspect.rs
@@ -16,11 +16,10 @@
 //! come one after another. Suspects that complete are cleared, as are those that
 //! nothing happened to for [`SUSPICION`].
 //!
-//! Servers that die with their rack die within a second, and a request that is sent
-//! again at once may be in flight at two of them. Crashes within [`AFTERSHOCK`] are
-//! therefore one event: they convict nobody if a server died that did not run the
-//! request, and else only the third one does. A request that kills servers within
-//! milliseconds costs three.
+//! Servers that fail together, with their rack, die within a second. A request that is
+//! sent again at once would be in flight at two of them, and be convicted by a failure
+//! that it has no part in. So a suspect is dispatched again only [`AFTERSHOCK`] after
+//! the crash, and only a crash during a dispatch that waited so convicts it.
 //!
 //! # Grounds
 //!
@@ -44,7 +43,7 @@
 /// A dying process still accepts connections for some milliseconds; what is handed
 /// to it then is cut again, and an innocent suspect would be convicted by it.
 /// Engines need many seconds to start and load a model, so that no second crash
-/// falls into this time.
+/// falls into this time. Servers that lose a common power supply die within it too.
 pub const AFTERSHOCK: Duration = Duration::from_secs(1);
 
 /// How long a convicted digest is refused.
@@ -69,6 +68,9 @@
     Pass(FlightId),
     /// Another suspect runs on the backend server; wait until it is done.
     Wait,
+    /// It became a suspect lately; wait until this time, when every server that failed
+    /// together with the first is known to be dead.
+    Settle(Instant),
     /// The request is refused for good.
     Refuse,
 }
@@ -94,25 +96,17 @@
 #[derive(Debug, Clone, Copy)]
 struct Held {
     evidence: Evidence,
+    /// When it was learnt first.
+    since: Instant,
     until: Instant,
-    /// Crashes at which it was in flight.
-    strikes: u32,
-    /// When the last of them was.
-    at: Instant,
-}
-
-/// The crash of a backend server.
-#[derive(Debug, Clone)]
-struct Crash {
-    at: Instant,
-    /// What was in flight there.
-    digests: IndexSet<Digest>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Flight {
     id: FlightId,
     digest: Digest,
+    /// Dispatched as a suspect, so that a crash during it convicts.
+    tried: bool,
 }
 
 /// Suspects, convicted digests, and what is in flight where.
@@ -121,7 +115,7 @@
     held: IndexMap<Digest, Held>,
     flights: IndexMap<ServerName, Vec<Flight>>,
     /// When backend servers crashed last; kept for [`AFTERSHOCK`].
-    crashes: IndexMap<ServerName, Crash>,
+    crashes: IndexMap<ServerName, Instant>,
     numbers: u64,
 }
 
@@ -139,18 +133,25 @@
 
     /// Lets a request be dispatched, or not; whoever passes is in flight.
     pub fn enter(&mut self, server: &ServerName, digest: Digest, now: Instant) -> Gate {
-        match self.evidence(digest, now) {
+        let evidence = self.evidence(digest, now);
+        match evidence {
             Some(Evidence::Convicted) => return Gate::Refuse,
-            // With two suspects in flight a crash would not tell which it was.
-            Some(Evidence::Suspect) if self.runs_suspect(server, now) => {
-                return Gate::Wait;
+            Some(Evidence::Suspect) => {
+                let settled = self.held[&digest].since + AFTERSHOCK;
+                if now < settled {
+                    return Gate::Settle(settled);
+                }
+                // With two suspects in flight a crash would not tell which it was.
+                if self.runs_suspect(server, now) {
+                    return Gate::Wait;
+                }
             }
-            Some(Evidence::Suspect) | None => {}
+            None => {}
         }
         self.numbers += 1;
         let id = FlightId(self.numbers);
         let flights = self.flights.entry(server.clone()).or_default();
-        flights.push(Flight { id, digest });
+        flights.push(Flight { id, digest, tried: evidence.is_some() });
         Gate::Pass(id)
     }
 
@@ -188,6 +189,11 @@
     /// change nothing.
     pub fn crash(&mut self, server: &ServerName, now: Instant) -> Vec<Verdict> {
         let flights = self.flights.swap_remove(server).unwrap_or_default();
+        let tried: IndexSet<Digest> = flights
+            .iter()
+            .filter(|flight| flight.tried)
+            .map(|flight| flight.digest)
+            .collect();
         let digests: IndexSet<Digest> =
             flights.into_iter().map(|flight| flight.digest).collect();
         let suspects: Vec<Digest> = digests
@@ -195,17 +201,15 @@
             .copied()
             .filter(|digest| self.evidence(*digest, now).is_some())
             .collect();
-        self.crashes.retain(|_, crash| now < crash.at + AFTERSHOCK);
+        self.crashes.retain(|_, at| now < *at + AFTERSHOCK);
         let again = self.crashes.contains_key(server);
+        self.crashes.entry(server.clone()).or_insert(now);
         let lone = match suspects.as_slice() {
-            [lone] if !again && self.is_proven(*lone, now) => Some(*lone),
-            // Nothing was suspect before, or the suspects became so while they ran
-            // together: each of them may have done it.
+            [lone] if !again && tried.contains(lone) => Some(*lone),
+            // Nothing was suspect before, or the suspects became so while they ran:
+            // each of them may have done it, or what killed the other server.
             _ => None,
         };
-        let cleared = self.clear_bystanders(&digests, now);
-        let crash = Crash { at: now, digests: digests.clone() };
-        self.crashes.entry(server.clone()).or_insert(crash);
         let verdict = |digest: Digest| {
             let evidence = match lone == Some(digest) {
                 true => Evidence::Convicted,
@@ -213,54 +217,31 @@
             };
             Verdict { digest, evidence: Some(evidence) }
         };
-        let mut verdicts: Vec<_> = digests.into_iter().map(verdict).collect();
-        verdicts.extend(cleared);
+        let verdicts: Vec<_> = digests.into_iter().map(verdict).collect();
         for verdict in &verdicts {
             self.learn(*verdict, now);
         }
         verdicts
     }
 
-    /// Whether one more crash convicts a suspect, as far as is known of crashes at the
-    /// same time; another daemon may have seen the one that made it suspect.
-    fn is_proven(&self, digest: Digest, now: Instant) -> bool {
-        let Some(held) = self.held.get(&digest) else { return false };
-        let same_time = now < held.at + AFTERSHOCK || !self.crashes.is_empty();
-        let mut others = self.crashes.values();
-        let in_all = others.all(|crash| crash.digests.contains(&digest));
-        !same_time || held.strikes >= 2 && in_all
-    }
-
-    /// Clears what was convicted by crashes that were part of a wider failure: a server
-    /// that did not run it dies at the same time.
-    fn clear_bystanders(&self, digests: &IndexSet<Digest>, now: Instant) -> Vec<Verdict> {
-        let wrong = |(digest, held): &(&Digest, &Held)| {
-            let lately = now < held.at + AFTERSHOCK;
-            let convicted = held.evidence == Evidence::Convicted;
-            // One that was convicted by a crash of its own alone stays so.
-            convicted && lately && held.strikes > 2 && !digests.contains(*digest)
-        };
-        let wrong = self.held.iter().filter(wrong);
-        wrong.map(|(digest, _)| Verdict { digest: *digest, evidence: None }).collect()
-    }
-
     /// Takes in a verdict, whoever came to it; a conviction outlasts a suspicion.
     pub fn learn(&mut self, verdict: Verdict, now: Instant) {
         let Some(evidence) = verdict.evidence else {
             self.held.swap_remove(&verdict.digest);
             return;
         };
-        let convicted = self.evidence(verdict.digest, now) == Some(Evidence::Convicted);
-        if convicted && evidence == Evidence::Suspect {
+        let held = self.evidence(verdict.digest, now);
+        if held == Some(Evidence::Convicted) && evidence == Evidence::Suspect {
             return;
         }
         let time = match evidence {
             Evidence::Suspect => SUSPICION,
             Evidence::Convicted => CONVICTION,
         };
-        let strikes = self.held.get(&verdict.digest).map_or(0, |held| held.strikes);
-        let (until, strikes) = (now + time, strikes + 1);
-        self.held.insert(verdict.digest, Held { evidence, until, strikes, at: now });
+        // A suspicion told again is no new crash, and is not waited for again.
+        let known = self.held.get(&verdict.digest).filter(|_| held.is_some());
+        let since = known.map_or(now, |known| known.since);
+        self.held.insert(verdict.digest, Held { evidence, since, until: now + time });
         if self.held.len() > DIGEST_LIMIT {
             self.make_room(now);
         }
