--- a/crates/edge/src/order.rs
+++ b/crates/edge/src/order.rs
@@ -57,6 +57,22 @@
     Unknown,
 }
 
+impl OrderAnswer {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::Misdirected => "misdirected",
+            Self::Invalid => "invalid",
+            Self::Busy => "busy",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// What an engine reports; some hundred milliseconds old.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EngineReport {
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -3,7 +3,7 @@
 //! An answer that breaks off on its way must not look complete: the connection to
 //! the caller is cut then, unless another server can go on where the answer broke.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use chestnut_base::{Code, Refusal, ServerName};
@@ -18,7 +18,8 @@
 
 use crate::attempt::{Answered, Missed, attempt};
 use crate::events::Events;
-use crate::job::Job;
+use crate::job::{End, Job, StreamPace};
+use crate::metrics::{Span, Step};
 use crate::serve::{pick, whole};
 
 /// The body of an answer to a caller.
@@ -45,7 +46,7 @@
     job: Box<Job>,
     answered: Answered,
 ) -> Result<Response<OutBody>, (Refusal, Box<Job>)> {
-    job.shared.metrics.first_byte(job.arrived.elapsed());
+    job.shared.metrics.observe(Span::FirstByte, job.arrived.elapsed());
     if is_event_stream(&answered.head) {
         let head = answered.head.clone();
         let relay = Relay::new(job, answered);
@@ -65,8 +66,8 @@
     let fault = match read {
         Ok(Ok(bytes)) => {
             let server = answered.place.name.to_string();
-            let status = answered.head.status.as_str();
-            job.ended("answered", &server, status);
+            let why = answered.head.status.as_str();
+            job.ended(End { how: "answered", server: &server, why, pace: None });
             let headers = job.shared.dialect.write_reply(&answered.head);
             let (addr, hold) = (answered.place.addr, answered.reply.keep_alive);
             job.shared.client.keep(addr, answered.connection, hold);
@@ -129,13 +130,10 @@
     events: Events,
     /// The number of the last event that was passed on.
     last: Option<u64>,
-    passed: u64,
-    ended: bool,
-    /// From the sending to the first event.
-    first: Option<Duration>,
-    /// The longest pause between events.
-    pause: Duration,
+    pace: StreamPace,
+    /// When the last event was passed on.
     at: Instant,
+    ended: bool,
 }
 
 /// What the server's answer brings next.
@@ -156,11 +154,9 @@
             source: Some(answered),
             events,
             last,
-            passed: 0,
-            ended: false,
-            first: None,
-            pause: Duration::ZERO,
+            pace: StreamPace::default(),
             at: Instant::now(),
+            ended: false,
         }
     }
 
@@ -229,15 +225,16 @@
             return Next::Broken(format!("event {id} after event {last}"));
         }
         self.last = event.id.or(self.last);
-        self.passed += 1;
-        let now = Instant::now();
-        let gap = now.duration_since(self.at);
-        self.at = now;
-        if self.first.is_none() {
-            self.first = Some(now.duration_since(self.job.sent));
-        } else {
-            self.pause = self.pause.max(gap);
+        let now = self.job.shared.now();
+        match self.pace.first {
+            None => self.pace.first = Some(now.saturating_duration_since(self.job.sent)),
+            Some(_) => {
+                let pause = now.saturating_duration_since(self.at);
+                self.pace.pause = self.pace.pause.max(pause);
+            }
         }
+        self.at = now;
+        self.pace.events += 1;
         Next::Event(event.bytes)
     }
 
@@ -259,7 +256,7 @@
         info!(self.job.shared.log, "stream resumes elsewhere"; "id" => self.job.id(),
             "server" => self.server.to_string(), "why" => why, "after" => self.last);
         while self.job.shared.take_repeat(&self.job.service) {
-            self.job.shared.metrics.repeated("resumed");
+            self.job.shared.metrics.count(Step::Repeat, "resumed");
             let Some(place) = pick(&self.job, None, &[]).await else { return false };
             match attempt(&self.job, &place, self.last).await {
                 Ok(answered) if is_event_stream(&answered.head) => {
@@ -285,15 +282,8 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
-        let detail = format!(
-            "{} events first {} pause {} prompt {} out {} {why}",
-            self.passed,
-            self.first.map_or(-1, |t| t.as_millis() as i64),
-            self.pause.as_millis(),
-            self.job.call.size.prompt,
-            self.job.call.size.output
-        );
-        self.job.ended(end, self.server.as_str(), &detail);
+        let pace = Some(&self.pace);
+        self.job.ended(End { how: end, server: self.server.as_str(), why, pace });
     }
 }
 
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -21,6 +21,7 @@
 use crate::holder::{self, Holder};
 use crate::job::Job;
 use crate::message::{Message, Verdict};
+use crate::metrics::{Span, Step};
 use crate::shared::Shared;
 
 /// How long other daemons may take to answer.
@@ -232,6 +233,18 @@
     Again,
 }
 
+impl Turn {
+    /// Its name in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Send(_) => "sent",
+            Self::Denied => "denied",
+            Self::Silent => "silent",
+            Self::Again => "again",
+        }
+    }
+}
+
 /// Waits for a request's turn at a runner.
 ///
 /// `missed` says that the runner has just said that it lacks the adapter.
@@ -243,6 +256,8 @@
         Some(holder) => place.here(&holder, missed).await,
         None => place.there(receiver, missed).await,
     };
+    job.shared.metrics.count(Step::Turn, turn.name());
+    job.shared.metrics.observe(Span::Turn, began.elapsed());
     info!(job.shared.log, "turn"; "id" => job.id(), "server" => server.to_string(),
         "turn" => format!("{turn:?}"), "missed" => missed,
         "waited_ms" => began.elapsed().as_millis() as u64);
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -104,6 +104,18 @@
     Late,
 }
 
+impl Missed {
+    /// Its name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Unreachable(_) => "unreachable",
+            Self::Rejected(_) => "rejected",
+            Self::Lost(_) => "lost",
+            Self::Late => "late",
+        }
+    }
+}
+
 /// Sends a request to a server and waits for the head of its answer.
 pub async fn attempt(
     job: &Job,
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -14,7 +14,7 @@
 
 use crate::follow::{Follower, OWN};
 use crate::shared::Shared;
-use crate::{holder, store};
+use crate::{holder, metrics, store};
 
 /// How keys of claims' rows begin; the claim follows.
 pub const PREFIX: &str = "claim:";
@@ -56,6 +56,7 @@
             shared.note_turn(key, turn_from(shared));
         }
         if was && !is {
+            shared.metrics.count(metrics::Step::Claim, "lost");
             info!(shared.log, "claim lost"; "claim" => &change.key,
                 "version" => change.version);
         }
@@ -142,7 +143,9 @@
     if mine {
         shared.note_turn(step.key.clone(), from);
     }
-    info!(shared.log, "{}", if mine { "claim taken" } else { "claim handed over" };
+    let outcome = if mine { "taken" } else { "handed over" };
+    shared.metrics.count(metrics::Step::Claim, outcome);
+    info!(shared.log, "claim {outcome}";
         "claim" => step.key.to_string(), "fence" => step.row.fence.0, "version" => version);
 }
 
--- a/crates/gate/src/directory.rs
+++ b/crates/gate/src/directory.rs
@@ -33,10 +33,7 @@
 /// Tells the platform whether the daemon is ready.
 pub fn readiness(shared: Arc<Shared>) -> Router {
     let path = shared.dialect.readiness_path();
-    Router::new()
-        .route(path, get(ready))
-        .route("/metrics", get(metrics))
-        .with_state(shared)
+    Router::new().route(path, get(ready)).with_state(shared)
 }
 
 async fn addresses(
@@ -107,7 +104,3 @@
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
-
-async fn metrics(State(shared): State<Arc<Shared>>) -> String {
-    shared.metrics.render()
-}
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -16,6 +16,7 @@
 
 use crate::claims;
 use crate::holder::Holder;
+use crate::metrics::Step;
 use crate::shared::Shared;
 
 /// How long an engine may take to answer an order or a question.
@@ -233,6 +234,7 @@
                 OrderAnswer::Unknown
             }
         };
+        self.shared.metrics.count(Step::Order, answer.name());
         info!(self.shared.log, "order"; "server" => server.to_string(),
             "step" => format!("{:?}", order.step), "after" => after,
             "fence" => fence.0, "answer" => format!("{answer:?}"));
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -1,7 +1,7 @@
 //! A caller's request while it is being served.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnut_base::{Refusal, ServiceName};
@@ -10,12 +10,37 @@
 use http::request;
 use slog::info;
 
+use crate::metrics::Span;
 use crate::planner;
 use crate::shared::{Active, Shared};
 
 /// The mean length of answers against callers' guesses, which are right at the median.
 const GUESS_MEAN: f64 = 1.5;
 
+/// How a request ended.
+#[derive(Debug, Clone, Copy)]
+pub struct End<'a> {
+    /// How, in a word or two.
+    pub how: &'a str,
+    /// The server that answered last; empty if none did.
+    pub server: &'a str,
+    /// Why, or the status of the answer.
+    pub why: &'a str,
+    /// The pace of a stream.
+    pub pace: Option<&'a StreamPace>,
+}
+
+/// How a stream went.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StreamPace {
+    /// Events that were passed on.
+    pub events: u64,
+    /// From the sending to the first event.
+    pub first: Option<Duration>,
+    /// The longest pause between events.
+    pub pause: Duration,
+}
+
 /// A caller's request while it is being served.
 pub struct Job {
     /// The daemon.
@@ -105,20 +130,26 @@
     }
 
     /// Records how the request ended.
-    pub fn ended(&self, end: &str, server: &str, detail: &str) {
-        let time = self.arrived.elapsed();
+    pub fn ended(&self, end: End) {
+        let time = self.shared.now().saturating_duration_since(self.arrived);
         let route = self.route();
-        self.shared.metrics.ended(&route.name, end);
-        self.shared.metrics.whole_answer(time);
-        info!(self.shared.log, "request ended"; "id" => self.id(), "end" => end,
-            "route" => &route.name, "server" => server, "detail" => detail,
-            "ms" => time.as_millis() as u64);
+        self.shared.metrics.ended(&route.name, end.how);
+        self.shared.metrics.observe(Span::WholeAnswer, time);
+        let millis = |time: Duration| time.as_millis() as u64;
+        let pace = end.pace;
+        info!(self.shared.log, "request ended"; "id" => self.id(), "end" => end.how,
+            "why" => end.why, "route" => &route.name, "server" => end.server,
+            "revision" => self.declared.revision.0, "ms" => millis(time),
+            "prompt" => self.call.size.prompt, "output" => self.call.size.output,
+            "events" => pace.map(|pace| pace.events),
+            "first_ms" => pace.and_then(|pace| pace.first).map(millis),
+            "pause_ms" => pace.map(|pace| millis(pace.pause)));
     }
 
     /// Records that the request is refused.
     pub fn refused(&self, refusal: &Refusal) {
-        let end = format!("{:?}", refusal.code);
-        let detail = format!("{:?}", refusal.outcome);
-        self.ended(&end, "", &detail);
+        let how = format!("{:?}", refusal.code);
+        let why = format!("{:?}: {}", refusal.outcome, refusal.message);
+        self.ended(End { how: &how, server: "", why: &why, pace: None });
     }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,12 +12,13 @@
 //! A server is picked by asking ([`ask`]) the daemons that hold the runners' claims.
 //! [`members`] and [`claims`] settle who that is; a [`holder`] knows from [`sums`] what
 //! is in flight at its runner, [`grant`]s requests their turn and gives orders by its
-//! [`driver`]; the [`planner`] says which model goes where. Daemons exchange datagrams: [`message`], [`peers`], [`receive`].
+//! [`driver`]; the [`planner`] says which model goes where. Daemons exchange
+//! datagrams: [`message`], [`peers`], [`receive`].
 //!
 //! Beside it, [`follow`] keeps [`mirror`]s of the [`store`]'s tables, [`registry`] takes
 //! in declarations and backend servers from them, and [`directory`] tells callers where
-//! to connect. All of it
-//! goes through one [`client`] and meets in [`shared`].
+//! to connect; [`observe`] shows operators the [`metrics`] and what the daemon believes.
+//! All of it goes through one [`client`] and meets in [`shared`].
 
 pub mod answer;
 pub mod ask;
@@ -38,6 +39,7 @@
 pub mod message;
 pub mod metrics;
 pub mod mirror;
+pub mod observe;
 pub mod peers;
 pub mod planner;
 pub mod read;
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -1,12 +1,14 @@
 //! Counters and histograms of a daemon, in the text form of Prometheus.
 
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -23,38 +25,73 @@
     pub end: String,
 }
 
-/// Something that happened, by its cause.
+/// Something that was decided or came back, by what came of it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct CauseLabels {
-    /// The cause.
-    pub cause: String,
+struct StepLabels {
+    step: Step,
+    outcome: String,
+}
+
+/// A step whose outcomes are counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Step {
+    /// A request was sent again, by the cause.
+    Repeat,
+    /// A server brought no answer to a request, by the reason.
+    Missed,
+    /// A request waited for its turn at a runner.
+    Turn,
+    /// A runner was given an order.
+    Order,
+    /// The store was called.
+    Store,
+    /// A claim was taken, handed over or lost.
+    Claim,
+    /// The planner had a model moved.
+    Move,
+}
+
+/// A time whose distribution is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Span {
+    /// From a request's head to the answer's first byte.
+    FirstByte,
+    /// From a request's head to the answer's end.
+    WholeAnswer,
+    /// A request's wait for its turn at a runner.
+    Turn,
+    /// A call of the store; those that wait for changes take up to their hold.
+    Store,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SpanLabels {
+    span: Span,
 }
 
 /// Counters and histograms of a daemon.
 pub struct Metrics {
     registry: Mutex<Registry>,
     ends: Family<EndLabels, Counter>,
-    repeats: Family<CauseLabels, Counter>,
-    first: Histogram,
-    whole: Histogram,
+    steps: Family<StepLabels, Counter>,
+    spans: Family<SpanLabels, Histogram>,
+    active: Gauge<u64, AtomicU64>,
 }
 
 impl Metrics {
     /// Creates an empty set.
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("chestnut");
-        let (start, factor, count) = BUCKETS;
-        let histogram = || Histogram::new(exponential_buckets(start, factor, count));
-        let (first, whole) = (histogram(), histogram());
         let ends = Family::default();
-        let repeats = Family::default();
+        let steps = Family::default();
+        let spans = Family::new_with_constructor(histogram as fn() -> Histogram);
+        let active = Gauge::default();
         registry.register("requests", "Requests by how they ended", ends.clone());
-        registry.register("repeats", "Requests sent again, by cause", repeats.clone());
-        let help = "Seconds from a request's head to the answer's first byte";
-        registry.register("first_byte_seconds", help, first.clone());
-        let help = "Seconds from a request's head to the answer's end";
-        registry.register("whole_answer_seconds", help, whole.clone());
-        Self { registry: Mutex::new(registry), ends, repeats, first, whole }
+        let help = "Decisions and calls by what came of them";
+        registry.register("steps", help, steps.clone());
+        registry.register("seconds", "Times in seconds", spans.clone());
+        registry.register("active", "Requests that are being served", active.clone());
+        Self { registry: Mutex::new(registry), ends, steps, spans, active }
     }
 
     /// Counts a request's end.
@@ -63,23 +100,20 @@
         self.ends.get_or_create(&labels).inc();
     }
 
-    /// Counts a request that is sent again.
-    pub fn repeated(&self, cause: &str) {
-        self.repeats.get_or_create(&CauseLabels { cause: cause.into() }).inc();
-    }
-
-    /// Records the time to an answer's first byte.
-    pub fn first_byte(&self, time: Duration) {
-        self.first.observe(time.as_secs_f64());
+    /// Counts what came of a step.
+    pub fn count(&self, step: Step, outcome: &str) {
+        let labels = StepLabels { step, outcome: outcome.into() };
+        self.steps.get_or_create(&labels).inc();
     }
 
-    /// Records the time to an answer's end.
-    pub fn whole_answer(&self, time: Duration) {
-        self.whole.observe(time.as_secs_f64());
+    /// Records a time.
+    pub fn observe(&self, span: Span, time: Duration) {
+        self.spans.get_or_create(&SpanLabels { span }).observe(time.as_secs_f64());
     }
 
     /// Writes everything as text.
-    pub fn render(&self) -> String {
+    pub fn render(&self, active: usize) -> String {
+        self.active.set(active as u64);
         let mut text = String::new();
         let registry = self.registry.lock().expect("no holder of the lock panics");
         encode(&mut text, &registry).expect("writing to a string does not fail");
@@ -92,3 +126,8 @@
         Self::new()
     }
 }
+
+fn histogram() -> Histogram {
+    let (start, factor, count) = BUCKETS;
+    Histogram::new(exponential_buckets(start, factor, count))
+}
--- /dev/null
+++ b/crates/gate/src/observe.rs
@@ -0,0 +1,215 @@
+//! What operators can look at: metrics, and the daemon's state as JSON.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::State;
+use axum::routing::get;
+use axum::{Json, Router};
+use chestnut_base::{MemberId, ServerName, VmName};
+use chestnut_member::ClaimKey;
+use indexmap::IndexMap;
+use serde::Serialize;
+use serde_with::{DisplayFromStr, DurationMilliSeconds, serde_as};
+
+use crate::follow;
+use crate::shared::Shared;
+
+/// What a daemon believes, and how old that is.
+#[serde_as]
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    /// The VM.
+    pub vm: VmName,
+    /// The process.
+    #[serde_as(as = "DisplayFromStr")]
+    pub member: MemberId,
+    /// How long the process has run.
+    #[serde(rename = "uptime_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub uptime: Duration,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Whether it was told to stop.
+    pub leaving: bool,
+    /// Requests that are being served.
+    pub active: usize,
+    /// The revision of the declarations in force.
+    pub revision: Option<u64>,
+    /// The copies of the store's tables.
+    pub tables: Vec<TableDump>,
+    /// The daemons in the table.
+    pub members: Vec<MemberDump>,
+    /// The claims, and the daemons that hold them.
+    pub claims: IndexMap<String, ClaimDump>,
+    /// The backend servers.
+    pub servers: IndexMap<ServerName, ServerDump>,
+    /// The runners whose claims this daemon holds.
+    pub held: IndexMap<ServerName, HeldDump>,
+}
+
+/// A copy of a table.
+#[derive(Debug, Serialize)]
+pub struct TableDump {
+    /// The table.
+    pub name: &'static str,
+    /// Up to which version the copy is complete.
+    pub version: Option<u64>,
+    /// How long ago the store confirmed it, in milliseconds.
+    pub age_ms: Option<u32>,
+}
+
+/// A daemon in the table.
+#[serde_as]
+#[derive(Debug, Serialize)]
+pub struct MemberDump {
+    /// Its VM.
+    pub vm: VmName,
+    /// Its process.
+    #[serde_as(as = "DisplayFromStr")]
+    pub member: MemberId,
+    /// Whether it is not known to be gone.
+    pub alive: bool,
+    /// Whether it takes claims and callers.
+    pub open: bool,
+}
+
+/// A claim.
+#[serde_as]
+#[derive(Debug, Serialize)]
+pub struct ClaimDump {
+    /// The process that holds it.
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    pub holder: Option<MemberId>,
+    /// The fence of the holder's orders.
+    pub fence: u64,
+    /// The version of the row.
+    pub version: u64,
+}
+
+/// A backend server.
+#[derive(Debug, Serialize)]
+pub struct ServerDump {
+    /// Its service.
+    pub service: String,
+    /// Whether it starts, serves, or leaves.
+    pub phase: String,
+    /// Whether new requests may go there.
+    pub open: bool,
+    /// Requests of this daemon in flight there.
+    pub requests: usize,
+}
+
+/// A runner whose claim this daemon holds.
+#[serde_as]
+#[derive(Debug, Serialize)]
+pub struct HeldDump {
+    /// The models that it holds, as far as is known.
+    pub models: Vec<String>,
+    /// The number of orders that it has accepted; unknown after a lost answer.
+    pub orders: Option<u64>,
+    /// How long its last order still takes.
+    #[serde(rename = "busy_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub busy: Duration,
+    /// Requests of all daemons in flight there.
+    pub requests: usize,
+}
+
+/// Serves metrics and the state.
+pub fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/metrics", get(metrics))
+        .route("/state", get(state))
+        .with_state(shared)
+}
+
+async fn metrics(State(shared): State<Arc<Shared>>) -> String {
+    shared.metrics.render(shared.active.count())
+}
+
+async fn state(State(shared): State<Arc<Shared>>) -> Json<Dump> {
+    Json(dump(&shared))
+}
+
+/// Gathers what the daemon believes.
+pub fn dump(shared: &Shared) -> Dump {
+    Dump {
+        vm: shared.settings.vm.clone(),
+        member: shared.peers.me,
+        uptime: shared.now().saturating_duration_since(shared.started),
+        ready: shared.is_ready(),
+        leaving: *shared.leaving.borrow(),
+        active: shared.active.count(),
+        revision: shared.declared().map(|declared| declared.revision.0),
+        tables: tables(shared),
+        members: members(shared),
+        claims: claims(shared),
+        servers: servers(shared),
+        held: held(shared),
+    }
+}
+
+fn tables(shared: &Shared) -> Vec<TableDump> {
+    let table = |(table, news): (&Arc<follow::Table>, Option<(u64, u32)>)| TableDump {
+        name: table.name,
+        version: news.map(|(version, _)| version),
+        age_ms: news.map(|(_, age)| age),
+    };
+    follow::tables(shared).into_iter().zip(follow::news(shared)).map(table).collect()
+}
+
+fn members(shared: &Shared) -> Vec<MemberDump> {
+    let now = shared.now();
+    let known = shared.known();
+    let member =
+        |(vm, (row, _)): (&VmName, &(chestnut_member::MemberRow, u64))| MemberDump {
+            vm: vm.clone(),
+            member: row.member,
+            alive: row.member == shared.peers.me || shared.is_alive(row.member, now),
+            open: known.takes_claims(row),
+        };
+    known.members.iter().map(member).collect()
+}
+
+fn claims(shared: &Shared) -> IndexMap<String, ClaimDump> {
+    let known = shared.known();
+    let claim =
+        |(key, (row, version)): (&ClaimKey, &(chestnut_member::ClaimRow, u64))| {
+            let dump =
+                ClaimDump { holder: row.holder, fence: row.fence.0, version: *version };
+            (key.to_string(), dump)
+        };
+    known.claims.iter().map(claim).collect()
+}
+
+fn servers(shared: &Shared) -> IndexMap<ServerName, ServerDump> {
+    let now = shared.now();
+    let fleet = shared.fleet();
+    let server = |(_, server): (_, &chestnut_pool::Server)| {
+        let dump = ServerDump {
+            service: server.entry.service.to_string(),
+            phase: format!("{:?}", server.entry.phase),
+            open: fleet.takes_work(server, now) && server.health.is_open(now),
+            requests: server.own.requests as usize,
+        };
+        (server.entry.name.clone(), dump)
+    };
+    fleet.iter().map(server).collect()
+}
+
+fn held(shared: &Shared) -> IndexMap<ServerName, HeldDump> {
+    let now = shared.now();
+    let holders = shared.holders().clone();
+    let held = |(name, holder): (ServerName, Arc<crate::holder::Holder>)| {
+        let state = holder.state();
+        let dump = HeldDump {
+            models: state.models().iter().map(ToString::to_string).collect(),
+            orders: state.orders(),
+            busy: state.busy(now),
+            requests: state.total(now).requests as usize,
+        };
+        (name, dump)
+    };
+    holders.into_iter().map(held).collect()
+}
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -19,6 +19,7 @@
 
 use crate::claims::pool_key;
 use crate::message::Message;
+use crate::metrics::Step;
 use crate::shared::Shared;
 use crate::{holder, members};
 
@@ -150,6 +151,7 @@
         let Some(placing) = plans.get_mut(service) else { return };
         for change in placing.decide(&scene, now) {
             let demand = change.load.as_ref().map(|model| placing.demand(model) as u64);
+            shared.metrics.count(Step::Move, "planned");
             info!(shared.log, "move planned"; "server" => change.server.to_string(),
                 "load" => change.load.as_ref().map(|model| model.to_string()),
                 "drop" => format!("{:?}", change.drop), "demand" => demand);
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -21,7 +21,7 @@
 use crate::registry::{Declarations, Servers};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{directory, follow, front, members, planner, receive, sums};
+use crate::{directory, follow, front, members, observe, planner, receive, sums};
 
 /// How long a leaving daemon takes requests that callers send to addresses they hold.
 ///
@@ -97,6 +97,7 @@
     tokio::spawn(serve(readiness, directory::readiness(shared.clone())));
     tokio::spawn(serve(directory, directory::directory(shared.clone())));
     tokio::spawn(serve(rows, directory::rows(shared.clone())));
+    tokio::spawn(show(shared.clone()));
     tokio::spawn(tidy(shared.clone()));
     loop {
         tokio::select! {
@@ -167,6 +168,19 @@
     }
 }
 
+/// Serves metrics and the state, if the settings say where.
+///
+/// A port that something else has taken is no reason to serve no callers.
+async fn show(shared: Arc<Shared>) {
+    let Some(addr) = shared.settings.metrics else { return };
+    match bind(addr).await {
+        Ok(listener) => serve(listener, observe::router(shared)).await,
+        Err(error) => {
+            warn!(shared.log, "metrics not served"; "error" => error.to_string());
+        }
+    }
+}
+
 async fn bind(addr: SocketAddr) -> Result<TcpListener, Report<StartError>> {
     TcpListener::bind(addr).await.change_context(StartError::Bind(addr))
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -22,6 +22,7 @@
 use crate::ask::Turn;
 use crate::attempt::{Answered, Missed, Place, attempt};
 use crate::job::Job;
+use crate::metrics::Step;
 use crate::shared::Shared;
 use crate::{ask, planner, read};
 
@@ -94,6 +95,7 @@
             },
             Err(missed) => missed,
         };
+        job.shared.metrics.count(Step::Missed, missed.name());
         info!(job.shared.log, "attempt missed"; "id" => job.id(),
             "server" => place.name.to_string(), "why" => format!("{missed:?}"));
         match missed {
@@ -117,7 +119,7 @@
     }
     let granted = job.shared.take_repeat(&job.service);
     if granted {
-        job.shared.metrics.repeated("failed");
+        job.shared.metrics.count(Step::Repeat, "failed");
         *lost = Some(format!("status {}", answered.head.status));
     }
     granted
@@ -132,7 +134,7 @@
     let granted = |cause| {
         let granted = job.shared.take_repeat(&job.service);
         if granted {
-            job.shared.metrics.repeated(cause);
+            job.shared.metrics.count(Step::Repeat, cause);
         }
         granted
     };
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -56,6 +56,9 @@
     pub readiness: SocketAddr,
     /// Where callers ask which address to use.
     pub directory: SocketAddr,
+    /// Where metrics and the daemon's state are shown; nowhere if it is left out.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// The first and the last port for traffic between daemons.
     pub ports: (u16, u16),
     /// The platform's store.
--- a/crates/gate/src/store.rs
+++ b/crates/gate/src/store.rs
@@ -8,6 +8,7 @@
 use chestnut_edge::{Change, Commit, CommitAnswer, Page};
 use http::{Request, Response, StatusCode};
 
+use crate::metrics::{Span, Step};
 use crate::mirror::Changes;
 use crate::shared::Shared;
 
@@ -81,7 +82,13 @@
     wait: Duration,
 ) -> Result<Response<Bytes>, StoreFault> {
     let store = shared.settings.store;
+    let began = shared.now();
     let answer = shared.client.call(store, request, ANSWER_LIMIT, wait).await;
+    shared.metrics.observe(Span::Store, shared.now().saturating_duration_since(began));
+    match &answer {
+        Ok(answer) => shared.metrics.count(Step::Store, answer.status().as_str()),
+        Err(_) => shared.metrics.count(Step::Store, "lost"),
+    }
     answer.map_err(|fault| StoreFault(fault.to_string()))
 }
 
--- a/crates/gate/tests/settings.rs
+++ b/crates/gate/tests/settings.rs
@@ -7,6 +7,7 @@
   "vm": "entry-1", "domain": "accra-a", "ip": "10.0.0.1",
   "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82",
   "ports": [7000, 7010], "store": "10.0.9.1:90", "unknown": {"is": "passed over"},
+  "metrics": "10.0.0.1:9464",
   "bounds": {
     "stop_s": 8, "directory_s": 5, "retry_ratio": 0.2, "retry_slack": 52,
     "retry_window_s": 10, "turn_ms": 3000, "load_window_s": 5
@@ -25,6 +26,7 @@
     assert_eq!(settings.vm.as_str(), "entry-1");
     assert_eq!(settings.peer_addr().port(), 7000);
     assert_eq!(settings.rows_addr().port(), 7010);
+    assert_eq!(settings.metrics.map(|addr| addr.port()), Some(9464));
 }
 
 #[test]
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 
 use chestnut_platform_stand_in::{Question, RunnerFault, ServiceFault, StoreFault};
 use rustix::process::Signal;
+use serde_json::Value;
 use tokio::time::sleep;
 
 use world::{World, until};
@@ -372,3 +373,27 @@
     assert_eq!(picked[0]["server"], ended[0]["server"]);
     assert_eq!(ended[0]["end"], "broken");
 }
+
+#[tokio::test]
+async fn what_a_daemon_believes_can_be_looked_at() {
+    // An operator asks a daemon what it believes after it has served one stream: the
+    // store's tables and their ages, who holds which runner, and how requests ended.
+    let world = World::start("looked-at", 2).await;
+    let answer = world.ask(0, &Question::stream("draft", "blue", 3)).await;
+    assert_eq!(answer.status, 200);
+    let gate = &world.gates[0];
+    let state = world.caller.text(gate.metrics, "/state").await;
+    let state: Value = serde_json::from_str(&state).expect("the state is JSON");
+    assert_eq!(state["ready"], true);
+    assert_eq!(state["members"].as_array().map(Vec::len), Some(2));
+    assert_eq!(state["servers"].as_object().map(|all| all.len()), Some(5));
+    assert!(state["claims"]["server:r3"]["fence"].as_u64() > Some(0), "{state}");
+    assert!(state["tables"][0]["age_ms"].is_u64(), "{state}");
+    until("the end is counted", async || {
+        let metrics = world.caller.text(gate.metrics, "/metrics").await;
+        metrics.contains(r#"chestnut_requests_total{route="draft",end="answered"} 1"#)
+            && metrics.contains(r#"chestnut_seconds_count{span="FirstByte"} 1"#)
+            && metrics.contains(r#"chestnut_steps_total{step="Store",outcome="200"}"#)
+    })
+    .await;
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -27,6 +27,8 @@
     pub readiness: SocketAddr,
     /// Where callers ask where to connect.
     pub directory: SocketAddr,
+    /// Where it shows metrics and its state.
+    pub metrics: SocketAddr,
     /// Its settings file.
     pub settings: PathBuf,
     /// What it logged.
@@ -103,12 +105,13 @@
 
     fn spawn(&self, number: usize) -> Gate {
         let callers = free_addr();
-        let (readiness, directory) = (free_addr(), free_addr());
+        let (readiness, directory, metrics) = (free_addr(), free_addr(), free_addr());
         let mut ports = [free_addr().port(), free_addr().port()];
         ports.sort_unstable();
         let settings = json!({
             "vm": format!("vm{number}"), "domain": "north", "ip": "127.0.0.1",
             "callers": callers, "readiness": readiness, "directory": directory,
+            "metrics": metrics,
             "ports": ports, "store": self.store.addr,
             "bounds": {
                 "stop_s": 8, "directory_s": 5, "retry_ratio": 0.2, "retry_slack": 52,
@@ -119,7 +122,7 @@
         fs::write(&path, settings.to_string()).expect("a file can be written");
         let log = self.dir.join(format!("vm{number}.log"));
         let child = start(&path, &log);
-        Gate { callers, readiness, directory, settings: path, log, child }
+        Gate { callers, readiness, directory, metrics, settings: path, log, child }
     }
 
     /// Sends a question to a daemon.
