Order nothing on news from before a VM stood still

Cause, found by reading: the monotonic clock does not count the time in which a VM stands still, so that a holder that goes on took its claims for confirmed, also by beats that had waited in its socket. Where engines check fences their refusal saved it; where they do not, or where a holder had lost the store and the others but not its runner, it could give orders beside its successor. Tests of both in crates/member/tests/wake.rs.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -3,6 +3,8 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant, SystemTime};
 
+use rustix::time::{ClockId, Timespec, clock_gettime};
+
 /// A source of time.
 ///
 /// Decisions never read the time themselves, so that tests can run them on a
@@ -13,6 +15,10 @@
 
     /// The wall-clock time, for logs and for what people read.
     fn wall(&self) -> SystemTime;
+
+    /// The time that the VM has stood still since it was started, which the monotonic
+    /// time does not count.
+    fn suspended(&self) -> Duration;
 }
 
 /// The clock of the operating system.
@@ -27,6 +33,16 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn suspended(&self) -> Duration {
+        let monotonic = clock_gettime(ClockId::Monotonic);
+        let boot = clock_gettime(ClockId::Boottime);
+        let nanos = |time: Timespec| {
+            i128::from(time.tv_sec) * 1_000_000_000 + i128::from(time.tv_nsec)
+        };
+        let still = nanos(boot) - nanos(monotonic);
+        Duration::from_nanos(u64::try_from(still).unwrap_or_default())
+    }
 }
 
 /// A clock that stands still until it is advanced.
@@ -34,12 +50,17 @@
 pub struct ManualClock {
     start: Instant,
     offset: Mutex<Duration>,
+    suspended: Mutex<Duration>,
 }
 
 impl ManualClock {
     /// Creates a clock that stands at its starting point.
     pub fn new() -> Self {
-        Self { start: Instant::now(), offset: Mutex::new(Duration::ZERO) }
+        Self {
+            start: Instant::now(),
+            offset: Mutex::default(),
+            suspended: Mutex::default(),
+        }
     }
 
     /// Moves the clock forward.
@@ -47,6 +68,11 @@
         *self.offset.lock().expect("no holder of the clock panics") += by;
     }
 
+    /// Lets the VM stand still.
+    pub fn suspend(&self, time: Duration) {
+        *self.suspended.lock().expect("no holder of the clock panics") += time;
+    }
+
     /// The time that has passed since the clock was created.
     pub fn elapsed(&self) -> Duration {
         *self.offset.lock().expect("no holder of the clock panics")
@@ -67,4 +93,8 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.elapsed()
     }
+
+    fn suspended(&self) -> Duration {
+        *self.suspended.lock().expect("no holder of the clock panics")
+    }
 }
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -9,6 +9,7 @@
 
 use chestnut_base::ModelName;
 use chestnut_edge::{Engine, Order, OrderAnswer, OrderStep, ServerEntry, TargetModel};
+use chestnut_member::wake;
 use chestnut_pool::AdapterNeed;
 use chestnut_pool::placing::Move;
 use slog::{info, warn};
@@ -213,10 +214,25 @@
         }
     }
 
+    /// Whether the claims are known well enough to give an order by them.
+    fn is_sure(&self) -> bool {
+        let now = self.shared.now();
+        let fenced = self.shared.bounds.borrow().fenced;
+        let age = match self.shared.is_waking() {
+            true => None,
+            false => self.shared.tables.own.age(now),
+        };
+        wake::may_order(fenced, age)
+    }
+
     /// Gives an order; returns the answer if the order could be given.
     async fn order(&self, step: OrderStep, time: Duration) -> Option<OrderAnswer> {
         let server = &self.holder.server;
         let fence = claims::fence(self.shared, server)?;
+        if !self.is_sure() {
+            info!(self.shared.log, "no order on old claims"; "server" => server.to_string());
+            return None;
+        }
         let addr = self.addr()?;
         let after = self.holder.state().orders()?;
         let holder = self.shared.settings.vm.clone();
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -103,12 +103,16 @@
         self.mirror.lock().expect("no holder of the lock panics")
     }
 
+    /// How long ago the store confirmed the copy.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.mirror().confirmed()?))
+    }
+
     /// What this daemon says of the table in its beats: the version, and how many
     /// milliseconds ago the store confirmed it.
     pub fn news(&self, now: Instant) -> Option<(u64, u32)> {
-        let mirror = self.mirror();
-        let age = now.saturating_duration_since(mirror.confirmed()?);
-        Some((mirror.version()?, age.as_millis() as u32))
+        let age = self.age(now)?;
+        Some((self.mirror().version()?, age.as_millis() as u32))
     }
 
     /// Takes in what another daemon says of the table.
@@ -214,8 +218,7 @@
 
     /// How long ago the store confirmed the copy.
     fn age(&self) -> Option<Duration> {
-        let confirmed = self.table.mirror().confirmed()?;
-        Some(self.shared.now().saturating_duration_since(confirmed))
+        self.table.age(self.shared.now())
     }
 
     /// A daemon that knows a newer version and was heard from lately.
@@ -365,6 +368,10 @@
 
 /// Takes in what another daemon says of its tables.
 pub fn hear(shared: &Shared, from: MemberId, news: &[Option<(u64, u32)>]) {
+    if shared.is_waking() {
+        // It may have waited in the socket for as long as the VM stood still.
+        return;
+    }
     let now = shared.now();
     for (table, news) in tables(shared).into_iter().zip(news) {
         if let Some((version, age)) = news {
--- a/crates/gate/src/mirror.rs
+++ b/crates/gate/src/mirror.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Forgets when the store last said that the copy is complete.
+    pub fn doubt(&mut self) {
+        self.confirmed = None;
+    }
+
     /// Takes in changes up to `version`; returns those that are new.
     ///
     /// A row of which a newer state is known stays: a read that was answered late
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -90,6 +90,9 @@
     #[serde(rename = "retry_window_s")]
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub retry_window: Duration,
+    /// Whether engines refuse orders with an older fence.
+    #[serde(default)]
+    pub fenced: bool,
     /// The least time between orders of two holders to one engine.
     #[serde(rename = "turn_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -5,16 +5,16 @@
 
 use chestnut_base::{Clock, MemberId, ServerName, ServiceName};
 use chestnut_edge::{Declared, Dialect};
-use chestnut_member::{ClaimKey, Known};
+use chestnut_member::{ClaimKey, Known, Wake};
 use chestnut_pool::budget::RetryBound;
 use chestnut_pool::placing::Placing;
 use chestnut_pool::{Fleet, RetryBudget, Speeds};
 use indexmap::IndexMap;
-use slog::Logger;
+use slog::{Logger, warn};
 use tokio::sync::watch;
 
 use crate::client::Client;
-use crate::follow::{OWN, Table};
+use crate::follow::{self, OWN, Table};
 use crate::holder::Holder;
 use crate::members::{self, Neighbours};
 use crate::metrics::Metrics;
@@ -97,6 +97,7 @@
     turns: Mutex<IndexMap<ClaimKey, Instant>>,
     /// The process that ran on this VM before.
     previous: Mutex<Option<MemberId>>,
+    wake: Mutex<Wake>,
 }
 
 impl Shared {
@@ -141,6 +142,7 @@
             plans: Mutex::default(),
             turns: Mutex::default(),
             previous: Mutex::default(),
+            wake: Mutex::default(),
         }
     }
 
@@ -197,6 +199,19 @@
         self.plans.lock().expect("no holder of the lock panics")
     }
 
+    /// Whether the VM has stood still lately, so that news may be from before.
+    pub fn is_waking(&self) -> bool {
+        let now = self.now();
+        let mut wake = self.wake.lock().expect("no holder of the lock panics");
+        if let Some(gap) = wake.look(self.clock.suspended(), now) {
+            warn!(self.log, "the VM stood still"; "ms" => gap.as_millis() as u64);
+            for table in follow::tables(self) {
+                table.mirror().doubt();
+            }
+        }
+        wake.is_settling(now)
+    }
+
     /// Notes from when on orders may be given under a claim.
     pub fn note_turn(&self, key: ClaimKey, from: Instant) {
         self.turns.lock().expect("no holder of the lock panics").insert(key, from);
--- /dev/null
+++ b/crates/member/tests/wake.rs
@@ -0,0 +1,49 @@
+//! A VM stands still and goes on, or loses the store, while it holds a runner.
+
+use std::time::{Duration, Instant};
+
+use chestnut_base::{Clock, ManualClock};
+use chestnut_member::wake::{SETTLE, SURE, Wake, may_order};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A holder stands still for seconds; another daemon takes its runner over. When it goes
+/// on, its clock has not moved and beats from before are read: without the comparison
+/// of clocks it takes its claims for confirmed and gives an order beside the new holder.
+#[test]
+fn news_is_old_after_a_gap() {
+    let (clock, mut wake) = (ManualClock::new(), Wake::default());
+    assert_eq!(wake.look(clock.suspended(), clock.now()), None);
+    clock.advance(SECOND);
+    assert_eq!(wake.look(clock.suspended(), clock.now()), None);
+    assert!(!wake.is_settling(clock.now()));
+    clock.suspend(5 * SECOND);
+    assert_eq!(wake.look(clock.suspended(), clock.now()), Some(5 * SECOND));
+    assert!(wake.is_settling(clock.now()));
+    assert_eq!(wake.look(clock.suspended(), clock.now()), None);
+    assert!(wake.is_settling(clock.now()), "a second look ends nothing");
+    clock.advance(SETTLE);
+    assert!(!wake.is_settling(clock.now()));
+}
+
+/// The clocks are read one after the other, some milliseconds apart.
+#[test]
+fn small_differences_are_no_gap() {
+    let (mut wake, now) = (Wake::default(), Instant::now());
+    wake.look(SECOND, now);
+    assert_eq!(wake.look(SECOND + Duration::from_millis(30), now), None);
+    assert_eq!(wake.look(SECOND, now), None, "nor is going back");
+    assert!(!wake.is_settling(now));
+}
+
+/// A holder loses the store and the others, but reaches its runner. Where the runner
+/// stops orders by their fences it goes on, so that a store outage stops nothing; else
+/// it stops before another one can have waited for its turn.
+#[test]
+fn an_order_that_no_fence_stops_needs_the_stores_word() {
+    assert!(may_order(true, Some(60 * SECOND)));
+    assert!(may_order(false, Some(SECOND)));
+    assert!(!may_order(false, Some(SURE)));
+    assert!(!may_order(true, None));
+    assert!(!may_order(false, None));
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -115,7 +115,7 @@
             "ports": ports, "store": self.store.addr,
             "bounds": {
                 "stop_s": 8, "directory_s": 5, "retry_ratio": 0.2, "retry_slack": 52,
-                "retry_window_s": 10, "turn_ms": 300, "load_window_s": 5,
+                "retry_window_s": 10, "fenced": true, "turn_ms": 300, "load_window_s": 5,
             },
         });
         let path = self.dir.join(format!("vm{number}.json"));
