--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -1,6 +1,7 @@
 //! A caller's request while it is being served.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -65,6 +66,8 @@
     pub deadline: Instant,
     /// When it was last sent.
     pub sent: Instant,
+    /// Whether its end was recorded.
+    pub done: AtomicBool,
 }
 
 impl Job {
@@ -131,6 +134,7 @@
 
     /// Records how the request ended.
     pub fn ended(&self, end: End) {
+        self.done.store(true, Ordering::Relaxed);
         let time = self.shared.now().saturating_duration_since(self.arrived);
         let route = self.route();
         self.shared.metrics.ended(&route.name, end.how);
@@ -153,3 +157,14 @@
         self.ended(End { how: &how, server: "", why: &why, pace: None });
     }
 }
+
+impl Drop for Job {
+    /// Records that the caller left, if nothing else ended the request: its connection
+    /// and all that waits for an answer end together.
+    fn drop(&mut self) {
+        if !self.done.load(Ordering::Relaxed) {
+            let why = "before the answer began";
+            self.ended(End { how: "caller left", server: "", why, pace: None });
+        }
+    }
+}
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -1,6 +1,7 @@
 //! Reads a request: its head, its route, its body.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -79,6 +80,7 @@
         arrived,
         deadline,
         sent: arrived,
+        done: AtomicBool::new(false),
     })
 }
 
--- a/tests/platform/explain.rs
+++ b/tests/platform/explain.rs
@@ -81,6 +81,25 @@
     assert_eq!(story.end()["events"].as_u64(), Some(answer.events.len() as u64));
 }
 
+#[tokio::test]
+async fn a_caller_that_leaves_before_its_answer_is_logged() {
+    // Both runners with the model are full, so that the request is tried again for a
+    // while; its caller closes the connection meanwhile. The request's end is logged all
+    // the same, with how long it was held.
+    let world = World::start("gave-up", 1).await;
+    for runner in &world.runners[..2] {
+        runner.fail(RunnerFault::Full);
+    }
+    let question = Question::stream("draft", "red", 9);
+    let asked = tokio::time::timeout(Duration::from_millis(300), world.ask(0, &question));
+    assert!(asked.await.is_err(), "it was answered");
+    until("its end is logged", async || {
+        let ends = world.gates[0].lines("request ended");
+        ends.iter().any(|end| end["end"] == "caller left" && end["route"] == "draft")
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_request_that_met_an_old_belief_is_explained_by_its_id() {
     // The store is silent, and the only runner with a model starts again and holds
