Count the wait for room in a runner's bid, and refuse at once who would wait too long

Now a bid counts how much of its streams has to end first; a request whose wait would outlast its caller is refused at once with that time to come back. A resumed stream waits until its deadline, not the first event's. An engine's declaration is shared instead of copied at each decision.

--- a/crates/edge/src/declared.rs
+++ b/crates/edge/src/declared.rs
@@ -1,5 +1,6 @@
 //! Routes, services and models that operators declare.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnut_base::{ModelName, Revision, ServiceName};
@@ -90,7 +91,7 @@
     /// Connections that one backend server accepts, from all daemons together.
     pub connections: u32,
     /// How the servers run models, if they do.
-    pub engine: Option<Engine>,
+    pub engine: Option<Arc<Engine>>,
 }
 
 /// How the backend servers of a service run models.
@@ -110,6 +111,19 @@
     pub models: IndexMap<ModelName, Model>,
 }
 
+/// The part of the KV cache that is planned with.
+///
+/// Answers may grow longer than their callers guess; an engine that runs out of
+/// memory reads whole prompts again.
+const KV_SHARE: f64 = 0.92;
+
+impl Engine {
+    /// The tokens of the KV cache that are planned with.
+    pub fn usable_tokens(&self) -> u64 {
+        (self.kv_tokens as f64 * KV_SHARE) as u64
+    }
+}
+
 /// A model that an engine can hold.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Model {
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -249,6 +249,7 @@
         }
         // The old run ends with its connection, before the new one begins.
         drop(old);
+        self.job.begun = true;
         self.events.reset();
         if !self.job.route().kind.is_repeatable() {
             return false;
@@ -257,7 +258,7 @@
             "server" => self.server.to_string(), "why" => why, "after" => self.last);
         while self.job.shared.take_repeat(&self.job.service) {
             self.job.shared.metrics.count(Step::Repeat, "resumed");
-            let Some(place) = pick(&self.job, None, &[]).await else { return false };
+            let Ok(place) = pick(&self.job, None, &[]).await else { return false };
             match attempt(&self.job, &place, self.last).await {
                 Ok(answered) if is_event_stream(&answered.head) => {
                     self.server = answered.place.name.clone();
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -77,7 +77,8 @@
         return None;
     }
     let want = job.want()?;
-    let mut bids = ask(&job.shared, &runners, &want, &job.engine()?).await;
+    let engine = job.engine()?;
+    let mut bids = ask(&job.shared, &runners, &want, &engine).await;
     let cost = |runner: &Runner| {
         let bid = bids.get(&runner.name);
         let cost = bid.map_or(runner.own + SILENT_COST, |bid| bid.cost);
@@ -142,10 +143,7 @@
     let mut bids = IndexMap::new();
     for name in asked.here {
         if let Some(holder) = shared.holder(&name) {
-            bids.insert(
-                name,
-                bid(&holder.state(), want, &shared.speeds(), engine.adapter_slots, now),
-            );
+            bids.insert(name, bid(&holder.state(), want, &shared.speeds(), engine, now));
         }
     }
     let questions = asked
@@ -203,23 +201,13 @@
     let now = shared.now();
     let place = |name: ServerName| {
         let holder = shared.holder(&name)?;
-        let places = places(shared, &name)?;
-        let bid = bid(&holder.state(), want, &shared.speeds(), places, now);
+        let engine = shared.engine_of(&name)?;
+        let bid = bid(&holder.state(), want, &shared.speeds(), &engine, now);
         Some((name, bid))
     };
     servers.into_iter().filter_map(place).collect()
 }
 
-fn places(shared: &Shared, server: &ServerName) -> Option<usize> {
-    let declared = shared.declared()?;
-    let service = {
-        let fleet = shared.fleet();
-        let key = fleet.key(server)?;
-        fleet.get(key)?.entry.service.clone()
-    };
-    Some(declared.services.get(&service)?.engine.as_ref()?.adapter_slots)
-}
-
 /// What came of asking to send a request to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -5,6 +5,7 @@
 //! after a later one: what the runner holds is known whenever an order is given.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnut_base::ModelName;
@@ -156,10 +157,8 @@
         declared.map_or(ANSWER_TIME, |model| model.load)
     }
 
-    fn engine(&self) -> Option<Engine> {
-        let declared = self.shared.declared()?;
-        let service = declared.services.get(&self.entry()?.service)?;
-        service.engine.clone()
+    fn engine(&self) -> Option<Arc<Engine>> {
+        self.shared.engine_of(&self.holder.server)
     }
 
     fn is_at_rest(&self) -> bool {
--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -28,12 +28,6 @@
 /// How long the lane sleeps at most; sums of daemons that died fade meanwhile.
 const PATIENCE: Duration = Duration::from_millis(250);
 
-/// The part of the KV cache that is planned with.
-///
-/// Answers may grow longer than their callers guess; an engine that runs out of
-/// memory reads whole prompts again.
-const KV_SHARE: f64 = 0.92;
-
 /// Names a request: the daemon that asks, and its number there.
 pub type Asker = (MemberId, u64);
 
@@ -115,7 +109,7 @@
     if let Some(verdict) = known {
         return answer(shared, asker.1, reply, verdict);
     }
-    let Some(engine) = engine(shared, holder) else {
+    let Some(engine) = shared.engine_of(&holder.server) else {
         return answer(shared, asker.1, reply, Verdict::Denied);
     };
     if let Reply::There(addr) = &reply {
@@ -277,7 +271,7 @@
 
 fn note_sent(shared: &Shared, holder: &Holder, ticket: Ticket, want: &Want) {
     let now = shared.now();
-    let capacity = engine(shared, holder).map_or(0, |engine| engine.kv_tokens);
+    let capacity = shared.engine_of(&holder.server).map_or(0, |engine| engine.kv_tokens);
     let unread = {
         let mut state = holder.state();
         let unread = state.unread(want);
@@ -300,16 +294,6 @@
     }
 }
 
-/// How the runner's service runs models.
-fn engine(shared: &Shared, holder: &Holder) -> Option<Engine> {
-    let declared = shared.declared()?;
-    let service = {
-        let fleet = shared.fleet();
-        fleet.get(fleet.key(&holder.server)?)?.entry.service.clone()
-    };
-    declared.services.get(&service)?.engine.clone()
-}
-
 /// What the runner has room for; nothing if it takes no new requests.
 fn room(shared: &Shared, holder: &Holder, now: Instant) -> Option<Room> {
     let open = {
@@ -320,12 +304,11 @@
     if !open {
         return None;
     }
-    let engine = engine(shared, holder)?;
+    let engine = shared.engine_of(&holder.server)?;
     let total = holder.state().total(now);
-    let tokens = (engine.kv_tokens as f64 * KV_SHARE) as u64;
     Some(Room {
         requests: engine.slots.saturating_sub(total.requests),
-        tokens: tokens.saturating_sub(total.tokens),
+        tokens: engine.usable_tokens().saturating_sub(total.tokens),
         pause: shared.declared().and_then(|declared| declared.least_pause()),
     })
 }
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -66,6 +66,8 @@
     pub deadline: Instant,
     /// When it was last sent.
     pub sent: Instant,
+    /// Whether its caller has a part of the answer.
+    pub begun: bool,
     /// Whether its end was recorded.
     pub done: AtomicBool,
 }
@@ -95,9 +97,12 @@
         })
     }
 
-    /// Until when the caller waits for the first event.
+    /// Until when the caller waits for the first event, or for the next one.
     pub fn patience(&self) -> Instant {
-        self.deadline.min(self.arrived + self.route().patience)
+        match self.begun {
+            true => self.deadline,
+            false => self.deadline.min(self.arrived + self.route().patience),
+        }
     }
 
     /// The tokens that the request is expected to cost, as planners count them.
@@ -128,7 +133,7 @@
     }
 
     /// The engine of the service, if it runs models.
-    pub fn engine(&self) -> Option<Engine> {
+    pub fn engine(&self) -> Option<Arc<Engine>> {
         self.declared.services.get(&self.service)?.engine.clone()
     }
 
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -80,6 +80,7 @@
         arrived,
         deadline,
         sent: arrived,
+        begun: false,
         done: AtomicBool::new(false),
     })
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -41,6 +41,11 @@
 /// How long callers are told to stay away when no server can take a request.
 const AWAY: Duration = Duration::from_millis(500);
 
+/// The longest that callers are told to stay away.
+///
+/// Streams stay at a runner for some three seconds; after that room is found again.
+const LONGEST_AWAY: Duration = Duration::from_secs(3);
+
 /// Serves one request.
 pub async fn answer(
     shared: Arc<Shared>,
@@ -84,8 +89,10 @@
     let mut lacking = None;
     let mut rejected = Vec::new();
     for _ in 0..TRIES {
-        let Some(place) = pick(&job, lacking.take(), &rejected).await else {
-            return Err((no_server(&job, lost), job));
+        let place = match pick(&job, lacking.take(), &rejected).await {
+            Ok(place) => place,
+            Err(NoPlace::Nowhere) => return Err((no_server(&job, lost), job)),
+            Err(NoPlace::Full(wait)) => return Err((full(&job, lost, wait), job)),
         };
         job.sent = job.shared.now();
         let missed = match attempt(&job, &place, job.call.resume_after).await {
@@ -110,6 +117,28 @@
     Err((no_server(&job, lost), job))
 }
 
+/// Why no server was picked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPlace {
+    /// No server can take the request.
+    Nowhere,
+    /// Those that could have room in this time, after the caller's patience has ended.
+    Full(Duration),
+}
+
+/// Refuses a request that would wait for longer than its caller does.
+///
+/// Held to the end, its caller leaves with nothing and too late to ask again; told at
+/// once, it comes back when streams have ended.
+fn full(job: &Job, lost: Option<String>, wait: Duration) -> Refusal {
+    if lost.is_some() {
+        return no_server(job, lost);
+    }
+    let message = "all servers with the model are full for longer than a caller waits; \
+        come back when told";
+    Refusal::not_run(Code::Overloaded, message).after(wait.clamp(AWAY, LONGEST_AWAY))
+}
+
 /// Whether a server's own failure is worth another try elsewhere.
 fn again(job: &Job, answered: &Answered, lost: &mut Option<String>) -> bool {
     let plain = job.route().kind == RouteKind::Idempotent;
@@ -180,19 +209,21 @@
     job: &Job,
     lacking: Option<ServerName>,
     rejected: &[ServerName],
-) -> Option<Place> {
+) -> Result<Place, NoPlace> {
     let limit = job.patience().min(job.arrived + RESIDENCE_WAIT);
     let limit = Instant::from_std(limit);
     let mut listed = job.shared.listed.subscribe();
     let mut avoid = rejected.to_vec();
     loop {
         listed.borrow_and_update();
-        if let Some(place) = pick_now(job, &mut avoid, lacking.as_ref()).await {
-            return Some(place);
+        match pick_now(job, &mut avoid, lacking.as_ref()).await {
+            Err(NoPlace::Nowhere) if job.call.target.is_some() => avoid.clear(),
+            decided => return decided,
+        }
+        let changed = timeout_at(limit, listed.changed()).await;
+        if !matches!(changed, Ok(Ok(()))) {
+            return Err(NoPlace::Nowhere);
         }
-        job.call.target.as_ref()?;
-        avoid.clear();
-        timeout_at(limit, listed.changed()).await.ok()?.ok()?;
     }
 }
 
@@ -202,23 +233,29 @@
     job: &Job,
     avoid: &mut Vec<ServerName>,
     lacking: Option<&ServerName>,
-) -> Option<Place> {
+) -> Result<Place, NoPlace> {
     loop {
         if job.call.target.is_none() {
-            return place(job, pick_plain(job, avoid)?);
+            let chosen = pick_plain(job, avoid).ok_or(NoPlace::Nowhere)?;
+            return place(job, chosen).ok_or(NoPlace::Nowhere);
+        }
+        let chosen = ask::pick(job, avoid).await.ok_or(NoPlace::Nowhere)?;
+        let wait = Duration::from_secs_f64(chosen.bid.cost.max(0.0) / 1000.0);
+        if job.shared.now() + wait > job.patience() {
+            return Err(NoPlace::Full(wait));
         }
-        let mut place = place(job, ask::pick(job, avoid).await?)?;
+        let mut place = place(job, chosen).ok_or(NoPlace::Nowhere)?;
         let missed = lacking == Some(&place.name);
         match ask::turn(job, &place.name, missed).await {
             Turn::Send(number) => {
                 place.number = Some(number);
-                return Some(place);
+                return Ok(place);
             }
             // Without its holder the runner is sent to as it was before.
-            Turn::Silent => return Some(place),
+            Turn::Silent => return Ok(place),
             Turn::Denied => avoid.push(place.name),
             Turn::Again if job.shared.now() < job.patience() => {}
-            Turn::Again => return None,
+            Turn::Again => return Err(NoPlace::Nowhere),
         }
     }
 }
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use chestnut_base::{Clock, MemberId, ServerName, ServiceName};
-use chestnut_edge::{Declared, Dialect};
+use chestnut_edge::{Declared, Dialect, Engine};
 use chestnut_member::{ClaimKey, Known, Wake};
 use chestnut_pool::budget::RetryBound;
 use chestnut_pool::placing::Placing;
@@ -242,6 +242,16 @@
         self.declared.borrow().clone()
     }
 
+    /// How the service of a runner runs models.
+    pub fn engine_of(&self, server: &ServerName) -> Option<Arc<Engine>> {
+        let declared = self.declared()?;
+        let service = {
+            let fleet = self.fleet();
+            fleet.get(fleet.key(server)?)?.entry.service.clone()
+        };
+        declared.services.get(&service)?.engine.clone()
+    }
+
     /// Whether the daemon can serve: declarations and servers are known, and it
     /// was not told to stop.
     pub fn is_ready(&self) -> bool {
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -5,15 +5,20 @@
 //! into queues that it does not see; the busiest runner then has twice the mean.
 //! Each runner's holder therefore estimates, from the sums of all daemons, when a
 //! request's first event would come, and the daemon takes the least estimate.
+//!
+//! A runner whose places or whose KV cache is taken has room again as its streams end.
+//! An estimate that leaves this out is a tenth of the wait at a runner that is full, and
+//! requests stay in line there while others of the model have room.
 
 use std::time::{Duration, Instant};
 
 use chestnut_base::DomainName;
-use chestnut_edge::{PromptPart, Size, TargetModel};
+use chestnut_edge::{Engine, PromptPart, Size, TargetModel};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::fleet::{Server, ServerKey};
+use crate::lane::Ahead;
 use crate::runner::{AdapterState, Runner};
 use crate::speed::Speeds;
 use crate::usage::Usage;
@@ -82,6 +87,10 @@
 /// What it costs to wait for a place among adapters in use, in milliseconds.
 const FULL_COST: f64 = 2000.0;
 
+/// How long a stream stays at a runner in the mean, in milliseconds: 170 to 600 tokens
+/// of some 15 ms each, and the time until its first event.
+const STAY: f64 = 3000.0;
+
 /// What a server costs whose holder did not answer, in milliseconds.
 pub const SILENT_COST: f64 = 60.0;
 
@@ -91,12 +100,12 @@
     unread / READ_RATE + f64::from(usage.requests) * RUN_COST
 }
 
-/// The estimate of a runner's holder; `places` is the number of its adapters.
+/// The estimate of a runner's holder.
 pub fn bid(
     runner: &Runner,
     want: &Want,
     speeds: &Speeds,
-    places: usize,
+    engine: &Engine,
     now: Instant,
 ) -> Bid {
     let requests = runner.total(now).requests;
@@ -105,19 +114,31 @@
     }
     // The runner takes one order at a time.
     let busy = millis(runner.busy(now));
-    let prepare = match runner.adapter(&want.target, places, now) {
+    let prepare = match runner.adapter(&want.target, engine.adapter_slots, now) {
         AdapterState::Ready => 0.0,
         AdapterState::Coming(left) => millis(left),
         AdapterState::Free => busy + ADAPTER_COST,
         AdapterState::Evict => busy + ADAPTER_COST + EVICTION_COST,
         AdapterState::Full => busy + FULL_COST,
     };
-    let wait = millis(runner.lane.backlog(want.urgency, now)).max(prepare);
+    let ahead = runner.lane.ahead(want.urgency, want.target_time.is_zero(), now);
+    let room = room_wait(runner.total(now), ahead, want.size, engine);
+    let wait = millis(ahead.work).max(prepare).max(room);
     let cost =
         wait + millis(runner.reading(want, speeds)) + f64::from(requests) * RUN_COST;
     Bid { cost, requests }
 }
 
+/// The wait for a place and for room in the KV cache, in milliseconds.
+fn room_wait(usage: Usage, ahead: Ahead, size: Size, engine: &Engine) -> f64 {
+    let requests = f64::from(usage.requests + ahead.requests + 1);
+    let tokens = (usage.tokens + ahead.tokens + size.tokens()) as f64;
+    // As streams end one by one, a share of the room is free after that share of a stay.
+    let short = |need: f64, room: f64| ((need - room) / room.max(1.0)).max(0.0);
+    let places = short(requests, f64::from(engine.slots));
+    places.max(short(tokens, engine.usable_tokens() as f64)) * STAY
+}
+
 /// What a daemon itself adds to a server's cost, in milliseconds.
 pub fn local_cost(server: &Server, domain: &DomainName, now: Instant) -> f64 {
     let away = if server.entry.domain == *domain { 0.0 } else { DOMAIN_COST };
--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -63,6 +63,17 @@
     pub pause: Option<Duration>,
 }
 
+/// What goes before a prompt.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Ahead {
+    /// Requests.
+    pub requests: u32,
+    /// Their tokens in the KV cache.
+    pub tokens: u64,
+    /// How long the engine takes to read them.
+    pub work: Duration,
+}
+
 /// What a lane does next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Next {
@@ -141,16 +152,20 @@
         self.waiting.is_empty()
     }
 
-    /// How long a prompt would wait that came now.
-    pub fn backlog(&self, urgency: u8, now: Instant) -> Duration {
-        let reading = self
-            .last
-            .map_or(Duration::ZERO, |sent| sent.end.saturating_duration_since(now));
-        let before = self
-            .waiting
-            .iter()
-            .filter(|waiting| waiting.urgency <= urgency && !is_late(waiting, now));
-        reading + before.map(|waiting| waiting.work).sum::<Duration>()
+    /// What would go before a prompt that came now; before one that is late already,
+    /// all that wait.
+    pub fn ahead(&self, urgency: u8, late: bool, now: Instant) -> Ahead {
+        let reading = self.last.map(|sent| sent.end.saturating_duration_since(now));
+        let before = |waiting: &&Waiting| {
+            late || waiting.urgency <= urgency && !is_late(waiting, now)
+        };
+        let mut ahead = Ahead { work: reading.unwrap_or_default(), ..Ahead::default() };
+        for waiting in self.waiting.iter().filter(before) {
+            ahead.requests += 1;
+            ahead.tokens += waiting.tokens;
+            ahead.work += waiting.work;
+        }
+        ahead
     }
 
     /// Decides what to do now, with the runner's room.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -33,7 +33,7 @@
 pub use choose::{Bid, Candidate, Want, bid, choose, estimate, local_cost};
 pub use fleet::{Fleet, Server, ServerKey};
 pub use health::Health;
-pub use lane::{Lane, Next, Room, Ticket, Waiting};
+pub use lane::{Ahead, Lane, Next, Room, Ticket, Waiting};
 pub use pace::Pace;
 pub use prefix::Prefixes;
 pub use runner::{AdapterNeed, AdapterState, Runner};
--- a/crates/pool/tests/choose.rs
+++ b/crates/pool/tests/choose.rs
@@ -6,11 +6,11 @@
 
 use chestnut_base::MemberId;
 use chestnut_edge::{HeldModel, PromptPart, Size};
-use chestnut_pool::{Bid, Prefixes, Runner, Speeds, Usage, Want, bid};
+use chestnut_pool::{Bid, Prefixes, Runner, Speeds, Ticket, Usage, Waiting, Want, bid};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use support::{base, model, with_adapter};
+use support::{base, engine, model, with_adapter};
 
 const DAEMONS: usize = 6;
 const RUNNERS: usize = 9;
@@ -47,7 +47,7 @@
                     known.report(MemberId(other as u64), sum, now);
                 }
             }
-            bid(&known, &want(base("m"), 500), &speeds, PLACES, now).cost
+            bid(&known, &want(base("m"), 500), &speeds, &engine(&[]), now).cost
         };
         let best = (0..RUNNERS).min_by(|a, b| cost(*a).total_cmp(&cost(*b)));
         counts[daemon][best.expect("there are runners")] += 1;
@@ -92,7 +92,7 @@
 }
 
 fn cost(runner: &Runner, target: chestnut_edge::TargetModel, now: Instant) -> Bid {
-    bid(runner, &want(target, 500), &Speeds::default(), PLACES, now)
+    bid(runner, &want(target, 500), &Speeds::default(), &engine(&[]), now)
 }
 
 #[test]
@@ -120,6 +120,70 @@
     assert!(cost(&runner, base("m"), now).cost.is_infinite());
 }
 
+#[test]
+fn a_full_runner_is_left_alone() {
+    // A model stands on two runners. All places of the first are taken by streams that
+    // last for seconds, and three requests wait there though it has little to read; the
+    // other one has more to read and room. By what there is to read alone all callers
+    // stay in line at the first.
+    let now = Instant::now();
+    let mut full = loaded(0, now);
+    full.report(MemberId(1), usage(64, 0), now);
+    let mut busy = loaded(0, now);
+    busy.report(MemberId(1), usage(30, 0), now);
+    for ticket in 0..5 {
+        busy.lane.push(waiting(ticket, now));
+    }
+    assert!(cost(&busy, base("m"), now).cost < cost(&full, base("m"), now).cost);
+    for ticket in 0..20 {
+        full.lane.push(waiting(ticket, now));
+    }
+    // A third of the streams have to end before the last one is sent.
+    let cost = cost(&full, base("m"), now).cost;
+    assert!((900.0..1_200.0).contains(&cost), "{cost}");
+}
+
+#[test]
+fn a_full_cache_is_a_wait_as_well() {
+    // Few streams with long prompts fill the KV cache: there are places, but nothing can
+    // be sent before some of them end.
+    let now = Instant::now();
+    let mut runner = loaded(0, now);
+    let few = Usage { requests: 20, unread: 0, tokens: 138_000 };
+    runner.report(MemberId(1), few, now);
+    let filled = cost(&runner, base("m"), now).cost;
+    runner.report(MemberId(1), Usage { tokens: 20_000, ..few }, now);
+    assert!(filled > cost(&runner, base("m"), now).cost, "{filled}");
+}
+
+#[test]
+fn one_that_is_late_waits_for_all() {
+    // A request's time has run out. What can still be on time goes before it, and what
+    // came earlier: its caller must not be told that it is next.
+    let now = Instant::now();
+    let mut runner = loaded(0, now);
+    for ticket in 0..30 {
+        let late = Waiting { target: now, ..waiting(ticket, now) };
+        runner.lane.push(late);
+    }
+    let want = Want { target_time: Duration::ZERO, ..want(base("m"), 500) };
+    let speeds = Speeds::default();
+    let late = bid(&runner, &want, &speeds, &engine(&[]), now).cost;
+    assert!(late > cost(&runner, base("m"), now).cost + 500.0, "{late}");
+}
+
+fn waiting(ticket: u64, now: Instant) -> Waiting {
+    Waiting {
+        ticket: Ticket(ticket),
+        work: Duration::from_millis(20),
+        tokens: 600,
+        urgency: 0,
+        target: now + Duration::from_millis(800),
+        deadline: now + Duration::from_secs(3),
+        ready: Some(now),
+    }
+}
+
 #[test]
 fn a_prompt_that_was_read_is_cheaper_there() {
     // Callers of one client account share the first 800 tokens. The runner that has
