Keep a drop that waits for its runs in mind, give the neediest model the place, send no caller to a blank daemon

Of two moves that would each fill a runner the one for the model that needs it least was taken. Tests of each failed first: a_drop_that_waits_for_runs_is_not_taken_for_undone, the_neediest_model_gets_the_place, a_daemon_that_knows_nothing_sends_no_callers_to_itself, callers_are_told_when_entries_are_back.

--- a/crates/gate/src/directory.rs
+++ b/crates/gate/src/directory.rs
@@ -41,6 +41,9 @@
     RawQuery(_query): RawQuery,
 ) -> Response {
     let addresses = ready_addresses(&shared);
+    if addresses.is_empty() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     let hold = HOLD.min(shared.bounds.borrow().directory);
     let answer = shared.dialect.write_directory(&addresses, hold);
     answer.map(|body| axum::body::Body::new(Full::new(body))).into_response()
@@ -69,7 +72,12 @@
     // All have just started, or none hears the others: any may serve, and says when
     // to come back if it can't.
     let listed = addresses(&|row| known.takes_claims(row));
-    if listed.is_empty() { vec![shared.settings.callers] } else { listed }
+    if !listed.is_empty() {
+        return listed;
+    }
+    // A daemon that has started while the store is away knows neither routes nor others.
+    // Callers that it sends to itself are refused; those that it tells nothing ask another.
+    if shared.is_known() { vec![shared.settings.callers] } else { Vec::new() }
 }
 
 async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use chestnut_base::{Code, Refusal, ServiceName};
 use chestnut_edge::{Call, Declared, Route};
+use chestnut_pool::fleet::RETURN_TIME;
 use http::{Response, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -25,6 +26,9 @@
 /// Two reads of the store take some 10 ms.
 const START_TIME: Duration = Duration::from_millis(300);
 
+/// How long after its start a daemon that knows nothing takes the store for silent.
+const STORE_TIME: Duration = Duration::from_secs(1);
+
 /// A request that is refused before it has a route.
 pub struct Unread {
     refusal: Refusal,
@@ -62,7 +66,8 @@
     if shared.is_closing() {
         return Err(refused(closing()));
     }
-    let declared = declared(&shared).await.ok_or_else(|| refused(unknown_yet()))?;
+    let declared =
+        declared(&shared).await.ok_or_else(|| refused(unknown_yet(&shared)))?;
     let route = find_route(&declared, &call).ok_or_else(|| refused(no_route(&call)))?;
     let body = read_body(body, declared.limits.body).await.map_err(&refused)?;
     let budget = call.budget.unwrap_or(Duration::MAX).min(declared.routes[route].timeout);
@@ -110,9 +115,12 @@
     declared.routes.iter().position(|one| std::ptr::eq(one, route))
 }
 
-fn unknown_yet() -> Refusal {
+fn unknown_yet(shared: &Shared) -> Refusal {
     let message = "the daemon has just started and knows no routes yet; use another";
-    Refusal::not_run(Code::Leaving, message).after(START_TIME)
+    // The store does not answer; entries of servers come back after it has.
+    let away = shared.now().saturating_duration_since(shared.started) > STORE_TIME;
+    let after = if away { RETURN_TIME } else { START_TIME };
+    Refusal::not_run(Code::Leaving, message).after(after)
 }
 
 fn no_route(call: &Call) -> Refusal {
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -75,6 +75,9 @@
 
     fn settled(&mut self) {
         let now = self.0.now();
+        if *self.0.listed.borrow() == 0 {
+            self.0.fleet().excuse(now);
+        }
         self.0.fleet().tidy(now);
         self.0.listed.send_modify(|count| *count += 1);
     }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -43,7 +43,8 @@
 /// one would not have been missed.
 const RESIDENCE_WAIT: Duration = Duration::from_secs(4);
 
-/// How long callers are told to stay away when no server can take a request.
+/// How long callers are told to stay away when no server can take a request, and
+/// nothing is known of when one can.
 const AWAY: Duration = Duration::from_millis(500);
 
 /// The longest that callers are told to stay away.
@@ -217,7 +218,10 @@
     let message = "no server can take the request now; come back when told";
     match lost {
         Some(_) => Refusal::in_doubt(Code::Broken, message),
-        None => Refusal::not_run(Code::Unavailable, message).after(AWAY),
+        None => {
+            let returns = job.shared.fleet().returns_in(job.shared.now());
+            Refusal::not_run(Code::Unavailable, message).after(returns.max(AWAY))
+        }
     }
 }
 
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -292,9 +292,12 @@
             .filter(|(excess, _)| *excess > 0.0)
             .collect();
         needs.sort_by(|a, b| b.0.total_cmp(&a.0));
+        // Of moves that are worth the same, such as two that would each fill the runner, the
+        // last is taken: the one of the neediest model.
         needs
             .into_iter()
             .take(LOOKED_AT)
+            .rev()
             .filter_map(|(excess, model)| {
                 let site = self.best_site(model)?;
                 let worth = self.worth(model, excess, &site);
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -152,6 +152,23 @@
     assert!(placement.moves <= 9);
 }
 
+#[test]
+fn the_neediest_model_gets_the_place() {
+    // Two models are asked for more than their runners serve, one of them by far more.
+    // There is room for one further replica. It goes to the one whose callers wait most,
+    // whichever is declared first: the other one's would fill it as well.
+    for needy in [0, 1] {
+        let runners = vec![runner(0, 50), runner(0, 50), runner(0, 50)];
+        let mut models = vec![model(40, 1, 1_900.0), model(40, 1, 1_900.0)];
+        models[needy].demand = 9_000.0;
+        models[0].placed = vec![0];
+        models[1].placed = vec![1];
+        let pool = PoolState { parallel: 1, ..pool(runners, models) };
+        let placed = plan(&pool).placed;
+        assert_eq!(placed[needy], [needy, 2], "the needy one is {needy}");
+    }
+}
+
 #[test]
 fn leaving_runner_is_replaced_first() {
     // Callers of the model on a VM that leaves must find it elsewhere before the
--- a/crates/pool/src/fleet.rs
+++ b/crates/pool/src/fleet.rs
@@ -76,17 +76,23 @@
         }
     }
 
-    /// Takes note that the registry could not be read until now.
+    /// Takes note that the registry could not be read until now, or is read for the first
+    /// time: whether it was away before is not known then.
     ///
     /// Entries lapse meanwhile though their servers live.
     pub fn excuse(&mut self, now: Instant) {
         self.excused = Some(now + RETURN_TIME);
     }
 
+    /// How much longer entries may be missing though their servers live.
+    pub fn returns_in(&self, now: Instant) -> Duration {
+        let until = self.excused.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
     /// Forgets servers that are gone and have nothing in flight.
     pub fn tidy(&mut self, now: Instant) {
-        let excused = self.excused.is_some_and(|until| now < until);
-        if excused {
+        if !self.returns_in(now).is_zero() {
             return;
         }
         let gone = |server: &Server| server.missing.is_some() && server.own.requests == 0;
@@ -97,7 +103,7 @@
 
     /// Whether the registry lists a server as one that takes new requests.
     pub fn is_listed(&self, server: &Server, now: Instant) -> bool {
-        let excused = self.excused.is_some_and(|until| now < until);
+        let excused = !self.returns_in(now).is_zero();
         (server.missing.is_none() || excused) && server.entry.phase == Phase::Ready
     }
 
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -50,6 +50,12 @@
 /// How long a move that was asked for counts as under way, beyond its load.
 const MOVE_SLACK: Duration = Duration::from_millis(1500);
 
+/// How long a model that makes room may be listed before its drop counts as failed.
+///
+/// Its runs end first, which takes as long as the longest streams; forgotten before, the
+/// replica would count as one that stays, and the last one be dropped elsewhere.
+const DROP_TIME: Duration = Duration::from_secs(12);
+
 /// How long a runner is left alone after a move failed there.
 ///
 /// An order that was not answered may act for seconds, and the next one fails as
@@ -83,12 +89,47 @@
     demands: Demands,
     pace: Pace,
     lost: Lost,
-    /// Moves under way and until when they count as such.
-    moving: IndexMap<ServerName, (Move, Instant)>,
+    /// Moves under way.
+    moving: IndexMap<ServerName, Moving>,
     /// Runners where a move failed, and until when they are left alone.
     failed: IndexMap<ServerName, Instant>,
 }
 
+/// A move under way.
+#[derive(Debug)]
+struct Moving {
+    change: Move,
+    /// Until when what it drops may still be listed.
+    drops: Instant,
+    /// Until when what it loads may still not be listed.
+    loads: Instant,
+}
+
+impl Moving {
+    fn new(change: Move, load: Duration, now: Instant) -> Self {
+        Self { change, drops: now + DROP_TIME, loads: now + load + MOVE_SLACK }
+    }
+
+    /// Whether the move is under way still, as far as the registry tells.
+    fn lasts(&self, runner: &ServerEntry, now: Instant) -> bool {
+        let lists = |model: &ModelName| holds(runner, model);
+        if self.change.drop.iter().any(lists) {
+            return now < self.drops;
+        }
+        let waits = self.change.load.as_ref().is_some_and(|model| !lists(model));
+        waits && now < self.loads
+    }
+
+    /// Gives up a load that is not there in time; what was to make room goes on.
+    ///
+    /// Its callers need not wait for the runs to end: it is planned for elsewhere.
+    fn give_up_load(&mut self, now: Instant) {
+        if now >= self.loads {
+            self.change.load = None;
+        }
+    }
+}
+
 /// A service's runners as the registry lists them, and what it declares.
 pub struct Scene<'a> {
     /// Runners that take new requests.
@@ -128,7 +169,11 @@
 
     /// Takes in that a runner's holder could not make a move.
     pub fn fail(&mut self, change: &Move, now: Instant) {
-        if self.moving.get(&change.server).is_some_and(|(known, _)| known == change) {
+        if self
+            .moving
+            .get(&change.server)
+            .is_some_and(|known| known.change.drop == change.drop)
+        {
             self.moving.swap_remove(&change.server);
             self.failed.insert(change.server.clone(), now + FAILED_TIME);
         }
@@ -150,18 +195,16 @@
 
     /// All moves under way.
     pub fn moving(&self) -> impl Iterator<Item = &Move> {
-        self.moving.values().map(|(change, _)| change)
+        self.moving.values().map(|moving| &moving.change)
     }
 
     fn forget_done(&mut self, scene: &Scene, now: Instant) {
         self.failed.retain(|_, until| now < *until);
-        self.moving.retain(|server, (change, until)| {
+        self.moving.retain(|server, moving| {
             let runner = scene.runners.iter().find(|runner| runner.name == *server);
-            let done = |runner: &ServerEntry| match &change.load {
-                Some(model) => holds(runner, model),
-                None => !change.drop.iter().any(|model| holds(runner, model)),
-            };
-            now < *until && runner.is_some_and(|runner| !done(runner))
+            let lasts = runner.is_some_and(|runner| moving.lasts(runner, now));
+            moving.give_up_load(now);
+            lasts
         });
     }
 
@@ -184,8 +227,9 @@
                 }
                 self.pace.take();
             }
-            let until = now + scene.engine.models[&model].load + MOVE_SLACK;
-            self.moving.insert(change.server.clone(), (change.clone(), until));
+            let moving =
+                Moving::new(change.clone(), scene.engine.models[&model].load, now);
+            self.moving.insert(change.server.clone(), moving);
             fresh.push(change);
         }
         fresh
@@ -197,7 +241,7 @@
         for model in scene.runners.iter().flat_map(|runner| &runner.models) {
             *replicas.entry(&model.model).or_default() += 1;
         }
-        for model in self.moving.values().flat_map(|(change, _)| &change.drop) {
+        for model in self.moving.values().flat_map(|moving| &moving.change.drop) {
             if let Some(count) = replicas.get_mut(model) {
                 *count = count.saturating_sub(1);
             }
@@ -230,8 +274,8 @@
             }
             let drop = vec![model.clone()];
             let change = Move { server: runner.name.clone(), drop, load: None };
-            let until = now + MOVE_SLACK;
-            self.moving.insert(runner.name.clone(), (change.clone(), until));
+            let moving = Moving::new(change.clone(), Duration::ZERO, now);
+            self.moving.insert(runner.name.clone(), moving);
             fresh.push(change);
         }
         fresh
@@ -279,7 +323,7 @@
     }
 
     fn loading(&self) -> usize {
-        self.moving.values().filter(|(change, _)| change.load.is_some()).count()
+        self.moving.values().filter(|moving| moving.change.load.is_some()).count()
     }
 
     /// The demand to plan for: models that many ask for may soon be asked for more.
@@ -298,12 +342,14 @@
 
     fn model_state(&self, scene: &Scene, name: &ModelName, demand: f64) -> ModelState {
         let declared = &scene.engine.models[name];
-        let moving = |runner: &ServerEntry| self.moving.get(&runner.name);
+        let moving = |runner: &ServerEntry| {
+            self.moving.get(&runner.name).map(|moving| &moving.change)
+        };
         let loads = |runner: &ServerEntry| {
-            moving(runner).is_some_and(|(change, _)| change.load.as_ref() == Some(name))
+            moving(runner).is_some_and(|change| change.load.as_ref() == Some(name))
         };
         let drops = |runner: &ServerEntry| {
-            moving(runner).is_some_and(|(change, _)| change.drop.contains(name))
+            moving(runner).is_some_and(|change| change.drop.contains(name))
         };
         let there =
             |runner: &ServerEntry| loads(runner) || holds(runner, name) && !drops(runner);
--- a/crates/pool/tests/servers.rs
+++ b/crates/pool/tests/servers.rs
@@ -61,6 +61,19 @@
     assert_eq!(open(&fleet, now + Duration::from_millis(2100)), 0);
 }
 
+#[test]
+fn callers_are_told_when_entries_are_back() {
+    // All machines lose power while the registry is away. A daemon reads a registry that
+    // is nearly empty; its callers are refused, and those that come back before the
+    // entries do are refused once more and may not come back again.
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    assert_eq!(fleet.returns_in(now), Duration::ZERO);
+    fleet.excuse(now);
+    let later = now + Duration::from_millis(500);
+    assert_eq!(fleet.returns_in(later), Duration::from_millis(1500));
+    assert_eq!(fleet.returns_in(now + Duration::from_secs(3)), Duration::ZERO);
+}
+
 #[test]
 fn a_server_that_starts_again_is_another_one() {
     // A runner crashes and is back under its name. What was counted there is gone with
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -275,6 +275,26 @@
     }
 }
 
+#[tokio::test]
+async fn a_daemon_that_knows_nothing_sends_no_callers_to_itself() {
+    // A daemon is killed and starts again while the store is silent. It knows neither
+    // routes nor others, and would refuse whoever it sent to itself; without an address
+    // callers ask another daemon. Once the store is back it serves.
+    let mut world = World::start("blank", 2).await;
+    world.store.fail(StoreFault::Silent);
+    world.gates[0].kill();
+    world.gates[0].restart();
+    until("the daemon is up", async || {
+        !world.caller.text(world.gates[0].metrics, "/metrics").await.is_empty()
+    })
+    .await;
+    assert_eq!(world.caller.directory(world.gates[0].directory).await, []);
+    let known = world.caller.directory(world.gates[1].directory).await;
+    assert!(known.contains(&world.gates[1].callers), "{known:?}");
+    world.store.fail(StoreFault::None);
+    world.until_ready().await;
+}
+
 #[tokio::test]
 async fn configurations_only_go_forward() {
     // Routes are added and removed while the store forgets its history and an old
