--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -20,7 +20,8 @@
 use crate::events::Events;
 use crate::job::{End, Job, StreamPace};
 use crate::metrics::{Span, Step};
-use crate::serve::{pick, whole};
+use crate::pick::pick;
+use crate::serve::whole;
 
 /// The body of an answer to a caller.
 pub type OutBody = UnsyncBoxBody<Bytes, Cut>;
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -12,7 +12,7 @@
 use chestnut_edge::{Engine, Order, OrderAnswer, OrderStep, ServerEntry, TargetModel};
 use chestnut_member::wake;
 use chestnut_pool::AdapterNeed;
-use chestnut_pool::placing::Move;
+use chestnut_pool::moving::Move;
 use slog::{info, warn};
 use tokio::time::sleep;
 
--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -12,7 +12,7 @@
 use chestnut_edge::TargetModel;
 use chestnut_member::ClaimKey;
 use chestnut_pool::Runner;
-use chestnut_pool::placing::Move;
+use chestnut_pool::moving::Move;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::driver::Driver;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! 1. [`front`] accepts the caller's connection,
 //! 2. [`read`] reads the request and finds its route; from then on it is a [`job`],
-//! 3. [`serve`] picks a server and tries others as long as that is allowed,
+//! 3. [`serve`] has a server [`pick`]ed and tries others as long as that is allowed,
 //! 4. [`attempt`] sends it to one server and waits for the answer's head,
 //! 5. [`answer`] passes the answer on, and lets another server go on where a
 //!    stream of numbered [`events`] breaks.
@@ -41,6 +41,7 @@
 pub mod mirror;
 pub mod observe;
 pub mod peers;
+pub mod pick;
 pub mod planner;
 pub mod read;
 pub mod receive;
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -5,7 +5,7 @@
 
 use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
 use chestnut_edge::TargetModel;
-use chestnut_pool::placing::Move;
+use chestnut_pool::moving::Move;
 use chestnut_pool::{Bid, Usage, Want};
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/crates/gate/src/pick.rs
@@ -0,0 +1,131 @@
+//! Picks the server that a request is sent to.
+//!
+//! A plain request goes to the server with the least in flight. A generation goes to the
+//! runner whose holder expects its first event soonest, and waits there for its turn; it
+//! looks at all runners again while it waits, and is refused once none can begin before
+//! its caller leaves.
+
+use std::time::Duration;
+
+use chestnut_base::ServerName;
+use chestnut_pool::{Candidate, choose};
+use slog::info;
+use tokio::time::{Instant, timeout_at};
+
+use crate::ask::{self, Turn};
+use crate::attempt::Place;
+use crate::job::Job;
+
+/// The pause before a server is asked for the second time; it doubles then.
+///
+/// Plain requests run for 30 to 60 ms on some six places, so that one is free in ten.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long a request waits for a server that holds its model.
+///
+/// A load from the weight store takes one to two seconds; later than that another
+/// one would not have been missed.
+const RESIDENCE_WAIT: Duration = Duration::from_secs(4);
+
+/// Why no server was picked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPlace {
+    /// No server can take the request.
+    Nowhere,
+    /// Those that could have room in this time, after the caller's patience has ended.
+    Full(Duration),
+}
+
+/// Picks a server; waits for one if none can take the request.
+///
+/// `lacking` is a server that turned out not to have the request's adapter;
+/// servers on `tried` did not serve the request and are asked only at last.
+pub async fn pick(
+    job: &Job,
+    lacking: Option<ServerName>,
+    tried: &[ServerName],
+) -> Result<Place, NoPlace> {
+    let limit = job.patience().min(job.arrived + RESIDENCE_WAIT);
+    let limit = Instant::from_std(limit);
+    let mut listed = job.shared.listed.subscribe();
+    let mut avoid = tried.to_vec();
+    loop {
+        listed.borrow_and_update();
+        match pick_now(job, &mut avoid, lacking.as_ref()).await {
+            Err(NoPlace::Nowhere) if job.call.target.is_some() => avoid.clear(),
+            decided => return decided,
+        }
+        let changed = timeout_at(limit, listed.changed()).await;
+        if !matches!(changed, Ok(Ok(()))) {
+            return Err(NoPlace::Nowhere);
+        }
+    }
+}
+
+/// Picks a server that can take the request now; those whose adapter can't be
+/// loaded go to `avoid`.
+async fn pick_now(
+    job: &Job,
+    avoid: &mut Vec<ServerName>,
+    lacking: Option<&ServerName>,
+) -> Result<Place, NoPlace> {
+    loop {
+        if job.call.target.is_none() {
+            let chosen = pick_plain(job, avoid).ok_or(NoPlace::Nowhere)?;
+            return place(job, chosen).ok_or(NoPlace::Nowhere);
+        }
+        let chosen = ask::pick(job, avoid).await.ok_or(NoPlace::Nowhere)?;
+        let wait = Duration::from_secs_f64(chosen.bid.cost.max(0.0) / 1000.0);
+        if job.shared.now() + wait > job.patience() {
+            return Err(NoPlace::Full(wait));
+        }
+        let mut place = place(job, chosen).ok_or(NoPlace::Nowhere)?;
+        let missed = lacking == Some(&place.name);
+        match ask::turn(job, &place.name, missed).await {
+            Turn::Send(number) => {
+                place.number = Some(number);
+                return Ok(place);
+            }
+            // Without its holder the runner is sent to as it was before.
+            Turn::Silent => return Ok(place),
+            Turn::Denied => avoid.push(place.name),
+            Turn::Again if job.shared.now() < job.patience() => {}
+            Turn::Again => return Err(NoPlace::Nowhere),
+        }
+    }
+}
+
+fn pick_plain(job: &Job, avoid: &[ServerName]) -> Option<Candidate> {
+    let shared = &job.shared;
+    let (now, domain) = (shared.now(), &shared.settings.domain);
+    let fleet = shared.fleet();
+    let open = || fleet.open(&job.service, now);
+    let fresh = open().filter(|(_, server)| !avoid.contains(&server.entry.name));
+    // Where all have rejected it, one may have room by now.
+    choose(fresh, job.call.size, domain, now)
+        .or_else(|| choose(open(), job.call.size, domain, now))
+}
+
+fn place(job: &Job, chosen: Candidate) -> Option<Place> {
+    let fleet = job.shared.fleet();
+    let server = fleet.get(chosen.key)?;
+    let (name, addr) = (server.entry.name.clone(), server.entry.address);
+    let registry = job.shared.tables.servers.news(job.shared.now());
+    info!(job.shared.log, "server picked"; "id" => job.id(), "server" => name.to_string(),
+        "target" => job.call.target.as_ref().map(|target| target.to_string()),
+        "cost_ms" => chosen.bid.cost as u64, "requests" => chosen.bid.requests,
+        "registry_version" => registry.map(|(version, _)| version),
+        "registry_age_ms" => registry.map(|(_, age)| age));
+    Some(Place { key: chosen.key, name, addr, number: None })
+}
+
+/// Waits before a server that did not serve the request is asked once more.
+///
+/// A server that is full has room when one of its requests ends. Asked again at once, a
+/// request uses up its tries, and a part of all callers' repeats, within milliseconds.
+pub async fn pause_before(server: &ServerName, tried: &[ServerName]) {
+    let before = tried.iter().filter(|one| *one == server).count() as u32;
+    if let Some(doublings) = before.checked_sub(1) {
+        tokio::time::sleep(FIRST_PAUSE * 2u32.pow(doublings)).await;
+    }
+}
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -11,38 +11,26 @@
 use bytes::Bytes;
 use chestnut_base::{Code, Refusal, ServerName};
 use chestnut_edge::RouteKind;
-use chestnut_pool::{Candidate, choose};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use slog::info;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::answer::{self, OutBody};
-use crate::ask::Turn;
-use crate::attempt::{Answered, Missed, Place, attempt};
+use crate::attempt::{Answered, Missed, attempt};
 use crate::job::Job;
 use crate::metrics::Step;
+use crate::pick::{NoPlace, pause_before, pick};
 use crate::shared::Shared;
-use crate::{ask, planner, read};
+use crate::{planner, read};
 
 /// Servers that are tried for one request, at most.
 const TRIES: usize = 6;
 
-/// The pause before a server is asked for the second time; it doubles then.
-///
-/// Plain requests run for 30 to 60 ms on some six places, so that one is free in ten.
-const FIRST_PAUSE: Duration = Duration::from_millis(20);
-
 /// The status by which a server says that it lacks the model or the adapter.
 const MISDIRECTED: u16 = 421;
 
-/// How long a request waits for a server that holds its model.
-///
-/// A load from the weight store takes one to two seconds; later than that another
-/// one would not have been missed.
-const RESIDENCE_WAIT: Duration = Duration::from_secs(4);
-
 /// How long callers are told to stay away when no server can take a request, and
 /// nothing is known of when one can.
 const AWAY: Duration = Duration::from_millis(500);
@@ -92,8 +80,9 @@
         planner::note(&job.shared, &job.service, &target.model, job.demand());
     }
     let mut lost = None;
-    let mut lacking = None;
     let mut tried = Vec::new();
+    let mut lacking: Option<ServerName> = None;
+    let mut missing = Vec::new();
     for _ in 0..TRIES {
         let place = match pick(&job, lacking.take(), &tried).await {
             Ok(place) => place,
@@ -116,7 +105,11 @@
         info!(job.shared.log, "attempt missed"; "id" => job.id(),
             "server" => place.name.to_string(), "why" => format!("{missed:?}"));
         match missed {
-            Missed::Rejected(MISDIRECTED) => lacking = Some(place.name),
+            // Its adapter may have been dropped; one that says so twice is left alone.
+            Missed::Rejected(MISDIRECTED) if !missing.contains(&place.name) => {
+                missing.push(place.name.clone());
+                lacking = Some(place.name);
+            }
             Missed::Rejected(_) => tried.push(place.name),
             Missed::Unreachable(_) | Missed::Lost(_) | Missed::Late => {}
         }
@@ -127,26 +120,6 @@
     Err((no_server(&job, lost), job))
 }
 
-/// Waits before a server that did not serve the request is asked once more.
-///
-/// A server that is full has room when one of its requests ends. Asked again at once, a
-/// request uses up its tries, and a part of all callers' repeats, within milliseconds.
-async fn pause_before(server: &ServerName, tried: &[ServerName]) {
-    let before = tried.iter().filter(|one| *one == server).count() as u32;
-    if let Some(doublings) = before.checked_sub(1) {
-        tokio::time::sleep(FIRST_PAUSE * 2u32.pow(doublings)).await;
-    }
-}
-
-/// Why no server was picked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoPlace {
-    /// No server can take the request.
-    Nowhere,
-    /// Those that could have room in this time, after the caller's patience has ended.
-    Full(Duration),
-}
-
 /// Refuses a request that would wait for longer than its caller does.
 ///
 /// Held to the end, its caller leaves with nothing and too late to ask again; told at
@@ -225,89 +198,6 @@
     }
 }
 
-/// Picks a server; waits for one if none can take the request.
-///
-/// `lacking` is a server that turned out not to have the request's adapter;
-/// servers on `tried` did not serve the request and are asked only at last.
-pub async fn pick(
-    job: &Job,
-    lacking: Option<ServerName>,
-    tried: &[ServerName],
-) -> Result<Place, NoPlace> {
-    let limit = job.patience().min(job.arrived + RESIDENCE_WAIT);
-    let limit = Instant::from_std(limit);
-    let mut listed = job.shared.listed.subscribe();
-    let mut avoid = tried.to_vec();
-    loop {
-        listed.borrow_and_update();
-        match pick_now(job, &mut avoid, lacking.as_ref()).await {
-            Err(NoPlace::Nowhere) if job.call.target.is_some() => avoid.clear(),
-            decided => return decided,
-        }
-        let changed = timeout_at(limit, listed.changed()).await;
-        if !matches!(changed, Ok(Ok(()))) {
-            return Err(NoPlace::Nowhere);
-        }
-    }
-}
-
-/// Picks a server that can take the request now; those whose adapter can't be
-/// loaded go to `avoid`.
-async fn pick_now(
-    job: &Job,
-    avoid: &mut Vec<ServerName>,
-    lacking: Option<&ServerName>,
-) -> Result<Place, NoPlace> {
-    loop {
-        if job.call.target.is_none() {
-            let chosen = pick_plain(job, avoid).ok_or(NoPlace::Nowhere)?;
-            return place(job, chosen).ok_or(NoPlace::Nowhere);
-        }
-        let chosen = ask::pick(job, avoid).await.ok_or(NoPlace::Nowhere)?;
-        let wait = Duration::from_secs_f64(chosen.bid.cost.max(0.0) / 1000.0);
-        if job.shared.now() + wait > job.patience() {
-            return Err(NoPlace::Full(wait));
-        }
-        let mut place = place(job, chosen).ok_or(NoPlace::Nowhere)?;
-        let missed = lacking == Some(&place.name);
-        match ask::turn(job, &place.name, missed).await {
-            Turn::Send(number) => {
-                place.number = Some(number);
-                return Ok(place);
-            }
-            // Without its holder the runner is sent to as it was before.
-            Turn::Silent => return Ok(place),
-            Turn::Denied => avoid.push(place.name),
-            Turn::Again if job.shared.now() < job.patience() => {}
-            Turn::Again => return Err(NoPlace::Nowhere),
-        }
-    }
-}
-
-fn pick_plain(job: &Job, avoid: &[ServerName]) -> Option<Candidate> {
-    let shared = &job.shared;
-    let (now, domain) = (shared.now(), &shared.settings.domain);
-    let fleet = shared.fleet();
-    let open = || fleet.open(&job.service, now);
-    let fresh = open().filter(|(_, server)| !avoid.contains(&server.entry.name));
-    // Where all have rejected it, one may have room by now.
-    choose(fresh, job.call.size, domain, now)
-        .or_else(|| choose(open(), job.call.size, domain, now))
-}
-
-fn place(job: &Job, chosen: Candidate) -> Option<Place> {
-    let fleet = job.shared.fleet();
-    let server = fleet.get(chosen.key)?;
-    let (name, addr) = (server.entry.name.clone(), server.entry.address);
-    let registry = job.shared.tables.servers.news(job.shared.now());
-    info!(job.shared.log, "server picked"; "id" => job.id(), "server" => name.to_string(),
-        "target" => job.call.target.as_ref().map(|target| target.to_string()),
-        "cost_ms" => chosen.bid.cost as u64, "requests" => chosen.bid.requests,
-        "registry_version" => registry.map(|(version, _)| version),
-        "registry_age_ms" => registry.map(|(_, age)| age));
-    Some(Place { key: chosen.key, name, addr, number: None })
-}
-
 /// A body of bytes that are all there.
 pub fn whole(bytes: Bytes) -> OutBody {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod health;
 pub mod lane;
 pub mod lost;
+pub mod moving;
 pub mod pace;
 pub mod placing;
 pub mod prefix;
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -16,10 +16,10 @@
 use chestnut_edge::{Engine, ServerEntry};
 use chestnut_place::planner::{ModelState, Placement, PoolState, RunnerState, plan};
 use indexmap::{IndexMap, IndexSet};
-use serde::{Deserialize, Serialize};
 
 use crate::demand::Demands;
 use crate::lost::Lost;
+use crate::moving::{Move, Moving, holds};
 use crate::pace::Pace;
 
 /// The tokens a second, prompt and weighted output, that one runner serves in time.
@@ -47,15 +47,6 @@
 /// The share of all demand from which on a model's growth is planned for.
 const GROWING: f64 = 0.08;
 
-/// How long a move that was asked for counts as under way, beyond its load.
-const MOVE_SLACK: Duration = Duration::from_millis(1500);
-
-/// How long a model that makes room may be listed before its drop counts as failed.
-///
-/// Its runs end first, which takes as long as the longest streams; forgotten before, the
-/// replica would count as one that stays, and the last one be dropped elsewhere.
-const DROP_TIME: Duration = Duration::from_secs(12);
-
 /// How long a runner is left alone after a move failed there.
 ///
 /// An order that was not answered may act for seconds, and the next one fails as
@@ -72,17 +63,6 @@
 /// Bytes in a megabyte, as sizes are declared.
 const MB: f64 = 1e6;
 
-/// A change of what a runner holds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Move {
-    /// The runner.
-    pub server: ServerName,
-    /// Models that make room; each has other replicas.
-    pub drop: Vec<ModelName>,
-    /// The model to load, if it is not only room that is wanted.
-    pub load: Option<ModelName>,
-}
-
 /// What is known of a service's placement.
 #[derive(Debug)]
 pub struct Placing {
@@ -95,41 +75,6 @@
     failed: IndexMap<ServerName, Instant>,
 }
 
-/// A move under way.
-#[derive(Debug)]
-struct Moving {
-    change: Move,
-    /// Until when what it drops may still be listed.
-    drops: Instant,
-    /// Until when what it loads may still not be listed.
-    loads: Instant,
-}
-
-impl Moving {
-    fn new(change: Move, load: Duration, now: Instant) -> Self {
-        Self { change, drops: now + DROP_TIME, loads: now + load + MOVE_SLACK }
-    }
-
-    /// Whether the move is under way still, as far as the registry tells.
-    fn lasts(&self, runner: &ServerEntry, now: Instant) -> bool {
-        let lists = |model: &ModelName| holds(runner, model);
-        if self.change.drop.iter().any(lists) {
-            return now < self.drops;
-        }
-        let waits = self.change.load.as_ref().is_some_and(|model| !lists(model));
-        waits && now < self.loads
-    }
-
-    /// Gives up a load that is not there in time; what was to make room goes on.
-    ///
-    /// Its callers need not wait for the runs to end: it is planned for elsewhere.
-    fn give_up_load(&mut self, now: Instant) {
-        if now >= self.loads {
-            self.change.load = None;
-        }
-    }
-}
-
 /// A service's runners as the registry lists them, and what it declares.
 pub struct Scene<'a> {
     /// Runners that take new requests.
@@ -369,10 +314,6 @@
     }
 }
 
-fn holds(runner: &ServerEntry, model: &ModelName) -> bool {
-    runner.models.iter().any(|held| held.model == *model)
-}
-
 /// Whether the runner has a copy of the weights, so that the store isn't needed.
 fn is_near(runner: &ServerEntry, model: &ModelName) -> bool {
     runner.warm.contains(model) || runner.on_disk.contains(model)
