Leave a silent server after four times the objective where a request may run again

Cause: a look-up sent to a server that hangs waited for it until the route's time was over, while other servers answered in 50 ms. It goes elsewhere once, if the service's repeats allow it; what may run once waits on. Test failed before.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -1,15 +1,16 @@
 //! One attempt: a request sent to one backend server, up to the answer's head.
 
+use std::pin::pin;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnut_base::ServerName;
-use chestnut_edge::{Attempt, Reply};
+use chestnut_edge::{Attempt, Reply, RouteKind};
 use chestnut_pool::{Flight, ServerKey};
 use http::{Request, response};
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use crate::client::{Connection, SendFault};
 use crate::job::Job;
@@ -17,6 +18,12 @@
 use crate::shared::Shared;
 use crate::sums;
 
+/// How long a server may be silent, in times of the route's objective.
+///
+/// Servers that are slow take up to eight times as long as they should, which is half of
+/// the objective or less.
+const SILENCE: u32 = 4;
+
 /// A request in flight; dropping it takes it out of the count.
 pub struct InFlight {
     shared: Arc<Shared>,
@@ -100,6 +107,8 @@
     Rejected(u16),
     /// It was sent and may have run.
     Lost(String),
+    /// It was sent, there is no answer after a while, and it may be sent elsewhere.
+    Silent,
     /// The time ran out after it was sent.
     Late,
 }
@@ -111,6 +120,7 @@
             Self::Unreachable(_) => "unreachable",
             Self::Rejected(_) => "rejected",
             Self::Lost(_) => "lost",
+            Self::Silent => "silent",
             Self::Late => "late",
         }
     }
@@ -131,7 +141,7 @@
             Ok((head, ..)) if head.status.is_server_error() => server.health.failed(now),
             Ok(_) => server.health.answered(now),
             Err(Missed::Unreachable(_)) => server.health.refused(now),
-            Err(Missed::Lost(_)) => server.health.failed(now),
+            Err(Missed::Lost(_) | Missed::Silent) => server.health.failed(now),
             Err(Missed::Rejected(_) | Missed::Late) => {}
         }
     }
@@ -152,8 +162,20 @@
     let connected = connected.map_err(|_| Missed::Unreachable("no time left".into()))?;
     let connection = connected.map_err(|fault| Missed::Unreachable(fault.to_string()))?;
     let request = write(job, place, resume_after);
-    let answer = timeout_at(deadline, connection.send(request)).await;
-    let (response, connection) = match answer.map_err(|_| Missed::Late)? {
+    let mut sending = pin!(connection.send(request));
+    let mut early = None;
+    if let Some(patience) = patience(job) {
+        early = timeout(patience, &mut sending).await.ok();
+        // It goes on waiting where there is no repeat to be had.
+        if early.is_none() && job.shared.take_repeat(&job.service) {
+            return Err(Missed::Silent);
+        }
+    }
+    let answer = match early {
+        Some(answer) => answer,
+        None => timeout_at(deadline, sending).await.map_err(|_| Missed::Late)?,
+    };
+    let (response, connection) = match answer {
         Ok(answer) => answer,
         Err(SendFault::NotSent(why)) => return Err(Missed::Unreachable(why)),
         Err(SendFault::Lost(why)) => return Err(Missed::Lost(why)),
@@ -171,6 +193,20 @@
     Ok((head, reply, body, connection))
 }
 
+/// How long one server's answer is waited for before the request goes elsewhere.
+///
+/// A server that hangs would hold a request that any other one answers at once. Only
+/// what may run again is sent again, and once: a second silence is a slow service.
+fn patience(job: &Job) -> Option<Duration> {
+    let route = job.route();
+    if route.kind != RouteKind::Idempotent || route.attempts < 2 {
+        return None;
+    }
+    let limit = job.arrived + route.objective * SILENCE;
+    let patience = limit.saturating_duration_since(job.shared.now());
+    (limit < job.deadline && !patience.is_zero()).then_some(patience)
+}
+
 fn write(job: &Job, place: &Place, resume_after: Option<u64>) -> Request<Bytes> {
     let attempt = Attempt {
         server: place.name.clone(),
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -110,8 +110,10 @@
                 missing.push(place.name.clone());
                 lacking = Some(place.name);
             }
-            Missed::Rejected(_) => tried.push(place.name),
-            Missed::Unreachable(_) | Missed::Lost(_) | Missed::Late => {}
+            Missed::Rejected(_) | Missed::Lost(_) | Missed::Silent => {
+                tried.push(place.name);
+            }
+            Missed::Unreachable(_) | Missed::Late => {}
         }
         if let Err(refusal) = allow_another(&job, missed, &mut lost) {
             return Err((refusal, job));
@@ -165,6 +167,11 @@
         Missed::Unreachable(_) => Ok(()),
         Missed::Rejected(_) if granted("rejected") => Ok(()),
         Missed::Rejected(_) => Err(no_server(job, lost.take())),
+        Missed::Silent => {
+            job.shared.metrics.count(Step::Repeat, "silent");
+            *lost = Some("no answer".into());
+            Ok(())
+        }
         Missed::Late => {
             let message = "the time ran out before the answer began; allow more time";
             Err(Refusal::in_doubt(Code::Late, message))
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -192,6 +192,24 @@
     assert_eq!(world.runs(&answer), 1);
 }
 
+#[tokio::test]
+async fn a_silent_server_does_not_hold_what_may_run_again() {
+    // One server takes requests and never answers. A look-up that it got is sent to the
+    // other one well before its time ends, and answered; a record that may run once waits
+    // for its answer to the end, and is not sent again.
+    let world = World::start("silent", 1).await;
+    world.services[0].fail(ServiceFault::Mute);
+    for _ in 0..4 {
+        let answer = world.ask(0, &Question::plain("lookup")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    for _ in 0..4 {
+        let answer = world.ask(0, &Question::plain("record")).await;
+        assert!([200, 504].contains(&answer.status), "{answer:?}");
+        assert!(world.runs(&answer) <= 1);
+    }
+}
+
 #[tokio::test]
 async fn a_lost_answer_is_not_called_not_run() {
     // A server runs a booking and never answers, or answers another request. Whether it
