--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -47,7 +47,7 @@
     job: Box<Job>,
     answered: Answered,
 ) -> Result<Response<OutBody>, (Refusal, Box<Job>)> {
-    job.shared.metrics.observe(Span::FirstByte, job.arrived.elapsed());
+    job.shared.metrics.observe(Span::FirstByte, job.age());
     if is_event_stream(&answered.head) {
         let head = answered.head.clone();
         let relay = Relay::new(job, answered);
@@ -148,6 +148,7 @@
 impl Relay {
     fn new(job: Box<Job>, answered: Answered) -> Self {
         let last = job.call.resume_after;
+        let at = job.shared.now();
         let events = Events::default();
         Self {
             job,
@@ -156,7 +157,7 @@
             events,
             last,
             pace: StreamPace::default(),
-            at: Instant::now(),
+            at,
             ended: false,
         }
     }
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use chestnut_base::id::rendezvous;
 use chestnut_base::{MemberId, ServerName};
@@ -237,7 +237,7 @@
 ///
 /// `missed` says that the runner has just said that it lacks the adapter.
 pub async fn turn(job: &Job, server: &ServerName, missed: bool) -> Turn {
-    let began = Instant::now();
+    let began = job.shared.now();
     let (number, receiver) = job.shared.peers.expect();
     let place = Place { job, server, number, settled: false };
     let turn = match job.shared.holder(server) {
@@ -245,10 +245,11 @@
         None => place.there(receiver, missed).await,
     };
     job.shared.metrics.count(Step::Turn, turn.name());
-    job.shared.metrics.observe(Span::Turn, began.elapsed());
+    let waited = job.shared.now().saturating_duration_since(began);
+    job.shared.metrics.observe(Span::Turn, waited);
     info!(job.shared.log, "turn"; "id" => job.id(), "server" => server.to_string(),
         "turn" => format!("{turn:?}"), "missed" => missed,
-        "waited_ms" => began.elapsed().as_millis() as u64);
+        "waited_ms" => waited.as_millis() as u64);
     turn
 }
 
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -40,7 +40,8 @@
         let flight = Flight { size: job.size(), begun: false };
         shared.fleet().begin(key, flight);
         sums::tell(&shared, key, job.call.target.clone(), None);
-        Self { shared, key, flight, sent: Instant::now() }
+        let sent = shared.now();
+        Self { shared, key, flight, sent }
     }
 
     /// Takes note that the server has begun to answer.
@@ -56,7 +57,8 @@
             self.flight.begun = true;
             fleet.begin(self.key, self.flight);
         }
-        let after_ms = self.sent.elapsed().as_millis() as u32;
+        let after_ms =
+            self.shared.now().saturating_duration_since(self.sent).as_millis() as u32;
         let begun = number.map(|number| Begun { number, after_ms });
         sums::tell(&self.shared, self.key, None, begun);
     }
@@ -210,7 +212,7 @@
 fn write(job: &Job, place: &Place, resume_after: Option<u64>) -> Request<Bytes> {
     let attempt = Attempt {
         server: place.name.clone(),
-        budget: job.deadline.saturating_duration_since(Instant::now()),
+        budget: job.deadline.saturating_duration_since(job.shared.now()),
         urgency: job.route().urgency.min(9),
         resume_after,
     };
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -92,7 +92,7 @@
 /// Takes, hands over and gives up claims.
 pub async fn tick(shared: &Arc<Shared>) {
     let read = *shared.own_read.borrow();
-    let gathered = shared.started.elapsed() >= GATHER || shared.is_back();
+    let gathered = shared.age() >= GATHER || shared.is_back();
     if !read || !gathered {
         return;
     }
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -202,7 +202,7 @@
         }
         let rank = rank(&self.shared, self.table.name);
         // Right after its start a daemon knows no others and takes itself for the reader.
-        let settled = self.shared.started.elapsed() > SETTLED;
+        let settled = self.shared.age() > SETTLED;
         if rank == 0 && settled {
             return Source::Store(HOLD);
         }
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -73,6 +73,11 @@
 }
 
 impl Job {
+    /// How long ago its head was read.
+    pub fn age(&self) -> Duration {
+        self.shared.now().saturating_duration_since(self.arrived)
+    }
+
     /// The route.
     pub fn route(&self) -> &Route {
         &self.declared.routes[self.route]
@@ -140,7 +145,7 @@
     /// Records how the request ended.
     pub fn ended(&self, end: End) {
         self.done.store(true, Ordering::Relaxed);
-        let time = self.shared.now().saturating_duration_since(self.arrived);
+        let time = self.age();
         let route = self.route();
         self.shared.metrics.ended(&route.name, end.how);
         self.shared.metrics.observe(Span::WholeAnswer, time);
--- a/crates/gate/src/observe.rs
+++ b/crates/gate/src/observe.rs
@@ -137,7 +137,7 @@
     Dump {
         vm: shared.settings.vm.clone(),
         member: shared.peers.me,
-        uptime: shared.now().saturating_duration_since(shared.started),
+        uptime: shared.age(),
         ready: shared.is_ready(),
         leaving: *shared.leaving.borrow(),
         active: shared.active.count(),
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -118,7 +118,7 @@
 fn unknown_yet(shared: &Shared) -> Refusal {
     let message = "the daemon has just started and knows no routes yet; use another";
     // The store does not answer; entries of servers come back after it has.
-    let away = shared.now().saturating_duration_since(shared.started) > STORE_TIME;
+    let away = shared.age() > STORE_TIME;
     let after = if away { RETURN_TIME } else { START_TIME };
     Refusal::not_run(Code::Leaving, message).after(after)
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -15,7 +15,6 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use slog::info;
-use tokio::time::Instant;
 
 use crate::answer::{self, OutBody};
 use crate::attempt::{Answered, Missed, attempt};
@@ -188,7 +187,7 @@
 }
 
 fn no_server(job: &Job, lost: Option<String>) -> Refusal {
-    if Instant::now().into_std() >= job.deadline {
+    if job.shared.now() >= job.deadline {
         let message = "the time ran out before a server could take the request";
         return match lost {
             Some(_) => Refusal::in_doubt(Code::Late, message),
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the parts of the daemon share.
 
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use chestnut_base::{Clock, MemberId, ServerName, ServiceName};
 use chestnut_edge::{Declared, Dialect, Engine};
@@ -199,6 +199,11 @@
         self.plans.lock().expect("no holder of the lock panics")
     }
 
+    /// How long ago the daemon started.
+    pub fn age(&self) -> Duration {
+        self.now().saturating_duration_since(self.started)
+    }
+
     /// Whether the daemon has stood still lately, so that news may be from before.
     pub fn is_waking(&self) -> bool {
         let now = self.now();
