Let no request run more often than its route allows

Cause, found by reading: a request that a silent server may have run, and then a server that broke off, went to a third one though its route allows two runs. Runs are counted now, and each repeat asks whether one more may follow.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -201,7 +201,7 @@
 /// what may run again is sent again, and once: a second silence is a slow service.
 fn patience(job: &Job) -> Option<Duration> {
     let route = job.route();
-    if route.kind != RouteKind::Idempotent || route.attempts < 2 {
+    if route.kind != RouteKind::Idempotent || !job.may_run_after(job.runs + 1) {
         return None;
     }
     let limit = job.arrived + route.objective * SILENCE;
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -66,6 +66,8 @@
     pub deadline: Instant,
     /// When it was last sent.
     pub sent: Instant,
+    /// How often it may have run without bringing an answer for the caller.
+    pub runs: u32,
     /// Whether its caller has a part of the answer.
     pub begun: bool,
     /// Whether its end was recorded.
@@ -73,6 +75,11 @@
 }
 
 impl Job {
+    /// Whether one more run may follow after so many.
+    pub fn may_run_after(&self, runs: u32) -> bool {
+        self.route().kind.is_repeatable() && runs < self.route().attempts
+    }
+
     /// How long ago its head was read.
     pub fn age(&self) -> Duration {
         self.shared.now().saturating_duration_since(self.arrived)
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -85,6 +85,7 @@
         arrived,
         deadline,
         sent: arrived,
+        runs: 0,
         begun: false,
         done: AtomicBool::new(false),
     })
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -93,6 +93,7 @@
         let missed = match attempt(&job, &place, job.call.resume_after).await {
             Ok(answered) => match again(&job, &answered, &mut lost) {
                 true => {
+                    job.runs += 1;
                     tried.push(place.name);
                     continue;
                 }
@@ -109,7 +110,9 @@
                 missing.push(place.name.clone());
                 lacking = Some(place.name);
             }
-            Missed::Rejected(_) | Missed::Lost(_) | Missed::Silent => {
+            Missed::Rejected(_) => tried.push(place.name),
+            Missed::Lost(_) | Missed::Silent => {
+                job.runs += 1;
                 tried.push(place.name);
             }
             Missed::Unreachable(_) | Missed::Late => {}
@@ -138,7 +141,7 @@
 fn again(job: &Job, answered: &Answered, lost: &mut Option<String>) -> bool {
     let plain = job.route().kind == RouteKind::Idempotent;
     let failed = answered.head.status.is_server_error();
-    if !(plain && failed && lost.is_none() && job.route().attempts > 1) {
+    if !(plain && failed && job.may_run_after(job.runs + 1)) {
         return false;
     }
     let granted = job.shared.take_repeat(&job.service);
@@ -175,7 +178,7 @@
             let message = "the time ran out before the answer began; allow more time";
             Err(Refusal::in_doubt(Code::Late, message))
         }
-        Missed::Lost(why) if job.route().kind.is_repeatable() && granted("lost") => {
+        Missed::Lost(why) if job.may_run_after(job.runs) && granted("lost") => {
             *lost = Some(why);
             Ok(())
         }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -210,6 +210,21 @@
     }
 }
 
+#[tokio::test]
+async fn no_request_runs_more_often_than_its_route_allows() {
+    // One server never answers, the other answers other requests. A look-up runs at one,
+    // then at the other, and is given up then, though there is time and the service has
+    // repeats: its route allows two runs.
+    let world = World::start("twice", 1).await;
+    world.services[0].fail(ServiceFault::Mute);
+    world.services[1].fail(ServiceFault::Confused);
+    for _ in 0..3 {
+        let answer = world.ask(0, &Question::plain("lookup")).await;
+        assert!([502, 504].contains(&answer.status), "{answer:?}");
+        assert!(world.runs(&answer) <= 2, "{} runs", world.runs(&answer));
+    }
+}
+
 #[tokio::test]
 async fn a_lost_answer_is_not_called_not_run() {
     // A server runs a booking and never answers, or answers another request. Whether it
