--- /dev/null
+++ b/tests/platform/servers.rs
@@ -0,0 +1,183 @@
+//! Backend servers that reject, fail, fall silent, leave, or start again.
+
+use std::time::Duration;
+
+use chestnut_platform_stand_in::{Question, RunnerFault, ServiceFault};
+use tokio::time::sleep;
+
+use crate::numbers;
+use crate::world::{World, until};
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_elsewhere_if_it_may() {
+    // The runner breaks a stream off in the middle of its sixth event. On a route whose
+    // streams may be resumed, another runner goes on: the caller has every event once
+    // and one whole answer. On the other route the answer looks cut short, and nothing
+    // runs twice.
+    let world = World::start("broken", 1).await;
+    for runner in &world.runners[..2] {
+        runner.fail(RunnerFault::Break(5));
+    }
+    let answer = world.ask(0, &Question::stream("draft", "red", 12)).await;
+    assert!(!answer.whole);
+    assert_eq!(answer.events, numbers(5));
+    assert_eq!(world.runs(&answer), 1);
+    let answer = world.ask(0, &Question::stream("demand", "red", 12)).await;
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.events, numbers(12));
+    assert_eq!(world.runs(&answer), 3);
+}
+
+#[tokio::test]
+async fn a_rejected_request_is_served_elsewhere() {
+    // One server of the plain service rejects everything as not run. Requests that may
+    // run at most once are sent to the other one, and the caller sees nothing of it.
+    let world = World::start("rejected", 1).await;
+    world.services[0].fail(ServiceFault::Full);
+    for _ in 0..6 {
+        let answer = world.ask(0, &Question::plain("record")).await;
+        assert_eq!(answer.status, 200);
+        assert_eq!(world.runs(&answer), 1);
+    }
+    // Both reject: the refusal says truly that nothing ran, and when to come back.
+    world.services[1].fail(ServiceFault::Full);
+    let answer = world.ask(0, &Question::plain("record")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    assert_eq!(world.runs(&answer), 0);
+}
+
+#[tokio::test]
+async fn servers_that_are_full_are_asked_again_after_a_pause() {
+    // Both servers reject everything for a tenth of a second. The request is sent again
+    // after a pause that grows, and served; sent again at once, it would have used up
+    // its tries within ten milliseconds and a good part of the service's repeats.
+    let world = World::start("pause", 1).await;
+    for service in &world.services {
+        service.fail(ServiceFault::Full);
+    }
+    let question = Question::plain("record");
+    let asked = world.ask(0, &question);
+    let relieved = async {
+        sleep(Duration::from_millis(100)).await;
+        for service in &world.services {
+            service.fail(ServiceFault::None);
+        }
+    };
+    let (answer, ()) = tokio::join!(asked, relieved);
+    assert_eq!(answer.status, 200);
+    assert_eq!(world.runs(&answer), 1);
+}
+
+#[tokio::test]
+async fn a_silent_server_does_not_hold_what_may_run_again() {
+    // One server takes requests and never answers. A look-up that it got is sent to the
+    // other one well before its time ends, and answered; a record that may run once waits
+    // for its answer to the end, and is not sent again.
+    let world = World::start("silent", 1).await;
+    world.services[0].fail(ServiceFault::Mute);
+    for _ in 0..4 {
+        let answer = world.ask(0, &Question::plain("lookup")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    for _ in 0..4 {
+        let answer = world.ask(0, &Question::plain("record")).await;
+        assert!([200, 504].contains(&answer.status), "{answer:?}");
+        assert!(world.runs(&answer) <= 1);
+    }
+}
+
+#[tokio::test]
+async fn no_request_runs_more_often_than_its_route_allows() {
+    // One server never answers, the other answers other requests. A look-up runs at one,
+    // then at the other, and is given up then, though there is time and the service has
+    // repeats: its route allows two runs.
+    let world = World::start("twice", 1).await;
+    world.services[0].fail(ServiceFault::Mute);
+    world.services[1].fail(ServiceFault::Confused);
+    for _ in 0..3 {
+        let answer = world.ask(0, &Question::plain("lookup")).await;
+        assert!([502, 504].contains(&answer.status), "{answer:?}");
+        assert!(world.runs(&answer) <= 2, "{} runs", world.runs(&answer));
+    }
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_not_called_not_run() {
+    // A server runs a booking and never answers, or answers another request. Whether it
+    // ran is not known: it must not run again, and no status may say that it did not.
+    let world = World::start("lost", 1).await;
+    for fault in [ServiceFault::Mute, ServiceFault::Confused] {
+        for service in &world.services {
+            service.fail(fault);
+        }
+        let answer = world.ask(0, &Question::plain("record")).await;
+        assert!([502, 504].contains(&answer.status), "{fault:?}: {}", answer.status);
+        assert!(!answer.signed);
+        assert_eq!(world.runs(&answer), 1);
+    }
+    // What may run twice is tried once more elsewhere.
+    world.services[0].fail(ServiceFault::None);
+    let answer = world.ask(0, &Question::plain("lookup")).await;
+    assert_eq!(answer.status, 200);
+}
+
+#[tokio::test]
+async fn a_servers_own_failure_goes_back_unchanged() {
+    // All servers fail what they run. A request that may run once brings that failure with
+    // its signature; one that may run again was tried at two servers first.
+    let world = World::start("failing", 1).await;
+    for service in &world.services {
+        service.fail(ServiceFault::Failing);
+    }
+    let answer = world.ask(0, &Question::plain("record")).await;
+    assert_eq!((answer.status, answer.signed), (500, true));
+    assert_eq!(world.runs(&answer), 1);
+    let answer = world.ask(0, &Question::plain("lookup")).await;
+    assert_eq!((answer.status, answer.signed), (500, true));
+    assert_eq!(world.runs(&answer), 2);
+}
+
+#[tokio::test]
+async fn a_runner_that_starts_again_holds_nothing() {
+    // The only runner with a model starts again under its name and holds nothing. Callers
+    // of the model are served once it is loaded again; until then they are refused, and
+    // told when to come back.
+    let world = World::start("again", 2).await;
+    world.runners[2].restart();
+    until("the model is served again", async || {
+        let answer = world.ask(0, &Question::stream("draft", "blue", 3)).await;
+        if answer.status == 503 {
+            assert!(answer.retry_after.is_some());
+        }
+        answer.whole
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_leaving_runner_gets_nothing_new() {
+    // A runner says that it leaves. From then on requests go to the other one with the
+    // model; what runs there ends whole.
+    let world = World::start("leaving", 1).await;
+    let (caller, addr) = (world.caller.clone(), world.gates[0].callers);
+    let stream = Question::stream("draft", "red", 60);
+    let running = tokio::spawn(async move { caller.ask(addr, &stream).await });
+    until("the stream runs", async || world.runner_of("leaving").is_some()).await;
+    let runner = world.runner_of("leaving").expect("a runner runs it");
+    runner.drain();
+    until("the daemon knows", async || {
+        let lines = world.gates[0].lines("server listed");
+        lines
+            .iter()
+            .any(|line| line["phase"].as_str().is_some_and(|p| p.contains("Leaving")))
+    })
+    .await;
+    let before = runner.runs().len();
+    for _ in 0..8 {
+        let answer = world.ask(0, &Question::stream("draft", "red", 3)).await;
+        assert!(answer.whole);
+    }
+    assert_eq!(runner.runs().len(), before);
+    assert!(running.await.expect("the caller ends").whole);
+}
