--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use chestnut_base::Clock;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -72,8 +73,6 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    /// Whether it was used before, so that the peer may have closed it meanwhile.
-    pub reused: bool,
 }
 
 impl Drop for Connection {
@@ -88,9 +87,9 @@
 }
 
 /// Kept connections by address.
-#[derive(Clone, Default)]
 pub struct Client {
-    idle: Arc<Mutex<IndexMap<SocketAddr, VecDeque<Idle>>>>,
+    clock: Arc<dyn Clock>,
+    idle: Mutex<IndexMap<SocketAddr, VecDeque<Idle>>>,
 }
 
 /// The head of an answer, its body, and the connection that it comes on.
@@ -98,8 +97,8 @@
 
 impl Client {
     /// Creates a client without connections.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self { clock, idle: Mutex::default() }
     }
 
     /// Takes a kept connection or opens one.
@@ -114,16 +113,10 @@
     ///
     /// The newest are used first, so that those in use stay fresh and the rest runs
     /// out.
-    pub fn keep(
-        &self,
-        addr: SocketAddr,
-        mut connection: Connection,
-        hold: Option<Duration>,
-    ) {
+    pub fn keep(&self, addr: SocketAddr, connection: Connection, hold: Option<Duration>) {
         // The peer closes after its own time; a margin avoids sending into a close.
         let hold = hold.map_or(IDLE_TIME, |hold| hold.mul_f64(0.7));
-        connection.reused = true;
-        let until = Instant::now() + hold;
+        let until = self.clock.now() + hold;
         let mut pools = self.idle.lock().expect("no holder of the lock panics");
         let pool = pools.entry(addr).or_default();
         pool.push_back(Idle { connection, until });
@@ -132,14 +125,9 @@
         }
     }
 
-    /// Closes all idle connections to an address.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.idle.lock().expect("no holder of the lock panics").swap_remove(&addr);
-    }
-
     /// Closes idle connections whose time is over.
     pub fn tidy(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut pools = self.idle.lock().expect("no holder of the lock panics");
         for pool in pools.values_mut() {
             pool.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
@@ -181,7 +169,7 @@
     }
 
     fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut pools = self.idle.lock().expect("no holder of the lock panics");
         let pool = pools.get_mut(&addr)?;
         pool.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
@@ -215,7 +203,7 @@
     let (sender, driver) = shaken.map_err(|error| fault(error.to_string()))?;
     // The driver ends with its connection; whoever waits on the sender gets the error.
     let task = tokio::spawn(async move { drop(driver.await) }).abort_handle();
-    Ok(Connection { sender, task, reused: false })
+    Ok(Connection { sender, task })
 }
 
 /// Makes a connection notice a peer that is gone without a reset.
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -1,10 +1,10 @@
 //! Datagrams to and from other daemons.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use chestnut_base::MemberId;
+use chestnut_base::{Clock, MemberId};
 use indexmap::IndexMap;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
@@ -34,6 +34,7 @@
     /// This start of the daemon.
     pub me: MemberId,
     socket: UdpSocket,
+    clock: Arc<dyn Clock>,
     log: Logger,
     heard: Mutex<IndexMap<MemberId, Heard>>,
     waiting: Mutex<Waiting>,
@@ -51,11 +52,12 @@
     pub async fn bind(
         me: MemberId,
         addr: SocketAddr,
+        clock: Arc<dyn Clock>,
         log: Logger,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(addr).await?;
         let (heard, waiting) = (Mutex::default(), Mutex::default());
-        Ok(Self { me, socket, log, heard, waiting })
+        Ok(Self { me, socket, clock, log, heard, waiting })
     }
 
     /// Sends a message; what can't be sent now is lost.
@@ -140,7 +142,7 @@
 
     fn note(&self, packet: &Packet) {
         let mut heard = self.heard.lock().expect("no holder of the lock panics");
-        let now = Instant::now();
+        let now = self.clock.now();
         let entry = heard.entry(packet.from).or_insert(Heard { at: now, beat: None });
         entry.at = now;
         if let Message::Beat(beat) = &packet.message {
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -82,7 +82,7 @@
     let rows = bind(settings.rows_addr()).await?;
     let me = MemberId(rand::random());
     let peer_addr = settings.peer_addr();
-    let peers = Peers::bind(me, peer_addr, log.clone()).await;
+    let peers = Peers::bind(me, peer_addr, clock.clone(), log.clone()).await;
     let peers = peers.change_context(StartError::Bind(peer_addr))?;
     let shared = Arc::new(Shared::new(settings, dialect, clock, log, peers));
     info!(shared.log, "started"; "callers" => shared.settings.callers.to_string(),
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -122,10 +122,10 @@
             peers,
             settings,
             dialect,
+            client: Client::new(clock.clone()),
             clock,
             log,
             metrics: Metrics::new(),
-            client: Client::new(),
             declared: watch::Sender::new(None),
             listed: watch::Sender::new(0),
             leaving: watch::Sender::new(false),
@@ -275,10 +275,8 @@
 
     /// Takes note of a request for a service.
     pub fn note_request(&self, service: &ServiceName) {
-        let now = self.now();
-        let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
-        let new = || RetryBudget::new(self.started);
-        budgets.entry(service.clone()).or_insert_with(new).request(now);
+        let (window, now) = (self.bounds.borrow().retry_window, self.now());
+        self.with_budget(service, |budget| budget.request(window, now));
     }
 
     /// Takes a repeat out of the service's budget, if there is one.
@@ -292,8 +290,16 @@
         };
         let known = *self.own_read.borrow();
         let daemons = known.then(|| members::count(self));
+        self.with_budget(service, |budget| budget.take(bound, daemons, now))
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
         let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
         let new = || RetryBudget::new(self.started);
-        budgets.entry(service.clone()).or_insert_with(new).take(bound, daemons, now)
+        act(budgets.entry(service.clone()).or_insert_with(new))
     }
 }
--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -47,10 +47,19 @@
     }
 
     /// Takes note of a request for the service.
-    pub fn request(&mut self, now: Instant) {
+    ///
+    /// What is older than `window` is forgotten here too: a service that fails nothing
+    /// has no repeats for years, and would fill the memory with its requests.
+    pub fn request(&mut self, window: Duration, now: Instant) {
+        self.forget(window, now);
         self.requests.push_back(now);
     }
 
+    /// How many requests and repeats are remembered.
+    pub fn remembered(&self) -> usize {
+        self.requests.len() + self.repeats.len()
+    }
+
     /// Takes a repeat out of the budget, if there is one.
     ///
     /// `daemons` share the slack; while their number is not known there is none.
--- a/crates/pool/tests/bounds.rs
+++ b/crates/pool/tests/bounds.rs
@@ -9,6 +9,18 @@
 const BOUND: RetryBound =
     RetryBound { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
 
+#[test]
+fn a_service_that_fails_nothing_is_forgotten() {
+    // A daemon serves a service for an hour, and nothing has to be repeated. It remembers
+    // the requests of one window, not of the hour.
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(start);
+    for second in 0..3600 {
+        budget.request(BOUND.window, start + Duration::from_secs(second));
+    }
+    assert_eq!(budget.remembered(), 11);
+}
+
 proptest! {
     // All servers fail, and every daemon repeats all it may. In no window do the repeats
     // of all daemons together exceed what operators allow for the requests of that
@@ -28,7 +40,7 @@
             if step == restart {
                 daemons.fill_with(|| RetryBudget::new(now));
             }
-            daemons[daemon].request(now);
+            daemons[daemon].request(BOUND.window, now);
             requests.push(now);
             for _ in 0..tries {
                 if daemons[daemon].take(BOUND, Some(6), now) {
@@ -51,7 +63,7 @@
         let start = Instant::now();
         let now = start + BOUND.window;
         let mut budget = RetryBudget::new(start);
-        (0..requests).for_each(|_| budget.request(now));
+        (0..requests).for_each(|_| budget.request(BOUND.window, now));
         let granted = (0..100).filter(|_| budget.take(BOUND, None, now)).count();
         prop_assert!(granted as f64 <= f64::from(requests) * BOUND.ratio);
     }
