Say what stands twice once, and drop what nothing uses

Whether a request may have run follows from its count of runs and was kept beside it. Dropped: a flag and three functions without a caller, a field of beats that nobody read.

--- a/crates/edge/src/declared.rs
+++ b/crates/edge/src/declared.rs
@@ -44,11 +44,6 @@
             Self::Stream { resumable, .. } => resumable,
         }
     }
-
-    /// Whether answers come as events.
-    pub fn is_stream(self) -> bool {
-        matches!(self, Self::Stream { .. })
-    }
 }
 
 /// A part of a route's requests that goes to one service.
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -57,3 +57,10 @@
     /// Models whose weights lie on its own disk.
     pub on_disk: Vec<ModelName>,
 }
+
+impl ServerEntry {
+    /// Whether the registry lists a model at the server.
+    pub fn holds(&self, model: &ModelName) -> bool {
+        self.models.iter().any(|held| held.model == *model)
+    }
+}
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -100,7 +100,7 @@
     let fleet = shared.fleet();
     let holding = fleet
         .open(&job.service, now)
-        .filter(|(_, server)| server.holds_base(target))
+        .filter(|(_, server)| server.entry.holds(&target.model))
         .filter(|(_, server)| !avoid.contains(&server.entry.name));
     holding
         .map(|(key, server)| Runner {
@@ -167,8 +167,7 @@
             asked.here.push(runner.name.clone());
             continue;
         }
-        let mut rows = known.members.values();
-        if let Some((row, _)) = rows.find(|(row, _)| row.member == holder) {
+        if let Some(row) = known.row(holder) {
             let servers = asked.there.entry((holder, row.peer_addr)).or_default();
             servers.push(runner.name.clone());
         }
--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -78,8 +78,7 @@
     }
 
     /// Asks for a change of models for a planner, which may be another daemon.
-    pub fn change(&self, change: Move, planner: Option<SocketAddr>) {
-        let at = Instant::now();
+    pub fn change(&self, change: Move, planner: Option<SocketAddr>, at: Instant) {
         // The planner repeats what still stands.
         drop(self.commands.try_send(Command::Move { change, at, planner }));
     }
@@ -120,6 +119,7 @@
     mut commands: mpsc::Receiver<Command>,
 ) {
     while let Some(command) = commands.recv().await {
+        let fresh = |at| shared.now().saturating_duration_since(at) < MOVE_TIME;
         let Some(holder) = holder.upgrade() else { return };
         let driver = Driver { shared: &shared, holder: &holder };
         match command {
@@ -128,7 +128,7 @@
                 // Whoever asked may have given up.
                 let _ = reply.send(ready);
             }
-            Command::Move { change, at, planner } if at.elapsed() < MOVE_TIME => {
+            Command::Move { change, at, planner } if fresh(at) => {
                 if !driver.change(&change).await {
                     tell_failed(&shared, change, planner);
                 }
@@ -149,7 +149,5 @@
 pub fn addr(shared: &Shared, server: &ServerName) -> Option<SocketAddr> {
     let known = shared.known();
     let (row, _) = known.claims.get(&ClaimKey::Server(server.clone()))?;
-    let holder = row.holder?;
-    let mut rows = known.members.values();
-    rows.find(|(row, _)| row.member == holder).map(|(row, _)| row.peer_addr)
+    known.row(row.holder?).map(|row| row.peer_addr)
 }
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -75,6 +75,11 @@
 }
 
 impl Job {
+    /// Whether a server may have run it without bringing an answer.
+    pub fn may_have_run(&self) -> bool {
+        self.runs > 0
+    }
+
     /// Whether one more run may follow after so many.
     pub fn may_run_after(&self, runs: u32) -> bool {
         self.route().kind.is_repeatable() && runs < self.route().attempts
--- a/crates/gate/src/logs.rs
+++ b/crates/gate/src/logs.rs
@@ -17,8 +17,3 @@
     let filtered = lines.filter_level(Level::Info).fuse();
     Logger::root(filtered, o!("vm" => vm.to_owned()))
 }
-
-/// Creates a logger that drops all lines.
-pub fn silent() -> Logger {
-    Logger::root(slog::Discard, o!())
-}
--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -19,6 +19,7 @@
 use crate::follow::{self, Follower, OWN};
 use crate::message::{Beat, Message};
 use crate::shared::Shared;
+use crate::store::StoreFault;
 use crate::{claims, store};
 
 /// How keys of daemons' rows begin; the VM's name follows.
@@ -177,15 +178,13 @@
 /// Where a daemon says what changed in its copies of the store's tables.
 pub fn rows_addr(shared: &Shared, member: MemberId) -> Option<SocketAddr> {
     let known = shared.known();
-    let mut rows = known.members.values();
-    rows.find(|(row, _)| row.member == member).map(|(row, _)| row.ops_addr)
+    known.row(member).map(|row| row.ops_addr)
 }
 
 /// Tells others that the daemon lives.
 pub fn beat(shared: &Shared) {
     let now = shared.now();
     let beat = Beat {
-        ready: shared.is_ready(),
         leaving: *shared.leaving.borrow(),
         heard: shared.peers.alive(now),
         tables: follow::news(shared),
@@ -262,9 +261,7 @@
     for (vm, row, version) in silent(shared) {
         info!(shared.log, "daemon is silent, removing its row"; "member" => vm.to_string(),
             "version" => version, "id" => row.member.to_string());
-        let key = key(vm.as_str());
-        let commit = Commit::default().check(OWN, &key, version).remove(OWN, &key);
-        if let Err(fault) = store::commit(shared, &commit).await {
+        if let Err(fault) = remove_row(shared, &vm, version).await {
             warn!(shared.log, "row not removed"; "error" => fault.to_string());
         }
     }
@@ -300,9 +297,18 @@
     let vm = &shared.settings.vm;
     let version = shared.known().own(vm, shared.peers.me).map(|(_, version)| version);
     let Some(version) = version else { return };
-    let key = key(vm.as_str());
-    let commit = Commit::default().check(OWN, &key, version).remove(OWN, &key);
-    if let Err(fault) = store::commit(shared, &commit).await {
+    if let Err(fault) = remove_row(shared, vm, version).await {
         warn!(shared.log, "own row remains"; "error" => fault.to_string());
     }
 }
+
+/// Removes a daemon's row if it stands as it was when that was decided.
+async fn remove_row(
+    shared: &Shared,
+    vm: &VmName,
+    version: u64,
+) -> Result<CommitAnswer, StoreFault> {
+    let key = key(vm.as_str());
+    let commit = Commit::default().check(OWN, &key, version).remove(OWN, &key);
+    store::commit(shared, &commit).await
+}
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -115,8 +115,6 @@
 /// The daemon lives.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
-    /// Whether it takes new work.
-    pub ready: bool,
     /// Whether it was told to stop.
     pub leaving: bool,
     /// The daemons that it has heard from lately.
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -116,11 +116,8 @@
     if holder == shared.peers.me {
         return Planner::Here;
     }
-    let mut rows = known.members.values();
-    match rows.find(|(row, _)| row.member == holder) {
-        Some((row, _)) => Planner::There(row.peer_addr),
-        None => Planner::Nobody,
-    }
+    let row = known.row(holder);
+    row.map_or(Planner::Nobody, |row| Planner::There(row.peer_addr))
 }
 
 fn own_counts(shared: &Shared, service: &ServiceName) -> Vec<(ModelName, f64)> {
@@ -185,7 +182,7 @@
 
 fn send(shared: &Shared, change: Move) {
     if let Some(holder) = shared.holder(&change.server) {
-        holder.change(change, None);
+        holder.change(change, None, shared.now());
     } else if let Some(addr) = holder::addr(shared, &change.server) {
         shared.peers.send(addr, Message::Move(change));
     }
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -54,7 +54,7 @@
         }
         Message::Move(change) => {
             if let Some(holder) = shared.holder(&change.server) {
-                holder.change(change, Some(from));
+                holder.change(change, Some(from), shared.now());
             }
         }
         Message::Failed(change) => planner::fail(shared, &change),
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -78,20 +78,19 @@
     if let Some(target) = &job.call.target {
         planner::note(&job.shared, &job.service, &target.model, job.demand());
     }
-    let mut lost = None;
     let mut tried = Vec::new();
     let mut lacking: Option<ServerName> = None;
     let mut missing = Vec::new();
     for _ in 0..TRIES {
         let place = match pick(&job, lacking.take(), &tried).await {
             Ok(place) => place,
-            Err(NoPlace::Nowhere) => return Err((no_server(&job, lost), job)),
-            Err(NoPlace::Full(wait)) => return Err((full(&job, lost, wait), job)),
+            Err(NoPlace::Nowhere) => return Err((no_server(&job), job)),
+            Err(NoPlace::Full(wait)) => return Err((full(&job, wait), job)),
         };
         pause_before(&place.name, &tried).await;
         job.sent = job.shared.now();
         let missed = match attempt(&job, &place, job.call.resume_after).await {
-            Ok(answered) => match again(&job, &answered, &mut lost) {
+            Ok(answered) => match again(&job, &answered) {
                 true => {
                     job.runs += 1;
                     tried.push(place.name);
@@ -117,20 +116,20 @@
             }
             Missed::Unreachable(_) | Missed::Late => {}
         }
-        if let Err(refusal) = allow_another(&job, missed, &mut lost) {
+        if let Err(refusal) = allow_another(&job, missed) {
             return Err((refusal, job));
         }
     }
-    Err((no_server(&job, lost), job))
+    Err((no_server(&job), job))
 }
 
 /// Refuses a request that would wait for longer than its caller does.
 ///
 /// Held to the end, its caller leaves with nothing and too late to ask again; told at
 /// once, it comes back when streams have ended.
-fn full(job: &Job, lost: Option<String>, wait: Duration) -> Refusal {
-    if lost.is_some() {
-        return no_server(job, lost);
+fn full(job: &Job, wait: Duration) -> Refusal {
+    if job.may_have_run() {
+        return no_server(job);
     }
     let message = "all servers with the model are full for longer than a caller waits; \
         come back when told";
@@ -138,7 +137,7 @@
 }
 
 /// Whether a server's own failure is worth another try elsewhere.
-fn again(job: &Job, answered: &Answered, lost: &mut Option<String>) -> bool {
+fn again(job: &Job, answered: &Answered) -> bool {
     let plain = job.route().kind == RouteKind::Idempotent;
     let failed = answered.head.status.is_server_error();
     if !(plain && failed && job.may_run_after(job.runs + 1)) {
@@ -147,17 +146,12 @@
     let granted = job.shared.take_repeat(&job.service);
     if granted {
         job.shared.metrics.count(Step::Repeat, "failed");
-        *lost = Some(format!("status {}", answered.head.status));
     }
     granted
 }
 
 /// Whether another server may be tried after one brought no answer.
-fn allow_another(
-    job: &Job,
-    missed: Missed,
-    lost: &mut Option<String>,
-) -> Result<(), Refusal> {
+fn allow_another(job: &Job, missed: Missed) -> Result<(), Refusal> {
     let granted = |cause| {
         let granted = job.shared.take_repeat(&job.service);
         if granted {
@@ -168,20 +162,16 @@
     match missed {
         Missed::Unreachable(_) => Ok(()),
         Missed::Rejected(_) if granted("rejected") => Ok(()),
-        Missed::Rejected(_) => Err(no_server(job, lost.take())),
+        Missed::Rejected(_) => Err(no_server(job)),
         Missed::Silent => {
             job.shared.metrics.count(Step::Repeat, "silent");
-            *lost = Some("no answer".into());
             Ok(())
         }
         Missed::Late => {
             let message = "the time ran out before the answer began; allow more time";
             Err(Refusal::in_doubt(Code::Late, message))
         }
-        Missed::Lost(why) if job.may_run_after(job.runs) && granted("lost") => {
-            *lost = Some(why);
-            Ok(())
-        }
+        Missed::Lost(_) if job.may_run_after(job.runs) && granted("lost") => Ok(()),
         Missed::Lost(_) => {
             let message = "the server broke off and may have run the request";
             Err(Refusal::in_doubt(Code::Broken, message))
@@ -189,18 +179,18 @@
     }
 }
 
-fn no_server(job: &Job, lost: Option<String>) -> Refusal {
+fn no_server(job: &Job) -> Refusal {
     if job.shared.now() >= job.deadline {
         let message = "the time ran out before a server could take the request";
-        return match lost {
-            Some(_) => Refusal::in_doubt(Code::Late, message),
-            None => Refusal::not_run(Code::Deadline, message).after(Duration::ZERO),
+        return match job.may_have_run() {
+            true => Refusal::in_doubt(Code::Late, message),
+            false => Refusal::not_run(Code::Deadline, message).after(Duration::ZERO),
         };
     }
     let message = "no server can take the request now; come back when told";
-    match lost {
-        Some(_) => Refusal::in_doubt(Code::Broken, message),
-        None => {
+    match job.may_have_run() {
+        true => Refusal::in_doubt(Code::Broken, message),
+        false => {
             let returns = job.shared.fleet().returns_in(job.shared.now());
             Refusal::not_run(Code::Unavailable, message).after(returns.max(AWAY))
         }
--- a/crates/member/src/known.rs
+++ b/crates/member/src/known.rs
@@ -85,6 +85,12 @@
         (row.member == me).then_some((row, *version))
     }
 
+    /// The row of a start of a daemon, if it stands.
+    pub fn row(&self, member: MemberId) -> Option<&MemberRow> {
+        let mut rows = self.members.values().map(|(row, _)| row);
+        rows.find(|row| row.member == member)
+    }
+
     /// Whether the member stands and takes claims.
     pub fn takes_claims(&self, row: &MemberRow) -> bool {
         !row.leaving && !self.leaving.contains(&row.member)
--- a/crates/pool/src/fleet.rs
+++ b/crates/pool/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{ServerName, ServiceName};
-use chestnut_edge::{Phase, ServerEntry, TargetModel};
+use chestnut_edge::{Phase, ServerEntry};
 use indexmap::IndexMap;
 use slotmap::{SlotMap, new_key_type};
 
@@ -157,18 +157,3 @@
         }
     }
 }
-
-impl Server {
-    /// Whether the server holds what the request is for.
-    pub fn holds(&self, target: &TargetModel) -> bool {
-        let model = self.entry.models.iter().find(|held| held.model == target.model);
-        model.is_some_and(|held| {
-            target.adapter.as_ref().is_none_or(|name| held.adapters.contains(name))
-        })
-    }
-
-    /// Whether the server holds the base model that the request is for.
-    pub fn holds_base(&self, target: &TargetModel) -> bool {
-        self.entry.models.iter().any(|held| held.model == target.model)
-    }
-}
--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -129,11 +129,6 @@
         self.waiting.len() < before
     }
 
-    /// Whether a prompt waits.
-    pub fn contains(&self, ticket: Ticket) -> bool {
-        self.waiting.iter().any(|waiting| waiting.ticket == ticket)
-    }
-
     /// Takes note of when a prompt's adapter is there.
     pub fn set_ready(&mut self, ticket: Ticket, at: Instant) {
         let mut waiting = self.waiting.iter_mut();
--- a/crates/pool/src/moving.rs
+++ b/crates/pool/src/moving.rs
@@ -49,7 +49,7 @@
 
     /// Whether the move is under way still, as far as the registry tells.
     pub fn lasts(&self, runner: &ServerEntry, now: Instant) -> bool {
-        let lists = |model: &ModelName| holds(runner, model);
+        let lists = |model: &ModelName| runner.holds(model);
         if self.change.drop.iter().any(lists) {
             return now < self.drops;
         }
@@ -66,8 +66,3 @@
         }
     }
 }
-
-/// Whether the registry lists a model at a runner.
-pub fn holds(runner: &ServerEntry, model: &ModelName) -> bool {
-    runner.models.iter().any(|held| held.model == *model)
-}
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -19,7 +19,7 @@
 
 use crate::demand::Demands;
 use crate::lost::Lost;
-use crate::moving::{Move, Moving, holds};
+use crate::moving::{Move, Moving};
 use crate::pace::Pace;
 
 /// The tokens a second, prompt and weighted output, that one runner serves in time.
@@ -297,7 +297,7 @@
             moving(runner).is_some_and(|change| change.drop.contains(name))
         };
         let there =
-            |runner: &ServerEntry| loads(runner) || holds(runner, name) && !drops(runner);
+            |runner: &ServerEntry| loads(runner) || runner.holds(name) && !drops(runner);
         let indices = |which: &dyn Fn(&ServerEntry) -> bool| {
             let runners = scene.runners.iter().enumerate();
             runners.filter(|(_, runner)| which(runner)).map(|(index, _)| index).collect()
--- a/crates/pool/src/runner.rs
+++ b/crates/pool/src/runner.rs
@@ -141,10 +141,7 @@
         let mut adapters = IndexMap::new();
         for model in held {
             for adapter in &model.adapters {
-                let target = TargetModel {
-                    model: model.model.clone(),
-                    adapter: Some(adapter.clone()),
-                };
+                let target = target(&model.model, adapter);
                 let known = self.adapters.get(&target).copied();
                 let slot = known.unwrap_or(Slot { ready: now, used: now });
                 adapters.insert(target, slot);
