Serve callers only once the own row says so

Cause: a joining daemon's row says 'leaving' until another daemon trusts it. It served callers as soon as it had read the tables; when it was frozen before the row that takes it in was committed, operators who wait for a change passed over it as one that leaves, and read 'in force' without it.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chestnut_base::{MemberId, ServerName, SlotId, VmName};
@@ -222,6 +223,9 @@
         let mut own_lease = self.shared.lease.lock().expect("no holder panics");
         if let TxnAnswer::Committed { .. } = answer {
             own_lease.renewed(now);
+            if !leaving {
+                self.shared.listed.store(true, Ordering::Release);
+            }
             self.counters.renewals.inc();
             self.joined = true;
             self.renew_at = now + self.shared.settings.times.renewal;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the parts of a daemon share.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -82,6 +82,9 @@
     pub left: Mutex<IndexSet<MemberId>>,
     /// Wakes [`crate::members`] before its next poll is due.
     pub wake: Notify,
+    /// Whether the own row has said once that this daemon takes work, written by
+    /// [`crate::members`]; never unset.
+    pub listed: AtomicBool,
     attempts: AtomicU64,
 }
 
@@ -122,6 +125,7 @@
             lease: Mutex::new(Lease::new(term)),
             left: Mutex::default(),
             wake: Notify::new(),
+            listed: AtomicBool::new(false),
             attempts: AtomicU64::new(0),
         }
     }
@@ -179,6 +183,14 @@
             return Err(others("this daemon can't confirm its configuration")
                 .after(Duration::from_secs(1)));
         }
+        // Operators wait for the daemons whose rows say that they take work. One that
+        // served before would be left out: its callers could meet the old declarations
+        // after an operator read that the new ones are in force everywhere.
+        if !self.listed.load(Ordering::Acquire) {
+            return Err(
+                others("this daemon is joining").after(self.settings.times.renewal)
+            );
+        }
         // Otherwise a daemon that joined just before an outage of the table would
         // refuse every model as not resident for as long as the outage lasts.
         if !self.knows_residence() {
