--- a/crates/fake/src/engine/http.rs
+++ b/crates/fake/src/engine/http.rs
@@ -101,14 +101,14 @@
     let question = question(&headers, ask);
     let taken = {
         let mut life = engine.life();
-        if !life.memory.ready(&question.model) {
+        if !life.core.memory.ready(&question.model) {
             let why = format!("{} is not loaded", question.model);
             return refuse(StatusCode::NOT_FOUND, "model", &why);
         }
-        if life.batch.jobs_waiting() >= engine.config.waiting {
+        if life.core.batch.jobs_waiting() >= engine.config.waiting {
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "full", "the queue is full");
         }
-        life.batch.offer(&id, question.clone())
+        life.core.batch.offer(&id, question.clone())
     };
     let progress = match taken {
         Ok(progress) => progress,
@@ -154,6 +154,7 @@
 ) -> Response {
     let found = engine
         .life()
+        .core
         .batch
         .watch(&id)
         .map(|(question, progress)| (question.clone(), progress));
@@ -165,7 +166,7 @@
 }
 
 async fn cancel(State(engine): Shared, Path(id): Path<String>) -> Response {
-    if engine.life().batch.cancel(&id) {
+    if engine.life().core.batch.cancel(&id) {
         StatusCode::NO_CONTENT.into_response()
     } else {
         refuse(StatusCode::NOT_FOUND, "id", "no such request")
@@ -275,12 +276,12 @@
 async fn report(State(engine): Shared) -> Json<Value> {
     let mut life = engine.life();
     life.reports += 1;
-    let models = life.memory.models.iter().map(|(name, held)| {
+    let models = life.core.memory.models.iter().map(|(name, held)| {
         let (model, version) = name.split_once('@').unwrap_or((name, ""));
         let (bytes, state) = (held.bytes, held.state);
         json!({"model": model, "version": version, "bytes": bytes, "state": state})
     });
-    let adapters = life.memory.adapters.iter().map(|(name, (model, held))| {
+    let adapters = life.core.memory.adapters.iter().map(|(name, (model, held))| {
         let (bytes, state) = (held.bytes, held.state);
         json!({"adapter": name, "model": model, "bytes": bytes, "state": state})
     });
@@ -289,8 +290,8 @@
     Json(json!({
         "incarnation": life.incarnation,
         "seq": life.reports,
-        "capacity": life.memory.capacity,
-        "used": life.memory.used,
+        "capacity": life.core.memory.capacity,
+        "used": life.core.memory.used,
         "models": models.collect::<Vec<_>>(),
         "adapters": adapters.collect::<Vec<_>>(),
         "orders": orders.collect::<Vec<_>>(),
@@ -313,7 +314,7 @@
         (Duration::from_millis(faults.cache_lag_ms), faults.cache_gap)
     };
     let life = engine.life();
-    Json(life.cache.read(Instant::now(), query.since, lag, gap)).into_response()
+    Json(life.core.cache.read(Instant::now(), query.since, lag, gap)).into_response()
 }
 
 async fn counts(State(engine): Shared) -> Json<EngineCounts> {
--- a/crates/fake/src/engine/mod.rs
+++ b/crates/fake/src/engine/mod.rs
@@ -3,9 +3,12 @@
 //! A request is taken by [`http`], waits and runs in the [`batch`], uses the
 //! prefix [`cache`], and its [`text`] depends on the question alone; a [`feed`]
 //! brings the answer to its reader. [`orders`] change what is in [`memory`].
+//! Batch, cache and memory together are the [`core`], on which stand-ins with other
+//! protocols are built too.
 
 pub mod batch;
 pub mod cache;
+pub mod core;
 mod feed;
 mod http;
 pub mod memory;
@@ -17,13 +20,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use chestnut_base::prefix_hashes;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
-use self::batch::{Batch, Question, step_time};
+use self::batch::Batch;
 use self::cache::PrefixCache;
+use self::core::Core;
 use self::memory::Memory;
 use self::orders::OrderBook;
 use crate::faults::{EngineFaults, Faults};
@@ -35,9 +38,6 @@
 /// How many different prompts are counted.
 const PROMPTS: usize = 100_000;
 
-/// The bytes of a prompt in one token of a cached block.
-const BLOCK_TOKENS: u32 = (chestnut_base::work::PREFIX_BLOCK / 4) as u32;
-
 /// What an engine is like.
 #[derive(Debug, Clone)]
 pub struct EngineConfig {
@@ -113,9 +113,7 @@
 struct Life {
     incarnation: u64,
     reports: u64,
-    batch: Batch,
-    cache: PrefixCache,
-    memory: Memory,
+    core: Core,
     orders: OrderBook,
     /// The length of the last step.
     step: Duration,
@@ -180,12 +178,12 @@
             let base = faults.step_ms.map_or(self.config.step, Duration::from_millis);
             (base, faults.crash_on.clone(), std::mem::take(&mut faults.crash))
         };
-        let (marked, step, idle) = self.life().begin_step(self, base, mark.as_deref());
+        let (marked, step) = self.life().begin_step(self, base, mark.as_deref());
         if marked || crash {
             self.crash();
             return;
         }
-        if idle {
+        let Some(step) = step else {
             // The load is sampled also while nothing runs.
             let nap = tokio::time::sleep(self.config.lag.min(Duration::from_millis(20)));
             tokio::select! {
@@ -194,7 +192,7 @@
             }
             self.life().end_step(&self.config, Duration::ZERO);
             return;
-        }
+        };
         tokio::time::sleep(step).await;
         self.thawed().await;
         self.life().end_step(&self.config, step);
@@ -216,9 +214,11 @@
         Self {
             incarnation,
             reports: 0,
-            batch: Batch::new(config.streams, config.tokens),
-            cache: PrefixCache::new(config.blocks),
-            memory: Memory::new(config.capacity),
+            core: Core {
+                batch: Batch::new(config.streams, config.tokens),
+                cache: PrefixCache::new(config.blocks),
+                memory: Memory::new(config.capacity),
+            },
             orders: OrderBook::default(),
             step: config.step,
             load: Load::default(),
@@ -227,19 +227,15 @@
     }
 
     /// Starts requests; returns whether one has the mark that crashes the engine,
-    /// the time of the step, and whether there is nothing to do.
+    /// and the time of the step unless there is nothing to do.
     fn begin_step(
         &mut self,
         engine: &Engine,
         base: Duration,
         mark: Option<&str>,
-    ) -> (bool, Duration, bool) {
-        let now = Instant::now();
-        let mut prefill = 0;
+    ) -> (bool, Option<Duration>) {
         let mut marked = false;
-        let cache = &mut self.cache;
-        self.batch.admit(|question| {
-            prefill += uncached(cache, now, question);
+        let step = self.core.begin_step(base, Instant::now(), |question| {
             marked |= mark.is_some_and(|mark| question.prompt.contains(mark));
             engine.count(|counts| {
                 if counts.prompts.len() < PROMPTS
@@ -249,41 +245,30 @@
                 }
             });
         });
-        let running = self.batch.jobs_running();
-        (marked, step_time(base, running, prefill), running == 0)
+        (marked, step)
     }
 
     fn end_step(&mut self, config: &EngineConfig, step: Duration) {
         if !step.is_zero() {
-            self.batch.step();
+            self.core.end_step();
             self.step = step;
         }
         let now = Instant::now();
-        let batch = &self.batch;
-        for name in self.memory.sweep(|name| batch.uses(name)) {
-            self.cache.drop_model(now, &name);
-        }
-        let memory = &self.memory;
+        self.core.sweep(now);
+        let memory = &self.core.memory;
         self.orders.finish_unloads(|name| memory.holds(name));
         if now - self.sampled >= config.lag {
             self.sampled = now;
             self.load = Load {
-                running: self.batch.jobs_running(),
-                waiting: self.batch.jobs_waiting(),
-                tokens: self.batch.kv_tokens(),
+                running: self.core.batch.jobs_running(),
+                waiting: self.core.batch.jobs_waiting(),
+                tokens: self.core.batch.kv_tokens(),
                 step: self.step,
             };
         }
     }
 }
 
-/// The tokens of a question that are not cached; uses its blocks.
-fn uncached(cache: &mut PrefixCache, now: Instant, question: &Question) -> u32 {
-    let hashes = prefix_hashes(&question.prompt);
-    let hits = cache.touch(now, &question.model, &hashes) as u32;
-    (question.tokens + question.from).saturating_sub(hits * BLOCK_TOKENS)
-}
-
 /// A number that no earlier process of this engine had.
 fn first_incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/fake/src/engine/orders.rs
+++ b/crates/fake/src/engine/orders.rs
@@ -115,13 +115,13 @@
         }
         let (name, bytes, begun) = match &order {
             Order::LoadModel { name, bytes } => {
-                (name, *bytes, life.memory.load_model(name, *bytes))
+                (name, *bytes, life.core.memory.load_model(name, *bytes))
             }
             Order::LoadAdapter { name, base, bytes } => {
-                (name, *bytes, life.memory.load_adapter(name, base, *bytes))
+                (name, *bytes, life.core.memory.load_adapter(name, base, *bytes))
             }
             Order::Unload { name } => {
-                life.memory.unload(name);
+                life.core.memory.unload(name);
                 life.orders.insert(id, name, OrderState::Running);
                 self.count(|counts| counts.orders += 1);
                 self.work.notify_one();
@@ -134,10 +134,10 @@
             });
             OrderError::Memory(error)
         })?;
-        let ready = life.memory.ready(name);
+        let ready = life.core.memory.ready(name);
         let state = if ready { OrderState::Done } else { OrderState::Running };
         life.orders.insert(id, name, state);
-        let peak = life.memory.peak;
+        let peak = life.core.memory.peak;
         self.count(|counts| {
             counts.orders += 1;
             counts.peak = counts.peak.max(peak);
@@ -157,11 +157,11 @@
         if life.incarnation != incarnation {
             return;
         }
-        if fetched && life.memory.loaded(&name) {
+        if fetched && life.core.memory.loaded(&name) {
             life.orders.finish(&name, OrderState::Done);
         } else if !fetched {
             life.orders.finish(&name, OrderState::Failed);
-            life.memory.unload(&name);
+            life.core.memory.unload(&name);
         }
     }
 
