--- a/crates/gate/src/logs.rs
+++ b/crates/gate/src/logs.rs
@@ -1,6 +1,6 @@
 //! Structured logs: one JSON object a line on standard output.
 
-use std::io;
+use std::io::{self, Write};
 
 use slog::{Drain, Level, Logger, o};
 
@@ -10,10 +10,19 @@
 /// the number bounds the memory to about a megabyte.
 const WAITING_LINES: usize = 4096;
 
+/// The name of the thread that writes.
+pub const THREAD: &str = "log lines";
+
 /// Creates the process's logger.
 pub fn logger(vm: &str) -> Logger {
-    let json = slog_json::Json::new(io::stdout()).add_default_keys().build();
-    let lines = slog_async::Async::new(json.fuse()).chan_size(WAITING_LINES).build();
+    logger_to(io::stdout(), vm)
+}
+
+/// Creates a logger that writes elsewhere.
+pub fn logger_to(out: impl Write + Send + 'static, vm: &str) -> Logger {
+    let json = slog_json::Json::new(out).add_default_keys().build();
+    let lines = slog_async::Async::new(json.fuse()).chan_size(WAITING_LINES);
+    let lines = lines.thread_name(THREAD.to_owned()).build();
     let filtered = lines.filter_level(Level::Info).fuse();
     Logger::root(filtered, o!("vm" => vm.to_owned()))
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,12 +4,14 @@
 //! - [`config`]: how soon accepted declarations are in force and what it costs,
 //! - [`decisions`]: what one decision costs,
 //! - [`journal`]: what the journal of non-idempotent requests adds and writes,
+//! - [`logs`]: what the log lines of a request cost,
 //! - [`moves`]: placements of models under shifting demand, against baselines,
 //! - [`slopes`]: what real daemons cost as the system grows.
 
 pub mod config;
 pub mod decisions;
 pub mod journal;
+pub mod logs;
 pub mod moves;
 pub mod policies;
 pub mod slopes;
@@ -34,6 +36,9 @@
     /// Measures the journal of non-idempotent requests.
     #[bpaf(command)]
     Journal(#[bpaf(external(journal::options))] journal::Options),
+    /// Measures what the log lines of a request cost.
+    #[bpaf(command)]
+    Logs(#[bpaf(external(logs::options))] logs::Options),
     /// Compares placements of models under shifting demand, in virtual time.
     #[bpaf(command)]
     Moves(#[bpaf(external(moves::options))] moves::Options),
@@ -49,6 +54,7 @@
         Command::Decisions(options) => decisions::run(&options),
         Command::Config(options) => config::run(&options),
         Command::Journal(options) => journal::run(&options),
+        Command::Logs(options) => logs::run(&options),
         Command::Moves(options) => moves::run(&options),
         Command::Slopes(options) => return slopes::run(&options),
     }
