--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -59,9 +59,9 @@
 struct Entry {
     ticket: Ticket,
     want: Want,
-    /// The prompt tokens that the runner had to read when the request was sent, and
-    /// whether that is known for sure.
+    /// The prompt tokens that the runner had to read when the request was sent.
     unread: u32,
+    /// Whether that number is known; the runner may keep parts from before this holder.
     sure: bool,
     /// Where the answer goes; nothing once a request of this daemon has it.
     reply: Option<Reply>,
--- a/crates/pool/tests/lane.rs
+++ b/crates/pool/tests/lane.rs
@@ -247,6 +247,23 @@
     assert!(matches!(lane.next(room(), read), Next::Send(_)));
 }
 
+#[test]
+fn what_a_first_event_takes_besides_reading_is_no_backlog() {
+    // A daemon has just taken over a runner that answers 80 ms after it has read a prompt.
+    // Nothing was learnt of it yet. If all of that time is taken for reading, the next
+    // callers wait for an engine that is idle, after each prompt anew.
+    let start = Instant::now();
+    let mut lane = Lane::default();
+    lane.push(waiting(1, 400, 0, start));
+    assert!(matches!(lane.next(room(), start), Next::Send(_)));
+    let first = Duration::from_millis(20 + BASE as u64);
+    let free = lane.begun(Ticket(1), first, Speeds::default().base(&model("m")));
+    assert!(free, "nothing was sent before");
+    let now = start + Duration::from_millis(60);
+    lane.push(waiting(2, 400, 0, now));
+    assert!(matches!(lane.next(room(), now), Next::Send(_)));
+}
+
 proptest! {
     // Whatever comes when, everything is sent once or expires, and the lane never
     // says to wait for a time that is past.
