--- a/crates/lab/src/logs.rs
+++ b/crates/lab/src/logs.rs
@@ -30,14 +30,18 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(generate(options))]
 pub struct Options {
-    /// Requests a second; a busy daemon of the users' deployments has 60.
-    #[bpaf(argument("N"), fallback(1000))]
+    /// Requests a second; a busy daemon of the users' deployments has 24.
+    #[bpaf(argument("N"), guard(is_positive, "must be at least 1"), fallback(1000))]
     pub rate: u32,
     /// For how many seconds.
-    #[bpaf(argument("SECONDS"), fallback(4))]
+    #[bpaf(argument("SECONDS"), guard(is_positive, "must be at least 1"), fallback(4))]
     pub seconds: u32,
 }
 
+fn is_positive(number: &u32) -> bool {
+    *number > 0
+}
+
 /// Where the lines go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Sink {
@@ -62,12 +66,13 @@
         // Otherwise the logger would wait for its thread for ever.
         output.stopped.store(false, Ordering::Relaxed);
         let requests = f64::from(options.rate * options.seconds);
-        let micros = |seconds: f64| seconds * 1e6 / requests;
+        // A sum over no thread is minus zero.
+        let micros = |seconds: f64| seconds.abs() * 1e6 / requests;
         println!(
             "{{\"sink\":\"{sink:?}\",\"serving_us\":{:.2},\"writing_us\":{:.2},\
              \"slowest_us\":{},\"bytes\":{:.0}}}",
             micros(cost.serving),
-            micros(cost.writing) + 0.0,
+            micros(cost.writing),
             cost.slowest.as_micros(),
             output.written.load(Ordering::Relaxed) as f64 / requests,
         );
