--- a/crates/fake/src/engine/core.rs
+++ b/crates/fake/src/engine/core.rs
@@ -9,7 +9,7 @@
 use super::cache::PrefixCache;
 use super::memory::Memory;
 
-/// The bytes of a prompt in one token of a cached block.
+/// The tokens of a cached block; a token is four bytes of text.
 const BLOCK_TOKENS: u32 = (chestnut_base::work::PREFIX_BLOCK / 4) as u32;
 
 /// What one life of an engine holds and runs.
@@ -42,11 +42,6 @@
         (running > 0).then(|| step_time(base, running, prefill))
     }
 
-    /// Ends a step: each running request has one more token.
-    pub fn end_step(&mut self) {
-        self.batch.step();
-    }
-
     /// Frees what is to be unloaded and not in use any more; returns its names.
     pub fn sweep(&mut self, now: Instant) -> Vec<String> {
         let batch = &self.batch;
--- a/crates/fake/src/engine/mod.rs
+++ b/crates/fake/src/engine/mod.rs
@@ -250,7 +250,7 @@
 
     fn end_step(&mut self, config: &EngineConfig, step: Duration) {
         if !step.is_zero() {
-            self.core.end_step();
+            self.core.batch.step();
             self.step = step;
         }
         let now = Instant::now();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`slopes`]: what real daemons cost as the system grows.
 
 pub mod config;
+mod cost;
 pub mod decisions;
 pub mod journal;
 pub mod logs;
--- a/crates/lab/src/logs.rs
+++ b/crates/lab/src/logs.rs
@@ -15,7 +15,7 @@
 use chestnut_gate::logs::{THREAD, logger_to};
 use slog::{Discard, Logger, info, o};
 
-use crate::slopes::cost;
+use crate::cost;
 
 /// The name of the thread that serves, as far as logging is concerned.
 const SERVING: &str = "serving";
--- a/crates/lab/src/slopes/mod.rs
+++ b/crates/lab/src/slopes/mod.rs
@@ -6,7 +6,6 @@
 //! process stands behind: to a daemon a system of 2,100 daemons looks like that.
 //! Each experiment takes three or more sizes and a straight line is fitted.
 
-pub mod cost;
 mod fit;
 mod requests;
 mod rows;
--- a/crates/lab/src/slopes/requests.rs
+++ b/crates/lab/src/slopes/requests.rs
@@ -8,8 +8,8 @@
 use serde_json::{Value, json};
 
 use super::Point;
-use super::cost::{self, DAEMON_THREADS};
 use super::world::{World, WorldError, sha256};
+use crate::cost::{self, DAEMON_THREADS};
 
 /// Daemons; most requests pass through two of them.
 const DAEMONS: usize = 2;
--- a/crates/lab/src/slopes/state.rs
+++ b/crates/lab/src/slopes/state.rs
@@ -9,9 +9,9 @@
 use serde_json::{Value, json};
 
 use super::Point;
-use super::cost::{self, DAEMON_THREADS};
 use super::rows::{self, MODEL_BYTES, RUNNER_BYTES, Size};
 use super::world::{World, WorldError};
+use crate::cost::{self, DAEMON_THREADS};
 
 /// Runners at each size; the last is the full one.
 const RUNNERS: [usize; 4] = [1_500, 3_000, 6_000, 12_000];
--- a/crates/lab/src/slopes/world.rs
+++ b/crates/lab/src/slopes/world.rs
@@ -17,7 +17,7 @@
 use sha2::{Digest, Sha256};
 use tokio::runtime::{Builder, Runtime};
 
-use super::cost::{DAEMON_THREADS, OUTSIDE_THREADS};
+use crate::cost::{DAEMON_THREADS, OUTSIDE_THREADS};
 
 const THREADS: usize = 4;
 
--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -199,10 +199,10 @@
         let begun = self.open[place];
         self.open.drain(..=place);
         let free = place == 0 && self.read.is_none_or(|read| read <= begun.at);
-        let read = begun.at + after.saturating_sub(base);
-        self.read = Some(self.read.map_or(read, |old| old.max(read)));
+        let reading = after.saturating_sub(base);
+        self.read = self.read.max(Some(begun.at + reading));
         let Some(last) = &mut self.last else { return free };
-        let mut end = begun.at + after.saturating_sub(base).max(begun.work);
+        let mut end = begun.at + reading.max(begun.work);
         for open in &self.open {
             end = end.max(open.at) + open.work + STEP;
         }
