Run the demo on the users' platform as well

Cause: the demo ran on the own interface alone, so that nobody could see the gate serve without writing a world of processes for it.

The burst and its counting are apart now: a frame starts stand-ins and daemons and says how each request ended (Seen), the tally counts these.

Test demo_serves_its_burst_on_the_platform: 220 of 220.

--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,22 +1,23 @@
 //! The whole system in one process, with embedded stand-ins.
 //!
-//! 1. [`stage`] starts the stand-ins and three daemons in two failure domains,
-//!    and declares models, adapters and a plain service,
-//! 2. [`burst`] sends a mix of requests as several callers,
-//! 3. [`tally`] counts what the callers received and what really ran.
+//! It runs on its [`own`] interface or on the users' [`platform`]: stand-ins and three
+//! daemons are started, several callers send a mix of requests, and the [`tally`] tells
+//! what they received and what really ran.
 
-pub mod burst;
-pub mod stage;
+mod error;
+pub mod own;
+pub mod platform;
 pub mod tally;
 
 use std::io::{Write, stdout};
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use chestnut_platform_stand_in::Caller;
 use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
 
-use self::stage::{Stage, StageError};
+pub use self::error::StageError;
 use self::tally::Tally;
 
 /// The exit code when a caller did not get what it must get.
@@ -32,6 +33,8 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 struct Options {
+    /// Run on the users' platform instead of the own interface
+    platform: bool,
     /// Print one line of JSON instead of the table
     json: bool,
     /// Stay up and print commands to try
@@ -83,16 +86,40 @@
 }
 
 async fn show(options: &Options) -> Result<Tally, StageError> {
-    let stage = Stage::start().await?;
-    let results = burst::run(&stage, options.scale.max(1)).await?;
-    let tally = Tally::count(&stage, &results).await?;
+    match options.platform {
+        false => show_own(options).await,
+        true => show_platform(options).await,
+    }
+}
+
+async fn show_own(options: &Options) -> Result<Tally, StageError> {
+    let stage = own::stage::Stage::start().await?;
+    let tally = own::burst::run(&stage, options.scale.max(1)).await?;
+    print_all(options, &tally, &stage.explain()).await?;
+    stage.stop().await;
+    Ok(tally)
+}
+
+async fn show_platform(options: &Options) -> Result<Tally, StageError> {
+    let caller = Caller::new("demo");
+    let stage = platform::stage::Stage::start(&caller).await?;
+    let tally = platform::burst::run(&stage, &caller, options.scale.max(1)).await?;
+    print_all(options, &tally, &stage.explain()).await?;
+    Ok(tally)
+}
+
+/// Prints the result, and waits for the user's end if asked to stay up.
+async fn print_all(
+    options: &Options,
+    tally: &Tally,
+    commands: &str,
+) -> Result<(), StageError> {
     let text =
         if options.json { format!("{}\n", json!(tally)) } else { tally.to_string() };
     print(&text)?;
     if options.keep {
-        print(&stage.explain())?;
+        print(commands)?;
         wait_for_end().await;
     }
-    stage.stop().await;
-    Ok(tally)
+    Ok(())
 }
--- a/crates/demo/src/burst.rs
+++ b/crates/demo/src/own/burst.rs
@@ -1,5 +1,6 @@
 //! A mix of requests of several callers, all sent at once.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -7,7 +8,10 @@
 use serde::Deserialize;
 use tokio::task::JoinSet;
 
-use crate::stage::{ROUTES, Stage, StageError};
+use super::ran::Ran;
+use super::stage::{ROUTES, Stage};
+use crate::error::StageError;
+use crate::tally::{Ending, Seen, Tally};
 
 /// A kind of request in the burst.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,15 +95,13 @@
 const DOUBLED: usize = 4;
 
 /// What became of one request.
-pub struct Outcome {
-    /// The kind.
-    pub mix: Mix,
-    /// The request.
-    pub ask: Ask,
+struct Outcome {
+    mix: Mix,
+    ask: Ask,
     /// What its caller got.
-    pub reply: Reply,
+    reply: Reply,
     /// How long the caller waited.
-    pub took: Duration,
+    took: Duration,
 }
 
 /// The answer to the question which addresses to use.
@@ -113,8 +115,40 @@
     address: String,
 }
 
-/// Sends the burst `scale` times and waits for all answers.
-pub async fn run(stage: &Stage, scale: usize) -> Result<Vec<Outcome>, StageError> {
+/// Sends the burst `scale` times, waits for all answers and counts them.
+pub async fn run(stage: &Stage, scale: usize) -> Result<Tally, StageError> {
+    let outcomes = send(stage, scale).await?;
+    let ran = Ran::read(stage).await?;
+    let mut once = HashSet::new();
+    let seen = |one: &Outcome| {
+        let first = one.mix.once && once.insert((one.mix.kind, one.ask.key.clone()));
+        Seen {
+            kind: one.mix.kind,
+            end: ending(one, &ran),
+            took: one.took,
+            deadline: one.mix.deadline,
+            retried: one.reply.tries > 1,
+            doubled: first && ran.of(&one.ask) > 1,
+        }
+    };
+    let seen: Vec<Seen> = outcomes.iter().map(seen).collect();
+    Ok(Tally::count(&seen))
+}
+
+fn ending(one: &Outcome, ran: &Ran) -> Ending {
+    if one.reply.is_whole(&one.ask) {
+        Ending::Whole
+    } else if one.reply.wrong(&one.ask).is_some() {
+        Ending::Foreign
+    } else if one.reply.outcome.as_deref() == Some("not_run") {
+        // A request that was sent to two entries may have run by the other.
+        Ending::Refused { ran: one.reply.tries == 1 && ran.of(&one.ask) > 0 }
+    } else {
+        Ending::Broken
+    }
+}
+
+async fn send(stage: &Stage, scale: usize) -> Result<Vec<Outcome>, StageError> {
     let bases = ask_entries(stage).await?;
     let mut calls = JoinSet::new();
     for mix in MIXES {
--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/own/stage.rs
@@ -1,6 +1,5 @@
 //! The stand-ins, the daemons and the declarations of the demo.
 
-use std::fmt::{self, Display, Formatter};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -19,6 +18,8 @@
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
 
+use crate::error::StageError;
+
 /// The failure domains.
 const DOMAINS: [&str; 2] = ["accra-a", "accra-b"];
 
@@ -33,8 +34,10 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 /// The teams and what they declare.
-const TEAMS: [(&str, &str); 2] =
-    [("letters", include_str!("letters.jsonc")), ("seats", include_str!("seats.jsonc"))];
+const TEAMS: [(&str, &str); 2] = [
+    ("letters", include_str!("../letters.jsonc")),
+    ("seats", include_str!("../seats.jsonc")),
+];
 
 /// The callers; the key of each is `key-` and its name.
 pub const CALLERS: [&str; 3] = ["portal", "caseworker", "desk"];
@@ -47,50 +50,6 @@
     ("cue-sheet", "narrator@2026-11"),
 ];
 
-/// Why the demo could not be carried out.
-#[derive(Debug)]
-pub enum StageError {
-    /// The temporary folder can't be used.
-    Files(String),
-    /// A stand-in or a daemon does not start.
-    Start(String),
-    /// A call to a stand-in or a daemon failed.
-    Call(String),
-    /// Standard output is closed.
-    Output(String),
-    /// The declarations were refused.
-    Refused(String),
-    /// Not everything was served in time.
-    NotServed(String),
-}
-
-impl Display for StageError {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Files(why) => {
-                write!(f, "the temporary folder can't be used ({why}); make it writable")
-            }
-            Self::Start(why) => write!(f, "a part does not start ({why}); free its port"),
-            Self::Call(why) => write!(f, "a part does not answer ({why}); report it"),
-            Self::Output(why) => {
-                write!(f, "the result can't be printed ({why}); keep the output open")
-            }
-            Self::Refused(why) => write!(f, "the declarations were refused: {why}"),
-            Self::NotServed(why) => {
-                write!(f, "not everything was served in time ({why}); is the VM busy?")
-            }
-        }
-    }
-}
-
-impl std::error::Error for StageError {}
-
-impl From<reqwest::Error> for StageError {
-    fn from(error: reqwest::Error) -> Self {
-        Self::Call(error.to_string())
-    }
-}
-
 /// The running stand-ins and daemons.
 pub struct Stage {
     /// The client of all callers.
--- /dev/null
+++ b/crates/demo/src/platform/burst.rs
@@ -0,0 +1,145 @@
+//! A mix of requests of several callers, all sent at once.
+
+use std::time::{Duration, Instant};
+
+use chestnut_platform_stand_in::{Answer, Caller, Question};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::stage::Stage;
+use crate::error::StageError;
+use crate::tally::{Ending, Seen, Tally};
+
+/// Statuses that promise that a request has not run and never will.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// A kind of request in the burst.
+#[derive(Debug, Clone, Copy)]
+struct Mix {
+    kind: &'static str,
+    /// How many are sent.
+    count: usize,
+    /// What is sent.
+    what: What,
+    /// Whether an attempt must not run twice.
+    once: bool,
+}
+
+/// What is sent.
+#[derive(Debug, Clone, Copy)]
+enum What {
+    /// A stream of so many events.
+    Stream { model: &'static str, events: u32 },
+    /// A request to the plain service.
+    Plain,
+}
+
+/// What the burst is made of.
+const MIXES: [(&str, Mix); 5] = [
+    ("draft", Mix { kind: "draft", count: 40, what: RED, once: true }),
+    ("draft", Mix { kind: "adapted", count: 20, what: ADAPTED, once: true }),
+    ("demand", Mix { kind: "demand", count: 20, what: BLUE, once: false }),
+    ("record", Mix { kind: "record", count: 40, what: What::Plain, once: true }),
+    ("lookup", Mix { kind: "lookup", count: 100, what: What::Plain, once: false }),
+];
+
+const RED: What = What::Stream { model: "red", events: 20 };
+const ADAPTED: What = What::Stream { model: "red/a1", events: 10 };
+const BLUE: What = What::Stream { model: "blue", events: 30 };
+
+/// How long callers go on asking; also the time in which an answer is useful.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What became of one request.
+struct Outcome {
+    mix: Mix,
+    question: Question,
+    /// The answers to all its attempts.
+    answers: Vec<Answer>,
+    took: Duration,
+}
+
+/// Sends the burst `scale` times, waits for all answers and counts them.
+pub async fn run(
+    stage: &Stage,
+    caller: &Caller,
+    scale: usize,
+) -> Result<Tally, StageError> {
+    let entries = caller.directory(stage.directories[0]).await;
+    if entries.is_empty() {
+        return Err(StageError::Call("no address to use was named".into()));
+    }
+    let mut calls = JoinSet::new();
+    for (route, mix) in MIXES {
+        for index in 0..mix.count * scale {
+            let (caller, entry) = (caller.clone(), entries[index % entries.len()]);
+            calls.spawn(async move {
+                let question = question(route, mix.what);
+                let began = Instant::now();
+                let answers = insist(&caller, entry, &question).await;
+                Outcome { mix, question, answers, took: began.elapsed() }
+            });
+        }
+    }
+    let outcomes = calls.join_all().await;
+    let seen: Vec<Seen> = outcomes.iter().map(|one| seen(one, stage)).collect();
+    Ok(Tally::count(&seen))
+}
+
+fn question(route: &str, what: What) -> Question {
+    match what {
+        What::Stream { model, events } => Question::stream(route, model, events),
+        What::Plain => Question::plain(route),
+    }
+}
+
+/// Asks until there is an answer, coming back when told.
+async fn insist(
+    caller: &Caller,
+    entry: std::net::SocketAddr,
+    question: &Question,
+) -> Vec<Answer> {
+    let limit = Instant::now() + PATIENCE;
+    let mut answers = Vec::new();
+    loop {
+        let answer = caller.ask(entry, question).await;
+        let pause = answer.retry_after.filter(|_| is_refused(&answer));
+        answers.push(answer);
+        match pause.map(Duration::from_secs_f64) {
+            Some(pause) if Instant::now() + pause < limit => sleep(pause).await,
+            _ => return answers,
+        }
+    }
+}
+
+fn is_refused(answer: &Answer) -> bool {
+    NOT_RUN.contains(&answer.status) && !answer.signed
+}
+
+fn seen(one: &Outcome, stage: &Stage) -> Seen {
+    let runs = |answer: &Answer| stage.runs(&answer.id);
+    Seen {
+        kind: one.mix.kind,
+        end: ending(one, &runs),
+        took: one.took,
+        deadline: PATIENCE,
+        retried: one.answers.len() > 1,
+        doubled: one.mix.once && one.answers.iter().any(|answer| runs(answer) > 1),
+    }
+}
+
+fn ending(one: &Outcome, runs: &impl Fn(&Answer) -> usize) -> Ending {
+    let Some(last) = one.answers.last() else { return Ending::Broken };
+    let untrue = one.answers.iter().any(|answer| is_refused(answer) && runs(answer) > 0);
+    if untrue || is_refused(last) {
+        return Ending::Refused { ran: untrue };
+    }
+    if last.status != 200 || !last.whole {
+        return Ending::Broken;
+    }
+    let own = match one.question.model {
+        Some(_) => last.events.iter().copied().eq(1..=u64::from(one.question.events)),
+        None => last.body.contains(&last.id),
+    };
+    if own { Ending::Whole } else { Ending::Foreign }
+}
--- a/crates/demo/src/tally.rs
+++ b/crates/demo/src/tally.rs
@@ -1,16 +1,43 @@
 //! What the callers received and what really ran.
 
-use std::collections::HashSet;
 use std::fmt::{self, Display, Formatter};
+use std::time::Duration;
 
-use chestnut_fake::caller::{Ask, Form};
-use chestnut_fake::{EngineCounts, Handle, ServiceCounts};
 use indexmap::IndexMap;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
-use crate::burst::{MIXES, Outcome};
-use crate::stage::{Stage, StageError};
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// With a whole answer of its own.
+    Whole,
+    /// With what belongs to another request.
+    Foreign,
+    /// Refused as not run.
+    Refused {
+        /// Whether it ran all the same.
+        ran: bool,
+    },
+    /// With neither a whole answer nor a refusal.
+    Broken,
+}
+
+/// What became of one request.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen {
+    /// Its kind.
+    pub kind: &'static str,
+    /// How it ended.
+    pub end: Ending,
+    /// How long its caller waited.
+    pub took: Duration,
+    /// The time in which an answer is useful.
+    pub deadline: Duration,
+    /// Whether its caller came back at least once.
+    pub retried: bool,
+    /// Whether it must run once and ran more often.
+    pub doubled: bool,
+}
 
 /// What the callers received, of all kinds and by kind.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
@@ -51,14 +78,13 @@
 
 impl Tally {
     /// Counts what became of a burst.
-    pub async fn count(stage: &Stage, outcomes: &[Outcome]) -> Result<Self, StageError> {
-        let ran = Ran::read(stage).await?;
-        let mut tally = Self { total: line(outcomes.iter(), &ran), ..Self::default() };
-        for mix in MIXES {
-            let of_kind = outcomes.iter().filter(|one| one.mix == mix);
-            tally.kinds.insert(mix.kind.to_owned(), line(of_kind, &ran));
+    pub fn count(burst: &[Seen]) -> Self {
+        let mut tally = Self { total: line(burst.iter()), ..Self::default() };
+        for one in burst {
+            let of_kind = burst.iter().filter(|seen| seen.kind == one.kind);
+            tally.kinds.entry(one.kind.to_owned()).or_insert_with(|| line(of_kind));
         }
-        Ok(tally)
+        tally
     }
 
     /// Whether every answer was whole and its own caller's, nothing ran twice that
@@ -111,74 +137,25 @@
     }
 }
 
-/// How often things ran, as the backend servers counted.
-struct Ran {
-    /// Calls of the plain service, by the caller's key.
-    calls: IndexMap<String, u32>,
-    /// Prompts.
-    prompts: IndexMap<String, u32>,
-}
-
-impl Ran {
-    async fn read(stage: &Stage) -> Result<Self, StageError> {
-        let mut ran = Self { calls: IndexMap::new(), prompts: IndexMap::new() };
-        for server in &stage.services {
-            let counts: ServiceCounts = counts(stage, server).await?;
-            add(&mut ran.calls, counts.runs);
-        }
-        for engine in &stage.engines {
-            let counts: EngineCounts = counts(stage, engine).await?;
-            add(&mut ran.prompts, counts.prompts);
-        }
-        Ok(ran)
-    }
-
-    fn of(&self, ask: &Ask) -> u32 {
-        let count = match (&ask.form, &ask.key) {
-            (Form::Completion(completion), _) => self.prompts.get(&completion.prompt),
-            (_, Some(key)) => self.calls.get(key),
-            _ => None,
-        };
-        count.copied().unwrap_or(0)
-    }
-}
-
-async fn counts<T: DeserializeOwned>(
-    stage: &Stage,
-    server: &Handle,
-) -> Result<T, StageError> {
-    let url = format!("{}/counts", server.url());
-    Ok(stage.http.get(url).send().await?.json().await?)
-}
-
-fn add(sums: &mut IndexMap<String, u32>, counts: IndexMap<String, u32>) {
-    for (key, count) in counts {
-        *sums.entry(key).or_default() += count;
-    }
-}
-
-fn line<'a>(outcomes: impl Iterator<Item = &'a Outcome>, ran: &Ran) -> Line {
+fn line<'a>(burst: impl Iterator<Item = &'a Seen>) -> Line {
     let mut line = Line::default();
     let mut times = Vec::new();
-    let mut seen = HashSet::new();
-    for one in outcomes {
+    for one in burst {
         line.sent += 1;
-        line.retried += u64::from(one.reply.tries > 1);
-        if one.mix.once && seen.insert((one.mix.kind, &one.ask.key)) {
-            line.doubled += u64::from(ran.of(&one.ask) > 1);
-        }
-        if one.reply.is_whole(&one.ask) {
-            line.served += 1;
-            line.in_deadline += u64::from(one.took <= one.mix.deadline);
-            times.push(one.took);
-        } else if one.reply.wrong(&one.ask).is_some() {
-            line.foreign += 1;
-        } else if one.reply.outcome.as_deref() == Some("not_run") {
-            line.refused += 1;
-            // A request that was sent to two entries may have run by the other.
-            line.untrue += u64::from(one.reply.tries == 1 && ran.of(&one.ask) > 0);
-        } else {
-            line.broken += 1;
+        line.retried += u64::from(one.retried);
+        line.doubled += u64::from(one.doubled);
+        match one.end {
+            Ending::Whole => {
+                line.served += 1;
+                line.in_deadline += u64::from(one.took <= one.deadline);
+                times.push(one.took);
+            }
+            Ending::Foreign => line.foreign += 1,
+            Ending::Refused { ran } => {
+                line.refused += 1;
+                line.untrue += u64::from(ran);
+            }
+            Ending::Broken => line.broken += 1,
         }
     }
     times.sort();
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -27,12 +27,29 @@
     assert_eq!(number("sent"), 325, "{text}");
 }
 
+/// The same on the users' platform: streams with and without an adapter, plain requests
+/// that may run once and others go through three daemons before stand-ins of the
+/// platform; callers that are refused come back when told.
+#[test]
+fn demo_serves_its_burst_on_the_platform() {
+    let output = demo(&["--platform", "--json"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{:?}: {text} {errors}", output.status);
+    let tally: Value = serde_json::from_str(&text).unwrap();
+    for key in ["doubled", "foreign", "broken", "untrue", "refused"] {
+        assert_eq!(tally[key], 0, "{key}: {text}");
+    }
+    assert_eq!(tally["served"], tally["sent"], "{text}");
+    assert_eq!(tally["sent"], 220, "{text}");
+}
+
 #[test]
 fn demo_explains_itself() {
     let output = demo(&["--help"]);
     assert!(output.status.success());
     let text = String::from_utf8(output.stdout).unwrap();
-    for flag in ["--json", "--keep", "--scale"] {
+    for flag in ["--json", "--keep", "--platform", "--scale"] {
         assert!(text.contains(flag), "{text}");
     }
 }
