One queue for each plain service, held by one daemon

Cause: each daemon sent plain requests by its own counts.

The daemon that holds the claim of the service gives places: a request waits only while every place is taken, goes to the first that is free, and is refused when it comes if it would wait for longer than its caller, or be late while servers can't keep up. Without an answer from that daemon a request goes by own counts as before.

--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -75,6 +75,7 @@
             return Ok(respond(&answered.head, headers, whole(bytes)));
         }
         Ok(Err(why)) => {
+            answered.flight.broke();
             let now = job.shared.now();
             if let Some(server) = job.shared.fleet().get_mut(answered.place.key) {
                 server.health.failed(now);
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use chestnut_base::ServerName;
 use chestnut_edge::{Attempt, Reply, RouteKind};
-use chestnut_pool::{Flight, ServerKey};
+use chestnut_pool::{Flight, Outcome, ServerKey};
 use http::{Request, response};
 use hyper::body::Incoming;
 use tokio::time::{timeout, timeout_at};
 
 use crate::client::{Connection, SendFault};
+use crate::enqueue::Ticket;
 use crate::job::Job;
 use crate::message::Begun;
 use crate::shared::Shared;
@@ -31,17 +32,29 @@
     pub key: ServerKey,
     flight: Flight,
     sent: Instant,
+    /// The place in a plain service's queue that it was sent by.
+    place: Option<Ticket>,
+    /// What came of it.
+    outcome: Outcome,
 }
 
 impl InFlight {
     /// Counts a request.
-    pub fn new(job: &Job, key: ServerKey) -> Self {
+    pub fn new(job: &Job, place: &Place) -> Self {
         let shared = job.shared.clone();
         let flight = Flight { size: job.size(), begun: false };
+        let key = place.key;
         shared.fleet().begin(key, flight);
         sums::tell(&shared, key, job.call.target.clone(), None);
         let sent = shared.now();
-        Self { shared, key, flight, sent }
+        let plain = place.number.filter(|_| job.call.target.is_none());
+        let place = plain.map(|number| Ticket { service: job.service.clone(), number });
+        Self { shared, key, flight, sent, place, outcome: Outcome::Left }
+    }
+
+    /// Takes note that the answer broke off.
+    pub fn broke(&mut self) {
+        self.outcome = Outcome::Failed;
     }
 
     /// Takes note that the server has begun to answer.
@@ -68,6 +81,9 @@
     fn drop(&mut self) {
         self.shared.fleet().end(self.key, self.flight);
         sums::tell(&self.shared, self.key, None, None);
+        if let Some(place) = self.place.take() {
+            place.give_back(&self.shared, self.outcome);
+        }
     }
 }
 
@@ -80,7 +96,7 @@
     pub name: ServerName,
     /// Where it listens.
     pub addr: std::net::SocketAddr,
-    /// Names the request to the server's holder, if it was asked for a turn.
+    /// Names the request to the holder of the server or its queue, if that was asked.
     pub number: Option<u64>,
 }
 
@@ -135,9 +151,16 @@
     resume_after: Option<u64>,
 ) -> Result<Answered, Missed> {
     let shared = &job.shared;
-    let flight = InFlight::new(job, place.key);
+    let mut flight = InFlight::new(job, place);
     let result = exchange(job, place, resume_after).await;
     let now = shared.now();
+    flight.outcome = match &result {
+        Ok((head, ..)) if head.status.is_server_error() => Outcome::Failed,
+        Ok(_) => Outcome::Answered,
+        Err(Missed::Unreachable(_)) => Outcome::Unreachable,
+        Err(Missed::Lost(_) | Missed::Silent | Missed::Late) => Outcome::Failed,
+        Err(Missed::Rejected(_)) => Outcome::Rejected,
+    };
     if let Some(server) = shared.fleet().get_mut(place.key) {
         match &result {
             Ok((head, ..)) if head.status.is_server_error() => server.health.failed(now),
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -14,7 +14,7 @@
 
 use crate::follow::{Follower, OWN};
 use crate::shared::Shared;
-use crate::{holder, metrics, store};
+use crate::{holder, metrics, queue, store};
 
 /// How keys of claims' rows begin; the claim follows.
 pub const PREFIX: &str = "claim:";
@@ -65,6 +65,7 @@
     fn settled(&mut self) {
         self.0.own_read.send_replace(true);
         holder::follow_claims(&self.0);
+        queue::follow_claims(&self.0);
     }
 }
 
@@ -112,6 +113,7 @@
                 took(shared, step, version, fresh);
             }
             holder::follow_claims(shared);
+            queue::follow_claims(shared);
         }
         Ok(CommitAnswer::Conflict) => {
             info!(shared.log, "claims changed meanwhile"; "steps" => steps.len());
@@ -153,7 +155,8 @@
     shared.now() + shared.bounds.borrow().turn + TURN_MARGIN
 }
 
-/// Everything that is claimed: runners that are listed, and services with models.
+/// Everything that is claimed: runners that are listed, and all services, for their
+/// planners or their queues.
 fn keys(shared: &Shared) -> Vec<ClaimKey> {
     let Some(declared) = shared.declared() else { return Vec::new() };
     let engines: Vec<&ServiceName> = declared
@@ -167,11 +170,11 @@
         .iter()
         .filter(|(_, server)| engines.contains(&&server.entry.service))
         .map(|(_, server)| ClaimKey::Server(server.entry.name.clone()));
-    let pools = engines.iter().filter_map(|name| pool_key(name));
+    let pools = declared.services.keys().filter_map(pool_key);
     runners.chain(pools).collect()
 }
 
-/// The claim of a service's planner.
+/// The claim of a service's planner, or of a plain service's queue.
 pub fn pool_key(service: &ServiceName) -> Option<ClaimKey> {
     PoolName::try_from(service.as_str()).ok().map(ClaimKey::Pool)
 }
--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -10,7 +10,7 @@
 
 use chestnut_base::MemberId;
 use chestnut_edge::Engine;
-use chestnut_pool::{AdapterState, Next, Room, Ticket, Waiting, Want};
+use chestnut_pool::{AdapterState, Asker, Next, Room, Ticket, Waiting, Want};
 use indexmap::IndexMap;
 use slog::info;
 use tokio::sync::oneshot;
@@ -28,9 +28,6 @@
 /// How long the lane sleeps at most; sums of daemons that died fade meanwhile.
 const PATIENCE: Duration = Duration::from_millis(250);
 
-/// Names a request: the daemon that asks, and its number there.
-pub type Asker = (MemberId, u64);
-
 /// Asks when a request may be sent.
 pub struct Question {
     /// Names the request.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,7 +9,8 @@
 //! 5. [`answer`] passes the answer on, and lets another server go on where a
 //!    stream of numbered [`events`] breaks.
 //!
-//! A server is picked by asking ([`ask`]) the daemons that hold the runners' claims.
+//! A runner is picked by asking ([`ask`]) the daemons that hold the runners' claims; a
+//! plain service's server by waiting ([`enqueue`]) in the service's [`queue`].
 //! [`members`] and [`claims`] settle who that is; a [`holder`] knows from [`sums`] what
 //! is in flight at its runner, [`grant`]s requests their turn and gives orders by its
 //! [`driver`]; the [`planner`] says which model goes where. Daemons exchange
@@ -28,6 +29,7 @@
 mod command;
 pub mod directory;
 pub mod driver;
+pub mod enqueue;
 pub mod events;
 pub mod follow;
 pub mod front;
@@ -43,6 +45,7 @@
 pub mod peers;
 pub mod pick;
 pub mod planner;
+pub mod queue;
 pub mod read;
 pub mod receive;
 pub mod registry;
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -6,7 +6,7 @@
 use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
 use chestnut_edge::TargetModel;
 use chestnut_pool::moving::Move;
-use chestnut_pool::{Bid, Usage, Want};
+use chestnut_pool::{Bid, Outcome, PlainWant, Usage, Want};
 use serde::{Deserialize, Serialize};
 
 /// A datagram.
@@ -77,6 +77,33 @@
         /// The runner.
         server: ServerName,
     },
+    /// Asks for a place at a server of a plain service whose queue the receiver holds.
+    ///
+    /// Repeated while the answer is awaited; the number names the request.
+    Enqueue {
+        /// Names the request.
+        number: u64,
+        /// The service.
+        service: ServiceName,
+        /// What the request needs.
+        want: PlainWant,
+    },
+    /// Answers `Enqueue`.
+    Dequeued {
+        /// The request's number.
+        number: u64,
+        /// What became of it.
+        verdict: Placed,
+    },
+    /// A request that was asked for with `Enqueue` needs its place no more.
+    Finished {
+        /// The request's number.
+        number: u64,
+        /// The service.
+        service: ServiceName,
+        /// What came of it.
+        outcome: Outcome,
+    },
     /// What callers have asked of a service's models, to the planner.
     Demand {
         /// The service.
@@ -112,6 +139,21 @@
     Denied,
 }
 
+/// What becomes of a request that waits for a place at a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Placed {
+    /// It waits.
+    Queued,
+    /// It is to be sent to this server now.
+    Send(ServerName),
+    /// There is room only after this time in milliseconds, which its caller won't wait.
+    Full(u32),
+    /// No server takes requests.
+    Nowhere,
+    /// Another daemon holds the queue.
+    Moved,
+}
+
 /// The daemon lives.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
--- a/crates/gate/src/observe.rs
+++ b/crates/gate/src/observe.rs
@@ -6,7 +6,7 @@
 use axum::extract::State;
 use axum::routing::get;
 use axum::{Json, Router};
-use chestnut_base::{MemberId, ServerName, VmName};
+use chestnut_base::{MemberId, ServerName, ServiceName, VmName};
 use chestnut_member::ClaimKey;
 use indexmap::IndexMap;
 use serde::Serialize;
@@ -46,6 +46,8 @@
     pub servers: IndexMap<ServerName, ServerDump>,
     /// The runners whose claims this daemon holds.
     pub held: IndexMap<ServerName, HeldDump>,
+    /// How many requests wait in the plain services' queues that this daemon holds.
+    pub queues: IndexMap<ServiceName, usize>,
 }
 
 /// A copy of a table.
@@ -147,6 +149,11 @@
         claims: claims(shared),
         servers: servers(shared),
         held: held(shared),
+        queues: shared
+            .queues()
+            .iter()
+            .map(|(service, queue)| (service.clone(), queue.waiting()))
+            .collect(),
     }
 }
 
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -1,19 +1,20 @@
 //! Picks the server that a request is sent to.
 //!
-//! A plain request goes to the server with the least in flight. A generation goes to the
-//! runner whose holder expects its first event soonest, and waits there for its turn; it
+//! A plain request waits in its service's queue for a place; where that does not answer,
+//! it goes to the server with the least in flight. A generation goes to the runner whose holder expects its first event soonest, and waits there for its turn; it
 //! looks at all runners again while it waits, and is refused once none can begin before
 //! its caller leaves.
 
 use std::time::Duration;
 
 use chestnut_base::ServerName;
-use chestnut_pool::{Candidate, choose};
+use chestnut_pool::{Bid, Candidate, Outcome, choose};
 use slog::info;
 use tokio::time::{Instant, timeout_at};
 
 use crate::ask::{self, Turn};
 use crate::attempt::Place;
+use crate::enqueue::{self, Queued};
 use crate::job::Job;
 
 /// The pause before a server is asked for the second time; it doubles then.
@@ -27,6 +28,9 @@
 /// one would not have been missed.
 const RESIDENCE_WAIT: Duration = Duration::from_secs(4);
 
+/// How often a request asks for another place where it can't use the one that it got.
+const ROUNDS: usize = 3;
+
 /// Why no server was picked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoPlace {
@@ -71,8 +75,7 @@
 ) -> Result<Place, NoPlace> {
     loop {
         if job.call.target.is_none() {
-            let chosen = pick_plain(job, avoid).ok_or(NoPlace::Nowhere)?;
-            return place(job, chosen).ok_or(NoPlace::Nowhere);
+            return pick_plain(job, avoid).await;
         }
         let chosen = ask::pick(job, avoid).await.ok_or(NoPlace::Nowhere)?;
         let wait = Duration::from_secs_f64(chosen.bid.cost.max(0.0) / 1000.0);
@@ -95,7 +98,45 @@
     }
 }
 
-fn pick_plain(job: &Job, avoid: &[ServerName]) -> Option<Candidate> {
+async fn pick_plain(job: &Job, avoid: &mut Vec<ServerName>) -> Result<Place, NoPlace> {
+    // Each round leaves one server out that this daemon knows to be leaving.
+    for _ in 0..ROUNDS {
+        match enqueue::wait(job, avoid).await {
+            Queued::Send(number, server) => match granted(job, number, &server) {
+                Some(place) => return Ok(place),
+                None => avoid.push(server),
+            },
+            Queued::Full(wait) => return Err(NoPlace::Full(wait)),
+            Queued::Nowhere => break,
+            Queued::Silent => break,
+        }
+    }
+    let chosen = pick_by_own(job, avoid).ok_or(NoPlace::Nowhere)?;
+    place(job, chosen).ok_or(NoPlace::Nowhere)
+}
+
+/// The place that a service's queue has given, unless the server takes no requests.
+fn granted(job: &Job, number: u64, server: &ServerName) -> Option<Place> {
+    let now = job.shared.now();
+    let chosen = {
+        let fleet = job.shared.fleet();
+        let key = fleet.key(server);
+        let known = key.and_then(|key| Some((key, fleet.get(key)?)));
+        let open = known.filter(|(_, server)| fleet.takes_work(server, now));
+        open.map(|(key, server)| {
+            let requests = server.own.requests;
+            Candidate { key, bid: Bid { cost: 0.0, requests } }
+        })
+    };
+    let place = chosen.and_then(|chosen| place(job, chosen));
+    if place.is_none() {
+        enqueue::Ticket { service: job.service.clone(), number }
+            .give_back(&job.shared, Outcome::Left);
+    }
+    Some(Place { number: Some(number), ..place? })
+}
+
+fn pick_by_own(job: &Job, avoid: &[ServerName]) -> Option<Candidate> {
     let shared = &job.shared;
     let (now, domain) = (shared.now(), &shared.settings.domain);
     let fleet = shared.fleet();
@@ -123,8 +164,13 @@
 ///
 /// A server that is full has room when one of its requests ends. Asked again at once, a
 /// request uses up its tries, and a part of all callers' repeats, within milliseconds.
-pub async fn pause_before(server: &ServerName, tried: &[ServerName]) {
-    let before = tried.iter().filter(|one| *one == server).count() as u32;
+///
+/// One that holds a place has waited already.
+pub async fn pause_before(place: &Place, tried: &[ServerName]) {
+    if place.number.is_some() {
+        return;
+    }
+    let before = tried.iter().filter(|one| **one == place.name).count() as u32;
     if let Some(doublings) = before.checked_sub(1) {
         tokio::time::sleep(FIRST_PAUSE * 2u32.pow(doublings)).await;
     }
--- /dev/null
+++ b/crates/gate/src/queue.rs
@@ -0,0 +1,213 @@
+//! The queue of a plain service, held by one daemon for all.
+//!
+//! Daemons ask for a place, repeat their question while they wait, and say when they need
+//! it no more. What is lost on the way is asked again; a place whose end was lost is free
+//! when its caller's time is over.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::time::{Duration, Instant};
+
+use chestnut_base::ServiceName;
+use chestnut_pool::{Asker, Listed, Outcome, PlainWant, Queue, QueueStep};
+use indexmap::IndexMap;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout_at;
+
+use crate::claims::pool_key;
+use crate::message::{Message, Placed};
+use crate::shared::Shared;
+
+/// How long the queue sleeps at most while requests wait.
+const PATIENCE: Duration = Duration::from_millis(100);
+
+/// How long the list of servers is good for.
+///
+/// Servers that are excused for an outage of the registry are taken off it by time alone.
+const LIST_TIME: Duration = Duration::from_millis(100);
+
+/// Where the answer goes.
+pub enum Reply {
+    /// To a request of this daemon.
+    Here(oneshot::Sender<Placed>),
+    /// To another daemon.
+    There(SocketAddr),
+}
+
+/// The queue of a plain service whose claim this daemon holds.
+pub struct ServiceQueue {
+    service: ServiceName,
+    state: Mutex<State>,
+    /// Wakes whoever sees to the queue's times.
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    queue: Queue,
+    /// Where answers to requests that wait go.
+    replies: IndexMap<Asker, Reply>,
+    /// The change of the registry that the servers were listed at, and when.
+    listed: Option<(u64, Instant)>,
+}
+
+impl ServiceQueue {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// The requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.state().queue.len()
+    }
+}
+
+/// Starts and ends queues as claims come and go.
+pub fn follow_claims(shared: &Arc<Shared>) {
+    let held = held(shared);
+    let lost: Vec<Arc<ServiceQueue>> = {
+        let mut queues = shared.queues();
+        for service in &held {
+            let start = || start(shared, service.clone());
+            queues.entry(service.clone()).or_insert_with(start);
+        }
+        queues.extract_if(.., |service, _| !held.contains(service)).map(|q| q.1).collect()
+    };
+    for queue in lost {
+        // Who waits asks the next holder.
+        let replies = std::mem::take(&mut queue.state().replies);
+        for (asker, reply) in replies {
+            answer(shared, asker, reply, Placed::Moved);
+        }
+    }
+}
+
+/// The plain services whose claims this daemon holds.
+fn held(shared: &Shared) -> Vec<ServiceName> {
+    let Some(declared) = shared.declared() else { return Vec::new() };
+    let known = shared.known();
+    let mine = |service: &ServiceName| {
+        let claim = pool_key(service).and_then(|key| known.claims.get(&key));
+        claim.is_some_and(|(row, _)| row.holder == Some(shared.peers.me))
+    };
+    let plain = declared.services.iter().filter(|(_, service)| service.engine.is_none());
+    plain.map(|(name, _)| name.clone()).filter(mine).collect()
+}
+
+fn start(shared: &Arc<Shared>, service: ServiceName) -> Arc<ServiceQueue> {
+    let (state, changed) = (Mutex::default(), Notify::new());
+    let queue = Arc::new(ServiceQueue { service, state, changed });
+    tokio::spawn(run(shared.clone(), Arc::downgrade(&queue)));
+    queue
+}
+
+/// Takes in that a daemon wants a place.
+pub fn take(
+    shared: &Shared,
+    service: &ServiceName,
+    asker: Asker,
+    want: PlainWant,
+    reply: Reply,
+) {
+    let Some(queue) = shared.queues().get(service).cloned() else {
+        return answer(shared, asker, reply, Placed::Moved);
+    };
+    let now = shared.now();
+    let (placed, waits) = {
+        let mut state = queue.state();
+        let placed = state.queue.place(asker).cloned();
+        let waits = state.replies.contains_key(&asker);
+        state.queue.push(asker, want, now);
+        (placed, waits)
+    };
+    if let Some(server) = placed {
+        return answer(shared, asker, reply, Placed::Send(server));
+    }
+    if waits && let Reply::There(addr) = &reply {
+        // Whoever asks again has to know that the queue is there.
+        answer(shared, asker, Reply::There(*addr), Placed::Queued);
+    }
+    queue.state().replies.insert(asker, reply);
+    serve(shared, &queue);
+    queue.changed.notify_one();
+}
+
+/// Takes in that a request needs its place no more, or does not wait any longer.
+pub fn finish(shared: &Shared, service: &ServiceName, asker: Asker, outcome: Outcome) {
+    let Some(queue) = shared.queues().get(service).cloned() else { return };
+    {
+        let mut state = queue.state();
+        state.queue.end(asker, outcome, shared.now());
+        state.replies.swap_remove(&asker);
+    }
+    serve(shared, &queue);
+}
+
+/// Sees to a queue's times until its claim is lost.
+async fn run(shared: Arc<Shared>, queue: Weak<ServiceQueue>) {
+    loop {
+        let Some(held) = queue.upgrade() else { return };
+        serve(&shared, &held);
+        let now = shared.now();
+        let wake = held.state().queue.wake(now).unwrap_or(now + PATIENCE);
+        let until = tokio::time::Instant::from_std(wake.min(now + PATIENCE));
+        // Either something changed or it is time to look again.
+        let _ = timeout_at(until, held.changed.notified()).await;
+    }
+}
+
+/// Decides about all requests that can be decided about.
+fn serve(shared: &Shared, queue: &ServiceQueue) {
+    let now = shared.now();
+    list(shared, queue, now);
+    loop {
+        let (asker, reply, placed) = {
+            let mut state = queue.state();
+            let Some(step) = state.queue.next(now) else { return };
+            let (asker, placed) = match step {
+                QueueStep::Send(asker, server) => (asker, Placed::Send(server)),
+                QueueStep::Full(asker, wait) => {
+                    (asker, Placed::Full(wait.as_millis() as u32))
+                }
+                QueueStep::Nowhere(asker) => (asker, Placed::Nowhere),
+            };
+            (asker, state.replies.swap_remove(&asker), placed)
+        };
+        if let Some(reply) = reply {
+            answer(shared, asker, reply, placed);
+        }
+    }
+}
+
+/// Takes in the servers that the registry lists.
+fn list(shared: &Shared, queue: &ServiceQueue, now: Instant) {
+    let version = *shared.listed.borrow();
+    let old = |at: Instant| now.saturating_duration_since(at) >= LIST_TIME;
+    if queue.state().listed.is_some_and(|(seen, at)| seen == version && !old(at)) {
+        return;
+    }
+    let listed: Vec<Listed> = {
+        let fleet = shared.fleet();
+        let ours = fleet.iter().filter(|(_, one)| one.entry.service == queue.service);
+        let open = ours.filter(|(_, one)| fleet.is_listed(one, now));
+        let listed = open.map(|(_, one)| Listed {
+            name: one.entry.name.clone(),
+            slots: one.entry.slots,
+            domain: one.entry.domain.clone(),
+        });
+        listed.collect()
+    };
+    let mut state = queue.state();
+    state.queue.list(listed, now);
+    state.listed = Some((version, now));
+}
+
+fn answer(shared: &Shared, asker: Asker, reply: Reply, verdict: Placed) {
+    match reply {
+        // Whoever asked may have given up.
+        Reply::Here(sender) => drop(sender.send(verdict)),
+        Reply::There(addr) => {
+            shared.peers.send(addr, Message::Dequeued { number: asker.1, verdict });
+        }
+    }
+}
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -6,7 +6,7 @@
 use crate::grant::{self, Question, Reply};
 use crate::message::{Message, Packet, Verdict};
 use crate::shared::Shared;
-use crate::{ask, members, planner, sums};
+use crate::{ask, members, planner, queue, sums};
 
 /// Takes in datagrams for as long as the daemon runs.
 pub async fn run(shared: Arc<Shared>) {
@@ -46,7 +46,16 @@
                 grant::leave(&holder, (packet.from, number));
             }
         }
-        Message::Bids { number, .. } | Message::Taken { number, .. } => {
+        Message::Enqueue { number, service, want } => {
+            let reply = queue::Reply::There(from);
+            queue::take(shared, &service, (packet.from, number), want, reply);
+        }
+        Message::Finished { number, service, outcome } => {
+            queue::finish(shared, &service, (packet.from, number), outcome);
+        }
+        Message::Bids { number, .. }
+        | Message::Taken { number, .. }
+        | Message::Dequeued { number, .. } => {
             shared.peers.answer(number, packet.message);
         }
         Message::Demand { service, tokens, lost } => {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -87,7 +87,7 @@
             Err(NoPlace::Nowhere) => return Err((no_server(&job), job)),
             Err(NoPlace::Full(wait)) => return Err((full(&job, wait), job)),
         };
-        pause_before(&place.name, &tried).await;
+        pause_before(&place, &tried).await;
         job.sent = job.shared.now();
         let missed = match attempt(&job, &place, job.call.resume_after).await {
             Ok(answered) => match again(&job, &answered) {
@@ -131,8 +131,8 @@
     if job.may_have_run() {
         return no_server(job);
     }
-    let message = "all servers with the model are full for longer than a caller waits; \
-        come back when told";
+    let message = "all servers that could serve it are full for longer than its caller \
+        waits; come back when told";
     Refusal::not_run(Code::Overloaded, message).after(wait.clamp(AWAY, LONGEST_AWAY))
 }
 
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::planner::Counts;
+use crate::queue::ServiceQueue;
 use crate::settings::{Bounds, Settings};
 
 /// A count of requests that are being served.
@@ -89,6 +90,9 @@
     /// The daemons that this one exchanges beats with.
     neighbours: Mutex<Neighbours>,
     holders: Mutex<IndexMap<ServerName, Arc<Holder>>>,
+    queues: Mutex<IndexMap<ServiceName, Arc<ServiceQueue>>>,
+    /// Until when the holders of plain services' queues are not asked.
+    silent: Mutex<IndexMap<ServiceName, Instant>>,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
     speeds: Mutex<Speeds>,
     counts: Mutex<Counts>,
@@ -136,6 +140,8 @@
             known: Mutex::default(),
             neighbours: Mutex::default(),
             holders: Mutex::default(),
+            queues: Mutex::default(),
+            silent: Mutex::default(),
             budgets: Mutex::default(),
             speeds: Mutex::default(),
             counts: Mutex::default(),
@@ -184,6 +190,23 @@
         self.holders().get(server).cloned()
     }
 
+    /// The queues of plain services whose claims this daemon holds.
+    pub fn queues(&self) -> MutexGuard<'_, IndexMap<ServiceName, Arc<ServiceQueue>>> {
+        self.queues.lock().expect("no holder of the lock panics")
+    }
+
+    /// Notes that the holder of a service's queue does not answer.
+    pub fn note_silent(&self, service: &ServiceName, until: Instant) {
+        let mut silent = self.silent.lock().expect("no holder of the lock panics");
+        silent.insert(service.clone(), until);
+    }
+
+    /// Whether the holder of a service's queue did not answer lately.
+    pub fn is_silent(&self, service: &ServiceName, now: Instant) -> bool {
+        let silent = self.silent.lock().expect("no holder of the lock panics");
+        silent.get(service).is_some_and(|until| now < *until)
+    }
+
     /// How fast runners read prompts.
     pub fn speeds(&self) -> MutexGuard<'_, Speeds> {
         self.speeds.lock().expect("no holder of the lock panics")
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -75,7 +75,7 @@
 ///
 /// More than the two milliseconds that it takes: what goes between failure domains is
 /// paid for.
-const DOMAIN_COST: f64 = 8.0;
+pub(crate) const DOMAIN_COST: f64 = 8.0;
 
 /// What the load of an adapter costs, in milliseconds: the load and two orders.
 const ADAPTER_COST: f64 = 25.0;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -10,7 +10,8 @@
 //! 5. [`choose`] estimates and picks the server for a request,
 //! 6. [`lane`] says when the runner gets which prompt, by the [`speed`] at which it
 //!    reads,
-//! 7. [`budget`] bounds how often requests are sent again.
+//! 7. [`queue`] says which server of a plain service runs which request, and when,
+//! 8. [`budget`] bounds how often requests are sent again.
 //!
 //! Beside them, [`placing`] says which runner holds which model, by [`demand`] and at
 //! a [`pace`] that the weight store allows, without servers that are [`lost`].
@@ -26,6 +27,7 @@
 pub mod pace;
 pub mod placing;
 pub mod prefix;
+pub mod queue;
 pub mod runner;
 pub mod speed;
 pub mod usage;
@@ -37,6 +39,7 @@
 pub use lane::{Ahead, Lane, Next, Room, Ticket, Waiting};
 pub use pace::Pace;
 pub use prefix::Prefixes;
+pub use queue::{Asker, Listed, Outcome, PlainWant, Queue, QueueStep};
 pub use runner::{AdapterNeed, AdapterState, Runner};
 pub use speed::Speeds;
 pub use usage::{Flight, Usage};
