Let VMs with more processor hold more claims

Cause: claims fell to all VMs alike.

A claim of a server falls to a VM in proportion to its processor (weighted rendezvous, the same order as before among equals); that of a service to one of the largest. The tables' readers are ranked alike. Settings: cores.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -106,6 +106,15 @@
     hash.digest()
 }
 
+/// The rank of a member that is to win in proportion to its weight; the greatest wins.
+///
+/// Among members of one weight it is the order of [`rendezvous`].
+pub fn weighted_rendezvous(thing: &str, member: &str, weight: u32) -> f64 {
+    // Between 0 and 1, and neither of them.
+    let share = (rendezvous(thing, member) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    f64::from(weight.max(1)) / -share.ln()
+}
+
 impl Display for MemberId {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/demo/src/platform/stage.rs
+++ b/crates/demo/src/platform/stage.rs
@@ -127,6 +127,7 @@
             metrics: Some(metrics),
             ports: (ports[0], ports[1]),
             store: self.store.addr,
+            cores: 1.0,
             bounds: BOUNDS,
             path: None,
         };
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use chestnut_base::MemberId;
-use chestnut_base::id::rendezvous;
+use chestnut_base::id::weighted_rendezvous;
+use chestnut_base::{MemberId, VmName};
 use chestnut_edge::Change;
 use slog::{info, warn};
 use tokio::sync::watch;
@@ -348,11 +348,12 @@
     let me = &shared.settings.vm;
     let known = shared.known();
     let now = shared.now();
-    let own = rendezvous(table, me.as_str());
+    let own = weighted_rendezvous(table, me.as_str(), shared.settings.weight());
     let others = known.members.iter().filter(|(vm, (row, _))| {
         *vm != me && known.takes_claims(row) && shared.is_alive(row.member, now)
     });
-    others.filter(|(vm, _)| rendezvous(table, vm.as_str()) > own).count()
+    let rank = |vm: &VmName, weight| weighted_rendezvous(table, vm.as_str(), weight);
+    others.filter(|(vm, (row, _))| rank(vm, row.weight) > own).count()
 }
 
 /// The tables that a daemon follows.
--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -167,6 +167,7 @@
         peer_addr: settings.peer_addr(),
         ops_addr: settings.rows_addr(),
         leaving: *shared.leaving.borrow(),
+        weight: settings.weight(),
     }
 }
 
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chestnut_base::{DomainName, VmName};
+use chestnut_member::WHOLE_CORE;
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
@@ -41,6 +42,13 @@
 
 impl std::error::Error for SettingsError {}
 
+/// The greatest number of cores that is believed.
+const MOST_CORES: f64 = 1024.0;
+
+fn whole_core() -> f64 {
+    1.0
+}
+
 /// The checked settings of one daemon.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Settings {
@@ -63,6 +71,9 @@
     pub ports: (u16, u16),
     /// The platform's store.
     pub store: SocketAddr,
+    /// The processor time that the daemon has, in cores.
+    #[serde(default = "whole_core")]
+    pub cores: f64,
     /// Times and bounds that the operators set.
     pub bounds: Bounds,
     /// The file that the settings were read from.
@@ -133,6 +144,11 @@
         SocketAddr::new(self.ip, self.ports.1)
     }
 
+    /// The daemon's weight among those that claims fall to.
+    pub fn weight(&self) -> u32 {
+        (self.cores * f64::from(WHOLE_CORE)).round().max(1.0) as u32
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         let (first, last) = self.ports;
         if first == 0 || last <= first {
@@ -141,6 +157,9 @@
                 "give a first and a later last port",
             ));
         }
+        if !(self.cores > 0.0 && self.cores <= MOST_CORES) {
+            return Err(SettingsError::Value("cores", "give a number of cores above 0"));
+        }
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
             return Err(SettingsError::Value(
                 "bounds.retry_ratio",
--- a/crates/gate/tests/settings.rs
+++ b/crates/gate/tests/settings.rs
@@ -7,7 +7,7 @@
   "vm": "entry-1", "domain": "accra-a", "ip": "10.0.0.1",
   "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82",
   "ports": [7000, 7010], "store": "10.0.9.1:90", "unknown": {"is": "passed over"},
-  "metrics": "10.0.0.1:9464",
+  "metrics": "10.0.0.1:9464", "cores": 0.25,
   "bounds": {
     "stop_s": 8, "directory_s": 5, "retry_ratio": 0.2, "retry_slack": 52,
     "retry_window_s": 10, "turn_ms": 3000, "load_window_s": 5
@@ -24,6 +24,7 @@
 fn good_settings_are_taken() {
     let settings = Settings::parse(GOOD).expect("the settings are good");
     assert_eq!(settings.vm.as_str(), "entry-1");
+    assert_eq!(settings.weight(), 25);
     assert_eq!(settings.peer_addr().port(), 7000);
     assert_eq!(settings.rows_addr().port(), 7010);
     assert_eq!(settings.metrics.map(|addr| addr.port()), Some(9464));
@@ -33,6 +34,7 @@
 fn faults_name_the_field_and_the_remedy() {
     insta::assert_snapshot!(fault("\"vm\": \"entry-1\", ", ""), @"missing field `vm`; see docs/CONFIGURATION.md for the fields");
     insta::assert_snapshot!(fault("[7000, 7010]", "[7000, 6000]"), @"`ports` can't be used; give a first and a later last port");
+    insta::assert_snapshot!(fault("\"cores\": 0.25", "\"cores\": 0"), @"`cores` can't be used; give a number of cores above 0");
     insta::assert_snapshot!(fault("\"retry_ratio\": 0.2", "\"retry_ratio\": 20"), @"`bounds.retry_ratio` can't be used; give a number between 0 and 1");
     insta::assert_snapshot!(fault("\"stop_s\": 8", "\"stop_s\": 0.1"), @"`bounds.stop_s` can't be used; give a second or more");
     let syntax = fault("\"ports\":", "ports");
--- a/crates/lab/src/slopes/rows.rs
+++ b/crates/lab/src/slopes/rows.rs
@@ -5,7 +5,9 @@
 use chestnut_base::{
     DomainName, Fence, MemberId, ModelName, PoolName, ServerName, SlotId, VersionName,
 };
-use chestnut_member::{ClaimKey, ClaimRow, LeaseRow, MemberRow, Server, ServerRole};
+use chestnut_member::{
+    ClaimKey, ClaimRow, LeaseRow, MemberRow, Server, ServerRole, WHOLE_CORE,
+};
 use chestnut_node::members::{CLAIMS, LEASES, MEMBERS, SERVERS};
 use chestnut_node::orders::rows::LEDGER;
 use chestnut_place::{Asset, Item, ItemState, Ledger};
@@ -158,6 +160,7 @@
         peer_addr: address(n),
         ops_addr: address(n),
         leaving: false,
+        weight: WHOLE_CORE,
     }
 }
 
--- a/crates/member/src/assign.rs
+++ b/crates/member/src/assign.rs
@@ -8,14 +8,19 @@
 //! falls to has been there for [`STABLE`]: without the pause a daemon that dies
 //! again and again soon after its start would each time take its share of the
 //! backend servers down with it until its lease lapses.
+//!
+//! VMs differ fourfold in their processors. A claim of a backend server falls to one in
+//! proportion; that of a whole service, whose holder hears of every request, to one of
+//! the largest. Shared evenly, the queue of a plain service stood on an eighth of a core
+//! and left half of the questions unanswered under full load.
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::id::rendezvous;
+use chestnut_base::id::{rendezvous, weighted_rendezvous};
 use chestnut_base::{Fence, MemberId, VmName};
 use indexmap::IndexMap;
 
-use crate::known::{ClaimRow, Known};
+use crate::known::{ClaimRow, Known, MemberRow};
 use crate::view::ClaimKey;
 
 /// How long a member must have been known before claims are handed to it.
@@ -62,11 +67,11 @@
     let Some((own, _)) = known.own(vm, me) else {
         return Plan::default();
     };
-    let able: Vec<(&VmName, MemberId)> = known
+    let able: Vec<(&VmName, &MemberRow)> = known
         .members
         .iter()
         .filter(|(_, (row, _))| known.takes_claims(row))
-        .map(|(vm, (row, _))| (vm, row.member))
+        .map(|(vm, (row, _))| (vm, row))
         .collect();
     let alive: IndexMap<MemberId, ()> =
         known.members.values().map(|(row, _)| (row.member, ())).collect();
@@ -108,9 +113,18 @@
 }
 
 /// The member that a claim falls to if it has no holder.
-fn winner(key: &ClaimKey, able: &[(&VmName, MemberId)]) -> Option<MemberId> {
-    let key = key.to_string();
-    able.iter()
-        .max_by_key(|(vm, _)| (rendezvous(&key, vm.as_str()), *vm))
-        .map(|(_, member)| *member)
+fn winner(key: &ClaimKey, able: &[(&VmName, &MemberRow)]) -> Option<MemberId> {
+    let name = key.to_string();
+    let rank = |vm: &VmName, row: &MemberRow| match key {
+        ClaimKey::Pool(_) => (row.weight, rendezvous(&name, vm.as_str()) as f64),
+        ClaimKey::Server(_) | ClaimKey::Slot(_) | ClaimKey::Vms => {
+            (0, weighted_rendezvous(&name, vm.as_str(), row.weight))
+        }
+    };
+    let ranked = able.iter().map(|(vm, row)| (rank(vm, row), *vm, row.member));
+    let best = ranked.max_by(|((weight, score), vm, _), (other, other_vm, _)| {
+        let (other_weight, other_score) = other;
+        weight.cmp(other_weight).then(score.total_cmp(other_score)).then(vm.cmp(other_vm))
+    });
+    best.map(|(_, _, member)| member)
 }
--- a/crates/member/src/known.rs
+++ b/crates/member/src/known.rs
@@ -24,6 +24,16 @@
     pub ops_addr: SocketAddr,
     /// Whether the daemon is leaving.
     pub leaving: bool,
+    /// The processor time that the daemon has, in hundredths of a core.
+    #[serde(default = "whole_core")]
+    pub weight: u32,
+}
+
+/// The weight of a daemon that has a core, or whose row does not say.
+pub const WHOLE_CORE: u32 = 100;
+
+fn whole_core() -> u32 {
+    WHOLE_CORE
 }
 
 /// A daemon's lease, rewritten at each renewal.
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod wake;
 
 pub use assign::{Plan, Step, plan};
-pub use known::{ClaimRow, Known, LeaseRow, MemberRow};
+pub use known::{ClaimRow, Known, LeaseRow, MemberRow, WHOLE_CORE};
 pub use lease::{Lease, lapsed, watched, watchers};
 pub use view::{Claim, ClaimKey, Member, Server, ServerRole, View};
 pub use wake::Wake;
--- a/crates/member/tests/claims.rs
+++ b/crates/member/tests/claims.rs
@@ -8,7 +8,8 @@
 
 use chestnut_base::{DomainName, Fence, MemberId, ServerName, SlotId, VmName};
 use chestnut_member::{
-    ClaimKey, ClaimRow, Known, Lease, LeaseRow, MemberRow, lapsed, plan, watched,
+    ClaimKey, ClaimRow, Known, Lease, LeaseRow, MemberRow, WHOLE_CORE, lapsed, plan,
+    watched,
 };
 use indexmap::IndexMap;
 use proptest::prelude::*;
@@ -137,6 +138,7 @@
             peer_addr: addr,
             ops_addr: addr,
             leaving: daemon.leaving,
+            weight: WHOLE_CORE,
         };
         let known = daemon.known.own(&daemon.vm, daemon.me).map(|(_, version)| version);
         let current =
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -10,7 +10,8 @@
 
 use chestnut_base::{MemberId, ServerName, SlotId, VmName};
 use chestnut_member::{
-    ClaimKey, ClaimRow, Known, LeaseRow, MemberRow, Server, Step, lapsed, plan, watched,
+    ClaimKey, ClaimRow, Known, LeaseRow, MemberRow, Server, Step, WHOLE_CORE, lapsed,
+    plan, watched,
 };
 use chestnut_plat::table::Lookup;
 use chestnut_plat::{Delta, PlatError, Row, Txn, TxnAnswer, VmRow};
@@ -245,6 +246,7 @@
             peer_addr: self.addresses.peer,
             ops_addr: self.addresses.ops,
             leaving,
+            weight: WHOLE_CORE,
         }
     }
 
