Refuse what no runner has the model for before its caller leaves

Ruled out: turns (these requests have no line between their arrival and their end).

It waits for half of its caller's patience now and is told to come back in 1.5 s, the time in which a lost runner is noticed and its model loaded elsewhere.

Test: a_model_that_is_nowhere_is_refused_before_its_caller_leaves, fails before.

--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -22,12 +22,18 @@
 /// Plain requests run for 30 to 60 ms on some six places, so that one is free in ten.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 
-/// How long a request waits for a server that holds its model.
+/// How long a request waits for a server that holds its model, at most.
 ///
 /// A load from the weight store takes one to two seconds; later than that another
 /// one would not have been missed.
 const RESIDENCE_WAIT: Duration = Duration::from_secs(4);
 
+/// The part of its caller's patience that a request waits for a server with its model.
+///
+/// Held for longer its caller leaves with nothing, though the model may be there a second
+/// later; told by then, it comes back.
+const RESIDENCE_PART: f64 = 0.5;
+
 /// How often a request asks for another place where it can't use the one that it got.
 const ROUNDS: usize = 3;
 
@@ -49,8 +55,7 @@
     lacking: Option<ServerName>,
     tried: &[ServerName],
 ) -> Result<Place, NoPlace> {
-    let limit = job.patience().min(job.arrived + RESIDENCE_WAIT);
-    let limit = Instant::from_std(limit);
+    let limit = Instant::from_std(residence_limit(job));
     let mut listed = job.shared.listed.subscribe();
     let mut avoid = tried.to_vec();
     loop {
@@ -66,6 +71,16 @@
     }
 }
 
+/// Until when a request waits for a server with its model.
+fn residence_limit(job: &Job) -> std::time::Instant {
+    if job.begun {
+        // Its caller has a part of the answer and can't be told to come back.
+        return job.patience();
+    }
+    let patience = job.patience().saturating_duration_since(job.arrived);
+    job.arrived + RESIDENCE_WAIT.min(patience.mul_f64(RESIDENCE_PART))
+}
+
 /// Picks a server that can take the request now; those whose adapter can't be
 /// loaded go to `avoid`.
 async fn pick_now(
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -34,6 +34,11 @@
 /// nothing is known of when one can.
 const AWAY: Duration = Duration::from_millis(500);
 
+/// How long callers are told to stay away when no server holds the model that they ask for.
+///
+/// That its runner is gone is noticed within a second, and a load takes one or two.
+const NOT_RESIDENT: Duration = Duration::from_millis(1500);
+
 /// The longest that callers are told to stay away.
 ///
 /// Streams stay at a runner for some three seconds; after that room is found again.
@@ -192,11 +197,20 @@
         true => Refusal::in_doubt(Code::Broken, message),
         false => {
             let returns = job.shared.fleet().returns_in(job.shared.now());
-            Refusal::not_run(Code::Unavailable, message).after(returns.max(AWAY))
+            let away = if is_resident(job) { AWAY } else { NOT_RESIDENT };
+            Refusal::not_run(Code::Unavailable, message).after(returns.max(away))
         }
     }
 }
 
+/// Whether a server that may get requests holds the model, where one is asked for.
+fn is_resident(job: &Job) -> bool {
+    let Some(target) = &job.call.target else { return true };
+    let fleet = job.shared.fleet();
+    let mut open = fleet.open(&job.service, job.shared.now());
+    open.any(|(_, server)| server.entry.holds(&target.model))
+}
+
 /// A body of bytes that are all there.
 pub fn whole(bytes: Bytes) -> OutBody {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chestnut_platform_stand_in::{Question, RunnerFault, ServiceFault};
+use chestnut_platform_stand_in::{Question, Runner, RunnerFault, ServiceFault};
 use tokio::time::sleep;
 
 use crate::numbers;
@@ -138,6 +138,25 @@
     assert_eq!(world.runs(&answer), 2);
 }
 
+#[tokio::test]
+async fn a_model_that_is_nowhere_is_refused_before_its_caller_leaves() {
+    // All runners leave. The caller of a stream goes after 3.2 s, four times its objective.
+    // Held until then it has nothing; it is told well before that its request did not run
+    // and when to come back, which is after a load takes.
+    let world = World::start("nowhere", 1).await;
+    world.runners.iter().for_each(Runner::drain);
+    until("the runners are known to leave", async || {
+        let state = world.caller.text(world.gates[0].metrics, "/state").await;
+        state.matches("Leaving").count() == world.runners.len()
+    })
+    .await;
+    let answer = world.ask(0, &Question::stream("draft", "red", 3)).await;
+    assert_eq!((answer.status, answer.signed), (503, false));
+    assert_eq!(answer.retry_after, Some(1.5));
+    assert!(answer.took < Duration::from_millis(2400), "{:?}", answer.took);
+    assert_eq!(world.runs(&answer), 0);
+}
+
 #[tokio::test]
 async fn a_runner_that_starts_again_holds_nothing() {
     // The only runner with a model starts again under its name and holds nothing. Callers
