Let few daemons call a store that does not answer

Four daemons a table go on calling every half second, the others with pauses that grow with their place, up to 3 s; they hear of the store's return from those. The reader of a table that is turned away alone learns from others now as well: it only ever asked the store before.

--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use crate::backoff::Backoff;
 use crate::mirror::{Changes, Mirror};
 use crate::shared::Shared;
 use crate::store::{self, Fetch, StoreFault};
@@ -56,11 +57,8 @@
 /// The pause between changes of a table that changes all the time.
 const BREATH: Duration = Duration::from_millis(60);
 
-/// The first pause after a failed call of the store.
-const FIRST_PAUSE: Duration = Duration::from_millis(60);
-
-/// The longest pause after failed calls.
-const LAST_PAUSE: Duration = Duration::from_millis(500);
+/// The pause after a read that failed, in which news of others may come.
+const PAUSE: Duration = Duration::from_millis(60);
 
 /// After how long without the store's word its return is worth telling.
 ///
@@ -137,7 +135,7 @@
         follower,
         outage,
         turned_away: false,
-        pause: FIRST_PAUSE,
+        backoff: Backoff::default(),
     };
     loop {
         follow.step().await;
@@ -156,7 +154,8 @@
     outage: Outage,
     /// Whether the last call of the store failed.
     turned_away: bool,
-    pause: Duration,
+    /// When the store may be called again after a failed call.
+    backoff: Backoff,
 }
 
 /// Where the next changes come from.
@@ -184,12 +183,11 @@
             }
         };
         match result {
-            Ok(()) => self.pause = FIRST_PAUSE,
+            Ok(()) => {}
             Err(StoreFault(why)) => {
                 warn!(self.shared.log, "table not read"; "table" => self.table.name,
                     "error" => why, "age_ms" => self.age().map(|age| age.as_millis() as u64));
-                sleep(self.pause).await;
-                self.pause = (self.pause * 2).min(LAST_PAUSE);
+                sleep(PAUSE).await;
             }
         }
     }
@@ -197,13 +195,15 @@
     /// Decides where the next changes come from.
     fn source(&self) -> Source {
         let now = self.shared.now();
+        let may_call = self.backoff.is_over(now);
         if self.table.mirror().version().is_none() {
-            return Source::Store(Duration::ZERO);
+            let first = Source::Store(Duration::ZERO);
+            return if may_call { first } else { Source::Nobody };
         }
         let rank = rank(&self.shared, self.table.name);
         // Right after its start a daemon knows no others and takes itself for the reader.
         let settled = self.shared.age() > SETTLED;
-        if rank == 0 && settled {
+        if rank == 0 && settled && may_call {
             return Source::Store(HOLD);
         }
         if let Some(addr) = self.newer_peer(now) {
@@ -212,6 +212,7 @@
         let limit = FRESH + STAGGER * rank.min(10) as u32;
         match self.age() {
             Some(age) if age < limit => Source::Nobody,
+            _ if !may_call => Source::Nobody,
             _ => Source::Store(Duration::ZERO),
         }
     }
@@ -269,6 +270,18 @@
     }
 
     async fn read_store(&mut self, hold: Duration) -> Result<(), StoreFault> {
+        let result = self.ask_store(hold).await;
+        match &result {
+            Ok(()) => self.backoff.answered(),
+            Err(_) => {
+                let rank = rank(&self.shared, self.table.name);
+                self.backoff.failed(rank, self.shared.now());
+            }
+        }
+        result
+    }
+
+    async fn ask_store(&mut self, hold: Duration) -> Result<(), StoreFault> {
         let version = self.table.mirror().version();
         let Some(after) = version else { return self.read_whole().await };
         let request = self.shared.dialect.ask_changes(self.table.name, after, hold);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod answer;
 pub mod ask;
 pub mod attempt;
+pub mod backoff;
 pub mod claims;
 pub mod client;
 mod command;
