--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -113,6 +113,7 @@
     }
 }
 
+/// Waits for a place in the service's queue; goes by the own counts where none is given.
 async fn pick_plain(job: &Job, avoid: &mut Vec<ServerName>) -> Result<Place, NoPlace> {
     // Each round leaves one server out that this daemon knows to be leaving.
     for _ in 0..ROUNDS {
@@ -122,8 +123,7 @@
                 None => avoid.push(server),
             },
             Queued::Full(wait) => return Err(NoPlace::Full(wait)),
-            Queued::Nowhere => break,
-            Queued::Silent => break,
+            Queued::Nowhere | Queued::Silent => break,
         }
     }
     let chosen = pick_by_own(job, avoid).ok_or(NoPlace::Nowhere)?;
@@ -151,6 +151,7 @@
     Some(Place { number: Some(number), ..place? })
 }
 
+/// The server with the least in flight by this daemon's own counts.
 fn pick_by_own(job: &Job, avoid: &[ServerName]) -> Option<Candidate> {
     let shared = &job.shared;
     let (now, domain) = (shared.now(), &shared.settings.domain);
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use chestnut_platform_stand_in::{Question, Runner, RunnerFault, ServiceFault};
+use rustix::process::Signal;
+use serde_json::Value;
 use tokio::time::sleep;
 
 use crate::numbers;
@@ -157,6 +159,55 @@
     assert_eq!(world.runs(&answer), 0);
 }
 
+#[tokio::test]
+async fn a_frozen_holder_holds_up_no_plain_request() {
+    // Two daemons share a plain service; one of them holds its queue and gives places. It
+    // stands still. Callers of the other one are served all the same, by its own counts, and
+    // by a queue of its own once the frozen daemon's row is gone.
+    let world = World::start("queue", 2).await;
+    let number = holder_of(&world, "pool:ledger").await;
+    let other = 1 - number;
+    until("the queue gives places", async || {
+        world.ask(other, &Question::plain("record")).await;
+        let places = world.gates[other].lines("place");
+        places.last().is_some_and(is_sent)
+    })
+    .await;
+    let holder = world.gates[other].lines("place").swap_remove(0)["holder"].clone();
+    world.gates[number].signal(Signal::STOP);
+    for _ in 0..5 {
+        let answer = world.ask(other, &Question::plain("record")).await;
+        assert_eq!(answer.status, 200);
+        assert_eq!(world.runs(&answer), 1);
+    }
+    let places = world.gates[other].lines("place");
+    assert!(places.iter().any(|line| line["place"] == "Silent"), "{places:?}");
+    until("the other one holds the queue", async || {
+        world.ask(other, &Question::plain("record")).await;
+        let places = world.gates[other].lines("place");
+        places.last().is_some_and(|line| line["holder"] != holder && is_sent(line))
+    })
+    .await;
+    world.gates[number].signal(Signal::CONT);
+}
+
+/// Whether a log line says that a plain request got its place.
+fn is_sent(line: &Value) -> bool {
+    line["place"].as_str().is_some_and(|place| place.starts_with("Send"))
+}
+
+/// The number of the daemon that holds a claim.
+async fn holder_of(world: &World, claim: &str) -> usize {
+    for (number, gate) in world.gates.iter().enumerate() {
+        let state = world.caller.text(gate.metrics, "/state").await;
+        let state: Value = serde_json::from_str(&state).expect("the state is JSON");
+        if state["claims"][claim]["holder"] == state["member"] {
+            return number;
+        }
+    }
+    panic!("nobody holds {claim}");
+}
+
 #[tokio::test]
 async fn a_runner_that_starts_again_holds_nothing() {
     // The only runner with a model starts again under its name and holds nothing. Callers
