--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -181,12 +181,9 @@
 /// A server that is full has room when one of its requests ends. Asked again at once, a
 /// request uses up its tries, and a part of all callers' repeats, within milliseconds.
 ///
-/// One that holds a place has waited already.
-pub async fn pause_before(place: &Place, tried: &[ServerName]) {
-    if place.number.is_some() {
-        return;
-    }
-    let before = tried.iter().filter(|one| **one == place.name).count() as u32;
+/// It keeps its place meanwhile: a server that rejects runs nothing that could use it.
+pub async fn pause_before(server: &ServerName, tried: &[ServerName]) {
+    let before = tried.iter().filter(|one| *one == server).count() as u32;
     if let Some(doublings) = before.checked_sub(1) {
         tokio::time::sleep(FIRST_PAUSE * 2u32.pow(doublings)).await;
     }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -92,7 +92,7 @@
             Err(NoPlace::Nowhere) => return Err((no_server(&job), job)),
             Err(NoPlace::Full(wait)) => return Err((full(&job, wait), job)),
         };
-        pause_before(&place, &tried).await;
+        pause_before(&place.name, &tried).await;
         job.sent = job.shared.now();
         let missed = match attempt(&job, &place, job.call.resume_after).await {
             Ok(answered) => match again(&job, &answered) {
