--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -1,9 +1,10 @@
 //! Picks the server that a request is sent to.
 //!
 //! A plain request waits in its service's queue for a place; where that does not answer,
-//! it goes to the server with the least in flight. A generation goes to the runner whose holder expects its first event soonest, and waits there for its turn; it
-//! looks at all runners again while it waits, and is refused once none can begin before
-//! its caller leaves.
+//! it goes to the server with the least in flight. A generation goes to the runner whose
+//! holder expects its first event soonest, and waits there for its turn; it looks at all
+//! runners again while it waits, and is refused once none can begin before its caller
+//! leaves.
 
 use std::time::Duration;
 
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -333,11 +333,6 @@
         self.waiting.is_empty()
     }
 
-    /// All requests that wait, which are taken out.
-    pub fn clear(&mut self) -> Vec<Asker> {
-        self.waiting.drain(..).map(|waiting| waiting.asker).collect()
-    }
-
     fn send(&mut self, index: usize, server: ServerName, now: Instant) -> QueueStep {
         let Waiting { asker, deadline, .. } = self.waiting.swap_remove(index);
         let taken = Taken { server: server.clone(), at: now, until: deadline };
