Decide what follows an attempt apart from I/O; bound the servers a broken stream reaches

Cause: whether a request may be sent again, and what is true of it in the end, was decided in four places between calls of the network, so that no test could put lost answers, servers that stand still and go on, and restarts in any order. A stream that broke off again and again was bounded by the retry budget alone and reached every server that held its model. Change: crates/pool/src/attempts.rs decides; the daemon's serve and answer ask it. A broken stream goes on at no more servers than its route allows, but for those that have ended since. crates/gate/src/events.rs tells which events the caller has.

--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use chestnut_base::{Code, Refusal, ServerName};
+use chestnut_pool::{Ended, Follow};
 use futures::stream::unfold;
 use http::header::CONTENT_TYPE;
 use http::{Response, response};
@@ -17,7 +18,7 @@
 use tokio::time::timeout_at;
 
 use crate::attempt::{Answered, Missed, attempt};
-use crate::events::Events;
+use crate::events::{Event, Events, Repeated, Sequence};
 use crate::job::{End, Job, StreamPace};
 use crate::metrics::{Span, Step};
 use crate::pick::pick;
@@ -130,8 +131,8 @@
     /// The server that answered last.
     server: ServerName,
     events: Events,
-    /// The number of the last event that was passed on.
-    last: Option<u64>,
+    /// What the caller has of it.
+    sequence: Sequence,
     pace: StreamPace,
     /// When the last event was passed on.
     at: Instant,
@@ -148,7 +149,7 @@
 
 impl Relay {
     fn new(job: Box<Job>, answered: Answered) -> Self {
-        let last = job.call.resume_after;
+        let sequence = Sequence::after(job.call.resume_after);
         let at = job.shared.now();
         let events = Events::default();
         Self {
@@ -156,7 +157,7 @@
             server: answered.place.name.clone(),
             source: Some(answered),
             events,
-            last,
+            sequence,
             pace: StreamPace::default(),
             at,
             ended: false,
@@ -221,13 +222,10 @@
     }
 
     /// Passes an event on unless the caller has it.
-    fn take(&mut self, event: crate::events::Event) -> Next {
-        if let (Some(last), Some(id)) = (self.last, event.id)
-            && id <= last
-        {
+    fn take(&mut self, event: Event) -> Next {
+        if let Err(Repeated { id, last }) = self.sequence.pass(&event) {
             return Next::Broken(format!("event {id} after event {last}"));
         }
-        self.last = event.id.or(self.last);
         let now = self.job.shared.now();
         match self.pace.first {
             None => self.pace.first = Some(now.saturating_duration_since(self.job.sent)),
@@ -250,26 +248,28 @@
                 server.health.failed(now);
             }
         }
-        // The old run ends with its connection, before the new one begins.
-        drop(old);
         self.job.begun = true;
         self.events.reset();
-        if !self.job.route().kind.is_repeatable() {
+        let run = old.as_ref().map(|old| old.place.run());
+        // The old run ends with its connection, before the new one begins.
+        drop(old);
+        let follow = run.map(|run| self.job.attempts.end(run, Ended::Broken));
+        if follow != Some(Follow::IfGranted) {
             return false;
         }
         info!(self.job.shared.log, "stream resumes elsewhere"; "id" => self.job.id(),
-            "server" => self.server.to_string(), "why" => why, "after" => self.last);
+            "server" => self.server.to_string(), "why" => why, "after" => self.sequence.last());
         while self.job.shared.take_repeat(&self.job.service) {
             self.job.shared.metrics.count(Step::Repeat, "resumed");
             let Ok(place) = pick(&self.job, None, &[]).await else { return false };
-            match attempt(&self.job, &place, self.last).await {
+            match attempt(&self.job, &place, self.sequence.last()).await {
                 Ok(answered) if is_event_stream(&answered.head) => {
                     self.server = answered.place.name.clone();
                     self.source = Some(answered);
                     return true;
                 }
                 Ok(_) | Err(Missed::Late) => return false,
-                Err(_) => {}
+                Err(missed) => drop(self.job.attempts.end(place.run(), missed.ended())),
             }
         }
         false
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -10,7 +10,9 @@
 use chestnut_edge::Engine;
 use chestnut_member::ClaimKey;
 use chestnut_pool::choose::SILENT_COST;
-use chestnut_pool::{Bid, Candidate, ServerKey, Want, bid, estimate, local_cost};
+use chestnut_pool::{
+    Bid, Candidate, Fleet, Run, Server, ServerKey, Want, bid, estimate, local_cost,
+};
 use futures::future::join_all;
 use indexmap::IndexMap;
 use slog::info;
@@ -101,7 +103,8 @@
     let holding = fleet
         .open(&job.service, now)
         .filter(|(_, server)| server.entry.holds(&target.model))
-        .filter(|(_, server)| !avoid.contains(&server.entry.name));
+        .filter(|(_, server)| !avoid.contains(&server.entry.name))
+        .filter(|(_, server)| may_run_on(job, &fleet, server));
     holding
         .map(|(key, server)| Runner {
             key,
@@ -112,6 +115,19 @@
         .collect()
 }
 
+/// Whether the request may run on a server, after those where it was before.
+fn may_run_on(job: &Job, fleet: &Fleet, server: &Server) -> bool {
+    let run = |server: &Server| Run {
+        server: server.entry.name.clone(),
+        born: server.entry.born,
+    };
+    let is_up = |before: &Run| {
+        let known = fleet.key(&before.server).and_then(|key| fleet.get(key));
+        known.is_some_and(|server| run(server) == *before)
+    };
+    job.attempts.may_run_on(&run(server), is_up)
+}
+
 /// Leaves a few of many runners: some that suit the request's adapter and prompt, and
 /// some at random.
 ///
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use chestnut_base::ServerName;
-use chestnut_edge::{Attempt, Reply, RouteKind};
-use chestnut_pool::{Flight, Outcome, ServerKey};
+use chestnut_edge::{Attempt, Reply};
+use chestnut_pool::{Ended, Flight, Outcome, Run, ServerKey};
 use http::{Request, response};
 use hyper::body::Incoming;
 use tokio::time::{timeout, timeout_at};
@@ -94,12 +94,21 @@
     pub key: ServerKey,
     /// Its name.
     pub name: ServerName,
+    /// When its present run began, in Unix milliseconds.
+    pub born: Option<u64>,
     /// Where it listens.
     pub addr: std::net::SocketAddr,
     /// Names the request to the holder of the server or its queue, if that was asked.
     pub number: Option<u64>,
 }
 
+impl Place {
+    /// The server's present run.
+    pub fn run(&self) -> Run {
+        Run { server: self.name.clone(), born: self.born }
+    }
+}
+
 /// An answer whose head has arrived.
 pub struct Answered {
     /// The head.
@@ -142,6 +151,17 @@
             Self::Late => "late",
         }
     }
+
+    /// What it says of the request.
+    pub fn ended(&self) -> Ended {
+        match self {
+            Self::Unreachable(_) => Ended::Unsent,
+            Self::Rejected(_) => Ended::Rejected,
+            Self::Lost(_) => Ended::Lost,
+            Self::Silent => Ended::Silent,
+            Self::Late => Ended::Late,
+        }
+    }
 }
 
 /// Sends a request to a server and waits for the head of its answer.
@@ -224,7 +244,7 @@
 /// what may run again is sent again, and once: a second silence is a slow service.
 fn patience(job: &Job) -> Option<Duration> {
     let route = job.route();
-    if route.kind != RouteKind::Idempotent || !job.may_run_after(job.runs + 1) {
+    if !job.attempts.may_be_silent() {
         return None;
     }
     let limit = job.arrived + route.objective * SILENCE;
--- a/crates/gate/src/events.rs
+++ b/crates/gate/src/events.rs
@@ -23,6 +23,47 @@
     pending: BytesMut,
 }
 
+/// The events of one stream that its caller has.
+///
+/// A server that goes on where another one broke off may begin too early. Passed on, the
+/// caller would have those events twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sequence {
+    last: Option<u64>,
+}
+
+/// An event that the caller has already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Repeated {
+    /// Its number.
+    pub id: u64,
+    /// The last one that the caller has.
+    pub last: u64,
+}
+
+impl Sequence {
+    /// A stream whose caller has everything up to an event.
+    pub fn after(last: Option<u64>) -> Self {
+        Self { last }
+    }
+
+    /// The last event that the caller has; another server goes on after it.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Takes in that an event is passed on; fails if the caller has it.
+    pub fn pass(&mut self, event: &Event) -> Result<(), Repeated> {
+        if let (Some(last), Some(id)) = (self.last, event.id)
+            && id <= last
+        {
+            return Err(Repeated { id, last });
+        }
+        self.last = event.id.or(self.last);
+        Ok(())
+    }
+}
+
 /// An event that is too large to be one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TooLarge;
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use chestnut_base::{Refusal, ServiceName};
 use chestnut_edge::{Call, Declared, Engine, Route, Size};
-use chestnut_pool::Want;
+use chestnut_pool::{Attempts, Want};
 use http::request;
 use slog::info;
 
@@ -66,8 +66,8 @@
     pub deadline: Instant,
     /// When it was last sent.
     pub sent: Instant,
-    /// How often it may have run without bringing an answer for the caller.
-    pub runs: u32,
+    /// Where it may have run so far, and what may follow.
+    pub attempts: Attempts,
     /// Whether its caller has a part of the answer.
     pub begun: bool,
     /// Whether its end was recorded.
@@ -75,16 +75,6 @@
 }
 
 impl Job {
-    /// Whether a server may have run it without bringing an answer.
-    pub fn may_have_run(&self) -> bool {
-        self.runs > 0
-    }
-
-    /// Whether one more run may follow after so many.
-    pub fn may_run_after(&self, runs: u32) -> bool {
-        self.route().kind.is_repeatable() && runs < self.route().attempts
-    }
-
     /// How long ago its head was read.
     pub fn age(&self) -> Duration {
         self.shared.now().saturating_duration_since(self.arrived)
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -167,14 +167,15 @@
 fn place(job: &Job, chosen: Candidate) -> Option<Place> {
     let fleet = job.shared.fleet();
     let server = fleet.get(chosen.key)?;
-    let (name, addr) = (server.entry.name.clone(), server.entry.address);
+    let (name, born) = (server.entry.name.clone(), server.entry.born);
+    let addr = server.entry.address;
     let registry = job.shared.tables.servers.news(job.shared.now());
     info!(job.shared.log, "server picked"; "id" => job.id(), "server" => name.to_string(),
         "target" => job.call.target.as_ref().map(|target| target.to_string()),
         "cost_ms" => chosen.bid.cost as u64, "requests" => chosen.bid.requests,
         "registry_version" => registry.map(|(version, _)| version),
         "registry_age_ms" => registry.map(|(_, age)| age));
-    Some(Place { key: chosen.key, name, addr, number: None })
+    Some(Place { key: chosen.key, name, born, addr, number: None })
 }
 
 /// Waits before a server that did not serve the request is asked once more.
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use chestnut_base::{Code, Refusal, ServiceName};
 use chestnut_edge::{Call, Declared, Route};
+use chestnut_pool::Attempts;
 use chestnut_pool::fleet::RETURN_TIME;
 use http::{Response, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -73,6 +74,8 @@
     let budget = call.budget.unwrap_or(Duration::MAX).min(declared.routes[route].timeout);
     let service = draw_service(&declared.routes[route], &mut rand::rng());
     let deadline = arrived + budget;
+    let chosen = &declared.routes[route];
+    let attempts = Attempts::new(chosen.kind, chosen.attempts);
     Ok(Job {
         shared,
         head,
@@ -85,7 +88,7 @@
         arrived,
         deadline,
         sent: arrived,
-        runs: 0,
+        attempts,
         begun: false,
         done: AtomicBool::new(false),
     })
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use chestnut_base::{Code, Refusal, ServerName};
-use chestnut_edge::RouteKind;
+use chestnut_pool::{Ended, Follow};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -95,9 +95,8 @@
         pause_before(&place.name, &tried).await;
         job.sent = job.shared.now();
         let missed = match attempt(&job, &place, job.call.resume_after).await {
-            Ok(answered) => match again(&job, &answered) {
+            Ok(answered) => match again(&mut job, &answered) {
                 true => {
-                    job.runs += 1;
                     tried.push(place.name);
                     continue;
                 }
@@ -108,21 +107,20 @@
         job.shared.metrics.count(Step::Missed, missed.name());
         info!(job.shared.log, "attempt missed"; "id" => job.id(),
             "server" => place.name.to_string(), "why" => format!("{missed:?}"));
+        let follow = job.attempts.end(place.run(), missed.ended());
         match missed {
             // Its adapter may have been dropped; one that says so twice is left alone.
             Missed::Rejected(MISDIRECTED) if !missing.contains(&place.name) => {
                 missing.push(place.name.clone());
                 lacking = Some(place.name);
             }
-            Missed::Rejected(_) => tried.push(place.name),
-            Missed::Lost(_) | Missed::Silent => {
-                job.runs += 1;
+            Missed::Rejected(_) | Missed::Lost(_) | Missed::Silent => {
                 tried.push(place.name);
             }
             Missed::Unreachable(_) | Missed::Late => {}
         }
-        if let Err(refusal) = allow_another(&job, missed) {
-            return Err((refusal, job));
+        if !allow_another(&job, follow, &missed) {
+            return Err((unserved(&job, &missed), job));
         }
     }
     Err((no_server(&job), job))
@@ -133,7 +131,7 @@
 /// Held to the end, its caller leaves with nothing and too late to ask again; told at
 /// once, it comes back when streams have ended.
 fn full(job: &Job, wait: Duration) -> Refusal {
-    if job.may_have_run() {
+    if job.attempts.may_have_run() {
         return no_server(job);
     }
     let message = "all servers that could serve it are full for longer than its caller \
@@ -142,58 +140,63 @@
 }
 
 /// Whether a server's own failure is worth another try elsewhere.
-fn again(job: &Job, answered: &Answered) -> bool {
-    let plain = job.route().kind == RouteKind::Idempotent;
-    let failed = answered.head.status.is_server_error();
-    if !(plain && failed && job.may_run_after(job.runs + 1)) {
+fn again(job: &mut Job, answered: &Answered) -> bool {
+    if !answered.head.status.is_server_error() {
         return false;
     }
+    let follow = job.attempts.end(answered.place.run(), Ended::Failed);
+    follow == Follow::IfGranted && take_repeat(job, "failed")
+}
+
+/// Whether another server is tried after one brought no answer.
+fn allow_another(job: &Job, follow: Follow, missed: &Missed) -> bool {
+    match follow {
+        Follow::Nothing => false,
+        Follow::IfGranted => take_repeat(job, missed.name()),
+        Follow::Again => {
+            // Its repeat was taken when the server was given up.
+            if *missed == Missed::Silent {
+                job.shared.metrics.count(Step::Repeat, missed.name());
+            }
+            true
+        }
+    }
+}
+
+/// Takes a repeat out of the service's budget, if there is one.
+fn take_repeat(job: &Job, cause: &'static str) -> bool {
     let granted = job.shared.take_repeat(&job.service);
     if granted {
-        job.shared.metrics.count(Step::Repeat, "failed");
+        job.shared.metrics.count(Step::Repeat, cause);
     }
     granted
 }
 
-/// Whether another server may be tried after one brought no answer.
-fn allow_another(job: &Job, missed: Missed) -> Result<(), Refusal> {
-    let granted = |cause| {
-        let granted = job.shared.take_repeat(&job.service);
-        if granted {
-            job.shared.metrics.count(Step::Repeat, cause);
-        }
-        granted
-    };
+/// What is told to the caller after the last attempt brought no answer.
+fn unserved(job: &Job, missed: &Missed) -> Refusal {
     match missed {
-        Missed::Unreachable(_) => Ok(()),
-        Missed::Rejected(_) if granted("rejected") => Ok(()),
-        Missed::Rejected(_) => Err(no_server(job)),
-        Missed::Silent => {
-            job.shared.metrics.count(Step::Repeat, "silent");
-            Ok(())
-        }
         Missed::Late => {
             let message = "the time ran out before the answer began; allow more time";
-            Err(Refusal::in_doubt(Code::Late, message))
+            Refusal::in_doubt(Code::Late, message)
         }
-        Missed::Lost(_) if job.may_run_after(job.runs) && granted("lost") => Ok(()),
         Missed::Lost(_) => {
             let message = "the server broke off and may have run the request";
-            Err(Refusal::in_doubt(Code::Broken, message))
+            Refusal::in_doubt(Code::Broken, message)
         }
+        Missed::Unreachable(_) | Missed::Rejected(_) | Missed::Silent => no_server(job),
     }
 }
 
 fn no_server(job: &Job) -> Refusal {
     if job.shared.now() >= job.deadline {
         let message = "the time ran out before a server could take the request";
-        return match job.may_have_run() {
+        return match job.attempts.may_have_run() {
             true => Refusal::in_doubt(Code::Late, message),
             false => Refusal::not_run(Code::Deadline, message).after(Duration::ZERO),
         };
     }
     let message = "no server can take the request now; come back when told";
-    match job.may_have_run() {
+    match job.attempts.may_have_run() {
         true => Refusal::in_doubt(Code::Broken, message),
         false => {
             let returns = job.shared.fleet().returns_in(job.shared.now());
--- /dev/null
+++ b/crates/pool/src/attempts.rs
@@ -0,0 +1,120 @@
+//! What may follow each attempt of a request, and what may be said of it in the end.
+//!
+//! An attempt is the request sent to one server. One whose answer is lost may have run,
+//! may be running, or may run later: a server that stood still reads what was sent to it
+//! when it goes on. So a request that must run once at most is sent again only while no
+//! byte was sent or a server itself said that it did not run it, and only then its caller
+//! is told that it has not run.
+//!
+//! What may run again is bounded: a request that breaks servers would otherwise go round
+//! all of them, and each repeat adds to the load that made the last attempt fail.
+
+use chestnut_base::ServerName;
+use chestnut_edge::RouteKind;
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// No byte was sent.
+    Unsent,
+    /// The server said that it did not run the request and never will.
+    Rejected,
+    /// It was sent, and what became of it is not known.
+    Lost,
+    /// It was sent, and its server was silent for longer than it should be.
+    Silent,
+    /// It was sent, and the time ran out.
+    Late,
+    /// The server ran it and says that it failed.
+    Failed,
+    /// The answer broke off when the caller had a part of it.
+    Broken,
+}
+
+/// What may follow an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Follow {
+    /// Another attempt.
+    Again,
+    /// Another attempt, if the service's budget has a repeat left.
+    IfGranted,
+    /// None.
+    Nothing,
+}
+
+/// A run of a server, from its start to its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// The server.
+    pub server: ServerName,
+    /// Its start, in Unix milliseconds; the next run under its name has another.
+    pub born: Option<u64>,
+}
+
+/// The attempts of one request.
+#[derive(Debug, Clone)]
+pub struct Attempts {
+    kind: RouteKind,
+    /// On how many servers it may run.
+    most: u32,
+    /// Where it may have run without bringing a whole answer, in order.
+    runs: Vec<Run>,
+}
+
+impl Attempts {
+    /// No attempt yet of a request that may run on so many servers.
+    pub fn new(kind: RouteKind, most: u32) -> Self {
+        Self { kind, most, runs: Vec::new() }
+    }
+
+    /// Takes in how an attempt ended, and says what may follow.
+    pub fn end(&mut self, run: Run, ended: Ended) -> Follow {
+        match ended {
+            Ended::Unsent => return Follow::Again,
+            Ended::Rejected => return Follow::IfGranted,
+            Ended::Lost | Ended::Silent | Ended::Late => {}
+            Ended::Failed | Ended::Broken => {}
+        }
+        self.runs.push(run);
+        match ended {
+            Ended::Silent if self.may_run() => Follow::Again,
+            Ended::Lost if self.may_run() => Follow::IfGranted,
+            // A stream's own failure is an answer, which its caller may act on.
+            Ended::Failed if self.kind == RouteKind::Idempotent && self.may_run() => {
+                Follow::IfGranted
+            }
+            // Where it goes on is bounded by [`Self::may_run_on`].
+            Ended::Broken if self.kind.is_repeatable() => Follow::IfGranted,
+            _ => Follow::Nothing,
+        }
+    }
+
+    /// Whether an attempt may be given up as silent, with another one to follow.
+    pub fn may_be_silent(&self) -> bool {
+        self.kind == RouteKind::Idempotent && self.runs.len() as u32 + 1 < self.most
+    }
+
+    /// Whether a server may have run it without bringing an answer.
+    pub fn may_have_run(&self) -> bool {
+        !self.runs.is_empty()
+    }
+
+    /// Whether it may run on a server.
+    ///
+    /// A stream that breaks off again and again goes on at the servers that had it before,
+    /// once it was on as many as its route allows; one that breaks servers would meet all
+    /// of them otherwise. Those that have ended since, by `is_up`, do not count.
+    pub fn may_run_on(&self, run: &Run, is_up: impl Fn(&Run) -> bool) -> bool {
+        if self.runs.contains(run) || self.runs.len() < self.most as usize {
+            return true;
+        }
+        let mut up: Vec<&Run> = self.runs.iter().filter(|one| is_up(one)).collect();
+        up.sort_by(|a, b| a.server.cmp(&b.server));
+        up.dedup();
+        up.len() < self.most as usize
+    }
+
+    fn may_run(&self) -> bool {
+        self.kind.is_repeatable() && (self.runs.len() as u32) < self.most
+    }
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -11,11 +11,14 @@
 //! 6. [`lane`] says when the runner gets which prompt, by the [`speed`] at which it
 //!    reads,
 //! 7. [`queue`] says which server of a plain service runs which request, and when,
-//! 8. [`budget`] bounds how often requests are sent again.
+//! 8. [`attempts`] says what may follow an attempt that brought no answer, and what is
+//!    true of the request then,
+//! 9. [`budget`] bounds how often requests are sent again.
 //!
 //! Beside them, [`placing`] says which runner holds which model, by [`demand`] and at
 //! a [`pace`] that the weight store allows, without servers that are [`lost`].
 
+pub mod attempts;
 pub mod budget;
 pub mod choose;
 pub mod demand;
@@ -32,6 +35,7 @@
 pub mod speed;
 pub mod usage;
 
+pub use attempts::{Attempts, Ended, Follow, Run};
 pub use budget::RetryBudget;
 pub use choose::{Bid, Candidate, Want, bid, choose, estimate, local_cost};
 pub use fleet::{Fleet, Server, ServerKey};
