Let operators look into daemons on the platform, and trace a request by their logs

chestnutctl show gates, gate-tables, gate-members, gate-claims, gate-servers, gate-runners and gate-queues ask all named daemons and say whose view each row is; chestnutctl trace ID FILE... tells a request's way, what was known of each server when it was picked, and the cause of its end. Before, operators read the state's JSON and sought lines by hand.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -65,23 +65,7 @@
         team: String,
         key: String,
     ) -> Result<Self, ClientError> {
-        let servers: Vec<String> = servers
-            .iter()
-            .flat_map(|list| list.split(','))
-            .map(|one| one.trim().trim_end_matches('/'))
-            .filter(|one| !one.is_empty())
-            .map(|one| match one.contains("://") {
-                true => one.to_owned(),
-                false => format!("http://{one}"),
-            })
-            .collect();
-        if servers.is_empty() {
-            return Err(ClientError::NoServer);
-        }
-        let http = Http::builder().timeout(TIMEOUT).connect_timeout(CONNECT).no_proxy();
-        let http =
-            http.build().map_err(|error| ClientError::NoAnswer(error.to_string()))?;
-        Ok(Self { http, servers, team, key })
+        Ok(Self { http: http()?, servers: bases(servers)?, team, key })
     }
 
     /// Reads something.
@@ -161,7 +145,28 @@
     }
 }
 
-fn no_answer(error: reqwest::Error) -> ClientError {
+/// The addresses that options name, as the beginnings of URLs.
+pub(crate) fn bases(servers: &[String]) -> Result<Vec<String>, ClientError> {
+    let servers: Vec<String> = servers
+        .iter()
+        .flat_map(|list| list.split(','))
+        .map(|one| one.trim().trim_end_matches('/'))
+        .filter(|one| !one.is_empty())
+        .map(|one| match one.contains("://") {
+            true => one.to_owned(),
+            false => format!("http://{one}"),
+        })
+        .collect();
+    if servers.is_empty() { Err(ClientError::NoServer) } else { Ok(servers) }
+}
+
+/// A client of daemons' HTTP interfaces.
+pub(crate) fn http() -> Result<Http, ClientError> {
+    let http = Http::builder().timeout(TIMEOUT).connect_timeout(CONNECT).no_proxy();
+    http.build().map_err(|error| ClientError::NoAnswer(error.to_string()))
+}
+
+pub(crate) fn no_answer(error: reqwest::Error) -> ClientError {
     ClientError::NoAnswer(error.without_url().to_string())
 }
 
--- a/crates/ctl/src/language.rs
+++ b/crates/ctl/src/language.rs
@@ -48,11 +48,19 @@
     Change(String),
     /// Tell a daemon to leave.
     Drain(String),
+    /// Tell a request's way from logs.
+    Trace {
+        /// The request.
+        id: String,
+        /// The logs; standard input if none is named.
+        files: Vec<String>,
+    },
 }
 
 /// The commands, for hints.
 const VERBS: &[&str] = &[
-    "check", "plan", "apply", "show", "explain", "history", "rollback", "change", "drain",
+    "check", "plan", "apply", "show", "explain", "history", "rollback", "change",
+    "drain", "trace",
 ];
 
 /// What can be said of a request to be explained.
@@ -84,10 +92,20 @@
         "rollback" => Command::Rollback { to: rollback(input)? },
         "change" => Command::Change(text(input, "the id of a change")?),
         "drain" => Command::Drain(text(input, "the name of a VM")?),
+        "trace" => trace(input)?,
         other => return Err(unknown("command", other, span, VERBS)),
     })
 }
 
+fn trace(input: &mut Input<'_>) -> Parsed<Command> {
+    let id = text(input, "the id of a request")?;
+    let mut files = Vec::new();
+    while !input.is_empty() {
+        files.push(text(input, "a file of log lines")?);
+    }
+    Ok(Command::Trace { id, files })
+}
+
 fn rollback(input: &mut Input<'_>) -> Parsed<u64> {
     let _ = opt(keyword("to")).parse_next(input)?;
     let (text, span) = word(input, "a revision", || "write its number".into())?;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,13 +7,16 @@
 //!    [`schema`] of what can be shown; a [`fault`] points at the column,
 //! 3. [`run`] carries it out with any daemon that answers ([`client`]), from
 //!    [`files`] of declarations,
-//! 4. [`query`] chooses the rows to show and [`output`] prints them.
+//! 4. [`gates`] asks daemons on the users' platform what they believe, and [`trace`] tells
+//!    a request's way from their logs,
+//! 5. [`query`] chooses the rows to show and [`output`] prints them.
 
 pub mod apply;
 pub mod client;
 pub mod exit;
 pub mod fault;
 pub mod files;
+pub mod gates;
 pub mod language;
 pub mod options;
 pub mod output;
@@ -21,6 +24,7 @@
 pub mod run;
 pub mod schema;
 pub mod token;
+pub mod trace;
 
 use std::process::ExitCode;
 
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -38,6 +38,9 @@
     rollback to N      put the team's files of revision N in force again
     change ID          tell the answer to an earlier change
     drain VM           tell a daemon to leave
+    show gates|gate-tables|gate-members|gate-claims|gate-servers|gate-runners|gate-queues
+                       what all named daemons on the users' platform believe
+    trace ID [FILE...] tell a request's way from their logs (else from standard input)
     exit codes: 0 done, 1 refused, 2 command can't be read, 3 files have problems,
     4 undecided (repeat with --change), 5 accepted and not in force in time,
     6 key missing or wrong, 7 no answer, 8 declined
@@ -52,8 +55,8 @@
     footer(FOOTER)
 )]
 pub struct Options {
-    /// The operators' address of a daemon; may be repeated, the first that answers
-    /// is used
+    /// The operators' address of a daemon, on the users' platform the metrics address;
+    /// may be repeated, the first that answers is used (for what gates show, all)
     #[bpaf(long, short, argument("ADDR"), env("CHESTNUT_SERVERS"))]
     pub server: Vec<String>,
     /// The team
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -1,7 +1,7 @@
 //! Carrying out commands.
 
-use std::fs;
-use std::io::{self, Write};
+use std::fs::{self, File};
+use std::io::{self, BufReader, Write};
 
 use chestnut_config::TeamText;
 use serde::Deserialize;
@@ -11,11 +11,13 @@
 use crate::client::{Client, ClientError};
 use crate::exit::Exit;
 use crate::files::{self, FileError};
+use crate::gates;
 use crate::language::{self, Command};
 use crate::options::{Options, Output};
 use crate::output;
 use crate::query::{Query, Row};
-use crate::schema::HISTORY;
+use crate::schema::{HISTORY, Section, Source};
+use crate::trace::Trace;
 
 /// Carries out the command.
 pub fn main(options: &Options) -> Exit {
@@ -79,13 +81,23 @@
 }
 
 async fn carry_out(options: &Options, command: Command) -> Result<Exit, Stop> {
-    if let Command::Check(path) = &command {
-        println!("{path}: {} without problems", files::check(path)?);
-        return Ok(Exit::Done);
+    match &command {
+        Command::Check(path) => {
+            println!("{path}: {} without problems", files::check(path)?);
+            return Ok(Exit::Done);
+        }
+        Command::Trace { id, files } => return trace(id, files),
+        Command::Show(query) => {
+            if let Source::Gate(section) = query.subject.source {
+                return show_gates(options, query, section).await;
+            }
+        }
+        _ => {}
     }
     let client = client(options)?;
     match command {
-        Command::Check(_) => Ok(Exit::Done),
+        // Both need no daemon of the own interface.
+        Command::Check(_) | Command::Trace { .. } => Ok(Exit::Done),
         Command::Plan(dir) => apply::plan(options, &client, &dir).await,
         Command::Apply(dir) => {
             let text = files::read(&dir)?;
@@ -167,6 +179,49 @@
     Ok(Exit::Done)
 }
 
+/// Shows what all named daemons on the users' platform believe.
+async fn show_gates(
+    options: &Options,
+    query: &Query,
+    section: Section,
+) -> Result<Exit, Stop> {
+    let seen = gates::ask(&options.server, section).await?;
+    for (server, error) in &seen.silent {
+        eprintln!("{server}: {error}");
+    }
+    let rows = query.run(seen.rows);
+    match options.output {
+        Output::Table => print(&output::table(query.subject, &rows)),
+        Output::Json => print_json(&json!({ "rows": rows })),
+    }
+    Ok(Exit::Done)
+}
+
+/// Tells a request's way from logs.
+fn trace(id: &str, files: &[String]) -> Result<Exit, Stop> {
+    let mut trace = Trace::new(id);
+    let unread = |name: &str, error: io::Error| {
+        Stop::new(Exit::Files, format!("{name} can't be read ({error}); name a log"))
+    };
+    for name in files {
+        let file = File::open(name).map_err(|error| unread(name, error))?;
+        trace.read(BufReader::new(file)).map_err(|error| unread(name, error))?;
+    }
+    if files.is_empty() {
+        let read = trace.read(io::stdin().lock());
+        read.map_err(|error| unread("standard input", error))?;
+    }
+    if trace.unread() > 0 {
+        eprintln!("{} lines are no log lines and were passed over", trace.unread());
+    }
+    if trace.is_empty() {
+        let text = format!("no line names {id}; take the logs of all daemons");
+        return Err(Stop::new(Exit::Refused, text));
+    }
+    println!("{trace}");
+    Ok(Exit::Done)
+}
+
 async fn history(
     options: &Options,
     client: &Client,
--- a/crates/ctl/src/schema.rs
+++ b/crates/ctl/src/schema.rs
@@ -5,10 +5,32 @@
 pub struct Subject {
     /// Its name in commands and in the daemons' HTTP interface.
     pub name: &'static str,
+    /// Who is asked for it.
+    pub source: Source,
     /// Its fields, in the order of the columns.
     pub fields: &'static [Field],
 }
 
+/// Who is asked for what is shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// A daemon of the own interface, with a team's key; the first that answers.
+    Daemon,
+    /// All daemons that are named, on the users' platform: this part of their state.
+    Gate(Section),
+}
+
+/// A part of the state of a daemon on the users' platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Section {
+    /// The daemon itself.
+    Own,
+    /// A list of rows.
+    List(&'static str),
+    /// Rows by their names.
+    Map(&'static str),
+}
+
 /// A field of a subject.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Field {
@@ -73,6 +95,7 @@
 pub const SUBJECTS: &[Subject] = &[
     Subject {
         name: "pools",
+        source: Source::Daemon,
         fields: &[
             text("name"),
             text("team"),
@@ -90,6 +113,7 @@
     },
     Subject {
         name: "models",
+        source: Source::Daemon,
         fields: &[
             text("name"),
             text("team"),
@@ -102,14 +126,17 @@
     },
     Subject {
         name: "adapters",
+        source: Source::Daemon,
         fields: &[text("name"), text("team"), text("model"), bytes("bytes")],
     },
     Subject {
         name: "services",
+        source: Source::Daemon,
         fields: &[text("name"), text("team"), number("parallel"), text("kind")],
     },
     Subject {
         name: "kinds",
+        source: Source::Daemon,
         fields: &[
             text("name"),
             text("team"),
@@ -120,10 +147,12 @@
     },
     Subject {
         name: "callers",
+        source: Source::Daemon,
         fields: &[text("name"), text("team"), number("share"), text("key_sha256")],
     },
     Subject {
         name: "routes",
+        source: Source::Daemon,
         fields: &[
             text("name"),
             text("team"),
@@ -134,6 +163,7 @@
     },
     Subject {
         name: "files",
+        source: Source::Daemon,
         fields: &[
             text("name"),
             text("team"),
@@ -145,6 +175,7 @@
     },
     Subject {
         name: "daemons",
+        source: Source::Daemon,
         fields: &[
             text("name"),
             text("domain"),
@@ -158,6 +189,7 @@
     },
     Subject {
         name: "servers",
+        source: Source::Daemon,
         fields: &[
             text("name"),
             text("role"),
@@ -170,13 +202,85 @@
     },
     Subject {
         name: "residents",
+        source: Source::Daemon,
         fields: &[text("name"), text("kind"), text("version"), text("server")],
     },
+    Subject {
+        name: "gates",
+        source: Source::Gate(Section::Own),
+        fields: &[
+            text("name"),
+            text("member"),
+            millis("uptime_ms"),
+            flag("ready"),
+            flag("leaving"),
+            number("active"),
+            number("revision"),
+        ],
+    },
+    Subject {
+        name: "gate-tables",
+        source: Source::Gate(Section::List("tables")),
+        fields: &[text("seen_by"), text("name"), number("version"), millis("age_ms")],
+    },
+    Subject {
+        name: "gate-members",
+        source: Source::Gate(Section::List("members")),
+        fields: &[
+            text("seen_by"),
+            text("vm"),
+            text("member"),
+            flag("alive"),
+            flag("open"),
+        ],
+    },
+    Subject {
+        name: "gate-claims",
+        source: Source::Gate(Section::Map("claims")),
+        fields: &[
+            text("seen_by"),
+            text("name"),
+            text("holder_vm"),
+            text("holder"),
+            number("fence"),
+            number("version"),
+        ],
+    },
+    Subject {
+        name: "gate-servers",
+        source: Source::Gate(Section::Map("servers")),
+        fields: &[
+            text("seen_by"),
+            text("name"),
+            text("service"),
+            text("phase"),
+            flag("open"),
+            number("requests"),
+        ],
+    },
+    Subject {
+        name: "gate-runners",
+        source: Source::Gate(Section::Map("held")),
+        fields: &[
+            text("seen_by"),
+            text("name"),
+            text("models"),
+            number("orders"),
+            millis("busy_ms"),
+            number("requests"),
+        ],
+    },
+    Subject {
+        name: "gate-queues",
+        source: Source::Gate(Section::Map("queues")),
+        fields: &[text("seen_by"), text("name"), number("waiting")],
+    },
 ];
 
 /// The fields of a revision of the history.
 pub const HISTORY: Subject = Subject {
     name: "history",
+    source: Source::Daemon,
     fields: &[
         number("revision"),
         text("team"),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 
 mod explain;
 mod link;
+mod look;
 mod servers;
 mod soak;
 mod store;
