--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -19,11 +19,12 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-use crate::grant::{self, Question, Reply};
+use crate::grant::{self, Question};
 use crate::holder::{self, Holder};
 use crate::job::Job;
 use crate::message::{Message, Verdict};
 use crate::metrics::{Span, Step};
+use crate::peers::Reply;
 use crate::shared::Shared;
 
 /// How long other daemons may take to answer.
--- a/crates/gate/src/enqueue.rs
+++ b/crates/gate/src/enqueue.rs
@@ -18,7 +18,8 @@
 use crate::job::Job;
 use crate::message::{Message, Placed};
 use crate::metrics::{Span, Step};
-use crate::queue::{self, Reply};
+use crate::peers::Reply;
+use crate::queue;
 use crate::shared::Shared;
 
 /// How long the holder of a queue may take to answer.
--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -4,7 +4,6 @@
 //! this runner is not to be had. What is lost on the way is asked again; a question
 //! that was answered gets the same answer again.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
@@ -13,11 +12,11 @@
 use chestnut_pool::{AdapterState, Asker, Next, Room, Ticket, Waiting, Want};
 use indexmap::IndexMap;
 use slog::info;
-use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
 use crate::holder::Holder;
 use crate::message::{Begun, Message, Verdict};
+use crate::peers::Reply;
 use crate::shared::Shared;
 
 /// How long a question that was answered is remembered.
@@ -38,14 +37,6 @@
     pub missed: bool,
 }
 
-/// Where the answer goes.
-pub enum Reply {
-    /// To a request of this daemon.
-    Here(oneshot::Sender<Verdict>),
-    /// To another daemon.
-    There(SocketAddr),
-}
-
 /// Who waits to send to a runner.
 #[derive(Default)]
 pub struct Desk {
@@ -61,7 +52,7 @@
     /// Whether that number is known; the runner may keep parts from before this holder.
     sure: bool,
     /// Where the answer goes; nothing once a request of this daemon has it.
-    reply: Option<Reply>,
+    reply: Option<Reply<Verdict>>,
     /// What became of it and when, once it is decided.
     decided: Option<(Verdict, Instant)>,
 }
@@ -73,7 +64,13 @@
         Some(entry.decided.map_or(Verdict::Queued, |(verdict, _)| verdict))
     }
 
-    fn enter(&mut self, asker: Asker, want: Want, reply: Reply, now: Instant) -> Ticket {
+    fn enter(
+        &mut self,
+        asker: Asker,
+        want: Want,
+        reply: Reply<Verdict>,
+        now: Instant,
+    ) -> Ticket {
         let fresh = |at: Instant| now.saturating_duration_since(at) < MEMORY;
         self.open.retain(|_, entry| entry.decided.is_none_or(|(_, at)| fresh(at)));
         self.last += 1;
@@ -101,7 +98,7 @@
     shared: &Arc<Shared>,
     holder: &Arc<Holder>,
     question: Question,
-    reply: Reply,
+    reply: Reply<Verdict>,
 ) {
     let Question { asker, want, missed } = question;
     let known = holder.desk().verdict(asker);
@@ -282,14 +279,8 @@
     }
 }
 
-fn answer(shared: &Shared, number: u64, reply: Reply, verdict: Verdict) {
-    match reply {
-        // Whoever asked may have given up.
-        Reply::Here(sender) => drop(sender.send(verdict)),
-        Reply::There(addr) => {
-            shared.peers.send(addr, Message::Taken { number, verdict });
-        }
-    }
+fn answer(shared: &Shared, number: u64, reply: Reply<Verdict>, verdict: Verdict) {
+    reply.send(&shared.peers, verdict, |verdict| Message::Taken { number, verdict });
 }
 
 /// What the runner has room for; nothing if it takes no new requests.
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::message::{Beat, Message, Packet};
 
@@ -40,6 +40,25 @@
     waiting: Mutex<Waiting>,
 }
 
+/// Where the answer to a question goes.
+pub enum Reply<T> {
+    /// To a request of this daemon.
+    Here(oneshot::Sender<T>),
+    /// To another daemon.
+    There(SocketAddr),
+}
+
+impl<T> Reply<T> {
+    /// Answers; `write` puts the answer into a message.
+    pub fn send(self, peers: &Peers, answer: T, write: impl FnOnce(T) -> Message) {
+        match self {
+            // Whoever asked may have given up.
+            Self::Here(sender) => drop(sender.send(answer)),
+            Self::There(addr) => peers.send(addr, write(answer)),
+        }
+    }
+}
+
 /// Questions that wait for their answers.
 #[derive(Default)]
 struct Waiting {
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -4,18 +4,18 @@
 //! it no more. What is lost on the way is asked again; a place whose end was lost is free
 //! when its caller's time is over.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 
 use chestnut_base::ServiceName;
 use chestnut_pool::{Asker, Listed, Outcome, PlainWant, Queue, QueueStep};
 use indexmap::IndexMap;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
 use crate::claims::pool_key;
 use crate::message::{Message, Placed};
+use crate::peers::Reply;
 use crate::shared::Shared;
 
 /// How long the queue sleeps at most while requests wait.
@@ -26,14 +26,6 @@
 /// Servers that are excused for an outage of the registry are taken off it by time alone.
 const LIST_TIME: Duration = Duration::from_millis(100);
 
-/// Where the answer goes.
-pub enum Reply {
-    /// To a request of this daemon.
-    Here(oneshot::Sender<Placed>),
-    /// To another daemon.
-    There(SocketAddr),
-}
-
 /// The queue of a plain service whose claim this daemon holds.
 pub struct ServiceQueue {
     service: ServiceName,
@@ -46,7 +38,7 @@
 struct State {
     queue: Queue,
     /// Where answers to requests that wait go.
-    replies: IndexMap<Asker, Reply>,
+    replies: IndexMap<Asker, Reply<Placed>>,
     /// The change of the registry that the servers were listed at, and when.
     listed: Option<(u64, Instant)>,
 }
@@ -62,9 +54,9 @@
         &mut self,
         asker: Asker,
         want: PlainWant,
-        reply: Reply,
+        reply: Reply<Placed>,
         now: Instant,
-    ) -> Option<(Reply, Placed)> {
+    ) -> Option<(Reply<Placed>, Placed)> {
         if let Some(server) = self.queue.place(asker) {
             return Some((reply, Placed::Send(server.clone())));
         }
@@ -135,7 +127,7 @@
     service: &ServiceName,
     asker: Asker,
     want: PlainWant,
-    reply: Reply,
+    reply: Reply<Placed>,
 ) {
     let Some(queue) = shared.queues().get(service).cloned() else {
         return answer(shared, asker, reply, Placed::Moved);
@@ -219,12 +211,7 @@
     state.listed = Some((version, now));
 }
 
-fn answer(shared: &Shared, asker: Asker, reply: Reply, verdict: Placed) {
-    match reply {
-        // Whoever asked may have given up.
-        Reply::Here(sender) => drop(sender.send(verdict)),
-        Reply::There(addr) => {
-            shared.peers.send(addr, Message::Dequeued { number: asker.1, verdict });
-        }
-    }
+fn answer(shared: &Shared, asker: Asker, reply: Reply<Placed>, placed: Placed) {
+    let number = asker.1;
+    reply.send(&shared.peers, placed, |verdict| Message::Dequeued { number, verdict });
 }
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::grant::{self, Question, Reply};
+use crate::grant::{self, Question};
 use crate::message::{Message, Packet, Verdict};
+use crate::peers::Reply;
 use crate::shared::Shared;
 use crate::{ask, members, planner, queue, sums};
 
@@ -47,7 +48,7 @@
             }
         }
         Message::Enqueue { number, service, want } => {
-            let reply = queue::Reply::There(from);
+            let reply = Reply::There(from);
             queue::take(shared, &service, (packet.from, number), want, reply);
         }
         Message::Finished { number, service, outcome } => {
--- a/crates/lab/src/decisions.rs
+++ b/crates/lab/src/decisions.rs
@@ -1,12 +1,17 @@
 //! What a decision costs.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use bpaf::Bpaf;
 use chestnut_admit::{Job, Lead, Limits, Rule};
-use chestnut_base::{CallerName, ServerName, TeamName, Urgency};
+use chestnut_base::{CallerName, DomainName, MemberId, ServerName, TeamName, Urgency};
+use chestnut_pool::{Asker, Listed, Outcome, PlainWant, Queue, QueueStep};
 use chestnut_route::{Ask, Candidate, Note, Policy, Report, Router};
 
+/// Requests that a server of a plain service runs at the same time, as the users' do.
+const SLOTS: u32 = 6;
+
 /// What to measure.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(generate(options))]
@@ -36,6 +41,14 @@
         let nanos = admission(waiting, options.rounds / 10);
         println!("{{\"decision\":\"offer\",\"waiting\":{waiting},\"ns\":{nanos}}}");
     }
+    for servers in [3, 30, 300] {
+        for waiting in [0, 100] {
+            let nanos = place(servers, waiting, options.rounds / 10);
+            println!(
+                "{{\"decision\":\"place\",\"servers\":{servers},\"waiting\":{waiting},\"ns\":{nanos}}}"
+            );
+        }
+    }
     println!("{{\"bytes_per_request\":{}}}", chestnut_admit::lead::bytes_per_request());
 }
 
@@ -89,6 +102,63 @@
     start.elapsed().as_nanos() / u128::from(rounds)
 }
 
+/// Nanoseconds of a place at a plain service: a request comes, another one ends, and what
+/// can be sent is sent, with nine places of ten taken or with requests that wait.
+fn place(servers: u64, waiting: u64, rounds: u32) -> u128 {
+    let now = Instant::now();
+    let mut queue = Queue::default();
+    let listed = |index| Listed {
+        name: ServerName::try_from(format!("server-{index}")).expect("well formed"),
+        slots: SLOTS,
+        domain: domain(index),
+    };
+    queue.list((0..servers).map(listed).collect(), now);
+    let asker = |number: u64| (MemberId(number % 100), number);
+    let full = servers * u64::from(SLOTS);
+    let busy = if waiting > 0 { full * 2 + waiting } else { full * 9 / 10 };
+    let mut sent = VecDeque::new();
+    for number in 0..busy {
+        queue.push(asker(number), want(number), now);
+        sent.extend(next(&mut queue, now));
+    }
+    let start = Instant::now();
+    for round in 0..u64::from(rounds) {
+        let number = busy + round;
+        queue.push(asker(number), want(number), now);
+        sent.extend(next(&mut queue, now));
+        if let Some(done) = sent.pop_front() {
+            queue.end(done, Outcome::Answered, now);
+            sent.extend(next(&mut queue, now));
+        }
+    }
+    start.elapsed().as_nanos() / u128::from(rounds)
+}
+
+/// The requests that are sent now.
+fn next(queue: &mut Queue, now: Instant) -> Vec<Asker> {
+    let mut sent = Vec::new();
+    while let Some(step) = queue.next(now) {
+        if let QueueStep::Send(asker, _) = step {
+            sent.push(asker);
+        }
+    }
+    sent
+}
+
+fn want(number: u64) -> PlainWant {
+    PlainWant {
+        urgency: (number % 3) as u8,
+        target_time: Duration::from_secs(60),
+        patience: Duration::from_secs(60),
+        domain: domain(number),
+        avoid: Vec::new(),
+    }
+}
+
+fn domain(number: u64) -> DomainName {
+    DomainName::try_from(format!("domain-{}", number % 3)).expect("well formed")
+}
+
 fn job(index: u32, now: Instant) -> Job {
     let name = |text: String| CallerName::try_from(text).expect("well formed");
     Job {
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -1,30 +1,31 @@
 //! Membership and claims: renews the lease, reads changes, takes claims.
+//!
+//! - [`tables`] reads what changed,
+//! - [`vms`] writes the platform's [`list`] of VMs into the table,
+//! - [`claims`] takes claims.
 
+mod claims;
 mod counters;
 mod list;
+mod tables;
+mod vms;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use chestnut_base::{MemberId, ServerName, SlotId, VmName};
-use chestnut_member::{
-    ClaimKey, ClaimRow, Known, LeaseRow, MemberRow, Server, Step, WHOLE_CORE, lapsed,
-    plan, watched,
-};
-use chestnut_plat::table::Lookup;
-use chestnut_plat::{Delta, PlatError, Row, Txn, TxnAnswer, VmRow};
+use chestnut_base::{MemberId, VmName};
+use chestnut_member::{Known, LeaseRow, MemberRow, WHOLE_CORE, lapsed};
+use chestnut_plat::{PlatError, Row, Txn, TxnAnswer};
 use chestnut_wire::Ask;
 use indexmap::IndexMap;
 use rand::seq::SliceRandom;
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use slog::{info, warn};
 
 use self::counters::Counters;
-use self::list::{leaving_entries, server};
 use crate::feed::Feed;
 use crate::node::Node;
 use crate::shared::Shared;
@@ -250,99 +251,6 @@
         }
     }
 
-    async fn read_all(&mut self) -> Result<(), PlatError> {
-        let watched = watched(&self.known, &self.shared.settings.vm);
-        let wanted = watched
-            .into_iter()
-            .map(|vm| Lookup { table: LEASES.into(), key: vm.into() })
-            .collect();
-        let shared = self.shared.clone();
-        let leases = shared.feed.refresh(&shared.table, &*shared.clock, wanted).await?;
-        while self.read_members().await? {}
-        while self.read_claims().await? {}
-        while self.read_servers().await? {}
-        self.read_drains().await?;
-        self.note_leases(leases);
-        Ok(())
-    }
-
-    fn note_leases(&mut self, rows: Vec<Row>) {
-        for row in rows {
-            let vm = VmName::try_from(row.key.as_str());
-            let lease = serde_json::from_value::<LeaseRow>(row.value);
-            if let (Ok(vm), Ok(mut lease)) = (vm, lease) {
-                lease.modified = row.modified;
-                self.leases.insert(vm, lease);
-            }
-        }
-    }
-
-    async fn read_members(&mut self) -> Result<bool, PlatError> {
-        let delta = self.changes(MEMBERS).await?;
-        for vm in delta.gone.iter().filter_map(|key| VmName::try_from(key.as_str()).ok())
-        {
-            self.known.members.swap_remove(&vm);
-            self.leases.swap_remove(&vm);
-        }
-        for (vm, row, version) in parse::<VmName, MemberRow>(&delta.rows) {
-            self.known.members.insert(vm, (row, version));
-        }
-        self.known.note_seen(self.shared.clock.now());
-        Ok(delta.more)
-    }
-
-    async fn read_claims(&mut self) -> Result<bool, PlatError> {
-        let delta = self.changes(CLAIMS).await?;
-        for key in delta.gone.iter().filter_map(|key| key.parse::<ClaimKey>().ok()) {
-            self.known.claims.swap_remove(&key);
-        }
-        for row in delta.rows {
-            if let (Ok(key), Ok(claim)) =
-                (row.key.parse(), serde_json::from_value::<ClaimRow>(row.value))
-            {
-                self.known.claims.insert(key, (claim, row.version));
-            }
-        }
-        Ok(delta.more)
-    }
-
-    async fn read_servers(&mut self) -> Result<bool, PlatError> {
-        let delta = self.changes(SERVERS).await?;
-        let gone = delta.gone.iter();
-        for name in gone.filter_map(|key| ServerName::try_from(key.as_str()).ok()) {
-            self.known.servers.swap_remove(&name);
-        }
-        for (name, server, _) in parse::<ServerName, Server>(&delta.rows) {
-            self.known.servers.insert(name, server);
-        }
-        Ok(delta.more)
-    }
-
-    /// Follows an operator's order that this VM be drained.
-    async fn read_drains(&mut self) -> Result<(), PlatError> {
-        let rows = self.changes(DRAINS).await?.rows;
-        let vm = self.shared.settings.vm.as_str();
-        // The row names the start of the daemon that is meant, so that the one
-        // that takes its place does not leave at once as well.
-        let meant = |row: &Row| {
-            let drain = serde_json::from_value::<DrainRow>(row.value.clone());
-            row.key == vm && drain.is_ok_and(|drain| drain.member == self.shared.me)
-        };
-        if rows.iter().any(meant) {
-            self.shared.leaving.send_replace(true);
-        }
-        Ok(())
-    }
-
-    async fn changes(&mut self, table: &'static str) -> Result<Delta, PlatError> {
-        let since = self.read.get(table).copied().unwrap_or(0);
-        let (delta, _) = self.shared.changes(table, "", since).await?;
-        self.read.insert(table, delta.version);
-        self.now = delta.now;
-        self.changed |= !delta.is_empty();
-        Ok(delta)
-    }
-
     /// Removes the rows of watched daemons whose lease lapsed.
     async fn remove_lapsed(&mut self) -> Result<(), PlatError> {
         let term = self.shared.settings.times.lease;
@@ -367,119 +275,6 @@
         Ok(())
     }
 
-    /// Writes changes of the platform's list of VMs into the table.
-    ///
-    /// Only the holder of the claim reads the whole list, the others read what
-    /// changed; at full size the list has some 14,000 entries.
-    async fn list_vms(&mut self) -> Result<(), PlatError> {
-        let Some((claim, version)) = self.known.claims.get(&ClaimKey::Vms).copied()
-        else {
-            return Ok(());
-        };
-        if claim.holder != Some(self.shared.me) {
-            return Ok(());
-        }
-        let list = self.shared.vms.read().await?;
-        self.follow_own(&list);
-        let servers: IndexMap<ServerName, Server> =
-            list.iter().filter_map(server).collect();
-        let mut txn = Txn::new().version(CLAIMS, ClaimKey::Vms.to_string(), version);
-        for (name, server) in &servers {
-            if self.known.servers.get(name) != Some(server) {
-                txn = txn.put(SERVERS, name.as_str(), json!(server));
-            }
-        }
-        for name in self.known.servers.keys().filter(|name| !servers.contains_key(*name))
-        {
-            txn = txn.delete(SERVERS, name.as_str());
-        }
-        for vm in leaving_entries(&list) {
-            if let Some((row, _)) = self.known.members.get(&vm)
-                && !row.leaving
-                && vm != self.shared.settings.vm
-            {
-                let drain = DrainRow { member: row.member, by: "the list of VMs".into() };
-                txn = txn.put(DRAINS, vm.as_str(), json!(drain));
-            }
-        }
-        if txn.writes.is_empty() {
-            return Ok(());
-        }
-        if let TxnAnswer::Committed { .. } = self.shared.table.commit(&txn).await? {
-            self.known.servers = servers;
-            self.changed = true;
-        }
-        Ok(())
-    }
-
-    /// Starts leaving if the platform's list says that this VM does.
-    fn follow_own(&self, list: &[VmRow]) {
-        let vm = &self.shared.settings.vm;
-        if leaving_entries(list).any(|leaving| leaving == *vm) {
-            self.shared.leaving.send_replace(true);
-        }
-    }
-
-    async fn take_claims(&mut self) -> Result<(), PlatError> {
-        let now = self.shared.clock.now();
-        if !self.shared.lease_holds(now) {
-            return Ok(());
-        }
-        // Time alone changes little: only that a member has been there for long.
-        self.idle_polls += 1;
-        if !self.unplanned && self.idle_polls < IDLE_POLLS {
-            return Ok(());
-        }
-        self.idle_polls = 0;
-        let keys = self.keys();
-        let steps =
-            plan(&self.known, &self.shared.settings.vm, self.shared.me, &keys, now).steps;
-        self.unplanned = !steps.is_empty();
-        if steps.is_empty() {
-            return Ok(());
-        }
-        if !self.commit_claims(&steps).await? {
-            // One of them changed meanwhile; the others must not wait for it.
-            for step in &steps {
-                self.commit_claims(std::slice::from_ref(step)).await?;
-            }
-        }
-        Ok(())
-    }
-
-    async fn commit_claims(&mut self, steps: &[Step]) -> Result<bool, PlatError> {
-        let mut txn = Txn::new();
-        for step in steps {
-            let key = step.key.to_string();
-            txn = match step.version {
-                0 => txn.absent(CLAIMS, key.clone()),
-                version => txn.version(CLAIMS, key.clone(), version),
-            };
-            txn = txn.put(CLAIMS, key, json!(step.row));
-        }
-        let TxnAnswer::Committed { version, .. } = self.shared.table.commit(&txn).await?
-        else {
-            return Ok(false);
-        };
-        for step in steps {
-            self.known.claims.insert(step.key.clone(), (step.row, version));
-            self.changed = true;
-            self.counters.claims.inc();
-        }
-        Ok(true)
-    }
-
-    /// Everything that some daemon must hold.
-    fn keys(&self) -> Vec<ClaimKey> {
-        let mut keys = vec![ClaimKey::Vms];
-        keys.extend(
-            (0..self.shared.settings.limits.slots).map(|n| ClaimKey::Slot(SlotId(n))),
-        );
-        keys.extend(self.known.servers.keys().cloned().map(ClaimKey::Server));
-        keys.extend(self.shared.catalog().pools.keys().cloned().map(ClaimKey::Pool));
-        keys
-    }
-
     /// Publishes what is known if any of it changed.
     ///
     /// Putting the view together takes milliseconds at thousands of runners, and
@@ -521,16 +316,3 @@
     let others = view.members.iter().filter(|(id, _)| **id != shared.me);
     others.map(|(id, member)| (*id, member.peer_addr)).collect()
 }
-
-fn parse<K, V>(rows: &[Row]) -> Vec<(K, V, u64)>
-where
-    K: for<'a> TryFrom<&'a str>,
-    V: DeserializeOwned,
-{
-    let one = |row: &Row| {
-        let key = K::try_from(row.key.as_str()).ok()?;
-        let value = serde_json::from_value(row.value.clone()).ok()?;
-        Some((key, value, row.version))
-    };
-    rows.iter().filter_map(one).collect()
-}
