Count the places taken at a plain service's servers as they are taken and freed

Cause: each decision counted the places of each server anew among all that are taken, and looked through all of them for those whose caller's time is over: the square of the number of servers. Change: each server counts its own, and the earliest time at which one is over is kept.

--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -135,6 +135,8 @@
     servers: IndexMap<ServerName, Server>,
     waiting: Vec<Waiting>,
     taken: IndexMap<Asker, Taken>,
+    /// No place is free by its caller's time before this.
+    expiry: Option<Instant>,
     lost: Lost,
     /// Since when requests wait without a break.
     since: Option<Instant>,
@@ -145,6 +147,8 @@
 #[derive(Debug)]
 struct Server {
     listed: Listed,
+    /// How many entries of `taken` name it.
+    busy: u32,
     /// The share of requests that failed lately, as of `at`.
     faults: f64,
     at: Instant,
@@ -180,6 +184,7 @@
             servers: IndexMap::new(),
             waiting: Vec::new(),
             taken: IndexMap::new(),
+            expiry: None,
             lost: Lost::default(),
             since: None,
             time: millis(FIRST_TIME),
@@ -192,8 +197,10 @@
     pub fn list(&mut self, listed: Vec<Listed>, now: Instant) {
         self.servers.retain(|name, _| listed.iter().any(|one| one.name == *name));
         for one in listed {
+            let here = |taken: &&Taken| taken.server == one.name;
             let new = || Server {
                 listed: one.clone(),
+                busy: self.taken.values().filter(here).count() as u32,
                 faults: 0.0,
                 at: now,
                 rejected: 0,
@@ -229,6 +236,7 @@
             self.lost.hear(asker.0, vec![taken.server.clone()], now);
         }
         let Some(server) = self.servers.get_mut(&taken.server) else { return };
+        server.busy -= 1;
         match outcome {
             Outcome::Answered => {
                 self.time += (time - self.time) * TIME_WEIGHT;
@@ -246,7 +254,7 @@
     /// Called for each message of all daemons, so that what is done while every place is
     /// taken costs no more than a look at each request that waits.
     pub fn next(&mut self, now: Instant) -> Option<QueueStep> {
-        self.taken.retain(|_, taken| now < taken.until);
+        self.expire(now);
         let on_time = Duration::from_secs_f64(self.time * START_TIMES / 1000.0);
         if let Some(index) = self.hopeless(on_time, now) {
             let asker = self.waiting.swap_remove(index).asker;
@@ -273,6 +281,20 @@
         None
     }
 
+    /// Frees places whose callers' time is over.
+    fn expire(&mut self, now: Instant) {
+        if self.expiry.is_none_or(|at| now < at) {
+            return;
+        }
+        let Self { taken, servers, .. } = self;
+        for (_, over) in taken.extract_if(.., |_, taken| now >= taken.until) {
+            if let Some(server) = servers.get_mut(&over.server) {
+                server.busy -= 1;
+            }
+        }
+        self.expiry = self.taken.values().map(|taken| taken.until).min();
+    }
+
     /// A request whose caller has given up, or that is late while others can be on time.
     fn hopeless(&mut self, on_time: Duration, now: Instant) -> Option<usize> {
         let crowded = self.is_crowded(now);
@@ -317,9 +339,8 @@
     /// When to look again, if nothing happens before.
     pub fn wake(&self, now: Instant) -> Option<Instant> {
         let deadlines = self.waiting.iter().map(|waiting| waiting.deadline);
-        let expiries = self.taken.values().map(|taken| taken.until);
         let pauses = self.servers.values().filter_map(|server| server.full);
-        let times = deadlines.chain(expiries).chain(pauses).filter(|at| *at > now);
+        let times = deadlines.chain(self.expiry).chain(pauses).filter(|at| *at > now);
         if self.waiting.is_empty() { None } else { times.min() }
     }
 
@@ -335,6 +356,10 @@
 
     fn send(&mut self, index: usize, server: ServerName, now: Instant) -> QueueStep {
         let Waiting { asker, deadline, .. } = self.waiting.swap_remove(index);
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.busy += 1;
+        }
+        self.expiry = Some(self.expiry.map_or(deadline, |at| at.min(deadline)));
         let taken = Taken { server: server.clone(), at: now, until: deadline };
         self.taken.insert(asker, taken);
         QueueStep::Send(asker, server)
@@ -360,7 +385,7 @@
         let waits = BUSY_COST + millis(self.wait(before));
         let cost = |server: &Server| {
             let free = self.is_free(server, now);
-            let busy = f64::from(self.busy(server)) / f64::from(server.slots());
+            let busy = f64::from(server.busy) / f64::from(server.slots());
             let wait = match free {
                 true => busy + (busy - 1.0).max(0.0) * self.time,
                 false => waits,
@@ -377,13 +402,7 @@
 
     fn is_free(&self, server: &Server, now: Instant) -> bool {
         let rests = server.full.is_some_and(|until| now < until);
-        !rests && self.busy(server) < server.slots() + AHEAD
-    }
-
-    /// Places of a server that are taken.
-    fn busy(&self, server: &Server) -> u32 {
-        let here = |taken: &&Taken| taken.server == server.listed.name;
-        self.taken.values().filter(here).count() as u32
+        !rests && server.busy < server.slots() + AHEAD
     }
 
     /// The wait behind so many requests.
