Count an adapter that a runner says it lacks until that is known

The holder takes the adapter off its list; the next order, a second later, loads another one into the place that seems free, without an unload before it. Ruled out: late orders of the former holder and old reports (both carry a number that does not fit); two orders at once (they are given one after the other). Change: the adapter keeps its place, is ordered anew, and counts as there again only by the answer or a report. Test: orders' property, with requests rejected while nothing can be ordered: fails before, passes after (1,500 cases).

--- a/crates/pool/src/runner.rs
+++ b/crates/pool/src/runner.rs
@@ -39,6 +39,14 @@
     ready: Instant,
     /// When it was last asked for.
     used: Instant,
+    /// Whether the runner has rejected a request for want of it.
+    missed: bool,
+}
+
+impl Slot {
+    fn new(ready: Instant, used: Instant) -> Self {
+        Self { ready, used, missed: false }
+    }
 }
 
 /// How far a runner is from serving an adapter.
@@ -129,7 +137,7 @@
         self.leaving = None;
         self.learn_models(&report.models, now);
         for (model, adapter) in &report.coming {
-            let slot = Slot { ready: now, used: now };
+            let slot = Slot::new(now, now);
             self.adapters.entry(target(model, adapter)).or_insert(slot);
         }
         true
@@ -143,8 +151,9 @@
             for adapter in &model.adapters {
                 let target = target(&model.model, adapter);
                 let known = self.adapters.get(&target).copied();
-                let slot = known.unwrap_or(Slot { ready: now, used: now });
-                adapters.insert(target, slot);
+                let used = known.map_or(now, |slot| slot.used);
+                let ready = known.map_or(now, |slot| slot.ready);
+                adapters.insert(target, Slot::new(ready, used));
             }
         }
         self.adapters = adapters;
@@ -202,7 +211,7 @@
                 self.leaving = Some(model.clone());
             }
             OrderStep::LoadAdapter(model, adapter) => {
-                let slot = Slot { ready: now + time, used: now };
+                let slot = Slot::new(now + time, now);
                 self.adapters.insert(target(model, adapter), slot);
             }
             OrderStep::UnloadAdapter(..) => {}
@@ -221,7 +230,7 @@
                 self.adapters.retain(|target, _| target.model != *model);
             }
             OrderStep::LoadAdapter(model, adapter) => {
-                let slot = Slot { ready: now, used: now };
+                let slot = Slot::new(now, now);
                 self.adapters.insert(target(model, adapter), slot);
             }
             // An adapter that nothing uses is dropped at once, by an accepted order.
@@ -240,9 +249,16 @@
         }
     }
 
-    /// Takes note that the runner does not have an adapter that it was thought to.
+    /// Takes note that the runner has rejected a request for want of an adapter that it was
+    /// thought to have.
+    ///
+    /// It may be on its way there, so that its place counts as taken until an order or a
+    /// report tells. Counted as free while no order could be given, the next adapter went
+    /// beyond what the runner holds, and the runner crashed.
     pub fn lacks(&mut self, target: &TargetModel) {
-        self.adapters.swap_remove(target);
+        if let Some(slot) = self.adapters.get_mut(target) {
+            slot.missed = true;
+        }
     }
 
     /// How far the runner is from serving an adapter; it has `places` in all.
@@ -256,6 +272,10 @@
             return AdapterState::Ready;
         }
         if let Some(slot) = self.adapters.get(target) {
+            if slot.missed {
+                // Its own place is there for it.
+                return AdapterState::Free;
+            }
             let left = slot.ready.saturating_duration_since(now);
             return match left.is_zero() {
                 true => AdapterState::Ready,
--- a/crates/pool/tests/orders.rs
+++ b/crates/pool/tests/orders.rs
@@ -55,9 +55,25 @@
 #[derive(Debug, Clone)]
 enum Op {
     Wait(u64),
-    Adapter { model: usize, number: usize, fate: Fate },
-    Load { model: usize, fate: Fate },
-    Unload { model: usize, fate: Fate },
+    Adapter {
+        model: usize,
+        number: usize,
+        fate: Fate,
+    },
+    Load {
+        model: usize,
+        fate: Fate,
+    },
+    Unload {
+        model: usize,
+        fate: Fate,
+    },
+    /// The runner rejects a request for want of the adapter, which may be on its way, and
+    /// the holder may not order anything just then.
+    Missed {
+        model: usize,
+        number: usize,
+    },
     Restart,
     Takeover,
 }
@@ -224,6 +240,9 @@
                     self.order(OrderStep::Unload(model(SIZES[index].0)), fate);
                 }
             }
+            Op::Missed { model, number } => {
+                self.known.lacks(&with_adapter(SIZES[model].0, number));
+            }
             Op::Restart => {
                 self.truth.restart(self.now);
                 // The registry says so, and the holder starts anew.
@@ -289,6 +308,8 @@
             .prop_map(|(model, number, fate)| Op::Adapter { model, number, fate }),
         5 => (0..5usize, fate()).prop_map(|(model, fate)| Op::Load { model, fate }),
         2 => (0..5usize, fate()).prop_map(|(model, fate)| Op::Unload { model, fate }),
+        2 => (0..5usize, 0..12usize)
+            .prop_map(|(model, number)| Op::Missed { model, number }),
         1 => Just(Op::Restart),
         1 => Just(Op::Takeover),
     ]
