--- a/crates/ctl/src/gates.rs
+++ b/crates/ctl/src/gates.rs
@@ -24,6 +24,7 @@
 pub async fn ask(servers: &[String], section: Section) -> Result<Seen, ClientError> {
     let (bases, http) = (bases(servers)?, http()?);
     let answers = join_all(bases.iter().map(|base| state(&http, base))).await;
+    let asked = bases.len();
     let mut seen = Seen::default();
     for (base, answer) in bases.into_iter().zip(answers) {
         match answer {
@@ -31,8 +32,8 @@
             Err(error) => seen.silent.push((base, error)),
         }
     }
-    match (seen.rows.is_empty(), seen.silent.first()) {
-        (true, Some((_, error))) => Err(error.clone()),
+    match seen.silent.first() {
+        Some((_, error)) if seen.silent.len() == asked => Err(error.clone()),
         _ => Ok(seen),
     }
 }
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -1,6 +1,6 @@
 //! A request's way told from log lines, and what daemons believe as rows.
 
-use chestnut_ctl::gates::rows;
+use chestnut_ctl::gates::{self, rows};
 use chestnut_ctl::schema::Section;
 use chestnut_ctl::trace::Trace;
 use insta::assert_snapshot;
@@ -91,3 +91,30 @@
         (&json!("ledger"), &json!(3))
     );
 }
+
+/// Answers one call with a daemon's state that has no queues.
+async fn answer_once(listener: tokio::net::TcpListener) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let _ = stream.read(&mut [0; 1024]).await.unwrap();
+    let body = r#"{"vm":"a1","queues":{}}"#;
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close";
+    let text = format!("{head}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(text.as_bytes()).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_daemon_with_nothing_to_show_has_answered() {
+    // Two daemons are asked for their queues. One holds none and says so, the other does
+    // not answer: there is nothing to show, and one daemon to look after.
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let there = listener.local_addr().unwrap().to_string();
+    let answered = tokio::spawn(answer_once(listener));
+    let servers = [there, "127.0.0.1:1".to_owned()];
+    let seen = gates::ask(&servers, Section::Map("queues")).await.unwrap();
+    assert_eq!((seen.rows.len(), seen.silent.len()), (0, 1));
+    answered.await.unwrap();
+    let silent = ["127.0.0.1:1".to_owned()];
+    assert!(gates::ask(&silent, Section::Map("queues")).await.is_err());
+}
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -116,7 +116,7 @@
         .collect()
 }
 
-/// Whether the request may run on a server, after those where it was before.
+/// Whether the request may run on a server, given where it may have run before.
 fn may_run_on(job: &Job, fleet: &Fleet, server: &Server) -> bool {
     let run = |server: &Server| Run {
         server: server.entry.name.clone(),
--- a/crates/gate/src/backoff.rs
+++ b/crates/gate/src/backoff.rs
@@ -26,9 +26,8 @@
 
 /// The longest pause of all.
 ///
-/// Who calls that seldom hears of the store's return from others. By itself it would have
-/// to notice only if it were cut off from them as well, and then it is nobody's second but
-/// calls often.
+/// Daemons that call that seldom hear of the store's return from others. One that is cut
+/// off from the others does not, but it is the first of those it knows and calls often.
 const SELDOM: Duration = Duration::from_secs(30);
 
 /// When the store may be called again.
--- a/crates/gate/src/mirror.rs
+++ b/crates/gate/src/mirror.rs
@@ -82,10 +82,10 @@
     /// Takes in a row that this daemon has written itself; the copy is as complete as
     /// before.
     ///
-    /// Where its removal is learnt from all rows there are, only a row that the copy knew
-    /// is missed. A daemon whose own row was removed so went on as if it stood: the others
-    /// did not know it and sent it no beats, and it removed their rows as those of silent
-    /// ones, four times a second, without end.
+    /// A read of all rows tells that a row was removed by leaving it out, which only shows
+    /// for rows that the copy has. A daemon whose own row was not in it went on as if that
+    /// row stood: the others did not know the daemon and sent it no beats, and it took them
+    /// for silent and removed their rows, four times a second, without end.
     pub fn note(&mut self, change: &Change) {
         self.take_one(change);
     }
--- a/crates/pool/src/attempts.rs
+++ b/crates/pool/src/attempts.rs
@@ -102,8 +102,8 @@
     /// Whether it may run on a server.
     ///
     /// A stream that breaks off again and again goes on at the servers that had it before,
-    /// once it was on as many as its route allows; one that breaks servers would meet all
-    /// of them otherwise. Those that have ended since, by `is_up`, do not count.
+    /// once it was on as many as its route allows; otherwise one that breaks servers would
+    /// reach all of them. Servers that have ended since, by `is_up`, do not count.
     pub fn may_run_on(&self, run: &Run, is_up: impl Fn(&Run) -> bool) -> bool {
         if self.runs.contains(run) || self.runs.len() < self.most as usize {
             return true;
