Say once where a request may run, and note own writes from the transaction itself

Found in a read of the whole change; behaviour stays. - Each pick cloned the name of every runner that holds the model to ask whether the request may run there; what bounds it is reckoned once now (Attempts::only_on), and nothing is cloned for requests that may run anywhere, which is nearly all. - Rows that a daemon writes itself are noted from the transaction; claims were serialized twice for that. - chestnutctl: one match of commands without an arm that can't be reached; a trace sorts its lines once; no count of doublings beside the pause that bounds them. - Tests: one wait for a request's end in the log.

--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -81,39 +81,33 @@
 }
 
 async fn carry_out(options: &Options, command: Command) -> Result<Exit, Stop> {
-    match &command {
+    match command {
         Command::Check(path) => {
-            println!("{path}: {} without problems", files::check(path)?);
-            return Ok(Exit::Done);
-        }
-        Command::Trace { id, files } => return trace(id, files),
-        Command::Show(query) => {
-            if let Source::Gate(section) = query.subject.source {
-                return show_gates(options, query, section).await;
-            }
+            println!("{path}: {} without problems", files::check(&path)?);
+            Ok(Exit::Done)
         }
-        _ => {}
-    }
-    let client = client(options)?;
-    match command {
-        // Both need no daemon of the own interface.
-        Command::Check(_) | Command::Trace { .. } => Ok(Exit::Done),
-        Command::Plan(dir) => apply::plan(options, &client, &dir).await,
+        Command::Trace { id, files } => trace(&id, &files),
+        Command::Plan(dir) => apply::plan(options, &client(options)?, &dir).await,
         Command::Apply(dir) => {
+            let client = client(options)?;
             let text = files::read(&dir)?;
             files::check_text(&dir, &text)?;
             apply::apply(options, &client, text, &options.note).await
         }
         Command::Rollback { to } => {
+            let client = client(options)?;
             let text = files_at(&client, Some(to)).await?.text();
             let note = format!("rollback to revision {to}");
             apply::apply(options, &client, text, &note).await
         }
-        Command::Change(id) => apply::change(options, &client, &id).await,
-        Command::Show(query) => show(options, &client, &query).await,
-        Command::History { limit } => history(options, &client, limit).await,
-        Command::Explain(asked) => explain(options, &client, &asked).await,
-        Command::Drain(vm) => drain(options, &client, &vm).await,
+        Command::Change(id) => apply::change(options, &client(options)?, &id).await,
+        Command::Show(query) => match query.subject.source {
+            Source::Gate(section) => show_gates(options, &query, section).await,
+            Source::Daemon => show(options, &client(options)?, &query).await,
+        },
+        Command::History { limit } => history(options, &client(options)?, limit).await,
+        Command::Explain(asked) => explain(options, &client(options)?, &asked).await,
+        Command::Drain(vm) => drain(options, &client(options)?, &vm).await,
     }
 }
 
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -45,6 +45,7 @@
         for line in log.lines() {
             self.push(&line?);
         }
+        self.lines.sort_by_key(|line| line.at);
         Ok(())
     }
 
@@ -65,7 +66,6 @@
         };
         if line.text("id") == self.id {
             self.lines.push(line);
-            self.lines.sort_by_key(|line| line.at);
         } else if is_about_server(&line.message) {
             let server = line.text("server").to_owned();
             self.heard.entry((line.vm.clone(), server)).or_default().push(line);
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -11,7 +11,7 @@
 use chestnut_member::ClaimKey;
 use chestnut_pool::choose::SILENT_COST;
 use chestnut_pool::{
-    Bid, Candidate, Fleet, Run, Server, ServerKey, Want, bid, estimate, local_cost,
+    Bid, Candidate, Run, Server, ServerKey, Want, bid, estimate, local_cost,
 };
 use futures::future::join_all;
 use indexmap::IndexMap;
@@ -101,11 +101,17 @@
     let Some(target) = &job.call.target else { return Vec::new() };
     let now = shared.now();
     let fleet = shared.fleet();
+    let only = job.attempts.only_on(|run| {
+        let known = fleet.key(&run.server).and_then(|key| fleet.get(key));
+        known.is_some_and(|server| is_run(server, run))
+    });
     let holding = fleet
         .open(&job.service, now)
         .filter(|(_, server)| server.entry.holds(&target.model))
         .filter(|(_, server)| !avoid.contains(&server.entry.name))
-        .filter(|(_, server)| may_run_on(job, &fleet, server));
+        .filter(|(_, server)| {
+            only.is_none_or(|runs| runs.iter().any(|run| is_run(server, run)))
+        });
     holding
         .map(|(key, server)| Runner {
             key,
@@ -116,17 +122,9 @@
         .collect()
 }
 
-/// Whether the request may run on a server, given where it may have run before.
-fn may_run_on(job: &Job, fleet: &Fleet, server: &Server) -> bool {
-    let run = |server: &Server| Run {
-        server: server.entry.name.clone(),
-        born: server.entry.born,
-    };
-    let is_up = |before: &Run| {
-        let known = fleet.key(&before.server).and_then(|key| fleet.get(key));
-        known.is_some_and(|server| run(server) == *before)
-    };
-    job.attempts.may_run_on(&run(server), is_up)
+/// Whether a server is in that run still.
+fn is_run(server: &Server, run: &Run) -> bool {
+    server.entry.name == run.server && server.entry.born == run.born
 }
 
 /// Leaves a few of many runners: some that suit the request's adapter and prompt, and
--- a/crates/gate/src/backoff.rs
+++ b/crates/gate/src/backoff.rs
@@ -16,9 +16,6 @@
 /// being in touch three seconds after it.
 const OFTEN: Duration = Duration::from_millis(500);
 
-/// How often the first pause doubles, at most; it has reached [`OFTEN`] by then.
-const DOUBLINGS: u32 = 4;
-
 /// How many daemons call often.
 ///
 /// Some of them may be turned away alone, frozen or gone.
@@ -64,8 +61,8 @@
     fn pause(&self, rank: usize) -> Duration {
         let place = u32::try_from(rank).unwrap_or(u32::MAX) / CALLERS;
         if place == 0 {
-            let doublings = self.failures.saturating_sub(1).min(DOUBLINGS);
-            return (FIRST_PAUSE * 2u32.pow(doublings)).min(OFTEN);
+            let doublings = self.failures.saturating_sub(1);
+            return FIRST_PAUSE.saturating_mul(2u32.saturating_pow(doublings)).min(OFTEN);
         }
         // Growing by the square, all pauses together make some 13 calls a second of any
         // number of daemons, beside those that the longest pause makes.
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -109,6 +109,7 @@
     let commit = steps.iter().fold(Commit::default(), add);
     match store::commit(shared, &commit).await {
         Ok(CommitAnswer::Done { version }) => {
+            follow::note_own(shared, &commit, version);
             for (step, fresh) in steps.into_iter().zip(fresh) {
                 took(shared, step, version, fresh);
             }
@@ -124,17 +125,10 @@
 }
 
 fn add(commit: Commit, step: &Step) -> Commit {
-    let key = row_key(step);
-    commit.check(OWN, &key, step.version).put(OWN, &key, row_value(step))
-}
-
-fn row_key(step: &Step) -> String {
-    format!("{PREFIX}{}", step.key)
-}
-
-fn row_value(step: &Step) -> Vec<u8> {
+    let key = format!("{PREFIX}{}", step.key);
     // Claims are plain structs, which always serialize.
-    serde_json::to_vec(&step.row).unwrap_or_default()
+    let value = serde_json::to_vec(&step.row).unwrap_or_default();
+    commit.check(OWN, &key, step.version).put(OWN, &key, value)
 }
 
 /// Whether no other VM can have given orders under the claim lately.
@@ -146,7 +140,6 @@
 }
 
 fn took(shared: &Shared, step: Step, version: u64, fresh: bool) {
-    follow::note_own(shared, row_key(&step), row_value(&step), version);
     take(shared, step.key.clone(), Some(step.row), version);
     let mine = step.row.holder == Some(shared.peers.me);
     let from = if fresh { shared.now() } else { turn_from(shared) };
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -13,7 +13,7 @@
 
 use chestnut_base::id::weighted_rendezvous;
 use chestnut_base::{MemberId, VmName};
-use chestnut_edge::Change;
+use chestnut_edge::{Change, Commit};
 use slog::{info, warn};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -394,10 +394,13 @@
 /// The system's own table: daemons and claims, told apart by the start of the key.
 pub const OWN: &str = "chestnut";
 
-/// Takes note of a row of the system's own table that this daemon has written.
-pub fn note_own(shared: &Shared, key: String, value: Vec<u8>, version: u64) {
-    let change = Change { key, version, value: Some(value.into()) };
-    shared.tables.own.mirror().note(&change);
+/// Takes note of the rows of the system's own table that this daemon has written.
+pub fn note_own(shared: &Shared, commit: &Commit, version: u64) {
+    let mut mirror = shared.tables.own.mirror();
+    for write in commit.writes.iter().filter(|write| write.table == OWN) {
+        let (key, value) = (write.key.clone(), write.value.clone());
+        mirror.note(&Change { key, version, value });
+    }
 }
 
 /// Takes in the system's own table.
--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -145,10 +145,10 @@
 
 async fn put_row(shared: &Shared, vm: &str, row: &MemberRow) -> Result<(), String> {
     let value = serde_json::to_vec(row).map_err(|error| error.to_string())?;
-    let commit = Commit::default().put(OWN, &key(vm), value.clone());
+    let commit = Commit::default().put(OWN, &key(vm), value);
     match store::commit(shared, &commit).await {
         Ok(CommitAnswer::Done { version }) => {
-            follow::note_own(shared, key(vm), value, version);
+            follow::note_own(shared, &commit, version);
             let vm = shared.settings.vm.clone();
             shared.known().members.insert(vm, (row.clone(), version));
             Ok(())
--- a/crates/gate/tests/attempts.rs
+++ b/crates/gate/tests/attempts.rs
@@ -162,7 +162,8 @@
             self.servers.advance(step.restart);
             let began = self.servers.run(step.server);
             let up = |run: &Run| self.servers.is_up(run);
-            if !self.attempts.may_run_on(&named(began), up) {
+            let only = self.attempts.only_on(up);
+            if only.is_some_and(|runs| !runs.contains(&named(began))) {
                 continue;
             }
             let begun = self.begun;
--- a/crates/pool/src/attempts.rs
+++ b/crates/pool/src/attempts.rs
@@ -72,10 +72,10 @@
         match ended {
             Ended::Unsent => return Follow::Again,
             Ended::Rejected => return Follow::IfGranted,
-            Ended::Lost | Ended::Silent | Ended::Late => {}
-            Ended::Failed | Ended::Broken => {}
+            Ended::Lost | Ended::Silent | Ended::Late | Ended::Failed | Ended::Broken => {
+                self.runs.push(run);
+            }
         }
-        self.runs.push(run);
         match ended {
             Ended::Silent if self.may_run() => Follow::Again,
             Ended::Lost if self.may_run() => Follow::IfGranted,
@@ -83,7 +83,7 @@
             Ended::Failed if self.kind == RouteKind::Idempotent && self.may_run() => {
                 Follow::IfGranted
             }
-            // Where it goes on is bounded by [`Self::may_run_on`].
+            // Where it goes on is bounded by [`Self::only_on`].
             Ended::Broken if self.kind.is_repeatable() => Follow::IfGranted,
             _ => Follow::Nothing,
         }
@@ -99,19 +99,19 @@
         !self.runs.is_empty()
     }
 
-    /// Whether it may run on a server.
+    /// Where alone it may still run; nothing if it may run anywhere.
     ///
     /// A stream that breaks off again and again goes on at the servers that had it before,
     /// once it was on as many as its route allows; otherwise one that breaks servers would
     /// reach all of them. Servers that have ended since, by `is_up`, do not count.
-    pub fn may_run_on(&self, run: &Run, is_up: impl Fn(&Run) -> bool) -> bool {
-        if self.runs.contains(run) || self.runs.len() < self.most as usize {
-            return true;
+    pub fn only_on(&self, is_up: impl Fn(&Run) -> bool) -> Option<&[Run]> {
+        if self.runs.len() < self.most as usize {
+            return None;
         }
         let mut up: Vec<&Run> = self.runs.iter().filter(|one| is_up(one)).collect();
         up.sort_by(|a, b| a.server.cmp(&b.server));
         up.dedup();
-        up.len() < self.most as usize
+        (up.len() >= self.most as usize).then_some(&self.runs)
     }
 
     fn may_run(&self) -> bool {
--- a/tests/platform/explain.rs
+++ b/tests/platform/explain.rs
@@ -17,12 +17,8 @@
 impl Story {
     /// Waits until the request's end is logged.
     async fn read(gate: &Gate, id: &str) -> Self {
-        let about = || gate.all_lines().into_iter().filter(|line| line["id"] == id);
-        until("the end is logged", async || {
-            about().any(|line| line["msg"] == "request ended")
-        })
-        .await;
-        Self(about().collect())
+        gate.until_ended(id).await;
+        Self(gate.all_lines().into_iter().filter(|line| line["id"] == id).collect())
     }
 
     fn lines(&self, message: &str) -> Vec<&Value> {
--- a/tests/platform/look.rs
+++ b/tests/platform/look.rs
@@ -55,10 +55,7 @@
     let answer = world.ask(0, &Question::stream("draft", "red", 9)).await;
     assert_eq!(answer.status, 503);
     let gate = &world.gates[0];
-    until("its end is logged", async || {
-        gate.lines("request ended").iter().any(|line| line["id"] == *answer.id)
-    })
-    .await;
+    gate.until_ended(&answer.id).await;
     let log = gate.log.display().to_string();
     let output = ctl(&world, &["trace", &answer.id, &log]).await;
     let told = String::from_utf8_lossy(&output.stdout).into_owned();
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -100,15 +100,14 @@
         let dir = dir.join(format!("chestnut-{}-{number}", std::process::id()));
         fs::create_dir_all(&dir).expect("a directory can be made");
         let caller = Caller::new(name);
-        let (gate_list, links) = (Vec::new(), Links::default());
         let mut world = Self {
             store,
             operator,
             runners,
             services,
-            gates: gate_list,
+            gates: Vec::new(),
             caller,
-            links,
+            links: Links::default(),
             dir,
         };
         if linked {
@@ -248,6 +247,14 @@
         self.child.try_wait().expect("the process can be asked for")
     }
 
+    /// Waits until a request's end is logged.
+    pub async fn until_ended(&self, id: &str) {
+        until("its end is logged", async || {
+            self.lines("request ended").iter().any(|line| line["id"] == *id)
+        })
+        .await;
+    }
+
     /// The log lines with this message.
     pub fn lines(&self, message: &str) -> Vec<Value> {
         self.all_lines().into_iter().filter(|line| line["msg"] == message).collect()
