Send to a runner whose holder has just started, in place of avoiding it

The new process at the same address answered a request for a turn with 'denied', so that the runner was avoided: 950 denials within a second, while requests waited for a change of the registry. It now says that it does not hold the runner, and the request is sent by the daemon's own counts, as where a holder is silent.

--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -231,6 +231,9 @@
     Denied,
     /// The runner's holder does not answer.
     Silent,
+    /// The daemon that claims the runner does not know that it does: it has just
+    /// started, or the claim has moved.
+    Moved,
     /// It has waited for a while; another runner may be sooner by now.
     Again,
 }
@@ -242,6 +245,7 @@
             Self::Send(_) => "sent",
             Self::Denied => "denied",
             Self::Silent => "silent",
+            Self::Moved => "moved",
             Self::Again => "again",
         }
     }
@@ -289,7 +293,7 @@
             Ok(Verdict::Send) => Turn::Send(self.number),
             Ok(Verdict::Denied | Verdict::Queued) => Turn::Denied,
             // The claim was lost.
-            Err(_) => Turn::Silent,
+            Ok(Verdict::Moved) | Err(_) => Turn::Moved,
         }
     }
 
@@ -321,6 +325,7 @@
                     }
                     Verdict::Send => return self.settle(Turn::Send(number)),
                     Verdict::Denied => return self.settle(Turn::Denied),
+                    Verdict::Moved => return self.settle(Turn::Moved),
                 }
             }
             silent += 1;
--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -253,7 +253,7 @@
     };
     match verdict {
         Verdict::Send => note_sent(shared, holder, ticket, &want),
-        Verdict::Denied | Verdict::Queued => {
+        Verdict::Denied | Verdict::Queued | Verdict::Moved => {
             holder.state().lane.remove(ticket);
             info!(shared.log, "turn denied"; "server" => holder.server.to_string(),
                 "daemon" => asker.0.to_string(), "number" => asker.1);
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -137,6 +137,8 @@
     Send,
     /// It can't be sent to this runner.
     Denied,
+    /// The daemon that was asked does not hold the runner.
+    Moved,
 }
 
 /// What becomes of a request that waits for a place at a plain service.
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -105,8 +105,9 @@
                 place.number = Some(number);
                 return Ok(place);
             }
-            // Without its holder the runner is sent to as it was before.
-            Turn::Silent => return Ok(place),
+            // Nobody knows what is in flight there but this daemon; avoided, runners whose
+            // holders have just started would get nothing until these have joined.
+            Turn::Silent | Turn::Moved => return Ok(place),
             Turn::Denied => avoid.push(place.name),
             Turn::Again if job.shared.now() < job.patience() => {}
             Turn::Again => return Err(NoPlace::Nowhere),
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -35,9 +35,8 @@
                     let question = Question { asker, want, missed };
                     grant::take(shared, &holder, question, reply);
                 }
-                // The claim has moved; the daemon that asks goes by its own counts.
                 None => {
-                    let verdict = Verdict::Denied;
+                    let verdict = Verdict::Moved;
                     shared.peers.send(from, Message::Taken { number, verdict });
                 }
             }
--- a/tests/platform/members.rs
+++ b/tests/platform/members.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use chestnut_platform_stand_in::Question;
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use crate::link::LinkFault;
 use crate::world::{World, until};
 
 #[tokio::test]
@@ -24,3 +26,21 @@
         assert_eq!(gate.lines(again).len(), 0);
     }
 }
+
+#[tokio::test]
+async fn runners_of_a_daemon_that_just_started_get_requests() {
+    // Guards against avoiding all runners that are claimed in the name of a process that
+    // has been restarted and can't join yet.
+    let mut world = World::start_linked("unjoined", 2).await;
+    world.links.stores[1].fail(LinkFault::Held { there: true, back: true });
+    world.gates[1].kill();
+    world.gates[1].restart();
+    until("it has started again", async || world.gates[1].lines("started").len() == 2)
+        .await;
+    for model in ["red", "blue", "red", "blue"] {
+        let answer = world.ask(0, &Question::stream("draft", model, 3)).await;
+        assert_eq!(answer.status, 200);
+    }
+    let turns = world.gates[0].lines("turn");
+    assert_eq!(turns.iter().filter(|line| line["turn"] == "Denied").count(), 0);
+}
