--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -343,8 +343,9 @@
     ///
     /// Least loss first, then the failure domain with the fewest replicas if it
     /// is a declared one, then the fewest evictions, as runs on what is evicted have
-    /// to end first, then a copy of the weights at hand, then the most throughput to
-    /// spare.
+    /// to end first, then a copy of the weights at hand, then the most replicas of what
+    /// is evicted: where no demand is known, their numbers are the best guess of it. Then
+    /// the most throughput to spare.
     fn best_site(&self, model: usize) -> Option<Site> {
         let mut domains = vec![0usize; self.domains()];
         for runner in &self.placed[model] {
@@ -363,6 +364,7 @@
                     0
                 },
                 evictions: site.evicted.len(),
+                rarity: self.rarity(&site.evicted),
                 spare: self.spare(runner, &site.evicted),
             };
             if best.as_ref().is_none_or(|(held, _)| rank.is_better(held)) {
@@ -390,7 +392,11 @@
             .filter(|other| self.is_extra(**other) && !self.is_touched(**other, runner))
             .map(|other| (self.eviction_loss(*other, runner), *other))
             .collect();
-        spare.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let order = |a: &(f64, usize), b: &(f64, usize)| {
+            let replicas = |model: usize| Reverse(self.placed[model].len());
+            a.0.total_cmp(&b.0).then_with(|| replicas(a.1).cmp(&replicas(b.1)))
+        };
+        spare.sort_by(order);
         for (loss, other) in spare {
             site.evicted.push(other);
             site.loss += loss;
@@ -402,6 +408,11 @@
         None
     }
 
+    /// How much of their replicas an eviction takes from models.
+    fn rarity(&self, evicted: &[usize]) -> f64 {
+        evicted.iter().map(|model| 1.0 / self.placed[*model].len() as f64).sum()
+    }
+
     fn is_touched(&self, model: usize, runner: usize) -> bool {
         self.touched.contains(&(model, runner))
     }
@@ -455,6 +466,8 @@
     far: bool,
     domain: usize,
     evictions: usize,
+    /// How few replicas the evicted models have.
+    rarity: f64,
     spare: f64,
 }
 
@@ -465,6 +478,7 @@
             .then(self.domain.cmp(&other.domain))
             .then(self.evictions.cmp(&other.evictions))
             .then(self.far.cmp(&other.far))
+            .then(self.rarity.total_cmp(&other.rarity))
             .then(other.spare.total_cmp(&self.spare))
             .is_lt()
     }
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -233,3 +233,20 @@
     let (last, _) = settle(&mut pool);
     assert_eq!(last.unplaced, [(1, 2)]);
 }
+
+#[test]
+fn without_demand_the_most_replicated_model_makes_room() {
+    // Guards against dropping the scarce replicas of the second busiest model before the
+    // first request comes: its callers then all queue at one runner.
+    let runners = (0..4).map(|at| runner(at % 2, 100)).collect();
+    let mut busy = model(50, 1, 0.0);
+    busy.placed = vec![0, 1, 2, 3];
+    let mut second = model(50, 1, 0.0);
+    second.placed = vec![0, 1];
+    let mut third = model(50, 1, 0.0);
+    third.placed = vec![2, 3];
+    let mut pool = pool(runners, vec![second, busy, third, model(50, 1, 0.0)]);
+    let (last, _) = settle(&mut pool);
+    let replicas: Vec<usize> = last.placed.iter().map(Vec::len).collect();
+    assert_eq!(replicas, [2, 3, 2, 1]);
+}
