--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -154,7 +154,7 @@
                 "load" => change.load.as_ref().map(|model| model.to_string()),
                 "drop" => format!("{:?}", change.drop), "demand" => demand);
         }
-        placing.moving().cloned().collect()
+        placing.steps().collect()
     };
     // Repeated while they stand, so that a lost message only delays them.
     for change in changes {
--- a/crates/pool/src/moving.rs
+++ b/crates/pool/src/moving.rs
@@ -30,39 +30,64 @@
     pub load: Option<ModelName>,
 }
 
+/// How far a move is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// What is dropped may be listed until then.
+    Draining(Instant),
+    /// What is loaded may not be listed until then.
+    Loading(Instant),
+}
+
 /// A move under way.
 #[derive(Debug)]
 pub struct Moving {
     /// The move.
     pub change: Move,
-    /// Until when what it drops may still be listed.
-    drops: Instant,
-    /// Until when what it loads may still not be listed.
-    loads: Instant,
+    stage: Stage,
 }
 
 impl Moving {
-    /// Starts a move whose load takes `load`.
-    pub fn new(change: Move, load: Duration, now: Instant) -> Self {
-        Self { change, drops: now + DROP_TIME, loads: now + load + MOVE_SLACK }
+    /// Starts to make room.
+    pub fn drain(change: Move, now: Instant) -> Self {
+        Self { change, stage: Stage::Draining(now + DROP_TIME) }
     }
 
-    /// Whether the move is under way still, as far as the registry tells.
-    pub fn lasts(&self, runner: &ServerEntry, now: Instant) -> bool {
-        let lists = |model: &ModelName| runner.holds(model);
-        if self.change.drop.iter().any(lists) {
-            return now < self.drops;
+    /// Starts a load that takes `load`, into room that is there.
+    pub fn load(change: Move, load: Duration, now: Instant) -> Self {
+        Self { change, stage: Stage::Loading(now + load + MOVE_SLACK) }
+    }
+
+    /// What the runner is to do now.
+    pub fn step(&self) -> Move {
+        let server = self.change.server.clone();
+        match self.stage {
+            Stage::Draining(_) => Move { load: None, ..self.change.clone() },
+            Stage::Loading(_) => {
+                Move { server, drop: Vec::new(), load: self.change.load.clone() }
+            }
         }
-        let waits = self.change.load.as_ref().is_some_and(|model| !lists(model));
-        waits && now < self.loads
     }
 
-    /// Gives up a load that is not there in time; what was to make room goes on.
-    ///
-    /// Its callers need not wait for the runs to end: it is planned for elsewhere.
-    pub fn give_up_load(&mut self, now: Instant) {
-        if now >= self.loads {
-            self.change.load = None;
+    /// The model that is loaded once there is room.
+    pub fn awaits_room(&self) -> Option<&ModelName> {
+        match self.stage {
+            Stage::Draining(_) => self.change.load.as_ref(),
+            Stage::Loading(_) => None,
+        }
+    }
+
+    /// Whether what it drops is gone, as far as the registry tells.
+    pub fn is_drained(&self, runner: &ServerEntry) -> bool {
+        !self.change.drop.iter().any(|model| runner.holds(model))
+    }
+
+    /// Whether the move is under way still, as far as the registry tells.
+    pub fn lasts(&self, runner: &ServerEntry, now: Instant) -> bool {
+        let loaded = self.change.load.as_ref().is_none_or(|model| runner.holds(model));
+        match self.stage {
+            Stage::Draining(until) => now < until && !(loaded && self.is_drained(runner)),
+            Stage::Loading(until) => now < until && !loaded,
         }
     }
 }
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -53,6 +53,11 @@
 /// often; another runner serves sooner.
 const FAILED_TIME: Duration = Duration::from_secs(2);
 
+/// How long before its load may begin a runner starts to make room.
+///
+/// The runs on what is dropped end first, within a few seconds.
+const DRAIN_AHEAD: Duration = Duration::from_secs(2);
+
 /// The share of a runner's throughput up to which the replicas that stay may be asked
 /// for when one is dropped.
 ///
@@ -114,11 +119,7 @@
 
     /// Takes in that a runner's holder could not make a move.
     pub fn fail(&mut self, change: &Move, now: Instant) {
-        if self
-            .moving
-            .get(&change.server)
-            .is_some_and(|known| known.change.drop == change.drop)
-        {
+        if self.moving.get(&change.server).is_some_and(|known| known.step() == *change) {
             self.moving.swap_remove(&change.server);
             self.failed.insert(change.server.clone(), now + FAILED_TIME);
         }
@@ -133,30 +134,63 @@
     pub fn decide(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
         self.demands.average(scene.engine.models.keys(), now);
         self.forget_done(scene, now);
-        let mut fresh = self.loads(scene, now);
+        let mut fresh = self.fill_room(scene, now);
+        fresh.extend(self.loads(scene, now));
         fresh.extend(self.drops(scene, now));
         fresh
     }
 
-    /// All moves under way.
-    pub fn moving(&self) -> impl Iterator<Item = &Move> {
-        self.moving.values().map(|moving| &moving.change)
+    /// What runners are to do for the moves under way.
+    pub fn steps(&self) -> impl Iterator<Item = Move> {
+        self.moving.values().map(Moving::step)
     }
 
     fn forget_done(&mut self, scene: &Scene, now: Instant) {
         self.failed.retain(|_, until| now < *until);
         self.moving.retain(|server, moving| {
             let runner = scene.runners.iter().find(|runner| runner.name == *server);
-            let lasts = runner.is_some_and(|runner| moving.lasts(runner, now));
-            moving.give_up_load(now);
-            lasts
+            runner.is_some_and(|runner| moving.lasts(runner, now))
         });
     }
 
+    /// Begins loads on runners that have made room for them.
+    fn fill_room(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
+        let mut fresh = Vec::new();
+        for runner in scene.runners {
+            let Some(moving) = self.moving.get(&runner.name) else { continue };
+            let Some(model) = moving.awaits_room().cloned() else { continue };
+            let (drained, change) = (moving.is_drained(runner), moving.change.clone());
+            if drained && self.may_load(scene, runner, &model, now) {
+                let load = scene.engine.models[&model].load;
+                let moving = Moving::load(change, load, now);
+                fresh.push(moving.step());
+                self.moving.insert(runner.name.clone(), moving);
+            }
+        }
+        fresh
+    }
+
+    /// Whether a load may begin now, which it then does.
+    fn may_load(
+        &mut self,
+        scene: &Scene,
+        runner: &ServerEntry,
+        model: &ModelName,
+        now: Instant,
+    ) -> bool {
+        if is_near(runner, model) {
+            return true;
+        }
+        let free = self.pace.left(scene.engine.loads_per_s, now) > 0;
+        if free {
+            self.pace.take();
+        }
+        free
+    }
+
     fn loads(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
-        let rate = scene.engine.loads_per_s;
-        let free = self.pace.left(rate, now);
-        let pool = self.pool_state(scene, free);
+        let parallel = self.loads_ahead(scene, now) + self.loading();
+        let pool = self.pool_state(scene, parallel);
         let placement = plan(&pool);
         let mut fresh = Vec::new();
         for change in moves(scene, &pool, &placement) {
@@ -166,20 +200,34 @@
             }
             let mut runners = scene.runners.iter();
             let runner = runners.find(|runner| runner.name == change.server);
-            if !runner.is_some_and(|runner| is_near(runner, &model)) {
-                if self.pace.left(rate, now) == 0 {
-                    continue;
-                }
-                self.pace.take();
-            }
-            let moving =
-                Moving::new(change.clone(), scene.engine.models[&model].load, now);
-            self.moving.insert(change.server.clone(), moving);
-            fresh.push(change);
+            let Some(runner) = runner else { continue };
+            let moving = if !change.drop.is_empty() {
+                Moving::drain(change, now)
+            } else if self.may_load(scene, runner, &model, now) {
+                Moving::load(change, scene.engine.models[&model].load, now)
+            } else {
+                continue;
+            };
+            fresh.push(moving.step());
+            self.moving.insert(runner.name.clone(), moving);
         }
         fresh
     }
 
+    /// The loads from the weight store that may be planned now: they can begin once a
+    /// runner has made room, beside those that wait for room already.
+    fn loads_ahead(&mut self, scene: &Scene, now: Instant) -> usize {
+        let rate = scene.engine.loads_per_s;
+        let soon = (rate * DRAIN_AHEAD.as_secs_f64()) as usize;
+        let waits = |runner: &ServerEntry| {
+            let moving = self.moving.get(&runner.name);
+            let model = moving.and_then(Moving::awaits_room);
+            model.is_some_and(|model| !is_near(runner, model))
+        };
+        let waiting = scene.runners.iter().filter(|runner| waits(runner)).count();
+        (self.pace.left(rate, now) + soon).saturating_sub(waiting)
+    }
+
     /// Drops replicas that are not asked for where no room is left for a load.
     fn drops(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
         let mut replicas: IndexMap<&ModelName, usize> = IndexMap::new();
@@ -219,9 +267,9 @@
             }
             let drop = vec![model.clone()];
             let change = Move { server: runner.name.clone(), drop, load: None };
-            let moving = Moving::new(change.clone(), Duration::ZERO, now);
+            let moving = Moving::drain(change, now);
+            fresh.push(moving.step());
             self.moving.insert(runner.name.clone(), moving);
-            fresh.push(change);
         }
         fresh
     }
@@ -255,7 +303,7 @@
             runners: runners.iter().map(runner_state).collect(),
             models,
             throughput: THROUGHPUT.max(even),
-            parallel: parallel + self.loading(),
+            parallel,
             attainment_weight: 1.0,
             move_weight: MOVE_WEIGHT,
             horizon: HORIZON,
--- a/crates/pool/tests/placing.rs
+++ b/crates/pool/tests/placing.rs
@@ -4,8 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::{DomainName, MemberId, ServerName, ServiceName};
+use chestnut_base::{DomainName, MemberId, ModelName, ServerName, ServiceName};
 use chestnut_edge::{HeldModel, Phase, ServerEntry};
+use chestnut_pool::moving::Move;
 use chestnut_pool::placing::{Placing, Scene};
 
 use support::{engine, model};
@@ -68,3 +69,82 @@
     }
     assert_eq!(dropped.len(), 1, "{dropped:?} drop it");
 }
+
+/// Runners that carry out what the planner says, as the registry lists them.
+struct Carried {
+    runners: Vec<ServerEntry>,
+    /// Changes under way: the runner, the model, whether it is loaded, and until when.
+    under_way: Vec<(usize, ModelName, bool, Instant)>,
+}
+
+impl Carried {
+    fn take(&mut self, change: &Move, now: Instant) {
+        let names = self.runners.iter().map(|runner| &runner.name);
+        let index = names.into_iter().position(|name| *name == change.server).unwrap();
+        let busy = self.under_way.iter().any(|(at, ..)| *at == index);
+        assert!(!busy, "{change:?} while another order is carried out");
+        let drops = change.drop.iter().map(|model| (model, false, now + RUNS));
+        let loads = change.load.iter().map(|model| (model, true, now + LOAD));
+        for (model, load, until) in drops.chain(loads) {
+            self.under_way.push((index, model.clone(), load, until));
+        }
+    }
+
+    fn advance(&mut self, now: Instant) {
+        let (done, rest) = std::mem::take(&mut self.under_way)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(.., until)| now >= *until);
+        self.under_way = rest;
+        for (index, model, load, _) in done {
+            let held = &mut self.runners[index].models;
+            match load {
+                true => held.push(HeldModel { model, version: 1, adapters: vec![] }),
+                false => held.retain(|held| held.model != model),
+            }
+        }
+    }
+
+    fn replicas(&self, name: &str) -> usize {
+        self.runners.iter().filter(|runner| runner.holds(&model(name))).count()
+    }
+}
+
+/// How long runs on a model that is dropped go on.
+const RUNS: Duration = Duration::from_secs(3);
+
+/// How long a load takes.
+const LOAD: Duration = Duration::from_millis(1200);
+
+#[test]
+fn runners_make_room_while_earlier_loads_are_paced() {
+    // Guards against taking a load's turn at the weight store when a runner starts to make
+    // room: runs hold the room for seconds, the turn is lost, and the model in demand has
+    // its replicas ten seconds late.
+    let declared = engine(&[("old", 80.0), ("hot", 80.0), ("x", 80.0)]);
+    let mut runners: Vec<ServerEntry> =
+        (0..8).map(|at| runner(&format!("r{at}"), &["old", "x"])).collect();
+    runners[0] = runner("r0", &["hot", "x"]);
+    let mut carried = Carried { runners, under_way: Vec::new() };
+    let start = Instant::now();
+    let mut placing = Placing::new(start);
+    let (mut old, mut hot) = (0.0, 0.0);
+    let mut served = None;
+    for look in 1..60 {
+        let now = start + PERIOD * look;
+        carried.advance(now);
+        let shifted = now > start + Duration::from_secs(3);
+        old += if shifted { 500.0 } else { 10_000.0 };
+        hot += if shifted { 15_000.0 } else { 1_000.0 };
+        placing.count(MemberId(1), vec![(model("old"), old), (model("hot"), hot)]);
+        let scene = Scene { runners: &carried.runners, fixed: &[], engine: &declared };
+        for change in placing.decide(&scene, now) {
+            carried.take(&change, now);
+        }
+        if carried.replicas("hot") >= 5 {
+            served.get_or_insert(now.duration_since(start));
+        }
+    }
+    // Five replicas are four loads at 1.1 a second after the first runs have ended.
+    let served = served.expect("it gets five replicas");
+    assert!(served < Duration::from_secs(10), "{served:?}");
+}
