Plan demand in runners, by what the engines at hand are short of

THROUGHPUT (16,000 tokens/s) and the weight of an output token described the engines of the first two customers.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use chestnut_base::ServerName;
+use chestnut_base::{ModelName, ServerName, ServiceName};
 use chestnut_edge::{Attempt, Reply};
-use chestnut_pool::{Ended, Flight, Outcome, Run, ServerKey};
+use chestnut_pool::{Asked, Ended, Flight, Outcome, Run, ServerKey};
 use http::{Request, response};
 use hyper::body::Incoming;
 use tokio::time::{timeout, timeout_at};
@@ -17,7 +17,7 @@
 use crate::job::Job;
 use crate::message::Begun;
 use crate::shared::Shared;
-use crate::sums;
+use crate::{planner, sums};
 
 /// How long a server may be silent, in times of the route's objective.
 ///
@@ -36,6 +36,8 @@
     place: Option<Ticket>,
     /// What came of it.
     outcome: Outcome,
+    /// The service and the model that it asks for, if it is a generation.
+    target: Option<(ServiceName, ModelName)>,
 }
 
 impl InFlight {
@@ -49,7 +51,9 @@
         let sent = shared.now();
         let plain = place.number.filter(|_| job.call.target.is_none());
         let place = plain.map(|number| Ticket { service: job.service.clone(), number });
-        Self { shared, key, flight, sent, place, outcome: Outcome::Left }
+        let target = job.call.target.as_ref();
+        let target = target.map(|target| (job.service.clone(), target.model.clone()));
+        Self { shared, key, flight, sent, place, outcome: Outcome::Left, target }
     }
 
     /// Takes note that the answer broke off.
@@ -81,6 +85,13 @@
     fn drop(&mut self) {
         self.shared.fleet().end(self.key, self.flight);
         sums::tell(&self.shared, self.key, None, None);
+        if let Some((service, model)) = self.target.as_ref().filter(|_| self.flight.begun)
+        {
+            let stay = self.shared.now().saturating_duration_since(self.sent);
+            let ended =
+                Asked { ended: 1.0, stay: stay.as_secs_f64(), ..Asked::default() };
+            planner::note(&self.shared, service, model, ended);
+        }
         if let Some(place) = self.place.take() {
             place.give_back(&self.shared, self.outcome);
         }
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -7,12 +7,11 @@
 use bytes::Bytes;
 use chestnut_base::{Refusal, ServiceName};
 use chestnut_edge::{Call, Declared, Engine, Route, Size};
-use chestnut_pool::{Attempts, Want};
+use chestnut_pool::{Asked, Attempts, Want};
 use http::request;
 use slog::info;
 
 use crate::metrics::Span;
-use crate::planner;
 use crate::shared::{Active, Shared};
 
 /// The mean length of answers against callers' guesses, which are right at the median.
@@ -112,12 +111,13 @@
         }
     }
 
-    /// The tokens that the request is expected to cost, as planners count them.
-    pub fn demand(&self) -> f64 {
+    /// What the request asks of its model's runners.
+    pub fn asked(&self) -> Asked {
         let size = self.call.size;
         let guess = self.call.guess.map_or(f64::from(size.output), f64::from);
         let output = (guess * GUESS_MEAN).min(size.output.into());
-        f64::from(size.prompt) + output * planner::OUTPUT_WEIGHT
+        let prompt = f64::from(size.prompt);
+        Asked { requests: 1.0, prompt, tokens: prompt + output, ..Asked::default() }
     }
 
     /// The size to plan with: callers' guesses are right at the median.
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -6,7 +6,7 @@
 use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
 use chestnut_edge::TargetModel;
 use chestnut_pool::moving::Move;
-use chestnut_pool::{Bid, Outcome, PlainWant, Usage, Want};
+use chestnut_pool::{Asked, Bid, Outcome, PlainWant, Usage, Want};
 use serde::{Deserialize, Serialize};
 
 /// A datagram.
@@ -108,8 +108,8 @@
     Demand {
         /// The service.
         service: ServiceName,
-        /// Tokens asked for since the daemon's start, by model.
-        tokens: Vec<(ModelName, f64)>,
+        /// What was asked for since the daemon's start, by model.
+        asked: Vec<(ModelName, Asked)>,
         /// Servers that the daemon can't connect to.
         lost: Vec<ServerName>,
     },
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -12,6 +12,7 @@
 use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
 use chestnut_edge::{Engine, ServerEntry};
 use chestnut_member::ClaimKey;
+use chestnut_pool::Asked;
 use chestnut_pool::moving::Move;
 use chestnut_pool::placing::{Placing, Scene};
 use indexmap::IndexMap;
@@ -27,29 +28,23 @@
 /// How often the planner plans and daemons tell it what is asked for.
 const PERIOD: Duration = Duration::from_millis(250);
 
-/// How many prompt tokens an output token is worth.
-///
-/// A batch of 16 makes 16 tokens in a step of 10 ms, in which 200 prompt tokens
-/// could be read.
-pub const OUTPUT_WEIGHT: f64 = 3.0;
-
 /// What callers have asked of this daemon, by service and model.
 #[derive(Debug, Default)]
 pub struct Counts {
-    tokens: IndexMap<ServiceName, IndexMap<ModelName, f64>>,
+    asked: IndexMap<ServiceName, IndexMap<ModelName, Asked>>,
 }
 
 impl Counts {
-    /// Counts a request.
-    pub fn add(&mut self, service: &ServiceName, model: &ModelName, tokens: f64) {
-        let models = self.tokens.entry(service.clone()).or_default();
-        *models.entry(model.clone()).or_default() += tokens;
+    /// Adds to what was asked of a model.
+    pub fn add(&mut self, service: &ServiceName, model: &ModelName, asked: Asked) {
+        let models = self.asked.entry(service.clone()).or_default();
+        *models.entry(model.clone()).or_default() += asked;
     }
 }
 
-/// Counts a request for the planner.
-pub fn note(shared: &Shared, service: &ServiceName, model: &ModelName, tokens: f64) {
-    shared.counts().add(service, model, tokens);
+/// Counts for the planner what was asked of a model.
+pub fn note(shared: &Shared, service: &ServiceName, model: &ModelName, asked: Asked) {
+    shared.counts().add(service, model, asked);
 }
 
 /// Takes in what callers have asked of a daemon.
@@ -57,13 +52,13 @@
     shared: &Shared,
     from: MemberId,
     service: ServiceName,
-    tokens: Vec<(ModelName, f64)>,
+    asked: Vec<(ModelName, Asked)>,
     lost: Vec<ServerName>,
 ) {
     let now = shared.now();
     let mut plans = shared.plans();
     let placing = plans.entry(service).or_insert_with(|| Placing::new(now));
-    placing.count(from, tokens);
+    placing.count(from, asked);
     placing.hear_lost(from, lost, now);
 }
 
@@ -82,17 +77,17 @@
         let Some(declared) = shared.declared() else { continue };
         for (name, service) in &declared.services {
             let Some(engine) = &service.engine else { continue };
-            let tokens = own_counts(&shared, name);
+            let asked = own_counts(&shared, name);
             let lost = unreachable(&shared, name);
             match planner_of(&shared, name) {
                 Planner::Here => {
-                    take(&shared, shared.peers.me, name.clone(), tokens, lost);
+                    take(&shared, shared.peers.me, name.clone(), asked, lost);
                     plan_service(&shared, name, engine);
                 }
                 Planner::There(addr) => {
                     shared.plans().swap_remove(name);
                     let service = name.clone();
-                    let message = Message::Demand { service, tokens, lost };
+                    let message = Message::Demand { service, asked, lost };
                     shared.peers.send(addr, message);
                 }
                 Planner::Nobody => {}
@@ -120,10 +115,10 @@
     row.map_or(Planner::Nobody, |row| Planner::There(row.peer_addr))
 }
 
-fn own_counts(shared: &Shared, service: &ServiceName) -> Vec<(ModelName, f64)> {
+fn own_counts(shared: &Shared, service: &ServiceName) -> Vec<(ModelName, Asked)> {
     let counts = shared.counts();
-    let models = counts.tokens.get(service).into_iter().flatten();
-    models.map(|(model, tokens)| (model.clone(), *tokens)).collect()
+    let models = counts.asked.get(service).into_iter().flatten();
+    models.map(|(model, asked)| (model.clone(), *asked)).collect()
 }
 
 /// Servers of a service that this daemon can't connect to.
@@ -143,12 +138,13 @@
         runners.retain(|runner| !placing.is_lost(&runner.name, daemons, now));
     }
     let fixed = fixed(shared, &runners);
-    let scene = Scene { runners: &runners, fixed: &fixed, engine };
     let changes: Vec<Move> = {
         let mut plans = shared.plans();
+        let speeds = shared.speeds();
+        let scene = Scene { runners: &runners, fixed: &fixed, engine, speeds: &speeds };
         let Some(placing) = plans.get_mut(service) else { return };
         for change in placing.decide(&scene, now) {
-            let demand = change.load.as_ref().map(|model| placing.demand(model) as u64);
+            let demand = change.load.as_ref().map(|model| placing.demand(model));
             shared.metrics.count(Step::Move, "planned");
             info!(shared.log, "move planned"; "server" => change.server.to_string(),
                 "load" => change.load.as_ref().map(|model| model.to_string()),
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -58,8 +58,8 @@
         | Message::Dequeued { number, .. } => {
             shared.peers.answer(number, packet.message);
         }
-        Message::Demand { service, tokens, lost } => {
-            planner::take(shared, packet.from, service, tokens, lost);
+        Message::Demand { service, asked, lost } => {
+            planner::take(shared, packet.from, service, asked, lost);
         }
         Message::Move(change) => {
             if let Some(holder) = shared.holder(&change.server) {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -81,7 +81,7 @@
     let mut job = Box::new(job);
     job.shared.note_request(&job.service);
     if let Some(target) = &job.call.target {
-        planner::note(&job.shared, &job.service, &target.model, job.demand());
+        planner::note(&job.shared, &job.service, &target.model, job.asked());
     }
     let mut tried = Vec::new();
     let mut lacking: Option<ServerName> = None;
--- a/crates/pool/src/demand.rs
+++ b/crates/pool/src/demand.rs
@@ -6,11 +6,20 @@
 //!
 //! Every daemon counts what its own callers ask for and tells its sum since its
 //! start, so that a lost message only delays what it says.
+//!
+//! Demand is counted in runners: the part of a runner's time that a request takes. It
+//! takes the engine while its prompt is read, and one place and some of the KV cache for as
+//! long as it stays; whatever is scarcest on the engines at hand decides.
 
+use std::ops::AddAssign;
 use std::time::{Duration, Instant};
 
 use chestnut_base::{MemberId, ModelName};
+use chestnut_edge::Engine;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::speed::Speeds;
 
 /// How far back the two averages look.
 const FAST: Duration = Duration::from_millis(500);
@@ -19,7 +28,84 @@
 /// How long requests have to be seen before a model counts as not asked for.
 const KNOWN: Duration = Duration::from_millis(2500);
 
-/// The averages of one model's demand, in tokens a second.
+/// The share of an engine's time that reading prompts may take.
+///
+/// Streams get their events in time from the rest.
+const READ_SHARE: f64 = 0.5;
+
+/// How long a request is assumed to stay until some have ended, and for how many ended
+/// ones that counts.
+const FIRST_STAY: Duration = Duration::from_secs(2);
+const FIRST_WEIGHT: f64 = 3.0;
+
+/// How far back the mean of stays looks.
+const STAY_MEMORY: Duration = Duration::from_secs(20);
+
+/// What callers have asked of a model at one daemon since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Asked {
+    /// Requests.
+    pub requests: f64,
+    /// Tokens of their prompts.
+    pub prompt: f64,
+    /// Tokens that they take in the KV cache, answers included.
+    pub tokens: f64,
+    /// Requests that have ended after a runner began to answer them.
+    pub ended: f64,
+    /// How long these were at their runners, in seconds.
+    pub stay: f64,
+}
+
+impl Asked {
+    /// What was asked since an earlier sum of the same daemon.
+    fn since(self, before: Self) -> Self {
+        let more = |now: f64, before: f64| (now - before).max(0.0);
+        Self {
+            requests: more(self.requests, before.requests),
+            prompt: more(self.prompt, before.prompt),
+            tokens: more(self.tokens, before.tokens),
+            ended: more(self.ended, before.ended),
+            stay: more(self.stay, before.stay),
+        }
+    }
+}
+
+impl AddAssign for Asked {
+    fn add_assign(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.prompt += other.prompt;
+        self.tokens += other.tokens;
+        self.ended += other.ended;
+        self.stay += other.stay;
+    }
+}
+
+/// How long requests for a model stay at a runner, in the mean.
+#[derive(Debug, Clone, Copy)]
+struct Stay {
+    ended: f64,
+    seconds: f64,
+}
+
+impl Default for Stay {
+    fn default() -> Self {
+        Self { ended: FIRST_WEIGHT, seconds: FIRST_WEIGHT * FIRST_STAY.as_secs_f64() }
+    }
+}
+
+impl Stay {
+    fn learn(&mut self, asked: Asked, time: Duration) {
+        let kept = (-time.as_secs_f64() / STAY_MEMORY.as_secs_f64()).exp();
+        self.ended = self.ended * kept + asked.ended;
+        self.seconds = self.seconds * kept + asked.stay;
+    }
+
+    fn mean(self) -> f64 {
+        self.seconds / self.ended.max(f64::MIN_POSITIVE)
+    }
+}
+
+/// The averages of one model's demand, in runners.
 #[derive(Debug, Clone, Copy, Default)]
 struct Averages {
     fast: f64,
@@ -27,11 +113,11 @@
 }
 
 impl Averages {
-    fn add(&mut self, tokens: f64, time: Duration) {
+    fn add(&mut self, work: f64, time: Duration) {
         if time.is_zero() {
             return;
         }
-        let rate = tokens / time.as_secs_f64();
+        let rate = work / time.as_secs_f64();
         let weight =
             |span: Duration| 1.0 - (-time.as_secs_f64() / span.as_secs_f64()).exp();
         self.fast += (rate - self.fast) * weight(FAST);
@@ -48,9 +134,10 @@
 #[derive(Debug)]
 pub struct Demands {
     /// The last count of each daemon, by model.
-    counts: IndexMap<MemberId, IndexMap<ModelName, f64>>,
-    /// Tokens that were asked for since the last average.
-    fresh: IndexMap<ModelName, f64>,
+    counts: IndexMap<MemberId, IndexMap<ModelName, Asked>>,
+    /// What was asked for since the last average.
+    fresh: IndexMap<ModelName, Asked>,
+    stays: IndexMap<ModelName, Stay>,
     averages: IndexMap<ModelName, Averages>,
     /// For how long anything was asked for.
     known: Duration,
@@ -63,40 +150,40 @@
         Self {
             counts: IndexMap::new(),
             fresh: IndexMap::new(),
+            stays: IndexMap::new(),
             averages: IndexMap::new(),
             known: Duration::ZERO,
             at: now,
         }
     }
 
-    /// Takes in a daemon's count of tokens asked for since its start.
-    pub fn count(&mut self, from: MemberId, tokens: Vec<(ModelName, f64)>) {
+    /// Takes in what callers have asked of a daemon since its start.
+    pub fn count(&mut self, from: MemberId, asked: Vec<(ModelName, Asked)>) {
         let first = !self.counts.contains_key(&from);
         let known = self.counts.entry(from).or_default();
-        for (model, tokens) in tokens {
-            let before = known.insert(model.clone(), tokens).unwrap_or_default();
+        for (model, asked) in asked {
+            let before = known.insert(model.clone(), asked).unwrap_or_default();
             // What was counted before this planner took over is of the past.
-            if !first && tokens > before {
-                *self.fresh.entry(model).or_default() += tokens - before;
+            if !first {
+                *self.fresh.entry(model).or_default() += asked.since(before);
             }
         }
     }
 
     /// Takes what was counted since the last call into the averages.
-    pub fn average<'a>(
-        &mut self,
-        models: impl Iterator<Item = &'a ModelName>,
-        now: Instant,
-    ) {
+    pub fn average(&mut self, engine: &Engine, speeds: &Speeds, now: Instant) {
         let time = now.saturating_duration_since(self.at);
         self.at = now;
         let fresh = std::mem::take(&mut self.fresh);
-        if !fresh.is_empty() {
+        if fresh.values().any(|asked| asked.requests > 0.0) {
             self.known += time;
         }
-        for model in models {
-            let tokens = fresh.get(model).copied().unwrap_or_default();
-            self.averages.entry(model.clone()).or_default().add(tokens, time);
+        for model in engine.models.keys() {
+            let asked = fresh.get(model).copied().unwrap_or_default();
+            let stay = self.stays.entry(model.clone()).or_default();
+            stay.learn(asked, time);
+            let work = work(asked, stay.mean(), speeds.token(model), engine);
+            self.averages.entry(model.clone()).or_default().add(work, time);
         }
     }
 
@@ -105,8 +192,17 @@
         self.known >= KNOWN
     }
 
-    /// The demand to plan for, in tokens a second.
+    /// The demand to plan for, in runners.
     pub fn estimate(&self, model: &ModelName) -> f64 {
         self.averages.get(model).map_or(0.0, Averages::estimate)
     }
 }
+
+/// The time of a runner that requests take, in seconds, if they stay for `stay` seconds
+/// and an unread token takes `token`.
+fn work(asked: Asked, stay: f64, token: Duration, engine: &Engine) -> f64 {
+    let reading = asked.prompt * token.as_secs_f64() / READ_SHARE;
+    let places = asked.requests * stay / f64::from(engine.slots.max(1));
+    let memory = asked.tokens * stay / (engine.usable_tokens().max(1) as f64);
+    reading.max(places).max(memory)
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -38,6 +38,7 @@
 pub use attempts::{Attempts, Ended, Follow, Run};
 pub use budget::RetryBudget;
 pub use choose::{Bid, Candidate, Want, bid, choose, estimate, local_cost};
+pub use demand::Asked;
 pub use fleet::{Fleet, Server, ServerKey};
 pub use health::Health;
 pub use lane::{Ahead, Lane, Next, Room, Ticket, Waiting};
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -17,16 +17,14 @@
 use chestnut_place::planner::{ModelState, Placement, PoolState, RunnerState, plan};
 use indexmap::{IndexMap, IndexSet};
 
-use crate::demand::Demands;
+use crate::demand::{Asked, Demands};
 use crate::lost::Lost;
 use crate::moving::{Move, Moving};
 use crate::pace::Pace;
+use crate::speed::Speeds;
 
-/// The tokens a second, prompt and weighted output, that one runner serves in time.
-///
-/// Engines read 20 to 26 prompt tokens a millisecond; at half of that the steps
-/// between still come in time.
-const THROUGHPUT: f64 = 16_000.0;
+/// What one runner serves in time, in runners.
+const THROUGHPUT: f64 = 1.0;
 
 /// The share of their throughput that runners of an evenly loaded pool have in use,
 /// at most.
@@ -88,6 +86,8 @@
     pub fixed: &'a [ServerName],
     /// What is declared of them.
     pub engine: &'a Engine,
+    /// How fast they read prompts.
+    pub speeds: &'a Speeds,
 }
 
 impl Placing {
@@ -102,9 +102,9 @@
         }
     }
 
-    /// Takes in a daemon's count of tokens asked for since its start.
-    pub fn count(&mut self, from: MemberId, tokens: Vec<(ModelName, f64)>) {
-        self.demands.count(from, tokens);
+    /// Takes in what callers have asked of a daemon since its start.
+    pub fn count(&mut self, from: MemberId, asked: Vec<(ModelName, Asked)>) {
+        self.demands.count(from, asked);
     }
 
     /// Takes in which servers a daemon can't connect to.
@@ -125,14 +125,14 @@
         }
     }
 
-    /// The demand for a model, in tokens a second.
+    /// The demand for a model, in runners.
     pub fn demand(&self, model: &ModelName) -> f64 {
         self.demands.estimate(model)
     }
 
     /// Decides what to move; returns the moves that are new.
     pub fn decide(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
-        self.demands.average(scene.engine.models.keys(), now);
+        self.demands.average(scene.engine, scene.speeds, now);
         self.forget_done(scene, now);
         let mut fresh = self.fill_room(scene, now);
         fresh.extend(self.loads(scene, now));
--- a/crates/pool/src/speed.rs
+++ b/crates/pool/src/speed.rs
@@ -124,6 +124,12 @@
         Duration::from_secs_f64(base / 1000.0)
     }
 
+    /// How long a runner takes to read one token of a short prompt.
+    pub fn token(&self, model: &ModelName) -> Duration {
+        let slope = self.models.get(model).map_or(FIRST_GUESS, Line::slope);
+        Duration::from_secs_f64(slope / 1000.0)
+    }
+
     /// How long a runner takes to read tokens.
     pub fn reading(&self, model: &ModelName, tokens: u32) -> Duration {
         let slope = self.models.get(model).map_or(FIRST_GUESS, Line::slope);
--- a/crates/pool/tests/placing.rs
+++ b/crates/pool/tests/placing.rs
@@ -8,6 +8,7 @@
 use chestnut_edge::{HeldModel, Phase, ServerEntry};
 use chestnut_pool::moving::Move;
 use chestnut_pool::placing::{Placing, Scene};
+use chestnut_pool::{Asked, Speeds};
 
 use support::{engine, model};
 
@@ -36,6 +37,11 @@
     }
 }
 
+/// Prompts of so many tokens in all.
+fn of(prompt: f64) -> Asked {
+    Asked { prompt, ..Asked::default() }
+}
+
 #[test]
 fn a_drop_that_waits_for_runs_is_not_taken_for_undone() {
     // Callers turn from one model to another. A replica of the old one makes room, but its
@@ -51,16 +57,23 @@
     ];
     runners[1].warm = vec![model("hot")];
     let start = Instant::now();
+    let speeds = Speeds::default();
     let mut placing = Placing::new(start);
     let mut asked = 0.0;
     let mut dropped = Vec::new();
     for look in 1..32 {
         let now = start + PERIOD * look;
         asked += 15_000.0;
-        placing.count(MemberId(1), vec![(model("hot"), asked), (model("old"), 1.0)]);
+        placing
+            .count(MemberId(1), vec![(model("hot"), of(asked)), (model("old"), of(1.0))]);
         let silent = if now < start + ORPHANED { &runners[1..2] } else { &[] };
         let fixed: Vec<_> = silent.iter().map(|runner| runner.name.clone()).collect();
-        let scene = Scene { runners: &runners, fixed: &fixed, engine: &declared };
+        let scene = Scene {
+            runners: &runners,
+            fixed: &fixed,
+            engine: &declared,
+            speeds: &speeds,
+        };
         for change in placing.decide(&scene, now) {
             if change.drop.contains(&model("old")) && !dropped.contains(&change.server) {
                 dropped.push(change.server);
@@ -126,6 +139,7 @@
     runners[0] = runner("r0", &["hot", "x"]);
     let mut carried = Carried { runners, under_way: Vec::new() };
     let start = Instant::now();
+    let speeds = Speeds::default();
     let mut placing = Placing::new(start);
     let (mut old, mut hot) = (0.0, 0.0);
     let mut served = None;
@@ -135,8 +149,14 @@
         let shifted = now > start + Duration::from_secs(3);
         old += if shifted { 500.0 } else { 10_000.0 };
         hot += if shifted { 15_000.0 } else { 1_000.0 };
-        placing.count(MemberId(1), vec![(model("old"), old), (model("hot"), hot)]);
-        let scene = Scene { runners: &carried.runners, fixed: &[], engine: &declared };
+        placing
+            .count(MemberId(1), vec![(model("old"), of(old)), (model("hot"), of(hot))]);
+        let scene = Scene {
+            runners: &carried.runners,
+            fixed: &[],
+            engine: &declared,
+            speeds: &speeds,
+        };
         for change in placing.decide(&scene, now) {
             carried.take(&change, now);
         }
