Keep what was learnt of engines in the store, for daemons that start

Cause: after a loss of power all daemons go by the first guess of how fast runners read (17 tokens a millisecond where the engine reads 38) while all callers return; so do holders of a model that callers have just turned to.

--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -22,7 +22,7 @@
 use crate::mirror::{Changes, Mirror};
 use crate::shared::Shared;
 use crate::store::{self, Fetch, StoreFault};
-use crate::{claims, members};
+use crate::{claims, learnt, members};
 
 /// How long the store may hold the reader's call that waits for changes.
 ///
@@ -409,6 +409,8 @@
     pub members: members::Members,
     /// Takes in claims.
     pub claims: claims::Claims,
+    /// Takes in what was learnt of runners.
+    pub lessons: learnt::Lessons,
 }
 
 impl Follower for Own {
@@ -417,6 +419,8 @@
             self.members.changed(change);
         } else if change.key.starts_with(claims::PREFIX) {
             self.claims.changed(change);
+        } else if change.key.starts_with(learnt::PREFIX) {
+            self.lessons.changed(change);
         }
     }
 
--- /dev/null
+++ b/crates/gate/src/learnt.rs
@@ -0,0 +1,84 @@
+//! Keeps what was learnt of runners for daemons that start.
+//!
+//! A daemon that has just started knows nothing of the engines; until it has learnt how
+//! fast they read, it sends prompts at a rate that suits none of them. After a loss of
+//! power all daemons start at the same moment, with all callers returning. The planner of
+//! a service therefore writes what it has learnt to the store, seldom and only if it
+//! changed; the copy of the table that each daemon reads at its start holds it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use chestnut_base::ServiceName;
+use chestnut_edge::{Change, Commit, CommitAnswer};
+use chestnut_pool::speed::Learnt;
+use slog::{info, warn};
+
+use crate::follow::{Follower, OWN};
+use crate::shared::Shared;
+use crate::store;
+
+/// How keys of rows with what was learnt begin; the service follows.
+pub const PREFIX: &str = "engine:";
+
+/// How often a service's row is written, at most.
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// What the store holds of a service's runners, and when this daemon last wrote it.
+#[derive(Debug, Default)]
+pub struct Kept {
+    learnt: Learnt,
+    written: Option<Instant>,
+}
+
+/// Takes in what was learnt.
+pub struct Lessons(pub Arc<Shared>);
+
+impl Follower for Lessons {
+    fn changed(&mut self, change: Change) {
+        let Self(shared) = self;
+        let name = change.key.strip_prefix(PREFIX).unwrap_or_default();
+        let Ok(service) = ServiceName::try_from(name) else { return };
+        let Some(value) = &change.value else { return };
+        match serde_json::from_slice::<Learnt>(value) {
+            Ok(learnt) => {
+                info!(shared.log, "engine known"; "service" => name,
+                    "version" => change.version, "models" => learnt.models.len(),
+                    "token_us" => learnt.all.map(|all| all.token * 1000.0));
+                shared.speeds().hear(&learnt);
+                shared.kept().entry(service).or_default().learnt = learnt;
+            }
+            Err(error) => warn!(shared.log, "engine's row refused"; "key" => &change.key,
+                "error" => error.to_string()),
+        }
+    }
+}
+
+/// Writes what was learnt of a service's runners, if it is news.
+pub fn keep(shared: &Arc<Shared>, service: &ServiceName) {
+    let now = shared.now();
+    let learnt = shared.speeds().learnt();
+    {
+        let mut kept = shared.kept();
+        let kept = kept.entry(service.clone()).or_default();
+        let recent = |at: Instant| now.saturating_duration_since(at) < PERIOD;
+        if kept.written.is_some_and(recent) || !learnt.is_news(&kept.learnt) {
+            return;
+        }
+        kept.written = Some(now);
+    }
+    // Numbers and names always serialize.
+    let value = serde_json::to_vec(&learnt).unwrap_or_default();
+    let commit = Commit::default().put(OWN, &format!("{PREFIX}{service}"), value);
+    tokio::spawn(write(shared.clone(), commit));
+}
+
+async fn write(shared: Arc<Shared>, commit: Commit) {
+    match store::commit(&shared, &commit).await {
+        Ok(CommitAnswer::Done { .. }) => {}
+        Ok(answer) => warn!(shared.log, "what was learnt is not kept";
+            "answer" => format!("{answer:?}")),
+        Err(fault) => warn!(shared.log, "what was learnt is not kept";
+            "error" => fault.to_string()),
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,7 +13,8 @@
 //! plain service's server by waiting ([`enqueue`]) in the service's [`queue`].
 //! [`members`] and [`claims`] settle who that is; a [`holder`] knows from [`sums`] what
 //! is in flight at its runner, [`grant`]s requests their turn and gives orders by its
-//! [`driver`]; the [`planner`] says which model goes where. Daemons exchange
+//! [`driver`]; the [`planner`] says which model goes where,
+//! and keeps what was [`learnt`] of the runners. Daemons exchange
 //! datagrams: [`message`], [`peers`], [`receive`].
 //!
 //! Beside it, [`follow`] keeps [`mirror`]s of the [`store`]'s tables, [`registry`] takes
@@ -37,6 +38,7 @@
 pub mod grant;
 pub mod holder;
 pub mod job;
+pub mod learnt;
 pub mod logs;
 pub mod members;
 pub mod message;
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -23,7 +23,7 @@
 use crate::message::Message;
 use crate::metrics::Step;
 use crate::shared::Shared;
-use crate::{holder, members};
+use crate::{holder, learnt, members};
 
 /// How often the planner plans and daemons tell it what is asked for.
 const PERIOD: Duration = Duration::from_millis(250);
@@ -83,6 +83,7 @@
                 Planner::Here => {
                     take(&shared, shared.peers.me, name.clone(), asked, lost);
                     plan_service(&shared, name, engine);
+                    learnt::keep(&shared, name);
                 }
                 Planner::There(addr) => {
                     shared.plans().swap_remove(name);
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -16,6 +16,7 @@
 
 use crate::claims::Claims;
 use crate::follow::Own;
+use crate::learnt::Lessons;
 use crate::members::Members;
 use crate::peers::Peers;
 use crate::registry::{Declarations, Servers};
@@ -118,7 +119,11 @@
     tokio::spawn(follow::run(shared.clone(), tables.declared.clone(), declarations));
     let servers = Servers(shared.clone());
     tokio::spawn(follow::run(shared.clone(), tables.servers.clone(), servers));
-    let own = Own { members: Members(shared.clone()), claims: Claims(shared.clone()) };
+    let own = Own {
+        members: Members(shared.clone()),
+        claims: Claims(shared.clone()),
+        lessons: Lessons(shared.clone()),
+    };
     tokio::spawn(follow::run(shared.clone(), tables.own.clone(), own));
 }
 
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::client::Client;
 use crate::follow::{self, OWN, Table};
 use crate::holder::Holder;
+use crate::learnt::Kept;
 use crate::members::{self, Neighbours};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -95,6 +96,7 @@
     silent: Mutex<IndexMap<ServiceName, Instant>>,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
     speeds: Mutex<Speeds>,
+    kept: Mutex<IndexMap<ServiceName, Kept>>,
     counts: Mutex<Counts>,
     plans: Mutex<IndexMap<ServiceName, Placing>>,
     /// From when on this daemon may give orders under claims that it took.
@@ -144,6 +146,7 @@
             silent: Mutex::default(),
             budgets: Mutex::default(),
             speeds: Mutex::default(),
+            kept: Mutex::default(),
             counts: Mutex::default(),
             plans: Mutex::default(),
             turns: Mutex::default(),
@@ -212,6 +215,11 @@
         self.speeds.lock().expect("no holder of the lock panics")
     }
 
+    /// What the store holds of how runners work, by service.
+    pub fn kept(&self) -> MutexGuard<'_, IndexMap<ServiceName, Kept>> {
+        self.kept.lock().expect("no holder of the lock panics")
+    }
+
     /// What callers have asked of this daemon's models.
     pub fn counts(&self) -> MutexGuard<'_, Counts> {
         self.counts.lock().expect("no holder of the lock panics")
--- /dev/null
+++ b/crates/pool/tests/speed.rs
@@ -0,0 +1,85 @@
+//! How soon it is known how fast engines read.
+
+mod support;
+
+use std::time::Duration;
+
+use chestnut_pool::Speeds;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use support::model;
+
+/// Reading speeds of engines, in tokens a millisecond.
+const RATES: [f64; 3] = [13.0, 25.0, 60.0];
+
+/// Prompts that are read before the speed has to be known.
+const PROMPTS: usize = 25;
+
+/// Lets prompts of usual lengths be read at a rate.
+fn read(speeds: &mut Speeds, name: &str, rate: f64, prompts: usize) {
+    let mut rng = SmallRng::seed_from_u64(7);
+    for _ in 0..prompts {
+        let tokens: u32 = rng.random_range(100..2500);
+        // Each token is compared with those before it.
+        let effort = f64::from(tokens) * (1.0 + f64::from(tokens) / 25_000.0);
+        let time = 60.0 + effort / rate + rng.random_range(0.0..6.0);
+        speeds.learn(&model(name), tokens, Duration::from_secs_f64(time / 1000.0));
+    }
+}
+
+/// How fast prompts of a model are read, in tokens a millisecond.
+fn rate(speeds: &Speeds, name: &str) -> f64 {
+    0.001 / speeds.token(&model(name)).as_secs_f64()
+}
+
+fn assert_near(speeds: &Speeds, name: &str, truth: f64) {
+    let known = rate(speeds, name);
+    assert!((known / truth - 1.0).abs() < 0.2, "{known} tokens/ms, really {truth}");
+}
+
+#[test]
+fn engines_of_any_speed_are_known_after_a_few_prompts() {
+    // Guards against going by the first guess for long: prompts wait at an idle engine, or
+    // pile up at a slow one.
+    for truth in RATES {
+        let mut speeds = Speeds::default();
+        read(&mut speeds, "m", truth, PROMPTS);
+        assert_near(&speeds, "m", truth);
+    }
+}
+
+#[test]
+fn a_daemon_that_starts_goes_by_what_others_learnt() {
+    // Guards against the first guess after all daemons lost their power.
+    for truth in RATES {
+        let mut before = Speeds::default();
+        read(&mut before, "m", truth, PROMPTS * 4);
+        let mut fresh = Speeds::default();
+        fresh.hear(&before.learnt());
+        assert_near(&fresh, "m", truth);
+    }
+}
+
+#[test]
+fn a_model_that_was_not_read_yet_is_expected_to_be_like_others() {
+    // Guards against the first guess for the model that callers have just turned to.
+    let mut speeds = Speeds::default();
+    read(&mut speeds, "m", 60.0, PROMPTS * 4);
+    assert_near(&speeds, "n", 60.0);
+    read(&mut speeds, "n", 20.0, PROMPTS * 2);
+    assert_near(&speeds, "n", 20.0);
+}
+
+#[test]
+fn what_was_learnt_is_told_when_it_changes() {
+    // Guards against a write to the store with every prompt.
+    let mut speeds = Speeds::default();
+    read(&mut speeds, "m", 20.0, PROMPTS * 4);
+    let told = speeds.learnt();
+    assert!(told.is_news(&Default::default()));
+    read(&mut speeds, "m", 20.0, PROMPTS);
+    assert!(!speeds.learnt().is_news(&told));
+    read(&mut speeds, "m", 30.0, PROMPTS * 4);
+    assert!(speeds.learnt().is_news(&told));
+}
--- a/tests/platform/members.rs
+++ b/tests/platform/members.rs
@@ -44,3 +44,25 @@
     let turns = world.gates[0].lines("turn");
     assert_eq!(turns.iter().filter(|line| line["turn"] == "Denied").count(), 0);
 }
+
+#[tokio::test]
+async fn a_daemon_that_starts_knows_how_fast_runners_read() {
+    // Guards against sending prompts at a guessed rate after all daemons were killed.
+    let mut world = World::start("learnt", 1).await;
+    until("it has learnt", async || {
+        let question = Question::stream("draft", "red", 2);
+        assert_eq!(world.ask(0, &question).await.status, 200);
+        world.store.table("chestnut").keys().any(|key| key.starts_with("engine:"))
+    })
+    .await;
+    world.gates[0].kill();
+    world.gates[0].restart();
+    until("it knows", async || {
+        let lines = world.gates[0].all_lines();
+        let started = lines.iter().rposition(|line| line["msg"] == "started");
+        lines[started.unwrap_or_default()..]
+            .iter()
+            .any(|line| line["msg"] == "engine known")
+    })
+    .await;
+}
