--- a/crates/edge/src/declared.rs
+++ b/crates/edge/src/declared.rs
@@ -96,6 +96,8 @@
     pub slots: u32,
     /// Tokens that fit into one server's KV cache.
     pub kv_tokens: u64,
+    /// Tokens in one event of a stream, at least 1.
+    pub event_tokens: u32,
     /// Memory for weights and adapters of one server, in megabytes.
     pub memory_mb: f64,
     /// Adapters that one server holds at most.
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -134,6 +134,8 @@
     /// What the caller has of it.
     sequence: Sequence,
     pace: StreamPace,
+    /// The tokens of an event, if an engine makes them.
+    event_tokens: Option<u32>,
     /// When the last event was passed on.
     at: Instant,
     ended: bool,
@@ -152,6 +154,7 @@
         let sequence = Sequence::after(job.call.resume_after);
         let at = job.shared.now();
         let events = Events::default();
+        let event_tokens = job.engine().map(|engine| engine.event_tokens);
         Self {
             job,
             server: answered.place.name.clone(),
@@ -159,6 +162,7 @@
             events,
             sequence,
             pace: StreamPace::default(),
+            event_tokens,
             at,
             ended: false,
         }
@@ -228,10 +232,16 @@
         }
         let now = self.job.shared.now();
         match self.pace.first {
-            None => self.pace.first = Some(now.saturating_duration_since(self.job.sent)),
+            None => {
+                self.pace.first = Some(now.saturating_duration_since(self.job.sent));
+                self.pace.begun = Some(self.job.age());
+            }
             Some(_) => {
                 let pause = now.saturating_duration_since(self.at);
                 self.pace.pause = self.pace.pause.max(pause);
+                if let Some(tokens) = self.event_tokens {
+                    self.job.shared.speeds().learn_step(pause, tokens);
+                }
             }
         }
         self.at = now;
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -100,6 +100,7 @@
     let shared = &job.shared;
     let Some(target) = &job.call.target else { return Vec::new() };
     let now = shared.now();
+    let token = shared.speeds().token(&target.model);
     let fleet = shared.fleet();
     let only = job.attempts.only_on(|run| {
         let known = fleet.key(&run.server).and_then(|key| fleet.get(key));
@@ -116,7 +117,7 @@
         .map(|(key, server)| Runner {
             key,
             name: server.entry.name.clone(),
-            own: estimate(server.own, job.call.size),
+            own: estimate(server.own, job.call.size, token),
             local: local_cost(server, &shared.settings.domain, now),
         })
         .collect()
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -91,6 +91,7 @@
             let ended =
                 Asked { ended: 1.0, stay: stay.as_secs_f64(), ..Asked::default() };
             planner::note(&self.shared, service, model, ended);
+            self.shared.speeds().learn_stay(stay);
         }
         if let Some(place) = self.place.take() {
             place.give_back(&self.shared, self.outcome);
--- a/crates/gate/src/grant.rs
+++ b/crates/gate/src/grant.rs
@@ -307,5 +307,7 @@
         requests: engine.slots.saturating_sub(total.requests),
         tokens: engine.usable_tokens().saturating_sub(total.tokens),
         pause: shared.declared().and_then(|declared| declared.least_pause()),
+        step: shared.speeds().step(),
+        event_steps: engine.event_tokens,
     })
 }
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use chestnut_base::{Refusal, ServiceName};
-use chestnut_edge::{Call, Declared, Engine, Route, Size};
+use chestnut_edge::{Call, Declared, Engine, Route, RouteKind, Size};
 use chestnut_pool::{Asked, Attempts, Want};
 use http::request;
 use slog::info;
@@ -37,6 +37,8 @@
     pub events: u64,
     /// From the sending to the first event.
     pub first: Option<Duration>,
+    /// From the arrival of the request to the first event.
+    pub begun: Option<Duration>,
     /// The longest pause between events.
     pub pause: Duration,
 }
@@ -159,9 +161,20 @@
             "prompt" => self.call.size.prompt, "output" => self.call.size.output,
             "events" => pace.map(|pace| pace.events),
             "first_ms" => pace.and_then(|pace| pace.first).map(millis),
+            "begun_ms" => pace.and_then(|pace| pace.begun).map(millis),
+            "objective_ms" => millis(self.route().objective),
+            "gap_ms" => self.gap().map(millis),
             "pause_ms" => pace.map(|pace| millis(pace.pause)));
     }
 
+    /// The longest pause between events for which the answer is on time.
+    fn gap(&self) -> Option<Duration> {
+        match self.route().kind {
+            RouteKind::Stream { pause, .. } => pause,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => None,
+        }
+    }
+
     /// Records that the request is refused.
     pub fn refused(&self, refusal: &Refusal) {
         let how = format!("{:?}", refusal.code);
--- a/crates/gate/src/learnt.rs
+++ b/crates/gate/src/learnt.rs
@@ -4,7 +4,8 @@
 //! fast they read, it sends prompts at a rate that suits none of them. After a loss of
 //! power all daemons start at the same moment, with all callers returning. The planner of
 //! a service therefore writes what it has learnt to the store, seldom and only if it
-//! changed; the copy of the table that each daemon reads at its start holds it.
+//! changed; the copy of the table that each daemon reads at its start holds it. Holders of
+//! runners tell the planner what they have learnt.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,13 +23,15 @@
 pub const PREFIX: &str = "engine:";
 
 /// How often a service's row is written, at most.
-const PERIOD: Duration = Duration::from_secs(5);
+const PERIOD: Duration = Duration::from_secs(3);
 
 /// What the store holds of a service's runners, and when this daemon last wrote it.
 #[derive(Debug, Default)]
 pub struct Kept {
     learnt: Learnt,
     written: Option<Instant>,
+    /// When this daemon last told the planner what it has learnt.
+    told: Option<Instant>,
 }
 
 /// Takes in what was learnt.
@@ -44,7 +47,8 @@
             Ok(learnt) => {
                 info!(shared.log, "engine known"; "service" => name,
                     "version" => change.version, "models" => learnt.models.len(),
-                    "token_us" => learnt.all.map(|all| all.token * 1000.0));
+                    "step_us" => learnt.step.as_micros() as u64,
+                    "stay_ms" => learnt.stay.as_millis() as u64);
                 shared.speeds().hear(&learnt);
                 shared.kept().entry(service).or_default().learnt = learnt;
             }
@@ -54,10 +58,26 @@
     }
 }
 
+/// What the holder of a service's runners has learnt, if the planner is to be told.
+pub fn news(shared: &Shared, service: &ServiceName) -> Option<Learnt> {
+    let now = shared.now();
+    let learnt = shared.speeds().learnt();
+    let mut kept = shared.kept();
+    let kept = kept.entry(service.clone()).or_default();
+    let recent = |at: Instant| now.saturating_duration_since(at) < PERIOD;
+    let due = !learnt.models.is_empty()
+        && learnt.is_news(&kept.learnt)
+        && !kept.told.is_some_and(recent);
+    due.then(|| {
+        kept.told = Some(now);
+        learnt
+    })
+}
+
 /// Writes what was learnt of a service's runners, if it is news.
 pub fn keep(shared: &Arc<Shared>, service: &ServiceName) {
     let now = shared.now();
-    let learnt = shared.speeds().learnt();
+    let learnt = shared.speeds().learnt_by_all();
     {
         let mut kept = shared.kept();
         let kept = kept.entry(service.clone()).or_default();
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -6,6 +6,7 @@
 use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
 use chestnut_edge::TargetModel;
 use chestnut_pool::moving::Move;
+use chestnut_pool::speed::Learnt;
 use chestnut_pool::{Asked, Bid, Outcome, PlainWant, Usage, Want};
 use serde::{Deserialize, Serialize};
 
@@ -112,6 +113,8 @@
         asked: Vec<(ModelName, Asked)>,
         /// Servers that the daemon can't connect to.
         lost: Vec<ServerName>,
+        /// What it has learnt of its runners since it last told.
+        learnt: Option<Learnt>,
     },
     /// The planner asks a runner's holder to change what the runner holds.
     Move(Move),
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -161,8 +161,7 @@
     let open = || fleet.open(&job.service, now);
     let fresh = open().filter(|(_, server)| !avoid.contains(&server.entry.name));
     // Where all have rejected it, one may have room by now.
-    choose(fresh, job.call.size, domain, now)
-        .or_else(|| choose(open(), job.call.size, domain, now))
+    choose(fresh, domain, now).or_else(|| choose(open(), domain, now))
 }
 
 fn place(job: &Job, chosen: Candidate) -> Option<Place> {
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -88,7 +88,8 @@
                 Planner::There(addr) => {
                     shared.plans().swap_remove(name);
                     let service = name.clone();
-                    let message = Message::Demand { service, asked, lost };
+                    let learnt = learnt::news(&shared, name);
+                    let message = Message::Demand { service, asked, lost, learnt };
                     shared.peers.send(addr, message);
                 }
                 Planner::Nobody => {}
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -58,7 +58,10 @@
         | Message::Dequeued { number, .. } => {
             shared.peers.answer(number, packet.message);
         }
-        Message::Demand { service, asked, lost } => {
+        Message::Demand { service, asked, lost, learnt } => {
+            if let Some(learnt) = learnt {
+                shared.speeds().hear(&learnt);
+            }
             planner::take(shared, packet.from, service, asked, lost);
         }
         Message::Move(change) => {
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -61,9 +61,6 @@
     pub bid: Bid,
 }
 
-/// Prompt tokens that a runner reads in a millisecond, about.
-const READ_RATE: f64 = 20.0;
-
 /// How much later the events of an answer are for each request that runs, in
 /// milliseconds of a first event's wait.
 const RUN_COST: f64 = 2.0;
@@ -87,17 +84,13 @@
 /// What it costs to wait for a place among adapters in use, in milliseconds.
 const FULL_COST: f64 = 2000.0;
 
-/// How long a stream stays at a runner in the mean, in milliseconds: 170 to 600 tokens
-/// of some 15 ms each, and the time until its first event.
-const STAY: f64 = 3000.0;
-
 /// What a server costs whose holder did not answer, in milliseconds.
 pub const SILENT_COST: f64 = 60.0;
 
-/// Estimates a server's answer from what is in flight there.
-pub fn estimate(usage: Usage, size: Size) -> f64 {
+/// Estimates a server's answer from what is in flight there, if a token is read in `token`.
+pub fn estimate(usage: Usage, size: Size, token: Duration) -> f64 {
     let unread = usage.unread as f64 + f64::from(size.prompt);
-    unread / READ_RATE + f64::from(usage.requests) * RUN_COST
+    unread * millis(token) + f64::from(usage.requests) * RUN_COST
 }
 
 /// The estimate of a runner's holder.
@@ -122,7 +115,7 @@
         AdapterState::Full => busy + FULL_COST,
     };
     let ahead = runner.lane.ahead(want.urgency, want.target_time.is_zero(), now);
-    let room = room_wait(runner.total(now), ahead, want.size, engine);
+    let room = room_wait(runner.total(now), ahead, want.size, engine, speeds.stay());
     let wait = millis(ahead.work).max(prepare).max(room);
     let cost =
         wait + millis(runner.reading(want, speeds)) + f64::from(requests) * RUN_COST;
@@ -130,13 +123,21 @@
 }
 
 /// The wait for a place and for room in the KV cache, in milliseconds.
-fn room_wait(usage: Usage, ahead: Ahead, size: Size, engine: &Engine) -> f64 {
+///
+/// Requests stay for `stay` in the mean.
+fn room_wait(
+    usage: Usage,
+    ahead: Ahead,
+    size: Size,
+    engine: &Engine,
+    stay: Duration,
+) -> f64 {
     let requests = f64::from(usage.requests + ahead.requests + 1);
     let tokens = (usage.tokens + ahead.tokens + size.tokens()) as f64;
     // As streams end one by one, a share of the room is free after that share of a stay.
     let short = |need: f64, room: f64| ((need - room) / room.max(1.0)).max(0.0);
     let places = short(requests, f64::from(engine.slots));
-    places.max(short(tokens, engine.usable_tokens() as f64)) * STAY
+    places.max(short(tokens, engine.usable_tokens() as f64)) * millis(stay)
 }
 
 /// What a daemon itself adds to a server's cost, in milliseconds.
@@ -145,15 +146,15 @@
     server.health.penalty(now) * FAILURE_COST + away
 }
 
-/// Picks a server by this daemon's own counts.
+/// Picks a server for a plain request by this daemon's own counts.
 pub fn choose<'a>(
     servers: impl Iterator<Item = (ServerKey, &'a Server)>,
-    size: Size,
     domain: &DomainName,
     now: Instant,
 ) -> Option<Candidate> {
     let candidate = |(key, server): (ServerKey, &Server)| {
-        let cost = estimate(server.own, size) + local_cost(server, domain, now);
+        let requests = f64::from(server.own.requests);
+        let cost = requests * RUN_COST + local_cost(server, domain, now);
         let bid = Bid { cost, requests: server.own.requests };
         Candidate { key, bid }
     };
--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -14,12 +14,6 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// The time of an engine's step beside what it reads, with some thirty streams.
-const STEP: Duration = Duration::from_millis(12);
-
-/// The steps that one event of a stream takes; events hold three tokens or so.
-const EVENT_STEPS: u32 = 3;
-
 /// What is left of the longest pause for estimates that are off.
 ///
 /// Reading times are known to a tenth, and a prompt arrives anywhere within a step; over
@@ -66,6 +60,10 @@
     pub tokens: u64,
     /// The longest pause between events for which its streams are on time.
     pub pause: Option<Duration>,
+    /// The time of a step beside what is read in it.
+    pub step: Duration,
+    /// The steps that one event of a stream takes.
+    pub event_steps: u32,
 }
 
 /// What goes before a prompt.
@@ -96,14 +94,14 @@
 #[derive(Debug, Default)]
 pub struct Lane {
     waiting: Vec<Waiting>,
-    /// The last prompt that was sent.
-    last: Option<Sent>,
-    /// The one before it, if the engine reads it in the step before.
-    before: Option<Sent>,
+    /// The last prompts that were sent, as far as one event of a stream can span them.
+    recent: VecDeque<Sent>,
     /// Prompts that were sent and have no first event yet, in order.
     open: VecDeque<Open>,
     /// Until when the engine read the last prompt that had its first event.
     read: Option<Instant>,
+    /// The time of a step beside what is read in it, as last known.
+    step: Duration,
 }
 
 /// A prompt that was sent and has no first event yet.
@@ -121,6 +119,8 @@
     work: Duration,
     /// When it has read it.
     end: Instant,
+    /// The steps between the prompt before it and this one in which nothing was read.
+    idle: u32,
 }
 
 impl Lane {
@@ -157,7 +157,8 @@
     /// What would go before a prompt that came now; before one that is late already,
     /// all that wait.
     pub fn ahead(&self, urgency: u8, late: bool, now: Instant) -> Ahead {
-        let reading = self.last.map(|sent| sent.end.saturating_duration_since(now));
+        let last = self.recent.back();
+        let reading = last.map(|sent| sent.end.saturating_duration_since(now));
         let before = |waiting: &&Waiting| {
             late || waiting.urgency <= urgency && !is_late(waiting, now)
         };
@@ -172,17 +173,18 @@
 
     /// Decides what to do now, with the runner's room.
     pub fn next(&mut self, room: Room, now: Instant) -> Next {
+        self.step = room.step;
         if let Some(at) = self.waiting.iter().position(|one| now >= one.deadline) {
             return Next::Expired(self.waiting.swap_remove(at));
         }
         let Some(at) = self.best(room, now) else { return self.sleep(now) };
-        if let Some(start) = self.start(self.waiting[at].work, room)
+        if let Some(start) = self.start(self.waiting[at].work, room, now)
             && start > now
         {
             return Next::Wait(start);
         }
         let waiting = self.waiting.swap_remove(at);
-        self.note_sent(&waiting, now);
+        self.note_sent(&waiting, room.event_steps, now);
         Next::Send(waiting)
     }
 
@@ -201,25 +203,35 @@
         let free = place == 0 && self.read.is_none_or(|read| read <= begun.at);
         let reading = after.saturating_sub(base);
         self.read = self.read.max(Some(begun.at + reading));
-        let Some(last) = &mut self.last else { return free };
+        let Some(last) = self.recent.back_mut() else { return free };
         let mut end = begun.at + reading.max(begun.work);
         for open in &self.open {
-            end = end.max(open.at) + open.work + STEP;
+            end = end.max(open.at) + open.work + self.step;
         }
         last.end = end;
         free
     }
 
-    fn note_sent(&mut self, waiting: &Waiting, now: Instant) {
+    fn note_sent(&mut self, waiting: &Waiting, event_steps: u32, now: Instant) {
         let work = waiting.work;
         let old = |open: &Open| now.saturating_duration_since(open.at) > OPEN_TIME;
         while self.open.front().is_some_and(old) {
             self.open.pop_front();
         }
         self.open.push_back(Open { ticket: waiting.ticket, work, at: now });
-        let adjoins = |sent: &Sent| now < sent.end + STEP;
-        self.before = self.last.filter(adjoins);
-        self.last = Some(Sent { work, end: now + work + STEP });
+        let idle = self.idle_steps(now);
+        self.recent.push_back(Sent { work, end: now + work + self.step, idle });
+        while self.recent.len() > event_steps.max(1) as usize {
+            self.recent.pop_front();
+        }
+    }
+
+    /// The steps since the last prompt was read.
+    fn idle_steps(&self, now: Instant) -> u32 {
+        let last = self.recent.back();
+        let idle = last.map(|sent| now.saturating_duration_since(sent.end));
+        let step = self.step.max(Duration::from_micros(1));
+        idle.map_or(0, |idle| idle.div_duration_f64(step) as u32)
     }
 
     /// The prompt to send first among those that can be sent.
@@ -235,21 +247,29 @@
 
     /// When a prompt of `work` may be sent at the earliest.
     ///
-    /// An event takes three steps; what is read in any three of them has to fit into
-    /// the longest pause.
-    fn start(&self, work: Duration, room: Room) -> Option<Instant> {
-        let last = self.last?;
+    /// What is read in the steps of one event has to fit into the longest pause: prompts
+    /// that went shortly before count as long as an event can span their steps and the new
+    /// one's. Where they are too much, as many steps without a prompt go between as bring
+    /// the first of them out of reach.
+    fn start(&self, work: Duration, room: Room, now: Instant) -> Option<Instant> {
+        let last = self.recent.back()?;
         let pause = room.pause.unwrap_or(PAUSE);
-        let limit = pause.saturating_sub(STEP * EVENT_STEPS + MARGIN);
-        let before = self.before.map_or(Duration::ZERO, |sent| sent.work);
-        let rest = if work + last.work + before <= limit {
-            Duration::ZERO
-        } else if work + last.work <= limit {
-            STEP
-        } else {
-            STEP * 2
-        };
-        Some(last.end + rest)
+        let limit = pause.saturating_sub(room.step * room.event_steps + MARGIN);
+        let (mut behind, mut sum) = (self.idle_steps(now), work);
+        for sent in self.recent.iter().rev() {
+            // An event that ends with the new prompt's step began at most this many steps
+            // before it.
+            let span = room.event_steps.saturating_sub(1);
+            if behind >= span {
+                break;
+            }
+            sum += sent.work;
+            if sum > limit {
+                return Some(last.end + room.step * (span - behind));
+            }
+            behind += 1 + sent.idle;
+        }
+        Some(last.end)
     }
 
     /// Until when nothing can be sent, as far as time alone decides.
--- a/crates/pool/src/speed.rs
+++ b/crates/pool/src/speed.rs
@@ -1,4 +1,4 @@
-//! How fast a service's runners read prompts, learnt from their first events.
+//! How fast a service's runners work, learnt from their answers.
 //!
 //! Runners don't say how fast they are, and models differ threefold. Until a few prompts of
 //! a model were read, others tell: what another daemon has learnt of it, or other models. Sent faster
@@ -19,6 +19,7 @@
 use chestnut_base::ModelName;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMicroSeconds, serde_as};
 
 /// The time for a token that is assumed at first, in milliseconds.
 ///
@@ -34,6 +35,29 @@
 /// The least and the greatest time for a token that is believed, in milliseconds.
 const BOUNDS: (f64, f64) = (1.0 / 100.0, 1.0 / 5.0);
 
+/// The time of a step that is assumed at first.
+const FIRST_STEP: Duration = Duration::from_millis(10);
+
+/// The part of pauses between events that are taken to hold nothing but steps; in the
+/// others the engine has read prompts as well.
+const BARE_PART: f64 = 0.3;
+
+/// How much longer steps are planned than they are in the mean: they grow with the streams
+/// that run and with their length.
+const FULL_STEP: f64 = 1.2;
+
+/// By which part a pause moves the step that is believed.
+const STEP_GAIN: f64 = 0.02;
+
+/// Shorter pauses are of events that arrived together.
+const LEAST_PAUSE: Duration = Duration::from_millis(1);
+
+/// How long a request is assumed to stay at its runner at first.
+const FIRST_STAY: Duration = Duration::from_secs(3);
+
+/// By which part a request that ended moves the mean stay that is believed.
+const STAY_GAIN: f64 = 0.02;
+
 /// What a first event is assumed to take besides reading at first, in milliseconds.
 ///
 /// The way there and back and the step that runs take 15; engines add nothing or up to
@@ -45,7 +69,7 @@
 /// The lengths at which an expectation counts, and how many samples it counts for: the
 /// first guess, what was learnt from other models, and what was learnt before of the same.
 const EXPECTED_AT: [f64; 2] = [200.0, 2200.0];
-const GUESS_WEIGHT: f64 = 0.3;
+const GUESS_WEIGHT: f64 = 1.0;
 const OTHERS_WEIGHT: f64 = 2.0;
 const KNOWN_WEIGHT: f64 = 5.0;
 
@@ -55,6 +79,9 @@
 /// By how much a time has to change to be worth telling again.
 const TOLD_CHANGE: f64 = 0.1;
 
+/// By how much first events vary at least beside their prompts' length, in milliseconds.
+const LEAST_NOISE: f64 = 8.0;
+
 /// Models that are told of, at most.
 const TOLD_MODELS: usize = 256;
 
@@ -69,6 +96,7 @@
     time: f64,
     tokens_squared: f64,
     product: f64,
+    time_squared: f64,
 }
 
 impl Line {
@@ -80,6 +108,7 @@
             time: 0.0,
             tokens_squared: 0.0,
             product: 0.0,
+            time_squared: 0.0,
         };
         let expect = |line: Self, tokens: f64| {
             line.with(tokens, tokens * expected.token + expected.base, weight, 1.0)
@@ -98,18 +127,46 @@
             time: self.time * fade + weight * time,
             tokens_squared: self.tokens_squared * fade + weight * tokens * tokens,
             product: self.product * fade + weight * tokens * time,
+            time_squared: self.time_squared * fade + weight * time * time,
         }
     }
 
     /// The time for a token, in milliseconds.
     fn slope(&self) -> f64 {
-        let variance = self.tokens_squared * self.weight - self.tokens * self.tokens;
-        let covariance = self.product * self.weight - self.tokens * self.time;
         let (least, most) = BOUNDS;
+        match self.variance() {
+            variance if variance > 0.0 => {
+                (self.covariance() / variance).clamp(least, most)
+            }
+            _ => FIRST_GUESS,
+        }
+    }
+
+    /// The time for a token that is planned with: longer by its standard error.
+    fn cautious(&self) -> f64 {
+        let (_, most) = BOUNDS;
+        (self.slope() + self.error()).min(most)
+    }
+
+    /// The standard error of the time for a token, in milliseconds.
+    fn error(&self) -> f64 {
+        let variance = self.variance();
         if variance <= 0.0 {
-            return FIRST_GUESS;
+            return 0.0;
         }
-        (covariance / variance).clamp(least, most)
+        let mean = self.time / self.weight;
+        let times = self.time_squared / self.weight - mean * mean;
+        let explained = self.slope() * self.covariance() / (self.weight * self.weight);
+        let noise = (times - explained).max(LEAST_NOISE * LEAST_NOISE);
+        (noise * self.weight / variance).sqrt()
+    }
+
+    fn variance(&self) -> f64 {
+        self.tokens_squared * self.weight - self.tokens * self.tokens
+    }
+
+    fn covariance(&self) -> f64 {
+        self.product * self.weight - self.tokens * self.time
     }
 }
 
@@ -139,12 +196,24 @@
 }
 
 /// What was learnt of a service's runners, for daemons that have learnt nothing yet.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Learnt {
-    /// How fast prompts of any model are read.
-    pub all: Option<Reading>,
-    /// How fast those of each model are.
+    /// How fast prompts of each model are read.
     pub models: IndexMap<ModelName, Reading>,
+    /// The time of a step beside what is read in it.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub step: Duration,
+    /// How long requests stay at a runner, in the mean.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub stay: Duration,
+}
+
+impl Default for Learnt {
+    fn default() -> Self {
+        Self { models: IndexMap::new(), step: FIRST_STEP, stay: FIRST_STAY }
+    }
 }
 
 impl Learnt {
@@ -153,9 +222,12 @@
         let news = |now: Reading, before: Option<&Reading>| {
             before.is_none_or(|before| now.differs(*before))
         };
-        let all = self.all.is_some_and(|now| news(now, before.all.as_ref()));
+        let far = |now: Duration, before: Duration| {
+            now.abs_diff(before) > before.mul_f64(TOLD_CHANGE * 2.0)
+        };
+        let times = far(self.step, before.step) || far(self.stay, before.stay);
         let mut models = self.models.iter();
-        all || models.any(|(model, now)| news(*now, before.models.get(model)))
+        times || models.any(|(model, now)| news(*now, before.models.get(model)))
     }
 }
 
@@ -163,16 +235,16 @@
 #[derive(Debug)]
 pub struct Speeds {
     models: IndexMap<ModelName, Line>,
-    /// Prompts of all models.
-    all: Line,
     /// What others have learnt.
     known: IndexMap<ModelName, Reading>,
+    step: Duration,
+    stay: Duration,
 }
 
 impl Default for Speeds {
     fn default() -> Self {
-        let all = Line::new(Reading::GUESS, GUESS_WEIGHT);
-        Self { models: IndexMap::new(), all, known: IndexMap::new() }
+        let (models, known) = (IndexMap::new(), IndexMap::new());
+        Self { models, known, step: FIRST_STEP, stay: FIRST_STAY }
     }
 }
 
@@ -184,28 +256,61 @@
         let expected = self.expected(model);
         let line = self.models.entry(model.clone()).or_insert(expected);
         *line = line.with(effort(tokens), millis, 1.0, FADE);
-        self.all = self.all.with(effort(tokens), millis, 1.0, FADE);
+    }
+
+    /// Takes in the pause before an event of `tokens` tokens.
+    pub fn learn_step(&mut self, pause: Duration, tokens: u32) {
+        if pause < LEAST_PAUSE {
+            return;
+        }
+        // Settles where the part of pauses that are shorter is the one that holds nothing
+        // but steps.
+        let shorter = pause / tokens.max(1) < self.step;
+        let gain = if shorter { BARE_PART - 1.0 } else { BARE_PART } * STEP_GAIN;
+        self.step = self.step.mul_f64(1.0 + gain);
+    }
+
+    /// Takes in how long a request stayed at its runner.
+    pub fn learn_stay(&mut self, stay: Duration) {
+        let kept = self.stay.mul_f64(1.0 - STAY_GAIN);
+        self.stay = kept + stay.mul_f64(STAY_GAIN);
+    }
+
+    /// The time of a step beside what is read in it, on the long side.
+    pub fn step(&self) -> Duration {
+        self.step.mul_f64(FULL_STEP)
+    }
+
+    /// How long requests stay at a runner, in the mean.
+    pub fn stay(&self) -> Duration {
+        self.stay
     }
 
     /// Takes in what another daemon has learnt.
     pub fn hear(&mut self, learnt: &Learnt) {
-        if let Some(all) = learnt.all
-            && self.all.weight < TOLD_FROM
-        {
-            self.all = Line::new(all, KNOWN_WEIGHT);
+        if self.models.is_empty() {
+            (self.step, self.stay) = (learnt.step, learnt.stay);
         }
         self.known.extend(learnt.models.clone());
     }
 
-    /// What is worth telling others.
+    /// What was learnt here.
     pub fn learnt(&self) -> Learnt {
-        let told = |line: &Line| line.weight >= TOLD_FROM;
-        let models = self.models.iter().filter(|(_, line)| told(line));
+        let models = self.well_known();
         let models = models.map(|(model, line)| (model.clone(), line.reading()));
-        Learnt {
-            all: told(&self.all).then(|| self.all.reading()),
-            models: models.take(TOLD_MODELS).collect(),
+        let models = models.take(TOLD_MODELS).collect();
+        Learnt { models, step: self.step, stay: self.stay }
+    }
+
+    /// What was learnt here or by others.
+    pub fn learnt_by_all(&self) -> Learnt {
+        let mut learnt = self.learnt();
+        for (model, known) in &self.known {
+            if learnt.models.len() < TOLD_MODELS {
+                learnt.models.entry(model.clone()).or_insert(*known);
+            }
         }
+        learnt
     }
 
     /// How long a first event takes besides reading.
@@ -218,26 +323,33 @@
         Duration::from_secs_f64(self.line(model).slope() / 1000.0)
     }
 
-    /// How long a runner takes to read tokens.
+    /// How long a runner takes to read tokens, on the long side: prompts that are sent
+    /// too soon make all streams pause, those that are sent late only wait.
     pub fn reading(&self, model: &ModelName, tokens: u32) -> Duration {
-        Duration::from_secs_f64(effort(tokens) * self.line(model).slope() / 1000.0)
+        Duration::from_secs_f64(effort(tokens) * self.line(model).cautious() / 1000.0)
     }
 
     fn line(&self, model: &ModelName) -> Line {
         self.models.get(model).copied().unwrap_or_else(|| self.expected(model))
     }
 
-    /// What is expected of a model of which nothing was learnt here.
+    /// What is expected of a model of which nothing was learnt here: what others have
+    /// learnt of it, or that it is read like the slowest one that is known.
     fn expected(&self, model: &ModelName) -> Line {
-        match self.known.get(model) {
-            Some(known) => Line::new(*known, KNOWN_WEIGHT),
-            // A guess counts for no more in a model than by itself.
-            None => {
-                let samples = self.all.weight / EXPECTED_AT.len() as f64;
-                Line::new(self.all.reading(), samples.min(OTHERS_WEIGHT))
-            }
+        if let Some(known) = self.known.get(model) {
+            return Line::new(*known, KNOWN_WEIGHT);
+        }
+        let learnt = self.well_known().map(|(_, line)| line.reading());
+        let known = learnt.chain(self.known.values().copied());
+        match known.max_by(|a, b| a.token.total_cmp(&b.token)) {
+            Some(slowest) => Line::new(slowest, OTHERS_WEIGHT),
+            None => Line::new(Reading::GUESS, GUESS_WEIGHT),
         }
     }
+
+    fn well_known(&self) -> impl Iterator<Item = (&ModelName, &Line)> {
+        self.models.iter().filter(|(_, line)| line.weight >= TOLD_FROM)
+    }
 }
 
 /// The length of a prompt as far as it takes time.
--- a/crates/pool/tests/lane.rs
+++ b/crates/pool/tests/lane.rs
@@ -14,7 +14,8 @@
 
 fn room() -> Room {
     let pause = Some(Duration::from_millis(PAUSE as u64));
-    Room { requests: 64, tokens: 150_000, pause }
+    let step = Duration::from_millis(12);
+    Room { requests: 64, tokens: 150_000, pause, step, event_steps: 3 }
 }
 
 fn waiting(number: u64, tokens: u32, urgency: u8, start: Instant) -> Waiting {
@@ -55,9 +56,14 @@
 
 /// Sends what the lane says.
 fn through_lane(load: &[(f64, u32)]) -> Vec<Answer> {
+    let (mut engine, mut lane) = (TimedEngine::default(), Lane::default());
+    drive(load, &mut engine, &mut lane, room());
+    engine.answers.into_values().collect()
+}
+
+/// Sends an engine what the lane says until all is answered.
+fn drive(load: &[(f64, u32)], engine: &mut TimedEngine, lane: &mut Lane, room: Room) {
     let start = Instant::now();
-    let mut engine = TimedEngine::default();
-    let mut lane = Lane::default();
     let mut came = 0;
     while came < load.len() || engine.load() > 0 || !lane.is_empty() {
         let now = at(start, engine.now);
@@ -65,12 +71,11 @@
             lane.push(waiting(came as u64, load[came].1, 0, now));
             came += 1;
         }
-        while let Next::Send(one) = lane.next(room(), now) {
+        while let Next::Send(one) = lane.next(room, now) {
             engine.take(one.ticket.0 as usize, one.tokens as u32, 40);
         }
         engine.step();
     }
-    engine.answers.into_values().collect()
 }
 
 fn late(answers: &[Answer]) -> usize {
@@ -88,6 +93,25 @@
     assert_eq!(lane, 0, "streams are late with a lane");
 }
 
+#[test]
+fn events_of_many_tokens_span_many_prompts() {
+    // Guards against looking at the last two prompts alone: where an event takes nine short
+    // steps, a wave of short prompts is read within one of them, and every stream pauses.
+    let (step, event_steps) = (5.0, 9);
+    let load: Vec<(f64, u32)> =
+        (0..80).map(|at| (f64::from(at / 8) * 700.0, 700)).collect();
+    let room = Room { step: Duration::from_millis(5), event_steps, ..room() };
+    let engine = || TimedEngine::new(step, event_steps);
+    let through = |room: Room| {
+        let (mut engine, mut lane) = (engine(), Lane::default());
+        drive(&load, &mut engine, &mut lane, room);
+        late(&engine.answers.into_values().collect::<Vec<_>>())
+    };
+    let short = through(Room { event_steps: 3, ..room });
+    assert!(short > load.len() / 4, "{short} streams are late if three steps count");
+    assert_eq!(through(room), 0, "streams are late if the event's steps count");
+}
+
 /// What a first event takes besides reading, in milliseconds.
 const BASE: f64 = 80.0;
 
@@ -118,14 +142,6 @@
             let after = Duration::from_secs_f64((seen - sent[one]) / 1000.0);
             let base = speeds.base(&name);
             let free = lane.begun(Ticket(one as u64), after, base);
-            if one % 10 == 0 {
-                eprintln!(
-                    "YY {one} {free} base {base:?} after {after:?} tok {} est {:?} at {}",
-                    load[one].1,
-                    speeds.reading(&name, 1000),
-                    engine.now
-                );
-            }
             if free && one >= HIDDEN {
                 speeds.learn(&name, load[one].1, after);
             }
--- a/crates/pool/tests/queue.rs
+++ b/crates/pool/tests/queue.rs
@@ -184,7 +184,7 @@
                 let fleet = &fleets[daemon];
                 let open = fleet.open(&service, now);
                 let fresh = open.filter(|(_, one)| !avoid.contains(&one.entry.name));
-                let chosen = choose(fresh, Size::default(), &domain(number), now);
+                let chosen = choose(fresh, &domain(number), now);
                 let Some(chosen) = chosen else { break None };
                 let name = fleet.get(chosen.key).expect("it is there").entry.name.clone();
                 let here = running.iter().filter(|(_, _, at)| *at == name).count();
--- a/crates/pool/tests/speed.rs
+++ b/crates/pool/tests/speed.rs
@@ -83,3 +83,47 @@
     read(&mut speeds, "m", 30.0, PROMPTS * 4);
     assert!(speeds.learnt().is_news(&told));
 }
+
+#[test]
+fn a_step_is_told_from_pauses_in_which_prompts_were_read() {
+    // Guards against taking the reading between two events for the engine's own step, or
+    // events that arrive together for a fast one.
+    for (step, tokens) in [(4.0, 9), (6.0, 6), (30.0, 3)] {
+        let mut speeds = Speeds::default();
+        let mut rng = SmallRng::seed_from_u64(11);
+        for _ in 0..400 {
+            let read =
+                if rng.random_bool(0.6) { rng.random_range(10.0..150.0) } else { 0.0 };
+            let bare = step * f64::from(tokens) * rng.random_range(0.95..1.05);
+            let pause = if rng.random_bool(0.1) { 0.1 } else { bare + read };
+            speeds.learn_step(Duration::from_secs_f64(pause / 1000.0), tokens);
+        }
+        let known = speeds.step().as_secs_f64() * 1000.0;
+        assert!((1.0..1.4).contains(&(known / step)), "{known} ms, really {step}");
+    }
+}
+
+#[test]
+fn how_long_requests_stay_is_learnt() {
+    // Guards against refusing a caller because streams are taken to stay for longer than
+    // they do.
+    let mut speeds = Speeds::default();
+    for _ in 0..150 {
+        speeds.learn_stay(Duration::from_millis(500));
+    }
+    assert!(speeds.stay() < Duration::from_millis(650));
+}
+
+#[test]
+fn a_daemon_that_starts_keeps_what_others_learnt() {
+    // Guards against a planner that has just started and writes that nothing is known.
+    let mut before = Speeds::default();
+    read(&mut before, "m", 40.0, PROMPTS * 4);
+    let mut fresh = Speeds::default();
+    fresh.hear(&before.learnt());
+    assert!(fresh.learnt().models.is_empty());
+    read(&mut fresh, "n", 20.0, PROMPTS * 4);
+    let kept = fresh.learnt_by_all();
+    assert_eq!(kept.models.len(), 2);
+    assert!(!kept.is_news(&fresh.learnt_by_all()));
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -51,17 +51,39 @@
 }
 
 /// An engine that reads waiting prompts between the tokens of its streams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TimedEngine {
     /// The time, in milliseconds.
     pub now: f64,
+    /// The time of a step beside what is read in it, in milliseconds.
+    pub step: f64,
+    /// The steps that one event of a stream takes.
+    pub event_steps: u32,
     prompts: VecDeque<Prompt>,
     streams: Vec<Stream>,
     /// What became of the requests, by their numbers.
     pub answers: IndexMap<usize, Answer>,
 }
 
+impl Default for TimedEngine {
+    fn default() -> Self {
+        Self::new(STEP, EVENT_STEPS)
+    }
+}
+
 impl TimedEngine {
+    /// An engine with steps of so many milliseconds and events of so many steps.
+    pub fn new(step: f64, event_steps: u32) -> Self {
+        Self {
+            now: 0.0,
+            step,
+            event_steps,
+            prompts: VecDeque::new(),
+            streams: Vec::new(),
+            answers: IndexMap::new(),
+        }
+    }
+
     /// Takes a request with a prompt of so many tokens and so many events.
     pub fn take(&mut self, id: usize, tokens: u32, events: u32) {
         self.answers.insert(id, Answer::default());
@@ -88,7 +110,7 @@
             }
             begun.extend(self.prompts.pop_front());
         }
-        self.now += STEP + f64::from(CHUNK - budget) / RATE;
+        self.now += self.step + f64::from(CHUNK - budget) / RATE;
         self.advance();
         for prompt in &begun {
             let Prompt { id, events, .. } = *prompt;
@@ -101,7 +123,7 @@
     fn advance(&mut self) {
         for stream in &mut self.streams {
             stream.steps += 1;
-            if stream.steps % EVENT_STEPS == 0 {
+            if stream.steps % self.event_steps == 0 {
                 let answer = &mut self.answers[&stream.id];
                 answer.pause = answer.pause.max(self.now - stream.at);
                 stream.at = self.now;
@@ -155,6 +177,7 @@
     Engine {
         slots: 64,
         kv_tokens: 150_000,
+        event_tokens: EVENT_STEPS,
         memory_mb: 200_000.0,
         adapter_slots: 8,
         loads_per_s: 1.1,
