--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Experiments on the decisions and measurements of the daemons.
 //!
+//! - [`causes`]: where requests were lost, by the logs of daemons,
 //! - [`policies`]: admission and routing under load, against baselines and a bound,
 //! - [`config`]: how soon accepted declarations are in force and what it costs,
 //! - [`decisions`]: what one decision costs,
@@ -8,6 +9,7 @@
 //! - [`moves`]: placements of models under shifting demand, against baselines,
 //! - [`slopes`]: what real daemons cost as the system grows.
 
+pub mod causes;
 pub mod config;
 mod cost;
 pub mod decisions;
@@ -25,6 +27,9 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 enum Command {
+    /// Counts why requests were late or not served, by the logs of daemons.
+    #[bpaf(command)]
+    Causes(#[bpaf(external(causes::options))] causes::Options),
     /// Compares policies under load, in virtual time.
     #[bpaf(command)]
     Policies(#[bpaf(external(policies::options))] policies::Options),
@@ -51,6 +56,7 @@
 /// Runs the program.
 pub fn main() -> ExitCode {
     match command().run() {
+        Command::Causes(options) => return causes::run(&options),
         Command::Policies(options) => policies::run(&options),
         Command::Decisions(options) => decisions::run(&options),
         Command::Config(options) => config::run(&options),
--- /dev/null
+++ b/crates/lab/tests/causes.rs
@@ -0,0 +1,26 @@
+//! Causes of late and lost requests, from daemons' logs.
+
+use chestnut_lab::causes::{Cause, table};
+
+#[test]
+fn causes_are_told_from_the_lines_of_a_request() {
+    let text = r#"
+ 1.0 vm-1 {"msg":"turn","id":"a","turn":"Again"}
+ 1.1 vm-1 {"msg":"turn","id":"a","turn":"Send(7)"}
+{"msg":"request ended","id":"a","route":"r","end":"answered","ms":900,"objective_ms":500,"begun_ms":700,"first_ms":90,"pause_ms":20,"gap_ms":250}
+{"msg":"request ended","id":"b","route":"r","end":"answered","ms":900,"objective_ms":500,"begun_ms":700,"first_ms":650,"pause_ms":20,"gap_ms":250}
+{"msg":"request ended","id":"c","route":"r","end":"answered","ms":900,"objective_ms":500,"begun_ms":70,"first_ms":60,"pause_ms":260,"gap_ms":250}
+{"msg":"request ended","id":"d","route":"r","end":"answered","ms":900,"objective_ms":500,"begun_ms":70,"first_ms":60,"pause_ms":20,"gap_ms":250}
+{"msg":"turn","id":"e","turn":"Denied"}
+{"msg":"request ended","id":"e","route":"r","end":"Unavailable","ms":900,"objective_ms":500}
+{"msg":"request ended","id":"f","route":"r","end":"Overloaded","ms":900,"objective_ms":500}
+{"msg":"request ended","id":"g","route":"plain","end":"answered","ms":80,"objective_ms":100,"begun_ms":null}
+no JSON
+{"msg":"request ended","id":"h"
+"#;
+    let table = table(text);
+    let found: Vec<Cause> = table["r"].keys().copied().collect();
+    use Cause::{Adapter, Engine, Full, InTime, Paused, Turn};
+    assert_eq!(found, [Turn, Engine, Paused, InTime, Adapter, Full]);
+    assert_eq!(table["plain"][&InTime], 1);
+}
