Load a model that nobody holds before others grow; loads as long as the copies at hand

Models without a replica are planned whatever waits, and go first when a load may begin. A load from a copy in the server's memory or on its disk takes the declared time of that, not that of the store, before the next order.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -6,6 +6,8 @@
 use chestnut_base::{AdapterName, DomainName, ModelName, ServerName, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use crate::declared::Model;
+
 /// Whether a backend server takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
@@ -63,4 +65,15 @@
     pub fn holds(&self, model: &ModelName) -> bool {
         self.models.iter().any(|held| held.model == *model)
     }
+
+    /// How long a load of a model takes here, by the copies that the server keeps.
+    pub fn load_time(&self, name: &ModelName, model: &Model) -> Duration {
+        if self.warm.contains(name) {
+            model.warm_load
+        } else if self.on_disk.contains(name) {
+            model.disk_load
+        } else {
+            model.load
+        }
+    }
 }
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -154,7 +154,9 @@
     fn load_time(&self, model: &ModelName) -> Duration {
         let engine = self.engine();
         let declared = engine.as_ref().and_then(|engine| engine.models.get(model));
-        declared.map_or(ANSWER_TIME, |model| model.load)
+        let entry = self.entry();
+        let known = declared.zip(entry);
+        known.map_or(ANSWER_TIME, |(declared, entry)| entry.load_time(model, declared))
     }
 
     fn engine(&self) -> Option<Arc<Engine>> {
--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -5,7 +5,7 @@
 //! streams, several at a time; each prompt that it reads makes all of them pause. Sent
 //! as they come, three long prompts at once make every stream on the runner late,
 //! though the runner has time to spare a moment later. The lane therefore sends
-//! prompts one after another, as fast as the engine reads them, with a breath after
+//! prompts one after another, as fast as the engine reads them, with a pause after
 //! long ones.
 //!
 //! When prompts come faster than the engine reads, those that can still be on time
--- a/crates/pool/src/moving.rs
+++ b/crates/pool/src/moving.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// The model that is being loaded, for which there was room.
+    pub fn loads(&self) -> Option<&ModelName> {
+        match self.stage {
+            Stage::Draining(_) => None,
+            Stage::Loading(_) => self.change.load.as_ref(),
+        }
+    }
+
     /// Whether what it drops is gone, as far as the registry tells.
     pub fn is_drained(&self, runner: &ServerEntry) -> bool {
         !self.change.drop.iter().any(|model| runner.holds(model))
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -156,13 +156,23 @@
     /// Begins loads on runners that have made room for them.
     fn fill_room(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
         let mut fresh = Vec::new();
-        for runner in scene.runners {
+        let missing = self.missing(scene);
+        let mut runners: Vec<&ServerEntry> = scene.runners.iter().collect();
+        // Models that nobody holds go first.
+        runners.sort_by_key(|runner| {
+            let moving = self.moving.get(&runner.name);
+            let model = moving.and_then(Moving::awaits_room);
+            !model.is_some_and(|model| missing.contains(model))
+        });
+        for runner in runners {
             let Some(moving) = self.moving.get(&runner.name) else { continue };
             let Some(model) = moving.awaits_room().cloned() else { continue };
+            // Operators may have removed it meanwhile.
+            let Some(declared) = scene.engine.models.get(&model) else { continue };
             let (drained, change) = (moving.is_drained(runner), moving.change.clone());
             if drained && self.may_load(scene, runner, &model, now) {
-                let load = scene.engine.models[&model].load;
-                let moving = Moving::load(change, load, now);
+                let time = runner.load_time(&model, declared);
+                let moving = Moving::load(change, time, now);
                 fresh.push(moving.step());
                 self.moving.insert(runner.name.clone(), moving);
             }
@@ -170,6 +180,16 @@
         fresh
     }
 
+    /// Models that no runner holds or is loading.
+    fn missing(&self, scene: &Scene) -> Vec<ModelName> {
+        let held = scene.runners.iter().flat_map(|runner| &runner.models);
+        let held = held.map(|held| &held.model);
+        let loading = self.moving.values().filter_map(Moving::loads);
+        let there: IndexSet<&ModelName> = held.chain(loading).collect();
+        let models = scene.engine.models.keys();
+        models.filter(|model| !there.contains(model)).cloned().collect()
+    }
+
     /// Whether a load may begin now, which it then does.
     fn may_load(
         &mut self,
@@ -204,7 +224,8 @@
             let moving = if !change.drop.is_empty() {
                 Moving::drain(change, now)
             } else if self.may_load(scene, runner, &model, now) {
-                Moving::load(change, scene.engine.models[&model].load, now)
+                let time = runner.load_time(&model, &scene.engine.models[&model]);
+                Moving::load(change, time, now)
             } else {
                 continue;
             };
@@ -215,7 +236,8 @@
     }
 
     /// The loads from the weight store that may be planned now: they can begin once a
-    /// runner has made room, beside those that wait for room already.
+    /// runner has made room, beside those that wait for room already. Models that nobody
+    /// holds don't wait for those.
     fn loads_ahead(&mut self, scene: &Scene, now: Instant) -> usize {
         let rate = scene.engine.loads_per_s;
         let soon = (rate * DRAIN_AHEAD.as_secs_f64()) as usize;
@@ -225,7 +247,8 @@
             model.is_some_and(|model| !is_near(runner, model))
         };
         let waiting = scene.runners.iter().filter(|runner| waits(runner)).count();
-        (self.pace.left(rate, now) + soon).saturating_sub(waiting)
+        let ahead = (self.pace.left(rate, now) + soon).saturating_sub(waiting);
+        ahead.max(self.missing(scene).len())
     }
 
     /// Drops replicas that are not asked for where no room is left for a load.
--- a/crates/pool/tests/placing.rs
+++ b/crates/pool/tests/placing.rs
@@ -109,7 +109,8 @@
             .partition::<Vec<_>, _>(|(.., until)| now >= *until);
         self.under_way = rest;
         for (index, model, load, _) in done {
-            let held = &mut self.runners[index].models;
+            let Some(runner) = self.runners.get_mut(index) else { continue };
+            let held = &mut runner.models;
             match load {
                 true => held.push(HeldModel { model, version: 1, adapters: vec![] }),
                 false => held.retain(|held| held.model != model),
@@ -168,3 +169,52 @@
     let served = served.expect("it gets five replicas");
     assert!(served < Duration::from_secs(10), "{served:?}");
 }
+
+#[test]
+fn a_model_without_a_replica_does_not_wait_for_others_to_grow() {
+    // Guards against a model that is asked for and held nowhere: its runner was taken away
+    // while all loads that the weight store allows were waiting for runners to make room
+    // for further replicas of another model.
+    let models = [("old", 80.0), ("hot", 80.0), ("lost", 80.0), ("x", 80.0)];
+    let declared = engine(&models);
+    let mut runners: Vec<ServerEntry> =
+        (0..8).map(|at| runner(&format!("r{at}"), &["old", "x"])).collect();
+    runners[0] = runner("r0", &["hot", "x"]);
+    runners.push(runner("r8", &["lost", "x"]));
+    let mut carried = Carried { runners, under_way: Vec::new() };
+    let start = Instant::now();
+    let speeds = Speeds::default();
+    let mut placing = Placing::new(start);
+    let (mut old, mut hot, mut lost) = (0.0, 0.0, 0.0);
+    let mut served = None;
+    for look in 1..60 {
+        let now = start + PERIOD * look;
+        carried.advance(now);
+        let shifted = now > start + Duration::from_secs(3);
+        let gone = now > start + Duration::from_secs(4);
+        if gone {
+            carried.runners.truncate(8);
+        }
+        old += if shifted { 500.0 } else { 10_000.0 };
+        hot += if shifted { 15_000.0 } else { 1_000.0 };
+        lost += 300.0;
+        let asked = [("old", old), ("hot", hot), ("lost", lost)];
+        let asked = asked.map(|(name, prompt)| (model(name), of(prompt)));
+        placing.count(MemberId(1), asked.to_vec());
+        let scene = Scene {
+            runners: &carried.runners,
+            fixed: &[],
+            engine: &declared,
+            speeds: &speeds,
+        };
+        for change in placing.decide(&scene, now) {
+            carried.take(&change, now);
+        }
+        if gone && carried.replicas("lost") > 0 {
+            served.get_or_insert(now.duration_since(start));
+        }
+    }
+    // A runner makes room in three seconds and loads in 1.2.
+    let served = served.expect("it is loaded again");
+    assert!(served < Duration::from_secs(9), "{served:?}");
+}
