Keep very long prompts together at the runner with the fewest streams

Cause (causes of an incident's logs): 8 % of the largest kind of streams paused for too long. A prompt of 7,000 tokens takes 220 ms to read here, so that by itself it pauses all 20 to 30 streams of its runner beyond the 250 ms that callers allow; about one a second came, each at another runner. Such prompts now go where fewest streams run, and other requests avoid a runner that gets them, so that one replica takes most.

--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -6,6 +6,11 @@
 //! Each runner's holder therefore estimates, from the sums of all daemons, when a
 //! request's first event would come, and the daemon takes the least estimate.
 //!
+//! A prompt may be so long that its reading alone pauses all streams on its runner for too
+//! long. Spread evenly, a few such prompts a second make streams late on every runner. They
+//! go where fewest run, and other requests avoid runners that get them, so that one replica
+//! of a model takes most.
+//!
 //! A runner whose places or whose KV cache is taken has room again as its streams end.
 //! An estimate that leaves this out is a tenth of the wait at a runner that is full, and
 //! requests stay in line there while others of the model have room.
@@ -84,6 +89,14 @@
 /// What it costs to wait for a place among adapters in use, in milliseconds.
 const FULL_COST: f64 = 2000.0;
 
+/// What it costs to pause one stream of another caller for too long, and all on a runner
+/// at most, in milliseconds.
+const PAUSED_STREAM: f64 = 20.0;
+const PAUSED_MOST: f64 = 500.0;
+
+/// What it costs a request to be paused for too long itself, in milliseconds.
+const PAUSED_COST: f64 = 250.0;
+
 /// What a server costs whose holder did not answer, in milliseconds.
 pub const SILENT_COST: f64 = 60.0;
 
@@ -117,11 +130,28 @@
     let ahead = runner.lane.ahead(want.urgency, want.target_time.is_zero(), now);
     let room = room_wait(runner.total(now), ahead, want.size, engine, speeds.stay());
     let wait = millis(ahead.work).max(prepare).max(room);
-    let cost =
-        wait + millis(runner.reading(want, speeds)) + f64::from(requests) * RUN_COST;
+    let reading = runner.reading(want, speeds);
+    let pauses = pause_cost(runner, reading, requests, speeds.stay(), now);
+    let cost = wait + millis(reading) + f64::from(requests) * RUN_COST + pauses;
     Bid { cost, requests }
 }
 
+/// What streams that are paused for too long cost, in milliseconds: those that run, if
+/// this prompt is long, and otherwise the request itself, by the long prompts that come.
+fn pause_cost(
+    runner: &Runner,
+    reading: Duration,
+    requests: u32,
+    stay: Duration,
+    now: Instant,
+) -> f64 {
+    if runner.lane.is_long(reading) {
+        return (f64::from(requests) * PAUSED_STREAM).min(PAUSED_MOST);
+    }
+    let met = runner.lane.long_rate(now) * stay.as_secs_f64();
+    met.min(1.0) * PAUSED_COST
+}
+
 /// The wait for a place and for room in the KV cache, in milliseconds.
 ///
 /// Requests stay for `stay` in the mean.
--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -28,6 +28,9 @@
 /// How long a first event is waited for to correct what is assumed of the engine.
 const OPEN_TIME: Duration = Duration::from_secs(2);
 
+/// How far back long prompts are remembered.
+const LONG_MEMORY: Duration = Duration::from_secs(5);
+
 /// Names a prompt that waits in a lane.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Ticket(pub u64);
@@ -102,6 +105,13 @@
     read: Option<Instant>,
     /// The time of a step beside what is read in it, as last known.
     step: Duration,
+    /// The longest reading that pauses streams for no longer than they may; nothing until
+    /// that is known.
+    limit: Option<Duration>,
+    /// How many prompts take longer than that, in a second.
+    long_rate: f64,
+    /// When the last of them was sent.
+    long_at: Option<Instant>,
 }
 
 /// A prompt that was sent and has no first event yet.
@@ -171,9 +181,23 @@
         ahead
     }
 
+    /// Whether reading a prompt alone pauses the streams that run for too long.
+    pub fn is_long(&self, work: Duration) -> bool {
+        self.limit.is_some_and(|limit| work > limit)
+    }
+
+    /// How many such prompts were sent lately, in a second.
+    pub fn long_rate(&self, now: Instant) -> f64 {
+        let gone = self.long_at.map(|at| now.saturating_duration_since(at));
+        let gone = gone.unwrap_or_default().as_secs_f64();
+        self.long_rate * (-gone / LONG_MEMORY.as_secs_f64()).exp()
+    }
+
     /// Decides what to do now, with the runner's room.
     pub fn next(&mut self, room: Room, now: Instant) -> Next {
         self.step = room.step;
+        let event = room.step * room.event_steps;
+        self.limit = Some(room.pause.unwrap_or(PAUSE).saturating_sub(event));
         if let Some(at) = self.waiting.iter().position(|one| now >= one.deadline) {
             return Next::Expired(self.waiting.swap_remove(at));
         }
@@ -219,6 +243,10 @@
             self.open.pop_front();
         }
         self.open.push_back(Open { ticket: waiting.ticket, work, at: now });
+        if self.is_long(work) {
+            self.long_rate = self.long_rate(now) + 1.0 / LONG_MEMORY.as_secs_f64();
+            self.long_at = Some(now);
+        }
         let idle = self.idle_steps(now);
         self.recent.push_back(Sent { work, end: now + work + self.step, idle });
         while self.recent.len() > event_steps.max(1) as usize {
--- a/crates/pool/tests/choose.rs
+++ b/crates/pool/tests/choose.rs
@@ -6,7 +6,9 @@
 
 use chestnut_base::MemberId;
 use chestnut_edge::{HeldModel, PromptPart, Size};
-use chestnut_pool::{Bid, Prefixes, Runner, Speeds, Ticket, Usage, Waiting, Want, bid};
+use chestnut_pool::{
+    Bid, Prefixes, Room, Runner, Speeds, Ticket, Usage, Waiting, Want, bid,
+};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -243,3 +245,69 @@
     let learnt = speeds.reading(&model("m"), 1000).as_secs_f64() * 1000.0;
     assert!((85.0..115.0).contains(&learnt), "{learnt} ms for 1000 tokens");
 }
+
+/// Prompts of an engine that reads 20 tokens in a millisecond, at four runners: every
+/// seventh is so long that its reading alone is a pause of 300 ms.
+///
+/// Returns how many of the others came to runners that got a long one within a second.
+fn beside_long_prompts(choose: impl Fn(&[Runner], &Want, Instant) -> usize) -> usize {
+    let start = Instant::now();
+    let mut runners: Vec<Runner> = (0..4).map(|_| loaded(0, start)).collect();
+    let mut sent: Vec<(usize, Instant, bool)> = Vec::new();
+    let room = Room {
+        requests: 64,
+        tokens: 100_000,
+        pause: Some(Duration::from_millis(250)),
+        step: Duration::from_millis(10),
+        event_steps: 3,
+    };
+    for number in 0..400 {
+        let now = start + Duration::from_millis(50) * number;
+        for (at, runner) in runners.iter_mut().enumerate() {
+            let stays = |one: &&(usize, Instant, bool)| {
+                one.0 == at && now.duration_since(one.1) < Duration::from_secs(2)
+            };
+            let here = sent.iter().filter(stays).count();
+            runner.report(MemberId(1), usage(here as u32, 0), now);
+            runner.lane.next(room, now);
+        }
+        let long = number % 7 == 0;
+        let want = want(base("m"), if long { 6000 } else { 300 });
+        let at = choose(&runners, &want, now);
+        let work = runners[at].reading(&want, &Speeds::default());
+        let one = Waiting { work, ..waiting(number.into(), now) };
+        runners[at].lane.push(one);
+        runners[at].lane.next(Room { requests: 1, ..room }, now + Duration::from_secs(1));
+        sent.push((at, now, long));
+    }
+    let longs: Vec<_> = sent.iter().filter(|one| one.2).collect();
+    let meets = |one: &&(usize, Instant, bool)| {
+        let near = |long: &&&(usize, Instant, bool)| {
+            long.0 == one.0
+                && long.1 >= one.1
+                && long.1.duration_since(one.1) < Duration::from_secs(1)
+        };
+        !one.2 && longs.iter().any(|long| near(&long))
+    };
+    sent.iter().filter(meets).count()
+}
+
+#[test]
+fn long_prompts_stay_together() {
+    // Guards against long prompts that go round all runners: each pauses all streams of
+    // its runner for too long, so that most streams are late at some time.
+    let speeds = Speeds::default();
+    let fewest = |runners: &[Runner], _: &Want, now: Instant| {
+        let load = |at: &usize| runners[*at].total(now).requests;
+        (0..runners.len()).min_by_key(load).unwrap_or_default()
+    };
+    let by_bids = |runners: &[Runner], want: &Want, now: Instant| {
+        let engine = engine(&[("m", 80.0)]);
+        let cost = |at: &usize| bid(&runners[*at], want, &speeds, &engine, now).cost;
+        let order = |a: &usize, b: &usize| cost(a).total_cmp(&cost(b));
+        (0..runners.len()).min_by(order).unwrap_or_default()
+    };
+    let (even, together) = (beside_long_prompts(fewest), beside_long_prompts(by_bids));
+    assert!(even > 150, "{even} of 342 meet a long prompt if runners are filled evenly");
+    assert!(together < 20, "{together} of 342 meet a long prompt");
+}
