--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -410,7 +410,7 @@
     /// Takes in claims.
     pub claims: claims::Claims,
     /// Takes in what was learnt of runners.
-    pub lessons: learnt::Lessons,
+    pub engines: learnt::EngineRows,
 }
 
 impl Follower for Own {
@@ -420,7 +420,7 @@
         } else if change.key.starts_with(claims::PREFIX) {
             self.claims.changed(change);
         } else if change.key.starts_with(learnt::PREFIX) {
-            self.lessons.changed(change);
+            self.engines.changed(change);
         }
     }
 
--- a/crates/gate/src/learnt.rs
+++ b/crates/gate/src/learnt.rs
@@ -35,9 +35,9 @@
 }
 
 /// Takes in what was learnt.
-pub struct Lessons(pub Arc<Shared>);
+pub struct EngineRows(pub Arc<Shared>);
 
-impl Follower for Lessons {
+impl Follower for EngineRows {
     fn changed(&mut self, change: Change) {
         let Self(shared) = self;
         let name = change.key.strip_prefix(PREFIX).unwrap_or_default();
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -105,10 +105,13 @@
         /// What came of it.
         outcome: Outcome,
     },
-    /// What callers have asked of a service's models, to the planner.
+    /// What callers have asked of a service's models, to the planner; in parts, since all
+    /// models may be too many for a datagram.
     Demand {
         /// The service.
         service: ServiceName,
+        /// The number of the part.
+        part: usize,
         /// What was asked for since the daemon's start, by model.
         asked: Vec<(ModelName, Asked)>,
         /// Servers that the daemon can't connect to.
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -28,6 +28,11 @@
 /// How often the planner plans and daemons tell it what is asked for.
 const PERIOD: Duration = Duration::from_millis(250);
 
+/// The models in one part of what a daemon tells of its callers.
+///
+/// With names of 16 bytes 8 KB, beside as much of what was learnt.
+const PART_MODELS: usize = 128;
+
 /// What callers have asked of this daemon, by service and model.
 #[derive(Debug, Default)]
 pub struct Counts {
@@ -51,14 +56,14 @@
 pub fn take(
     shared: &Shared,
     from: MemberId,
-    service: ServiceName,
+    (service, part): (ServiceName, usize),
     asked: Vec<(ModelName, Asked)>,
     lost: Vec<ServerName>,
 ) {
     let now = shared.now();
     let mut plans = shared.plans();
     let placing = plans.entry(service).or_insert_with(|| Placing::new(now));
-    placing.count(from, asked);
+    placing.count(from, part, asked);
     placing.hear_lost(from, lost, now);
 }
 
@@ -81,16 +86,13 @@
             let lost = unreachable(&shared, name);
             match planner_of(&shared, name) {
                 Planner::Here => {
-                    take(&shared, shared.peers.me, name.clone(), asked, lost);
+                    take(&shared, shared.peers.me, (name.clone(), 0), asked, lost);
                     plan_service(&shared, name, engine);
                     learnt::keep(&shared, name);
                 }
                 Planner::There(addr) => {
                     shared.plans().swap_remove(name);
-                    let service = name.clone();
-                    let learnt = learnt::news(&shared, name);
-                    let message = Message::Demand { service, asked, lost, learnt };
-                    shared.peers.send(addr, message);
+                    tell(&shared, addr, name, &asked, &lost);
                 }
                 Planner::Nobody => {}
             }
@@ -98,6 +100,31 @@
     }
 }
 
+/// Tells a planner what was asked of this daemon, and what it has learnt.
+fn tell(
+    shared: &Shared,
+    planner: SocketAddr,
+    service: &ServiceName,
+    asked: &[(ModelName, Asked)],
+    lost: &[ServerName],
+) {
+    let mut learnt = learnt::news(shared, service);
+    // The first part goes in any case, for the servers that are lost.
+    let parts = asked.len().div_ceil(PART_MODELS).max(1);
+    for part in 0..parts {
+        let from = part * PART_MODELS;
+        let to = asked.len().min(from + PART_MODELS);
+        let message = Message::Demand {
+            service: service.clone(),
+            part,
+            asked: asked[from..to].to_vec(),
+            lost: lost.to_vec(),
+            learnt: learnt.take(),
+        };
+        shared.peers.send(planner, message);
+    }
+}
+
 enum Planner {
     Here,
     There(SocketAddr),
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -58,11 +58,11 @@
         | Message::Dequeued { number, .. } => {
             shared.peers.answer(number, packet.message);
         }
-        Message::Demand { service, asked, lost, learnt } => {
+        Message::Demand { service, part, asked, lost, learnt } => {
             if let Some(learnt) = learnt {
                 shared.speeds().hear(&learnt);
             }
-            planner::take(shared, packet.from, service, asked, lost);
+            planner::take(shared, packet.from, (service, part), asked, lost);
         }
         Message::Move(change) => {
             if let Some(holder) = shared.holder(&change.server) {
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -16,7 +16,7 @@
 
 use crate::claims::Claims;
 use crate::follow::Own;
-use crate::learnt::Lessons;
+use crate::learnt::EngineRows;
 use crate::members::Members;
 use crate::peers::Peers;
 use crate::registry::{Declarations, Servers};
@@ -122,7 +122,7 @@
     let own = Own {
         members: Members(shared.clone()),
         claims: Claims(shared.clone()),
-        lessons: Lessons(shared.clone()),
+        engines: EngineRows(shared.clone()),
     };
     tokio::spawn(follow::run(shared.clone(), tables.own.clone(), own));
 }
--- a/crates/pool/src/demand.rs
+++ b/crates/pool/src/demand.rs
@@ -133,8 +133,8 @@
 /// How much callers ask for of each model.
 #[derive(Debug)]
 pub struct Demands {
-    /// The last count of each daemon, by model.
-    counts: IndexMap<MemberId, IndexMap<ModelName, Asked>>,
+    /// The last count of each daemon, by part and model.
+    counts: IndexMap<(MemberId, usize), IndexMap<ModelName, Asked>>,
     /// What was asked for since the last average.
     fresh: IndexMap<ModelName, Asked>,
     stays: IndexMap<ModelName, Stay>,
@@ -157,10 +157,11 @@
         }
     }
 
-    /// Takes in what callers have asked of a daemon since its start.
-    pub fn count(&mut self, from: MemberId, asked: Vec<(ModelName, Asked)>) {
-        let first = !self.counts.contains_key(&from);
-        let known = self.counts.entry(from).or_default();
+    /// Takes in what callers have asked of a daemon since its start, in one of the parts
+    /// in which it tells that; a model is always in the same part.
+    pub fn count(&mut self, from: MemberId, part: usize, asked: Vec<(ModelName, Asked)>) {
+        let first = !self.counts.contains_key(&(from, part));
+        let known = self.counts.entry((from, part)).or_default();
         for (model, asked) in asked {
             let before = known.insert(model.clone(), asked).unwrap_or_default();
             // What was counted before this planner took over is of the past.
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -102,9 +102,9 @@
         }
     }
 
-    /// Takes in what callers have asked of a daemon since its start.
-    pub fn count(&mut self, from: MemberId, asked: Vec<(ModelName, Asked)>) {
-        self.demands.count(from, asked);
+    /// Takes in a part of what callers have asked of a daemon since its start.
+    pub fn count(&mut self, from: MemberId, part: usize, asked: Vec<(ModelName, Asked)>) {
+        self.demands.count(from, part, asked);
     }
 
     /// Takes in which servers a daemon can't connect to.
--- a/crates/pool/src/speed.rs
+++ b/crates/pool/src/speed.rs
@@ -1,11 +1,13 @@
 //! How fast a service's runners work, learnt from their answers.
 //!
-//! Runners don't say how fast they are, and models differ threefold. Until a few prompts of
-//! a model were read, others tell: what another daemon has learnt of it, or other models. Sent faster
-//! than they are read, prompts pile up at the engine, which then reads several at a
-//! time and makes all of its streams pause. A line through times of first events
-//! over prompt lengths gives the time for each token, whatever else a first event
-//! takes.
+//! Runners don't say how fast they are, and models differ threefold. Sent faster than they
+//! are read, prompts pile up at the engine, which then reads several at a time and makes
+//! all of its streams pause. A line through times of first events over prompt lengths gives
+//! the time for each token, whatever else a first event takes. Until a few prompts of a
+//! model were read, it is expected to be as others have learnt, or like other models.
+//!
+//! The time of a step is learnt from the pauses between events, and how long requests stay
+//! at a runner from when they end.
 //!
 //! Only prompts that the engine was free for teach anything, and of those only the ones
 //! whose kept parts are known. A prompt that waited at the engine has its first event late
@@ -38,6 +40,12 @@
 /// The time of a step that is assumed at first.
 const FIRST_STEP: Duration = Duration::from_millis(10);
 
+/// The shortest and the longest step that another daemon is believed.
+const STEPS: (Duration, Duration) = (Duration::from_micros(200), Duration::from_secs(1));
+
+/// The longest mean stay that another daemon is believed.
+const LONGEST_STAY: Duration = Duration::from_secs(600);
+
 /// The part of pauses between events that are taken to hold nothing but steps; in the
 /// others the engine has read prompts as well.
 const BARE_PART: f64 = 0.3;
@@ -231,9 +239,10 @@
     }
 }
 
-/// How fast runners read prompts of each model.
+/// How fast runners work.
 #[derive(Debug)]
 pub struct Speeds {
+    /// What was learnt here of each model.
     models: IndexMap<ModelName, Line>,
     /// What others have learnt.
     known: IndexMap<ModelName, Reading>,
@@ -253,9 +262,8 @@
     /// had its first event after `time`.
     pub fn learn(&mut self, model: &ModelName, tokens: u32, time: Duration) {
         let millis = time.as_secs_f64() * 1000.0;
-        let expected = self.expected(model);
-        let line = self.models.entry(model.clone()).or_insert(expected);
-        *line = line.with(effort(tokens), millis, 1.0, FADE);
+        let line = self.line(model).with(effort(tokens), millis, 1.0, FADE);
+        self.models.insert(model.clone(), line);
     }
 
     /// Takes in the pause before an event of `tokens` tokens.
@@ -289,7 +297,8 @@
     /// Takes in what another daemon has learnt.
     pub fn hear(&mut self, learnt: &Learnt) {
         if self.models.is_empty() {
-            (self.step, self.stay) = (learnt.step, learnt.stay);
+            self.step = learnt.step.clamp(STEPS.0, STEPS.1);
+            self.stay = learnt.stay.min(LONGEST_STAY);
         }
         self.known.extend(learnt.models.clone());
     }
--- a/crates/pool/tests/placing.rs
+++ b/crates/pool/tests/placing.rs
@@ -64,8 +64,11 @@
     for look in 1..32 {
         let now = start + PERIOD * look;
         asked += 15_000.0;
-        placing
-            .count(MemberId(1), vec![(model("hot"), of(asked)), (model("old"), of(1.0))]);
+        placing.count(
+            MemberId(1),
+            0,
+            vec![(model("hot"), of(asked)), (model("old"), of(1.0))],
+        );
         let silent = if now < start + ORPHANED { &runners[1..2] } else { &[] };
         let fixed: Vec<_> = silent.iter().map(|runner| runner.name.clone()).collect();
         let scene = Scene {
@@ -150,8 +153,11 @@
         let shifted = now > start + Duration::from_secs(3);
         old += if shifted { 500.0 } else { 10_000.0 };
         hot += if shifted { 15_000.0 } else { 1_000.0 };
-        placing
-            .count(MemberId(1), vec![(model("old"), of(old)), (model("hot"), of(hot))]);
+        placing.count(
+            MemberId(1),
+            0,
+            vec![(model("old"), of(old)), (model("hot"), of(hot))],
+        );
         let scene = Scene {
             runners: &carried.runners,
             fixed: &[],
@@ -200,7 +206,7 @@
         lost += 300.0;
         let asked = [("old", old), ("hot", hot), ("lost", lost)];
         let asked = asked.map(|(name, prompt)| (model(name), of(prompt)));
-        placing.count(MemberId(1), asked.to_vec());
+        placing.count(MemberId(1), 0, asked.to_vec());
         let scene = Scene {
             runners: &carried.runners,
             fixed: &[],
@@ -218,3 +224,26 @@
     let served = served.expect("it is loaded again");
     assert!(served < Duration::from_secs(9), "{served:?}");
 }
+
+#[test]
+fn what_a_daemon_tells_in_parts_counts_once() {
+    // Guards against a planner that takes over and counts the second part of what a daemon
+    // has been asked since its start as demand of this moment.
+    let declared = engine(&[("a", 80.0), ("b", 80.0)]);
+    let runners = [runner("r1", &["a", "b"])];
+    let start = Instant::now();
+    let speeds = Speeds::default();
+    let mut placing = Placing::new(start);
+    let scene =
+        Scene { runners: &runners, fixed: &[], engine: &declared, speeds: &speeds };
+    let mut tell = |asked: f64, look: u32| {
+        placing.count(MemberId(1), 0, vec![(model("a"), of(asked))]);
+        placing.count(MemberId(1), 1, vec![(model("b"), of(asked))]);
+        placing.decide(&scene, start + PERIOD * look);
+        (placing.demand(&model("a")), placing.demand(&model("b")))
+    };
+    assert_eq!(tell(1e6, 1), (0.0, 0.0));
+    let (a, b) = tell(1e6 + 100.0, 2);
+    assert!(a > 0.0 && a < 1.0, "{a}");
+    assert_eq!(a, b);
+}
--- a/crates/pool/tests/speed.rs
+++ b/crates/pool/tests/speed.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chestnut_pool::Speeds;
+use chestnut_pool::speed::Learnt;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -127,3 +128,14 @@
     assert_eq!(kept.models.len(), 2);
     assert!(!kept.is_news(&fresh.learnt_by_all()));
 }
+
+#[test]
+fn times_that_no_engine_has_are_not_believed() {
+    // Guards against a row in the store with figures that a daemon can't reckon with.
+    let mut speeds = Speeds::default();
+    let most = Duration::from_micros(u64::MAX);
+    speeds.hear(&Learnt { step: most, stay: most, ..Learnt::default() });
+    assert!(speeds.step() < Duration::from_secs(2));
+    speeds.hear(&Learnt { step: Duration::ZERO, ..Learnt::default() });
+    assert!(speeds.step() > Duration::ZERO);
+}
