--- a/crates/lab/src/decisions.rs
+++ b/crates/lab/src/decisions.rs
@@ -5,13 +5,21 @@
 
 use bpaf::Bpaf;
 use chestnut_admit::{Job, Lead, Limits, Rule};
-use chestnut_base::{CallerName, DomainName, MemberId, ServerName, TeamName, Urgency};
-use chestnut_pool::{Asker, Listed, Outcome, PlainWant, Queue, QueueStep};
+use chestnut_base::{
+    CallerName, DomainName, MemberId, ModelName, ServerName, ServiceName, TeamName,
+    Urgency,
+};
+use chestnut_edge::{Engine, HeldModel, Model, Phase, ServerEntry};
+use chestnut_pool::placing::{Placing, Scene};
+use chestnut_pool::{Asked, Asker, Listed, Outcome, PlainWant, Queue, QueueStep, Speeds};
 use chestnut_route::{Ask, Candidate, Note, Policy, Report, Router};
 
 /// Requests that a server of a plain service runs at the same time, as the users' do.
 const SLOTS: u32 = 6;
 
+/// How often the gate's planner looks.
+const PLAN_PERIOD: Duration = Duration::from_millis(250);
+
 /// What to measure.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(generate(options))]
@@ -49,6 +57,12 @@
             );
         }
     }
+    for (runners, models) in [(112, 155), (1_200, 190), (12_000, 1_900)] {
+        let micros = plan(runners, models);
+        println!(
+            "{{\"decision\":\"plan\",\"runners\":{runners},\"models\":{models},\"us\":{micros}}}"
+        );
+    }
     println!("{{\"bytes_per_request\":{}}}", chestnut_admit::lead::bytes_per_request());
 }
 
@@ -134,6 +148,83 @@
     start.elapsed().as_nanos() / u128::from(rounds)
 }
 
+/// Microseconds of a look of the gate's planner at runners of two models each, in the mean
+/// of a few; a twentieth of the models has nearly all of the demand.
+fn plan(runners: usize, models: usize) -> u128 {
+    const LOOKS: u32 = 4;
+    let now = Instant::now();
+    let engine = engine(models);
+    let names: Vec<&ModelName> = engine.models.keys().collect();
+    let entry =
+        |at: usize| runner(at, [names[at % models], names[(at * 7 + 1) % models]]);
+    let entries: Vec<ServerEntry> = (0..runners).map(entry).collect();
+    let speeds = Speeds::default();
+    let scene = Scene { runners: &entries, fixed: &[], engine: &engine, speeds: &speeds };
+    let mut placing = Placing::new(now);
+    let asked = |look: u32| {
+        let asked = |(at, name): (usize, &&ModelName)| {
+            let busy = if at % 20 == 0 { 20.0 } else { 0.05 };
+            let requests = busy * f64::from(look + 1);
+            let prompt = requests * 800.0;
+            ((*name).clone(), Asked { requests, prompt, ..Asked::default() })
+        };
+        names.iter().enumerate().map(asked).collect()
+    };
+    let start = Instant::now();
+    for look in 0..LOOKS {
+        placing.count(MemberId(1), 0, asked(look));
+        std::hint::black_box(placing.decide(&scene, now + PLAN_PERIOD * look));
+    }
+    start.elapsed().as_micros() / u128::from(LOOKS)
+}
+
+/// An engine for so many models of 16 to 34 GB, two or three of which fit.
+fn engine(models: usize) -> Engine {
+    let model = |at: usize| {
+        let name = ModelName::try_from(format!("model-{at}")).expect("well formed");
+        let model = Model {
+            weights_mb: if at % 2 == 0 { 34_300.0 } else { 16_100.0 },
+            adapters: 4,
+            adapter_mb: 40.0,
+            load: Duration::from_secs(2),
+            warm_load: Duration::from_millis(390),
+            disk_load: Duration::from_millis(510),
+        };
+        (name, model)
+    };
+    Engine {
+        slots: 48,
+        kv_tokens: 155_000,
+        event_tokens: 6,
+        memory_mb: 83_000.0,
+        adapter_slots: 8,
+        loads_per_s: 16.0,
+        models: (0..models).map(model).collect(),
+    }
+}
+
+fn runner(at: usize, models: [&ModelName; 2]) -> ServerEntry {
+    let held = |model: &ModelName| HeldModel {
+        model: model.clone(),
+        version: 1,
+        adapters: Vec::new(),
+    };
+    ServerEntry {
+        name: ServerName::try_from(format!("runner-{at}")).expect("well formed"),
+        born: Some(1),
+        service: ServiceName::try_from("pool").expect("well formed"),
+        address: ([10, 0, 0, 1], 80).into(),
+        domain: domain(at as u64),
+        slots: 48,
+        phase: Phase::Ready,
+        cold: Duration::ZERO,
+        orders: 0,
+        models: models.into_iter().map(held).collect(),
+        warm: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
 /// The requests that are sent now.
 fn next(queue: &mut Queue, now: Instant) -> Vec<Asker> {
     let mut sent = Vec::new();
--- a/crates/pool/tests/placing.rs
+++ b/crates/pool/tests/placing.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{DomainName, MemberId, ModelName, ServerName, ServiceName};
-use chestnut_edge::{HeldModel, Phase, ServerEntry};
+use chestnut_edge::{Engine, HeldModel, Phase, ServerEntry};
 use chestnut_pool::moving::Move;
 use chestnut_pool::placing::{Placing, Scene};
 use chestnut_pool::{Asked, Speeds};
@@ -106,6 +106,20 @@
         }
     }
 
+    /// Has the planner decide, and carries out what it says.
+    fn plan(&mut self, placing: &mut Placing, declared: &Engine, now: Instant) {
+        let speeds = Speeds::default();
+        let scene = Scene {
+            runners: &self.runners,
+            fixed: &[],
+            engine: declared,
+            speeds: &speeds,
+        };
+        for change in placing.decide(&scene, now) {
+            self.take(&change, now);
+        }
+    }
+
     fn advance(&mut self, now: Instant) {
         let (done, rest) = std::mem::take(&mut self.under_way)
             .into_iter()
@@ -143,7 +157,6 @@
     runners[0] = runner("r0", &["hot", "x"]);
     let mut carried = Carried { runners, under_way: Vec::new() };
     let start = Instant::now();
-    let speeds = Speeds::default();
     let mut placing = Placing::new(start);
     let (mut old, mut hot) = (0.0, 0.0);
     let mut served = None;
@@ -158,15 +171,7 @@
             0,
             vec![(model("old"), of(old)), (model("hot"), of(hot))],
         );
-        let scene = Scene {
-            runners: &carried.runners,
-            fixed: &[],
-            engine: &declared,
-            speeds: &speeds,
-        };
-        for change in placing.decide(&scene, now) {
-            carried.take(&change, now);
-        }
+        carried.plan(&mut placing, &declared, now);
         if carried.replicas("hot") >= 5 {
             served.get_or_insert(now.duration_since(start));
         }
@@ -189,7 +194,6 @@
     runners.push(runner("r8", &["lost", "x"]));
     let mut carried = Carried { runners, under_way: Vec::new() };
     let start = Instant::now();
-    let speeds = Speeds::default();
     let mut placing = Placing::new(start);
     let (mut old, mut hot, mut lost) = (0.0, 0.0, 0.0);
     let mut served = None;
@@ -207,15 +211,7 @@
         let asked = [("old", old), ("hot", hot), ("lost", lost)];
         let asked = asked.map(|(name, prompt)| (model(name), of(prompt)));
         placing.count(MemberId(1), 0, asked.to_vec());
-        let scene = Scene {
-            runners: &carried.runners,
-            fixed: &[],
-            engine: &declared,
-            speeds: &speeds,
-        };
-        for change in placing.decide(&scene, now) {
-            carried.take(&change, now);
-        }
+        carried.plan(&mut placing, &declared, now);
         if gone && carried.replicas("lost") > 0 {
             served.get_or_insert(now.duration_since(start));
         }
