Tell apart what a request waits for and what its choice costs others

The estimate that picks a runner also says whether a caller is refused and when it is to come back. What a long prompt costs other streams is no wait: counted as one, it was refused, or told to stay away, for up to half a second that nobody waits (its test).

--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -88,7 +88,7 @@
         cost + runner.local
     };
     let best = runners.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-    let silent = Bid { cost: best.own, requests: 0 };
+    let silent = Bid { wait: best.own, cost: best.own, requests: 0 };
     let bid = bids.swap_remove(&best.name).unwrap_or(silent);
     if bid.cost.is_infinite() {
         return None;
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -94,7 +94,7 @@
             return pick_plain(job, avoid).await;
         }
         let chosen = ask::pick(job, avoid).await.ok_or(NoPlace::Nowhere)?;
-        let wait = Duration::from_secs_f64(chosen.bid.cost.max(0.0) / 1000.0);
+        let wait = Duration::from_secs_f64(chosen.bid.wait.max(0.0) / 1000.0);
         if job.shared.now() + wait > job.patience() {
             return Err(NoPlace::Full(wait));
         }
@@ -142,7 +142,7 @@
         let open = known.filter(|(_, server)| fleet.takes_work(server, now));
         open.map(|(key, server)| {
             let requests = server.own.requests;
-            Candidate { key, bid: Bid { cost: 0.0, requests } }
+            Candidate { key, bid: Bid { wait: 0.0, cost: 0.0, requests } }
         })
     };
     let place = chosen.and_then(|chosen| place(job, chosen));
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -52,6 +52,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Bid {
     /// The time to the first event, in milliseconds.
+    pub wait: f64,
+    /// That time, with what the request costs itself and others besides; the least is
+    /// chosen.
     pub cost: f64,
     /// Requests in flight there, from all daemons.
     pub requests: u32,
@@ -116,7 +119,7 @@
 ) -> Bid {
     let requests = runner.total(now).requests;
     if runner.unloads(&want.target.model) {
-        return Bid { cost: f64::INFINITY, requests };
+        return Bid { wait: f64::INFINITY, cost: f64::INFINITY, requests };
     }
     // The runner takes one order at a time.
     let busy = millis(runner.busy(now));
@@ -132,8 +135,8 @@
     let wait = millis(ahead.work).max(prepare).max(room);
     let reading = runner.reading(want, speeds);
     let pauses = pause_cost(runner, reading, requests, speeds.stay(), now);
-    let cost = wait + millis(reading) + f64::from(requests) * RUN_COST + pauses;
-    Bid { cost, requests }
+    let wait = wait + millis(reading) + f64::from(requests) * RUN_COST;
+    Bid { wait, cost: wait + pauses, requests }
 }
 
 /// What streams that are paused for too long cost, in milliseconds: those that run, if
@@ -185,7 +188,7 @@
     let candidate = |(key, server): (ServerKey, &Server)| {
         let requests = f64::from(server.own.requests);
         let cost = requests * RUN_COST + local_cost(server, domain, now);
-        let bid = Bid { cost, requests: server.own.requests };
+        let bid = Bid { wait: cost, cost, requests: server.own.requests };
         Candidate { key, bid }
     };
     servers.map(candidate).min_by(|a, b| a.bid.cost.total_cmp(&b.bid.cost))
--- a/crates/pool/tests/choose.rs
+++ b/crates/pool/tests/choose.rs
@@ -311,3 +311,25 @@
     assert!(even > 150, "{even} of 342 meet a long prompt if runners are filled evenly");
     assert!(together < 20, "{together} of 342 meet a long prompt");
 }
+
+#[test]
+fn what_a_choice_costs_others_is_no_wait() {
+    // Guards against refusing a long prompt as one that would wait for longer than its
+    // caller does, since it would pause others.
+    let now = Instant::now();
+    let mut runner = loaded(0, now);
+    runner.report(MemberId(1), usage(30, 0), now);
+    let room = Room {
+        requests: 30,
+        tokens: 100_000,
+        pause: Some(Duration::from_millis(250)),
+        step: Duration::from_millis(10),
+        event_steps: 3,
+    };
+    runner.lane.next(room, now);
+    let speeds = Speeds::default();
+    let bid = bid(&runner, &want(base("m"), 6000), &speeds, &engine(&[]), now);
+    let reading = runner.reading(&want(base("m"), 6000), &speeds).as_secs_f64() * 1000.0;
+    assert!(bid.wait < reading + 100.0, "{bid:?}");
+    assert!(bid.cost > bid.wait + 400.0, "{bid:?}");
+}
