--- a/crates/lab/src/decisions.rs
+++ b/crates/lab/src/decisions.rs
@@ -163,7 +163,7 @@
     let mut placing = Placing::new(now);
     let asked = |look: u32| {
         let asked = |(at, name): (usize, &&ModelName)| {
-            let busy = if at % 20 == 0 { 20.0 } else { 0.05 };
+            let busy = if at.is_multiple_of(20) { 20.0 } else { 0.05 };
             let requests = busy * f64::from(look + 1);
             let prompt = requests * 800.0;
             ((*name).clone(), Asked { requests, prompt, ..Asked::default() })
@@ -183,7 +183,7 @@
     let model = |at: usize| {
         let name = ModelName::try_from(format!("model-{at}")).expect("well formed");
         let model = Model {
-            weights_mb: if at % 2 == 0 { 34_300.0 } else { 16_100.0 },
+            weights_mb: if at.is_multiple_of(2) { 34_300.0 } else { 16_100.0 },
             adapters: 4,
             adapter_mb: 40.0,
             load: Duration::from_secs(2),
