--- a/crates/pool/src/lane.rs
+++ b/crates/pool/src/lane.rs
@@ -295,7 +295,7 @@
             if sum > limit {
                 return Some(last.end + room.step * (span - behind));
             }
-            behind += 1 + sent.idle;
+            behind = behind.saturating_add(1).saturating_add(sent.idle);
         }
         Some(last.end)
     }
--- a/crates/pool/tests/lane.rs
+++ b/crates/pool/tests/lane.rs
@@ -234,6 +234,24 @@
     assert!(matches!(lane.next(room(), start), Next::Send(_)));
 }
 
+#[test]
+fn a_runner_without_prompts_for_days_counts_no_old_prompt() {
+    // Guards against an overflow of the idle steps between prompts: an old prompt would count
+    // as one of the last few, or a debug build would panic.
+    let (start, step) = (Instant::now(), Duration::from_micros(100));
+    let room = Room { step, event_steps: 9, ..room() };
+    let mut lane = Lane::default();
+    let days = start + Duration::from_secs(8 * 24 * 3600);
+    for (number, now) in [(1, start), (2, days)] {
+        lane.push(waiting(number, 1500, 1, now));
+        assert!(matches!(lane.next(room, now), Next::Send(_)));
+    }
+    let third = waiting(3, 1500, 1, days);
+    let read = days + third.work + step;
+    lane.push(third);
+    assert_eq!(lane.next(room, days), Next::Wait(read));
+}
+
 #[test]
 fn a_caller_that_has_left_is_not_served() {
     let start = Instant::now();
