Load at the whole pace that is allowed, whoever needs the room by then

Now what may be saved up follows from the bounds that operators set (load_overshoot comes from the settings), and the target of a drain only counts while it lasts: room that is free is planned anew at each look, in the plan's order, by a plan that evicts nothing.

Ruled out: too little room (20 to 37 runners of 112 held a single model), the look's period.

--- a/crates/demo/src/platform/stage.rs
+++ b/crates/demo/src/platform/stage.rs
@@ -43,6 +43,7 @@
     fenced: true,
     turn: Duration::from_millis(300),
     load_window: Duration::from_secs(5),
+    load_overshoot: 1.1,
 };
 
 /// The running stand-ins and daemons.
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -167,10 +167,12 @@
         runners.retain(|runner| !placing.is_lost(&runner.name, daemons, now));
     }
     let fixed = fixed(shared, &runners);
+    let bound = shared.bounds.borrow().loads(engine);
     let changes: Vec<Move> = {
         let mut plans = shared.plans();
         let speeds = shared.speeds();
-        let scene = Scene { runners: &runners, fixed: &fixed, engine, speeds: &speeds };
+        let scene =
+            Scene { runners: &runners, fixed: &fixed, engine, bound, speeds: &speeds };
         let Some(placing) = plans.get_mut(service) else { return };
         for change in placing.decide(&scene, now) {
             let demand = change.load.as_ref().map(|model| placing.demand(model));
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use chestnut_base::{DomainName, VmName};
+use chestnut_edge::Engine;
 use chestnut_member::WHOLE_CORE;
+use chestnut_pool::LoadBound;
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
@@ -49,6 +51,10 @@
     1.0
 }
 
+fn no_overshoot() -> f64 {
+    1.0
+}
+
 /// The checked settings of one daemon.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Settings {
@@ -112,6 +118,20 @@
     #[serde(rename = "load_window_s")]
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub load_window: Duration,
+    /// How many times the declared rate the loads of a window may be, at least 1.
+    #[serde(default = "no_overshoot")]
+    pub load_overshoot: f64,
+}
+
+impl Bounds {
+    /// What operators allow of loads from the weight store.
+    pub fn loads(&self, engine: &Engine) -> LoadBound {
+        LoadBound {
+            rate: engine.loads_per_s,
+            window: self.load_window,
+            overshoot: self.load_overshoot,
+        }
+    }
 }
 
 impl Settings {
@@ -166,6 +186,13 @@
                 "give a number between 0 and 1",
             ));
         }
+        if !(self.bounds.load_overshoot >= 1.0 && self.bounds.load_overshoot.is_finite())
+        {
+            return Err(SettingsError::Value(
+                "bounds.load_overshoot",
+                "give a number of 1 or more",
+            ));
+        }
         if self.bounds.stop < Duration::from_secs(1) {
             return Err(SettingsError::Value("bounds.stop_s", "give a second or more"));
         }
--- a/crates/lab/src/decisions.rs
+++ b/crates/lab/src/decisions.rs
@@ -11,7 +11,9 @@
 };
 use chestnut_edge::{Engine, HeldModel, Model, Phase, ServerEntry};
 use chestnut_pool::placing::{Placing, Scene};
-use chestnut_pool::{Asked, Asker, Listed, Outcome, PlainWant, Queue, QueueStep, Speeds};
+use chestnut_pool::{
+    Asked, Asker, Listed, LoadBound, Outcome, PlainWant, Queue, QueueStep, Speeds,
+};
 use chestnut_route::{Ask, Candidate, Note, Policy, Report, Router};
 
 /// Requests that a server of a plain service runs at the same time, as the users' do.
@@ -159,7 +161,10 @@
         |at: usize| runner(at, [names[at % models], names[(at * 7 + 1) % models]]);
     let entries: Vec<ServerEntry> = (0..runners).map(entry).collect();
     let speeds = Speeds::default();
-    let scene = Scene { runners: &entries, fixed: &[], engine: &engine, speeds: &speeds };
+    let window = Duration::from_secs(5);
+    let bound = LoadBound { rate: engine.loads_per_s, window, overshoot: 1.1 };
+    let scene =
+        Scene { runners: &entries, fixed: &[], engine: &engine, bound, speeds: &speeds };
     let mut placing = Placing::new(now);
     let asked = |look: u32| {
         let asked = |(at, name): (usize, &&ModelName)| {
--- a/crates/lab/src/moves/mod.rs
+++ b/crates/lab/src/moves/mod.rs
@@ -206,6 +206,7 @@
         runners: (0..runners).map(state).collect(),
         throughput: THROUGHPUT,
         parallel: models * 2,
+        frozen: false,
         attainment_weight: 1.0,
         move_weight: 1.0,
         horizon: chestnut_place::planner::HORIZON,
--- a/crates/lab/src/moves/policy.rs
+++ b/crates/lab/src/moves/policy.rs
@@ -112,6 +112,7 @@
             models: (0..site.models.len()).map(model).collect(),
             throughput: site.throughput,
             parallel: site.parallel,
+            frozen: false,
             attainment_weight: site.attainment_weight,
             move_weight: site.move_weight,
             horizon: chestnut_place::planner::HORIZON,
--- a/crates/node/src/planner.rs
+++ b/crates/node/src/planner.rs
@@ -163,7 +163,7 @@
         let state = scene.state(&self.averages, &mut self.awaited, now);
         let placement = plan(&state);
         counters.rounds.inc();
-        counters.replicas.inc_by(placement.moves as u64);
+        counters.replicas.inc_by(placement.added.len() as u64);
         let (plans, unplaced) = scene.rows(&state, &placement);
         counters.unplaced.set(unplaced.len() as i64);
         let mut txns = Vec::new();
--- a/crates/node/src/planner/scene.rs
+++ b/crates/node/src/planner/scene.rs
@@ -109,6 +109,7 @@
             models,
             throughput: f64::from(self.declared.streams.max(1)) / step,
             parallel: self.declared.parallel_loads.max(1) as usize,
+            frozen: false,
             attainment_weight: self.declared.attainment_weight,
             move_weight: self.declared.move_weight,
             horizon: chestnut_place::planner::HORIZON,
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -61,6 +61,8 @@
     pub throughput: f64,
     /// Loads that may be under way at the same time.
     pub parallel: usize,
+    /// Whether replicas stay where they are, so that only room that is free is used.
+    pub frozen: bool,
     /// What one percent of a runner's throughput is worth.
     pub attainment_weight: f64,
     /// What one move costs.
@@ -112,8 +114,18 @@
     pub placed: Vec<Vec<usize>>,
     /// Models for which there is no room, with the number of missing replicas.
     pub unplaced: Vec<(usize, usize)>,
-    /// Replicas that this plan adds.
-    pub moves: usize,
+    /// Replicas that this plan adds, as model and runner, the most urgent first.
+    pub added: Vec<(usize, usize)>,
+}
+
+impl PoolState {
+    /// The memory of a runner that no model takes, in bytes.
+    pub fn room(&self, runner: usize) -> u64 {
+        let state = &self.runners[runner];
+        let here = self.models.iter().filter(|model| model.placed.contains(&runner));
+        let taken: u64 = here.map(|model| model.bytes).sum();
+        state.capacity.saturating_sub(state.other).saturating_sub(taken)
+    }
 }
 
 /// Plans the next steps from the present placement.
@@ -123,7 +135,7 @@
     planner.improve();
     planner.repair_first(|_| true);
     planner.repair_rest();
-    Placement { placed: planner.placed, unplaced: planner.unplaced, moves: planner.moves }
+    Placement { placed: planner.placed, unplaced: planner.unplaced, added: planner.added }
 }
 
 /// A place for a replica.
@@ -155,7 +167,7 @@
     /// replicas of other models may go.
     sparse: bool,
     unplaced: Vec<(usize, usize)>,
-    moves: usize,
+    added: Vec<(usize, usize)>,
 }
 
 impl<'a> Planner<'a> {
@@ -186,7 +198,7 @@
             touched: Vec::new(),
             sparse: false,
             unplaced: Vec::new(),
-            moves: 0,
+            added: Vec::new(),
         };
         planner.rebalance();
         planner
@@ -237,7 +249,7 @@
     /// Makes room for a model that fits nowhere: gives the last replica of
     /// another one a second place, so that a later plan can drop the first.
     fn make_way(&mut self, model: usize) {
-        if self.budget == 0 {
+        if self.budget == 0 || self.pool.frozen {
             return;
         }
         let needed = self.pool.models[model].bytes;
@@ -387,6 +399,9 @@
         if room >= needed {
             return Some(site);
         }
+        if self.pool.frozen {
+            return None;
+        }
         let mut spare: Vec<_> = self.held[runner]
             .iter()
             .filter(|other| self.is_extra(**other) && !self.is_touched(**other, runner))
@@ -446,7 +461,7 @@
         if !self.has_copy(model, site.runner) {
             self.budget = self.budget.saturating_sub(1);
         }
-        self.moves += 1;
+        self.added.push((model, site.runner));
         self.rebalance();
     }
 
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -25,6 +25,7 @@
         models,
         throughput: 1_000.0,
         parallel: 2,
+        frozen: false,
         attainment_weight: 1.0,
         move_weight: 1.0,
         horizon: chestnut_place::planner::HORIZON,
@@ -37,7 +38,7 @@
     let mut last = Placement::default();
     for _ in 0..ROUNDS {
         last = plan(pool);
-        moves += last.moves;
+        moves += last.added.len();
         for (model, placed) in pool.models.iter_mut().zip(&last.placed) {
             model.placed.clone_from(placed);
         }
@@ -92,7 +93,7 @@
         let mut pool = pool((0..4).map(|at| runner(at % 2, 80)).collect(), models.collect());
         settle(&mut pool);
         let again = plan(&pool);
-        prop_assert_eq!(again.moves, 0);
+        prop_assert_eq!(again.added.len(), 0);
     }
 }
 
@@ -149,7 +150,7 @@
     pool.move_weight = 2.0;
     pool.horizon = Duration::from_secs(20);
     let placement = plan(&pool);
-    assert!(placement.moves <= 9);
+    assert!(placement.added.len() <= 9);
 }
 
 #[test]
@@ -182,7 +183,7 @@
     pool.runners[0].stays = false;
     pool.parallel = 1;
     let next = plan(&pool);
-    assert_eq!(next.moves, 1);
+    assert_eq!(next.added.len(), 1);
     assert!(next.placed[0].iter().any(|at| *at != 0));
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -42,7 +42,7 @@
 pub use fleet::{Fleet, Server, ServerKey};
 pub use health::Health;
 pub use lane::{Ahead, Lane, Next, Room, Ticket, Waiting};
-pub use pace::Pace;
+pub use pace::{LoadBound, Pace};
 pub use prefix::Prefixes;
 pub use queue::{Asker, Listed, Outcome, PlainWant, Queue, QueueStep};
 pub use runner::{AdapterNeed, AdapterState, Runner};
--- a/crates/pool/src/moving.rs
+++ b/crates/pool/src/moving.rs
@@ -3,6 +3,9 @@
 //! A model that makes room goes only when its runs have ended, and a load takes seconds
 //! after that. Meanwhile the registry lists what was; a planner that goes by it alone
 //! would decide the same again elsewhere, or drop a model's last replica.
+//!
+//! Room that was made is not bound to the model for which it was made: the runs take
+//! seconds to end, and demand may have turned by then.
 
 use std::time::{Duration, Instant};
 
@@ -69,7 +72,12 @@
         }
     }
 
-    /// The model that is loaded once there is room.
+    /// The model that the runner is to hold in the end.
+    pub fn wants(&self) -> Option<&ModelName> {
+        self.change.load.as_ref()
+    }
+
+    /// The model that room is made for.
     pub fn awaits_room(&self) -> Option<&ModelName> {
         match self.stage {
             Stage::Draining(_) => self.change.load.as_ref(),
@@ -92,10 +100,13 @@
 
     /// Whether the move is under way still, as far as the registry tells.
     pub fn lasts(&self, runner: &ServerEntry, now: Instant) -> bool {
-        let loaded = self.change.load.as_ref().is_none_or(|model| runner.holds(model));
         match self.stage {
-            Stage::Draining(until) => now < until && !(loaded && self.is_drained(runner)),
-            Stage::Loading(until) => now < until && !loaded,
+            Stage::Draining(until) => now < until && !self.is_drained(runner),
+            Stage::Loading(until) => {
+                let loaded =
+                    self.change.load.as_ref().is_none_or(|model| runner.holds(model));
+                now < until && !loaded
+            }
         }
     }
 }
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -20,7 +20,7 @@
 use crate::demand::{Asked, Demands};
 use crate::lost::Lost;
 use crate::moving::{Move, Moving};
-use crate::pace::Pace;
+use crate::pace::{LoadBound, Pace};
 use crate::speed::Speeds;
 
 /// What one runner serves in time, in runners.
@@ -86,6 +86,8 @@
     pub fixed: &'a [ServerName],
     /// What is declared of them.
     pub engine: &'a Engine,
+    /// What operators allow of loads from the weight store.
+    pub bound: LoadBound,
     /// How fast they read prompts.
     pub speeds: &'a Speeds,
 }
@@ -134,8 +136,8 @@
     pub fn decide(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
         self.demands.average(scene.engine, scene.speeds, now);
         self.forget_done(scene, now);
-        let mut fresh = self.fill_room(scene, now);
-        fresh.extend(self.loads(scene, now));
+        let mut fresh = self.loads(scene, now);
+        fresh.extend(self.drains(scene, now));
         fresh.extend(self.drops(scene, now));
         fresh
     }
@@ -153,33 +155,6 @@
         });
     }
 
-    /// Begins loads on runners that have made room for them.
-    fn fill_room(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
-        let mut fresh = Vec::new();
-        let missing = self.missing(scene);
-        let mut runners: Vec<&ServerEntry> = scene.runners.iter().collect();
-        // Models that nobody holds go first.
-        runners.sort_by_key(|runner| {
-            let moving = self.moving.get(&runner.name);
-            let model = moving.and_then(Moving::awaits_room);
-            !model.is_some_and(|model| missing.contains(model))
-        });
-        for runner in runners {
-            let Some(moving) = self.moving.get(&runner.name) else { continue };
-            let Some(model) = moving.awaits_room().cloned() else { continue };
-            // Operators may have removed it meanwhile.
-            let Some(declared) = scene.engine.models.get(&model) else { continue };
-            let (drained, change) = (moving.is_drained(runner), moving.change.clone());
-            if drained && self.may_load(scene, runner, &model, now) {
-                let time = runner.load_time(&model, declared);
-                let moving = Moving::load(change, time, now);
-                fresh.push(moving.step());
-                self.moving.insert(runner.name.clone(), moving);
-            }
-        }
-        fresh
-    }
-
     /// Models that no runner holds or is loading.
     fn missing(&self, scene: &Scene) -> Vec<ModelName> {
         let held = scene.runners.iter().flat_map(|runner| &runner.models);
@@ -201,53 +176,72 @@
         if is_near(runner, model) {
             return true;
         }
-        let free = self.pace.left(scene.engine.loads_per_s, now) > 0;
+        let free = self.pace.left(scene.bound, now) > 0;
         if free {
             self.pace.take();
         }
         free
     }
 
+    /// Begins loads into room that is free, whatever it was made for.
     fn loads(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
-        let parallel = self.loads_ahead(scene, now) + self.loading();
-        let pool = self.pool_state(scene, parallel);
-        let placement = plan(&pool);
+        let parallel = self.pace.left(scene.bound, now) + self.count_moves(Moving::loads);
+        let mut pool = self.pool_state(scene, Moving::loads);
+        (pool.parallel, pool.frozen) = (parallel, true);
+        for (state, runner) in pool.runners.iter_mut().zip(scene.runners) {
+            state.fixed |= self.moving.contains_key(&runner.name);
+        }
         let mut fresh = Vec::new();
-        for change in moves(scene, &pool, &placement) {
+        for change in moves(scene, &pool, &plan(&pool)) {
             let Some(model) = change.load.clone() else { continue };
-            if self.moving.contains_key(&change.server) {
-                continue;
-            }
             let mut runners = scene.runners.iter();
             let runner = runners.find(|runner| runner.name == change.server);
             let Some(runner) = runner else { continue };
-            let moving = if !change.drop.is_empty() {
-                Moving::drain(change, now)
-            } else if self.may_load(scene, runner, &model, now) {
+            if !self.moving.contains_key(&runner.name)
+                && self.may_load(scene, runner, &model, now)
+            {
                 let time = runner.load_time(&model, &scene.engine.models[&model]);
-                Moving::load(change, time, now)
-            } else {
+                let moving = Moving::load(change, time, now);
+                fresh.push(moving.step());
+                self.moving.insert(runner.name.clone(), moving);
+            }
+        }
+        fresh
+    }
+
+    /// Has runners make room for loads that can begin by then.
+    fn drains(&mut self, scene: &Scene, now: Instant) -> Vec<Move> {
+        let parallel = self.loads_ahead(scene, now) + self.count_moves(Moving::wants);
+        let mut pool = self.pool_state(scene, Moving::wants);
+        pool.parallel = parallel;
+        let mut fresh = Vec::new();
+        for change in moves(scene, &pool, &plan(&pool)) {
+            if change.drop.is_empty() || self.moving.contains_key(&change.server) {
                 continue;
-            };
+            }
+            let moving = Moving::drain(change, now);
             fresh.push(moving.step());
-            self.moving.insert(runner.name.clone(), moving);
+            self.moving.insert(moving.change.server.clone(), moving);
         }
         fresh
     }
 
+    fn count_moves(&self, which: impl Fn(&Moving) -> Option<&ModelName>) -> usize {
+        self.moving.values().filter(|moving| which(moving).is_some()).count()
+    }
+
     /// The loads from the weight store that may be planned now: they can begin once a
-    /// runner has made room, beside those that wait for room already. Models that nobody
-    /// holds don't wait for those.
+    /// runner has made room, beside those for which runners make room already. Models that
+    /// nobody holds don't wait for those.
     fn loads_ahead(&mut self, scene: &Scene, now: Instant) -> usize {
-        let rate = scene.engine.loads_per_s;
-        let soon = (rate * DRAIN_AHEAD.as_secs_f64()) as usize;
+        let soon = (scene.bound.rate * DRAIN_AHEAD.as_secs_f64()) as usize;
         let waits = |runner: &ServerEntry| {
             let moving = self.moving.get(&runner.name);
             let model = moving.and_then(Moving::awaits_room);
             model.is_some_and(|model| !is_near(runner, model))
         };
         let waiting = scene.runners.iter().filter(|runner| waits(runner)).count();
-        let ahead = (self.pace.left(rate, now) + soon).saturating_sub(waiting);
+        let ahead = (self.pace.left(scene.bound, now) + soon).saturating_sub(waiting);
         ahead.max(self.missing(scene).len())
     }
 
@@ -303,7 +297,12 @@
         each < WORTH_KEEPING * THROUGHPUT
     }
 
-    fn pool_state(&self, scene: &Scene, parallel: usize) -> PoolState {
+    /// The pool as it is once what `coming` tells of moves has been loaded.
+    fn pool_state(
+        &self,
+        scene: &Scene,
+        coming: impl Fn(&Moving) -> Option<&ModelName> + Copy,
+    ) -> PoolState {
         let runners = scene.runners;
         let domains: IndexSet<&DomainName> =
             runners.iter().map(|runner| &runner.domain).collect();
@@ -316,8 +315,9 @@
         };
         let planned = self.planned(scene.engine);
         let names = scene.engine.models.keys();
-        let models: Vec<ModelState> =
-            names.map(|name| self.model_state(scene, name, planned[name])).collect();
+        let models: Vec<ModelState> = names
+            .map(|name| self.model_state(scene, name, planned[name], coming))
+            .collect();
         let asked: f64 = models.iter().map(|model| model.demand).sum();
         // When more is asked for than the pool can serve, every runner is overloaded
         // and no move seems to gain; what counts then is the balance.
@@ -326,7 +326,8 @@
             runners: runners.iter().map(runner_state).collect(),
             models,
             throughput: THROUGHPUT.max(even),
-            parallel,
+            parallel: 0,
+            frozen: false,
             attainment_weight: 1.0,
             move_weight: MOVE_WEIGHT,
             horizon: HORIZON,
@@ -338,10 +339,6 @@
         failed || scene.fixed.contains(&runner.name)
     }
 
-    fn loading(&self) -> usize {
-        self.moving.values().filter(|moving| moving.change.load.is_some()).count()
-    }
-
     /// The demand to plan for: models that many ask for may soon be asked for more.
     fn planned(&self, engine: &Engine) -> IndexMap<ModelName, f64> {
         let demand = |name: &ModelName| self.demand(name);
@@ -356,16 +353,18 @@
         engine.models.keys().map(planned).collect()
     }
 
-    fn model_state(&self, scene: &Scene, name: &ModelName, demand: f64) -> ModelState {
+    fn model_state(
+        &self,
+        scene: &Scene,
+        name: &ModelName,
+        demand: f64,
+        coming: impl Fn(&Moving) -> Option<&ModelName>,
+    ) -> ModelState {
         let declared = &scene.engine.models[name];
-        let moving = |runner: &ServerEntry| {
-            self.moving.get(&runner.name).map(|moving| &moving.change)
-        };
-        let loads = |runner: &ServerEntry| {
-            moving(runner).is_some_and(|change| change.load.as_ref() == Some(name))
-        };
+        let moving = |runner: &ServerEntry| self.moving.get(&runner.name);
+        let loads = |runner: &ServerEntry| moving(runner).and_then(&coming) == Some(name);
         let drops = |runner: &ServerEntry| {
-            moving(runner).is_some_and(|change| change.drop.contains(name))
+            moving(runner).is_some_and(|moving| moving.change.drop.contains(name))
         };
         let there =
             |runner: &ServerEntry| loads(runner) || runner.holds(name) && !drops(runner);
@@ -398,21 +397,27 @@
     held + largest + engine.adapter_reserve() <= engine.memory_mb
 }
 
-/// The changes that lead from what runners hold to a placement.
+/// The changes that lead from what runners hold to a placement, in its order; a runner
+/// carries out one at a time.
 fn moves(scene: &Scene, pool: &PoolState, placement: &Placement) -> Vec<Move> {
     let models: Vec<&ModelName> = scene.engine.models.keys().collect();
-    let mut moves = Vec::new();
-    for (index, runner) in scene.runners.iter().enumerate() {
-        let wanted = |model: &usize| placement.placed[*model].contains(&index);
-        let before = |model: &usize| pool.models[*model].placed.contains(&index);
-        let load = (0..models.len()).find(|model| wanted(model) && !before(model));
-        let Some(load) = load else { continue };
-        let drop = (0..models.len()).filter(|model| before(model) && !wanted(model));
-        moves.push(Move {
-            server: runner.name.clone(),
+    let mut moves: IndexMap<usize, Move> = IndexMap::new();
+    for (load, runner) in placement.added.iter().copied() {
+        let wanted = |model: &usize| placement.placed[*model].contains(&runner);
+        let before = |model: &usize| pool.models[*model].placed.contains(&runner);
+        // What the plan itself has added and evicted again.
+        if !wanted(&load) {
+            continue;
+        }
+        // What goes for a second load of the plan stays for now.
+        let fits = pool.room(runner) >= pool.models[load].bytes;
+        let goes = |model: &usize| before(model) && !wanted(model) && !fits;
+        let drop = (0..models.len()).filter(goes);
+        moves.entry(runner).or_insert_with(|| Move {
+            server: scene.runners[runner].name.clone(),
             drop: drop.map(|model| models[model].clone()).collect(),
             load: Some(models[load].clone()),
         });
     }
-    moves
+    moves.into_values().collect()
 }
--- a/crates/pool/tests/bounds.rs
+++ b/crates/pool/tests/bounds.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_pool::budget::RetryBound;
-use chestnut_pool::{Pace, RetryBudget};
+use chestnut_pool::{LoadBound, Pace, RetryBudget};
 use proptest::prelude::*;
 
 const BOUND: RetryBound =
@@ -21,6 +21,28 @@
     assert_eq!(budget.remembered(), 11);
 }
 
+fn load_bound(rate: f64) -> LoadBound {
+    LoadBound { rate, window: Duration::from_secs(5), overshoot: 1.1 }
+}
+
+#[test]
+fn a_fast_weight_store_is_used_whole() {
+    // Guards against saving up less than what accrues between two looks of the planner: of
+    // sixteen loads a second that are allowed, eight begin.
+    let bound = load_bound(16.0);
+    let start = Instant::now();
+    let mut pace = Pace::new(start);
+    let mut begun = 0;
+    for look in 1..=20 {
+        let now = start + Duration::from_millis(250) * look;
+        while pace.left(bound, now) > 0 {
+            pace.take();
+            begun += 1;
+        }
+    }
+    assert!((78..=91).contains(&begun), "{begun} loads in five seconds");
+}
+
 proptest! {
     // All servers fail, and every daemon repeats all it may. In no window do the repeats
     // of all daemons together exceed what operators allow for the requests of that
@@ -75,8 +97,9 @@
     fn loads_stay_within_the_ceiling(
         waits in prop::collection::vec(0u64..400, 1..300),
         takeover in 0usize..300,
+        rate in prop_oneof![Just(1.1), Just(2.1), 0.1..30.0],
     ) {
-        let rate = 1.1;
+        let bound = load_bound(rate);
         let mut now = Instant::now();
         let mut pace = Pace::new(now);
         let mut loads: Vec<Instant> = Vec::new();
@@ -85,11 +108,11 @@
             if index == takeover {
                 pace = Pace::new(now);
             }
-            while pace.left(rate, now) > 0 {
+            while pace.left(bound, now) > 0 {
                 pace.take();
                 loads.push(now);
             }
-            let window = Duration::from_secs(5);
+            let window = bound.window;
             let begun = loads.iter().filter(|at| now.duration_since(**at) <= window).count();
             prop_assert!(begun as f64 <= rate * 5.0 * 1.1 + 3.0);
         }
--- a/crates/pool/tests/placing.rs
+++ b/crates/pool/tests/placing.rs
@@ -8,7 +8,7 @@
 use chestnut_edge::{Engine, HeldModel, Phase, ServerEntry};
 use chestnut_pool::moving::Move;
 use chestnut_pool::placing::{Placing, Scene};
-use chestnut_pool::{Asked, Speeds};
+use chestnut_pool::{Asked, LoadBound, Speeds};
 
 use support::{engine, model};
 
@@ -37,6 +37,11 @@
     }
 }
 
+fn bound(engine: &Engine) -> LoadBound {
+    let window = Duration::from_secs(5);
+    LoadBound { rate: engine.loads_per_s, window, overshoot: 1.1 }
+}
+
 /// Prompts of so many tokens in all.
 fn of(prompt: f64) -> Asked {
     Asked { prompt, ..Asked::default() }
@@ -75,6 +80,7 @@
             runners: &runners,
             fixed: &fixed,
             engine: &declared,
+            bound: bound(&declared),
             speeds: &speeds,
         };
         for change in placing.decide(&scene, now) {
@@ -113,6 +119,7 @@
             runners: &self.runners,
             fixed: &[],
             engine: declared,
+            bound: bound(declared),
             speeds: &speeds,
         };
         for change in placing.decide(&scene, now) {
@@ -221,6 +228,36 @@
     assert!(served < Duration::from_secs(9), "{served:?}");
 }
 
+#[test]
+fn room_goes_to_the_model_that_needs_it_by_then() {
+    // Guards against loading what was in demand when a runner began to make room: the burst
+    // is over when the runs on it have ended, and the model that callers ask for now waits
+    // for its turn behind loads that nobody wants.
+    let models = [("old", 80.0), ("burst", 80.0), ("hot", 80.0), ("x", 80.0)];
+    let declared = engine(&models);
+    let mut runners: Vec<ServerEntry> =
+        (0..8).map(|at| runner(&format!("r{at}"), &["old", "x"])).collect();
+    runners[0] = runner("r0", &["burst", "hot"]);
+    let mut carried = Carried { runners, under_way: Vec::new() };
+    let start = Instant::now();
+    let mut placing = Placing::new(start);
+    let (mut burst, mut hot) = (0.0, 0.0);
+    for look in 1..46 {
+        let now = start + PERIOD * look;
+        carried.advance(now);
+        let gone = now.duration_since(start).as_secs_f64();
+        let (more, less) = (15_000.0, 500.0);
+        burst += if (3.0..5.0).contains(&gone) { more } else { less };
+        hot += if gone >= 5.0 { more } else { less };
+        let asked = [("burst", burst), ("hot", hot)];
+        let asked = asked.map(|(name, prompt)| (model(name), of(prompt)));
+        placing.count(MemberId(1), 0, asked.to_vec());
+        carried.plan(&mut placing, &declared, now);
+    }
+    let replicas = (carried.replicas("burst"), carried.replicas("hot"));
+    assert!(replicas.0 <= 2 && replicas.1 >= 4, "{replicas:?}");
+}
+
 #[test]
 fn what_a_daemon_tells_in_parts_counts_once() {
     // Guards against a planner that takes over and counts the second part of what a daemon
@@ -230,8 +267,13 @@
     let start = Instant::now();
     let speeds = Speeds::default();
     let mut placing = Placing::new(start);
-    let scene =
-        Scene { runners: &runners, fixed: &[], engine: &declared, speeds: &speeds };
+    let scene = Scene {
+        runners: &runners,
+        fixed: &[],
+        engine: &declared,
+        bound: bound(&declared),
+        speeds: &speeds,
+    };
     let mut tell = |asked: f64, look: u32| {
         placing.count(MemberId(1), 0, vec![(model("a"), of(asked))]);
         placing.count(MemberId(1), 1, vec![(model("b"), of(asked))]);
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -180,7 +180,7 @@
             "ports": ports, "store": store,
             "bounds": {
                 "stop_s": 8, "directory_s": 5, "retry_ratio": 0.2, "retry_slack": 52,
-                "retry_window_s": 10, "fenced": true, "turn_ms": 300, "load_window_s": 5,
+                "retry_window_s": 10, "fenced": true, "turn_ms": 300, "load_window_s": 5, "load_overshoot": 1.1,
             },
         });
         let path = self.dir.join(format!("vm{number}.json"));
