--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -324,8 +324,8 @@
     fn excess(&self, model: usize) -> f64 {
         let limit = FILL * self.pool.throughput;
         let over = |runner: &usize| (self.balance.loads[*runner] - limit).max(0.0);
-        let sum: f64 = self.placed[model].iter().map(over).sum();
-        sum.min(self.pool.models[model].demand)
+        let shares = self.placed[model].iter().zip(&self.balance.shares[model]);
+        shares.map(|(runner, share)| over(runner).min(*share)).sum()
     }
 
     /// What a further replica is worth less what it costs.
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -251,3 +251,22 @@
     let replicas: Vec<usize> = last.placed.iter().map(Vec::len).collect();
     assert_eq!(replicas, [2, 3, 2, 1]);
 }
+
+#[test]
+fn a_model_beside_an_overloaded_one_is_not_taken_for_overloaded() {
+    // Guards against replicas of a model that has all it needs elsewhere, since one of its
+    // runners is overloaded by another model: they take the room and the loads that the
+    // other one needs.
+    let mut hot = model(55, 1, 3_000.0);
+    let mut small = model(10, 1, 300.0);
+    hot.placed = vec![0];
+    small.placed = vec![0, 1];
+    // No runner has room for another replica of the one that is overloaded.
+    let mut runners: Vec<_> = (0..8).map(|_| runner(0, 60)).collect();
+    (runners[0].capacity, runners[1].other) = (80, 10);
+    let mut rest = model(30, 6, 0.0);
+    rest.placed = (2..8).collect();
+    let pool = PoolState { parallel: 4, ..pool(runners, vec![hot, small, rest]) };
+    let added = plan(&pool).added;
+    assert!(added.is_empty(), "{added:?}");
+}
