Take how fresh copies of the store's tables have to be from the operators' bounds

Cause: the reader of each table asked the store again after half a second in calm and after 60 ms where rows changed, on deployments that allow changes three and four seconds as on those that allow two.

Now a copy counts as up to date for three quarters of the shorter of apply_ms and leave_ms, the reader's call is held for a third of that, and a table that changes all the time is read every 150 ms.

--- a/crates/demo/src/platform/stage.rs
+++ b/crates/demo/src/platform/stage.rs
@@ -42,6 +42,8 @@
     retry_window: Duration::from_secs(10),
     fenced: true,
     turn: Duration::from_millis(300),
+    apply: Duration::from_secs(2),
+    leave: Duration::from_secs(2),
     load_window: Duration::from_secs(5),
     load_overshoot: 1.1,
 };
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -25,20 +25,23 @@
 use crate::store::{self, Fetch, StoreFault};
 use crate::{claims, learnt, members};
 
-/// How long the store may hold the reader's call that waits for changes.
-///
-/// With the beats' period and an answer's delay it keeps below [`FRESH`].
-const HOLD: Duration = Duration::from_millis(500);
+/// The part of [`fresh`] for which the store may hold the reader's call that waits for
+/// changes; the beats' period and an answer's delay take of the rest.
+const HOLD_PART: u32 = 3;
 
-/// How much later than `HOLD` an answer may come.
+/// How much later than the store holds a call its answer may come.
 const HOLD_SLACK: Duration = Duration::from_millis(300);
 
-/// How long a copy counts as up to date after the store confirmed it.
+/// The share of the time in which changes have to be in force for which a copy counts as
+/// up to date after the store confirmed it.
 ///
-/// Changes have to be in force within two seconds; a read of its own takes a daemon
-/// some milliseconds. The word of the store takes up to a call's hold and, among
-/// thousands of daemons, three or four beats.
-const FRESH: Duration = Duration::from_millis(1500);
+/// A read of its own takes a daemon some milliseconds. The word of the store takes up to a
+/// call's hold and, among thousands of daemons, three or four beats.
+const FRESH_SHARE: f64 = 0.75;
+
+/// How long a copy counts as up to date at most: orders to engines that check no fences
+/// need claims that the store has confirmed lately.
+const FRESH_MOST: Duration = Duration::from_secs(3);
 
 /// How much later than the first daemon each next one reads the store itself, so
 /// that one read serves all.
@@ -55,8 +58,8 @@
 /// What is fetched from another daemon while the store turns this one away.
 const FETCH_ALL: Fetch = Fetch { limit: 8 << 20, wait: Duration::from_millis(2500) };
 
-/// The pause between changes of a table that changes all the time.
-const BREATH: Duration = Duration::from_millis(60);
+/// The pause between reads of a table that changes all the time.
+const READ_PAUSE: Duration = Duration::from_millis(150);
 
 /// The pause after a read that failed, in which news of others may come.
 const PAUSE: Duration = Duration::from_millis(60);
@@ -205,12 +208,12 @@
         // Right after its start a daemon knows no others and takes itself for the reader.
         let settled = self.shared.age() > SETTLED;
         if rank == 0 && settled && may_call {
-            return Source::Store(HOLD);
+            return Source::Store(fresh(&self.shared) / HOLD_PART);
         }
         if let Some(addr) = self.newer_peer(now) {
             return Source::Peer(addr);
         }
-        let limit = FRESH + STAGGER * rank.min(10) as u32;
+        let limit = fresh(&self.shared) + STAGGER * rank.min(10) as u32;
         match self.age() {
             Some(age) if age < limit => Source::Nobody,
             _ if !may_call => Source::Nobody,
@@ -306,7 +309,7 @@
         if busy {
             // Others learn of it at once, and the store is not asked for each row.
             members::tell_news(&self.shared);
-            sleep(BREATH).await;
+            sleep(READ_PAUSE).await;
         }
         Ok(())
     }
@@ -354,6 +357,12 @@
     }
 }
 
+/// How long a copy counts as up to date after the store confirmed it.
+fn fresh(shared: &Shared) -> Duration {
+    let bounds = shared.bounds.borrow();
+    bounds.apply.min(bounds.leave).mul_f64(FRESH_SHARE).min(FRESH_MOST)
+}
+
 /// This daemon's place in the order in which daemons read a table; 0 is the reader.
 fn rank(shared: &Shared, table: &str) -> usize {
     let me = &shared.settings.vm;
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -51,6 +51,10 @@
     1.0
 }
 
+fn two_seconds() -> Duration {
+    Duration::from_secs(2)
+}
+
 fn no_overshoot() -> f64 {
     1.0
 }
@@ -114,6 +118,14 @@
     #[serde(rename = "turn_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub turn: Duration,
+    /// How long declarations may take to be in force after the store has taken them.
+    #[serde(rename = "apply_ms", default = "two_seconds")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub apply: Duration,
+    /// How long a server may be sent requests after the store has taken that it leaves.
+    #[serde(rename = "leave_ms", default = "two_seconds")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub leave: Duration,
     /// The window in which loads from the weight store are counted.
     #[serde(rename = "load_window_s")]
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
@@ -193,6 +205,13 @@
                 "give a number of 1 or more",
             ));
         }
+        let short = |time: Duration| time < Duration::from_millis(500);
+        if short(self.bounds.apply) {
+            return Err(SettingsError::Value("bounds.apply_ms", "give 500 or more"));
+        }
+        if short(self.bounds.leave) {
+            return Err(SettingsError::Value("bounds.leave_ms", "give 500 or more"));
+        }
         if self.bounds.stop < Duration::from_secs(1) {
             return Err(SettingsError::Value("bounds.stop_s", "give a second or more"));
         }
--- a/crates/gate/tests/settings.rs
+++ b/crates/gate/tests/settings.rs
@@ -10,7 +10,8 @@
   "metrics": "10.0.0.1:9464", "cores": 0.25,
   "bounds": {
     "stop_s": 8, "directory_s": 5, "retry_ratio": 0.2, "retry_slack": 52,
-    "retry_window_s": 10, "turn_ms": 3000, "load_window_s": 5, "load_overshoot": 1.1
+    "retry_window_s": 10, "turn_ms": 3000, "apply_ms": 2000, "leave_ms": 2000,
+    "load_window_s": 5, "load_overshoot": 1.1
   }
 }"#;
 
@@ -37,6 +38,8 @@
     insta::assert_snapshot!(fault("\"cores\": 0.25", "\"cores\": 0"), @"`cores` can't be used; give a number of cores above 0");
     insta::assert_snapshot!(fault("\"retry_ratio\": 0.2", "\"retry_ratio\": 20"), @"`bounds.retry_ratio` can't be used; give a number between 0 and 1");
     insta::assert_snapshot!(fault("\"stop_s\": 8", "\"stop_s\": 0.1"), @"`bounds.stop_s` can't be used; give a second or more");
+    insta::assert_snapshot!(fault("\"apply_ms\": 2000", "\"apply_ms\": 20"), @"`bounds.apply_ms` can't be used; give 500 or more");
+    insta::assert_snapshot!(fault("\"leave_ms\": 2000", "\"leave_ms\": 20"), @"`bounds.leave_ms` can't be used; give 500 or more");
     insta::assert_snapshot!(fault("\"load_overshoot\": 1.1", "\"load_overshoot\": 0.9"), @"`bounds.load_overshoot` can't be used; give a number of 1 or more");
     let syntax = fault("\"ports\":", "ports");
     assert!(
