Never go by copies older than the silence after which rows are removed

Ruled out: beats that name only whom the receiver watches. All are named again nonetheless, since copies may always differ for a while. An assertion at compile time holds the two times together; it fails with 3 s.

--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -39,9 +39,13 @@
 /// call's hold and, among thousands of daemons, three or four beats.
 const FRESH_SHARE: f64 = 0.75;
 
-/// How long a copy counts as up to date at most: orders to engines that check no fences
-/// need claims that the store has confirmed lately.
-const FRESH_MOST: Duration = Duration::from_secs(3);
+/// How long a copy counts as up to date at most, whatever the operators allow.
+///
+/// Daemons know from the copies who watches whom. With copies older than the silence after
+/// which a row is removed, two hundred that start together remove each other's rows.
+const FRESH_MOST: Duration = Duration::from_millis(1500);
+
+const _: () = assert!(FRESH_MOST.as_millis() <= members::SILENCE.as_millis());
 
 /// How much later than the first daemon each next one reads the store itself, so
 /// that one read serves all.
--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -32,7 +32,7 @@
 ///
 /// Longer than a garbage of lost datagrams, shorter than the time in which a killed
 /// process is back; what it held can't be used meanwhile.
-const SILENCE: Duration = Duration::from_millis(1500);
+pub const SILENCE: Duration = Duration::from_millis(1500);
 
 /// How often a daemon that starts looks whether it can serve.
 const START_LOOK: Duration = Duration::from_millis(10);
@@ -186,13 +186,14 @@
 /// Tells others that the daemon lives.
 fn beat(shared: &Shared) {
     let now = shared.now();
-    let leaving = *shared.leaving.borrow();
-    let (alive, tables) = (shared.peers.alive(now), follow::news(shared));
-    for neighbour in shared.neighbours().list.values() {
-        let heard = alive.iter().filter(|member| neighbour.watches.contains(*member));
-        let heard = heard.copied().collect();
-        let beat = Beat { leaving, heard, tables: tables.clone() };
-        shared.peers.send(neighbour.addr, Message::Beat(beat));
+    let beat = Beat {
+        leaving: *shared.leaving.borrow(),
+        heard: shared.peers.alive(now),
+        tables: follow::news(shared),
+    };
+    let addrs: Vec<SocketAddr> = shared.neighbours().addrs.values().copied().collect();
+    for addr in addrs {
+        shared.peers.send(addr, Message::Beat(beat.clone()));
     }
 }
 
@@ -205,9 +206,9 @@
     let news = follow::news(shared);
     let lacking: Vec<SocketAddr> = {
         let neighbours = shared.neighbours();
-        let list = neighbours.list.iter();
         let lacks = |member: MemberId| shared.peers.lacks(member, &news);
-        list.filter(|(member, _)| lacks(**member)).map(|(_, one)| one.addr).collect()
+        let addrs = neighbours.addrs.iter();
+        addrs.filter(|(member, _)| lacks(**member)).map(|(_, addr)| *addr).collect()
     };
     for addr in lacking.into_iter().sample(&mut rand::rng(), FAN_OUT) {
         shared.peers.send(addr, Message::News(news.clone()));
@@ -234,22 +235,13 @@
 /// watches and those that watch it.
 #[derive(Debug, Default)]
 pub struct Neighbours {
-    list: IndexMap<MemberId, Neighbour>,
-}
-
-/// A daemon that beats are exchanged with.
-#[derive(Debug)]
-struct Neighbour {
-    /// Where it receives datagrams.
-    addr: SocketAddr,
-    /// The daemons that it watches.
-    watches: Vec<MemberId>,
+    addrs: IndexMap<MemberId, SocketAddr>,
 }
 
 impl Neighbours {
     /// Whether beats of a daemon are expected.
     pub fn expects(&self, member: MemberId) -> bool {
-        self.list.contains_key(&member)
+        self.addrs.contains_key(&member)
     }
 
     fn find(known: &Known, vm: &VmName, me: MemberId) -> Self {
@@ -258,14 +250,10 @@
             true => known.members.keys().cloned().collect(),
             false => watched(known, vm).into_iter().chain(watchers(known, vm)).collect(),
         };
-        let member = |vm: &VmName| known.members.get(vm).map(|(row, _)| row.member);
-        let neighbour = |vm: &VmName| {
-            let (row, _) = known.members.get(vm)?;
-            let watches = watched(known, vm).iter().filter_map(member).collect();
-            let neighbour = Neighbour { addr: row.peer_addr, watches };
-            (row.member != me).then_some((row.member, neighbour))
-        };
-        Self { list: near.iter().filter_map(neighbour).collect() }
+        let rows = near.iter().filter_map(|vm| known.members.get(vm));
+        let others = rows.filter(|(row, _)| row.member != me);
+        let addrs = others.map(|(row, _)| (row.member, row.peer_addr)).collect();
+        Self { addrs }
     }
 }
 
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -20,12 +20,13 @@
 }
 
 /// What a datagram says.
+///
+/// Kinds are told apart by their order: new ones come last, so that daemons of two versions
+/// understand each other while one replaces the other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// The daemon lives.
     Beat(Beat),
-    /// What the daemon knows of the store's tables, when that has just changed.
-    News(Vec<TableNews>),
     /// What the daemon has in flight at a runner that the receiver holds.
     Sum {
         /// The runner.
@@ -125,6 +126,8 @@
     Move(Move),
     /// The holder could not make a move.
     Failed(Move),
+    /// What the daemon knows of the store's tables, when that has just changed.
+    News(Vec<TableNews>),
 }
 
 /// The first event of a request.
@@ -169,7 +172,10 @@
 pub struct Beat {
     /// Whether it was told to stop.
     pub leaving: bool,
-    /// The daemons watched by the receiver that it has heard from lately.
+    /// The daemons that it has heard from lately.
+    ///
+    /// All of them: daemons that have lately been cut off from the store differ in who
+    /// watches whom, and would remove each other's rows without the word of the rest.
     pub heard: Vec<MemberId>,
     /// What it knows of the store's tables.
     pub tables: Vec<TableNews>,
--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -5,16 +5,15 @@
 //! second, and dropping a model waits for the runs on it. Without this module the
 //! models that everybody asks for stand on one or two runners while most are idle.
 //!
-//! Demand is planned for with room to grow, since loads come late; replicas that
-//! nobody asks for go before their room is needed, since that room can't be had at
+//! Replicas that nobody asks for go before their room is needed, since that room can't be had at
 //! once when it is; the last replica of a model stays. Where replicas go is decided
 //! by the planner of `chestnut-place`.
 
 use std::time::{Duration, Instant};
 
 use chestnut_base::{DomainName, MemberId, ModelName, ServerName};
-use chestnut_edge::{Engine, ServerEntry};
-use chestnut_place::planner::{ModelState, Placement, PoolState, RunnerState, plan};
+use chestnut_edge::{Engine, HeldModel, ServerEntry};
+use chestnut_place::{ModelState, Placement, PoolState, RunnerState, plan};
 use indexmap::{IndexMap, IndexSet};
 
 use crate::demand::{Asked, Demands};
@@ -36,15 +35,6 @@
 /// What a move costs against a percent of a runner's throughput.
 const MOVE_WEIGHT: f64 = 2.0;
 
-/// How much demand is expected to grow while loads are under way.
-///
-/// When callers turn to other models, the second in demand becomes the first within
-/// five seconds, in which four replicas can be loaded.
-const GROWTH: f64 = 2.0;
-
-/// The share of all demand from which on a model's growth is planned for.
-const GROWING: f64 = 0.08;
-
 /// How long a runner is left alone after a move failed there.
 ///
 /// An order that was not answered may act for seconds, and the next one fails as
@@ -256,13 +246,14 @@
                 *count = count.saturating_sub(1);
             }
         }
-        let planned = self.planned(scene.engine);
         let mut fresh = Vec::new();
         if !self.demands.is_known() {
             return fresh;
         }
         for runner in scene.runners {
-            let held = runner.models.iter().all(|held| planned.contains_key(&held.model));
+            let declared =
+                |held: &HeldModel| scene.engine.models.contains_key(&held.model);
+            let held = runner.models.iter().all(declared);
             let fixed = self.is_fixed(scene, runner);
             let moving = self.moving.contains_key(&runner.name);
             if !held || fixed || moving || has_room(scene.engine, runner) {
@@ -270,7 +261,7 @@
             }
             let idle = |model: &&ModelName| {
                 let count = replicas.get(model).copied().unwrap_or_default();
-                count > 1 && Self::is_idle(planned[*model], count)
+                count > 1 && Self::is_idle(self.demand(model), count)
             };
             let models = runner.models.iter().map(|held| &held.model);
             let Some(model) = models
@@ -292,8 +283,8 @@
     }
 
     /// Whether one replica less would still serve a model with ease.
-    fn is_idle(planned: f64, replicas: usize) -> bool {
-        let each = planned / (replicas - 1) as f64;
+    fn is_idle(demand: f64, replicas: usize) -> bool {
+        let each = demand / (replicas - 1) as f64;
         each < WORTH_KEEPING * THROUGHPUT
     }
 
@@ -313,11 +304,9 @@
             stays: true,
             fixed: self.is_fixed(scene, runner),
         };
-        let planned = self.planned(scene.engine);
         let names = scene.engine.models.keys();
-        let models: Vec<ModelState> = names
-            .map(|name| self.model_state(scene, name, planned[name], coming))
-            .collect();
+        let models: Vec<ModelState> =
+            names.map(|name| self.model_state(scene, name, coming)).collect();
         let asked: f64 = models.iter().map(|model| model.demand).sum();
         // When more is asked for than the pool can serve, every runner is overloaded
         // and no move seems to gain; what counts then is the balance.
@@ -339,25 +328,10 @@
         failed || scene.fixed.contains(&runner.name)
     }
 
-    /// The demand to plan for: models that many ask for may soon be asked for more.
-    fn planned(&self, engine: &Engine) -> IndexMap<ModelName, f64> {
-        let demand = |name: &ModelName| self.demand(name);
-        let total: f64 = engine.models.keys().map(demand).sum();
-        let most = engine.models.keys().map(demand).fold(0.0, f64::max);
-        let planned = |name: &ModelName| {
-            let now = demand(name);
-            let grown =
-                if now > GROWING * total { (now * GROWTH).min(most) } else { now };
-            (name.clone(), grown.max(now))
-        };
-        engine.models.keys().map(planned).collect()
-    }
-
     fn model_state(
         &self,
         scene: &Scene,
         name: &ModelName,
-        demand: f64,
         coming: impl Fn(&Moving) -> Option<&ModelName>,
     ) -> ModelState {
         let declared = &scene.engine.models[name];
@@ -376,7 +350,7 @@
             bytes: (declared.weights_mb * MB) as u64,
             replicas: 1,
             cold: declared.load,
-            demand,
+            demand: self.demand(name),
             placed: indices(&there),
             loading: scene.runners.iter().filter(|runner| loads(runner)).count(),
             copies: indices(&|runner| is_near(runner, name)),
