--- a/crates/pool/src/placing.rs
+++ b/crates/pool/src/placing.rs
@@ -5,9 +5,10 @@
 //! second, and dropping a model waits for the runs on it. Without this module the
 //! models that everybody asks for stand on one or two runners while most are idle.
 //!
-//! Replicas that nobody asks for go before their room is needed, since that room can't be had at
-//! once when it is; the last replica of a model stays. Where replicas go is decided
-//! by the planner of `chestnut-place`.
+//! Replicas that nobody asks for go before their room is needed, since that room can't
+//! be had at once when it is; the last replica of a model stays. Room that is free goes
+//! to whatever needs it by then. Where replicas go is decided by the planner of
+//! `chestnut-place`.
 
 use std::time::{Duration, Instant};
 
