--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chestnut_base::{Refusal, RefusalCode, ServiceName};
+use chestnut_base::{Refusal, RefusalCode, Revision, ServiceName};
 use chestnut_edge::{Call, Declarations, Route};
 use chestnut_pool::Attempts;
 use chestnut_pool::fleet::RELIST_GRACE;
@@ -36,6 +36,8 @@
     refusal: Refusal,
     /// The caller's id for the request; `None` if it sent none or its head is invalid.
     id: Option<String>,
+    /// The revision of the declarations that decided it; `None` if none did.
+    revision: Option<Revision>,
 }
 
 impl EarlyRefusal {
@@ -43,8 +45,12 @@
     pub fn response(&self, shared: &Shared) -> Response<ResponseBody> {
         let code = format!("{:?}", self.refusal.code);
         shared.metrics.record_end("", &code);
+        let declared = shared.tables.declarations.announcement(shared.now());
         info!(shared.log, "request refused"; "id" => self.id.as_deref().unwrap_or("-"),
-            "code" => code, "why" => &self.refusal.message);
+            "code" => code, "why" => &self.refusal.message,
+            "revision" => self.revision.map(|revision| revision.0),
+            "table_version" => declared.map(|(version, _)| version),
+            "table_age_ms" => declared.map(|(_, age)| age));
         let id = self.id.as_deref();
         shared.dialect.write_refusal(&self.refusal, id).map(full_body)
     }
@@ -62,16 +68,18 @@
         Ok(call) => call,
         Err(error) => {
             let refusal = Refusal::not_run(RefusalCode::BadRequest, error.to_string());
-            return Err(EarlyRefusal { refusal, id: None });
+            return Err(EarlyRefusal { refusal, id: None, revision: None });
         }
     };
-    let refused = |refusal| EarlyRefusal { refusal, id: call.id.clone() };
+    let refused = |refusal| EarlyRefusal { refusal, id: call.id.clone(), revision: None };
     if shared.is_refusing_requests() {
         return Err(refused(shutting_down()));
     }
     let declarations = wait_for_declarations(&shared)
         .await
         .ok_or_else(|| refused(not_ready(&shared)))?;
+    let revision = Some(declarations.revision);
+    let refused = |refusal| EarlyRefusal { refusal, id: call.id.clone(), revision };
     let route =
         find_route(&declarations, &call).ok_or_else(|| refused(unknown_route(&call)))?;
     let body = read_body(body, declarations.limits.body_bytes).await.map_err(&refused)?;
