once: ignore a failed load of a slot whose claim was lost

Callers could see a non-idempotent request run at two daemons: one that had lost the slot opened it again after its load failed late, and ran from the slot's log what the new holder had run from the table.

Cause: load_failed checked the claim's version, which stays the same when the claim is lost, and not that the slot was still loading; slot_loaded checks both. The slot went from ClaimLost to LoadFailed, and the retry loaded and opened it under the lapsed claim.

Without the transition no event leads from ClaimLost to Open except a new claim, which is loaded under its own version.

--- a/crates/once/src/journal/claims.rs
+++ b/crates/once/src/journal/claims.rs
@@ -135,7 +135,8 @@
     pub(super) fn load_failed(&mut self, slot: SlotId, version: u64, now: Instant) {
         let delay = jitter(self.limits.initial_backoff * 2, &mut self.jitter_seed);
         let Some(state) = self.slots.get_mut(&slot) else { return };
-        if state.claim_version != version {
+        if state.claim_version != version || !matches!(state.phase, SlotPhase::Loading(_))
+        {
             return;
         }
         let phase =
