once: match a committed start to its attempt

A caller could be told that its request was not run and never will be, though it ran. A start whose commit took longer than the wait limit is refused as not run; if the caller then sent the same key with another body, the late commit dispatched the new attempt, while the row recorded the old one. After the daemon's end the next holder read the row and refused the second body as a reused key, not run.

Cause: the result of a commit was applied to whatever start the id had at that moment. PendingWrite::Start now carries its attempt; a result for another attempt only gives the queued start the version of the row that it has to replace, and an outdated start is neither sent nor logged.

--- a/crates/once/src/batch.rs
+++ b/crates/once/src/batch.rs
@@ -1,6 +1,6 @@
 //! Group commit: many journal changes in one transaction of the table service.
 
-use chestnut_base::{RequestId, SlotId};
+use chestnut_base::{AttemptId, RequestId, SlotId};
 
 use crate::record::{JournalRow, Record};
 
@@ -92,7 +92,15 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum PendingWrite {
     /// Records the start of an id, replacing a row of the given version if any.
-    Start { slot: SlotId, id: RequestId, replaced_version: Option<u64> },
+    ///
+    /// The id may have been refused and sent again with another body meanwhile; then its
+    /// entry has another attempt, and another start is queued for it.
+    Start {
+        slot: SlotId,
+        id: RequestId,
+        attempt: AttemptId,
+        replaced_version: Option<u64>,
+    },
     /// Copies the record of an id from the slot's log into the table.
     ///
     /// The row that it replaces, if any, belongs to an attempt that was never
@@ -126,11 +134,11 @@
     /// The precondition on the id's row; `None` for a response.
     pub fn condition(&self) -> Option<Condition> {
         match self {
-            Self::Start { slot, id, replaced_version: None }
+            Self::Start { slot, id, replaced_version: None, .. }
             | Self::CopyFromLog { slot, id, replaced_version: None } => {
                 Some(Condition::Absent { slot: *slot, id: id.clone() })
             }
-            Self::Start { slot, id, replaced_version: Some(version) }
+            Self::Start { slot, id, replaced_version: Some(version), .. }
             | Self::CopyFromLog { slot, id, replaced_version: Some(version) }
             | Self::DeleteRow { slot, id, version } => Some(Condition::Version {
                 slot: *slot,
--- a/crates/once/src/journal/commit.rs
+++ b/crates/once/src/journal/commit.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
-use chestnut_base::{RequestId, SlotId};
+use chestnut_base::{AttemptId, RequestId, SlotId};
 use indexmap::IndexMap;
 
 use super::{BatchInFlight, Journal, SlotPhase, TableState};
@@ -69,9 +69,15 @@
     }
 
     pub(super) fn readiness(&self, write: &PendingWrite, now: Instant) -> Readiness {
-        let state = self.index.entries.get(write.id()).map(|entry| &entry.state);
+        let entry = self.index.entries.get(write.id());
+        let state = entry.map(|entry| &entry.state);
         let phase = self.slots.get(&write.slot()).map(|slot| &slot.phase);
         match write {
+            PendingWrite::Start { attempt, .. }
+                if entry.is_none_or(|entry| entry.attempt != *attempt) =>
+            {
+                Readiness::Obsolete
+            }
             PendingWrite::Start { slot, .. } => match (state, phase) {
                 // Starts that can go into the log don't wait for a table that may not
                 // respond.
@@ -213,8 +219,8 @@
 
     fn write_committed(&mut self, write: PendingWrite, version: u64, now: Instant) {
         match write {
-            PendingWrite::Start { slot, id, .. } => {
-                self.start_recorded(slot, &id, version)
+            PendingWrite::Start { slot, id, attempt, .. } => {
+                self.start_recorded(slot, &id, attempt, version)
             }
             PendingWrite::CopyFromLog { slot, id, .. } => {
                 self.copy_recorded(slot, &id, version)
@@ -226,9 +232,18 @@
         }
     }
 
-    fn start_recorded(&mut self, slot: SlotId, id: &RequestId, version: u64) {
+    fn start_recorded(
+        &mut self,
+        slot: SlotId,
+        id: &RequestId,
+        attempt: AttemptId,
+        version: u64,
+    ) {
         let Some(entry) = self.index.entries.get_mut(id) else { return };
         entry.row_version = Some(version);
+        if entry.attempt != attempt {
+            return self.replace_unused_row(id, version);
+        }
         match entry.state {
             RequestState::Queued(_) => {
                 entry.state = RequestState::Running;
@@ -246,6 +261,18 @@
         }
     }
 
+    /// Lets the queued start of an id replace the row of an earlier attempt, which was
+    /// refused while its start was being committed.
+    fn replace_unused_row(&mut self, id: &RequestId, version: u64) {
+        for write in &mut self.write_queue {
+            if let PendingWrite::Start { id: started, replaced_version, .. } = write
+                && started == id
+            {
+                *replaced_version = Some(version);
+            }
+        }
+    }
+
     fn response_recorded(&mut self, id: &RequestId, version: u64, now: Instant) {
         let Some(entry) = self.index.entries.get_mut(id) else { return };
         let RequestState::StoringResponse(response, summary) = &entry.state else {
@@ -315,8 +342,8 @@
             });
         self.requeue(rest);
         match conflicting.pop() {
-            Some(PendingWrite::Start { slot, id, .. }) => {
-                self.start_conflict(slot, &id, row, now)
+            Some(PendingWrite::Start { slot, id, attempt, .. }) => {
+                self.start_conflict(slot, &id, attempt, row, now)
             }
             Some(PendingWrite::CopyFromLog { slot, id, .. }) => {
                 self.copy_conflict(slot, &id, row)
@@ -351,14 +378,19 @@
         &mut self,
         slot: SlotId,
         id: &RequestId,
+        attempt: AttemptId,
         row: Option<JournalRow>,
         now: Instant,
     ) {
         let Some(entry) = self.index.entries.get_mut(id) else { return };
+        if entry.attempt != attempt {
+            // The id's newer start finds the row by its own condition.
+            return;
+        }
         let Some(row) = row else {
             entry.row_version = None;
-            let write =
-                PendingWrite::Start { slot, id: id.clone(), replaced_version: None };
+            let (id, replaced_version) = (id.clone(), None);
+            let write = PendingWrite::Start { slot, id, attempt, replaced_version };
             return self.write_queue.push_front(write);
         };
         let version = row.version;
@@ -369,7 +401,7 @@
             return self.reply_to_waiters(id, &Reply::Refused(in_doubt()));
         };
         if record.attempt == entry.attempt {
-            return self.start_recorded(slot, id, version);
+            return self.start_recorded(slot, id, attempt, version);
         }
         let digest = entry.digest;
         let waiters = self.take_waiters(id);
--- a/crates/once/src/journal/log.rs
+++ b/crates/once/src/journal/log.rs
@@ -69,8 +69,9 @@
             let fits = write.slot() == slot
                 && records.len() < self.limits.max_batch_rows
                 && matches!(write, PendingWrite::Start { .. });
+            let is_queued = self.readiness(&write, now) != Readiness::Obsolete;
             match self.index.entries.get(write.id()) {
-                Some(entry) if fits && matches!(entry.state, RequestState::Queued(_)) => {
+                Some(entry) if fits && is_queued => {
                     records.push(entry.record(write.id(), None));
                 }
                 _ if fits => {}
--- a/crates/once/src/journal/requests.rs
+++ b/crates/once/src/journal/requests.rs
@@ -71,7 +71,8 @@
         self.start_deadlines.push_back((now + limits.wait_limit, id.clone()));
         // A delete that is still queued would delete the row of the new start.
         self.write_queue.retain(|write| *write.id() != id);
-        self.write_queue.push_back(PendingWrite::Start { slot, id, replaced_version });
+        let start = PendingWrite::Start { slot, id, attempt, replaced_version };
+        self.write_queue.push_back(start);
     }
 
     /// Attaches a request to the run or the response of a known id.
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -254,3 +254,15 @@
     ops.extend([step(0), step(0), Op::Dispatch { run: 0 }]);
     simulate(Disabled::Nothing, &ops);
 }
+
+/// The late commit of a refused start must not dispatch a newer request of the same id.
+#[test]
+fn commit_of_a_refused_start_does_not_dispatch_another_request() {
+    let body = |daemon, body| Op::Submit { daemon, id: 0, body };
+    let beyond_wait_limit = Op::Advance { millis: 2600 };
+    let mut ops = vec![step(0), Op::Advance { millis: 10 }, step(0)];
+    ops.extend([body(0, 0), beyond_wait_limit, body(0, 1), step(0), step(0)]);
+    ops.extend([Op::Dispatch { run: 0 }, Op::Crash { daemon: 0 }]);
+    ops.extend([Op::Takeover { daemon: 1 }, step(1), body(1, 1), step(1), step(1)]);
+    simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
+}
