once: don't delete the row of a new start

A non-idempotent request could run twice: its record was deleted in the transaction that wrote it. A delete that was in flight when its id was sent again, and whose batch failed on another id's condition, was queued again and joined the batch of the new start. Both conditions hold for the same version, the row is put and removed, the request runs, and after the daemon's end the next holder runs it again.

Cause: submit removes queued deletes of an id, but not one in flight, and nothing looked at the id again before the delete was sent. A delete is now obsolete while its id has a start, a run or a response in progress; the new start replaces the old row by its version.

--- a/crates/once/src/journal/commit.rs
+++ b/crates/once/src/journal/commit.rs
@@ -102,6 +102,12 @@
                 Some(RequestState::StoringResponse(..)) => Readiness::Ready,
                 _ => Readiness::Obsolete,
             },
+            // The row belongs to an earlier attempt, and the id's new start replaces it.
+            PendingWrite::DeleteRow { .. }
+                if entry.is_some_and(|entry| !entry.is_idle()) =>
+            {
+                Readiness::Obsolete
+            }
             PendingWrite::DeleteRow { .. } => match phase {
                 Some(SlotPhase::Open) => Readiness::Ready,
                 Some(SlotPhase::Loading(_) | SlotPhase::LoadFailed(_)) => {
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -266,3 +266,27 @@
     ops.extend([Op::Takeover { daemon: 1 }, step(1), body(1, 1), step(1), step(1)]);
     simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
 }
+
+/// A delete that was in flight when its id was sent again must not join the new start.
+#[test]
+fn requeued_delete_does_not_remove_the_row_of_a_new_start() {
+    let submit_id = |id| Op::Submit { daemon: 0, id, body: 0 };
+    let advance = || Op::Advance { millis: 10 };
+    let mut ops = vec![step(0), advance(), step(0)];
+    for id in [1, 2] {
+        ops.extend([submit_id(id), advance(), step(0), step(0)]);
+        ops.extend([Op::Dispatch { run: 0 }, Op::Finish { run: 0, completed: true }]);
+        ops.extend([advance(), step(0)]);
+    }
+    // Letter 1 is evicted when letter 0 arrives.
+    ops.extend([submit_id(0), step(0), step(0), Op::Refuse { run: 0 }]);
+    // Letter 1's start conflicts with its row, in one batch with the delete.
+    ops.extend([submit_id(1), advance(), submit_id(0), step(0), advance(), step(0)]);
+    ops.extend([step(0), step(0), Op::Dispatch { run: 0 }, Op::Crash { daemon: 0 }]);
+    ops.extend([Op::Takeover { daemon: 1 }, step(1), submit(1), step(1), step(1)]);
+    ops.push(Op::Dispatch { run: 0 });
+    let mut simulation = Simulation::new(Disabled::Nothing, 2);
+    for op in &ops {
+        simulation.apply(op);
+    }
+}
