once: keep a refused id in memory until its row is deleted

A letter could stay in doubt and never be run: refused because the backend servers were full, evicted from memory before the delete of its row was sent, and sent again, its new start conflicted with the row of the refused attempt and counted as started.

Cause: only the entry in memory tells that such a row doesn't stand for a run, and eviction took any finished id. Refused ids that have a row are kept; they leave memory when the delete is committed.

--- a/crates/once/src/index.rs
+++ b/crates/once/src/index.rs
@@ -75,6 +75,13 @@
         )
     }
 
+    /// Whether the id has a row although it was refused without a run.
+    ///
+    /// Only this entry tells that the row doesn't stand for a run.
+    fn has_unused_row(&self) -> bool {
+        matches!(self.state, RequestState::NotRun) && self.row_version.is_some()
+    }
+
     /// Creates the entry of a stored record; without a version it is in the log only.
     pub fn from_record(record: Record, version: Option<u64>) -> (RequestId, Self) {
         let state = match record.response {
@@ -170,6 +177,7 @@
                     && entry.waiters.is_empty()
                     && entry.is_idle()
                     && !entry.log_only
+                    && !entry.has_unused_row()
             };
             if self.entries.get(&id).is_some_and(is_evictable)
                 && let Some(entry) = self.entries.swap_remove(&id)
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -290,3 +290,19 @@
         simulation.apply(op);
     }
 }
+
+/// A refused id whose row still exists must not be evicted, or it counts as started.
+#[test]
+fn refused_id_with_a_row_is_not_evicted() {
+    let submit_id = |id| Op::Submit { daemon: 0, id, body: 0 };
+    let advance = || Op::Advance { millis: 10 };
+    let mut ops = vec![step(0), advance(), step(0)];
+    ops.extend([submit_id(0), step(0), step(0), Op::Refuse { run: 0 }]);
+    ops.extend([submit_id(1), submit_id(0), advance(), step(0), step(0), step(0)]);
+    let mut simulation = Simulation::new(Disabled::Nothing, 1);
+    for op in &ops {
+        simulation.apply(op);
+    }
+    simulation.run_without_faults(IDS);
+    assert!(simulation.has_run(0), "never run, though nothing ran");
+}
--- a/crates/once/tests/model/mod.rs
+++ b/crates/once/tests/model/mod.rs
@@ -427,6 +427,11 @@
         }
     }
 
+    /// Whether an id was dispatched.
+    pub fn has_run(&self, number: u8) -> bool {
+        self.runs.iter().any(|run| run.dispatched && run.id == id(number))
+    }
+
     /// Ends all faults, submits each id again and checks that every call gets a reply.
     pub fn run_without_faults(&mut self, ids: u8) {
         while let Some(write) = self.delayed.pop_front() {
