once: refuse requests that wait for a slot whose claim is found lost

Callers got no reply until their own deadline: requests that waited for a slot to be loaded again were dropped when a batch sent before the reload met another holder's claim.

Cause: claim_superseded replaced the slot's phase, which holds the waiting requests; lose_claim, for a claim whose loss is read from the view, hands them on. Both now close the slot by one function.

Evidence: claim_lost_during_a_reload_refuses_the_waiting_requests failed on the commit before ('1 calls without a reply') and passes now.

--- a/crates/once/src/journal/claims.rs
+++ b/crates/once/src/journal/claims.rs
@@ -44,14 +44,7 @@
     }
 
     pub(super) fn lose_claim(&mut self, slot: SlotId, now: Instant) {
-        let Some(state) = self.slots.get_mut(&slot) else { return };
-        let phase = std::mem::replace(&mut state.phase, SlotPhase::ClaimLost);
-        if let SlotPhase::Loading(waiting) = phase {
-            for (_, event) in waiting {
-                self.handle(event, now);
-            }
-        }
-        self.refuse_starts(slot, &slot_moving());
+        self.close_slot(slot, now);
         // The next holder's state is authoritative; this daemon's may become stale.
         self.index.entries.retain(|_, entry| {
             entry.slot != slot
@@ -63,6 +56,25 @@
         });
     }
 
+    /// Handles the platform's word that the claim of this version has another holder.
+    pub(super) fn claim_superseded(&mut self, slot: SlotId, version: u64, now: Instant) {
+        if self.slots.get(&slot).is_some_and(|state| state.claim_version == version) {
+            self.close_slot(slot, now);
+        }
+    }
+
+    /// Accepts no more requests for a slot, and refuses those that were not started.
+    fn close_slot(&mut self, slot: SlotId, now: Instant) {
+        let Some(state) = self.slots.get_mut(&slot) else { return };
+        let phase = std::mem::replace(&mut state.phase, SlotPhase::ClaimLost);
+        if let SlotPhase::Loading(waiting) = phase {
+            for (_, event) in waiting {
+                self.handle(event, now);
+            }
+        }
+        self.refuse_starts(slot, &slot_moving());
+    }
+
     pub(super) fn slot_loaded(
         &mut self,
         slot: SlotId,
--- a/crates/once/src/journal/commit.rs
+++ b/crates/once/src/journal/commit.rs
@@ -12,7 +12,7 @@
 use crate::index::{Entry, RequestState};
 use crate::limits::jitter;
 use crate::record::{BodyLocation, JournalRow};
-use crate::refusals::{in_doubt, key_reused, slot_moving};
+use crate::refusals::{in_doubt, key_reused};
 
 /// The most times that a batch is sent while its result is unknown, including the first.
 const MAX_BATCH_SENDS: u32 = 2;
@@ -330,7 +330,7 @@
         };
         let id = match failed_condition {
             Condition::Claim { slot, version } => {
-                self.claim_superseded(*slot, *version);
+                self.claim_superseded(*slot, *version, now);
                 return self.requeue(in_flight.writes);
             }
             Condition::Absent { id, .. } | Condition::Version { id, .. } => id.clone(),
@@ -423,14 +423,6 @@
         }
     }
 
-    pub(super) fn claim_superseded(&mut self, slot: SlotId, version: u64) {
-        let Some(state) = self.slots.get_mut(&slot) else { return };
-        if state.claim_version == version {
-            state.phase = SlotPhase::ClaimLost;
-            self.refuse_starts(slot, &slot_moving());
-        }
-    }
-
     /// Puts writes back at the front of the queue.
     pub(super) fn requeue(&mut self, writes: Vec<PendingWrite>) {
         for write in writes.into_iter().rev() {
--- a/crates/once/src/journal/log.rs
+++ b/crates/once/src/journal/log.rs
@@ -124,7 +124,7 @@
                     self.start_logged(slot, &record.id);
                 }
             }
-            AppendResult::Conflict => self.claim_superseded(slot, version),
+            AppendResult::Conflict => self.claim_superseded(slot, version, now),
             AppendResult::Unknown if append.resends + 1 < MAX_APPEND_SENDS => {
                 self.send_append(
                     slot,
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -306,3 +306,19 @@
     simulation.run_without_faults(IDS);
     assert!(simulation.has_run(0), "never run, though nothing ran");
 }
+
+/// Requests that wait for a slot to reload get a reply if its claim is lost meanwhile.
+#[test]
+fn claim_lost_during_a_reload_refuses_the_waiting_requests() {
+    let step_with = |delivery| Op::Step { daemon: 0, delivery };
+    let submit_id = |id| Op::Submit { daemon: 0, id, body: 0 };
+    let advance = |millis| Op::Advance { millis };
+    let mut ops = vec![step(0), advance(10), step(0)];
+    // An append of unknown result leaves the end of the log unknown.
+    ops.extend([submit_id(0), step_with(Delivery::Unavailable), advance(10)]);
+    ops.extend([step_with(Delivery::ResponseLost), step_with(Delivery::ResponseLost)]);
+    ops.extend([advance(600), submit_id(1), step(0), step(0), submit_id(2)]);
+    ops.extend([advance(10), submit_id(0), Op::Takeover { daemon: 1 }]);
+    ops.extend([step(0), step(0), step(0)]);
+    simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
+}
