once: say 'in doubt' of another body while the key's start is being recorded

A caller could be told 'not run' of a request that ran. If its id had been evicted from memory, and the key was sent with another body and then with the first one again before the second body's start was recorded, the first body was refused as a reused key, not run.

Cause: the refusal took the queued start for the owner of the key. Only the row decides that, unless the daemon holds all ids of the slot and its lease. Otherwise the refusal is now in doubt, with a time to come back, by which the queued start has met the row.

--- a/crates/once/src/journal/requests.rs
+++ b/crates/once/src/journal/requests.rs
@@ -9,7 +9,9 @@
 use crate::event::{Effect, Event, Reply};
 use crate::index::{Entry, RequestState, WaiterId};
 use crate::record::BodyLocation;
-use crate::refusals::{in_doubt, key_reused, response_unreadable, slot_moving};
+use crate::refusals::{
+    in_doubt, key_contended, key_reused, response_unreadable, slot_moving,
+};
 
 impl Journal {
     pub(super) fn submit(&mut self, event: Event, now: Instant) {
@@ -79,7 +81,12 @@
     fn join(&mut self, waiter: WaiterId, id: &RequestId, digest: Digest, now: Instant) {
         let Some(entry) = self.index.entries.get(id) else { return };
         if entry.digest != digest {
-            return self.reply(waiter, Reply::Refused(key_reused()));
+            // An evicted id may have a row that shows that this body ran. The queued start
+            // finds it.
+            let undecided = matches!(entry.state, RequestState::Queued(_))
+                && !self.is_index_authoritative(entry.slot, now);
+            let refusal = if undecided { key_contended() } else { key_reused() };
+            return self.reply(waiter, Reply::Refused(refusal));
         }
         self.add_waiter(waiter, id, now);
     }
--- a/crates/once/src/refusals.rs
+++ b/crates/once/src/refusals.rs
@@ -8,6 +8,9 @@
 /// slot takes about this long.
 const SLOT_MOVE_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Retry delay while the start of another request with the same key is being recorded.
+const KEY_CONTENTION_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// Retry delay for an id whose response was not found.
 const IN_DOUBT_RETRY_DELAY: Duration = Duration::from_secs(2);
 
@@ -26,6 +29,14 @@
     Refusal::not_run(RefusalCode::IdReused, message)
 }
 
+/// For a request whose key was just sent with another body, whose start is not recorded.
+pub(crate) fn key_contended() -> Refusal {
+    let message = "the idempotency key was just used with another body, and it is not known \
+                   yet which of them was started; send the request again with the same key";
+    Refusal::in_doubt(RefusalCode::Unavailable, message)
+        .with_retry_after(KEY_CONTENTION_RETRY_DELAY)
+}
+
 pub(crate) fn in_doubt() -> Refusal {
     let message = "the request was started and its response is not known; it will not be \
                    run again; query its outcome with GET /v1/requests/KEY";
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -307,6 +307,22 @@
     assert!(simulation.has_run(0), "never run, though nothing ran");
 }
 
+/// Another body of an evicted id must not be reported as not run while its start is queued.
+#[test]
+fn reused_key_of_an_evicted_id_is_not_reported_as_not_run() {
+    let submit_id = |id, body| Op::Submit { daemon: 0, id, body };
+    let advance = || Op::Advance { millis: 10 };
+    let mut ops = vec![step(0), advance(), step(0)];
+    ops.extend([submit_id(1, 0), step(0), step(0), Op::Dispatch { run: 0 }]);
+    ops.extend([Op::Finish { run: 0, completed: true }, advance(), step(0)]);
+    ops.extend([submit_id(0, 0), submit_id(1, 1), submit_id(1, 0)]);
+    let mut simulation = Simulation::new(Disabled::Nothing, 1);
+    for op in &ops {
+        simulation.apply(op);
+    }
+    simulation.run_without_faults(IDS);
+}
+
 /// Requests that wait for a slot to reload get a reply if its claim is lost meanwhile.
 #[test]
 fn claim_lost_during_a_reload_refuses_the_waiting_requests() {
