once: match a logged start to its attempt

The start of a refused attempt that reached the slot's log late dispatched the attempt that the same key, sent with another body, had queued since, while the log named the first body.

Cause: start_logged looked at the id's state alone. It now compares the attempt of the record.

--- a/crates/once/src/journal/log.rs
+++ b/crates/once/src/journal/log.rs
@@ -9,7 +9,7 @@
 
 use std::time::Instant;
 
-use chestnut_base::{RequestId, SlotId};
+use chestnut_base::{AttemptId, RequestId, SlotId};
 
 use super::commit::Readiness;
 use super::{Append, Journal, SlotPhase};
@@ -121,7 +121,7 @@
                 state.log_end = Some(append.position + 1);
                 state.log_needs_trim = true;
                 for record in append.records {
-                    self.start_logged(slot, &record.id);
+                    self.start_logged(slot, &record.id, record.attempt);
                 }
             }
             AppendResult::Conflict => self.claim_superseded(slot, version, now),
@@ -154,14 +154,13 @@
     }
 
     /// Dispatches a request whose start is in the log, and queues the copy.
-    fn start_logged(&mut self, slot: SlotId, id: &RequestId) {
+    fn start_logged(&mut self, slot: SlotId, id: &RequestId, attempt: AttemptId) {
         let Some(entry) = self.index.entries.get_mut(id) else { return };
-        if !matches!(entry.state, RequestState::Queued(_)) {
+        if entry.attempt != attempt || !matches!(entry.state, RequestState::Queued(_)) {
             return;
         }
         entry.state = RequestState::Running;
         entry.log_only = true;
-        let attempt = entry.attempt;
         let submitter = entry.waiters.first().copied();
         self.write_queue.push_back(PendingWrite::CopyFromLog {
             slot,
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -338,3 +338,17 @@
     ops.extend([step(0), step(0), step(0)]);
     simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
 }
+
+/// The late append of a refused start must not dispatch a newer request of the same id.
+#[test]
+fn append_of_a_refused_start_does_not_dispatch_another_request() {
+    let body = |daemon, body| Op::Submit { daemon, id: 0, body };
+    let beyond_wait_limit = Op::Advance { millis: 2600 };
+    let unavailable = Op::Step { daemon: 0, delivery: Delivery::Unavailable };
+    let mut ops = vec![step(0), Op::Advance { millis: 10 }, step(0)];
+    ops.extend([body(0, 0), unavailable, Op::Advance { millis: 10 }]);
+    ops.extend([beyond_wait_limit, body(0, 1), step(0), step(0)]);
+    ops.extend([Op::Dispatch { run: 0 }, Op::Crash { daemon: 0 }]);
+    ops.extend([Op::Takeover { daemon: 1 }, step(1), body(1, 1)]);
+    simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
+}
