once: keep the row of a run over an older record in the log

A caller could be told 'not run' of a request that ran. A start that was logged during an outage and refused, as its append's result came late, stays in the log until that is trimmed. If the key was sent with another body meanwhile, which ran by the table, a daemon that took over read both and let the log replace the row.

Cause: slot_loaded took every attempt in the log that differs from the row's for a later one. It now compares the attempts' numbers if one daemon started both, and otherwise keeps the row.

Evidence: refused_start_in_the_log_does_not_replace_a_row failed on the commit before ('refused as not run, but it ran') and passes now; the searches pass with the same sequences.

--- a/crates/once/src/journal/claims.rs
+++ b/crates/once/src/journal/claims.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::SlotId;
+use chestnut_base::{AttemptId, SlotId};
 
 use super::{Journal, SlotPhase, SlotState};
 use crate::batch::PendingWrite;
@@ -98,8 +98,7 @@
         }
         for record in log.records {
             let entry = self.index.entries.get(&record.id);
-            // The log is written first, so a row is at least as recent.
-            if entry.is_none_or(|entry| entry.attempt != record.attempt) {
+            if entry.is_none_or(|entry| is_later(record.attempt, entry)) {
                 let id = record.id.clone();
                 self.merge_record(record, None, Duration::ZERO, now);
                 self.write_queue.push_back(PendingWrite::CopyFromLog {
@@ -170,3 +169,15 @@
         }
     }
 }
+
+/// Whether an attempt in the log was started after that of an entry.
+///
+/// A daemon starts an id again only after it refused an earlier attempt, and another daemon
+/// only if it has seen neither row nor log of it. So where a row names another daemon, the
+/// attempt in the log was given up.
+fn is_later(attempt: AttemptId, entry: &Entry) -> bool {
+    if attempt.member == entry.attempt.member {
+        return attempt.number > entry.attempt.number;
+    }
+    entry.log_only || matches!(entry.state, RequestState::NotRun)
+}
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -352,3 +352,20 @@
     ops.extend([Op::Takeover { daemon: 1 }, step(1), body(1, 1)]);
     simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
 }
+
+/// The log of a refused start must not replace the row of the request that ran instead.
+#[test]
+fn refused_start_in_the_log_does_not_replace_a_row() {
+    let body = |daemon, body| Op::Submit { daemon, id: 0, body };
+    let beyond_wait_limit = Op::Advance { millis: 2600 };
+    let unavailable = Op::Step { daemon: 0, delivery: Delivery::Unavailable };
+    let lost = Op::Step { daemon: 0, delivery: Delivery::ResponseLost };
+    let mut ops = vec![step(0), Op::Advance { millis: 10 }, step(0)];
+    ops.extend([body(0, 0), unavailable, Op::Advance { millis: 10 }]);
+    ops.extend([beyond_wait_limit, lost.clone(), lost]);
+    ops.extend([Op::Advance { millis: 600 }, body(0, 1), Op::Advance { millis: 10 }]);
+    ops.extend([step(0), step(0), step(0), step(0), Op::Dispatch { run: 0 }]);
+    ops.extend([Op::Crash { daemon: 0 }, Op::Takeover { daemon: 1 }, step(1)]);
+    ops.extend([body(1, 1)]);
+    simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
+}
