once: keep requests that wait for a body while their slot is loaded

A caller got no reply until its own deadline: it had sent the key of a finished request, whose body was being read from the object store when the slot was loaded after a change of claims.

Cause: merge_record replaced entries that are idle, and a finished one is, though requests may wait for its body. Entries with waiting requests are kept.

--- a/crates/once/src/journal/claims.rs
+++ b/crates/once/src/journal/claims.rs
@@ -116,7 +116,8 @@
         }
     }
 
-    /// Adds a stored record to the index, unless this daemon still works on the id.
+    /// Adds a stored record to the index, unless this daemon still works on the id or
+    /// somebody waits for its response.
     ///
     /// Of an attempt that this daemon refused without a run, only the row's version is
     /// updated.
@@ -134,7 +135,8 @@
             if never_ran {
                 existing.row_version = version.or(existing.row_version);
             }
-            if never_ran || !existing.is_idle() {
+            let is_in_use = !existing.is_idle() || !existing.waiters.is_empty();
+            if never_ran || is_in_use {
                 return;
             }
         }
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -369,3 +369,20 @@
     ops.extend([body(1, 1)]);
     simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
 }
+
+/// A request that waits for its response's body gets a reply if the slot is loaded meanwhile.
+#[test]
+fn load_keeps_requests_that_wait_for_a_body() {
+    let submit_id = |id| Op::Submit { daemon: 0, id, body: 0 };
+    let advance = || Op::Advance { millis: 10 };
+    let mut ops = vec![step(0), advance(), step(0)];
+    // The body of the second run is in the object store.
+    for id in [0, 1] {
+        ops.extend([submit_id(id), step(0), step(0), Op::Dispatch { run: 0 }]);
+        ops.extend([Op::Finish { run: 0, completed: true }, advance(), step(0)]);
+        ops.push(advance());
+    }
+    let reclaim = Op::Takeover { daemon: 0 };
+    ops.extend([reclaim.clone(), step(0), reclaim, submit_id(1), step(0)]);
+    simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
+}
