once: don't seal a slot's log under a lapsed claim

A non-idempotent request could run twice: a daemon whose claim had lapsed before it loaded the slot sealed the log behind the new holder's seal, opened the slot with rows of that moment, and, cut off from the table, ran by the log what the new holder had started since by the table.

Cause: the seal fences off former holders, and a former holder could write one. Appends of earlier releases name no claim and are read as before; earlier releases ignore the name.

The simulation is wider: a table that doesn't serve one daemon while the object store does, seals that are lost or late, and steps of time beyond the wait limit. Transaction ids of two of its daemons could be equal, which the random ids of daemons are not; their seeds are now apart.

--- a/crates/lab/src/journal/daemon.rs
+++ b/crates/lab/src/journal/daemon.rs
@@ -9,7 +9,7 @@
     AttemptId, CallerName, Digest, MemberId, RequestId, ServiceName, SlotId, Target,
 };
 use chestnut_node::journal::{JOURNAL, commit, load};
-use chestnut_node::slotlog::append;
+use chestnut_node::slotlog::{SlotClaim, append};
 use chestnut_once::limits::batch_interval;
 use chestnut_once::{
     BodyLocation, Effect, Event, Journal, Limits, Record, Reply, Response, WaiterId,
@@ -267,12 +267,14 @@
                             .ok();
                     });
                 }
-                Effect::AppendToLog { slot, number, position, records } => {
+                Effect::AppendToLog { slot, version, number, position, records } => {
                     self.measurements.append_times.push(Instant::now());
                     let (objects, event_sender) =
                         (self.objects.clone(), self.event_sender.clone());
                     tokio::spawn(async move {
-                        let result = append(&objects, slot, position, &records).await;
+                        let claim = SlotClaim { member: MemberId(0), version };
+                        let result =
+                            append(&objects, slot, claim, position, &records).await;
                         event_sender
                             .send(Event::AppendFinished { slot, number, result })
                             .ok();
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -20,7 +20,7 @@
 use crate::members::CLAIMS;
 use crate::node::Node;
 use crate::single::{self, ResponseBuilder};
-use crate::slotlog;
+use crate::slotlog::{self, SealResult, SlotClaim};
 
 /// The table of the journal's rows.
 pub const JOURNAL: &str = "journal";
@@ -66,13 +66,15 @@
     version: u64,
     me: MemberId,
 ) -> Event {
-    let seal_id = format!("{me}/{version}");
-    let log = slotlog::seal(objects, slot, &seal_id).await;
+    let log = slotlog::seal(objects, slot, SlotClaim { member: me, version }).await;
     // Read after the log, so that records that move from the log to the table
     // meanwhile are not missed.
     let rows = read_rows(table, slot).await;
     match (log, rows) {
-        (Ok(log), Ok(rows)) => Event::SlotLoaded { slot, version, rows, log },
+        (Ok(SealResult::Superseded), _) => Event::ClaimSuperseded { slot, version },
+        (Ok(SealResult::Sealed(log)), Ok(rows)) => {
+            Event::SlotLoaded { slot, version, rows, log }
+        }
         _ => Event::LoadFailed { slot, version },
     }
 }
--- a/crates/node/src/slotlog.rs
+++ b/crates/node/src/slotlog.rs
@@ -3,9 +3,15 @@
 //! Each position of the log is an object, written only if it does not exist. The
 //! last position is never removed. A former lead that still appends therefore finds
 //! that its position or a later one exists, and knows that the append is void.
+//!
+//! Each position names the claim under which it was written. A lead whose claim is older
+//! than one of these must not seal the log: its seal would void the appends of the
+//! current lead, and make its own valid.
+
+use std::fmt::{self, Display, Formatter};
 
 use bytes::Bytes;
-use chestnut_base::{RequestId, SlotId};
+use chestnut_base::{MemberId, RequestId, SlotId};
 use chestnut_once::{AppendResult, Record, SlotLog};
 use chestnut_plat::{ObjectStore, PlatformError};
 use serde_json::{Value, json};
@@ -13,18 +19,54 @@
 /// Limit on attempts to seal a log that other leads write to at the same time.
 const MAX_SEAL_ATTEMPTS: usize = 4;
 
+/// The claim under which a lead writes to a slot's log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlotClaim {
+    /// The lead.
+    pub member: MemberId,
+    /// The version of the claim's row; it rises with each change of the lead.
+    pub version: u64,
+}
+
+/// The result of sealing a log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SealResult {
+    /// The log with the seal as its last position.
+    Sealed(SlotLog),
+    /// A lead with a later claim has written to the log.
+    Superseded,
+}
+
+/// A position of a log.
+struct LogEntry {
+    /// The version of the claim under which it was written, if it names that.
+    claim: Option<u64>,
+    records: Vec<Record>,
+}
+
+/// What the positions of a log hold.
+struct LogContent {
+    records: Vec<Record>,
+    next_position: u64,
+    /// The latest claim of any position; `None` if none names its claim.
+    last_claim: Option<u64>,
+}
+
 /// Reads the log and writes a seal to its next position.
-///
-/// `seal_id` distinguishes this lead's seal from those of other leads.
 pub async fn seal(
     objects: &ObjectStore,
     slot: SlotId,
-    seal_id: &str,
-) -> Result<SlotLog, PlatformError> {
+    claim: SlotClaim,
+) -> Result<SealResult, PlatformError> {
     for _ in 0..MAX_SEAL_ATTEMPTS {
-        let (records, next_position) = read(objects, slot).await?;
-        if put(objects, slot, next_position, encode(seal_id, &[])).await? {
-            return Ok(SlotLog { records, next_position: next_position + 1 });
+        let LogContent { records, next_position, last_claim } =
+            read(objects, slot).await?;
+        if last_claim.is_some_and(|last| last > claim.version) {
+            return Ok(SealResult::Superseded);
+        }
+        if put(objects, slot, next_position, encode(claim, &[])).await? {
+            let next_position = next_position + 1;
+            return Ok(SealResult::Sealed(SlotLog { records, next_position }));
         }
     }
     Err(PlatformError::OutcomeUnknown(
@@ -36,10 +78,11 @@
 pub async fn append(
     objects: &ObjectStore,
     slot: SlotId,
+    claim: SlotClaim,
     position: u64,
     records: &[Record],
 ) -> AppendResult {
-    match put(objects, slot, position, encode("", records)).await {
+    match put(objects, slot, position, encode(claim, records)).await {
         Ok(true) => {}
         Ok(false) => return AppendResult::Conflict,
         Err(PlatformError::Unavailable(_)) => return AppendResult::Unavailable,
@@ -75,23 +118,23 @@
     slot: SlotId,
     id: &RequestId,
 ) -> Result<bool, PlatformError> {
-    let (records, _) = read(objects, slot).await?;
+    let LogContent { records, .. } = read(objects, slot).await?;
     Ok(records.iter().any(|record| record.id == *id))
 }
 
-async fn read(
-    objects: &ObjectStore,
-    slot: SlotId,
-) -> Result<(Vec<Record>, u64), PlatformError> {
+async fn read(objects: &ObjectStore, slot: SlotId) -> Result<LogContent, PlatformError> {
     let positions = positions(objects, slot).await?;
-    let mut records = Vec::new();
-    for position in &positions {
+    let next_position = positions.last().map_or(0, |position| position + 1);
+    let mut content = LogContent { records: Vec::new(), next_position, last_claim: None };
+    for position in positions {
         // The records of a position that was trimmed meanwhile are in the table.
-        if let Some(bytes) = objects.get(&key(slot, *position)).await? {
-            records.extend(parse(&bytes)?);
+        if let Some(bytes) = objects.get(&key(slot, position)).await? {
+            let entry = parse(&bytes)?;
+            content.last_claim = content.last_claim.max(entry.claim);
+            content.records.extend(entry.records);
         }
     }
-    Ok((records, positions.last().map_or(0, |position| position + 1)))
+    Ok(content)
 }
 
 /// Writes a position if it does not exist; returns whether it now has this content.
@@ -122,21 +165,36 @@
     Ok(positions)
 }
 
-fn encode(seal_id: &str, records: &[Record]) -> Bytes {
+fn encode(claim: SlotClaim, records: &[Record]) -> Bytes {
     let records: Vec<Value> = records.iter().map(Record::to_value).collect();
-    Bytes::from(json!({ "seal": seal_id, "records": records }).to_string())
+    let entry = json!({
+        "seal": claim.to_string(),
+        "records": records,
+    });
+    Bytes::from(entry.to_string())
 }
 
-/// Parses the records of a position. Malformed content is an error, since skipping it could
-/// lose the record of a started run.
-fn parse(bytes: &[u8]) -> Result<Vec<Record>, PlatformError> {
+/// Parses a position. Malformed content is an error, since skipping it could lose the record
+/// of a started run.
+///
+/// Earlier releases name the claim only in seals.
+fn parse(bytes: &[u8]) -> Result<LogEntry, PlatformError> {
     let malformed = || PlatformError::Protocol("a slot's log is malformed".into());
     let value: Value = serde_json::from_slice(bytes).map_err(|_| malformed())?;
+    let claim = value["seal"].as_str().and_then(|claim| claim.split_once('/'));
+    let claim = claim.and_then(|(_, version)| version.parse().ok());
     let records = value["records"].as_array().ok_or_else(malformed)?;
-    records
+    let records: Result<_, _> = records
         .iter()
         .map(|value| Record::from_value(value.clone()).ok_or_else(malformed))
-        .collect()
+        .collect();
+    Ok(LogEntry { claim, records: records? })
+}
+
+impl Display for SlotClaim {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.member, self.version)
+    }
 }
 
 fn prefix(slot: SlotId) -> String {
--- a/crates/node/src/slots/driver.rs
+++ b/crates/node/src/slots/driver.rs
@@ -19,7 +19,8 @@
 use crate::journal::{self, RecoveryRequest};
 use crate::node::Node;
 use crate::shared::Shared;
-use crate::{single, slotlog};
+use crate::single;
+use crate::slotlog::{self, SlotClaim};
 
 /// A request or query that waits for a reply of the journal.
 enum Waiter {
@@ -214,21 +215,30 @@
                     let body = journal::fetch_body(&node, &key).await;
                     Event::BodyFetched { id, body }
                 }),
-                Effect::AppendToLog { slot, number, position, records } => {
+                Effect::AppendToLog { slot, version, number, position, records } => {
                     self.metrics.appends.inc();
                     self.spawn(move |node| async move {
-                        let objects = &node.shared.objects;
-                        let result =
-                            slotlog::append(objects, slot, position, &records).await;
+                        let shared = &node.shared;
+                        let claim = SlotClaim { member: shared.me, version };
+                        let append = slotlog::append(
+                            &shared.objects,
+                            slot,
+                            claim,
+                            position,
+                            &records,
+                        );
+                        let result = append.await;
                         Event::AppendFinished { slot, number, result }
                     });
                 }
                 Effect::TrimLog { slot, position } => {
                     let node = self.node.clone();
                     tokio::spawn(async move {
+                        let shared = &node.shared;
+                        let trim = slotlog::trim(&shared.objects, slot, position);
                         // Entries that remain are read again by the next lead, without
                         // effect.
-                        drop(slotlog::trim(&node.shared.objects, slot, position).await);
+                        drop(trim.await);
                     });
                 }
                 Effect::ReadState { waiter, slot, id } => {
--- a/crates/once/src/event.rs
+++ b/crates/once/src/event.rs
@@ -42,6 +42,13 @@
         /// The version of the claim's row under which they were to be read.
         version: u64,
     },
+    /// The slot's log shows that a later claim has another holder.
+    ClaimSuperseded {
+        /// The claimed slot.
+        slot: SlotId,
+        /// The version of the claim's row under which it was to be read.
+        version: u64,
+    },
     /// A caller sent a non-idempotent request.
     Submit {
         /// Gets the reply.
@@ -180,8 +187,10 @@
 /// An action that the daemon carries out for the journal.
 #[derive(Debug, Clone)]
 pub enum Effect {
-    /// Read the slot's log and rows; results in [`Event::SlotLoaded`] or
-    /// [`Event::LoadFailed`].
+    /// Seal the slot's log and read it and the rows; results in [`Event::SlotLoaded`],
+    /// [`Event::LoadFailed`] or [`Event::ClaimSuperseded`].
+    ///
+    /// A log that was sealed under a later claim must not be sealed again.
     LoadSlot {
         /// The claimed slot.
         slot: SlotId,
@@ -195,6 +204,8 @@
     AppendToLog {
         /// The slot of the log.
         slot: SlotId,
+        /// The version of the claim's row.
+        version: u64,
         /// Unique among the batches and appends of one journal.
         number: u64,
         /// The position in the log.
--- a/crates/once/src/journal.rs
+++ b/crates/once/src/journal.rs
@@ -157,6 +157,9 @@
                 self.append_finished(slot, number, result, now)
             }
             Event::LoadFailed { slot, version } => self.load_failed(slot, version, now),
+            Event::ClaimSuperseded { slot, version } => {
+                self.claim_superseded(slot, version, now)
+            }
             Event::Submit { .. } => self.submit(event, now),
             Event::Lookup { waiter, slot, id } => self.lookup(waiter, slot, id, now),
             Event::CommitFinished { number, result } => {
--- a/crates/once/src/journal/log.rs
+++ b/crates/once/src/journal/log.rs
@@ -17,7 +17,7 @@
 use crate::event::{AppendResult, Effect};
 use crate::index::RequestState;
 use crate::limits::jitter;
-use crate::record::JournalRow;
+use crate::record::{JournalRow, Record};
 
 /// The most times that an append is sent while its result is unknown, including the
 /// first.
@@ -89,17 +89,20 @@
         &mut self,
         slot: SlotId,
         position: u64,
-        records: Vec<crate::record::Record>,
+        records: Vec<Record>,
         resends: u32,
     ) {
+        let Some(state) = self.slots.get_mut(&slot) else { return };
         self.last_number += 1;
         let number = self.last_number;
-        let effect =
-            Effect::AppendToLog { slot, number, position, records: records.clone() };
-        self.effects.push_back(effect);
-        if let Some(slot) = self.slots.get_mut(&slot) {
-            slot.append_in_flight = Some(Append { number, position, records, resends });
-        }
+        self.effects.push_back(Effect::AppendToLog {
+            slot,
+            version: state.claim_version,
+            number,
+            position,
+            records: records.clone(),
+        });
+        state.append_in_flight = Some(Append { number, position, records, resends });
     }
 
     pub(super) fn append_finished(
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -43,8 +43,12 @@
         1 => daemon.clone().prop_map(|daemon| Op::Takeover { daemon }),
         1 => daemon.clone().prop_map(|daemon| Op::Release { daemon }),
         2 => daemon.clone().prop_map(|daemon| Op::RefreshView { daemon }),
+        1 => (daemon.clone(), prop::bool::ANY)
+            .prop_map(|(daemon, reachable)| Op::SetTable { daemon, reachable }),
         1 => daemon.prop_map(|daemon| Op::Crash { daemon }),
         3 => (1..800u16).prop_map(|millis| Op::Advance { millis }),
+        // Beyond the wait limit of a start.
+        1 => (2500..4000u16).prop_map(|millis| Op::Advance { millis }),
     ]
 }
 
@@ -339,6 +343,32 @@
     simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
 }
 
+/// A daemon takes over a slot whose former holder has not loaded it yet, and runs a
+/// request. The former holder loads the slot, can't reach the table and gets the request.
+fn load_under_a_lapsed_claim() -> Vec<Op> {
+    let unavailable = |daemon| Op::Step { daemon, delivery: Delivery::Unavailable };
+    let advance = |millis| Op::Advance { millis };
+    let mut ops = vec![Op::Takeover { daemon: 1 }, step(1), step(0)];
+    ops.extend([submit(1), step(1), step(1), step(1), Op::Dispatch { run: 0 }]);
+    ops.extend([advance(10), submit(0), unavailable(0), unavailable(0), advance(10)]);
+    ops.extend([step(0), step(0), step(0), Op::Dispatch { run: 0 }]);
+    ops.extend([advance(10), submit(0), advance(10)]);
+    ops.extend([step(0), step(0), Op::Dispatch { run: 0 }]);
+    ops
+}
+
+/// A slot load that runs after another daemon took over must not open the slot.
+#[test]
+fn load_under_a_lapsed_claim_does_not_open_the_slot() {
+    simulate(Disabled::Nothing, &load_under_a_lapsed_claim()).run_without_faults(IDS);
+}
+
+#[test]
+#[should_panic(expected = "letter-0 ran 2 times")]
+fn fails_if_seals_do_not_check_claims() {
+    simulate(Disabled::SealClaims, &load_under_a_lapsed_claim());
+}
+
 /// The late append of a refused start must not dispatch a newer request of the same id.
 #[test]
 fn append_of_a_refused_start_does_not_dispatch_another_request() {
--- a/crates/once/tests/model/mod.rs
+++ b/crates/once/tests/model/mod.rs
@@ -18,6 +18,7 @@
 mod platform;
 
 pub use op::{Delivery, Disabled, Op};
+use platform::SealResult;
 
 const LEASE_TERM: Duration = Duration::from_secs(6);
 
@@ -27,7 +28,16 @@
 /// A write that takes effect after its sender has timed out.
 enum DelayedWrite {
     Batch(Batch),
-    Append(u64, Vec<Record>),
+    Append(u64, LogEntry),
+}
+
+/// A position of the slot's log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct LogEntry {
+    /// The version of the claim under which it was written.
+    claim: u64,
+    /// Empty for a seal.
+    records: Vec<Record>,
 }
 
 struct Daemon {
@@ -35,6 +45,8 @@
     journal: Journal,
     effects: VecDeque<Effect>,
     lease: Instant,
+    /// Whether its calls to the table succeed; those to the object store do in any case.
+    table_reachable: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -68,8 +80,8 @@
     last_version: u64,
     rows: IndexMap<RequestId, (Record, u64)>,
     delayed: VecDeque<DelayedWrite>,
-    /// The records in the slot's log by position.
-    log: IndexMap<u64, Vec<Record>>,
+    /// The slot's log by position.
+    log: IndexMap<u64, LogEntry>,
     runs: Vec<Run>,
     /// Indexed by waiter id.
     calls: Vec<Call>,
@@ -128,9 +140,11 @@
         self.last_number += 1;
         Daemon {
             member: MemberId(self.last_number),
-            journal: Journal::new(self.limits, self.last_number, self.now),
+            // Random in a deployment, so transaction ids of two daemons never meet.
+            journal: Journal::new(self.limits, self.last_number << 32, self.now),
             effects: VecDeque::new(),
             lease: self.now,
+            table_reachable: true,
         }
     }
 
@@ -263,6 +277,9 @@
                 self.assign_slot(daemon);
             }
             Op::RefreshView { daemon } => self.refresh_view(daemon),
+            Op::SetTable { daemon, reachable } => {
+                self.daemons[daemon].table_reachable = reachable
+            }
             Op::Crash { daemon } => self.crash(daemon),
             Op::Advance { millis } => {
                 self.now += Duration::from_millis(millis.into());
@@ -347,16 +364,23 @@
         let Some(effect) = self.daemons[daemon].effects.pop_front() else { return };
         match effect {
             Effect::LoadSlot { slot, version } => {
-                let event = match delivery {
-                    Delivery::Normal => {
-                        let (rows, log) = (self.read_rows(), self.seal_log());
+                let event = match self.seal_log(version, delivery) {
+                    SealResult::Sealed(log) if self.can_read_table(daemon) => {
+                        let rows = self.read_rows();
                         Event::SlotLoaded { slot, version, rows, log }
                     }
-                    _ => Event::LoadFailed { slot, version },
+                    SealResult::Sealed(_) | SealResult::Failed => {
+                        Event::LoadFailed { slot, version }
+                    }
+                    SealResult::Superseded => Event::ClaimSuperseded { slot, version },
                 };
                 self.handle(daemon, event);
             }
             Effect::Commit(batch) => {
+                let delivery = match self.can_read_table(daemon) {
+                    true => delivery,
+                    false => Delivery::Unavailable,
+                };
                 let result = self.send_batch(&batch, delivery);
                 self.handle(
                     daemon,
@@ -385,15 +409,16 @@
             }
             Effect::ReadState { waiter, id, .. } => {
                 self.calls[waiter.0 as usize].replied = true;
-                let logged = self.log.values().flatten().any(|record| record.id == id);
+                let logged = self.log_records().iter().any(|record| record.id == id);
                 if !self.rows.contains_key(&id) && !logged && delivery == Delivery::Normal
                 {
                     let ran = self.runs.iter().any(|run| run.dispatched && run.id == id);
                     assert!(!ran, "reported as unknown, but it ran");
                 }
             }
-            Effect::AppendToLog { slot, number, position, records } => {
-                let result = self.append(position, records, delivery);
+            Effect::AppendToLog { slot, version, number, position, records } => {
+                let entry = LogEntry { claim: version, records };
+                let result = self.append(position, entry, delivery);
                 self.handle(daemon, Event::AppendFinished { slot, number, result });
             }
             Effect::TrimLog { position, .. } => {
@@ -439,6 +464,7 @@
         }
         let holder = self.holder.unwrap_or(0);
         for daemon in 0..DAEMONS {
+            self.daemons[daemon].table_reachable = true;
             self.refresh_view(daemon);
         }
         self.run_until_idle();
--- a/crates/once/tests/model/op.rs
+++ b/crates/once/tests/model/op.rs
@@ -21,6 +21,8 @@
     TransactionIds,
     /// A new holder doesn't seal the log.
     LogSeal,
+    /// A log that was sealed under a later claim is sealed again.
+    SealClaims,
     /// A new holder doesn't read the log.
     LogReading,
 }
@@ -48,6 +50,8 @@
     Release { daemon: usize },
     /// A daemon learns who holds the slot, and renews its lease.
     RefreshView { daemon: usize },
+    /// The platform starts or stops to serve the table to a daemon.
+    SetTable { daemon: usize, reachable: bool },
     /// A daemon crashes and is replaced by a new one.
     Crash { daemon: usize },
     /// Time passes.
--- a/crates/once/tests/model/platform.rs
+++ b/crates/once/tests/model/platform.rs
@@ -7,59 +7,92 @@
     AppendResult, Batch, Change, CommitResult, Condition, JournalRow, Record, SlotLog,
 };
 
-use super::{DelayedWrite, Delivery, Disabled, Simulation};
+use super::{DelayedWrite, Delivery, Disabled, LogEntry, Simulation};
+
+/// The result of sealing the log.
+pub(super) enum SealResult {
+    Sealed(SlotLog),
+    /// The log was written to under a later claim.
+    Superseded,
+    Failed,
+}
 
 impl Simulation {
     pub(super) fn apply_delayed(&mut self, write: DelayedWrite) {
         match write {
             DelayedWrite::Batch(batch) => drop(self.commit(&batch)),
-            DelayedWrite::Append(position, records) => {
-                self.log.entry(position).or_insert(records);
+            DelayedWrite::Append(position, entry) => {
+                self.log.entry(position).or_insert(entry);
             }
         }
     }
 
+    /// Whether the table serves a daemon.
+    pub(super) fn can_read_table(&self, daemon: usize) -> bool {
+        self.daemons[daemon].table_reachable
+    }
+
     /// Reads the log and seals it at its next position.
-    pub(super) fn seal_log(&mut self) -> SlotLog {
-        let records = match self.disabled {
-            Disabled::LogReading => Vec::new(),
-            _ => {
-                let mut log: Vec<_> = self.log.iter().collect();
-                log.sort_by_key(|(position, _)| **position);
-                log.into_iter().flat_map(|(_, records)| records.clone()).collect()
-            }
-        };
+    pub(super) fn seal_log(&mut self, claim: u64, delivery: Delivery) -> SealResult {
+        if delivery == Delivery::Unavailable {
+            return SealResult::Failed;
+        }
+        let records = self.log_records();
         let next = self.log.keys().max().map_or(0, |position| position + 1);
         if self.disabled == Disabled::LogSeal {
-            return SlotLog { records, next_position: next };
+            return SealResult::Sealed(SlotLog { records, next_position: next });
+        }
+        let superseded = self.log.values().any(|entry| entry.claim > claim);
+        if superseded && self.disabled != Disabled::SealClaims {
+            return SealResult::Superseded;
+        }
+        let seal = LogEntry { claim, records: Vec::new() };
+        if delivery == Delivery::Delayed {
+            self.delayed.push_back(DelayedWrite::Append(next, seal));
+            return SealResult::Failed;
+        }
+        self.log.insert(next, seal);
+        match delivery {
+            Delivery::Normal => {
+                SealResult::Sealed(SlotLog { records, next_position: next + 1 })
+            }
+            _ => SealResult::Failed,
+        }
+    }
+
+    /// The records of the log that count.
+    pub(super) fn log_records(&self) -> Vec<Record> {
+        if self.disabled == Disabled::LogReading {
+            return Vec::new();
         }
-        self.log.insert(next, Vec::new());
-        SlotLog { records, next_position: next + 1 }
+        let mut log: Vec<_> = self.log.iter().collect();
+        log.sort_by_key(|(position, _)| **position);
+        log.into_iter().flat_map(|(_, entry)| entry.records.clone()).collect()
     }
 
     pub(super) fn append(
         &mut self,
         position: u64,
-        records: Vec<Record>,
+        entry: LogEntry,
         delivery: Delivery,
     ) -> AppendResult {
         match delivery {
-            Delivery::Normal => self.append_now(position, records),
+            Delivery::Normal => self.append_now(position, entry),
             Delivery::ResponseLost => {
-                self.append_now(position, records);
+                self.append_now(position, entry);
                 AppendResult::Unknown
             }
             Delivery::Delayed => {
-                self.delayed.push_back(DelayedWrite::Append(position, records));
+                self.delayed.push_back(DelayedWrite::Append(position, entry));
                 AppendResult::Unknown
             }
             Delivery::Unavailable => AppendResult::Unavailable,
         }
     }
 
-    fn append_now(&mut self, position: u64, records: Vec<Record>) -> AppendResult {
-        let stored = self.log.entry(position).or_insert_with(|| records.clone());
-        let same = *stored == records;
+    fn append_now(&mut self, position: u64, entry: LogEntry) -> AppendResult {
+        let stored = self.log.entry(position).or_insert_with(|| entry.clone());
+        let same = *stored == entry;
         let last = self.log.keys().max() == Some(&position);
         if same && last { AppendResult::Appended } else { AppendResult::Conflict }
     }
