once: ignore what is appended to a trimmed position of a slot's log

A letter could stay in doubt and never be run: the late append of a daemon that had lost its slot landed on a position that the new holder had trimmed. The daemon saw that the append was void and refused the request, but the object stayed, and the next daemon that loaded the slot read it as a start.

Cause: positions are written only if they don't exist, and a trim deletes them. A trim now empties and marks the position that it leaves last, and readers ignore what precedes a mark. Earlier releases ignore the mark and may still read such an append.

--- a/crates/node/src/slotlog.rs
+++ b/crates/node/src/slotlog.rs
@@ -7,6 +7,9 @@
 //! Each position names the claim under which it was written. A lead whose claim is older
 //! than one of these must not seal the log: its seal would void the appends of the
 //! current lead, and make its own valid.
+//!
+//! A void append may take a position that was trimmed, so a trim marks the position that it
+//! leaves last, and what precedes a mark doesn't count.
 
 use std::fmt::{self, Display, Formatter};
 
@@ -41,10 +44,12 @@
 struct LogEntry {
     /// The version of the claim under which it was written, if it names that.
     claim: Option<u64>,
+    /// Whether positions before this one don't count.
+    trimmed: bool,
     records: Vec<Record>,
 }
 
-/// What the positions of a log hold.
+/// What the positions of a log hold that count.
 struct LogContent {
     records: Vec<Record>,
     next_position: u64,
@@ -64,7 +69,7 @@
         if last_claim.is_some_and(|last| last > claim.version) {
             return Ok(SealResult::Superseded);
         }
-        if put(objects, slot, next_position, encode(claim, &[])).await? {
+        if put(objects, slot, next_position, encode(claim, false, &[])).await? {
             let next_position = next_position + 1;
             return Ok(SealResult::Sealed(SlotLog { records, next_position }));
         }
@@ -82,7 +87,7 @@
     position: u64,
     records: &[Record],
 ) -> AppendResult {
-    match put(objects, slot, position, encode(claim, records)).await {
+    match put(objects, slot, position, encode(claim, false, records)).await {
         Ok(true) => {}
         Ok(false) => return AppendResult::Conflict,
         Err(PlatformError::Unavailable(_)) => return AppendResult::Unavailable,
@@ -98,12 +103,17 @@
     }
 }
 
-/// Removes the positions before `position`.
+/// Empties a position that this lead wrote, and removes those before it.
+///
+/// The table must have all their records.
 pub async fn trim(
     objects: &ObjectStore,
     slot: SlotId,
+    claim: SlotClaim,
     position: u64,
 ) -> Result<(), PlatformError> {
+    let body = encode(claim, true, &[]);
+    objects.put(&key(slot, position), body, false).await?;
     for stored in positions(objects, slot).await? {
         if stored < position {
             objects.delete(&key(slot, stored)).await?;
@@ -131,6 +141,9 @@
         if let Some(bytes) = objects.get(&key(slot, position)).await? {
             let entry = parse(&bytes)?;
             content.last_claim = content.last_claim.max(entry.claim);
+            if entry.trimmed {
+                content.records.clear();
+            }
             content.records.extend(entry.records);
         }
     }
@@ -165,10 +178,11 @@
     Ok(positions)
 }
 
-fn encode(claim: SlotClaim, records: &[Record]) -> Bytes {
+fn encode(claim: SlotClaim, trimmed: bool, records: &[Record]) -> Bytes {
     let records: Vec<Value> = records.iter().map(Record::to_value).collect();
     let entry = json!({
         "seal": claim.to_string(),
+        "trimmed": trimmed,
         "records": records,
     });
     Bytes::from(entry.to_string())
@@ -177,18 +191,19 @@
 /// Parses a position. Malformed content is an error, since skipping it could lose the record
 /// of a started run.
 ///
-/// Earlier releases name the claim only in seals.
+/// Earlier releases name the claim only in seals, and none says that it was trimmed.
 fn parse(bytes: &[u8]) -> Result<LogEntry, PlatformError> {
     let malformed = || PlatformError::Protocol("a slot's log is malformed".into());
     let value: Value = serde_json::from_slice(bytes).map_err(|_| malformed())?;
     let claim = value["seal"].as_str().and_then(|claim| claim.split_once('/'));
     let claim = claim.and_then(|(_, version)| version.parse().ok());
+    let trimmed = value["trimmed"].as_bool().unwrap_or_default();
     let records = value["records"].as_array().ok_or_else(malformed)?;
     let records: Result<_, _> = records
         .iter()
         .map(|value| Record::from_value(value.clone()).ok_or_else(malformed))
         .collect();
-    Ok(LogEntry { claim, records: records? })
+    Ok(LogEntry { claim, trimmed, records: records? })
 }
 
 impl Display for SlotClaim {
--- a/crates/node/src/slots/driver.rs
+++ b/crates/node/src/slots/driver.rs
@@ -231,11 +231,12 @@
                         Event::AppendFinished { slot, number, result }
                     });
                 }
-                Effect::TrimLog { slot, position } => {
+                Effect::TrimLog { slot, version, position } => {
                     let node = self.node.clone();
                     tokio::spawn(async move {
                         let shared = &node.shared;
-                        let trim = slotlog::trim(&shared.objects, slot, position);
+                        let claim = SlotClaim { member: shared.me, version };
+                        let trim = slotlog::trim(&shared.objects, slot, claim, position);
                         // Entries that remain are read again by the next lead, without
                         // effect.
                         drop(trim.await);
--- a/crates/node/tests/slotlog.rs
+++ b/crates/node/tests/slotlog.rs
@@ -62,3 +62,18 @@
     assert_eq!(appended, AppendResult::Appended);
     assert_eq!(seal(&objects, claim(3, 11)).await.records, records);
 }
+
+/// A late append to a trimmed position would count as the start of a request.
+#[tokio::test]
+async fn append_to_a_trimmed_position_is_not_read() {
+    let (_platform, objects) = start_store().await;
+    let former = seal(&objects, claim(1, 5)).await;
+    seal(&objects, claim(2, 9)).await;
+    let log = seal(&objects, claim(2, 9)).await;
+    slotlog::trim(&objects, SLOT, claim(2, 9), log.next_position - 1).await.unwrap();
+    let records = [record(1, "letter")];
+    let late =
+        slotlog::append(&objects, SLOT, claim(1, 5), former.next_position, &records);
+    assert_eq!(late.await, AppendResult::Conflict);
+    assert_eq!(seal(&objects, claim(3, 11)).await.records, []);
+}
--- a/crates/once/src/event.rs
+++ b/crates/once/src/event.rs
@@ -213,10 +213,15 @@
         /// The records to write.
         records: Vec<Record>,
     },
-    /// Delete the positions of a slot's log before `position`; the table has them.
+    /// Empty a position of a slot's log, and delete those before it; the table has them.
+    ///
+    /// A late append may write to a deleted position. Readers must ignore what precedes a
+    /// position that was emptied.
     TrimLog {
         /// The slot of the log.
         slot: SlotId,
+        /// The version of the claim's row.
+        version: u64,
         /// The first position that stays.
         position: u64,
     },
--- a/crates/once/src/journal/log.rs
+++ b/crates/once/src/journal/log.rs
@@ -237,9 +237,11 @@
             if is_idle && !self.index.entries.values().any(log_only) {
                 state.log_needs_trim = false;
                 // The last position stays, so that a former holder's append conflicts.
-                let effect =
-                    Effect::TrimLog { slot: *slot, position: log_end.saturating_sub(1) };
-                self.effects.push_back(effect);
+                self.effects.push_back(Effect::TrimLog {
+                    slot: *slot,
+                    version: state.claim_version,
+                    position: log_end.saturating_sub(1),
+                });
             }
         }
     }
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -369,6 +369,32 @@
     simulate(Disabled::SealClaims, &load_under_a_lapsed_claim());
 }
 
+/// A slot is loaded twice by its new holder and trimmed. Then the former holder, which the
+/// table doesn't serve, logs a request at a trimmed position and learns of its loss.
+fn append_to_a_trimmed_position(disabled: Disabled) {
+    let advance = || Op::Advance { millis: 10 };
+    let mut ops = vec![step(0), advance(), step(0)];
+    ops.extend([Op::Takeover { daemon: 1 }, step(1), Op::Takeover { daemon: 1 }]);
+    ops.extend([step(1), advance(), step(1)]);
+    ops.extend([Op::SetTable { daemon: 0, reachable: false }, submit(0), step(0)]);
+    ops.extend([advance(), step(0), Op::Takeover { daemon: 2 }]);
+    let mut simulation = simulate(disabled, &ops);
+    simulation.run_without_faults(IDS);
+    assert!(simulation.has_run(0), "letter-0 never ran");
+}
+
+/// A late append to a trimmed position must not count as the start of a request.
+#[test]
+fn append_to_a_trimmed_position_is_void() {
+    append_to_a_trimmed_position(Disabled::Nothing);
+}
+
+#[test]
+#[should_panic(expected = "letter-0 never ran")]
+fn fails_if_positions_before_a_trim_count() {
+    append_to_a_trimmed_position(Disabled::TrimMarks);
+}
+
 /// The late append of a refused start must not dispatch a newer request of the same id.
 #[test]
 fn append_of_a_refused_start_does_not_dispatch_another_request() {
--- a/crates/once/tests/model/mod.rs
+++ b/crates/once/tests/model/mod.rs
@@ -29,6 +29,7 @@
 enum DelayedWrite {
     Batch(Batch),
     Append(u64, LogEntry),
+    Trim(u64, LogEntry),
 }
 
 /// A position of the slot's log.
@@ -36,6 +37,8 @@
 struct LogEntry {
     /// The version of the claim under which it was written.
     claim: u64,
+    /// Whether earlier positions don't count.
+    trimmed: bool,
     /// Empty for a seal.
     records: Vec<Record>,
 }
@@ -417,12 +420,22 @@
                 }
             }
             Effect::AppendToLog { slot, version, number, position, records } => {
-                let entry = LogEntry { claim: version, records };
+                let entry = LogEntry { claim: version, trimmed: false, records };
                 let result = self.append(position, entry, delivery);
                 self.handle(daemon, Event::AppendFinished { slot, number, result });
             }
-            Effect::TrimLog { position, .. } => {
-                self.log.retain(|stored, _| *stored >= position)
+            Effect::TrimLog { version, position, .. } => {
+                let mark =
+                    LogEntry { claim: version, trimmed: true, records: Vec::new() };
+                match delivery {
+                    Delivery::Normal | Delivery::ResponseLost => {
+                        self.trim(position, mark)
+                    }
+                    Delivery::Delayed => {
+                        self.delayed.push_back(DelayedWrite::Trim(position, mark))
+                    }
+                    Delivery::Unavailable => {}
+                }
             }
             Effect::DeleteBody(_) | Effect::Reply { .. } => {}
         }
--- a/crates/once/tests/model/op.rs
+++ b/crates/once/tests/model/op.rs
@@ -23,6 +23,8 @@
     LogSeal,
     /// A log that was sealed under a later claim is sealed again.
     SealClaims,
+    /// Positions before one that was trimmed count.
+    TrimMarks,
     /// A new holder doesn't read the log.
     LogReading,
 }
--- a/crates/once/tests/model/platform.rs
+++ b/crates/once/tests/model/platform.rs
@@ -24,6 +24,7 @@
             DelayedWrite::Append(position, entry) => {
                 self.log.entry(position).or_insert(entry);
             }
+            DelayedWrite::Trim(position, mark) => self.trim(position, mark),
         }
     }
 
@@ -46,7 +47,7 @@
         if superseded && self.disabled != Disabled::SealClaims {
             return SealResult::Superseded;
         }
-        let seal = LogEntry { claim, records: Vec::new() };
+        let seal = LogEntry { claim, trimmed: false, records: Vec::new() };
         if delivery == Delivery::Delayed {
             self.delayed.push_back(DelayedWrite::Append(next, seal));
             return SealResult::Failed;
@@ -67,7 +68,19 @@
         }
         let mut log: Vec<_> = self.log.iter().collect();
         log.sort_by_key(|(position, _)| **position);
-        log.into_iter().flat_map(|(_, entry)| entry.records.clone()).collect()
+        let is_trimmed = |(_, entry): &(&u64, &LogEntry)| entry.trimmed;
+        let first = match self.disabled {
+            Disabled::TrimMarks => 0,
+            _ => log.iter().rposition(is_trimmed).unwrap_or(0),
+        };
+        let counted = log.into_iter().skip(first);
+        counted.flat_map(|(_, entry)| entry.records.clone()).collect()
+    }
+
+    /// Empties a position and deletes those before it.
+    pub(super) fn trim(&mut self, position: u64, mark: LogEntry) {
+        self.log.insert(position, mark);
+        self.log.retain(|stored, _| *stored >= position);
     }
 
     pub(super) fn append(
