gate: count a daemon's silence from when its heartbeats are expected

Callers of a large fleet were refused routes that their configuration has, and waited for claims to change hands, since live daemons lost their rows: without one, a daemon gets neither heartbeats nor table changes until it reads the store itself.

Cause: when a member leaves, each daemon that watched it watches the next one in rank. That one may not know yet that heartbeats are expected of it; if it had ever sent another datagram, its silence counted from that one, and it was removed at once.

Each neighbour now has the time since when it is expected. So that many daemons that fail at once are still found soon, two more are watched for each silent one: without that the simulated cluster of 195 of which two are left keeps rows after 12 s (rows_of_most_daemons_are_removed_soon).

--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -11,8 +11,7 @@
 
 use chestnut_base::{MemberId, VmName};
 use chestnut_edge::{Change, Transaction, TransactionOutcome};
-use chestnut_member::{MemberRow, MembershipRows, watched_vms, watchers};
-use indexmap::IndexMap;
+use chestnut_member::MemberRow;
 use rand::seq::IteratorRandom;
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -74,12 +73,10 @@
 
     fn on_batch_end(&mut self) {
         let Self(shared) = self;
-        let neighbours = {
-            let mut membership = shared.membership();
-            membership.record_first_seen(shared.now());
-            Neighbours::select(&membership, &shared.settings.vm, shared.peers.me)
-        };
-        *shared.neighbours() = neighbours;
+        let now = shared.now();
+        let mut membership = shared.membership();
+        membership.record_first_seen(now);
+        shared.neighbours().update(&membership, &shared.settings.vm, now);
     }
 }
 
@@ -91,6 +88,7 @@
     loop {
         // Detects a suspension of the daemon before the heartbeat is sent.
         shared.is_resuming();
+        replace_silent_neighbours(&shared);
         send_heartbeat(&shared);
         sleep(HEARTBEAT_PERIOD).await;
     }
@@ -184,6 +182,18 @@
     membership.member_row(member).map(|row| row.ops_addr)
 }
 
+/// Watches more daemons while watched ones are silent.
+fn replace_silent_neighbours(shared: &Shared) {
+    let now = shared.now();
+    let membership = shared.membership();
+    let vms = shared.neighbours().watched().to_vec();
+    let rows = vms.iter().filter_map(|vm| membership.members.get(vm));
+    let is_silent = |member| !shared.is_alive(member, now);
+    let silent = rows.filter(|(row, _)| is_silent(row.member)).count();
+    let vm = &shared.settings.vm;
+    shared.neighbours().replace_silent(&membership, vm, silent, now);
+}
+
 /// Sends a heartbeat to all neighbours.
 fn send_heartbeat(shared: &Shared) {
     let now = shared.now();
@@ -192,8 +202,8 @@
         alive_members: shared.peers.alive_members(now),
         tables: table_sync::announcements(shared),
     };
-    let addrs: Vec<SocketAddr> = shared.neighbours().addrs.values().copied().collect();
-    for addr in addrs {
+    let addrs: Vec<_> = shared.neighbours().addrs().collect();
+    for (_, addr) in addrs {
         shared.peers.send(addr, Message::Heartbeat(heartbeat.clone()));
     }
 }
@@ -208,8 +218,8 @@
     let outdated: Vec<SocketAddr> = {
         let neighbours = shared.neighbours();
         let lacks = |member: MemberId| shared.peers.is_behind(member, &announcements);
-        let addrs = neighbours.addrs.iter();
-        addrs.filter(|(member, _)| lacks(**member)).map(|(_, addr)| *addr).collect()
+        let addrs = neighbours.addrs();
+        addrs.filter(|(member, _)| lacks(*member)).map(|(_, addr)| addr).collect()
     };
     for addr in outdated.into_iter().sample(&mut rand::rng(), ANNOUNCEMENT_FAN_OUT) {
         shared.peers.send(addr, Message::TableUpdate(announcements.clone()));
@@ -225,43 +235,9 @@
     }
 }
 
-/// Up to this many daemons, each exchanges heartbeats with every other.
-///
-/// Ten daemons send 400 heartbeats a second in all; 78 would send 24,000.
-const MAX_FULL_MESH: usize = 12;
-
 /// The number of neighbours that a daemon sends an announcement to.
 const ANNOUNCEMENT_FAN_OUT: usize = 4;
 
-/// The daemons that a daemon exchanges heartbeats with: all others in a small cluster,
-/// else those that it watches and those that watch it.
-#[derive(Debug, Default)]
-pub struct Neighbours {
-    addrs: IndexMap<MemberId, SocketAddr>,
-}
-
-impl Neighbours {
-    /// Whether heartbeats of a daemon are expected.
-    pub fn expects(&self, member: MemberId) -> bool {
-        self.addrs.contains_key(&member)
-    }
-
-    fn select(membership: &MembershipRows, vm: &VmName, me: MemberId) -> Self {
-        let is_small = membership.members.len() <= MAX_FULL_MESH;
-        let nearby: Vec<VmName> = match is_small {
-            true => membership.members.keys().cloned().collect(),
-            false => watched_vms(membership, vm)
-                .into_iter()
-                .chain(watchers(membership, vm))
-                .collect(),
-        };
-        let rows = nearby.iter().filter_map(|vm| membership.members.get(vm));
-        let others = rows.filter(|(row, _)| row.member != me);
-        let addrs = others.map(|(row, _)| (row.member, row.peer_addr)).collect();
-        Self { addrs }
-    }
-}
-
 /// All other daemons and the addresses where they receive datagrams.
 pub fn other_daemons(shared: &Shared) -> Vec<(MemberId, SocketAddr)> {
     let me = shared.peers.me;
@@ -324,20 +300,18 @@
     let now = shared.now();
     let peers = &shared.peers;
     let membership = shared.membership();
-    let is_unresponsive = |member| match peers.peer_state(member) {
-        Some(peer) => {
-            now.saturating_duration_since(peer.last_received_at) > FAILURE_TIMEOUT
-        }
-        // It has just joined, or had failed before this daemon started.
-        None => membership.is_stable(member, now, FAILURE_TIMEOUT * 2),
+    let neighbours = shared.neighbours();
+    let is_unresponsive = |member| {
+        let last = peers.last_received_at(member);
+        neighbours.is_unresponsive(&membership, member, last, FAILURE_TIMEOUT, now)
     };
-    watched_vms(&membership, &shared.settings.vm)
-        .into_iter()
+    let watched = neighbours.watched().iter();
+    watched
         .filter_map(|vm| {
-            let (row, version) = membership.members.get(&vm)?;
+            let (row, version) = membership.members.get(vm)?;
             let is_down = is_unresponsive(row.member)
                 && !peers.is_alive_for_others(row.member, now);
-            is_down.then(|| (vm, row.clone(), *version))
+            is_down.then(|| (vm.clone(), row.clone(), *version))
         })
         .collect()
 }
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -133,18 +133,10 @@
         }
     }
 
-    /// What a daemon last sent; `None` if it is unknown or has sent nothing for a minute.
-    pub fn peer_state(&self, member: MemberId) -> Option<PeerState> {
+    /// When a daemon last sent anything; `None` if it has sent nothing for a minute.
+    pub fn last_received_at(&self, member: MemberId) -> Option<Instant> {
         let states = self.states.lock().expect("no holder of the lock panics");
-        states.get(&member).cloned()
-    }
-
-    /// Whether a daemon sent anything within the heartbeat timeout.
-    pub fn is_alive(&self, member: MemberId, now: Instant) -> bool {
-        let state = self.peer_state(member);
-        state.is_some_and(|state| {
-            now.saturating_duration_since(state.last_received_at) < HEARTBEAT_TIMEOUT
-        })
+        states.get(&member).map(|state| state.last_received_at)
     }
 
     /// Whether a daemon's last known view is behind `tables` in any table.
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -5,7 +5,7 @@
 
 use chestnut_base::{Clock, MemberId, ServerName, ServiceName};
 use chestnut_edge::{Declarations, Dialect, Engine};
-use chestnut_member::{ClaimKey, MembershipRows, SuspensionDetector};
+use chestnut_member::{ClaimKey, MembershipRows, Neighbours, SuspensionDetector};
 use chestnut_pool::budget::RetryBound;
 use chestnut_pool::placement::PlacementPlanner;
 use chestnut_pool::{EngineTimings, Fleet, RetryBudget};
@@ -15,9 +15,9 @@
 
 use crate::client::Client;
 use crate::holder::HeldRunner;
-use crate::members::{self, Neighbours};
+use crate::members;
 use crate::metrics::Metrics;
-use crate::peers::Peers;
+use crate::peers::{HEARTBEAT_TIMEOUT, Peers};
 use crate::permit_queue::ServiceQueue;
 use crate::persisted_timings::PersistedTimings;
 use crate::planner::DemandCounters;
@@ -177,11 +177,22 @@
 
     /// Whether a daemon is not known to have failed.
     ///
-    /// A neighbour counts as failed without recent heartbeats. Other daemons count as
-    /// alive; callers check whether they have a row.
+    /// A neighbour counts as failed once it has been silent for too long. Other daemons
+    /// count as alive; callers check whether they have a row.
     pub fn is_alive(&self, member: MemberId, now: Instant) -> bool {
-        let expected = self.neighbours().expects(member);
-        !expected || self.peers.is_alive(member, now)
+        self.is_alive_among(&self.neighbours(), member, now)
+    }
+
+    /// Like [`Self::is_alive`], for a caller that has locked the neighbours.
+    pub fn is_alive_among(
+        &self,
+        neighbours: &Neighbours,
+        member: MemberId,
+        now: Instant,
+    ) -> bool {
+        let last_received_at = self.peers.last_received_at(member);
+        let silence = neighbours.silence(member, last_received_at, now);
+        silence.is_none_or(|silence| silence < HEARTBEAT_TIMEOUT)
     }
 
     /// Locks the runners whose claims this daemon holds.
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -11,8 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use chestnut_base::id::weighted_rendezvous_rank;
-use chestnut_base::{MemberId, VmName};
+use chestnut_base::MemberId;
 use chestnut_edge::{Change, Transaction};
 use slog::{info, warn};
 use tokio::sync::watch;
@@ -392,15 +391,12 @@
 
 /// This daemon's rank among the live daemons that may read a table; 0 is the reader.
 fn reader_rank(shared: &Shared, table: &str) -> usize {
-    let me = &shared.settings.vm;
     let membership = shared.membership();
     let now = shared.now();
-    let own = weighted_rendezvous_rank(table, me.as_str(), shared.settings.weight());
-    let others = membership.members.iter().filter(|(vm, (row, _))| {
-        *vm != me && membership.accepts_claims(row) && shared.is_alive(row.member, now)
-    });
-    let rank = |vm: &VmName, weight| weighted_rendezvous_rank(table, vm.as_str(), weight);
-    others.filter(|(vm, (row, _))| rank(vm, row.weight) > own).count()
+    let (vm, weight) = (&shared.settings.vm, shared.settings.weight());
+    let neighbours = shared.neighbours();
+    let is_alive = |member| shared.is_alive_among(&neighbours, member, now);
+    chestnut_member::reader_rank(&membership, vm, weight, table, is_alive)
 }
 
 /// The tables that a daemon replicates, in the order in which heartbeats list them.
--- /dev/null
+++ b/crates/gate/tests/membership.rs
@@ -0,0 +1,375 @@
+//! Membership of many daemons, whose tables lag behind the store by different times.
+//!
+//! A simulation of heartbeats, tables and removals with the decisions of the product. The
+//! store and the network are simulated; time passes in steps of ten milliseconds.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use chestnut_base::{DomainName, MemberId, VmName};
+use chestnut_gate::backoff::Backoff;
+use chestnut_gate::members::FAILURE_TIMEOUT;
+use chestnut_gate::peers::HEARTBEAT_TIMEOUT;
+use chestnut_member::{MemberRow, MembershipRows, Neighbours, reader_rank};
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+
+const STEP: Duration = Duration::from_millis(10);
+const HEARTBEAT_STEPS: u64 = 25;
+
+/// The age from which a daemon reads the store itself.
+const FRESHNESS_LIMIT: Duration = Duration::from_millis(1500);
+
+/// The time within which a cluster must serve again, of the strictest deployment.
+const RECOVERY_BOUND: Duration = Duration::from_secs(12);
+
+struct Daemon {
+    vm: VmName,
+    member: MemberId,
+    is_up: bool,
+    rows: MembershipRows,
+    /// The version of the tables that it has.
+    version: u64,
+    confirmed_at: Instant,
+    backoff: Backoff,
+    neighbours: Neighbours,
+    last_received: IndexMap<MemberId, Instant>,
+    alive_for: IndexMap<MemberId, (Instant, Vec<MemberId>)>,
+    /// A newer version and the index of the daemon that has it.
+    newer: Option<(usize, u64)>,
+}
+
+enum Message {
+    Heartbeat(Announcement, Vec<MemberId>),
+    TableUpdate(Announcement),
+    Other,
+}
+
+/// A version and when the store confirmed it.
+#[derive(Clone, Copy)]
+struct Announcement(u64, Instant);
+
+struct Cluster {
+    rng: StdRng,
+    start: Instant,
+    steps: u64,
+    daemons: Vec<Daemon>,
+    /// The members as of each version, from 0.
+    history: Vec<MembershipRows>,
+    store_up: bool,
+    network: Vec<(u64, usize, usize, Message)>,
+    /// The live daemons that others have removed.
+    removed_alive: Vec<VmName>,
+}
+
+fn vm(index: usize) -> VmName {
+    VmName::try_from(format!("vm{index}").as_str()).expect("a valid name")
+}
+
+fn row(index: usize, member: MemberId) -> MemberRow {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 1000 + index as u16));
+    let domain = DomainName::try_from("north").expect("a valid name");
+    MemberRow {
+        member,
+        domain,
+        caller_addr: addr,
+        peer_addr: addr,
+        ops_addr: addr,
+        leaving: false,
+        weight: 100,
+    }
+}
+
+impl Cluster {
+    /// Daemons that all know each other, and have for some seconds.
+    fn new(count: usize, seed: u64) -> Self {
+        let mut cluster = Self {
+            rng: StdRng::seed_from_u64(seed),
+            start: Instant::now(),
+            steps: 0,
+            daemons: Vec::new(),
+            history: vec![MembershipRows::default()],
+            store_up: true,
+            network: Vec::new(),
+            removed_alive: Vec::new(),
+        };
+        for index in 0..count {
+            cluster.daemons.push(cluster.new_daemon(index));
+            cluster.write_row(index);
+        }
+        cluster.run(Duration::from_secs(5));
+        assert_eq!(cluster.removed_alive, []);
+        cluster
+    }
+
+    fn now(&self) -> Instant {
+        self.start + STEP * self.steps as u32
+    }
+
+    fn new_daemon(&self, index: usize) -> Daemon {
+        Daemon {
+            vm: vm(index),
+            member: MemberId(1 + index as u64 + 1000 * self.steps),
+            is_up: true,
+            rows: MembershipRows::default(),
+            version: 0,
+            confirmed_at: self.now(),
+            backoff: Backoff::default(),
+            neighbours: Neighbours::default(),
+            last_received: IndexMap::new(),
+            alive_for: IndexMap::new(),
+            newer: None,
+        }
+    }
+
+    fn last_version(&self) -> u64 {
+        self.history.len() as u64 - 1
+    }
+
+    fn members(&self) -> &MembershipRows {
+        &self.history[self.history.len() - 1]
+    }
+
+    fn write_row(&mut self, index: usize) {
+        let mut rows = self.members().clone();
+        let version = self.last_version() + 1;
+        let row = row(index, self.daemons[index].member);
+        rows.members.insert(vm(index), (row, version));
+        self.history.push(rows);
+    }
+
+    fn remove_row(&mut self, vm: &VmName) {
+        let mut rows = self.members().clone();
+        rows.members.swap_remove(vm);
+        self.history.push(rows);
+    }
+
+    fn run(&mut self, duration: Duration) {
+        for _ in 0..duration.as_millis() / STEP.as_millis() {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.steps += 1;
+        self.deliver_messages();
+        for index in 0..self.daemons.len() {
+            if !self.daemons[index].is_up {
+                continue;
+            }
+            if (self.steps + index as u64).is_multiple_of(HEARTBEAT_STEPS) {
+                self.send_heartbeats(index);
+                self.remove_unresponsive(index);
+                self.rejoin(index);
+            }
+            if self.rng.random_bool(0.08) {
+                self.sync_table(index);
+            }
+            if self.rng.random_bool(0.02) {
+                // Requests take daemons to others that are no neighbours.
+                let to = self.rng.random_range(0..self.daemons.len());
+                self.send(index, to, Message::Other);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let delay = self.rng.random_range(1..4);
+        self.network.push((self.steps + delay, from, to, message));
+    }
+
+    fn announcement(&self, index: usize) -> Announcement {
+        Announcement(self.daemons[index].version, self.daemons[index].confirmed_at)
+    }
+
+    fn deliver_messages(&mut self) {
+        let now = self.now();
+        let due: Vec<_> =
+            self.network.extract_if(.., |(at, ..)| *at <= self.steps).collect();
+        for (_, from, to, message) in due {
+            if !self.daemons[to].is_up {
+                continue;
+            }
+            let member = self.daemons[from].member;
+            self.daemons[to].last_received.insert(member, now);
+            match message {
+                Message::Heartbeat(announcement, alive) => {
+                    self.daemons[to].alive_for.insert(member, (now, alive));
+                    self.record_announcement(from, to, announcement);
+                }
+                Message::TableUpdate(announcement) => {
+                    self.record_announcement(from, to, announcement)
+                }
+                Message::Other => {}
+            }
+        }
+    }
+
+    fn record_announcement(&mut self, from: usize, to: usize, announced: Announcement) {
+        let Announcement(version, confirmed_at) = announced;
+        let daemon = &mut self.daemons[to];
+        match version.cmp(&daemon.version) {
+            std::cmp::Ordering::Greater => daemon.newer = Some((from, version)),
+            _ if version == daemon.version => {
+                daemon.confirmed_at = daemon.confirmed_at.max(confirmed_at)
+            }
+            _ => {}
+        }
+    }
+
+    fn send_heartbeats(&mut self, index: usize) {
+        let now = self.now();
+        let announcement = self.announcement(index);
+        let daemon = &mut self.daemons[index];
+        let watched = daemon.neighbours.watched().iter();
+        let rows = watched.filter_map(|vm| daemon.rows.members.get(vm));
+        let silent = rows.filter(|(row, _)| !daemon.is_alive(row.member, now)).count();
+        daemon.neighbours.replace_silent(&daemon.rows, &daemon.vm, silent, now);
+        let heard = daemon.last_received.iter();
+        let alive: Vec<_> = heard
+            .filter(|(_, at)| now - **at < HEARTBEAT_TIMEOUT)
+            .map(|(member, _)| *member)
+            .collect();
+        let addrs: Vec<_> = daemon.neighbours.addrs().collect();
+        for (_, addr) in addrs {
+            let to = usize::from(addr.port()) - 1000;
+            self.send(index, to, Message::Heartbeat(announcement, alive.clone()));
+        }
+    }
+
+    fn remove_unresponsive(&mut self, index: usize) {
+        let now = self.now();
+        let daemon = &self.daemons[index];
+        let has_row =
+            |rows: &MembershipRows| rows.own_row(&daemon.vm, daemon.member).is_some();
+        if !self.store_up || !has_row(&daemon.rows) || !has_row(self.members()) {
+            return;
+        }
+        let silent: Vec<(VmName, MemberId)> = daemon
+            .neighbours
+            .watched()
+            .iter()
+            .filter_map(|vm| Some((vm.clone(), daemon.rows.members.get(vm)?.0.member)))
+            .filter(|(_, member)| daemon.is_unresponsive(*member, now))
+            .collect();
+        for (vm, member) in silent {
+            let current = self.members().members.get(&vm);
+            if current.is_none_or(|(row, _)| row.member != member) {
+                continue;
+            }
+            if self.daemons.iter().any(|other| other.member == member && other.is_up) {
+                self.removed_alive.push(vm.clone());
+            }
+            self.remove_row(&vm);
+        }
+    }
+
+    fn rejoin(&mut self, index: usize) {
+        let daemon = &self.daemons[index];
+        let knows = daemon.rows.own_row(&daemon.vm, daemon.member).is_some();
+        if !knows && daemon.version > 0 && self.store_up {
+            self.write_row(index);
+            let row = row(index, self.daemons[index].member);
+            let version = self.last_version();
+            let daemon = &mut self.daemons[index];
+            daemon.rows.members.insert(daemon.vm.clone(), (row, version));
+        }
+    }
+
+    fn sync_table(&mut self, index: usize) {
+        let now = self.now();
+        let daemon = &self.daemons[index];
+        let is_alive = |member| daemon.is_alive(member, now);
+        let rank = reader_rank(&daemon.rows, &daemon.vm, 100, "table", is_alive);
+        let age = now - daemon.confirmed_at;
+        let may_call = daemon.backoff.may_call(rank, now);
+        let peer = daemon.newer.filter(|(_, version)| *version > daemon.version);
+        match peer {
+            _ if daemon.version == 0 && may_call => self.read_store(index),
+            _ if rank == 0 && may_call => self.read_store(index),
+            Some((peer, _)) if self.daemons[peer].is_up => {
+                let Announcement(version, confirmed_at) = self.announcement(peer);
+                self.apply(index, version, confirmed_at);
+            }
+            _ if age > FRESHNESS_LIMIT && may_call => self.read_store(index),
+            _ => {}
+        }
+    }
+
+    fn read_store(&mut self, index: usize) {
+        let now = self.now();
+        match self.store_up {
+            true => {
+                self.daemons[index].backoff.record_success();
+                self.apply(index, self.last_version(), now);
+            }
+            false => self.daemons[index].backoff.record_failure(now),
+        }
+    }
+
+    fn apply(&mut self, index: usize, version: u64, confirmed_at: Instant) {
+        let now = self.now();
+        let daemon = &mut self.daemons[index];
+        daemon.confirmed_at = daemon.confirmed_at.max(confirmed_at);
+        if version <= daemon.version {
+            return;
+        }
+        daemon.version = version;
+        daemon.rows.members = self.history[version as usize].members.clone();
+        daemon.rows.record_first_seen(now);
+        daemon.neighbours.update(&daemon.rows, &daemon.vm, now);
+        let announcement = self.announcement(index);
+        let addrs: Vec<_> = self.daemons[index].neighbours.addrs().collect();
+        for (_, addr) in addrs.into_iter().sample(&mut self.rng, 4) {
+            let to = usize::from(addr.port()) - 1000;
+            self.send(index, to, Message::TableUpdate(announcement));
+        }
+    }
+}
+
+impl Daemon {
+    fn is_alive(&self, member: MemberId, now: Instant) -> bool {
+        let last = self.last_received.get(&member).copied();
+        let silence = self.neighbours.silence(member, last, now);
+        silence.is_none_or(|silence| silence < HEARTBEAT_TIMEOUT)
+    }
+
+    fn is_unresponsive(&self, member: MemberId, now: Instant) -> bool {
+        let last = self.last_received.get(&member).copied();
+        let timeout = FAILURE_TIMEOUT;
+        let is_reported = self.alive_for.iter().any(|(reporter, (at, alive))| {
+            *reporter != member
+                && now - *at < HEARTBEAT_TIMEOUT
+                && alive.contains(&member)
+        });
+        let (neighbours, rows) = (&self.neighbours, &self.rows);
+        neighbours.is_unresponsive(rows, member, last, timeout, now) && !is_reported
+    }
+}
+
+/// A daemon that starts to watch another must not remove it for its silence before that.
+#[test]
+fn no_live_daemon_is_removed_while_others_come_and_go() {
+    let mut cluster = Cluster::new(60, 1);
+    for index in 0..20 {
+        // It leaves and removes its own row, and its next process joins.
+        cluster.daemons[index].is_up = false;
+        cluster.remove_row(&vm(index));
+        cluster.run(Duration::from_millis(150));
+        cluster.daemons[index] = cluster.new_daemon(index);
+    }
+    assert_eq!(cluster.removed_alive, []);
+}
+
+/// The few daemons that are left must find all others failed, not eight at a time.
+#[test]
+fn rows_of_most_daemons_are_removed_soon() {
+    let mut cluster = Cluster::new(195, 1);
+    for index in 2..195 {
+        cluster.daemons[index].is_up = false;
+    }
+    cluster.run(RECOVERY_BOUND);
+    assert_eq!(cluster.members().members.len(), 2);
+}
--- a/crates/member/src/lease.rs
+++ b/crates/member/src/lease.rs
@@ -76,8 +76,17 @@
 
 /// The VMs whose leases this daemon watches.
 pub fn watched_vms(rows: &MembershipRows, me: &VmName) -> Vec<VmName> {
+    ranked_vms(rows, me, WATCHED_VMS)
+}
+
+/// The VMs of the highest rank among those that this daemon may watch, the highest first.
+pub fn ranked_vms(rows: &MembershipRows, me: &VmName, count: usize) -> Vec<VmName> {
     let others = rows.members.keys().filter(|vm| *vm != me);
-    highest_ranked(others, |vm| rendezvous_rank(vm.as_str(), me.as_str()))
+    let rank = |vm: &VmName| rendezvous_rank(vm.as_str(), me.as_str());
+    let mut ranked: Vec<_> = others.map(|vm| (rank(vm), vm)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, vm)| vm.clone()).collect()
 }
 
 /// The VMs whose daemons watch this daemon's lease.
@@ -89,17 +98,6 @@
     others.filter(|vm| watched_vms(rows, vm).contains(me)).cloned().collect()
 }
 
-/// The [`WATCHED_VMS`] VMs of the highest rank.
-fn highest_ranked<'a>(
-    vms: impl Iterator<Item = &'a VmName>,
-    rank: impl Fn(&VmName) -> u64,
-) -> Vec<VmName> {
-    let mut ranked: Vec<_> = vms.map(|vm| (rank(vm), vm)).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.truncate(WATCHED_VMS);
-    ranked.into_iter().map(|(_, vm)| vm.clone()).collect()
-}
-
 /// The VMs among `leases` whose lease expired, by the table's clock at `now` in
 /// milliseconds.
 ///
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,16 +8,19 @@
 //! 3. [`assignment`] decides which claims to take, hand over or release,
 //! 4. [`view`] is the result that the rest of the daemon reads.
 //!
+//! A daemon that needs no leases exchanges heartbeats with its [`neighbours`] instead.
 //! [`suspension`] limits what a daemon may do after its VM was suspended.
 
 pub mod assignment;
 pub mod lease;
+pub mod neighbours;
 pub mod rows;
 pub mod suspension;
 pub mod view;
 
 pub use assignment::{ClaimChange, ClaimPlan, plan_claims};
 pub use lease::{Lease, expired, watched_vms, watchers};
+pub use neighbours::{Neighbours, reader_rank};
 pub use rows::{ClaimRow, LeaseRow, MemberRow, MembershipRows, ONE_CORE_WEIGHT};
 pub use suspension::SuspensionDetector;
 pub use view::{Claim, ClaimKey, Member, Server, ServerRole, View};
