gate: tell daemons without a row of newer tables, and let isolated ones read them

Callers of a large fleet got 404 for routes that had been added up to 19 s before: the daemon that they had reached kept old declarations after an outage of the store.

Cause: during the outage a daemon backs off up to 30 s, as it relies on others to tell it what changed. If its row is then removed, nobody sends it anything, and it waits for the 30 s. Its rank among the readers should have become 0, but daemons that are no neighbours count as alive.

A heartbeat of a daemon that isn't a neighbour is now answered with the versions of the tables, so that its sender gets the newer ones within a heartbeat; a daemon that hears none of its neighbours reads the store as the reader does. Nothing more is sent while all daemons know the same members.

removed_daemon_learns_of_changes_after_an_outage and isolated_daemon_reads_the_store_after_an_outage fail without the first and the second.

--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -252,8 +252,21 @@
 }
 
 /// Records a heartbeat of another daemon.
-pub fn record_heartbeat(shared: &Shared, from: MemberId, heartbeat: &Heartbeat) {
+///
+/// One that isn't a neighbour sends heartbeats because the two daemons know different
+/// members. It is answered with the versions of the tables: it may watch this daemon,
+/// which must not seem silent, or its row may have been removed, which it learns from
+/// newer tables.
+pub fn record_heartbeat(
+    shared: &Shared,
+    (from, addr): (MemberId, SocketAddr),
+    heartbeat: &Heartbeat,
+) {
     table_sync::record_announcements(shared, from, &heartbeat.tables);
+    if !heartbeat.shutting_down && !shared.neighbours().expects(from) {
+        let announcements = table_sync::announcements(shared);
+        shared.peers.send(addr, Message::TableUpdate(announcements));
+    }
     let mut membership = shared.membership();
     match heartbeat.shutting_down {
         true => drop(membership.leaving.insert(from)),
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -20,7 +20,7 @@
 fn dispatch(shared: &Arc<Shared>, packet: Packet, from: SocketAddr) {
     match packet.message {
         Message::Heartbeat(heartbeat) => {
-            members::record_heartbeat(shared, packet.from, &heartbeat)
+            members::record_heartbeat(shared, (packet.from, from), &heartbeat)
         }
         Message::TableUpdate(tables) => {
             table_sync::record_announcements(shared, packet.from, &tables)
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -19,6 +19,7 @@
 
 use crate::backoff::Backoff;
 use crate::message::TableFreshness;
+use crate::peers::HEARTBEAT_TIMEOUT;
 use crate::shared::Shared;
 use crate::store::{self, FetchLimits, StoreError};
 use crate::table_replica::{TableChanges, TableReplica};
@@ -389,12 +390,17 @@
     bounds.apply.min(bounds.leave).mul_f64(FRESHNESS_SHARE).min(MAX_FRESHNESS)
 }
 
-/// This daemon's rank among the live daemons that may read a table; 0 is the reader.
+/// This daemon's rank among the live daemons that may read a table; 0 is the reader, or a
+/// daemon that is cut off from the others.
 fn reader_rank(shared: &Shared, table: &str) -> usize {
     let membership = shared.membership();
     let now = shared.now();
     let (vm, weight) = (&shared.settings.vm, shared.settings.weight());
     let neighbours = shared.neighbours();
+    let last_received_at = |member| shared.peers.last_received_at(member);
+    if neighbours.is_cut_off(last_received_at, HEARTBEAT_TIMEOUT, now) {
+        return 0;
+    }
     let is_alive = |member| shared.is_alive_among(&neighbours, member, now);
     chestnut_member::reader_rank(&membership, vm, weight, table, is_alive)
 }
--- a/crates/gate/tests/membership.rs
+++ b/crates/gate/tests/membership.rs
@@ -22,6 +22,9 @@
 /// The age from which a daemon reads the store itself.
 const FRESHNESS_LIMIT: Duration = Duration::from_millis(1500);
 
+/// The time within which declarations must be in force, of the strictest deployment.
+const APPLY_BOUND: Duration = Duration::from_secs(2);
+
 /// The time within which a cluster must serve again, of the strictest deployment.
 const RECOVERY_BOUND: Duration = Duration::from_secs(12);
 
@@ -198,6 +201,10 @@
                 Message::Heartbeat(announcement, alive) => {
                     self.daemons[to].alive_for.insert(member, (now, alive));
                     self.record_announcement(from, to, announcement);
+                    if !self.daemons[to].neighbours.expects(member) {
+                        let answer = Message::TableUpdate(self.announcement(to));
+                        self.send(to, from, answer);
+                    }
                 }
                 Message::TableUpdate(announcement) => {
                     self.record_announcement(from, to, announcement)
@@ -282,7 +289,11 @@
         let now = self.now();
         let daemon = &self.daemons[index];
         let is_alive = |member| daemon.is_alive(member, now);
-        let rank = reader_rank(&daemon.rows, &daemon.vm, 100, "table", is_alive);
+        let last = |member| daemon.last_received.get(&member).copied();
+        let rank = match daemon.neighbours.is_cut_off(last, HEARTBEAT_TIMEOUT, now) {
+            true => 0,
+            false => reader_rank(&daemon.rows, &daemon.vm, 100, "table", is_alive),
+        };
         let age = now - daemon.confirmed_at;
         let may_call = daemon.backoff.may_call(rank, now);
         let peer = daemon.newer.filter(|(_, version)| *version > daemon.version);
@@ -363,6 +374,44 @@
     assert_eq!(cluster.removed_alive, []);
 }
 
+/// A daemon whose row is removed must not keep old declarations until it reads the store.
+#[test]
+fn removed_daemon_learns_of_changes_after_an_outage() {
+    for seed in 0..3 {
+        let mut cluster = Cluster::new(60, seed);
+        cluster.store_up = false;
+        cluster.run(Duration::from_secs(8));
+        cluster.store_up = true;
+        for index in 0..10 {
+            cluster.remove_row(&vm(index));
+        }
+        cluster.run(Duration::from_millis(700));
+        let declared = cluster.last_version();
+        cluster.run(APPLY_BOUND);
+        let outdated = cluster.daemons.iter().filter(|daemon| daemon.version < declared);
+        let outdated: Vec<_> = outdated.map(|daemon| daemon.vm.to_string()).collect();
+        assert!(outdated.is_empty(), "seed {seed}: {outdated:?}");
+    }
+}
+
+/// A daemon that the others can't reach must read the store itself after an outage.
+#[test]
+fn isolated_daemon_reads_the_store_after_an_outage() {
+    let mut cluster = Cluster::new(60, 1);
+    cluster.store_up = false;
+    cluster.run(Duration::from_secs(8));
+    cluster.store_up = true;
+    let isolated = 50;
+    let version = cluster.daemons[isolated].version;
+    cluster.remove_row(&vm(3));
+    let deadline = cluster.now() + APPLY_BOUND;
+    while cluster.now() < deadline {
+        cluster.network.retain(|(_, from, to, _)| *from != isolated && *to != isolated);
+        cluster.step();
+    }
+    assert!(cluster.daemons[isolated].version > version);
+}
+
 /// The few daemons that are left must find all others failed, not eight at a time.
 #[test]
 fn rows_of_most_daemons_are_removed_soon() {
--- a/crates/member/src/neighbours.rs
+++ b/crates/member/src/neighbours.rs
@@ -112,6 +112,21 @@
         Some(now.saturating_duration_since(since))
     }
 
+    /// Whether this daemon hears from no neighbour, so that none can pass tables on to it.
+    ///
+    /// `last_received_at` tells when a daemon last sent anything.
+    pub fn is_cut_off(
+        &self,
+        last_received_at: impl Fn(MemberId) -> Option<Instant>,
+        timeout: Duration,
+        now: Instant,
+    ) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < timeout;
+        let has_waited = self.expected.values().any(|one| !is_recent(one.since));
+        let mut members = self.expected.keys();
+        has_waited && !members.any(|one| last_received_at(*one).is_some_and(is_recent))
+    }
+
     /// Whether a watched daemon has been silent for longer than `timeout`.
     ///
     /// One that was never heard has just joined, or had failed before this daemon started.
