--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -39,6 +39,8 @@
     json: bool,
     /// Keep running and print commands to try
     keep: bool,
+    /// Write the daemons' logs to standard error; not with `--platform`
+    log: bool,
     /// Multiplies the number of requests in the burst
     #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
     scale: usize,
@@ -110,7 +112,7 @@
 
 async fn run_own(options: &Options) -> Result<Tally, DemoError> {
     check_kinds(&options.kind, &own::burst::WORKLOADS.map(|workload| workload.kind))?;
-    let cluster = own::cluster::Cluster::start().await?;
+    let cluster = own::cluster::Cluster::start(options.log).await?;
     let tally = own::burst::run(&cluster, options.scale.max(1), &options.kind).await?;
     report(options, &tally, &cluster.example_commands()).await?;
     cluster.stop().await;
--- a/crates/demo/src/own/burst.rs
+++ b/crates/demo/src/own/burst.rs
@@ -161,9 +161,35 @@
         }
     };
     let results: Vec<RequestResult> = exchanges.iter().map(evaluate).collect();
+    for (exchange, result) in exchanges.iter().zip(&results) {
+        if !result.outcome.is_correct() {
+            eprintln!("{:?}: {}", result.outcome, describe(exchange, &run_counts));
+        }
+    }
     Ok(Tally::count(&results))
 }
 
+/// What a request's caller received, for people.
+fn describe(exchange: &Exchange, run_counts: &RunCounts) -> String {
+    let CallerResponse { status, code, outcome, failure, attempts, .. } =
+        &exchange.response;
+    let text = |value: &Option<String>| value.clone().unwrap_or_else(|| "-".into());
+    format!(
+        "{} {}, status {}, code {}, outcome {}, connection {}, {} attempts, {} runs, \
+         {} ms: {}",
+        exchange.workload.kind,
+        text(&exchange.request.idempotency_key),
+        status.map_or_else(|| "-".into(), |status| status.to_string()),
+        text(code),
+        text(outcome),
+        failure.unwrap_or("open"),
+        attempts,
+        run_counts.runs_of(&exchange.request),
+        exchange.duration.as_millis(),
+        exchange.response.body["message"],
+    )
+}
+
 fn outcome(exchange: &Exchange, run_counts: &RunCounts) -> RequestOutcome {
     if exchange.response.is_complete(&exchange.request) {
         RequestOutcome::Complete
--- a/crates/demo/src/own/cluster.rs
+++ b/crates/demo/src/own/cluster.rs
@@ -66,11 +66,14 @@
     daemons: Vec<Daemon>,
     platform: ServerHandle,
     temp_dir: TempDir,
+    log: bool,
 }
 
 impl Cluster {
     /// Starts everything and waits until everything that is declared is served.
-    pub async fn start() -> Result<Self, DemoError> {
+    ///
+    /// With `log`, the daemons log to standard error.
+    pub async fn start(log: bool) -> Result<Self, DemoError> {
         let temp_dir = TempDir::new()?;
         certs::write(&temp_dir.0).map_err(|error| DemoError::Files(error.to_string()))?;
         let platform = check_started(
@@ -86,6 +89,7 @@
             daemons: Vec::new(),
             platform,
             temp_dir,
+            log,
         };
         cluster.start_servers().await?;
         cluster.start_daemons().await?;
@@ -159,8 +163,11 @@
             let text = self.settings(&name, index).to_string();
             let settings = Settings::parse("the demo's settings", &text)
                 .map_err(|problems| DemoError::Start(problems.to_string()))?;
-            let daemon =
-                run::start(settings, Arc::new(SystemClock), logs::discard()).await;
+            let log = match self.log {
+                true => logs::logger(settings.log_level, &name),
+                false => logs::discard(),
+            };
+            let daemon = run::start(settings, Arc::new(SystemClock), log).await;
             let daemon =
                 daemon.map_err(|report| DemoError::Start(format!("{report:?}")))?;
             let addresses = daemon.addresses;
--- a/crates/demo/src/tally.rs
+++ b/crates/demo/src/tally.rs
@@ -22,6 +22,16 @@
     Broken,
 }
 
+impl RequestOutcome {
+    /// Whether the response is as the system promises.
+    pub fn is_correct(self) -> bool {
+        match self {
+            Self::Complete | Self::Refused { ran: false } => true,
+            Self::Foreign | Self::Refused { ran: true } | Self::Broken => false,
+        }
+    }
+}
+
 /// The result of one request.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestResult {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -14,6 +14,7 @@
 use chestnut_wire::{
     AttemptRequest, HttpCall, PeerRequest, PeerResponse, ResumePoint, RetryHint,
 };
+use slog::warn;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -183,6 +184,7 @@
                 }
                 AttemptOutcome::Interrupted(reason) => {
                     *interruptions += 1;
+                    self.log_interruption(&selected, &reason);
                     let now = self.node.shared.clock.now();
                     if let Err(refusal) = self.node.poison.check(self.request.digest, now)
                     {
@@ -203,6 +205,18 @@
         last_refusal.or_else(|| Some(interrupted("no attempt was possible")))
     }
 
+    fn log_interruption(&self, selected: &SelectedServer, reason: &str) {
+        let id = self.request.id.as_ref().map_or("-", |id| id.key.as_str());
+        let attempt = match self.dispatch_mode {
+            DispatchMode::Repeatable => None,
+            DispatchMode::AtMostOnce(attempt) => Some(attempt.to_string()),
+        };
+        warn!(self.node.shared.log, "attempt interrupted"; "id" => id, "attempt" => attempt,
+            "server" => selected.server.as_str(), "lead" => selected.lead.to_string(),
+            "why" => reason, "tokens" => self.received.tokens,
+            "may_have_run" => self.may_have_run);
+    }
+
     /// Whether another attempt after a delay is safe.
     fn may_retry_later(&self) -> bool {
         match self.dispatch_mode {
