node: a lost response no longer cuts off the others of its connection

Cause: when one response got no heartbeat for 1.5 s, Peers::disconnect closed the connection to its daemon, with all other responses on it. Each of those then called disconnect for the same address and so closed the connection that retries had opened since. A connection on which a response was lost is now only left out for new requests, if no newer one has replaced it; other responses on it go on, each with its own heartbeats.

What starves a daemon of a shared process for 1.5 s is the load itself.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -317,10 +317,7 @@
                 frame = response.next() => frame,
                 () = out.closed() => return,
             };
-            let frame = frame.unwrap_or_else(|error| {
-                node.peers.disconnect(addr);
-                connection_lost(&error)
-            });
+            let frame = frame.unwrap_or_else(|error| connection_lost(&error));
             let last = frame.is_final();
             if out.send(frame).await.is_err() || last {
                 return;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -14,7 +14,7 @@
 use chestnut_wire::{FrameDecoder, FrameError, PeerRequest, PeerResponse, encode};
 use error_stack::{Report, ResultExt};
 use indexmap::IndexMap;
-use quinn::{Connection, Endpoint, RecvStream, SendStream, VarInt};
+use quinn::{Connection, Endpoint, RecvStream, SendStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -39,9 +39,6 @@
 /// Frames of a response that may be buffered ahead of the connection.
 const FRAME_BUFFER: usize = 64;
 
-/// The QUIC error code with which connections to unreachable daemons are closed.
-const PEER_UNREACHABLE: VarInt = VarInt::from_u32(1);
-
 /// A request to another daemon failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PeerError {
@@ -83,18 +80,24 @@
 /// The connections to other daemons.
 pub struct Peers {
     endpoint: Endpoint,
-    /// Open connections by address; a failed one is removed, and the next request opens
-    /// another.
-    connections: Mutex<IndexMap<SocketAddr, Connection>>,
+    connections: Arc<Connections>,
 }
 
+/// Open connections by address.
+///
+/// One on which a response was lost is removed, and the next request opens another: a daemon
+/// that was restarted under the same address can't be reached on the old one. It isn't
+/// closed, since other responses on it may go on.
+#[derive(Default)]
+struct Connections(Mutex<IndexMap<SocketAddr, Connection>>);
+
 impl Peers {
     /// Binds the endpoint that other daemons connect to.
     pub fn bind(addr: SocketAddr, tls: PeerTls) -> Result<Self, Report<BindError>> {
         let mut endpoint =
             Endpoint::server(tls.server, addr).change_context_lazy(|| BindError(addr))?;
         endpoint.set_default_client_config(tls.client);
-        Ok(Self { endpoint, connections: Mutex::default() })
+        Ok(Self { endpoint, connections: Arc::default() })
     }
 
     /// The bound address; it has the port that the system chose if `bind` was given port 0.
@@ -120,7 +123,7 @@
         let (mut send, recv) = match opened {
             Ok(Ok(streams)) => streams,
             Ok(Err(error)) => {
-                self.drop_connection(addr, &conn);
+                self.connections.remove(addr, &conn);
                 return Err(PeerError::NotSent(error.to_string()));
             }
             Err(_) => {
@@ -128,12 +131,13 @@
             }
         };
         let response_lost = |error: String| {
-            self.drop_connection(addr, &conn);
+            self.connections.remove(addr, &conn);
             PeerError::ResponseLost(error)
         };
         send.write_all(&bytes).await.map_err(|error| response_lost(error.to_string()))?;
         send.finish().map_err(|error| response_lost(error.to_string()))?;
-        Ok(ResponseStream { recv, frames: FrameDecoder::new() })
+        let connections = self.connections.clone();
+        Ok(ResponseStream { recv, frames: FrameDecoder::new(), addr, conn, connections })
     }
 
     /// Sends a request whose response is a single frame, and returns that frame.
@@ -144,32 +148,15 @@
     ) -> Result<PeerResponse, PeerError> {
         let mut response = self.request_stream(addr, request).await?;
         loop {
-            let frame = match response.next().await {
-                Ok(frame) => frame,
-                Err(error) => {
-                    self.disconnect(addr);
-                    return Err(error);
-                }
-            };
+            let frame = response.next().await?;
             if frame.is_final() {
                 return Ok(frame);
             }
         }
     }
 
-    /// Closes the connection to a daemon whose response was lost.
-    ///
-    /// A daemon that was restarted under the same address can't be reached on the old
-    /// connection; the next request opens a new one.
-    pub fn disconnect(&self, addr: SocketAddr) {
-        let conn = self.lock().swap_remove(&addr);
-        if let Some(conn) = conn {
-            conn.close(PEER_UNREACHABLE, b"lost");
-        }
-    }
-
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, PeerError> {
-        let existing = self.lock().get(&addr).cloned();
+        let existing = self.connections.lock().get(&addr).cloned();
         if let Some(conn) = existing.filter(|conn| conn.close_reason().is_none()) {
             return Ok(conn);
         }
@@ -182,11 +169,14 @@
             .await
             .map_err(|_| not_sent("the handshake timed out".into()))?
             .map_err(|error| not_sent(error.to_string()))?;
-        self.lock().insert(addr, conn.clone());
+        self.connections.lock().insert(addr, conn.clone());
         Ok(conn)
     }
+}
 
-    fn drop_connection(&self, addr: SocketAddr, conn: &Connection) {
+impl Connections {
+    /// Removes a connection, unless a newer one to the address has replaced it.
+    fn remove(&self, addr: SocketAddr, conn: &Connection) {
         let mut open = self.lock();
         if open.get(&addr).is_some_and(|current| current.stable_id() == conn.stable_id())
         {
@@ -195,7 +185,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, IndexMap<SocketAddr, Connection>> {
-        self.connections.lock().expect("no holder of the connections panics")
+        self.0.lock().expect("no holder of the connections panics")
     }
 }
 
@@ -205,11 +195,24 @@
 pub struct ResponseStream {
     recv: RecvStream,
     frames: FrameDecoder,
+    addr: SocketAddr,
+    conn: Connection,
+    connections: Arc<Connections>,
 }
 
 impl ResponseStream {
     /// The next frame; an error if none comes within [`FAILURE_DETECTION_TIMEOUT`].
+    ///
+    /// After an error, requests to the daemon use another connection.
     pub async fn next(&mut self) -> Result<PeerResponse, PeerError> {
+        let frame = self.read_frame().await;
+        if frame.is_err() {
+            self.connections.remove(self.addr, &self.conn);
+        }
+        frame
+    }
+
+    async fn read_frame(&mut self) -> Result<PeerResponse, PeerError> {
         loop {
             if let Some(frame) = self.frames.decode().map_err(malformed)? {
                 return Ok(frame);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -436,7 +436,6 @@
         reason: String,
     ) -> AttemptOutcome {
         self.may_have_run = true;
-        self.node.peers.disconnect(selected.lead_addr);
         self.node.picker.record(&selected.server, AttemptFeedback::Unreachable);
         AttemptOutcome::Interrupted(reason)
     }
