node: let requests wait while the daemon joins

A caller that reached a daemon in the some hundred milliseconds in which it joins was sent away for 2 s, though it could have been served: with an address from before a restart, or because another daemon had read the row that says 'accepts work' before the store's response reached the daemon that wrote it. A daemon was thus named to callers before it served.

Cause: the daemon refused while its row doesn't say that it accepts work. That order is needed, since an operator's change waits for such daemons; so requests now wait for up to 1.2 s for it. A daemon to which no other responds (strange-daemon) still refuses at once.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -36,6 +36,12 @@
 /// `Retry-After`.
 const LEAD_WAIT_LIMIT: Duration = Duration::from_millis(1200);
 
+/// How long a request waits for this daemon to join before it is refused.
+///
+/// Callers may know the address from before a restart, and other daemons may list it before
+/// this one learns that its row was written. Joining takes some polls of the table.
+const JOIN_WAIT_LIMIT: Duration = Duration::from_millis(1200);
+
 /// The time between two lookups of a slot's lead.
 const LEAD_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -184,6 +190,7 @@
     parse: fn(&Node, CallerName, &HttpCall, &HeaderMap) -> Result<ParsedRequest, Refusal>,
 ) -> Result<(ParsedRequest, HttpCall, RequestPermit), Refusal> {
     let shared = &node.shared;
+    shared.wait_until_joined(JOIN_WAIT_LIMIT).await;
     shared.check_accepts_requests()?;
     let (parts, body) = request.into_parts();
     let caller = parse::authenticate(&shared.catalog(), &parts.headers)?;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -15,7 +15,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chestnut_base::{MemberId, VmName};
@@ -31,7 +30,7 @@
 use self::counters::Counters;
 use crate::feed::ChangeFeed;
 use crate::node::Node;
-use crate::shared::Shared;
+use crate::shared::{JoinPhase, Shared};
 
 /// The table of daemons; a row changes when its daemon joins, shuts down or is removed.
 pub const MEMBERS: &str = "members";
@@ -179,6 +178,8 @@
             warn!(self.shared.log, "{}", text);
         }
         self.trust_check_failed = !trusted;
+        let phase = if trusted { JoinPhase::Joining } else { JoinPhase::Untrusted };
+        self.shared.join_phase.send_replace(phase);
         trusted
     }
 
@@ -235,7 +236,7 @@
         if let TxnResponse::Committed { .. } = response {
             own_lease.record_renewal(now);
             if !leaving {
-                self.shared.listed_as_serving.store(true, Ordering::Release);
+                self.shared.join_phase.send_replace(JoinPhase::Serving);
             }
             self.counters.renewals.inc();
             self.joined = true;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the parts of a daemon.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -84,12 +84,22 @@
     pub announced_shutdowns: Mutex<IndexSet<MemberId>>,
     /// Makes [`crate::members`] poll the table before its next poll is due.
     pub poll_now: Notify,
-    /// Whether this daemon's row has ever said that it accepts work, written by
-    /// [`crate::members`]; never unset.
-    pub listed_as_serving: AtomicBool,
+    /// How far this daemon has joined, written by [`crate::members`].
+    pub join_phase: watch::Sender<JoinPhase>,
     next_attempt: AtomicU64,
 }
 
+/// How far a daemon has joined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JoinPhase {
+    /// Its row doesn't say yet that it accepts work.
+    Joining,
+    /// No other daemon responds to it, so that it must not accept work for now.
+    Untrusted,
+    /// Its row has said that it accepts work; later phases don't follow.
+    Serving,
+}
+
 impl Shared {
     /// Creates the state of a daemon that has read nothing yet.
     #[allow(clippy::too_many_arguments)]
@@ -127,7 +137,7 @@
             lease: Mutex::new(Lease::new(term)),
             announced_shutdowns: Mutex::default(),
             poll_now: Notify::new(),
-            listed_as_serving: AtomicBool::new(false),
+            join_phase: watch::Sender::new(JoinPhase::Joining),
             next_attempt: AtomicU64::new(0),
         }
     }
@@ -190,7 +200,7 @@
         // An operator's change waits for the daemons whose rows say that they accept
         // work. If a daemon served before its row says so, its callers could get old
         // declarations after the change was reported to the operator as in force.
-        if !self.listed_as_serving.load(Ordering::Acquire) {
+        if *self.join_phase.borrow() != JoinPhase::Serving {
             return Err(refusal("this daemon is joining")
                 .with_retry_after(self.settings.times.renewal_interval));
         }
@@ -205,6 +215,21 @@
         Ok(())
     }
 
+    /// Waits for up to `limit` until this daemon has joined; returns at once if it can't,
+    /// or is shutting down.
+    pub async fn wait_until_joined(&self, limit: Duration) {
+        let mut phase = self.join_phase.subscribe();
+        let mut intake_closed = self.intake_closed.subscribe();
+        let joined = async {
+            tokio::select! {
+                _ = phase.wait_for(|phase| *phase != JoinPhase::Joining) => {}
+                _ = intake_closed.wait_for(|is_closed| *is_closed) => {}
+            }
+        };
+        // After the limit the request is refused.
+        drop(tokio::time::timeout(limit, joined).await);
+    }
+
     /// Whether residency was read at least once.
     pub fn has_read_residency(&self) -> bool {
         self.rows.borrow().table_time.is_some()
