--- a/crates/demo/src/platform/cluster.rs
+++ b/crates/demo/src/platform/cluster.rs
@@ -1,6 +1,6 @@
 //! Starts the platform's stand-ins and the daemons.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -119,14 +119,14 @@
     fn start_daemon(&mut self, vm: &str, domain: &str) -> Result<(), DemoError> {
         let mut ports = [free_addr().port(), free_addr().port()];
         ports.sort_unstable();
-        let (directory, metrics) = (free_addr(), free_addr());
+        let (caller_addr, directory, metrics) = (free_addr(), free_addr(), free_addr());
         let invalid_name =
             |error: chestnut_base::NameError| DemoError::Start(error.to_string());
         let settings = Settings {
             vm: VmName::try_from(vm).map_err(invalid_name)?,
             domain: DomainName::try_from(domain).map_err(invalid_name)?,
-            ip: Ipv4Addr::LOCALHOST.into(),
-            caller_addr: free_addr(),
+            ip: caller_addr.ip(),
+            caller_addr,
             readiness_addr: free_addr(),
             directory_addr: directory,
             metrics_addr: Some(metrics),
--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -178,7 +178,7 @@
         let mut ports = [free_addr().port(), free_addr().port()];
         ports.sort_unstable();
         let settings = json!({
-            "vm": format!("vm{number}"), "domain": "north", "ip": "127.0.0.1",
+            "vm": format!("vm{number}"), "domain": "north", "ip": caller_addr.ip(),
             "callers": caller_addr, "readiness": readiness_addr,
             "directory": directory_addr, "metrics": metrics_addr,
             "ports": ports, "store": store_addr,
