gate: confirm a replica as of the read, not of the response's arrival

A daemon could answer by old declarations for up to 2.5 s longer than intended: the body of a response may take that long after its head, and what it confirmed counted from its arrival. A change that the store had committed meanwhile was then looked for later.

Cause: record_confirmation was given the time after the response. A response with changes now confirms the time at which the request was sent; one without, the end of the hold at the latest.

--- a/crates/gate/src/table_replica.rs
+++ b/crates/gate/src/table_replica.rs
@@ -1,7 +1,7 @@
 //! An in-memory replica of a table of the store, with tombstones of recently removed
 //! rows.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnut_edge::Change;
@@ -34,6 +34,23 @@
     pub version: u64,
 }
 
+/// The time as of which a response confirms a replica.
+///
+/// `received_at` would be too late: a response may wait for its body or in a full link. The
+/// store held a long poll without changes for `hold`, and may have responded with changes at
+/// once.
+pub fn confirmation_time(
+    sent_at: Instant,
+    hold: Duration,
+    received_at: Instant,
+    has_changes: bool,
+) -> Instant {
+    match has_changes {
+        true => sent_at,
+        false => received_at.min(sent_at + hold),
+    }
+}
+
 /// A replica of a table of the store.
 #[derive(Debug, Default)]
 pub struct TableReplica {
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -22,7 +22,7 @@
 use crate::peers::HEARTBEAT_TIMEOUT;
 use crate::shared::Shared;
 use crate::store::{self, FetchLimits, StoreError};
-use crate::table_replica::{TableChanges, TableReplica};
+use crate::table_replica::{TableChanges, TableReplica, confirmation_time};
 use crate::{claims, members, persisted_timings};
 
 /// The store may hold the reader's long poll for [`freshness_limit`] divided by this. The
@@ -311,6 +311,7 @@
         let Some(after) = version else { return self.read_full_table().await };
         let request =
             self.shared.dialect.write_changes_request(self.table.name, after, hold);
+        let sent_at = self.shared.now();
         let response =
             store::call(&self.shared, request, hold + HOLD_RESPONSE_MARGIN).await;
         self.store_unavailable = response.is_err();
@@ -324,11 +325,12 @@
             return self.read_full_table().await;
         };
         let has_changes = !delta.changes.is_empty();
-        let now = self.shared.now();
+        let received_at = self.shared.now();
+        let as_of = confirmation_time(sent_at, hold, received_at, has_changes);
         let new_changes = {
             let mut replica = self.table.replica();
             let new_changes = replica.apply(delta.changes, delta.version);
-            replica.record_confirmation(delta.version, now);
+            replica.record_confirmation(delta.version, as_of);
             new_changes
         };
         self.dispatch(new_changes);
@@ -342,14 +344,14 @@
     }
 
     async fn read_full_table(&mut self) -> Result<(), StoreError> {
+        let sent_at = self.shared.now();
         let (rows, version) = store::read_table(&self.shared, self.table.name).await?;
-        let now = self.shared.now();
         let new_changes = {
             let mut replica = self.table.replica();
             let new_changes = replica.apply_snapshot(rows, version);
             let new_changes = new_changes
                 .ok_or_else(|| StoreError(format!("stale read at version {version}")))?;
-            replica.record_confirmation(version, now);
+            replica.record_confirmation(version, sent_at);
             new_changes
         };
         self.dispatch(new_changes);
--- a/crates/gate/tests/table_replica.rs
+++ b/crates/gate/tests/table_replica.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnut_edge::Change;
-use chestnut_gate::table_replica::TableReplica;
+use chestnut_gate::table_replica::{TableReplica, confirmation_time};
 use indexmap::IndexMap;
 use proptest::prelude::*;
 
@@ -196,3 +196,15 @@
     direct.read_snapshot(&table, 0);
     assert!(!direct.rows.contains_key("2"), "{:?}", direct.rows);
 }
+
+/// A response that arrives late must not make an outdated replica count as current.
+#[test]
+fn late_response_confirms_the_time_of_its_read() {
+    let sent_at = Instant::now();
+    let hold = Duration::from_millis(500);
+    let at = |millis| sent_at + Duration::from_millis(millis);
+    assert_eq!(confirmation_time(sent_at, hold, at(2500), true), sent_at);
+    assert_eq!(confirmation_time(sent_at, hold, at(2500), false), at(500));
+    assert_eq!(confirmation_time(sent_at, hold, at(400), false), at(400));
+    assert_eq!(confirmation_time(sent_at, Duration::ZERO, at(250), false), sent_at);
+}
