--- a/crates/demo/src/own/cluster.rs
+++ b/crates/demo/src/own/cluster.rs
@@ -66,6 +66,7 @@
     daemons: Vec<Daemon>,
     platform: ServerHandle,
     temp_dir: TempDir,
+    /// Whether the daemons log to standard error.
     log: bool,
 }
 
--- a/crates/member/src/neighbours.rs
+++ b/crates/member/src/neighbours.rs
@@ -42,6 +42,7 @@
 /// A daemon whose heartbeats are expected.
 #[derive(Debug, Clone, Copy)]
 struct Expected {
+    /// Where it receives heartbeats.
     addr: SocketAddr,
     /// Since when heartbeats have been expected of this process.
     since: Instant,
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -195,8 +195,11 @@
 pub struct ResponseStream {
     recv: RecvStream,
     frames: FrameDecoder,
+    /// The address of the responding daemon.
     addr: SocketAddr,
+    /// The connection of this response, and perhaps of others.
     conn: Connection,
+    /// The connections that requests use.
     connections: Arc<Connections>,
 }
 
--- a/crates/node/src/slotlog.rs
+++ b/crates/node/src/slotlog.rs
@@ -46,12 +46,15 @@
     claim: Option<u64>,
     /// Whether positions before this one don't count.
     trimmed: bool,
+    /// Empty for a seal or a trimmed position.
     records: Vec<Record>,
 }
 
 /// What the positions of a log hold that count.
 struct LogContent {
+    /// In the order of their positions.
     records: Vec<Record>,
+    /// The position after the last one.
     next_position: u64,
     /// The latest claim of any position; `None` if none names its claim.
     last_claim: Option<u64>,
