--- a/crates/node/src/slots/driver.rs
+++ b/crates/node/src/slots/driver.rs
@@ -12,6 +12,7 @@
 use indexmap::{IndexMap, IndexSet};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
+use slog::info;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 
@@ -157,10 +158,30 @@
                 let waiter = self.add_waiter(Waiter::Lookup(reply));
                 self.handle_event(Event::Lookup { waiter, slot, id });
             }
-            Message::Event(event) => self.handle_event(event),
+            Message::Event(event) => {
+                self.log_run_end(&event);
+                self.handle_event(event);
+            }
         }
     }
 
+    fn log_run_end(&self, event: &Event) {
+        let (id, attempt, end, why) = match event {
+            Event::RunRefused { id, attempt, refusal } => {
+                (id, attempt, "refused", refusal.to_string())
+            }
+            Event::RunInterrupted { id, attempt, refusal } => {
+                (id, attempt, "interrupted", refusal.to_string())
+            }
+            Event::RunFinished { id, attempt, response, .. } => {
+                (id, attempt, "finished", response.status.to_string())
+            }
+            _ => return,
+        };
+        info!(self.node.shared.log, "run ended"; "id" => &id.key,
+            "attempt" => attempt.to_string(), "end" => end, "why" => why);
+    }
+
     fn slot_of(&self, id: &RequestId) -> SlotId {
         slot_of(id, self.node.shared.settings.limits.journal_slots)
     }
@@ -282,6 +303,8 @@
         };
         let Some(once) = once.take() else { return };
         debug_assert_eq!(once.request.id.as_ref(), Some(&id));
+        info!(self.node.shared.log, "run started"; "id" => &id.key,
+            "attempt" => attempt.to_string());
         let out = out.clone();
         self.spawn(move |node| single::run(node, *once, attempt, Some(out)));
     }
