demo: a copy that is refused before another copy runs was told the truth

The check means to leave out a request that ran through its other entry, and did so only after a retry. A refusal of a key of which another copy was not refused is no longer counted; one whose copies were all refused still is, as is every request that was sent once.

--- a/crates/demo/src/own/burst.rs
+++ b/crates/demo/src/own/burst.rs
@@ -143,6 +143,11 @@
 ) -> Result<Tally, DemoError> {
     let exchanges = send(cluster, scale, kinds).await?;
     let run_counts = RunCounts::read(cluster).await?;
+    let accepted: HashSet<_> = exchanges
+        .iter()
+        .filter(|exchange| !exchange.response.is_not_run())
+        .filter_map(|exchange| exchange.request.idempotency_key.as_deref())
+        .collect();
     let mut counted = HashSet::new();
     let evaluate = |exchange: &Exchange| {
         // Requests sent to two entries share a key; a double run is counted once.
@@ -153,7 +158,7 @@
             ));
         RequestResult {
             kind: exchange.workload.kind,
-            outcome: outcome(exchange, &run_counts),
+            outcome: outcome(exchange, &run_counts, &accepted),
             duration: exchange.duration,
             deadline: exchange.workload.deadline,
             retried: exchange.response.attempts > 1,
@@ -190,16 +195,24 @@
     )
 }
 
-fn outcome(exchange: &Exchange, run_counts: &RunCounts) -> RequestOutcome {
+/// The outcome of a request; `accepted` holds the keys of which a copy was not refused.
+fn outcome(
+    exchange: &Exchange,
+    run_counts: &RunCounts,
+    accepted: &HashSet<&str>,
+) -> RequestOutcome {
     if exchange.response.is_complete(&exchange.request) {
         RequestOutcome::Complete
     } else if exchange.response.mismatch(&exchange.request).is_some() {
         RequestOutcome::Foreign
-    } else if exchange.response.outcome.as_deref() == Some("not_run") {
-        // A request that was sent to two entries may have run through the other
-        // one.
+    } else if exchange.response.is_not_run() {
+        // Of a request that was sent to two entries, the copy that came later may have run
+        // after the other one was refused.
+        let key = exchange.request.idempotency_key.as_deref();
+        let other_accepted = key.is_some_and(|key| accepted.contains(key));
         RequestOutcome::Refused {
             ran: exchange.response.attempts == 1
+                && !other_accepted
                 && run_counts.runs_of(&exchange.request) > 0,
         }
     } else {
--- a/crates/fake/src/caller.rs
+++ b/crates/fake/src/caller.rs
@@ -324,14 +324,18 @@
     ///
     /// A request that is not repeatable is sent again only if it certainly did not run.
     fn may_retry(&self, repeatable: bool) -> bool {
-        let not_run =
-            self.outcome.as_deref() == Some("not_run") && self.retry_after.is_some();
+        let not_run = self.is_not_run() && self.retry_after.is_some();
         let in_doubt = self.outcome.as_deref() == Some("in_doubt");
         not_run
             || self.failure == Some("unreached")
             || repeatable && (self.failure.is_some() || in_doubt)
     }
 
+    /// Whether this is a refusal that says that the request did not run.
+    pub fn is_not_run(&self) -> bool {
+        self.outcome.as_deref() == Some("not_run")
+    }
+
     /// Whether this is the whole and correct response to the request.
     pub fn is_complete(&self, request: &CallerRequest) -> bool {
         if self.status != Some(200) || self.failure.is_some() {
