once: don't refuse a logged run when a commit of its start fails

A non-idempotent request could run twice, and its caller be told in between that it was not run: its start was in flight both to the log, by an append whose result came late, and to the table, after it had been sent again. The append arrived and the request ran; then the commit failed, and the running request was marked as refused, its record removed.

Cause: commit_failed refused the starts of a failed batch without checking that the requests still wait for them, as the other places do.

--- a/crates/once/src/journal/commit.rs
+++ b/crates/once/src/journal/commit.rs
@@ -73,22 +73,18 @@
         let state = entry.map(|entry| &entry.state);
         let phase = self.slots.get(&write.slot()).map(|slot| &slot.phase);
         match write {
-            PendingWrite::Start { attempt, .. }
-                if entry.is_none_or(|entry| entry.attempt != *attempt) =>
-            {
+            PendingWrite::Start { .. } if !self.is_queued_start(write) => {
                 Readiness::Obsolete
             }
-            PendingWrite::Start { slot, .. } => match (state, phase) {
+            PendingWrite::Start { slot, .. } => match phase {
                 // Starts that can go into the log don't wait for a table that may not
                 // respond.
-                (Some(RequestState::Queued(_)), Some(SlotPhase::Open))
+                Some(SlotPhase::Open)
                     if !self.is_table_up() && self.can_append(*slot, now) =>
                 {
                     Readiness::Deferred
                 }
-                (Some(RequestState::Queued(_)), Some(SlotPhase::Open)) => {
-                    Readiness::Ready
-                }
+                Some(SlotPhase::Open) => Readiness::Ready,
                 _ => Readiness::Obsolete,
             },
             PendingWrite::CopyFromLog { id, .. } => match phase {
@@ -118,6 +114,14 @@
         }
     }
 
+    /// Whether the id still waits for this start.
+    fn is_queued_start(&self, write: &PendingWrite) -> bool {
+        let PendingWrite::Start { id, attempt, .. } = write else { return false };
+        self.index.entries.get(id).is_some_and(|entry| {
+            entry.attempt == *attempt && matches!(entry.state, RequestState::Queued(_))
+        })
+    }
+
     fn send_batch(&mut self, writes: Vec<PendingWrite>, resends: u32) {
         self.last_number += 1;
         let transaction_id = self.transaction_id_base.wrapping_add(self.last_number);
@@ -449,8 +453,11 @@
             });
         self.write_queue = rest;
         for write in starts {
-            let refusal = self.unavailable_refusal(write.slot(), now);
-            self.cancel_start(write.id(), &refusal, now);
+            // The log may have started it meanwhile.
+            if self.is_queued_start(&write) {
+                let refusal = self.unavailable_refusal(write.slot(), now);
+                self.cancel_start(write.id(), &refusal, now);
+            }
         }
         self.release_responses();
     }
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -442,3 +442,19 @@
     ops.extend([reclaim.clone(), step(0), reclaim, submit_id(1), step(0)]);
     simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
 }
+
+/// A batch that fails must not refuse a request that the log has started meanwhile.
+#[test]
+fn failed_commit_does_not_refuse_a_logged_start() {
+    let submit_id = |id| Op::Submit { daemon: 0, id, body: 0 };
+    let advance = |millis| Op::Advance { millis };
+    let mut ops = vec![step(0), Op::SetTable { daemon: 0, reachable: false }];
+    ops.extend([advance(1), step(0), submit_id(0), advance(5), submit_id(1), step(0)]);
+    // Both are refused while they are being logged, and letter 0 is sent again.
+    ops.extend([advance(2500), submit_id(0), step(0), step(0)]);
+    let mut simulation = Simulation::new(Disabled::Nothing, 1);
+    for op in &ops {
+        simulation.apply(op);
+    }
+    simulation.run_without_faults(IDS);
+}
