once: let a delete apply only to the row that it was queued for

A non-idempotent request could run twice: the delete of a refused attempt's row, whose result was lost, was still queued when the request, sent again, ran by the slot's log. Its condition then failed. That dropped the id's entry and, with it, the copy of its record from the log into the table; the log was trimmed, and the request was new.

Cause: a failed delete was taken for 'nothing to delete' whatever the id's entry was about, and of several writes of the id only the last was handled. A delete now goes with the version of its row: it is dropped unless the entry is idle, not in the log alone, and has that version; all writes of the id get the conflict.

--- a/crates/once/src/index.rs
+++ b/crates/once/src/index.rs
@@ -75,6 +75,14 @@
         )
     }
 
+    /// Whether the id is idle and its row has this version.
+    ///
+    /// Otherwise the row belongs to an earlier attempt, and a new start or its copy from the
+    /// log replaces it.
+    pub fn owns_idle_row(&self, version: u64) -> bool {
+        self.is_idle() && !self.log_only && self.row_version == Some(version)
+    }
+
     /// Whether the id has a row although it was refused without a run.
     ///
     /// Only this entry tells that the row doesn't stand for a run.
--- a/crates/once/src/journal/commit.rs
+++ b/crates/once/src/journal/commit.rs
@@ -98,9 +98,8 @@
                 Some(RequestState::StoringResponse(..)) => Readiness::Ready,
                 _ => Readiness::Obsolete,
             },
-            // The row belongs to an earlier attempt, and the id's new start replaces it.
-            PendingWrite::DeleteRow { .. }
-                if entry.is_some_and(|entry| !entry.is_idle()) =>
+            PendingWrite::DeleteRow { version, .. }
+                if entry.is_some_and(|entry| !entry.owns_idle_row(*version)) =>
             {
                 Readiness::Obsolete
             }
@@ -238,7 +237,7 @@
             PendingWrite::StoreResponse { id, .. } => {
                 self.response_recorded(&id, version, now)
             }
-            PendingWrite::DeleteRow { id, .. } => self.row_deleted(&id),
+            PendingWrite::DeleteRow { id, version, .. } => self.row_deleted(&id, version),
         }
     }
 
@@ -306,8 +305,11 @@
         self.evict_ids();
     }
 
-    fn row_deleted(&mut self, id: &RequestId) {
+    fn row_deleted(&mut self, id: &RequestId, version: u64) {
         let Some(entry) = self.index.entries.get_mut(id) else { return };
+        if entry.row_version != Some(version) {
+            return;
+        }
         entry.row_version = None;
         let key = match &entry.state {
             RequestState::Done(summary, _) => match &summary.body {
@@ -316,7 +318,7 @@
             },
             _ => None,
         };
-        if entry.is_idle() && entry.waiters.is_empty() {
+        if entry.is_idle() && entry.waiters.is_empty() && !entry.log_only {
             self.index.entries.swap_remove(id);
         }
         self.effects.extend(key.map(Effect::DeleteBody));
@@ -346,21 +348,25 @@
             }
             return;
         }
-        let (mut conflicting, rest): (Vec<_>, Vec<_>) =
+        let (conflicting, rest): (Vec<_>, Vec<_>) =
             in_flight.writes.into_iter().partition(|write| {
                 *write.id() == id && !matches!(write, PendingWrite::StoreResponse { .. })
             });
         self.requeue(rest);
-        match conflicting.pop() {
-            Some(PendingWrite::Start { slot, id, attempt, .. }) => {
-                self.start_conflict(slot, &id, attempt, row, now)
-            }
-            Some(PendingWrite::CopyFromLog { slot, id, .. }) => {
-                self.copy_conflict(slot, &id, row)
+        for write in conflicting {
+            match write {
+                PendingWrite::Start { slot, id, attempt, .. } => {
+                    self.start_conflict(slot, &id, attempt, row.clone(), now)
+                }
+                PendingWrite::CopyFromLog { slot, id, .. } => {
+                    self.copy_conflict(slot, &id, row.clone())
+                }
+                // The row is gone or belongs to another attempt; there is nothing to delete.
+                PendingWrite::DeleteRow { id, version, .. } => {
+                    self.row_deleted(&id, version)
+                }
+                PendingWrite::StoreResponse { .. } => {}
             }
-            // The row is gone or belongs to another attempt; there is nothing to delete.
-            Some(PendingWrite::DeleteRow { id, .. }) => self.row_deleted(&id),
-            Some(PendingWrite::StoreResponse { .. }) | None => {}
         }
     }
 
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -458,3 +458,14 @@
     }
     simulation.run_without_faults(IDS);
 }
+
+/// A delete that was queued before a run must not remove the record of that run.
+#[test]
+fn delete_of_an_earlier_row_does_not_remove_a_logged_run() {
+    let lost = || Op::Step { daemon: 0, delivery: Delivery::ResponseLost };
+    let advance = |millis| Op::Advance { millis };
+    let mut ops = vec![step(0), advance(1), step(0), submit(0), advance(2500), step(0)];
+    ops.extend([submit(0), lost(), lost(), advance(5), step(0), step(0)]);
+    ops.extend([Op::Dispatch { run: 0 }, Op::Finish { run: 0, completed: false }]);
+    simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
+}
