once: recover a response only from the row of its attempt

A caller could get the response to another body that it had sent under the same key: a daemon that had lost the slot looked for the response of a request that counted as started, and returned whatever the id's row held. By then the row was that of a later attempt, of another body, which the slot's new holder could start since it knew that the first one never ran.

Cause: a late result matched to the id alone. A recovered row now names its attempt; if it is another one, the entry is removed and its waiters are told that the slot has moved.

--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -238,9 +238,9 @@
 async fn try_recover(node: &Arc<Node>, request: &RecoveryRequest) -> Option<Recovered> {
     let key = row_key(request.slot, &request.id);
     if let Ok(Some(row)) = node.shared.table.get(JOURNAL, &key).await {
-        let row = journal_row(row);
-        if let Some(summary) = row.record.and_then(|record| record.response) {
-            return Some(Recovered::Row { summary, version: row.version });
+        let JournalRow { record, version } = journal_row(row);
+        if let Some(Record { attempt, response: Some(summary), .. }) = record {
+            return Some(Recovered::Row { attempt, summary, version });
         }
     }
     let response = match single::read_detached_response(node, request.attempt).await {
--- a/crates/once/src/event.rs
+++ b/crates/once/src/event.rs
@@ -170,6 +170,8 @@
     Nothing,
     /// Its row now contains the response.
     Row {
+        /// The attempt that the row records.
+        attempt: AttemptId,
         /// The response without its body.
         summary: ResponseSummary,
         /// The row's version.
--- a/crates/once/src/journal.rs
+++ b/crates/once/src/journal.rs
@@ -13,7 +13,7 @@
 use crate::index::{Entry, Index, RequestState, WaiterId};
 use crate::limits::{Limits, jitter};
 use crate::record::{BodyLocation, Record, Response};
-use crate::refusals::{in_doubt, response_unreadable};
+use crate::refusals::{in_doubt, response_unreadable, slot_moving};
 
 mod claims;
 mod commit;
@@ -335,11 +335,17 @@
             return;
         }
         match recovered {
+            // Another holder of the slot has found that this attempt was never dispatched, and
+            // has run another request with the id.
+            Recovered::Row { attempt: recorded, .. } if recorded != attempt => {
+                self.reply_to_waiters(id, &Reply::Refused(slot_moving()));
+                self.index.entries.swap_remove(id);
+            }
             Recovered::Nothing => {
                 entry.state = RequestState::InDoubt(Some(now));
                 self.reply_to_waiters(id, &Reply::Refused(in_doubt()));
             }
-            Recovered::Row { summary, version } => {
+            Recovered::Row { summary, version, .. } => {
                 entry.row_version = Some(version);
                 entry.state = RequestState::Done(summary, None);
                 self.index.schedule_expiry(id, expires_at);
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -469,3 +469,23 @@
     ops.extend([Op::Dispatch { run: 0 }, Op::Finish { run: 0, completed: false }]);
     simulate(Disabled::Nothing, &ops).run_without_faults(IDS);
 }
+
+/// A caller must not get the response to another body that was sent with its key later.
+#[test]
+fn recovered_row_of_another_attempt_is_not_a_response() {
+    let body = |daemon, body| Op::Submit { daemon, id: 0, body };
+    let mut ops = vec![step(0), body(0, 0), step(0), Op::Release { daemon: 1 }, step(0)];
+    ops.extend([Op::Refuse { run: 0 }, step(1), Op::Takeover { daemon: 0 }, step(0)]);
+    ops.extend([body(0, 1), Op::Advance { millis: 10 }, step(0), step(0), step(0)]);
+    ops.extend([Op::Dispatch { run: 0 }, Op::Finish { run: 0, completed: true }]);
+    ops.extend([
+        Op::Advance { millis: 10 },
+        step(0),
+        step(0),
+        body(1, 0),
+        step(1),
+        step(1),
+    ]);
+    ops.push(step(1));
+    simulate(Disabled::Nothing, &ops);
+}
--- a/crates/once/tests/model/mod.rs
+++ b/crates/once/tests/model/mod.rs
@@ -449,7 +449,8 @@
     ) -> Recovered {
         let row = self.rows.get(id).and_then(|(record, version)| {
             let summary = record.response.clone()?;
-            Some(Recovered::Row { summary, version: *version })
+            let attempt = record.attempt;
+            Some(Recovered::Row { attempt, summary, version: *version })
         });
         let run =
             self.runs.iter().position(|run| run.attempt == attempt && run.dispatched);
