gate: don't record an own row that was replaced before its response arrived

A daemon could lose its place in the cluster for good: if its row was removed between its write and the store's response, and the daemon had read the removal by then, it put the row among the members again, found nothing missing and never joined anew. Likewise a claim.

Cause: the replica ignores an own write that a newer change has replaced, and its callers recorded the row regardless. The replica now says whether the row is current, and members and claims follow it, under the lock of the membership, so that no newer change is handled in between.

Evidence: replica_never_goes_back let the response arrive at once and couldn't express it; with responses that arrive later it failed (rows differ from the table) while rows were recorded regardless, and passes now. No run of daemons has shown it.

--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -13,7 +13,7 @@
 
 use chestnut_base::{Fence, PoolName, ServerName, ServiceName};
 use chestnut_edge::{Change, Transaction, TransactionOutcome};
-use chestnut_member::{ClaimChange, ClaimKey, ClaimRow, plan_claims};
+use chestnut_member::{ClaimChange, ClaimKey, ClaimRow, MembershipRows, plan_claims};
 use slog::{info, warn};
 
 use crate::shared::Shared;
@@ -52,7 +52,8 @@
                 None
             }
         };
-        let previous = record_claim(shared, key.clone(), row, change.version);
+        let previous =
+            record_claim(&mut shared.membership(), key.clone(), row, change.version);
         let me = Some(shared.peers.me);
         let holder = row.and_then(|row| row.holder);
         let (was_mine, is_mine) = (previous == me, holder == me);
@@ -76,12 +77,11 @@
 
 /// Records a claim's row unless a newer one is recorded; returns the previous holder.
 fn record_claim(
-    shared: &Shared,
+    membership: &mut MembershipRows,
     key: ClaimKey,
     row: Option<ClaimRow>,
     version: u64,
 ) -> Option<chestnut_base::MemberId> {
-    let mut membership = shared.membership();
     match row {
         Some(row) => {
             let is_newer = |(_, old): &&(ClaimRow, u64)| *old < version;
@@ -122,9 +122,11 @@
     let transaction = changes.iter().fold(Transaction::default(), add_change);
     match store::commit(shared, &transaction).await {
         Ok(TransactionOutcome::Committed { version }) => {
-            table_sync::record_own_writes(shared, &transaction, version);
+            let current = record_current_claims(shared, &transaction, &changes, version);
             for (change, at_once) in changes.into_iter().zip(at_once) {
-                record_change(shared, change, version, at_once);
+                if current.contains(&row_key(&change.key)) {
+                    record_change(shared, change, version, at_once);
+                }
             }
             holder::sync_claims(shared);
             permit_queue::sync_claims(shared);
@@ -139,8 +141,29 @@
     }
 }
 
+/// Records the claims of a transaction that no newer change has replaced; returns the keys
+/// of their rows.
+fn record_current_claims(
+    shared: &Shared,
+    transaction: &Transaction,
+    changes: &[ClaimChange],
+    version: u64,
+) -> Vec<String> {
+    let mut membership = shared.membership();
+    let current = table_sync::record_own_writes(shared, transaction, version);
+    for change in changes.iter().filter(|change| current.contains(&row_key(&change.key)))
+    {
+        record_claim(&mut membership, change.key.clone(), Some(change.row), version);
+    }
+    current
+}
+
+fn row_key(claim: &ClaimKey) -> String {
+    format!("{KEY_PREFIX}{claim}")
+}
+
 fn add_change(transaction: Transaction, change: &ClaimChange) -> Transaction {
-    let key = format!("{KEY_PREFIX}{}", change.key);
+    let key = row_key(&change.key);
     // Claims are plain structs, which always serialize.
     let value = serde_json::to_vec(&change.row).unwrap_or_default();
     transaction.require_version(SYSTEM_TABLE, &key, change.expected_version).put(
@@ -160,7 +183,6 @@
 }
 
 fn record_change(shared: &Shared, change: ClaimChange, version: u64, at_once: bool) {
-    record_claim(shared, change.key.clone(), Some(change.row), version);
     let is_mine = change.row.holder == Some(shared.peers.me);
     let from = if at_once { shared.now() } else { next_order_time(shared) };
     if is_mine {
--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -149,9 +149,13 @@
     let transaction = Transaction::default().put(SYSTEM_TABLE, &row_key(vm), value);
     match store::commit(shared, &transaction).await {
         Ok(TransactionOutcome::Committed { version }) => {
-            table_sync::record_own_writes(shared, &transaction, version);
-            let vm = shared.settings.vm.clone();
-            shared.membership().members.insert(vm, (row.clone(), version));
+            let mut membership = shared.membership();
+            let current = table_sync::record_own_writes(shared, &transaction, version);
+            // A row that was removed meanwhile must be written again.
+            if !current.is_empty() {
+                let vm = shared.settings.vm.clone();
+                membership.members.insert(vm, (row.clone(), version));
+            }
             Ok(())
         }
         Ok(outcome) => Err(format!("{outcome:?}")),
--- a/crates/gate/src/table_replica.rs
+++ b/crates/gate/src/table_replica.rs
@@ -101,12 +101,18 @@
 
     /// Applies a row that this daemon has written itself; the replica's version stays.
     ///
+    /// Returns whether the row is current: by the time of the response it may have been
+    /// replaced or removed again.
+    ///
     /// A snapshot lacks removed rows, so it reveals a removal only if the replica holds the
     /// row. If a daemon's own row were not applied here, the daemon could miss its removal.
     /// It would then receive no heartbeats, consider the other daemons unresponsive, and
     /// remove their rows four times a second without end.
-    pub fn apply_own_write(&mut self, change: &Change) {
-        self.apply_change(change);
+    #[must_use]
+    pub fn apply_own_write(&mut self, change: &Change) -> bool {
+        let is_new = self.apply_change(change);
+        // The change may have been read before the response arrived.
+        is_new || self.rows.get(&change.key).is_some_and(|row| row.0 == change.version)
     }
 
     /// Replaces all rows by those as of `version`; returns what changed, or `None` if the
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -441,13 +441,25 @@
 /// prefix.
 pub const SYSTEM_TABLE: &str = "chestnut";
 
-/// Applies rows of the system table that this daemon has committed to its replica.
-pub fn record_own_writes(shared: &Shared, transaction: &Transaction, version: u64) {
+/// Applies rows of the system table that this daemon has committed to its replica; returns
+/// the keys of those that are current.
+///
+/// The caller holds the lock of the membership, so that no newer change of a row is handled
+/// before the row itself.
+pub fn record_own_writes(
+    shared: &Shared,
+    transaction: &Transaction,
+    version: u64,
+) -> Vec<String> {
     let mut replica = shared.tables.system.replica();
-    for write in transaction.writes.iter().filter(|write| write.table == SYSTEM_TABLE) {
-        let (key, value) = (write.key.clone(), write.value.clone());
-        replica.apply_own_write(&Change { key, version, value });
-    }
+    let writes = transaction.writes.iter().filter(|write| write.table == SYSTEM_TABLE);
+    writes
+        .filter(|write| {
+            let (key, value) = (write.key.clone(), write.value.clone());
+            replica.apply_own_write(&Change { key, version, value })
+        })
+        .map(|write| write.key.clone())
+        .collect()
 }
 
 /// Passes each change of the system table to the handler for its key prefix.
--- a/crates/gate/tests/table_replica.rs
+++ b/crates/gate/tests/table_replica.rs
@@ -1,5 +1,6 @@
 //! A replica under any order of changes, snapshots, and delayed responses.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -52,12 +53,13 @@
         key: u8,
         value: Option<u8>,
     },
-    /// The daemon of the direct replica writes a row itself and applies it on the
-    /// response.
+    /// The daemon of the direct replica writes a row itself.
     OwnWrite {
         key: u8,
         value: u8,
     },
+    /// The response to its oldest write arrives, and it applies the row.
+    OwnResponse,
     /// The direct replica reads changes; the response lags some writes behind.
     ReadChanges {
         lag: u64,
@@ -75,6 +77,7 @@
     prop_oneof![
         6 => (0u8..5, value).prop_map(|(key, value)| Operation::Write { key, value }),
         2 => (0u8..5, any::<u8>()).prop_map(|(key, value)| Operation::OwnWrite { key, value }),
+        2 => Just(Operation::OwnResponse),
         4 => (0u64..4).prop_map(|lag| Operation::ReadChanges { lag }),
         1 => (0u64..4).prop_map(|lag| Operation::ReadSnapshot { lag }),
         2 => Just(Operation::FetchPeer),
@@ -102,8 +105,9 @@
 
     /// Applies a row that this daemon has just written.
     fn apply_own_write(&mut self, change: Change) {
-        self.replica.apply_own_write(&change);
-        self.rows.insert(change.key.clone(), change);
+        if self.replica.apply_own_write(&change) {
+            self.rows.insert(change.key.clone(), change);
+        }
     }
 
     fn read_changes(&mut self, table: &ReferenceTable, lag: u64) {
@@ -140,12 +144,18 @@
     fn replica_never_goes_back(operations in prop::collection::vec(operation(), 1..120)) {
         let (mut table, mut direct, mut indirect) =
             (ReferenceTable::default(), Reader::default(), Reader::default());
+        let mut written = VecDeque::new();
         for operation in operations {
             match operation {
                 Operation::Write { key, value } => table.write(key, value),
                 Operation::OwnWrite { key, value } => {
                     table.write(key, Some(value));
-                    direct.apply_own_write(table.history.last().expect("it was written").clone());
+                    written.extend(table.history.last().cloned());
+                }
+                Operation::OwnResponse => {
+                    if let Some(change) = written.pop_front() {
+                        direct.apply_own_write(change);
+                    }
                 }
                 Operation::ReadChanges { lag } => direct.read_changes(&table, lag),
                 Operation::ReadSnapshot { lag } => direct.read_snapshot(&table, lag),
