--- /dev/null
+++ b/crates/account/src/limit.rs
@@ -0,0 +1,152 @@
+//! Limits on what client accounts use, and how a limit is divided between daemons.
+
+use std::fmt::{self, Display, Formatter};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What a limit counts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Unit {
+    /// Each request counts as one.
+    #[default]
+    Requests,
+    /// A request counts by its tokens.
+    Tokens,
+}
+
+impl Unit {
+    /// The smallest rate for which a slice of its own pays off, per second.
+    ///
+    /// A slice has to hold several requests, since one that can't be served by a nearly
+    /// empty slice costs a round trip to the next.
+    fn min_slice_rate(self) -> f64 {
+        match self {
+            Self::Requests => 20.0,
+            Self::Tokens => 25_000.0,
+        }
+    }
+}
+
+impl TryFrom<&str> for Unit {
+    type Error = UnitError;
+
+    fn try_from(text: &str) -> Result<Self, UnitError> {
+        match text {
+            "requests" => Ok(Self::Requests),
+            "tokens" => Ok(Self::Tokens),
+            other => Err(UnitError(other.to_owned())),
+        }
+    }
+}
+
+/// A text that names no unit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnitError(String);
+
+impl Display for UnitError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is no unit of a limit; write `requests` or `tokens`", self.0)
+    }
+}
+
+impl std::error::Error for UnitError {}
+
+/// The most that an account may use, over all daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Limit {
+    /// What is counted.
+    pub unit: Unit,
+    /// The sustained rate, in units per second; greater than zero and finite.
+    pub rate: f64,
+    /// What may be used at once beyond the rate, in units; zero or more and finite.
+    pub burst: f64,
+    /// The tokens that a request without a token count counts as.
+    pub plain_tokens: u32,
+}
+
+/// The most slices that a limit is divided into.
+const MAX_SLICES: u32 = 8;
+
+impl Limit {
+    /// What a request counts; `tokens` is `None` if it states no token count.
+    pub fn cost(&self, tokens: Option<u64>) -> f64 {
+        match self.unit {
+            Unit::Requests => 1.0,
+            Unit::Tokens => {
+                tokens.map_or(f64::from(self.plain_tokens), |tokens| tokens as f64)
+            }
+        }
+    }
+
+    /// The number of slices that the limit is divided into.
+    ///
+    /// It follows from the limit alone, so that all daemons with the same declarations
+    /// agree on it. While the holder of one slice fails, the other slices go on.
+    pub fn slice_count(&self) -> u32 {
+        let slices = (self.rate / self.unit.min_slice_rate()).floor();
+        slices.clamp(1.0, f64::from(MAX_SLICES)) as u32
+    }
+
+    /// The limit of each slice.
+    pub fn slice(&self, tolerance: &Tolerance) -> SliceLimit {
+        let slices = f64::from(self.slice_count());
+        let allowance = tolerance.allowance(self);
+        SliceLimit {
+            rate: self.rate / slices,
+            capacity: (self.burst + allowance * CAPACITY_SHARE) / slices,
+            takeover: allowance * TAKEOVER_SHARE / slices,
+        }
+    }
+}
+
+/// The share of the allowance that buckets may hold beyond the burst.
+const CAPACITY_SHARE: f64 = 0.5;
+
+/// The share of the allowance that a new holder of a slice starts with.
+///
+/// With [`CAPACITY_SHARE`], each slice may change its holder three times per window.
+const TAKEOVER_SHARE: f64 = 0.125;
+
+/// How far the use in a window may exceed the limit, from the operators' settings.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tolerance {
+    /// The window in which use is counted.
+    pub window: Duration,
+    /// The ratio beyond the limit that a window may reach; zero or more.
+    pub overshoot: f64,
+    /// What a window may reach beyond that, in tokens; zero or more.
+    pub slack: f64,
+}
+
+impl Tolerance {
+    /// What a window may use beyond `rate` and `burst`.
+    pub fn allowance(&self, limit: &Limit) -> f64 {
+        let nominal = limit.rate * self.window.as_secs_f64() + limit.burst;
+        let slack = match limit.unit {
+            Unit::Tokens => self.slack,
+            Unit::Requests => 0.0,
+        };
+        nominal * self.overshoot + slack
+    }
+
+    /// The most that a window may use.
+    pub fn bound(&self, limit: &Limit) -> f64 {
+        limit.rate * self.window.as_secs_f64() + limit.burst + self.allowance(limit)
+    }
+}
+
+/// The limit of one slice of an account's limit.
+///
+/// Over all slices, `capacity` and three times `takeover` stay below the burst and the
+/// allowance.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SliceLimit {
+    /// Units per second.
+    pub rate: f64,
+    /// The most that the bucket holds.
+    pub capacity: f64,
+    /// What the bucket of a new holder starts with.
+    pub takeover: f64,
+}
