--- a/crates/account/src/account.rs
+++ b/crates/account/src/account.rs
@@ -45,7 +45,8 @@
     type Error = AccountError;
 
     fn try_from(text: AccountText) -> Result<Self, AccountError> {
-        let name = CallerName::try_from(text.name.as_str()).map_err(AccountError::Name)?;
+        let name =
+            CallerName::try_from(text.name.as_str()).map_err(AccountError::Name)?;
         let error = |problem| AccountError::Account(name.clone(), problem);
         if text.keys.iter().any(String::is_empty) {
             return Err(error(AccountProblem::EmptyKey));
@@ -206,7 +207,9 @@
             }
             Self::Repeated => f.write_str("it is declared twice; keep one declaration"),
             Self::Unit(error) => error.fmt(f),
-            Self::Rate => f.write_str("its rate is not a number of zero or more; correct it"),
+            Self::Rate => {
+                f.write_str("its rate is not a number of zero or more; correct it")
+            }
             Self::Burst => {
                 f.write_str("its burst is not a number of zero or more; correct it")
             }
--- a/crates/account/src/key.rs
+++ b/crates/account/src/key.rs
@@ -75,7 +75,9 @@
 
 impl Display for DigestError {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        f.write_str("a key's digest is not 64 lower-case hexadecimal digits; write its SHA-256")
+        f.write_str(
+            "a key's digest is not 64 lower-case hexadecimal digits; write its SHA-256",
+        )
     }
 }
 
--- a/crates/account/tests/quota_model.rs
+++ b/crates/account/tests/quota_model.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_account::{
-    Accounts, AccountText, ChargeId, Choice, HeldSlice, Limit, Slice, SliceChooser,
+    AccountText, Accounts, ChargeId, Choice, HeldSlice, Limit, Slice, SliceChooser,
     SliceStart, Tolerance, Unit, Verdict, may_grant,
 };
 use chestnut_base::{CallerName, MemberId};
@@ -172,7 +172,8 @@
         if !self.is_healthy(from) {
             return;
         }
-        let Some(slice) = (0..self.claims.len()).find(|slice| self.holder(*slice) == from)
+        let Some(slice) =
+            (0..self.claims.len()).find(|slice| self.holder(*slice) == from)
         else {
             return;
         };
@@ -244,9 +245,9 @@
             let confirmed = self.daemons[daemon].confirmed_at;
             self.daemons[daemon].confirmed_at = confirmed.max(Some(as_of));
             for slice in 0..self.claims.len() {
-                let taken_later = self.claims[slice]
-                    .last()
-                    .is_some_and(|tenure| tenure.holder == daemon && tenure.since > as_of);
+                let taken_later = self.claims[slice].last().is_some_and(|tenure| {
+                    tenure.holder == daemon && tenure.since > as_of
+                });
                 if self.holder_at(slice, as_of) != daemon && !taken_later {
                     self.daemons[daemon].held[slice] = None;
                 }
@@ -330,7 +331,9 @@
 
     fn refund(&mut self, message: &Message) {
         let (limit, now) = (self.limit.slice(&TOLERANCE), self.now);
-        let Some(held) = &mut self.daemons[message.to].held[message.slice] else { return };
+        let Some(held) = &mut self.daemons[message.to].held[message.slice] else {
+            return;
+        };
         let before = held.balance();
         held.refund(message.id, &limit, now);
         // A refunded request has not run.
@@ -349,7 +352,8 @@
         let balance = held.balance();
         let verdict = held.charge(id, cost, &limit, now);
         let is_repeat = self.granted.iter().rev().take(500).any(|it| it.1 == id);
-        if verdict == Verdict::Granted && (!is_repeat || held.balance() < balance - cost) {
+        if verdict == Verdict::Granted && (!is_repeat || held.balance() < balance - cost)
+        {
             self.granted.push((now, id, cost));
         }
         verdict
--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -42,6 +42,8 @@
     Overloaded,
     /// The caller exceeds its share of an overloaded backend server.
     CallerLimit,
+    /// The caller's account has used up its limit.
+    AccountLimit,
     /// The entry has reached its memory limit.
     EntryFull,
     /// The model is declared, but not loaded on any runner yet.
@@ -78,7 +80,7 @@
             Self::UnknownKind | Self::BadRequest => 400,
             Self::TooLarge => 413,
             Self::Unauthorised => 401,
-            Self::Overloaded | Self::CallerLimit => 429,
+            Self::Overloaded | Self::CallerLimit | Self::AccountLimit => 429,
             Self::IdReused | Self::Started => 409,
             Self::Poison => 422,
             Self::Broken => 502,
--- a/crates/demo/src/platform/cluster.rs
+++ b/crates/demo/src/platform/cluster.rs
@@ -46,6 +46,10 @@
     leave: Duration::from_secs(2),
     load_window: Duration::from_secs(5),
     load_overshoot: 1.1,
+    revoke: Some(Duration::from_secs(5)),
+    quota_window: Duration::from_secs(8),
+    quota_overshoot: 0.1,
+    quota_slack: 11_000.0,
 };
 
 /// The running stand-ins and daemons.
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -6,7 +6,8 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
-use chestnut_base::{AdapterName, ModelName, ServerName};
+use chestnut_account::{CredentialError, KeyDigest};
+use chestnut_base::{AdapterName, CallerName, ModelName, ServerName};
 use serde::{Deserialize, Serialize};
 
 /// The model that a request names, optionally with an adapter.
@@ -54,6 +55,29 @@
     pub tokens: u32,
 }
 
+/// The key that a caller sent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Credential {
+    /// None.
+    #[default]
+    Missing,
+    /// Something that is no key.
+    Invalid(CredentialError),
+    /// A key, by its digest.
+    Key(KeyDigest),
+}
+
+/// On whose behalf a backend server runs a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Caller {
+    /// No accounts are declared; the headers pass as the caller sent them.
+    Unchecked,
+    /// Nobody's: the route is public.
+    Public,
+    /// A client account's.
+    Account(CallerName),
+}
+
 /// The parts of a caller's request that the daemon interprets.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Call {
@@ -76,6 +100,15 @@
     pub parts: Vec<PromptPart>,
     /// The number of the last event that the caller received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// The key.
+    pub credential: Credential,
+}
+
+impl Call {
+    /// The tokens that the request counts as; `None` if it states no size.
+    pub fn counted_tokens(&self) -> Option<u64> {
+        Some(self.size.max_kv_tokens()).filter(|tokens| *tokens > 0)
+    }
 }
 
 /// A caller's request that can't be parsed.
@@ -110,6 +143,8 @@
     pub server: ServerName,
     /// The time left for the complete response.
     pub budget: Duration,
+    /// On whose behalf it runs; the caller's key is not passed on.
+    pub caller: Caller,
     /// The priority at the engine; 0 is the highest.
     pub priority: u8,
     /// The number of the last event that was forwarded, if the attempt resumes a
--- a/crates/edge/src/declared.rs
+++ b/crates/edge/src/declared.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnut_account::Accounts;
 use chestnut_base::{ModelName, Revision, ServiceName};
 use indexmap::IndexMap;
 
@@ -17,6 +18,8 @@
     pub services: IndexMap<ServiceName, Service>,
     /// Limits on callers' requests and connections.
     pub limits: RequestLimits,
+    /// The client accounts; `None` if requests need no key.
+    pub accounts: Option<Accounts>,
 }
 
 /// How requests on a route are answered and whether they may run more than once.
@@ -74,8 +77,10 @@
     /// How long callers wait for the first or next event of a stream before they
     /// disconnect.
     pub wait_limit: Duration,
-    /// The priority of requests; 0 is the highest.
+    /// The priority of requests; 0 is the highest. That of a client account goes first.
     pub priority: u8,
+    /// Whether requests need no key.
+    pub public: bool,
     /// The maximum number of backend servers that may run one request of a caller.
     pub max_attempts: u32,
     /// How requests are split between services; never empty.
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -19,7 +19,7 @@
 use crate::message::FirstEvent;
 use crate::permit::Permit;
 use crate::shared::Shared;
-use crate::{planner, usage_reports};
+use crate::{accounts, planner, usage_reports};
 
 /// How long after its arrival a request waits for the response of one server before another
 /// is tried, as a multiple of the route's objective.
@@ -310,7 +310,8 @@
     let attempt = Attempt {
         server: target.name.clone(),
         budget: job.deadline.saturating_duration_since(job.shared.now()),
-        priority: job.route().priority.min(9),
+        caller: accounts::caller(&job.declarations, job.account),
+        priority: job.priority().min(9),
         resume_after,
     };
     let head = job.shared.dialect.write_attempt(&job.head, &attempt);
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use chestnut_account::SliceStart;
 use chestnut_base::{Fence, PoolName, ServerName, ServiceName};
 use chestnut_edge::{Change, Transaction, TransactionOutcome};
 use chestnut_member::{ClaimChange, ClaimKey, ClaimRow, MembershipRows, plan_claims};
@@ -18,7 +19,7 @@
 
 use crate::shared::Shared;
 use crate::table_sync::{self, ChangeHandler, SYSTEM_TABLE};
-use crate::{holder, metrics, permit_queue, store};
+use crate::{account_slices, holder, metrics, permit_queue, store};
 
 /// Prefix of the keys of claims; the claim's name follows.
 pub const KEY_PREFIX: &str = "claim:";
@@ -35,6 +36,9 @@
 /// Covers orders that the former holder had sent when its claim was taken.
 const HANDOVER_MARGIN: Duration = Duration::from_millis(500);
 
+/// The most claims that are changed in one transaction, which the store limits in size.
+const MAX_CHANGES: usize = 40;
+
 /// Handles rows of claims.
 pub struct ClaimHandler(pub Arc<Shared>);
 
@@ -57,6 +61,16 @@
         let me = Some(shared.peers.me);
         let holder = row.and_then(|row| row.holder);
         let (was_mine, is_mine) = (previous == me, holder == me);
+        match (was_mine, is_mine) {
+            (true, false) => account_slices::end(shared, &key),
+            (false, true) => {
+                let handed_over = row.is_some_and(|row| row.handed_over);
+                let start =
+                    if handed_over { SliceStart::Released } else { SliceStart::Seized };
+                account_slices::begin(shared, &key, start);
+            }
+            (true, true) | (false, false) => {}
+        }
         if holder != previous && previous.is_some() {
             // Another daemon sends the orders from now on.
             shared.set_order_start_time(key, next_order_time(shared));
@@ -103,7 +117,7 @@
         return;
     }
     let claim_keys = claim_keys(shared);
-    let changes = {
+    let mut changes = {
         let membership = shared.membership();
         plan_claims(
             &membership,
@@ -117,6 +131,11 @@
     if changes.is_empty() {
         return;
     }
+    changes.truncate(MAX_CHANGES);
+    let me = Some(shared.peers.me);
+    for change in changes.iter_mut().filter(|change| change.row.holder != me) {
+        change.row.handed_over &= account_slices::surrender(shared, &change.key);
+    }
     let at_once: Vec<bool> =
         changes.iter().map(|change| may_order_at_once(shared, change)).collect();
     let transaction = changes.iter().fold(Transaction::default(), add_change);
@@ -133,8 +152,11 @@
         }
         Ok(TransactionOutcome::Conflict) => {
             info!(shared.log, "claims changed concurrently"; "steps" => changes.len());
+            changes.iter().for_each(|change| account_slices::resume(shared, &change.key));
+        }
+        Ok(TransactionOutcome::Refused) => {
+            changes.iter().for_each(|change| account_slices::resume(shared, &change.key));
         }
-        Ok(TransactionOutcome::Refused) => {}
         Err(error) => {
             warn!(shared.log, "failed to update claims"; "error" => error.to_string())
         }
@@ -186,7 +208,15 @@
     let is_mine = change.row.holder == Some(shared.peers.me);
     let from = if at_once { shared.now() } else { next_order_time(shared) };
     if is_mine {
+        let start = match (change.expected_version, at_once) {
+            (0, _) => SliceStart::First,
+            (_, true) => SliceStart::Released,
+            (_, false) => SliceStart::Seized,
+        };
+        account_slices::begin(shared, &change.key, start);
         shared.set_order_start_time(change.key.clone(), from);
+    } else {
+        account_slices::end(shared, &change.key);
     }
     let outcome = if is_mine { "taken" } else { "handed over" };
     shared.metrics.count(metrics::Step::Claim, outcome);
@@ -198,8 +228,8 @@
     shared.now() + shared.bounds.borrow().turn + HANDOVER_MARGIN
 }
 
-/// The keys of all claims that should exist: one for each runner in the registry and one for
-/// each service.
+/// The keys of all claims that should exist: one for each runner in the registry, each
+/// service and each slice of an account's limit.
 fn claim_keys(shared: &Shared) -> Vec<ClaimKey> {
     let Some(declared) = shared.declarations() else { return Vec::new() };
     let engines: Vec<&ServiceName> = declared
@@ -214,7 +244,7 @@
         .filter(|(_, server)| engines.contains(&&server.entry.service))
         .map(|(_, server)| ClaimKey::Server(server.entry.name.clone()));
     let pools = declared.services.keys().filter_map(pool_key);
-    runners.chain(pools).collect()
+    runners.chain(pools).chain(account_slices::claim_keys(shared)).collect()
 }
 
 /// The claim of a service's planner, or of a plain service's queue.
--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -104,7 +104,10 @@
         let mine = claims.filter(|(_, (row, _))| row.holder == Some(shared.peers.me));
         let runners = mine.filter_map(|(key, _)| match key {
             ClaimKey::Server(name) => Some(name.clone()),
-            ClaimKey::Slot(_) | ClaimKey::Pool(_) | ClaimKey::Vms => None,
+            ClaimKey::Slot(_)
+            | ClaimKey::Pool(_)
+            | ClaimKey::Vms
+            | ClaimKey::AccountSlice(..) => None,
         });
         runners.collect()
     };
--- a/crates/gate/src/introspection.rs
+++ b/crates/gate/src/introspection.rs
@@ -13,7 +13,7 @@
 use serde_with::{DisplayFromStr, DurationMilliSeconds, serde_as};
 
 use crate::shared::Shared;
-use crate::table_sync;
+use crate::{account_slices, table_sync};
 
 /// The daemon's view of the cluster, with the age of its table replicas.
 #[serde_as]
@@ -49,6 +49,8 @@
     /// The runners whose claims this daemon holds.
     #[serde(rename = "held")]
     pub held_runners: IndexMap<ServerName, HeldRunnerState>,
+    /// What is left of the slices of accounts' limits that this daemon holds.
+    pub account_slices: IndexMap<String, i64>,
     /// The number of requests in each plain service's queue that this daemon holds.
     pub queues: IndexMap<ServiceName, usize>,
 }
@@ -156,6 +158,7 @@
         claims: claims(shared),
         servers: servers(shared),
         held_runners: held_runners(shared),
+        account_slices: account_slices::balances(shared),
         queues: shared
             .queues()
             .iter()
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -5,12 +5,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use chestnut_account::AccountKey;
 use chestnut_base::{Refusal, ServiceName};
 use chestnut_edge::{Call, Declarations, Engine, GenerationSize, Route, RouteKind};
 use chestnut_pool::{Attempts, DemandCounts, GenerationRequest};
 use http::request;
 use slog::info;
 
+use crate::accounts;
 use crate::metrics::Span;
 use crate::shared::{ActiveRequests, Shared};
 
@@ -57,6 +59,8 @@
     pub declarations: Arc<Declarations>,
     /// The index of its route in `declarations`.
     pub route: usize,
+    /// The client account that sent it; `None` if the route needs no key.
+    pub account: Option<AccountKey>,
     /// The service, chosen from those of the route.
     pub service: ServiceName,
     /// Counts the request as active until dropped.
@@ -86,6 +90,14 @@
         &self.declarations.routes[self.route]
     }
 
+    /// The priority; 0 is the highest. That of the account goes before that of the route.
+    pub fn priority(&self) -> u8 {
+        let accounts = self.declarations.accounts.as_ref();
+        let account = accounts.zip(self.account).map(|(all, key)| all.get(key).1);
+        let priority = account.and_then(|account| account.priority);
+        priority.unwrap_or(self.route().priority)
+    }
+
     /// The caller's id for the request, for logs; "-" if it sent none.
     pub fn id(&self) -> &str {
         self.call.id.as_deref().unwrap_or("-")
@@ -99,7 +111,7 @@
             target: self.call.target.clone()?,
             size: self.estimated_size(),
             parts: self.call.parts.clone(),
-            urgency: self.route().priority,
+            urgency: self.priority(),
             target_time: target_time.saturating_duration_since(now),
             wait_limit: self.wait_deadline().saturating_duration_since(now),
         })
@@ -170,7 +182,8 @@
         let millis = |time: Duration| time.as_millis() as u64;
         let timing = end.timing;
         info!(self.shared.log, "request ended"; "id" => self.id(), "end" => end.outcome,
-            "why" => end.reason, "route" => &route.name, "server" => end.server,
+            "why" => end.reason, "route" => &route.name,
+            "account" => accounts::account_name(&self.declarations, self.account), "server" => end.server,
             "revision" => self.declarations.revision.0, "ms" => millis(time),
             "prompt" => self.call.size.prompt_tokens, "output" => self.call.size.max_output_tokens,
             "events" => timing.map(|timing| timing.events),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -4,9 +4,12 @@
 //!
 //! 1. [`listener`] accepts the caller's connection,
 //! 2. [`read`] reads the request, matches its route and makes it a [`job`],
-//! 3. [`serve`] has [`pick`] choose a server, and retries within the retry limits,
-//! 4. [`attempt`] sends it to one server and waits for the response head,
-//! 5. [`relay`] relays the response, and lets another server continue where a
+//!    after [`accounts`] has found the client account that sent it,
+//! 3. [`charge`] charges it to the account's limit, which other daemons' [`account_slices`]
+//!    keep,
+//! 4. [`serve`] has [`pick`] choose a server, and retries within the retry limits,
+//! 5. [`attempt`] sends it to one server and waits for the response head,
+//! 6. [`relay`] relays the response, and lets another server continue where a
 //!    stream of numbered [`events`] breaks.
 //!
 //! To pick a runner, a daemon requests bids ([`bidding`]), which estimate the time to the
@@ -22,10 +25,13 @@
 //! that callers connect to; [`introspection`] serves [`metrics`] and the daemon's state. All
 //! requests go through one [`client`]; modules share their state in [`shared`].
 
+pub mod account_slices;
+pub mod accounts;
 pub mod admission;
 pub mod attempt;
 pub mod backoff;
 pub mod bidding;
+pub mod charge;
 pub mod claims;
 pub mod client;
 mod command;
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -7,6 +7,7 @@
 //! compatibility. New variants of [`Message`] go to the end, so that daemons of two versions
 //! understand each other during an upgrade.
 
+use chestnut_account::{Slice, Verdict};
 use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
 use chestnut_edge::TargetModel;
 use chestnut_pool::moves::Move;
@@ -155,6 +156,31 @@
     /// The sender's view of the store's tables, sent to a few daemons at once when it changes.
     #[serde(rename = "News")]
     TableUpdate(Vec<TableFreshness>),
+    /// Charges a request to a slice of its account's limit, which the receiver holds.
+    ///
+    /// Sent again if no response arrives.
+    ChargeRequest {
+        /// Identifies the charge at its daemon.
+        number: u64,
+        /// The slice.
+        slice: Slice,
+        /// What the request counts, in the units of the limit.
+        cost: f64,
+    },
+    /// The response to `ChargeRequest`.
+    ChargeResponse {
+        /// The number of the charge.
+        number: u64,
+        /// The decision.
+        verdict: Verdict,
+    },
+    /// Gives back the cost of a charge whose request was not sent.
+    ChargeRefund {
+        /// The number of the charge.
+        number: u64,
+        /// The slice.
+        slice: Slice,
+    },
 }
 
 /// The first event of an admitted request.
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -48,6 +49,8 @@
     Claim,
     /// A move of a model by the planner.
     Move,
+    /// A charge to an account's limit that got no response.
+    Charge,
 }
 
 /// A duration with a histogram; the variant is the metric label.
@@ -59,10 +62,21 @@
     WholeAnswer,
     /// A request's wait for admission or a permit.
     Turn,
+    /// A request's wait for its charge to the account's limit.
+    Charge,
     /// A call to the store; one that waits for changes takes up to its hold time.
     Store,
 }
 
+/// The number of accounts that are counted by name; charges to others are counted together.
+const MAX_COUNTED_ACCOUNTS: usize = 64;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ChargeLabels {
+    account: String,
+    outcome: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SpanLabels {
     span: Span,
@@ -73,6 +87,8 @@
     registry: Mutex<Registry>,
     ends: Family<EndLabels, Counter>,
     steps: Family<StepLabels, Counter>,
+    charges: Family<ChargeLabels, Counter>,
+    counted_accounts: Mutex<IndexSet<String>>,
     spans: Family<SpanLabels, Histogram>,
     active: Gauge<u64, AtomicU64>,
 }
@@ -83,14 +99,25 @@
         let mut registry = Registry::with_prefix("chestnut");
         let ends = Family::default();
         let steps = Family::default();
+        let charges = Family::default();
         let spans = Family::new_with_constructor(histogram as fn() -> Histogram);
         let active = Gauge::default();
         registry.register("requests", "Requests by their outcome", ends.clone());
         let help = "Decisions and calls by their outcome";
         registry.register("steps", help, steps.clone());
+        let help = "Charges to accounts' limits by their outcome";
+        registry.register("charges", help, charges.clone());
         registry.register("seconds", "Durations in seconds", spans.clone());
         registry.register("active", "Requests being served", active.clone());
-        Self { registry: Mutex::new(registry), ends, steps, spans, active }
+        Self {
+            registry: Mutex::new(registry),
+            ends,
+            steps,
+            charges,
+            counted_accounts: Mutex::default(),
+            spans,
+            active,
+        }
     }
 
     /// Counts an ended request by route and outcome.
@@ -105,6 +132,18 @@
         self.steps.get_or_create(&labels).inc();
     }
 
+    /// Counts a charge to an account's limit.
+    pub fn count_charge(&self, account: &str, outcome: &'static str) {
+        let mut counted =
+            self.counted_accounts.lock().expect("no holder of the lock panics");
+        if !counted.contains(account) && counted.len() < MAX_COUNTED_ACCOUNTS {
+            counted.insert(account.to_owned());
+        }
+        let account = if counted.contains(account) { account } else { "" };
+        let labels = ChargeLabels { account: account.into(), outcome };
+        self.charges.get_or_create(&labels).inc();
+    }
+
     /// Adds a duration to its histogram.
     pub fn observe(&self, span: Span, time: Duration) {
         self.spans.get_or_create(&SpanLabels { span }).observe(time.as_secs_f64());
--- a/crates/gate/src/permit.rs
+++ b/crates/gate/src/permit.rs
@@ -154,7 +154,7 @@
     let unavailable = unavailable.map(|(_, server)| server.entry.name.clone());
     let target_time = job.arrived_at + job.route().objective;
     PlainRequest {
-        urgency: job.route().priority,
+        urgency: job.priority(),
         target_time: target_time.saturating_duration_since(now),
         wait_limit: job.deadline.saturating_duration_since(now),
         domain: job.shared.settings.domain.clone(),
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -16,6 +16,7 @@
 use slog::info;
 use tokio::time::timeout;
 
+use crate::accounts;
 use crate::job::Job;
 use crate::relay::ResponseBody;
 use crate::serve::full_body;
@@ -80,8 +81,14 @@
         .ok_or_else(|| refused(not_ready(&shared)))?;
     let revision = Some(declarations.revision);
     let refused = |refusal| EarlyRefusal { refusal, id: call.id.clone(), revision };
-    let route =
-        find_route(&declarations, &call).ok_or_else(|| refused(unknown_route(&call)))?;
+    let route = find_route(&declarations, &call)
+        .ok_or_else(|| refused(unknown_route(&shared, &call)))?;
+    let matched = &declarations.routes[route];
+    if declarations.accounts.is_some() && !matched.public {
+        accounts::wait_for_confirmation(&shared).await;
+    }
+    let account = accounts::authenticate(&shared, &declarations, matched, &call)
+        .map_err(&refused)?;
     let body = read_body(body, declarations.limits.body_bytes).await.map_err(&refused)?;
     let budget =
         call.budget.unwrap_or(Duration::MAX).min(declarations.routes[route].timeout);
@@ -97,6 +104,7 @@
         declarations,
         route,
         service,
+        account,
         active,
         arrived_at,
         deadline,
@@ -142,7 +150,12 @@
     Refusal::not_run(RefusalCode::Leaving, message).with_retry_after(retry_after)
 }
 
-fn unknown_route(call: &Call) -> Refusal {
+/// The refusal of a request without a route. Only current declarations decide that there is
+/// none: it may have been added.
+fn unknown_route(shared: &Shared, call: &Call) -> Refusal {
+    if !accounts::are_declarations_current(shared) {
+        return accounts::unconfirmed(shared);
+    }
     let message = format!("no route for {}{}; check host and path", call.host, call.path);
     Refusal::not_run(RefusalCode::UnknownRoute, message)
 }
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -3,11 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use chestnut_account::ChargeId;
+
 use crate::admission::{self, AdmissionRequest};
 use crate::message::{AdmissionVerdict, Message, Packet};
 use crate::peers::ReplyTo;
 use crate::shared::Shared;
-use crate::{bidding, members, permit_queue, planner, table_sync, usage_reports};
+use crate::{
+    account_slices, bidding, members, permit_queue, planner, table_sync, usage_reports,
+};
 
 /// Receives datagrams until the daemon ends.
 pub async fn run(shared: Arc<Shared>) {
@@ -73,7 +77,17 @@
         Message::PermitRelease { number, service, outcome } => {
             permit_queue::release(shared, &service, (packet.from, number), outcome);
         }
+        Message::ChargeRequest { number, slice, cost } => {
+            let id = ChargeId { member: packet.from, number };
+            let verdict = account_slices::charge(shared, id, &slice, cost);
+            shared.peers.send(from, Message::ChargeResponse { number, verdict });
+        }
+        Message::ChargeRefund { number, slice } => {
+            let id = ChargeId { member: packet.from, number };
+            account_slices::refund(shared, id, &slice);
+        }
         Message::Bids { number, .. }
+        | Message::ChargeResponse { number, .. }
         | Message::AdmissionResponse { number, .. }
         | Message::PermitResponse { number, .. } => {
             shared.peers.deliver_response(number, packet.message);
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chestnut_base::{Refusal, RefusalCode, ServerName};
+use chestnut_base::{Outcome, Refusal, RefusalCode, ServerName};
 use chestnut_pool::{AttemptOutcome, RetryDecision};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -22,7 +22,7 @@
 use crate::pick::{PickError, pick, wait_before_retry};
 use crate::relay::{self, ResponseBody};
 use crate::shared::Shared;
-use crate::{planner, read};
+use crate::{charge, planner, read};
 
 /// The maximum number of attempts to serve one request.
 const MAX_ATTEMPTS: usize = 6;
@@ -54,18 +54,29 @@
         Ok(job) => job,
         Err(refused) => return Ok(refused.response(&shared)),
     };
+    let charge = match charge::charge(&job).await {
+        Ok(charge) => charge,
+        Err(refusal) => return Ok(refuse(&shared, &job, &refusal)),
+    };
     let response = match run(job).await {
         Ok(response) => response,
         Err((refusal, job)) => {
-            job.record_refusal(&refusal);
-            let id = job.call.id.as_deref();
-            let response = shared.dialect.write_refusal(&refusal, id);
-            response.map(full_body)
+            if let Some(charge) = charge.filter(|_| refusal.outcome == Outcome::NotRun) {
+                charge::refund(&shared, charge);
+            }
+            return Ok(refuse(&shared, &job, &refusal));
         }
     };
     Ok(close_if_shutting_down(&shared, response))
 }
 
+/// Records a refusal and builds the response for the caller.
+fn refuse(shared: &Shared, job: &Job, refusal: &Refusal) -> Response<ResponseBody> {
+    job.record_refusal(refusal);
+    let response = shared.dialect.write_refusal(refusal, job.call.id.as_deref());
+    close_if_shutting_down(shared, response.map(full_body))
+}
+
 /// Closes the caller's connection after the response if the daemon is shutting down, so that
 /// the caller connects to another one.
 fn close_if_shutting_down(
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use chestnut_account::{RevocationBound, Tolerance};
 use chestnut_base::{DomainName, VmName};
 use chestnut_edge::Engine;
 use chestnut_member::ONE_CORE_WEIGHT;
@@ -58,6 +59,10 @@
     Duration::from_secs(2)
 }
 
+fn ten_seconds() -> Duration {
+    Duration::from_secs(10)
+}
+
 fn no_overshoot() -> f64 {
     1.0
 }
@@ -145,9 +150,38 @@
     /// The largest ratio of the loads in a window to those at the declared rate; at least 1.
     #[serde(default = "no_overshoot")]
     pub load_overshoot: f64,
+    /// How long after its removal a key may still be served; `None` if a daemon serves keys
+    /// by the declarations that it has, however old they are.
+    #[serde(rename = "revoke_ms", default)]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub revoke: Option<Duration>,
+    /// The window in which the use of accounts is counted.
+    #[serde(rename = "quota_window_s", default = "ten_seconds")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    pub quota_window: Duration,
+    /// The ratio beyond an account's limit that a window may reach.
+    #[serde(default)]
+    pub quota_overshoot: f64,
+    /// What a window may reach beyond that, in tokens.
+    #[serde(default)]
+    pub quota_slack: f64,
 }
 
 impl Bounds {
+    /// How long after its removal a key may still be served; `None` if there is no bound.
+    pub fn revocation(&self) -> Option<RevocationBound> {
+        self.revoke.map(RevocationBound)
+    }
+
+    /// How far the use of an account may exceed its limit.
+    pub fn tolerance(&self) -> Tolerance {
+        Tolerance {
+            window: self.quota_window,
+            overshoot: self.quota_overshoot,
+            slack: self.quota_slack,
+        }
+    }
+
     /// The bound on an engine's loads from the weight store.
     pub fn load_bound(&self, engine: &Engine) -> LoadBound {
         LoadBound {
@@ -224,6 +258,28 @@
         if is_too_short(self.bounds.leave) {
             return Err(SettingsError::Value("bounds.leave_ms", "give 500 or more"));
         }
+        if self.bounds.revoke.is_some_and(is_too_short) {
+            return Err(SettingsError::Value("bounds.revoke_ms", "give 500 or more"));
+        }
+        if self.bounds.quota_window.is_zero() {
+            return Err(SettingsError::Value(
+                "bounds.quota_window_s",
+                "give a number above 0",
+            ));
+        }
+        let is_valid = |value: f64| value >= 0.0 && value.is_finite();
+        if !is_valid(self.bounds.quota_overshoot) {
+            return Err(SettingsError::Value(
+                "bounds.quota_overshoot",
+                "give a number of 0 or more",
+            ));
+        }
+        if !is_valid(self.bounds.quota_slack) {
+            return Err(SettingsError::Value(
+                "bounds.quota_slack",
+                "give a number of 0 or more",
+            ));
+        }
         if self.bounds.stop < Duration::from_secs(1) {
             return Err(SettingsError::Value("bounds.stop_s", "give a second or more"));
         }
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use chestnut_account::{ProofState, SliceChooser};
 use chestnut_base::{Clock, MemberId, ServerName, ServiceName};
 use chestnut_edge::{Declarations, Dialect, Engine};
 use chestnut_member::{ClaimKey, MembershipRows, Neighbours, SuspensionDetector};
@@ -13,6 +14,8 @@
 use slog::{Logger, warn};
 use tokio::sync::watch;
 
+use crate::account_slices::AccountSlices;
+use crate::accounts;
 use crate::client::Client;
 use crate::holder::HeldRunner;
 use crate::members;
@@ -99,6 +102,8 @@
     persisted_timings: Mutex<IndexMap<ServiceName, PersistedTimings>>,
     demand_counters: Mutex<DemandCounters>,
     planners: Mutex<IndexMap<ServiceName, PlacementPlanner>>,
+    account_slices: Mutex<AccountSlices>,
+    slice_chooser: Mutex<SliceChooser>,
     /// From when on this daemon may send orders under the claims that it has taken.
     order_start_times: Mutex<IndexMap<ClaimKey, Instant>>,
     /// The daemon's previous process on this VM.
@@ -149,6 +154,8 @@
             persisted_timings: Mutex::default(),
             demand_counters: Mutex::default(),
             planners: Mutex::default(),
+            account_slices: Mutex::default(),
+            slice_chooser: Mutex::default(),
             order_start_times: Mutex::default(),
             previous_incarnation: Mutex::default(),
             suspension: Mutex::default(),
@@ -251,6 +258,16 @@
         self.planners.lock().expect("no holder of the lock panics")
     }
 
+    /// Locks the slices of accounts' limits that this daemon holds.
+    pub fn account_slices(&self) -> MutexGuard<'_, AccountSlices> {
+        self.account_slices.lock().expect("no holder of the lock panics")
+    }
+
+    /// Locks what this daemon knows of the slices of accounts' limits.
+    pub fn slice_chooser(&self) -> MutexGuard<'_, SliceChooser> {
+        self.slice_chooser.lock().expect("no holder of the lock panics")
+    }
+
     /// Time since the daemon started.
     pub fn uptime(&self) -> Duration {
         self.now().saturating_duration_since(self.started_at)
@@ -322,10 +339,12 @@
         declared.services.get(&service)?.engine.clone()
     }
 
-    /// Whether the daemon can serve: it has read declarations and servers, and is not
-    /// shutting down.
+    /// Whether the daemon can serve: it has read declarations and servers, can trust keys,
+    /// and is not shutting down.
     pub fn is_ready(&self) -> bool {
-        self.is_initialized() && !*self.shutting_down.borrow()
+        self.is_initialized()
+            && !*self.shutting_down.borrow()
+            && accounts::proof_state(self) == ProofState::Current
     }
 
     /// Whether declarations and servers have been read.
--- a/crates/lab/src/slopes/rows.rs
+++ b/crates/lab/src/slopes/rows.rs
@@ -194,7 +194,7 @@
 }
 
 fn claim_row(n: usize) -> ClaimRow {
-    ClaimRow { holder: Some(member_id(n)), fence: Fence(1) }
+    ClaimRow { holder: Some(member_id(n)), fence: Fence(1), handed_over: false }
 }
 
 /// The ledger of runner `n`; its models depend on `round`.
--- a/crates/member/src/assignment.rs
+++ b/crates/member/src/assignment.rs
@@ -109,7 +109,11 @@
         } else {
             continue;
         };
-        let row = ClaimRow { holder: new_holder, fence: Fence(last_fence + 1) };
+        let row = ClaimRow {
+            holder: new_holder,
+            fence: Fence(last_fence + 1),
+            handed_over: holder == Some(me),
+        };
         changes.push(ClaimChange { key: key.clone(), expected_version: version, row });
     }
     ClaimPlan { changes }
@@ -120,7 +124,10 @@
     let name = key.to_string();
     let rank = |vm: &VmName, row: &MemberRow| match key {
         ClaimKey::Pool(_) => (row.weight, rendezvous_rank(&name, vm.as_str()) as f64),
-        ClaimKey::Server(_) | ClaimKey::Slot(_) | ClaimKey::Vms => {
+        ClaimKey::Server(_)
+        | ClaimKey::Slot(_)
+        | ClaimKey::Vms
+        | ClaimKey::AccountSlice(..) => {
             (0, weighted_rendezvous_rank(&name, vm.as_str(), row.weight))
         }
     };
--- a/crates/member/src/rows.rs
+++ b/crates/member/src/rows.rs
@@ -56,6 +56,9 @@
     pub holder: Option<MemberId>,
     /// The number of changes of the holder so far.
     pub fence: Fence,
+    /// Whether the former holder handed the claim over, and had stopped using it before.
+    #[serde(default)]
+    pub handed_over: bool,
 }
 
 /// The rows of the platform's table as this daemon has read them.
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -5,7 +5,8 @@
 use std::str::FromStr;
 
 use chestnut_base::{
-    DomainName, Fence, MemberId, PoolName, ServerName, ServiceName, SlotId, VmName,
+    CallerName, DomainName, Fence, MemberId, PoolName, ServerName, ServiceName, SlotId,
+    VmName,
 };
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -83,6 +84,8 @@
     Pool(PoolName),
     /// The platform's list of VMs, which the holder reads and writes into the table.
     Vms,
+    /// A slice of a client account's limit, by its index: the charges to it.
+    AccountSlice(CallerName, u32),
 }
 
 /// A claim that has a holder.
@@ -103,6 +106,7 @@
             Self::Slot(slot) => write!(f, "slot:{}", slot.0),
             Self::Pool(name) => write!(f, "pool:{name}"),
             Self::Vms => write!(f, "vms:list"),
+            Self::AccountSlice(name, index) => write!(f, "account:{name}/{index}"),
         }
     }
 }
@@ -134,6 +138,11 @@
             "slot" => name.parse().map(|n| Self::Slot(SlotId(n))).map_err(|_| fail()),
             "pool" => PoolName::try_from(name).map(Self::Pool).map_err(|_| fail()),
             "vms" => Ok(Self::Vms),
+            "account" => {
+                let (name, index) = name.rsplit_once('/').ok_or_else(fail)?;
+                let name = CallerName::try_from(name).map_err(|_| fail())?;
+                Ok(Self::AccountSlice(name, index.parse().map_err(|_| fail())?))
+            }
             _ => Err(fail()),
         }
     }
