--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -185,6 +185,7 @@
             "bounds": {
                 "stop_s": 8, "directory_s": 5, "retry_ratio": 0.2, "retry_slack": 52,
                 "retry_window_s": 10, "fenced": true, "turn_ms": 300, "load_window_s": 5, "load_overshoot": 1.1,
+                "revoke_ms": 3000, "quota_window_s": 8, "quota_overshoot": 0.1, "quota_slack": 1000,
             },
         });
         let path = self.dir.join(format!("vm{number}.json"));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Each test states which failure it guards against and how it comes about.
 
+mod accounts;
 mod cluster;
 mod command_line;
 mod log_diagnosis;
