--- a/crates/account/tests/quota_model.rs
+++ b/crates/account/tests/quota_model.rs
@@ -163,7 +163,7 @@
                 .is_some_and(|held| held.is_exclusive(now));
             let seized = HeldSlice::new(SliceStart::Seized, &limit, now);
             self.daemons[daemon].held[slice] =
-                keeps.then(|| if was_exclusive { start } else { seized });
+                keeps.then_some(if was_exclusive { start } else { seized });
         }
     }
 
