--- a/crates/account/src/account.rs
+++ b/crates/account/src/account.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ClientAccount {
     /// The digests of its keys; none is that of another account.
+    #[serde(rename = "key_sha256")]
     pub keys: Vec<KeyDigest>,
     /// Its weight when capacity is shared under overload; at least 1.
     pub share: u32,
--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chestnut_account::{ClientAccount, KeyDigest};
 use chestnut_base::{
     AdapterName, CallerName, KindName, ModelName, PoolName, Revision, ServiceName,
     TeamName, Urgency, VersionName,
@@ -32,6 +33,9 @@
     pub callers: IndexMap<CallerName, Caller>,
     /// Routes, by the name that callers send in `model`.
     pub routes: IndexMap<String, Route>,
+    /// The caller that holds each key; has the keys of all callers.
+    #[serde(skip)]
+    pub key_holders: IndexMap<KeyDigest, CallerName>,
 }
 
 /// A pool of identical runners.
@@ -138,10 +142,9 @@
 pub struct Caller {
     /// The team that declared it.
     pub team: TeamName,
-    /// The SHA-256 of the caller's key, in lower-case hexadecimal digits.
-    pub key_sha256: String,
-    /// The caller's weight when capacity is shared under overload.
-    pub share: u32,
+    /// Its keys, priority and limit.
+    #[serde(flatten)]
+    pub account: ClientAccount,
 }
 
 /// The target of a name that callers send in a request's `model` field.
--- a/crates/config/src/declarations.rs
+++ b/crates/config/src/declarations.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use chestnut_account::account::AccountProblem;
+use chestnut_account::{ClientAccount, KeyDigest, Limit, Unit};
 use chestnut_base::{
     AdapterName, CallerName, KindName, ModelName, NameError, PoolName, ServiceName,
     TeamName, Urgency,
@@ -9,10 +11,9 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use serde_with::DurationMilliSeconds;
+use serde_with::{DurationMilliSeconds, OneOrMany, Same};
 
 use crate::catalog::{Adapter, Caller, Kind, Model, Pool, Route, Service};
-use crate::keys::is_sha256_hex;
 use crate::problem::{Location, Problems};
 use crate::reader::{Fields, read_object};
 
@@ -216,8 +217,11 @@
 
 fn caller(team: &TeamName, fields: &mut Fields<'_>) -> Option<Caller> {
     let expected = "the 64 lower-case hexadecimal digits of the key's SHA-256";
-    let key = fields.required::<String>("key_sha256", expected);
-    let valid = key.as_deref().is_none_or(is_sha256_hex);
+    let texts =
+        fields.required_as::<Vec<String>, OneOrMany<Same>>("key_sha256", expected);
+    let keys: Option<Result<Vec<_>, _>> =
+        texts.map(|texts| texts.into_iter().map(KeyDigest::try_from).collect());
+    let valid = keys.as_ref().is_none_or(Result::is_ok);
     fields.check(
         "key_sha256",
         valid,
@@ -226,7 +230,32 @@
     );
     let share = fields.get_or("share", 1, EXPECTED_COUNT);
     fields.check("share", share > 0, "the caller would get no share", "write 1 or more");
-    Some(Caller { team: team.clone(), key_sha256: key?, share })
+    let urgency: Option<Urgency> =
+        fields.get_or("urgency", None, "one of \"urgent\", \"normal\", \"slow\"");
+    let limit = limit(fields);
+    let account = ClientAccount {
+        keys: keys?.ok()?,
+        share,
+        priority: urgency.map(|urgency| urgency as u8),
+        limit,
+    };
+    Some(Caller { team: team.clone(), account })
+}
+
+fn limit(fields: &mut Fields<'_>) -> Option<Limit> {
+    let unit = fields.get_or("unit", Unit::default(), "\"requests\" or \"tokens\"");
+    let rate = fields.get_or("rate", 0.0, EXPECTED_NUMBER);
+    let burst = fields.get_or("burst", 0.0, EXPECTED_NUMBER);
+    let plain_tokens = fields.get_or("plain_tokens", 0, "a whole number of tokens");
+    match Limit::checked(unit, rate, burst, plain_tokens) {
+        Ok(limit) => limit,
+        Err(problem) => {
+            let field = if problem == AccountProblem::Burst { "burst" } else { "rate" };
+            let message = "the number can't be used";
+            fields.check(field, false, message, &format!("write {EXPECTED_NUMBER}"));
+            None
+        }
+    }
 }
 
 fn route(team: &TeamName, fields: &mut Fields<'_>) -> Option<Route> {
--- a/crates/config/src/merge.rs
+++ b/crates/config/src/merge.rs
@@ -7,6 +7,7 @@
 use std::fmt::Display;
 use std::hash::Hash;
 
+use chestnut_account::KeyDigest;
 use chestnut_base::{ModelName, PoolName, Revision, TeamName};
 use indexmap::{IndexMap, IndexSet};
 
@@ -117,11 +118,13 @@
                 check_reference(service, "kind", kind, &kinds, invalid, &mut problems);
             }
         }
-        let mut key_locations: IndexMap<&str, &Location> = IndexMap::new();
-        for caller in callers.values() {
-            if let Some(first) =
-                key_locations.insert(&caller.value.key_sha256, &caller.location)
-            {
+        let mut key_locations: IndexMap<KeyDigest, &Location> = IndexMap::new();
+        let keys = callers.values().flat_map(|caller| {
+            caller.value.account.keys.iter().map(move |key| (caller, *key))
+        });
+        for (caller, key) in keys {
+            let first = key_locations.insert(key, &caller.location);
+            if let Some(first) = first.filter(|first| **first != caller.location) {
                 let message = format!("the key is that of another caller ({first})");
                 let location = caller.references["key_sha256"].clone();
                 problems.add_conflict(
@@ -160,6 +163,10 @@
             }
         }
 
+        let key_holders = callers.iter().flat_map(|(name, caller)| {
+            caller.value.account.keys.iter().map(|key| (*key, name.clone()))
+        });
+        let key_holders = key_holders.collect();
         let pool_locations =
             pools.iter().map(|(name, it)| (name.clone(), it.location.clone()));
         let merged = Self {
@@ -173,6 +180,7 @@
                 kinds: without_locations(kinds),
                 callers: without_locations(callers),
                 routes: without_locations(routes),
+                key_holders,
             },
         };
         problems.into_result(merged)
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -114,7 +114,11 @@
     check_kinds(&options.kind, &own::burst::WORKLOADS.map(|workload| workload.kind))?;
     let cluster = own::cluster::Cluster::start(options.log).await?;
     let tally = own::burst::run(&cluster, options.scale.max(1), &options.kind).await?;
+    let limited = own::limits::run(&cluster).await?;
     report(options, &tally, &cluster.example_commands()).await?;
+    if !options.json {
+        print(&limited.to_string())?;
+    }
     cluster.stop().await;
     Ok(tally)
 }
--- a/crates/demo/src/own/cluster.rs
+++ b/crates/demo/src/own/cluster.rs
@@ -41,7 +41,7 @@
 ];
 
 /// The callers; the key of each is `key-` followed by its name.
-pub const CALLERS: [&str; 3] = ["portal", "caseworker", "desk"];
+pub const CALLERS: [&str; 5] = ["portal", "caseworker", "desk", "trial", "trial-2"];
 
 /// The routes, sent as `model`, each with the engine's name of its model or adapter.
 pub const ROUTES: [(&str, &str); 4] = [
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -19,6 +19,7 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
+use crate::account_limits::{self, Charge};
 use crate::node::Node;
 use crate::parse::{self, ParsedRequest};
 use crate::peer::PeerError;
@@ -176,7 +177,7 @@
     parse: fn(&Node, CallerName, &HttpCall, &HeaderMap) -> Result<ParsedRequest, Refusal>,
 ) -> Response {
     match accept_request(&node, request, parse).await {
-        Ok((parsed, call, permit)) => start_request(node, parsed, call, permit).await,
+        Ok(accepted) => start_request(node, accepted).await,
         Err(refusal) => {
             node.shared.metrics.record_refused(&refusal);
             response::refusal(&refusal)
@@ -184,11 +185,20 @@
     }
 }
 
+/// A request that is about to run.
+struct Accepted {
+    parsed: ParsedRequest,
+    call: HttpCall,
+    permit: RequestPermit,
+    /// The charge to its caller's limit, if the caller has one.
+    charge: Option<Charge>,
+}
+
 async fn accept_request(
     node: &Arc<Node>,
     request: Request,
     parse: fn(&Node, CallerName, &HttpCall, &HeaderMap) -> Result<ParsedRequest, Refusal>,
-) -> Result<(ParsedRequest, HttpCall, RequestPermit), Refusal> {
+) -> Result<Accepted, Refusal> {
     let shared = &node.shared;
     shared.wait_until_joined(JOIN_WAIT_LIMIT).await;
     shared.check_accepts_requests()?;
@@ -208,18 +218,17 @@
         body,
     };
     let parsed = parse(node, caller, &call, &parts.headers)?;
-    shared.demand.record(&parsed.request);
     if parsed.request.idempotent {
         node.poison.check(parsed.request.digest, shared.clock.now())?;
     }
-    Ok((parsed, call, permit))
+    let charge = account_limits::charge(node, &parsed.request).await?;
+    shared.demand.record(&parsed.request);
+    Ok(Accepted { parsed, call, permit, charge })
 }
 
 async fn start_request(
     node: Arc<Node>,
-    parsed: ParsedRequest,
-    call: HttpCall,
-    permit: RequestPermit,
+    Accepted { parsed, call, permit, charge }: Accepted,
 ) -> Response {
     let ParsedRequest { request, server_path, format } = parsed;
     let call = HttpCall { path: server_path, ..call };
@@ -233,7 +242,7 @@
             run_once(&task_node, request, call, out).await;
         }
     });
-    response::respond(node, spec, format, frames, permit).await
+    response::respond(node, spec, format, frames, permit, charge).await
 }
 
 /// Runs a non-idempotent request through the lead of its slot, waiting for a lead for up
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -103,7 +103,7 @@
         steps.push(
             match catalog.callers.iter().find(|(name, _)| name.as_str() == caller) {
                 Some((_, declared)) => {
-                    format!("caller `{caller}` has share {}", declared.share)
+                    format!("caller `{caller}` has share {}", declared.account.share)
                 }
                 None => {
                     format!("caller `{caller}` is not declared; refused (unauthorised)")
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -382,7 +382,7 @@
     Job {
         caller: request.caller.clone(),
         team: caller.map_or(&request.team, |caller| &caller.team).clone(),
-        share: caller.map_or(1, |caller| caller.share),
+        share: caller.map_or(1, |caller| caller.account.share),
         urgency: request.urgency,
         deadline: now + request.budget,
         prompt_tokens: prompt.saturating_add(received),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 //! (declarations), [`planner`] and [`orders`] (residency of models). They exchange state
 //! through [`shared`]; [`run`] starts and stops them.
 
+pub mod account_limits;
 mod command;
 pub mod config_api;
 pub mod config_sync;
--- a/crates/node/src/members/claims.rs
+++ b/crates/node/src/members/claims.rs
@@ -5,6 +5,8 @@
 use chestnut_plat::{PlatformError, Txn, TxnResponse};
 use serde_json::json;
 
+use crate::account_limits;
+
 use super::{CLAIMS, IDLE_POLL_LIMIT, Membership};
 
 impl Membership {
@@ -70,7 +72,9 @@
                 .map(|n| ClaimKey::Slot(SlotId(n))),
         );
         keys.extend(self.rows.servers.keys().cloned().map(ClaimKey::Server));
-        keys.extend(self.shared.catalog().pools.keys().cloned().map(ClaimKey::Pool));
+        let catalog = self.shared.catalog();
+        keys.extend(catalog.pools.keys().cloned().map(ClaimKey::Pool));
+        keys.extend(account_limits::claim_keys(&catalog));
         keys
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use chestnut_account::ChargeId;
 use chestnut_wire::{DaemonStatus, PeerRequest, PeerResponse};
 use reqwest::Client;
 use tokio::sync::mpsc;
 
+use crate::account_limits::{self, AccountLimits};
 use crate::config_sync;
 use crate::entry::RequestLimiter;
 use crate::lead::{self, LedServers};
@@ -32,6 +34,8 @@
     pub poison: Arc<PoisonGuard>,
     /// Admission of callers' requests at this entry.
     pub request_limiter: RequestLimiter,
+    /// The slices of callers' limits.
+    pub account_limits: AccountLimits,
     /// The HTTP client for calls to backend servers.
     pub http: Client,
     /// The number of jobs that have to finish before the daemon stops: requests of other
@@ -62,6 +66,17 @@
                 self.poison.apply_reports(&suspects, self.shared.clock.now());
                 PeerResponse::Acknowledged
             }
+            PeerRequest::Charge(charge) => {
+                let id = ChargeId { member: charge.member, number: charge.number };
+                let verdict =
+                    account_limits::charge_held(&self, id, &charge.slice, charge.cost);
+                PeerResponse::Charged(verdict)
+            }
+            PeerRequest::Refund(charge) => {
+                let id = ChargeId { member: charge.member, number: charge.number };
+                account_limits::refund_held(&self, id, &charge.slice);
+                PeerResponse::Acknowledged
+            }
             PeerRequest::ShuttingDown(member) => {
                 self.shared.record_shutdown(member);
                 PeerResponse::Acknowledged
--- a/crates/node/src/parse.rs
+++ b/crates/node/src/parse.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use axum::http::HeaderMap;
+use chestnut_account::{KeyDigest, bearer_key};
 use chestnut_base::{
     CallerName, Digest, KindName, Refusal, RefusalCode, RequestId, RequestSpec,
     ServiceName, Target, TeamName, Urgency, prefix_hashes,
@@ -10,7 +11,6 @@
 use chestnut_config::{Catalog, Kind};
 use chestnut_wire::HttpCall;
 use serde::Deserialize;
-use sha2::{Digest as _, Sha256};
 
 use crate::node::Node;
 
@@ -77,18 +77,13 @@
     catalog: &Catalog,
     headers: &HeaderMap,
 ) -> Result<CallerName, Refusal> {
-    let key = header_text(headers, "authorization").strip_prefix("Bearer ").unwrap_or("");
-    let unauthorised = |reason| Refusal::not_run(RefusalCode::Unauthorised, reason);
-    if key.is_empty() {
-        return Err(unauthorised(
-            "send `Authorization: Bearer KEY` with the caller's key",
-        ));
-    }
-    let key_hash = hex(&Sha256::digest(key.as_bytes()));
-    let found = catalog.callers.iter().find(|(_, caller)| caller.key_sha256 == key_hash);
-    found
-        .map(|(name, _)| name.clone())
-        .ok_or_else(|| unauthorised("no caller with this key is declared; check the key"))
+    let unauthorised =
+        |reason: String| Refusal::not_run(RefusalCode::Unauthorised, reason);
+    let values = headers.get_all("authorization").iter().map(|value| value.as_bytes());
+    let key = bearer_key(values).map_err(|error| unauthorised(error.to_string()))?;
+    catalog.key_holders.get(&KeyDigest::of(key)).cloned().ok_or_else(|| {
+        unauthorised("no caller with this key is declared; check the key".into())
+    })
 }
 
 /// Parses a completion or chat completion of a model.
@@ -139,6 +134,7 @@
         true,
     )?;
     let digest = digest(&target, call);
+    let urgency = caller_urgency(&catalog, &caller).unwrap_or(attributes.urgency);
     let name = body.model.clone();
     let format =
         if chat { ResponseFormat::Chat(name) } else { ResponseFormat::Completion(name) };
@@ -148,7 +144,7 @@
         team: attributes.team,
         kind: attributes.kind,
         target,
-        urgency: attributes.urgency,
+        urgency,
         budget: attributes.deadline,
         idempotent: attributes.idempotent,
         stream: body.stream,
@@ -186,12 +182,13 @@
         safe,
     )?;
     let target = Target::Service { name };
+    let urgency = caller_urgency(&catalog, &caller).unwrap_or(attributes.urgency);
     let request = RequestSpec {
         id: request_id(&caller, headers)?,
         caller,
         team: attributes.team,
         kind: attributes.kind,
-        urgency: attributes.urgency,
+        urgency,
         budget: attributes.deadline,
         idempotent: safe || attributes.idempotent,
         stream: true,
@@ -208,6 +205,16 @@
     })
 }
 
+/// The urgency that a caller's account declares, which goes before that of the kind.
+fn caller_urgency(catalog: &Catalog, caller: &CallerName) -> Option<Urgency> {
+    let priority = catalog.callers.get(caller)?.account.priority?;
+    Some(match priority {
+        0 => Urgency::Urgent,
+        1 => Urgency::Normal,
+        _ => Urgency::Slow,
+    })
+}
+
 /// The bytes to reserve for a request before its body is read: `Content-Length`, or
 /// `limit` if that header is missing.
 pub fn body_size(headers: &HeaderMap, limit: usize) -> Result<usize, Refusal> {
@@ -347,7 +354,3 @@
 fn bad_request(text: String) -> Refusal {
     Refusal::not_run(RefusalCode::BadRequest, text)
 }
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -380,7 +380,8 @@
                 PeerResponse::Once(_)
                 | PeerResponse::Config(_)
                 | PeerResponse::Status(_)
-                | PeerResponse::Acknowledged => {
+                | PeerResponse::Acknowledged
+                | PeerResponse::Charged(_) => {
                     return AttemptOutcome::Interrupted(
                         "the lead sent a response of another type".into(),
                     );
--- a/crates/node/src/response.rs
+++ b/crates/node/src/response.rs
@@ -9,13 +9,14 @@
 use axum::http::{HeaderValue, StatusCode};
 use axum::response::Response;
 use bytes::Bytes;
-use chestnut_base::{Refusal, RefusalCode, RequestSpec};
+use chestnut_base::{Outcome, Refusal, RefusalCode, RequestSpec};
 use chestnut_wire::{OnceState, PeerResponse};
 use futures::stream;
 use serde::Serialize;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
+use crate::account_limits::{self, Charge};
 use crate::entry::RequestPermit;
 use crate::node::Node;
 use crate::parse::ResponseFormat;
@@ -66,13 +67,15 @@
 
 /// Turns the frames of a response into the HTTP response to the caller.
 ///
-/// The permit is held until the response has been collected or its stream has ended.
+/// The permit is held until the response has been collected or its stream has ended. The
+/// charge is given back if the request was not run.
 pub async fn respond(
     node: Arc<Node>,
     request: RequestSpec,
     format: ResponseFormat,
     mut frames: mpsc::Receiver<PeerResponse>,
     permit: RequestPermit,
+    charge: Option<Charge>,
 ) -> Response {
     let first = loop {
         match frames.recv().await {
@@ -85,6 +88,9 @@
     };
     if let PeerResponse::Refused { refusal: error, .. } = &first {
         node.shared.metrics.record_refused(error);
+        if let Some(charge) = charge.filter(|_| error.outcome == Outcome::NotRun) {
+            account_limits::refund(&node, charge);
+        }
         return refusal(error);
     }
     let frames = Frames { first: Some(first), rest: frames, node, _permit: permit };
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -16,6 +16,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::account_limits::AccountLimits;
 use crate::entry::{self, RequestLimiter};
 use crate::lead::LedServers;
 use crate::members::{self, Addresses};
@@ -190,6 +191,7 @@
         picker: Picker::new(shared.clock.clone(), shared.me.0),
         slots: JournalSlots::new(),
         poison: Arc::new(PoisonGuard::new(&shared)),
+        account_limits: AccountLimits::default(),
         request_limiter: RequestLimiter::new(
             limits.max_requests,
             limits.max_buffered_bytes,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use frame::{FrameDecoder, FrameError, MAX_FRAME_BYTES, encode};
 pub use message::{
-    AttemptRequest, CrashSuspect, DaemonStatus, HttpCall, OnceRequest, OnceState,
-    PeerRequest, PeerResponse, ResumePoint, RetryHint, ServerLoad,
+    AttemptRequest, ChargeRequest, CrashSuspect, DaemonStatus, HttpCall, OnceRequest,
+    OnceState, PeerRequest, PeerResponse, ResumePoint, RetryHint, ServerLoad,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -6,6 +6,7 @@
 //! compatibility.
 
 use bytes::Bytes;
+use chestnut_account::{Slice, Verdict};
 use chestnut_base::{
     AttemptId, Digest, Fence, MemberId, Refusal, RequestId, RequestSpec, Revision,
     ServerName, VmName,
@@ -31,6 +32,23 @@
     /// Reports the requests that were in flight when a backend server crashed.
     #[serde(rename = "Blame")]
     ReportSuspects(Vec<CrashSuspect>),
+    /// Charges a request to a slice of its caller's limit, which the receiver holds.
+    Charge(ChargeRequest),
+    /// Gives back the cost of an earlier charge; the cost in the request is not used.
+    Refund(ChargeRequest),
+}
+
+/// A charge to a slice of a caller's limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChargeRequest {
+    /// The daemon that received the caller's request.
+    pub member: MemberId,
+    /// The number of the charge at that daemon.
+    pub number: u64,
+    /// The slice.
+    pub slice: Slice,
+    /// What the request counts, in the units of the limit.
+    pub cost: f64,
 }
 
 /// A request that was in flight when a backend server crashed.
@@ -172,12 +190,16 @@
     ///
     /// Final.
     Status(DaemonStatus),
-    /// The response to [`PeerRequest::ShuttingDown`] and
-    /// [`PeerRequest::ReportSuspects`].
+    /// The response to [`PeerRequest::ShuttingDown`], [`PeerRequest::ReportSuspects`] and
+    /// [`PeerRequest::Refund`].
     ///
     /// Final.
     #[serde(rename = "Noted")]
     Acknowledged,
+    /// The response to [`PeerRequest::Charge`].
+    ///
+    /// Final.
+    Charged(Verdict),
 }
 
 impl PeerResponse {
