--- a/crates/demo/src/platform/cluster.rs
+++ b/crates/demo/src/platform/cluster.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{DomainName, SystemClock, VmName};
-use chestnut_gate::settings::{Bounds, Settings};
+use chestnut_gate::settings::{Bounds, Policy, Settings};
 use chestnut_gate::{logs, run};
 use chestnut_platform::Platform;
 use chestnut_platform_stand_in::{
@@ -138,6 +138,7 @@
             store_addr: self.store.addr,
             cores: 1.0,
             bounds: BOUNDS,
+            policy: Policy::default(),
             path: None,
         };
         let log = logs::logger_to(std::io::sink(), vm);
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -9,7 +9,7 @@
 use chestnut_base::{DomainName, VmName};
 use chestnut_edge::Engine;
 use chestnut_member::ONE_CORE_WEIGHT;
-use chestnut_pool::LoadBound;
+use chestnut_pool::{Forecast, LoadBound};
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
@@ -101,12 +101,24 @@
     pub cores: f64,
     /// Durations and bounds that the operators set; reloaded while the daemon runs.
     pub bounds: Bounds,
+    /// How the daemon decides where there are several ways.
+    #[serde(default)]
+    pub policy: Policy,
     /// The file that the settings were read from; `None` if they were not read from a
     /// file.
     #[serde(skip)]
     pub path: Option<PathBuf>,
 }
 
+/// How a daemon decides where there are several ways; the defaults fit all deployments that
+/// were measured.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct Policy {
+    /// How the demand for models is forecast.
+    pub forecast: Forecast,
+}
+
 /// Durations and bounds that the operators set.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Deserialize)]
--- a/crates/pool/src/demand.rs
+++ b/crates/pool/src/demand.rs
@@ -21,9 +21,29 @@
 
 use crate::timing::EngineTimings;
 
-/// Time constants of the two moving averages.
+/// Time constants of the moving averages. The last one only serves the trend.
 const FAST_AVERAGE: Duration = Duration::from_millis(500);
 const SLOW_AVERAGE: Duration = Duration::from_millis(1500);
+const BASE_AVERAGE: Duration = Duration::from_millis(4000);
+
+/// The most by which a trend may raise the demand to plan for.
+///
+/// The trend of a model with few requests is mostly noise.
+const MAX_TREND_FACTOR: f64 = 1.0;
+
+/// How the demand at the end of a load is forecast.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Forecast {
+    /// It stays as it is.
+    #[default]
+    Constant,
+    /// It goes on rising as it does now, for as long as a load takes.
+    ///
+    /// Load pattern: demand moves to other models over some seconds. A load that is as long
+    /// as that begins too late if it begins when the replicas are overloaded.
+    Trend,
+}
 
 /// How long requests have to be observed before a model counts as having no demand.
 const MIN_OBSERVATION: Duration = Duration::from_millis(2500);
@@ -117,6 +137,9 @@
 struct Averages {
     fast: f64,
     slow: f64,
+    base: f64,
+    /// How long a load of the model takes.
+    load_time: Duration,
 }
 
 impl Averages {
@@ -129,10 +152,23 @@
             |span: Duration| 1.0 - (-elapsed.as_secs_f64() / span.as_secs_f64()).exp();
         self.fast += (rate - self.fast) * weight(FAST_AVERAGE);
         self.slow += (rate - self.slow) * weight(SLOW_AVERAGE);
+        self.base += (rate - self.base) * weight(BASE_AVERAGE);
+    }
+
+    fn estimate(&self, forecast: Forecast) -> f64 {
+        let current = self.fast.max(self.slow);
+        match forecast {
+            Forecast::Constant => current,
+            Forecast::Trend => {
+                let rise = self.rise_per_second() * self.load_time.as_secs_f64();
+                current + rise.clamp(0.0, current * MAX_TREND_FACTOR)
+            }
+        }
     }
 
-    fn estimate(&self) -> f64 {
-        self.fast.max(self.slow)
+    /// How fast the demand rises: the difference of two averages over that of their lags.
+    fn rise_per_second(&self) -> f64 {
+        (self.slow - self.base) / (BASE_AVERAGE - SLOW_AVERAGE).as_secs_f64()
     }
 }
 
@@ -145,6 +181,7 @@
     pending: IndexMap<ModelName, DemandCounts>,
     service_times: IndexMap<ModelName, MeanServiceTime>,
     averages: IndexMap<ModelName, Averages>,
+    forecast: Forecast,
     /// Total length of the intervals in which requests arrived.
     observed: Duration,
     advanced_at: Instant,
@@ -152,8 +189,9 @@
 
 impl DemandEstimator {
     /// Starts without demand.
-    pub fn new(now: Instant) -> Self {
+    pub fn new(forecast: Forecast, now: Instant) -> Self {
         Self {
+            forecast,
             counters: IndexMap::new(),
             pending: IndexMap::new(),
             service_times: IndexMap::new(),
@@ -191,7 +229,7 @@
         if pending.values().any(|counts| counts.requests > 0.0) {
             self.observed += elapsed;
         }
-        for model in engine.models.keys() {
+        for (model, declared) in &engine.models {
             let counts = pending.get(model).copied().unwrap_or_default();
             let service_time = self.service_times.entry(model.clone()).or_default();
             service_time.add(counts, elapsed);
@@ -201,7 +239,9 @@
                 timings.token_time(model),
                 engine,
             );
-            self.averages.entry(model.clone()).or_default().add(work, elapsed);
+            let averages = self.averages.entry(model.clone()).or_default();
+            averages.load_time = declared.store_load_time;
+            averages.add(work, elapsed);
         }
     }
 
@@ -212,7 +252,7 @@
 
     /// The demand to plan for, in runners.
     pub fn estimate(&self, model: &ModelName) -> f64 {
-        self.averages.get(model).map_or(0.0, Averages::estimate)
+        self.averages.get(model).map_or(0.0, |averages| averages.estimate(self.forecast))
     }
 }
 
