--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -9,6 +9,8 @@
 //!    limit is divided,
 //! 5. [`chooser`] picks the slices that the entry daemon asks, and the holder of the
 //!    slice charges its [`bucket`].
+//!
+//! [`sharing`] has other ways to divide a limit, to compare them with slices.
 
 pub mod account;
 pub mod bucket;
@@ -17,6 +19,7 @@
 pub mod key;
 pub mod limit;
 pub mod proof;
+pub mod sharing;
 pub mod slice;
 
 pub use account::{AccountError, AccountKey, AccountText, Accounts, ClientAccount};
@@ -25,4 +28,5 @@
 pub use key::KeyDigest;
 pub use limit::{Limit, SliceLimit, Tolerance, Unit};
 pub use proof::{ProofState, RevocationBound};
+pub use sharing::{LocalShare, Sharing};
 pub use slice::{ChargeId, HeldSlice, Slice, SliceStart, Verdict, may_grant};
--- a/crates/lab/src/causes.rs
+++ b/crates/lab/src/causes.rs
@@ -40,6 +40,12 @@
     NoAdapterSlot,
     /// Refused because no server had the model or accepted requests.
     NoServer,
+    /// Refused because the client account had used up its limit.
+    AccountLimit,
+    /// Refused because the key was missing or unknown.
+    Unauthorised,
+    /// Refused by a daemon that was shutting down or could not confirm its declarations.
+    DaemonUnavailable,
     /// The response was cut short.
     Interrupted,
     /// The deadline passed.
@@ -60,6 +66,9 @@
             Self::RunnersFull => "refused: all runners full",
             Self::NoAdapterSlot => "refused: no place for its adapter",
             Self::NoServer => "refused: no server",
+            Self::AccountLimit => "refused: beyond the account's limit",
+            Self::Unauthorised => "refused: key missing or unknown",
+            Self::DaemonUnavailable => "refused: daemon shut down or out of date",
             Self::Interrupted => "failed: broke off",
             Self::DeadlineExceeded => "failed: time ran out",
             Self::CallerDisconnected => "caller left",
@@ -78,6 +87,8 @@
     #[serde(rename = "turn")]
     admission: String,
     end: String,
+    /// Why a request was refused before it had a route.
+    code: String,
     route: String,
     /// Time from the arrival of the request to its end.
     #[serde(rename = "ms")]
@@ -135,12 +146,25 @@
                 let causes = counts.entry(line.route.clone()).or_default();
                 *causes.entry(classify(&line, &admission)).or_default() += 1;
             }
+            "request refused" => {
+                let causes = counts.entry("-".into()).or_default();
+                *causes.entry(classify_refusal(&line.code)).or_default() += 1;
+            }
             _ => {}
         }
     }
     counts
 }
 
+/// Classifies a refusal of a request that has no route yet.
+fn classify_refusal(code: &str) -> Cause {
+    match code {
+        "Unauthorised" => Cause::Unauthorised,
+        "Leaving" => Cause::DaemonUnavailable,
+        _ => Cause::Other,
+    }
+}
+
 /// Parses a line from its first brace on.
 fn parse_line(line: &str) -> Option<LogLine> {
     let start = line.find('{')?;
@@ -156,6 +180,7 @@
         "Overloaded" | "Unavailable" if admission == "Denied" => Cause::NoAdapterSlot,
         "Overloaded" => Cause::RunnersFull,
         "Unavailable" => Cause::NoServer,
+        "AccountLimit" => Cause::AccountLimit,
         "Broken" | "broken" => Cause::Interrupted,
         "Late" | "late" | "Deadline" => Cause::DeadlineExceeded,
         "caller left" => Cause::CallerDisconnected,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Simulations and measurements of the daemons.
 //!
+//! - [`accounts`]: ways to divide a client account's limit between daemons, under failures,
 //! - [`causes`]: why requests were late or not served, from the logs of daemons,
 //! - [`policies`]: admission and routing under load, compared with baselines and an upper bound,
 //! - [`config`]: delay until accepted declarations are in force, and the table traffic,
@@ -9,6 +10,7 @@
 //! - [`moves`]: placement of models under shifting demand, compared with baselines,
 //! - [`slopes`]: resource use of real daemons as the system grows.
 
+pub mod accounts;
 pub mod causes;
 pub mod config;
 pub mod decisions;
@@ -27,6 +29,9 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 enum Command {
+    /// Compares ways to divide a client account's limit, in virtual time.
+    #[bpaf(command)]
+    Accounts(#[bpaf(external(accounts::options))] accounts::Options),
     /// Counts why requests were late or not served, from the logs of daemons.
     #[bpaf(command)]
     Causes(#[bpaf(external(causes::options))] causes::Options),
@@ -56,6 +61,7 @@
 /// Runs the experiment that the command line selects.
 pub fn main() -> ExitCode {
     match command().run() {
+        Command::Accounts(options) => accounts::run(&options),
         Command::Causes(options) => return causes::run(&options),
         Command::Policies(options) => policies::run(&options),
         Command::Decisions(options) => decisions::run(&options),
--- a/crates/lab/tests/causes.rs
+++ b/crates/lab/tests/causes.rs
@@ -29,3 +29,16 @@
     );
     assert_eq!(counts["plain"][&InTime], 1);
 }
+
+#[test]
+fn refusals_of_accounts_are_told_apart() {
+    let logs = r#"
+{"msg":"request ended","id":"a","route":"r","end":"AccountLimit","ms":3,"objective_ms":500}
+{"msg":"request refused","id":"b","code":"Unauthorised"}
+{"msg":"request refused","id":"c","code":"Leaving"}
+"#;
+    let counts = count_causes(logs);
+    assert_eq!(counts["r"][&Cause::AccountLimit], 1);
+    assert_eq!(counts["-"][&Cause::Unauthorised], 1);
+    assert_eq!(counts["-"][&Cause::DaemonUnavailable], 1);
+}
