--- a/crates/account/src/limit.rs
+++ b/crates/account/src/limit.rs
@@ -17,7 +17,16 @@
 }
 
 impl Unit {
-    /// The smallest rate for which a slice of its own pays off, per second.
+    /// The smallest burst of a slice if there are two; a request that is larger than a slice
+    /// would be granted by each.
+    fn min_slice_burst(self) -> f64 {
+        match self {
+            Self::Requests => 10.0,
+            Self::Tokens => 1_200.0,
+        }
+    }
+
+    /// The smallest rate for which a further slice pays off, per second.
     ///
     /// A slice has to hold several requests, since one that can't be served by a nearly
     /// empty slice costs a round trip to the next.
@@ -85,7 +94,11 @@
     /// It follows from the limit alone, so that all daemons with the same declarations
     /// agree on it. While the holder of one slice fails, the other slices go on.
     pub fn slice_count(&self) -> u32 {
-        let slices = (self.rate / self.unit.min_slice_rate()).floor();
+        let by_rate = self.rate / self.unit.min_slice_rate();
+        // With two slices, an account at its usual pace is hardly affected while one holder
+        // fails.
+        let by_burst = (self.burst / self.unit.min_slice_burst()).min(2.0);
+        let slices = by_rate.max(by_burst).floor();
         slices.clamp(1.0, f64::from(MAX_SLICES)) as u32
     }
 
