--- a/crates/account/src/limit.rs
+++ b/crates/account/src/limit.rs
@@ -110,17 +110,19 @@
             rate: self.rate / slices,
             capacity: (self.burst + allowance * CAPACITY_SHARE) / slices,
             takeover: allowance * TAKEOVER_SHARE / slices,
+            slices,
         }
     }
 }
 
 /// The share of the allowance that buckets may hold beyond the burst.
-const CAPACITY_SHARE: f64 = 0.5;
+const CAPACITY_SHARE: f64 = 0.25;
 
 /// The share of the allowance that a new holder of a slice starts with.
 ///
-/// With [`CAPACITY_SHARE`], each slice may change its holder three times per window.
-const TAKEOVER_SHARE: f64 = 0.125;
+/// Callers that were waiting while all daemons restarted come back at once. With
+/// [`CAPACITY_SHARE`], each slice may change its holder twice per window.
+const TAKEOVER_SHARE: f64 = 0.35;
 
 /// How far the use in a window may exceed the limit, from the operators' settings.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -152,8 +154,7 @@
 
 /// The limit of one slice of an account's limit.
 ///
-/// Over all slices, `capacity` and three times `takeover` stay below the burst and the
-/// allowance.
+/// Over all slices, `capacity` and twice `takeover` stay below the burst and the allowance.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SliceLimit {
     /// Units per second.
@@ -162,4 +163,6 @@
     pub capacity: f64,
     /// What the bucket of a new holder starts with.
     pub takeover: f64,
+    /// The number of slices; a caller that is refused was refused by each.
+    pub slices: f64,
 }
--- a/crates/account/src/sharing.rs
+++ b/crates/account/src/sharing.rs
@@ -66,5 +66,6 @@
         rate: slice.rate * share,
         capacity: slice.capacity * share,
         takeover: slice.takeover * share,
+        slices: slice.slices,
     }
 }
--- a/crates/account/src/slice.rs
+++ b/crates/account/src/slice.rs
@@ -65,8 +65,10 @@
 pub enum SliceStart {
     /// No daemon held it before.
     First,
-    /// The former holder has ended or has stopped charging.
+    /// The former holder has stopped charging.
     Released,
+    /// The former holder was an earlier process on the same VM, which had ended by then.
+    Restarted(Instant),
     /// The former holder may still be running.
     Seized,
 }
@@ -118,13 +120,17 @@
 impl HeldSlice {
     /// Creates a slice that this daemon holds as of `now`.
     pub fn new(start: SliceStart, limit: &SliceLimit, now: Instant) -> Self {
-        let (balance, starts_at) = match start {
-            SliceStart::First => (limit.capacity, now),
-            SliceStart::Released => (limit.takeover, now),
-            SliceStart::Seized => (limit.takeover, now + TAKEOVER_DELAY),
+        // The bucket fills from when on nobody else can have charged the slice.
+        let (balance, fills_from, starts_at) = match start {
+            SliceStart::First => (limit.capacity, now, now),
+            SliceStart::Released => (limit.takeover, now, now),
+            SliceStart::Restarted(since) => (limit.takeover, since, now),
+            SliceStart::Seized => {
+                (limit.takeover, now + GRANT_TERM, now + TAKEOVER_DELAY)
+            }
         };
         Self {
-            bucket: Bucket::new(balance.min(limit.capacity), starts_at),
+            bucket: Bucket::new(balance.min(limit.capacity), fills_from),
             starts_at,
             charges: IndexMap::new(),
             order: VecDeque::new(),
@@ -180,7 +186,7 @@
     /// which the bucket fills.
     fn refuse(&mut self, cost: f64, limit: &SliceLimit, now: Instant) -> Verdict {
         let empty = self.bucket.time_until(cost, limit);
-        let refill = Duration::try_from_secs_f64(cost / limit.rate);
+        let refill = Duration::try_from_secs_f64(cost / (limit.rate * limit.slices));
         let latest = now + MAX_RETURN_DELAY;
         let returns_at = self.returns_until.max(now + empty.min(MAX_RETURN_DELAY));
         let next = returns_at + refill.unwrap_or(MAX_RETURN_DELAY).min(MAX_RETURN_DELAY);
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -210,7 +210,7 @@
     if is_mine {
         let start = match (change.expected_version, at_once) {
             (0, _) => SliceStart::First,
-            (_, true) => SliceStart::Released,
+            (_, true) => SliceStart::Restarted(shared.started_at),
             (_, false) => SliceStart::Seized,
         };
         account_slices::begin(shared, &change.key, start);
