--- a/crates/pool/src/demand.rs
+++ b/crates/pool/src/demand.rs
@@ -21,28 +21,40 @@
 
 use crate::timing::EngineTimings;
 
-/// Time constants of the moving averages. The last one only serves the trend.
+/// Time constants of the two moving averages.
 const FAST_AVERAGE: Duration = Duration::from_millis(500);
 const SLOW_AVERAGE: Duration = Duration::from_millis(1500);
-const BASE_AVERAGE: Duration = Duration::from_millis(4000);
 
-/// The most by which a trend may raise the demand to plan for.
-///
-/// The trend of a model with few requests is mostly noise.
-const MAX_TREND_FACTOR: f64 = 1.0;
+/// Shares of a load's time that the averages span at least if demand has to be sustained.
+const SUSTAINED_FAST_SHARE: f64 = 0.25;
+const SUSTAINED_SLOW_SHARE: f64 = 0.5;
 
 /// How the demand at the end of a load is forecast.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Forecast {
-    /// It stays as it is.
+    /// It stays as it is, whatever a load takes.
     #[default]
     Constant,
-    /// It goes on rising as it does now, for as long as a load takes.
+    /// It stays as it has been for a part of the time that a load takes.
     ///
-    /// Load pattern: demand moves to other models over some seconds. A load that is as long
-    /// as that begins too late if it begins when the replicas are overloaded.
-    Trend,
+    /// Load pattern: bursts of a few seconds reach many models. A load that is longer than
+    /// the burst ends when nobody asks for the model any more, and took the room that a
+    /// lasting demand needs by then.
+    Sustained,
+}
+
+impl Forecast {
+    /// The time constants of the averages for a model.
+    fn averages(self, load_time: Duration) -> (Duration, Duration) {
+        match self {
+            Self::Constant => (FAST_AVERAGE, SLOW_AVERAGE),
+            Self::Sustained => (
+                FAST_AVERAGE.max(load_time.mul_f64(SUSTAINED_FAST_SHARE)),
+                SLOW_AVERAGE.max(load_time.mul_f64(SUSTAINED_SLOW_SHARE)),
+            ),
+        }
+    }
 }
 
 /// How long requests have to be observed before a model counts as having no demand.
@@ -137,38 +149,28 @@
 struct Averages {
     fast: f64,
     slow: f64,
-    base: f64,
-    /// How long a load of the model takes.
-    load_time: Duration,
 }
 
 impl Averages {
-    fn add(&mut self, runner_seconds: f64, elapsed: Duration) {
+    /// Adds demand to the averages, which have these time constants.
+    fn add(
+        &mut self,
+        runner_seconds: f64,
+        elapsed: Duration,
+        (fast, slow): (Duration, Duration),
+    ) {
         if elapsed.is_zero() {
             return;
         }
         let rate = runner_seconds / elapsed.as_secs_f64();
         let weight =
             |span: Duration| 1.0 - (-elapsed.as_secs_f64() / span.as_secs_f64()).exp();
-        self.fast += (rate - self.fast) * weight(FAST_AVERAGE);
-        self.slow += (rate - self.slow) * weight(SLOW_AVERAGE);
-        self.base += (rate - self.base) * weight(BASE_AVERAGE);
-    }
-
-    fn estimate(&self, forecast: Forecast) -> f64 {
-        let current = self.fast.max(self.slow);
-        match forecast {
-            Forecast::Constant => current,
-            Forecast::Trend => {
-                let rise = self.rise_per_second() * self.load_time.as_secs_f64();
-                current + rise.clamp(0.0, current * MAX_TREND_FACTOR)
-            }
-        }
+        self.fast += (rate - self.fast) * weight(fast);
+        self.slow += (rate - self.slow) * weight(slow);
     }
 
-    /// How fast the demand rises: the difference of two averages over that of their lags.
-    fn rise_per_second(&self) -> f64 {
-        (self.slow - self.base) / (BASE_AVERAGE - SLOW_AVERAGE).as_secs_f64()
+    fn estimate(&self) -> f64 {
+        self.fast.max(self.slow)
     }
 }
 
@@ -240,8 +242,8 @@
                 engine,
             );
             let averages = self.averages.entry(model.clone()).or_default();
-            averages.load_time = declared.store_load_time;
-            averages.add(work, elapsed);
+            let spans = self.forecast.averages(declared.store_load_time);
+            averages.add(work, elapsed, spans);
         }
     }
 
@@ -252,7 +254,7 @@
 
     /// The demand to plan for, in runners.
     pub fn estimate(&self, model: &ModelName) -> f64 {
-        self.averages.get(model).map_or(0.0, |averages| averages.estimate(self.forecast))
+        self.averages.get(model).map_or(0.0, Averages::estimate)
     }
 }
 
