--- a/crates/gate/src/charge.rs
+++ b/crates/gate/src/charge.rs
@@ -26,8 +26,8 @@
 /// How often a charge is sent to a holder that does not respond.
 const MAX_SENDS: usize = 2;
 
-/// How long a request waits while no holder of a slice responds, as a fraction of its
-/// objective, and at most.
+/// How long a request waits while slices have no holder or none responds, as a fraction of
+/// its objective, and at most.
 const HOLDER_WAIT: (f64, Duration) = (0.5, Duration::from_millis(600));
 
 /// The delay before the slices are asked again while no holder responds.
@@ -58,24 +58,19 @@
     let wait = job.route().objective.mul_f64(fraction).min(longest);
     let result = loop {
         match try_slices(job, &account, &limit, cost).await {
-            Err(Unavailable) if shared.now() < started + wait => {
+            Outcome::Unavailable if shared.now() < started + wait => {
                 sleep(RETRY_PERIOD).await;
             }
-            result => break result,
+            outcome => break outcome,
         }
     };
     let waited = shared.now().saturating_duration_since(started);
     shared.metrics.observe(Span::Charge, waited);
-    let outcome = match &result {
-        Ok(Granted::Charge(_)) => "granted",
-        Ok(Granted::Beyond(_)) => "refused",
-        Err(Unavailable) => "unavailable",
-    };
-    shared.metrics.count_charge(account.as_str(), outcome);
+    shared.metrics.count_charge(account.as_str(), result.label());
     match result {
-        Ok(Granted::Charge(charge)) => Ok(Some(charge)),
-        Ok(Granted::Beyond(delay)) => Err(beyond_limit(&account, delay)),
-        Err(Unavailable) => Err(unavailable()),
+        Outcome::Granted(charge) => Ok(Some(charge)),
+        Outcome::Beyond(delay) => Err(beyond_limit(&account, delay)),
+        Outcome::Unavailable => Err(unavailable()),
     }
 }
 
@@ -96,15 +91,25 @@
     Some((name.clone(), account.limit?))
 }
 
-/// The decision on a charge.
-enum Granted {
-    Charge(Charge),
+/// The outcome of a charge.
+enum Outcome {
+    Granted(Charge),
     /// The account is beyond its limit; when the caller may return.
     Beyond(Duration),
+    /// Slices have no holder, as after a restart of all daemons, or none responds.
+    Unavailable,
 }
 
-/// No holder of any slice responds.
-struct Unavailable;
+impl Outcome {
+    /// The label in metrics.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Granted(_) => "granted",
+            Self::Beyond(_) => "refused",
+            Self::Unavailable => "unavailable",
+        }
+    }
+}
 
 /// Asks the holders of the account's slices, one after the other.
 async fn try_slices(
@@ -112,7 +117,7 @@
     account: &CallerName,
     limit: &Limit,
     cost: f64,
-) -> Result<Granted, Unavailable> {
+) -> Outcome {
     let shared = &job.shared;
     let (count, first) = (limit.slice_count(), rand::random());
     let choose = || shared.slice_chooser().choose(account, count, first, shared.now());
@@ -121,15 +126,19 @@
         Choice::Ask(slices) => slices.as_slice(),
         Choice::Empty(_) | Choice::Silent => &[],
     };
+    let mut has_unheld = false;
     for index in asked {
         let slice = Slice { account: account.clone(), index: *index };
-        let Some(holder) = holder(shared, &slice) else { continue };
+        let Some(holder) = holder(shared, &slice) else {
+            has_unheld = true;
+            continue;
+        };
         match ask(shared, &slice, holder, cost).await {
             Some((number, Verdict::Granted)) => {
                 info!(shared.log, "request charged"; "id" => job.id(),
                     "account" => account.as_str(), "slice" => index, "cost" => cost,
                     "holder" => holder.0.to_string());
-                return Ok(Granted::Charge(Charge { number, slice, holder }));
+                return Outcome::Granted(Charge { number, slice, holder });
             }
             Some((_, Verdict::Refused { retry_ms, empty_ms })) => {
                 info!(shared.log, "charge refused"; "id" => job.id(),
@@ -147,8 +156,8 @@
         }
     }
     match choose() {
-        Choice::Empty(delay) => Ok(Granted::Beyond(delay)),
-        Choice::Ask(_) | Choice::Silent => Err(Unavailable),
+        Choice::Empty(delay) if !has_unheld => Outcome::Beyond(delay),
+        Choice::Empty(_) | Choice::Ask(_) | Choice::Silent => Outcome::Unavailable,
     }
 }
 
--- a/crates/gate/src/introspection.rs
+++ b/crates/gate/src/introspection.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use serde_with::{DisplayFromStr, DurationMilliSeconds, serde_as};
 
+use crate::peers::SentCount;
 use crate::shared::Shared;
 use crate::{account_slices, table_sync};
 
@@ -51,6 +52,9 @@
     pub held_runners: IndexMap<ServerName, HeldRunnerState>,
     /// What is left of the slices of accounts' limits that this daemon holds.
     pub account_slices: IndexMap<String, i64>,
+    /// The datagrams that it has sent to other daemons, by their kind.
+    #[serde(rename = "datagrams")]
+    pub sent_datagrams: IndexMap<&'static str, SentCount>,
     /// The number of requests in each plain service's queue that this daemon holds.
     pub queues: IndexMap<ServiceName, usize>,
 }
@@ -159,6 +163,7 @@
         servers: servers(shared),
         held_runners: held_runners(shared),
         account_slices: account_slices::balances(shared),
+        sent_datagrams: shared.peers.sent_counts(),
         queues: shared
             .queues()
             .iter()
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -183,6 +183,31 @@
     },
 }
 
+impl Message {
+    /// The kind of message, in logs and in the daemon's state.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::UsageReport { .. } => "usage report",
+            Self::BidRequest { .. } => "bid request",
+            Self::Bids { .. } => "bids",
+            Self::AdmissionRequest { .. } => "admission request",
+            Self::AdmissionResponse { .. } => "admission response",
+            Self::Withdrawal { .. } => "withdrawal",
+            Self::PermitRequest { .. } => "permit request",
+            Self::PermitResponse { .. } => "permit response",
+            Self::PermitRelease { .. } => "permit release",
+            Self::DemandReport { .. } => "demand report",
+            Self::Move(_) => "move",
+            Self::MoveFailed(_) => "failed move",
+            Self::TableUpdate(_) => "table update",
+            Self::ChargeRequest { .. } => "charge request",
+            Self::ChargeResponse { .. } => "charge response",
+            Self::ChargeRefund { .. } => "charge refund",
+        }
+    }
+}
+
 /// The first event of an admitted request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FirstEvent {
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -6,6 +6,7 @@
 
 use chestnut_base::{Clock, MemberId};
 use indexmap::IndexMap;
+use serde::Serialize;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
@@ -40,6 +41,16 @@
     log: Logger,
     states: Mutex<IndexMap<MemberId, PeerState>>,
     pending: Mutex<PendingRequests>,
+    sent: Mutex<IndexMap<&'static str, SentCount>>,
+}
+
+/// The datagrams of one kind that were sent since the start of the daemon.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct SentCount {
+    /// Their number.
+    pub messages: u64,
+    /// Their size, without the headers of the network, in bytes.
+    pub bytes: u64,
 }
 
 /// Where the response to a request is sent.
@@ -77,8 +88,9 @@
         log: Logger,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(addr).await?;
-        let (states, pending) = (Mutex::default(), Mutex::default());
-        Ok(Self { me, socket, clock, log, states, pending })
+        let (states, pending, sent) =
+            (Mutex::default(), Mutex::default(), Mutex::default());
+        Ok(Self { me, socket, clock, log, states, pending, sent })
     }
 
     /// Sends a message; drops it if the socket is not ready.
@@ -86,15 +98,31 @@
     /// Lost messages are sent again or not needed, so a full send buffer need not delay a
     /// request.
     pub fn send(&self, to: SocketAddr, message: Message) {
+        let kind = message.kind();
         let packet = Packet { from: self.me, message };
         match postcard::to_allocvec(&packet) {
-            Ok(bytes) => drop(self.socket.try_send_to(&bytes, to)),
+            Ok(bytes) => {
+                self.count_sent(kind, bytes.len());
+                drop(self.socket.try_send_to(&bytes, to));
+            }
             Err(error) => {
                 warn!(self.log, "failed to encode a datagram"; "error" => error.to_string());
             }
         }
     }
 
+    fn count_sent(&self, kind: &'static str, bytes: usize) {
+        let mut sent = self.sent.lock().expect("no holder of the lock panics");
+        let count = sent.entry(kind).or_default();
+        count.messages += 1;
+        count.bytes += bytes as u64;
+    }
+
+    /// The datagrams that were sent since the start of the daemon, by their kind.
+    pub fn sent_counts(&self) -> IndexMap<&'static str, SentCount> {
+        self.sent.lock().expect("no holder of the lock panics").clone()
+    }
+
     /// Receives the next valid datagram; skips those that can't be decoded.
     pub async fn receive(&self) -> (Packet, SocketAddr) {
         let mut buffer = vec![0; MAX_PACKET_BYTES];
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -47,6 +47,9 @@
 /// How often the settings file is read again.
 const RELOAD_PERIOD: Duration = Duration::from_secs(2);
 
+/// How often the traffic to other daemons is logged.
+const TRAFFIC_LOG_PERIOD: Duration = Duration::from_secs(10);
+
 /// How often idle connections and servers missing from the registry are removed.
 const PRUNE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -109,6 +112,7 @@
     tokio::spawn(serve(table_changes, directory::table_changes_router(shared.clone())));
     tokio::spawn(serve_introspection(shared.clone()));
     tokio::spawn(prune(shared.clone()));
+    tokio::spawn(log_traffic(shared.clone()));
     loop {
         tokio::select! {
             _ = sigterm.recv() => break,
@@ -179,6 +183,17 @@
     info!(shared.log, "left"; "finished" => finished_in_time);
 }
 
+/// Logs what was sent to other daemons, by the kind of message.
+async fn log_traffic(shared: Arc<Shared>) {
+    loop {
+        sleep(TRAFFIC_LOG_PERIOD).await;
+        let sent = shared.peers.sent_counts();
+        let bytes: Vec<String> =
+            sent.iter().map(|(kind, count)| format!("{kind} {}", count.bytes)).collect();
+        info!(shared.log, "datagrams sent"; "bytes" => bytes.join(", "));
+    }
+}
+
 async fn prune(shared: Arc<Shared>) {
     loop {
         sleep(PRUNE_PERIOD).await;
