--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -84,12 +84,19 @@
 ///
 /// Separate from every task that waits for the store, since a daemon whose calls hang is
 /// still alive.
+///
+/// Every second time it sends the versions of the tables alone, which show as well that it is
+/// alive: the list of the daemons that it hears makes up most of the traffic in a large
+/// cluster.
 pub async fn run_heartbeats(shared: Arc<Shared>) {
-    loop {
+    for number in 0u64.. {
         // Detects a suspension of the daemon before the heartbeat is sent.
         shared.is_resuming();
         replace_silent_neighbours(&shared);
-        send_heartbeat(&shared);
+        match number.is_multiple_of(2) {
+            true => send_heartbeat(&shared),
+            false => send_table_versions(&shared),
+        }
         sleep(HEARTBEAT_PERIOD).await;
     }
 }
@@ -212,6 +219,15 @@
     }
 }
 
+/// Sends the versions of the table replicas to all neighbours.
+fn send_table_versions(shared: &Shared) {
+    let announcements = table_sync::announcements(shared);
+    let addrs: Vec<_> = shared.neighbours().addrs().collect();
+    for (_, addr) in addrs {
+        shared.peers.send(addr, Message::TableUpdate(announcements.clone()));
+    }
+}
+
 /// Announces changed table replicas to a few neighbours at once.
 ///
 /// Each of them announces them to a few more, which reaches most daemons within a few
