--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -90,12 +90,12 @@
         &self.declarations.routes[self.route]
     }
 
-    /// The priority; 0 is the highest. That of the account goes before that of the route.
+    /// The rank in queues; 0 is the first. The account's priority goes before the route's.
     pub fn priority(&self) -> u8 {
         let accounts = self.declarations.accounts.as_ref();
         let account = accounts.zip(self.account).map(|(all, key)| all.get(key).1);
         let priority = account.and_then(|account| account.priority);
-        priority.unwrap_or(self.route().priority)
+        self.shared.settings.policy.priority.rank(priority, self.route().priority)
     }
 
     /// The caller's id for the request, for logs; "-" if it sent none.
@@ -183,7 +183,8 @@
         let timing = end.timing;
         info!(self.shared.log, "request ended"; "id" => self.id(), "end" => end.outcome,
             "why" => end.reason, "route" => &route.name,
-            "account" => accounts::account_name(&self.declarations, self.account), "server" => end.server,
+            "account" => accounts::account_name(&self.declarations, self.account),
+            "priority" => self.priority(), "server" => end.server,
             "revision" => self.declarations.revision.0, "ms" => millis(time),
             "prompt" => self.call.size.prompt_tokens, "output" => self.call.size.max_output_tokens,
             "events" => timing.map(|timing| timing.events),
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -117,8 +117,38 @@
 pub struct Policy {
     /// How the demand for models is forecast.
     pub forecast: Forecast,
+    /// What decides between requests of accounts with the same priority.
+    pub priority: PriorityOrder,
 }
 
+/// What decides between requests of client accounts that declare a priority.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PriorityOrder {
+    /// The account's priority alone.
+    #[default]
+    Account,
+    /// The account's priority, and between equal ones that of the route.
+    AccountThenRoute,
+}
+
+impl PriorityOrder {
+    /// The rank of a request in queues; 0 is the first.
+    pub fn rank(self, account: Option<u8>, route: u8) -> u8 {
+        match (self, account) {
+            (_, None) => route,
+            (Self::Account, Some(account)) => account,
+            (Self::AccountThenRoute, Some(account)) => account
+                .saturating_mul(ROUTE_PRIORITIES)
+                .saturating_add(route.min(ROUTE_PRIORITIES - 1)),
+        }
+    }
+}
+
+/// The number of priorities of routes that are told apart within one of an account; with
+/// three of accounts, engines can tell them all apart.
+const ROUTE_PRIORITIES: u8 = 3;
+
 /// Durations and bounds that the operators set.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Deserialize)]
