--- a/crates/lab/src/decisions.rs
+++ b/crates/lab/src/decisions.rs
@@ -4,6 +4,10 @@
 use std::time::{Duration, Instant};
 
 use bpaf::Bpaf;
+use chestnut_account::{
+    AccountText, Accounts, ChargeId, HeldSlice, KeyDigest, SliceChooser, SliceStart,
+    Tolerance, bearer_key,
+};
 use chestnut_admit::{AdmissionController, AdmissionPolicy, Job, Limits};
 use chestnut_base::{
     CallerName, DomainName, MemberId, ModelName, ServerName, ServiceName, TeamName,
@@ -69,12 +73,56 @@
             "{{\"decision\":\"plan\",\"runners\":{runners},\"models\":{models},\"us\":{micros}}}"
         );
     }
+    for accounts in [16, 1_000] {
+        let (key, charge) = time_account(accounts, options.rounds);
+        println!(
+            "{{\"decision\":\"account\",\"accounts\":{accounts},\"key_ns\":{key},\"charge_ns\":{charge}}}"
+        );
+    }
     println!(
         "{{\"bytes_per_request\":{}}}",
         chestnut_admit::controller::bytes_per_request()
     );
 }
 
+/// Mean nanoseconds of finding the account of a key, and of choosing and charging a slice of
+/// its limit at the holder.
+fn time_account(accounts: usize, rounds: u32) -> (u128, u128) {
+    let texts: Vec<AccountText> = (0..accounts)
+        .map(|index| AccountText {
+            name: format!("account-{index}"),
+            keys: vec![format!("key-{index}")],
+            unit: Some("tokens".into()),
+            rate: Some(1e12),
+            burst: Some(1e12),
+            ..AccountText::default()
+        })
+        .collect();
+    let accounts = Accounts::try_from(texts).expect("the accounts are valid");
+    let start = Instant::now();
+    for round in 0..rounds {
+        let key =
+            bearer_key([&b"Bearer key-7"[..]].into_iter()).expect("the key is valid");
+        std::hint::black_box((round, accounts.authenticate(&KeyDigest::of(key))));
+    }
+    let key_nanos = start.elapsed().as_nanos() / u128::from(rounds);
+    let (name, account) = accounts.iter().next().expect("there is an account");
+    let limit = account.limit.expect("it has a limit");
+    let tolerance =
+        Tolerance { window: Duration::from_secs(8), overshoot: 0.1, slack: 0.0 };
+    let now = Instant::now();
+    let slice_limit = limit.slice(&tolerance);
+    let mut slice = HeldSlice::new(SliceStart::First, &slice_limit, now);
+    let chooser = SliceChooser::default();
+    let start = Instant::now();
+    for number in 0..u64::from(rounds) {
+        let choice = chooser.choose(name, limit.slice_count(), number as u32, now);
+        let id = ChargeId { member: MemberId(1), number };
+        std::hint::black_box((choice, slice.charge(id, 1700.0, &slice_limit, now)));
+    }
+    (key_nanos, start.elapsed().as_nanos() / u128::from(rounds))
+}
+
 /// Mean nanoseconds of a routing decision among `count` candidates.
 fn time_routing(policy: RoutingPolicy, count: u32, rounds: u32) -> u128 {
     let now = Instant::now();
