--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -72,9 +72,7 @@
 ) {
     let now = shared.now();
     let mut planners = shared.planners();
-    let forecast = shared.settings.policy.forecast;
-    let new = || PlacementPlanner::with_forecast(forecast, now);
-    let planner = planners.entry(service).or_insert_with(new);
+    let planner = planners.entry(service).or_insert_with(|| PlacementPlanner::new(now));
     planner.update_demand(from, part, demand);
     planner.record_unreachable(from, unreachable, now);
 }
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -9,7 +9,7 @@
 use chestnut_base::{DomainName, VmName};
 use chestnut_edge::Engine;
 use chestnut_member::ONE_CORE_WEIGHT;
-use chestnut_pool::{Forecast, LoadBound};
+use chestnut_pool::LoadBound;
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
@@ -115,8 +115,6 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub struct Policy {
-    /// How the demand for models is forecast.
-    pub forecast: Forecast,
     /// What decides between requests of accounts with the same priority.
     pub priority: PriorityOrder,
 }
@@ -126,9 +124,9 @@
 #[serde(rename_all = "snake_case")]
 pub enum PriorityOrder {
     /// The account's priority alone.
-    #[default]
     Account,
     /// The account's priority, and between equal ones that of the route.
+    #[default]
     AccountThenRoute,
 }
 
--- a/crates/pool/src/demand.rs
+++ b/crates/pool/src/demand.rs
@@ -25,38 +25,6 @@
 const FAST_AVERAGE: Duration = Duration::from_millis(500);
 const SLOW_AVERAGE: Duration = Duration::from_millis(1500);
 
-/// Shares of a load's time that the averages span at least if demand has to be sustained.
-const SUSTAINED_FAST_SHARE: f64 = 0.25;
-const SUSTAINED_SLOW_SHARE: f64 = 0.5;
-
-/// How the demand at the end of a load is forecast.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Forecast {
-    /// It stays as it is, whatever a load takes.
-    #[default]
-    Constant,
-    /// It stays as it has been for a part of the time that a load takes.
-    ///
-    /// Load pattern: bursts of a few seconds reach many models. A load that is longer than
-    /// the burst ends when nobody asks for the model any more, and took the room that a
-    /// lasting demand needs by then.
-    Sustained,
-}
-
-impl Forecast {
-    /// The time constants of the averages for a model.
-    fn averages(self, load_time: Duration) -> (Duration, Duration) {
-        match self {
-            Self::Constant => (FAST_AVERAGE, SLOW_AVERAGE),
-            Self::Sustained => (
-                FAST_AVERAGE.max(load_time.mul_f64(SUSTAINED_FAST_SHARE)),
-                SLOW_AVERAGE.max(load_time.mul_f64(SUSTAINED_SLOW_SHARE)),
-            ),
-        }
-    }
-}
-
 /// How long requests have to be observed before a model counts as having no demand.
 const MIN_OBSERVATION: Duration = Duration::from_millis(2500);
 
@@ -152,21 +120,15 @@
 }
 
 impl Averages {
-    /// Adds demand to the averages, which have these time constants.
-    fn add(
-        &mut self,
-        runner_seconds: f64,
-        elapsed: Duration,
-        (fast, slow): (Duration, Duration),
-    ) {
+    fn add(&mut self, runner_seconds: f64, elapsed: Duration) {
         if elapsed.is_zero() {
             return;
         }
         let rate = runner_seconds / elapsed.as_secs_f64();
         let weight =
             |span: Duration| 1.0 - (-elapsed.as_secs_f64() / span.as_secs_f64()).exp();
-        self.fast += (rate - self.fast) * weight(fast);
-        self.slow += (rate - self.slow) * weight(slow);
+        self.fast += (rate - self.fast) * weight(FAST_AVERAGE);
+        self.slow += (rate - self.slow) * weight(SLOW_AVERAGE);
     }
 
     fn estimate(&self) -> f64 {
@@ -183,7 +145,6 @@
     pending: IndexMap<ModelName, DemandCounts>,
     service_times: IndexMap<ModelName, MeanServiceTime>,
     averages: IndexMap<ModelName, Averages>,
-    forecast: Forecast,
     /// Total length of the intervals in which requests arrived.
     observed: Duration,
     advanced_at: Instant,
@@ -191,9 +152,8 @@
 
 impl DemandEstimator {
     /// Starts without demand.
-    pub fn new(forecast: Forecast, now: Instant) -> Self {
+    pub fn new(now: Instant) -> Self {
         Self {
-            forecast,
             counters: IndexMap::new(),
             pending: IndexMap::new(),
             service_times: IndexMap::new(),
@@ -231,7 +191,7 @@
         if pending.values().any(|counts| counts.requests > 0.0) {
             self.observed += elapsed;
         }
-        for (model, declared) in &engine.models {
+        for model in engine.models.keys() {
             let counts = pending.get(model).copied().unwrap_or_default();
             let service_time = self.service_times.entry(model.clone()).or_default();
             service_time.add(counts, elapsed);
@@ -241,9 +201,7 @@
                 timings.token_time(model),
                 engine,
             );
-            let averages = self.averages.entry(model.clone()).or_default();
-            let spans = self.forecast.averages(declared.store_load_time);
-            averages.add(work, elapsed, spans);
+            self.averages.entry(model.clone()).or_default().add(work, elapsed);
         }
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -41,7 +41,7 @@
 pub use choose::{
     Bid, Candidate, GenerationRequest, bid, choose, estimate_wait_ms, local_cost_ms,
 };
-pub use demand::{DemandCounts, Forecast};
+pub use demand::DemandCounts;
 pub use fleet::{Fleet, Server, ServerKey};
 pub use health::Health;
 pub use pacer::{LoadBound, LoadPacer};
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -16,7 +16,7 @@
 use chestnut_place::{ModelState, Placement, PoolState, RunnerState, plan_placement};
 use indexmap::{IndexMap, IndexSet};
 
-use crate::demand::{DemandCounts, DemandEstimator, Forecast};
+use crate::demand::{DemandCounts, DemandEstimator};
 use crate::moves::{ActiveMove, Move};
 use crate::pacer::{LoadBound, LoadPacer};
 use crate::timing::EngineTimings;
@@ -85,13 +85,8 @@
 impl PlacementPlanner {
     /// Starts without demand, and without credit for loads.
     pub fn new(now: Instant) -> Self {
-        Self::with_forecast(Forecast::default(), now)
-    }
-
-    /// Like [`Self::new`], with a certain forecast of the demand.
-    pub fn with_forecast(forecast: Forecast, now: Instant) -> Self {
         Self {
-            demands: DemandEstimator::new(forecast, now),
+            demands: DemandEstimator::new(now),
             pacer: LoadPacer::new(now),
             unreachable: UnreachableReports::default(),
             active: IndexMap::new(),
