--- a/crates/gate/src/accounts.rs
+++ b/crates/gate/src/accounts.rs
@@ -26,37 +26,59 @@
 /// At another daemon the caller would be refused again.
 const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Whether the declarations are recent enough to trust keys.
+/// How recently the store confirmed the declarations in force, as of the time at which the
+/// proof was taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Proof {
+    /// Whether keys can be trusted.
+    pub keys: ProofState,
+    /// Whether the declarations decide which routes and keys exist: changes since then need
+    /// not be in force yet.
+    pub is_current: bool,
+}
+
+/// Takes a proof of the declarations in force.
 ///
 /// Checks for a suspension first: the ages of confirmations don't include it.
-pub fn proof_state(shared: &Shared) -> ProofState {
-    let bound = shared.bounds.borrow().revocation();
+pub fn proof(shared: &Shared) -> Proof {
+    shared.is_resuming();
+    let age = confirmation_age(shared);
+    let bounds = shared.bounds.borrow();
     let has_accounts =
         shared.declarations().is_some_and(|declared| declared.accounts.is_some());
-    let Some(bound) = bound.filter(|_| has_accounts) else { return ProofState::Current };
-    shared.is_resuming();
-    bound.state(shared.tables.declarations.age(shared.now()))
+    let bound = bounds.revocation().filter(|_| has_accounts);
+    Proof {
+        keys: bound.map_or(ProofState::Current, |bound| bound.state(age)),
+        is_current: age.is_some_and(|age| age < bounds.apply),
+    }
 }
 
-/// Whether the store confirmed the declarations so recently that they decide which routes
-/// and keys exist.
-pub fn are_declarations_current(shared: &Shared) -> bool {
-    shared.is_resuming();
-    let age = shared.tables.declarations.age(shared.now());
-    age.is_some_and(|age| age < shared.bounds.borrow().apply)
+/// The age of the store's confirmation of the declarations in force; `None` if there is none
+/// since a suspension, or if newer declarations have arrived that are not in force yet.
+fn confirmation_age(shared: &Shared) -> Option<Duration> {
+    let (version, confirmed_at) = {
+        let replica = shared.tables.declarations.replica();
+        (replica.version()?, replica.confirmed_at()?)
+    };
+    let is_applied = *shared.applied_version.borrow() >= version;
+    is_applied.then(|| shared.now().saturating_duration_since(confirmed_at))
 }
 
-/// Waits for a confirmation if the daemon has none, as after a suspension.
-pub async fn wait_for_confirmation(shared: &Shared) {
-    let confirmed = async {
-        while proof_state(shared) == ProofState::Expired
-            && shared.tables.declarations.age(shared.now()).is_none()
-        {
-            sleep(CONFIRMATION_POLL).await;
-        }
+/// Takes a proof; waits for a confirmation if there is none, as after a suspension.
+pub async fn wait_for_proof(shared: &Shared) -> Proof {
+    let lacks_confirmation = || {
+        proof(shared).keys == ProofState::Expired && confirmation_age(shared).is_none()
     };
-    // Without a confirmation, the request is refused.
-    let _ = timeout(CONFIRMATION_WAIT, confirmed).await;
+    if lacks_confirmation() {
+        let confirmed = async {
+            while lacks_confirmation() {
+                sleep(CONFIRMATION_POLL).await;
+            }
+        };
+        // Without a confirmation, the request is refused.
+        let _ = timeout(CONFIRMATION_WAIT, confirmed).await;
+    }
+    proof(shared)
 }
 
 /// Finds the account that sent a request; `None` if the route needs no key.
@@ -65,11 +87,12 @@
     declared: &Declarations,
     route: &Route,
     call: &Call,
+    proof: Proof,
 ) -> Result<Option<AccountKey>, Refusal> {
     let Some(accounts) = declared.accounts.as_ref().filter(|_| !route.public) else {
         return Ok(None);
     };
-    if proof_state(shared) == ProofState::Expired {
+    if proof.keys == ProofState::Expired {
         return Err(unconfirmed(shared));
     }
     let digest = match call.credential {
@@ -87,7 +110,7 @@
     match accounts.authenticate(&digest) {
         Some(key) => Ok(Some(key)),
         // The key may have been added by newer declarations.
-        None if !are_declarations_current(shared) => Err(unconfirmed(shared)),
+        None if !proof.is_current => Err(unconfirmed(shared)),
         None => {
             let age = shared.tables.declarations.age(shared.now());
             info!(shared.log, "key unknown"; "id" => call.id.as_deref().unwrap_or("-"),
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -16,7 +16,7 @@
 use slog::info;
 use tokio::time::timeout;
 
-use crate::accounts;
+use crate::accounts::{self, Proof};
 use crate::job::Job;
 use crate::relay::ResponseBody;
 use crate::serve::full_body;
@@ -76,18 +76,17 @@
     if shared.is_refusing_requests() {
         return Err(refused(shutting_down()));
     }
-    let declarations = wait_for_declarations(&shared)
-        .await
-        .ok_or_else(|| refused(not_ready(&shared)))?;
+    wait_for_declarations(&shared).await;
+    // The proof is taken first: of declarations that are read after it, it is true.
+    let proof = accounts::wait_for_proof(&shared).await;
+    let declarations =
+        shared.declarations().ok_or_else(|| refused(not_ready(&shared)))?;
     let revision = Some(declarations.revision);
     let refused = |refusal| EarlyRefusal { refusal, id: call.id.clone(), revision };
     let route = find_route(&declarations, &call)
-        .ok_or_else(|| refused(unknown_route(&shared, &call)))?;
+        .ok_or_else(|| refused(unknown_route(&shared, &call, proof)))?;
     let matched = &declarations.routes[route];
-    if declarations.accounts.is_some() && !matched.public {
-        accounts::wait_for_confirmation(&shared).await;
-    }
-    let account = accounts::authenticate(&shared, &declarations, matched, &call)
+    let account = accounts::authenticate(&shared, &declarations, matched, &call, proof)
         .map_err(&refused)?;
     let body = read_body(body, declarations.limits.body_bytes).await.map_err(&refused)?;
     let budget =
@@ -115,8 +114,8 @@
     })
 }
 
-/// The declarations in force; waits up to [`STARTUP_WAIT`] for them and for servers.
-async fn wait_for_declarations(shared: &Shared) -> Option<Arc<Declarations>> {
+/// Waits up to [`STARTUP_WAIT`] for declarations and servers.
+async fn wait_for_declarations(shared: &Shared) {
     if !shared.is_initialized() {
         let mut declared = shared.declarations.subscribe();
         let mut listed = shared.server_updates.subscribe();
@@ -127,7 +126,6 @@
         // If the declarations are still missing after a timeout, the request is refused.
         let _ = timeout(STARTUP_WAIT, available).await;
     }
-    shared.declarations()
 }
 
 fn shutting_down() -> Refusal {
@@ -152,8 +150,8 @@
 
 /// The refusal of a request without a route. Only current declarations decide that there is
 /// none: it may have been added.
-fn unknown_route(shared: &Shared, call: &Call) -> Refusal {
-    if !accounts::are_declarations_current(shared) {
+fn unknown_route(shared: &Shared, call: &Call, proof: Proof) -> Refusal {
+    if !proof.is_current {
         return accounts::unconfirmed(shared);
     }
     let message = format!("no route for {}{}; check host and path", call.host, call.path);
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -30,6 +30,12 @@
             }
         }
     }
+
+    fn on_batch_end(&mut self) {
+        let Self(shared) = self;
+        let version = shared.tables.declarations.replica().version();
+        shared.applied_version.send_replace(version.unwrap_or_default());
+    }
 }
 
 /// Puts declarations in force unless the current ones have the same or a later revision.
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -77,6 +77,9 @@
     pub started_at: Instant,
     /// The declarations in force; `None` until the first are read.
     pub declarations: watch::Sender<Option<Arc<Declarations>>>,
+    /// The version of the declarations' table up to which its changes are in force; 0 before
+    /// the first read.
+    pub applied_version: watch::Sender<u64>,
     /// The number of updates from the registry of backend servers; 0 until it is read.
     pub server_updates: watch::Sender<u64>,
     /// Whether the daemon has received SIGTERM.
@@ -138,6 +141,7 @@
             log,
             metrics: Metrics::new(),
             declarations: watch::Sender::new(None),
+            applied_version: watch::Sender::new(0),
             server_updates: watch::Sender::new(0),
             shutting_down: watch::Sender::new(false),
             refusing_requests: watch::Sender::new(false),
@@ -344,7 +348,7 @@
     pub fn is_ready(&self) -> bool {
         self.is_initialized()
             && !*self.shutting_down.borrow()
-            && accounts::proof_state(self) == ProofState::Current
+            && accounts::proof(self).keys == ProofState::Current
     }
 
     /// Whether declarations and servers have been read.
