--- a/crates/gate/src/account_slices.rs
+++ b/crates/gate/src/account_slices.rs
@@ -104,6 +104,7 @@
         return Verdict::NotHolder;
     }
     let Some(limit) = slice_limit(shared, slice) else { return Verdict::NotHolder };
+    begin_missed(shared, slice);
     let mut slices = shared.account_slices();
     let entry = slices.held.get_mut(slice).filter(|entry| {
         let is_handed_over =
@@ -116,6 +117,18 @@
     }
 }
 
+/// Starts to hold a slice whose claim this daemon got before it knew the account.
+fn begin_missed(shared: &Shared, slice: &Slice) {
+    if shared.account_slices().held.contains_key(slice) {
+        return;
+    }
+    let key = ClaimKey::AccountSlice(slice.account.clone(), slice.index);
+    let claim = shared.membership().claims.get(&key).map(|(row, _)| row.holder);
+    if claim == Some(Some(shared.peers.me)) {
+        begin(shared, &key, SliceStart::Seized);
+    }
+}
+
 /// Gives the cost of a charge back.
 pub fn refund(shared: &Shared, id: ChargeId, slice: &Slice) {
     let now = shared.now();
