--- a/crates/gate/src/account_slices.rs
+++ b/crates/gate/src/account_slices.rs
@@ -57,12 +57,17 @@
 }
 
 /// Starts to hold a slice, if the claim is of one.
+///
+/// The daemon may read its own row before it learns that its commit succeeded. From the row
+/// alone it can't tell whether the former holder still runs; the commit can.
 pub fn begin(shared: &Shared, key: &ClaimKey, start: SliceStart) {
     let Some(slice) = slice_of(key) else { return };
     let now = shared.now();
     let Some(limit) = slice_limit(shared, &slice) else { return };
     let mut slices = shared.account_slices();
-    if slices.held.contains_key(&slice) {
+    let held = slices.held.get(&slice);
+    let is_settled = |entry: &HeldEntry| entry.slice.is_exclusive(now);
+    if held.is_some_and(|entry| is_settled(entry) || start == SliceStart::Seized) {
         return;
     }
     info!(shared.log, "account slice held"; "claim" => key.to_string(),
