--- a/crates/account/src/account.rs
+++ b/crates/account/src/account.rs
@@ -5,21 +5,26 @@
 use chestnut_base::{CallerName, NameError};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use serde_with::formats::SpaceSeparator;
+use serde_with::{DisplayFromStr, StringWithSeparator, serde_as};
 
 use crate::key::KeyDigest;
 use crate::limit::{Limit, Unit, UnitError};
 
 /// A client account.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ClientAccount {
     /// The digests of its keys; none is that of another account.
     #[serde(rename = "key_sha256")]
+    #[serde_as(as = "StringWithSeparator::<SpaceSeparator, KeyDigest>")]
     pub keys: Vec<KeyDigest>,
     /// Its weight when capacity is shared under overload; at least 1.
     pub share: u32,
     /// The priority of its requests, 0 being the highest; `None` leaves it to the route.
     pub priority: Option<u8>,
     /// The most that it may use; `None` if it has no limit.
+    #[serde_as(as = "Option<DisplayFromStr>")]
     pub limit: Option<Limit>,
 }
 
--- a/crates/account/src/key.rs
+++ b/crates/account/src/key.rs
@@ -1,6 +1,7 @@
 //! Hashes of client accounts' keys.
 
 use std::fmt::{self, Debug, Display, Formatter};
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -54,6 +55,14 @@
     }
 }
 
+impl FromStr for KeyDigest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        Self::try_from(text.to_owned())
+    }
+}
+
 impl From<KeyDigest> for String {
     fn from(digest: KeyDigest) -> Self {
         digest.to_string()
--- a/crates/account/src/limit.rs
+++ b/crates/account/src/limit.rs
@@ -1,6 +1,7 @@
 //! Limits on what client accounts use, and how a limit is divided between daemons.
 
 use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -75,6 +76,51 @@
     pub plain_tokens: u32,
 }
 
+impl Display for Unit {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Requests => "requests",
+            Self::Tokens => "tokens",
+        })
+    }
+}
+
+/// The form `100 tokens/s, burst 200, plain 40`.
+impl Display for Limit {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self { unit, rate, burst, plain_tokens } = self;
+        write!(f, "{rate} {unit}/s, burst {burst}, plain {plain_tokens}")
+    }
+}
+
+/// A text that has not the form of a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitError;
+
+impl FromStr for Limit {
+    type Err = LimitError;
+
+    fn from_str(text: &str) -> Result<Self, LimitError> {
+        let parse = || {
+            let (rate, rest) = text.split_once(' ')?;
+            let (unit, rest) = rest.split_once("/s, burst ")?;
+            let (burst, plain) = rest.split_once(", plain ")?;
+            let unit = Unit::try_from(unit).ok()?;
+            let (rate, burst) = (rate.parse().ok()?, burst.parse().ok()?);
+            Self::checked(unit, rate, burst, plain.parse().ok()?).ok()?
+        };
+        parse().ok_or(LimitError)
+    }
+}
+
+impl Display for LimitError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("a limit has another form; write `100 tokens/s, burst 200, plain 40`")
+    }
+}
+
+impl std::error::Error for LimitError {}
+
 /// The most slices that a limit is divided into.
 const MAX_SLICES: u32 = 8;
 
--- a/crates/account/tests/quota_model.rs
+++ b/crates/account/tests/quota_model.rs
@@ -506,3 +506,17 @@
         assert!(!format!("{error:?}").contains("secret"));
     }
 }
+
+#[test]
+fn limits_are_read_as_they_are_shown() {
+    for text in ["100 tokens/s, burst 200, plain 40", "0.1 requests/s, burst 1, plain 0"]
+    {
+        let limit: Limit = text.parse().expect("the limit is valid");
+        assert_eq!(limit.to_string(), text);
+    }
+    for text in
+        ["", "100", "100 letters/s, burst 1, plain 0", "-1 tokens/s, burst 1, plain 0"]
+    {
+        assert!(text.parse::<Limit>().is_err(), "{text}");
+    }
+}
--- a/crates/ctl/src/schema.rs
+++ b/crates/ctl/src/schema.rs
@@ -148,7 +148,14 @@
     Subject {
         name: "callers",
         source: Source::Daemon,
-        fields: &[text("name"), text("team"), number("share"), text("key_sha256")],
+        fields: &[
+            text("name"),
+            text("team"),
+            number("share"),
+            text("key_sha256"),
+            number("priority"),
+            text("limit"),
+        ],
     },
     Subject {
         name: "routes",
