--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -254,7 +254,7 @@
 
     async fn declare_base(&mut self) -> Result<(), Failure> {
         let mut text = include_str!("base.jsonc").to_owned();
-        for caller in ["portal", "caseworker", "trial"] {
+        for caller in ["portal", "caseworker"] {
             let hash = sha256_hex(&format!("key-{caller}"));
             text = text.replace(&format!("@{caller}@"), &hash);
         }
