--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -19,6 +19,8 @@
 }
 
 /// Why a request was refused or failed.
+///
+/// Daemons encode the code by its position: new ones go to the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalCode {
@@ -42,8 +44,6 @@
     Overloaded,
     /// The caller exceeds its share of an overloaded backend server.
     CallerLimit,
-    /// The caller's account has used up its limit.
-    AccountLimit,
     /// The entry has reached its memory limit.
     EntryFull,
     /// The model is declared, but not loaded on any runner yet.
@@ -69,6 +69,8 @@
     Cancelled,
     /// The serving system itself failed.
     Internal,
+    /// The caller's account has used up its limit.
+    AccountLimit,
 }
 
 impl RefusalCode {
