--- a/crates/account/tests/quota_model.rs
+++ b/crates/account/tests/quota_model.rs
@@ -421,7 +421,7 @@
         let mut allowed = limit.burst;
         for _ in 0..3000 {
             model.step();
-            allowed = (allowed + 0.95 * rate * STEP.as_secs_f64()).min(limit.burst);
+            allowed = (allowed + 0.9999 * rate * STEP.as_secs_f64()).min(limit.burst);
             // Callers pause and then use up what they have saved.
             let waits = model.rng.random_bool(0.5);
             let cost = sample_cost(&mut model.rng).min(limit.burst);
