--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use chestnut_account::AccountKey;
-use chestnut_base::{Refusal, ServiceName};
+use chestnut_base::{Digest, Refusal, ServiceName};
 use chestnut_edge::{Call, Declarations, Engine, GenerationSize, Route, RouteKind};
 use chestnut_pool::{Attempts, DemandCounts, GenerationRequest};
 use http::request;
@@ -55,6 +55,8 @@
     pub body: Bytes,
     /// What the deployment's adapter reads from the head.
     pub call: Call,
+    /// Identifies the request: copies that callers send again under other ids have the same.
+    pub digest: Digest,
     /// The declarations in force when it arrived; they apply until its end.
     pub declarations: Arc<Declarations>,
     /// The index of its route in `declarations`.
@@ -185,6 +187,7 @@
             "why" => end.reason, "route" => &route.name,
             "account" => accounts::account_name(&self.declarations, self.account),
             "priority" => self.priority(), "server" => end.server,
+            "digest" => self.digest.to_string(), "body_bytes" => self.body.len(),
             "revision" => self.declarations.revision.0, "ms" => millis(time),
             "prompt" => self.call.size.prompt_tokens, "output" => self.call.size.max_output_tokens,
             "events" => timing.map(|timing| timing.events),
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chestnut_base::{Refusal, RefusalCode, Revision, ServiceName};
+use chestnut_base::{Digest, Refusal, RefusalCode, Revision, ServiceName};
 use chestnut_edge::{Call, Declarations, Route};
 use chestnut_pool::Attempts;
 use chestnut_pool::fleet::RELIST_GRACE;
@@ -95,11 +95,14 @@
     let deadline = arrived_at + budget;
     let matched = &declarations.routes[route];
     let attempts = Attempts::new(matched.kind, matched.max_attempts);
+    let digest =
+        digest(&head, &call.host, accounts::account_name(&declarations, account), &body);
     Ok(Job {
         shared,
         head,
         body,
         call,
+        digest,
         declarations,
         route,
         service,
@@ -173,6 +176,20 @@
     }
 }
 
+/// Hashes what two copies of a request have in common.
+///
+/// Callers send a copy with another id, and may use another key of their account.
+fn digest(head: &request::Parts, host: &str, account: &str, body: &Bytes) -> Digest {
+    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    Digest::of([
+        head.method.as_str().as_bytes(),
+        host.as_bytes(),
+        target.as_bytes(),
+        account.as_bytes(),
+        body,
+    ])
+}
+
 /// Picks one of the route's services at random, in proportion to their weights.
 fn sample_service(route: &Route, rng: &mut impl Rng) -> ServiceName {
     let total: f64 = route.shares.iter().map(|share| share.weight).sum();
