--- a/crates/fake/src/listener.rs
+++ b/crates/fake/src/listener.rs
@@ -30,7 +30,7 @@
 
 impl ServerHandle {
     /// Serves `router` on an address; with port 0 the system chooses the port.
-    pub(crate) async fn serve(
+    pub async fn serve(
         listen: SocketAddr,
         crash_switch: CrashSwitch,
         router: Router,
@@ -79,7 +79,7 @@
 
 /// Simulates a process that can crash and restart on the same port.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct CrashSwitch(Arc<Mutex<ProcessState>>);
+pub struct CrashSwitch(Arc<Mutex<ProcessState>>);
 
 #[derive(Debug, Default)]
 struct ProcessState {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod accounts;
 mod cluster;
 mod command_line;
+mod crashes;
 mod log_diagnosis;
 mod membership;
 mod proxy;
