--- a/crates/once/tests/poison.rs
+++ b/crates/crash/tests/poison.rs
@@ -8,8 +8,8 @@
 use std::time::Instant;
 
 use chestnut_base::{Digest, ServerName};
-use chestnut_once::suspect::CRASH_WINDOW;
-use chestnut_once::{
+use chestnut_crash::tracker::CRASH_WINDOW;
+use chestnut_crash::{
     CrashTracker, DigestStatus, DispatchDecision, DispatchId, StatusChange,
 };
 use proptest::prelude::*;
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{Digest, Refusal, RefusalCode, ServerName};
-use chestnut_once::suspect::{BLOCK_DURATION, SUSPECT_DURATION};
-use chestnut_once::{
+use chestnut_crash::tracker::{BLOCK_DURATION, SUSPECT_DURATION};
+use chestnut_crash::{
     CrashTracker, DigestStatus, DispatchDecision, DispatchId, StatusChange,
 };
 use chestnut_plat::{PlatformError, Row, Txn};
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -12,8 +12,7 @@
 //! 4. [`Event::RunFinished`]: the response is stored, then its end is sent to the
 //!    callers.
 //!
-//! [`record`] defines how the journal is stored, and [`suspect`] finds the requests
-//! that crash backend servers.
+//! [`record`] defines how the journal is stored.
 //!
 //! # Load pattern
 //!
@@ -30,7 +29,6 @@
 pub mod limits;
 pub mod record;
 mod refusals;
-pub mod suspect;
 
 pub use batch::{Batch, Change, CommitResult, Condition};
 pub use event::{AppendResult, Effect, Event, Recovered, Reply, SlotLog};
@@ -41,6 +39,3 @@
     BodyLocation, JournalRow, PAGES_PER_SLOT, Record, Response, ResponseSummary,
     page_prefix, row_key,
 };
-pub use suspect::{
-    CrashTracker, DigestStatus, DispatchDecision, DispatchId, StatusChange,
-};
