--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+use crate::name::ServerName;
 use crate::request::RequestId;
 
 /// Identifies one run of a daemon; a restarted daemon gets a new id.
@@ -71,6 +72,15 @@
     pub number: u64,
 }
 
+/// One incarnation of a backend server, from its start to its end.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// The name, which later incarnations may share.
+    pub server: ServerName,
+    /// Start time in Unix milliseconds, which distinguishes incarnations; `None` if unknown.
+    pub started_at: Option<u64>,
+}
+
 /// A 128-bit hash that identifies a request's target and body.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod request;
 
 pub use clock::{Clock, ManualClock, SystemClock};
-pub use id::{AttemptId, Digest, Fence, MemberId, OrderId, Revision, SlotId, slot_of};
+pub use id::{
+    AttemptId, Digest, Fence, Incarnation, MemberId, OrderId, Revision, SlotId, slot_of,
+};
 pub use name::{
     AdapterName, CallerName, DomainName, KindName, ModelName, NameError, PoolName,
     ServerName, ServiceName, TeamName, VersionName, VmName,
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use chestnut_base::{ModelName, ServerName, ServiceName};
+use chestnut_base::{Incarnation, ModelName, ServerName, ServiceName};
 use chestnut_edge::{Attempt, ResponseHead};
 use chestnut_pool::{
-    AttemptOutcome, DemandCounts, InFlightRequest, Incarnation, PermitOutcome, ServerKey,
+    AttemptOutcome, DemandCounts, InFlightRequest, PermitOutcome, ServerKey,
 };
 use http::{Request, response};
 use hyper::body::Incoming;
--- a/crates/gate/src/bidding.rs
+++ b/crates/gate/src/bidding.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use chestnut_base::id::rendezvous_rank;
-use chestnut_base::{MemberId, ServerName};
+use chestnut_base::{Incarnation, MemberId, ServerName};
 use chestnut_edge::Engine;
 use chestnut_member::ClaimKey;
 use chestnut_pool::choose::UNRESPONSIVE_HOLDER_COST_MS;
 use chestnut_pool::{
-    Bid, Candidate, GenerationRequest, Incarnation, Server, ServerKey, bid,
-    estimate_wait_ms, local_cost_ms,
+    Bid, Candidate, GenerationRequest, Server, ServerKey, bid, estimate_wait_ms,
+    local_cost_ms,
 };
 use futures::future::join_all;
 use indexmap::IndexMap;
--- a/crates/gate/tests/attempts.rs
+++ b/crates/gate/tests/attempts.rs
@@ -7,10 +7,10 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use chestnut_base::ServerName;
+use chestnut_base::{Incarnation, ServerName};
 use chestnut_edge::RouteKind;
 use chestnut_gate::events::{EventDecoder, Sequence};
-use chestnut_pool::{AttemptOutcome, Attempts, Incarnation, RetryDecision};
+use chestnut_pool::{AttemptOutcome, Attempts, RetryDecision};
 use proptest::prelude::*;
 
 const SERVERS: usize = 4;
--- a/crates/pool/src/attempts.rs
+++ b/crates/pool/src/attempts.rs
@@ -10,7 +10,7 @@
 //! servers would otherwise reach all of them, and each retry adds to the load that made
 //! the last attempt fail.
 
-use chestnut_base::ServerName;
+use chestnut_base::Incarnation;
 use chestnut_edge::RouteKind;
 
 /// How an attempt without a complete response ended.
@@ -43,15 +43,6 @@
     GiveUp,
 }
 
-/// One incarnation of a server, from its start to its end.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Incarnation {
-    /// The name, which later incarnations share.
-    pub server: ServerName,
-    /// Start time in Unix milliseconds, which distinguishes incarnations.
-    pub started_at: Option<u64>,
-}
-
 /// The attempts of one request.
 #[derive(Debug, Clone)]
 pub struct Attempts {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -36,7 +36,7 @@
 pub mod unreachable;
 pub mod usage;
 
-pub use attempts::{AttemptOutcome, Attempts, Incarnation, RetryDecision};
+pub use attempts::{AttemptOutcome, Attempts, RetryDecision};
 pub use budget::RetryBudget;
 pub use choose::{
     Bid, Candidate, GenerationRequest, bid, choose, estimate_wait_ms, local_cost_ms,
