crash: decide on reports of several daemons

The tracker knew crashes only from the daemon that dispatches everything to a server. It now also merges the reports of daemons that each know their own requests, waits a quarter of a second for those of one crash, and attributes crashes in one failure domain within a second to one cause. Requests to which the server was already responding count less than those that it had just begun; what was in flight only at explained crashes is cleared. The daemons of the own interface go on isolating suspects; both use the same decision.

--- a/crates/crash/src/tracker.rs
+++ b/crates/crash/src/tracker.rs
@@ -3,23 +3,33 @@
 //! # Load pattern
 //!
 //! Occasionally a request crashes every backend server that runs it, and its caller
-//! sends it again, sometimes under a new id. Without this module each retry and each
-//! resend would cost another backend server with everything that runs on it, until
-//! the pool is empty.
+//! sends it again, sometimes under a new id and to another daemon. Without this module
+//! each retry and each resend would cost another backend server with everything that
+//! runs on it, until the pool is empty.
 //!
 //! # Algorithm
 //!
 //! A crash makes every request in flight on the server a suspect. Suspects are
-//! identified by the digest of the request, so a new id doesn't hide one. A backend
-//! server runs one suspect at a time, so the next crash with a suspect in flight
-//! identifies a single digest, which is then blocked. A harmful request thus costs two
-//! backend servers, if its copies come one after another. Suspects that complete are
-//! cleared, as are those that cause no crash for [`SUSPECT_DURATION`].
+//! identified by the digest of the request, so a new id doesn't hide one. A suspect that
+//! is in flight at another crash is its cause if no other suspect is a likelier one
+//! ([`find_culprits`]), and is then blocked. Suspects that complete are cleared, as are
+//! those that cause no crash for [`SUSPECT_DURATION`], and those that were in flight only
+//! at crashes whose cause was found.
+//!
+//! Where one daemon dispatches all requests to a server, it runs one suspect at a time
+//! there ([`CrashTracker::try_dispatch`]), so that the second crash shows the cause. A
+//! harmful request then costs two backend servers if its copies come one after another.
+//!
+//! Where many daemons dispatch to a server, each reports the requests that it had in
+//! flight, and all decide by all reports once those of a crash have arrived
+//! ([`CrashTracker::settle`]). They also tell which requests the server was responding
+//! to. A suspect that it was not responding to is quarantined: each daemon runs one copy
+//! of it at a time ([`CrashTracker::try_dispatch_shared`]).
 //!
 //! Servers that fail together, for example with their rack, do so within a second. A
 //! request that is retried at once could be in flight on two of them and would be
-//! blocked for a failure that it did not cause. So a suspect is dispatched again only
-//! [`CRASH_WINDOW`] after the crash, and only a crash during such a dispatch blocks it.
+//! blocked for a failure that it did not cause. So crashes in one failure domain count
+//! as one for [`CRASH_WINDOW`].
 //!
 //! # False positives
 //!
@@ -30,23 +40,19 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::{Digest, ServerName};
-use indexmap::{IndexMap, IndexSet};
+use chestnut_base::{Digest, DomainName, Incarnation};
+use indexmap::IndexMap;
+
+use crate::evidence::{
+    CRASH_WINDOW, Crash, CrashEvent, CrashReport, ReportedRequest, Rival, RunPhase,
+    count_apart, find_culprits,
+};
 
 /// How long a digest stays suspect if it doesn't run again.
 ///
 /// Callers retry a failed request within their deadlines, which are minutes.
 pub const SUSPECT_DURATION: Duration = Duration::from_secs(600);
 
-/// How long after a crash of a backend server further cut streams there count as the
-/// same crash.
-///
-/// A dying process still accepts connections for some milliseconds. A request that is
-/// sent to it then is cut as well, which must not block an innocent suspect. Engines
-/// need many seconds to start and load a model, so a second crash can't happen within
-/// this time. Servers that lose a common power supply fail within it too.
-pub const CRASH_WINDOW: Duration = Duration::from_secs(1);
-
 /// How long a digest stays blocked.
 ///
 /// Within a day someone has examined the request or fixed the engine.
@@ -54,10 +60,22 @@
 
 /// The maximum number of digests that are tracked.
 ///
-/// At 100 bytes each they take under half a megabyte; a crash adds at most the
-/// streams of one backend server.
+/// At 200 bytes each they take under a megabyte; a crash adds at most the streams of one
+/// backend server.
 pub const MAX_DIGESTS: usize = 4096;
 
+/// How long after the first report of a crash its cause is decided.
+///
+/// Daemons notice a crash within milliseconds of each other, a busy one later, and repeat a
+/// lost report. Only copies of the likely cause wait for the decision.
+pub const SETTLE_TIME: Duration = Duration::from_millis(250);
+
+/// How long the requests in flight at a crash are retained for late reports.
+const CRASH_RETENTION: Duration = Duration::from_secs(10);
+
+/// The number of crashes that are retained for each digest.
+const MAX_EVENTS: usize = 4;
+
 /// Identifies one dispatch of a request to a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct DispatchId(u64);
@@ -67,10 +85,11 @@
 pub enum DispatchDecision {
     /// It may; it now counts as in flight.
     Dispatch(DispatchId),
-    /// Another suspect runs on the backend server; wait until it has finished.
+    /// Another suspect runs on the backend server, or another copy of this one is in
+    /// flight; wait until it has finished.
     Wait,
-    /// It became a suspect recently; wait until this time, by which every server that
-    /// fails together with the first has failed.
+    /// It was in flight at a recent crash; wait until this time, by which the crash can be
+    /// attributed.
     WaitUntil(Instant),
     /// The digest is blocked.
     Refuse,
@@ -81,42 +100,43 @@
 pub enum DigestStatus {
     /// It was in flight at a crash, possibly among others.
     Suspect,
-    /// It was the only suspect in flight at a second crash.
+    /// It caused a crash, and was in flight at an earlier one.
     Blocked,
 }
 
 /// A change of a digest's status.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StatusChange {
-    /// Hash of the target and the body of the request.
+    /// Identifies the request and its copies.
     pub digest: Digest,
     /// The new status; `None` if the digest was cleared.
     pub status: Option<DigestStatus>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct TrackedDigest {
     status: DigestStatus,
     /// When it first became a suspect.
     since: Instant,
     expires_at: Instant,
+    /// The crashes at which it was in flight, oldest first; at most [`MAX_EVENTS`].
+    crashes: Vec<CrashEvent>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct InFlight {
     id: DispatchId,
     digest: Digest,
-    /// Dispatched as a suspect, so that a crash can block the digest.
-    was_suspect: bool,
+    phase: RunPhase,
 }
 
 /// Tracks suspect and blocked digests and the requests in flight on each server.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     digests: IndexMap<Digest, TrackedDigest>,
-    in_flight: IndexMap<ServerName, Vec<InFlight>>,
-    /// When backend servers crashed; retained for [`CRASH_WINDOW`].
-    crashes: IndexMap<ServerName, Instant>,
+    in_flight: IndexMap<Incarnation, Vec<InFlight>>,
+    /// The latest crash of each incarnation; retained for [`CRASH_RETENTION`].
+    crashes: IndexMap<Incarnation, Crash>,
     last_dispatch: u64,
 }
 
@@ -132,10 +152,22 @@
         (now < tracked.expires_at).then_some(tracked.status)
     }
 
-    /// Decides whether a request may be dispatched, and if so counts it as in flight.
+    /// Whether a digest is a suspect to which a server that crashed had not responded, or
+    /// that was in flight at several crashes.
+    pub fn is_quarantined(&self, digest: Digest, now: Instant) -> bool {
+        let is_likely = |tracked: &TrackedDigest| {
+            tracked.crashes.iter().any(|event| !event.has_responded)
+                || count_apart(tracked.crashes.iter()) > 1
+        };
+        self.status(digest, now) == Some(DigestStatus::Suspect)
+            && self.digests.get(&digest).is_some_and(is_likely)
+    }
+
+    /// Decides whether a request may be dispatched to a server to which this daemon alone
+    /// dispatches, and if so counts it as in flight.
     pub fn try_dispatch(
         &mut self,
-        server: &ServerName,
+        server: &Incarnation,
         digest: Digest,
         now: Instant,
     ) -> DispatchDecision {
@@ -154,15 +186,42 @@
             }
             None => {}
         }
-        self.last_dispatch += 1;
-        let id = DispatchId(self.last_dispatch);
-        let in_flight = self.in_flight.entry(server.clone()).or_default();
-        in_flight.push(InFlight { id, digest, was_suspect: status.is_some() });
-        DispatchDecision::Dispatch(id)
+        let phase = RunPhase::Unknown { was_suspect: status.is_some() };
+        DispatchDecision::Dispatch(self.begin(server, digest, phase))
+    }
+
+    /// Decides whether a request may be dispatched to a server to which other daemons
+    /// dispatch as well, and if so counts it as in flight.
+    ///
+    /// A request that may have caused a crash waits until that is decided.
+    pub fn try_dispatch_shared(
+        &mut self,
+        server: &Incarnation,
+        digest: Digest,
+        now: Instant,
+    ) -> DispatchDecision {
+        if self.status(digest, now) == Some(DigestStatus::Blocked) {
+            return DispatchDecision::Refuse;
+        }
+        if let Some(until) = self.undecided_until(digest, now) {
+            return DispatchDecision::WaitUntil(until);
+        }
+        if self.is_quarantined(digest, now) && self.is_running(digest) {
+            return DispatchDecision::Wait;
+        }
+        DispatchDecision::Dispatch(self.begin(server, digest, RunPhase::Pending))
+    }
+
+    /// Records that a server has begun to respond to a request.
+    pub fn record_response(&mut self, server: &Incarnation, id: DispatchId) {
+        let in_flight = self.in_flight.get_mut(server).into_iter().flatten();
+        for request in in_flight.filter(|request| request.id == id) {
+            request.phase = RunPhase::Responding;
+        }
     }
 
     /// Whether a request is still in flight and no crash was attributed to it.
-    pub fn is_in_flight(&self, server: &ServerName, id: DispatchId) -> bool {
+    pub fn is_in_flight(&self, server: &Incarnation, id: DispatchId) -> bool {
         let in_flight = self.in_flight.get(server);
         in_flight.is_some_and(|requests| requests.iter().any(|request| request.id == id))
     }
@@ -171,7 +230,7 @@
     /// cleared.
     pub fn finish(
         &mut self,
-        server: &ServerName,
+        server: &Incarnation,
         id: DispatchId,
         completed: bool,
     ) -> Option<StatusChange> {
@@ -181,87 +240,127 @@
         if in_flight.is_empty() {
             self.in_flight.swap_remove(server);
         }
-        let is_suspect =
-            |tracked: &TrackedDigest| tracked.status == DigestStatus::Suspect;
-        let cleared =
-            completed && self.digests.get(&request.digest).is_some_and(is_suspect);
-        if !cleared {
-            return None;
-        }
-        self.digests.swap_remove(&request.digest);
-        Some(StatusChange { digest: request.digest, status: None })
+        completed.then(|| self.clear(request.digest)).flatten()
     }
 
-    /// Attributes the crash of a backend server to the requests in flight on it.
+    /// Clears a suspect that has completed, also at another daemon.
+    pub fn clear(&mut self, digest: Digest) -> Option<StatusChange> {
+        let tracked = self.digests.get(&digest)?;
+        (tracked.status == DigestStatus::Suspect).then(|| {
+            self.digests.swap_remove(&digest);
+            StatusChange { digest, status: None }
+        })
+    }
+
+    /// Attributes the crash of a backend server to the requests in flight on it, if this
+    /// daemon dispatches all of its requests.
     ///
     /// They no longer count as in flight, so their own later reports of the same crash
     /// have no effect.
     pub fn record_crash(
         &mut self,
-        server: &ServerName,
+        server: &Incarnation,
         now: Instant,
     ) -> Vec<StatusChange> {
+        let report = self.observe_crash(server, None, now);
+        let mut changes = self.decide(server, now);
+        for ReportedRequest { digest, .. } in report.requests {
+            let is_listed = changes.iter().any(|change| change.digest == digest);
+            let status = self.status(digest, now).filter(|_| !is_listed);
+            changes.extend(status.map(|_| StatusChange { digest, status }));
+        }
+        changes
+    }
+
+    /// Records a crash that this daemon observed, and returns its report for the others.
+    ///
+    /// The requests no longer count as in flight.
+    pub fn observe_crash(
+        &mut self,
+        server: &Incarnation,
+        domain: Option<&DomainName>,
+        now: Instant,
+    ) -> CrashReport {
         let in_flight = self.in_flight.swap_remove(server).unwrap_or_default();
-        let dispatched_as_suspect: IndexSet<Digest> = in_flight
-            .iter()
-            .filter(|request| request.was_suspect)
-            .map(|request| request.digest)
-            .collect();
-        let digests: IndexSet<Digest> =
-            in_flight.into_iter().map(|request| request.digest).collect();
-        let suspects: Vec<Digest> = digests
-            .iter()
-            .copied()
-            .filter(|digest| self.status(*digest, now).is_some())
-            .collect();
-        self.crashes.retain(|_, at| now < *at + CRASH_WINDOW);
-        let same_crash = self.crashes.contains_key(server);
-        self.crashes.entry(server.clone()).or_insert(now);
-        let culprit = match suspects.as_slice() {
-            [only] if !same_crash && dispatched_as_suspect.contains(only) => Some(*only),
-            // The cause is uncertain: there was no suspect or more than one, the suspect
-            // became one only while it ran, or the cut streams belong to an earlier
-            // crash.
-            _ => None,
+        let requests = in_flight.into_iter().map(|request| {
+            let InFlight { digest, phase, .. } = request;
+            ReportedRequest { digest, phase }
+        });
+        let report = CrashReport {
+            incarnation: server.clone(),
+            domain: domain.cloned(),
+            requests: requests.collect(),
         };
-        let change = |digest: Digest| {
-            let status = match culprit == Some(digest) {
-                true => DigestStatus::Blocked,
-                false => DigestStatus::Suspect,
-            };
-            StatusChange { digest, status: Some(status) }
+        self.merge(&report, now);
+        report
+    }
+
+    /// Adds a daemon's report to what is known of a crash; a repeated report has no effect.
+    pub fn merge(&mut self, report: &CrashReport, now: Instant) {
+        let CrashReport { incarnation, domain, requests } = report;
+        self.crashes.retain(|_, crash| now < crash.at + CRASH_RETENTION);
+        // Incarnations of unknown start are told apart by time alone.
+        let is_over = |crash: &Crash| {
+            incarnation.started_at.is_none() && now >= crash.at + CRASH_WINDOW
         };
-        let changes: Vec<_> = digests.into_iter().map(change).collect();
-        for change in &changes {
-            self.apply(*change, now);
+        if self.crashes.get(incarnation).is_some_and(is_over) {
+            self.crashes.swap_remove(incarnation);
+        }
+        let crash = self.crashes.entry(incarnation.clone()).or_insert_with(|| Crash {
+            domain: domain.clone(),
+            at: now,
+            requests: IndexMap::new(),
+            is_decided: false,
+            is_explained: false,
+        });
+        let mut added = Vec::new();
+        for ReportedRequest { digest, phase } in requests {
+            match crash.requests.get_mut(digest) {
+                Some(known) => *known = known.merge(*phase),
+                None => {
+                    crash.requests.insert(*digest, *phase);
+                    added.push((*digest, *phase == RunPhase::Responding));
+                }
+            }
+        }
+        crash.is_decided &= added.is_empty();
+        if crash.is_explained {
+            return;
+        }
+        let (domain, at) = (crash.domain.clone(), crash.at);
+        for (digest, has_responded) in added {
+            let (incarnation, domain) = (Some(incarnation.clone()), domain.clone());
+            let event = CrashEvent { incarnation, domain, at, has_responded };
+            self.add_suspect(digest, event, now);
         }
-        changes
+    }
+
+    /// Decides on the crashes that were reported [`SETTLE_TIME`] ago or earlier; returns the
+    /// digests that were blocked or cleared.
+    pub fn settle(&mut self, now: Instant) -> Vec<StatusChange> {
+        let is_due = |crash: &Crash| !crash.is_decided && now >= crash.at + SETTLE_TIME;
+        let due = self.crashes.iter().filter(|(_, crash)| is_due(crash));
+        let due: Vec<Incarnation> = due.map(|(server, _)| server.clone()).collect();
+        due.iter().flat_map(|server| self.decide(server, now)).collect()
     }
 
     /// Applies a status change, also one from another daemon; a blocked digest doesn't
     /// become a suspect again.
     pub fn apply(&mut self, change: StatusChange, now: Instant) {
-        let Some(status) = change.status else {
-            self.digests.swap_remove(&change.digest);
-            return;
-        };
-        let current = self.status(change.digest, now);
-        if current == Some(DigestStatus::Blocked) && status == DigestStatus::Suspect {
-            return;
-        }
-        let duration = match status {
-            DigestStatus::Suspect => SUSPECT_DURATION,
-            DigestStatus::Blocked => BLOCK_DURATION,
-        };
-        // A repeated report is no new crash and doesn't restart the crash window.
-        let tracked = self.digests.get(&change.digest).filter(|_| current.is_some());
-        let since = tracked.map_or(now, |tracked| tracked.since);
-        self.digests.insert(
-            change.digest,
-            TrackedDigest { status, since, expires_at: now + duration },
-        );
-        if self.digests.len() > MAX_DIGESTS {
-            self.evict(now);
+        match change.status {
+            None => drop(self.digests.swap_remove(&change.digest)),
+            // A repeated report is no new crash and doesn't restart the crash window.
+            Some(DigestStatus::Suspect) if self.status(change.digest, now).is_some() => {}
+            Some(DigestStatus::Suspect) => {
+                let event = CrashEvent {
+                    incarnation: None,
+                    domain: None,
+                    at: now,
+                    has_responded: false,
+                };
+                self.add_suspect(change.digest, event, now);
+            }
+            Some(DigestStatus::Blocked) => self.block(change.digest, now),
         }
     }
 
@@ -273,7 +372,153 @@
         (self.digests.len() - blocked, blocked)
     }
 
-    fn runs_suspect(&self, server: &ServerName, now: Instant) -> bool {
+    /// Decides which request caused a crash, by all reports so far.
+    fn decide(&mut self, server: &Incarnation, now: Instant) -> Vec<StatusChange> {
+        let Some(crash) = self.crashes.get(server) else { return Vec::new() };
+        let culprits = match crash.is_explained {
+            true => Vec::new(),
+            false => find_culprits(&self.rivals(server, crash, now)),
+        };
+        if let Some(crash) = self.crashes.get_mut(server) {
+            crash.is_decided = true;
+        }
+        let mut changes = Vec::new();
+        for digest in culprits {
+            changes.extend(self.explain_crashes(digest));
+            self.block(digest, now);
+            changes.push(StatusChange { digest, status: Some(DigestStatus::Blocked) });
+        }
+        changes
+    }
+
+    /// The requests in flight at a crash that were in flight at earlier ones.
+    fn rivals(&self, server: &Incarnation, crash: &Crash, now: Instant) -> Vec<Rival> {
+        let rival = |(&digest, &phase): (&Digest, &RunPhase)| {
+            let events = self.events_before(digest, server, crash, now);
+            let pending = events.iter().filter(|event| !event.has_responded);
+            let pending_crashes = count_apart(pending.copied());
+            let earlier_crashes = count_apart(events.iter().copied());
+            let rival = Rival { digest, phase, earlier_crashes, pending_crashes };
+            (earlier_crashes > 0).then_some(rival)
+        };
+        crash.requests.iter().filter_map(rival).collect()
+    }
+
+    /// Clears the digests that are suspect only because of crashes that `culprit` caused.
+    ///
+    /// Not those that were pending at several crashes: two harmful requests may run beside
+    /// each other.
+    fn explain_crashes(&mut self, culprit: Digest) -> Vec<StatusChange> {
+        let Some(tracked) = self.digests.get(&culprit) else { return Vec::new() };
+        let events = tracked.crashes.iter();
+        let servers: Vec<Incarnation> =
+            events.filter_map(|event| event.incarnation.clone()).collect();
+        for server in &servers {
+            if let Some(crash) = self.crashes.get_mut(server) {
+                crash.is_explained = true;
+            }
+        }
+        let is_explained = |event: &CrashEvent| {
+            event.incarnation.as_ref().is_some_and(|server| servers.contains(server))
+        };
+        let mut cleared = Vec::new();
+        self.digests.retain(|&digest, tracked| {
+            let pending = tracked.crashes.iter().filter(|event| !event.has_responded);
+            let is_blocked = tracked.status == DigestStatus::Blocked;
+            if digest == culprit || is_blocked || count_apart(pending) > 1 {
+                return true;
+            }
+            tracked.crashes.retain(|event| !is_explained(event));
+            if tracked.crashes.is_empty() {
+                cleared.push(StatusChange { digest, status: None });
+            }
+            !tracked.crashes.is_empty()
+        });
+        cleared
+    }
+
+    /// The crashes before this one at which a digest was in flight, and which have causes of
+    /// their own.
+    fn events_before(
+        &self,
+        digest: Digest,
+        server: &Incarnation,
+        crash: &Crash,
+        now: Instant,
+    ) -> Vec<&CrashEvent> {
+        let is_suspect = self.status(digest, now) == Some(DigestStatus::Suspect);
+        let tracked = self.digests.get(&digest).filter(|_| is_suspect);
+        let events = tracked.into_iter().flat_map(|tracked| &tracked.crashes);
+        let is_earlier = |event: &&CrashEvent| {
+            event.at <= crash.at
+                && event.is_apart_from(server, crash.domain.as_ref(), crash.at)
+        };
+        events.filter(is_earlier).collect()
+    }
+
+    /// Until when it is undecided whether a digest caused a crash; `None` if it is decided
+    /// or the digest was in flight at no earlier crash.
+    fn undecided_until(&self, digest: Digest, now: Instant) -> Option<Instant> {
+        let undecided = self.crashes.iter().filter(|(_, crash)| !crash.is_decided);
+        let rivals = undecided.filter(|(server, crash)| {
+            crash.requests.contains_key(&digest)
+                && !self.events_before(digest, server, crash, now).is_empty()
+        });
+        rivals.map(|(_, crash)| crash.at + SETTLE_TIME).filter(|at| now < *at).max()
+    }
+
+    fn begin(
+        &mut self,
+        server: &Incarnation,
+        digest: Digest,
+        phase: RunPhase,
+    ) -> DispatchId {
+        self.last_dispatch += 1;
+        let id = DispatchId(self.last_dispatch);
+        let in_flight = self.in_flight.entry(server.clone()).or_default();
+        in_flight.push(InFlight { id, digest, phase });
+        id
+    }
+
+    /// Whether a copy is in flight at any server.
+    fn is_running(&self, digest: Digest) -> bool {
+        self.in_flight.values().flatten().any(|request| request.digest == digest)
+    }
+
+    fn add_suspect(&mut self, digest: Digest, event: CrashEvent, now: Instant) {
+        match self.status(digest, now) {
+            Some(DigestStatus::Blocked) => return,
+            Some(DigestStatus::Suspect) => {}
+            None => drop(self.digests.swap_remove(&digest)),
+        }
+        let expires_at = now + SUSPECT_DURATION;
+        let new = || TrackedDigest {
+            status: DigestStatus::Suspect,
+            since: event.at,
+            expires_at,
+            crashes: Vec::new(),
+        };
+        let tracked = self.digests.entry(digest).or_insert_with(new);
+        tracked.expires_at = expires_at;
+        tracked.crashes.push(event);
+        if tracked.crashes.len() > MAX_EVENTS {
+            tracked.crashes.remove(0);
+        }
+        self.evict(now);
+    }
+
+    fn block(&mut self, digest: Digest, now: Instant) {
+        let blocked = TrackedDigest {
+            status: DigestStatus::Blocked,
+            since: now,
+            expires_at: now + BLOCK_DURATION,
+            crashes: Vec::new(),
+        };
+        self.digests.insert(digest, blocked);
+        self.evict(now);
+    }
+
+    fn runs_suspect(&self, server: &Incarnation, now: Instant) -> bool {
         let in_flight = self.in_flight.get(server);
         in_flight.into_iter().flatten().any(|request| {
             self.status(request.digest, now) == Some(DigestStatus::Suspect)
@@ -282,6 +527,9 @@
 
     /// Removes expired digests or, if there are none, the oldest suspect.
     fn evict(&mut self, now: Instant) {
+        if self.digests.len() <= MAX_DIGESTS {
+            return;
+        }
         self.digests.retain(|_, tracked| now < tracked.expires_at);
         if self.digests.len() <= MAX_DIGESTS {
             return;
--- a/crates/crash/tests/poison.rs
+++ b/crates/crash/tests/poison.rs
@@ -7,8 +7,8 @@
 
 use std::time::Instant;
 
-use chestnut_base::{Digest, ServerName};
-use chestnut_crash::tracker::CRASH_WINDOW;
+use chestnut_base::{Digest, Incarnation, ServerName};
+use chestnut_crash::evidence::CRASH_WINDOW;
 use chestnut_crash::{
     CrashTracker, DigestStatus, DispatchDecision, DispatchId, StatusChange,
 };
@@ -47,8 +47,9 @@
     crashes_caused: Vec<u32>,
 }
 
-fn server(number: usize) -> ServerName {
-    ServerName::try_from(format!("r{number}")).expect("a valid name")
+fn server(number: usize) -> Incarnation {
+    let server = ServerName::try_from(format!("r{number}")).expect("a valid name");
+    Incarnation { server, started_at: None }
 }
 
 fn digest(number: u8) -> Digest {
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use chestnut_base::{Digest, Refusal, RefusalCode, ServerName};
+use chestnut_base::{Digest, Incarnation, Refusal, RefusalCode};
 use chestnut_crash::tracker::{BLOCK_DURATION, SUSPECT_DURATION};
 use chestnut_crash::{
     CrashTracker, DigestStatus, DispatchDecision, DispatchId, StatusChange,
@@ -91,7 +91,8 @@
 /// A request in flight at a backend server, registered until it is dropped.
 pub struct DispatchGuard {
     poison: Arc<PoisonGuard>,
-    server: ServerName,
+    /// The server; its lead doesn't know when it started.
+    server: Incarnation,
     id: DispatchId,
 }
 
@@ -132,6 +133,7 @@
         out: &mpsc::Sender<PeerResponse>,
     ) -> Result<DispatchGuard, Refusal> {
         let deadline = shared.clock.now() + run.request.budget;
+        let server = Incarnation { server: run.server.clone(), started_at: None };
         if run.suspect {
             // The notification of the crash may not have arrived yet.
             let suspect = CrashSuspect { digest: run.request.digest, confirmed: false };
@@ -141,9 +143,8 @@
             let finished = self.finished.notified();
             let now = shared.clock.now();
             let mut wake_at = deadline;
-            match self.lock().try_dispatch(&run.server, run.request.digest, now) {
+            match self.lock().try_dispatch(&server, run.request.digest, now) {
                 DispatchDecision::Dispatch(id) => {
-                    let server = run.server.clone();
                     return Ok(DispatchGuard { poison: self.clone(), server, id });
                 }
                 DispatchDecision::Refuse => {
@@ -237,13 +238,15 @@
         self.poison.finished.notify_waiters();
         let counters = &self.poison.counters;
         counters.crashes.inc();
-        counters.suspects.inc_by(changes.len() as u64);
-        warn!(node.shared.log, "a backend server crashed"; "server" => self.server.as_str(),
-            "in_flight" => changes.len());
+        let in_flight = changes.iter().filter(|change| change.status.is_some()).count();
+        counters.suspects.inc_by(in_flight as u64);
+        let server = self.server.server.as_str();
+        warn!(node.shared.log, "a backend server crashed"; "server" => server,
+            "in_flight" => in_flight);
         for change in &changes {
             if change.status == Some(DigestStatus::Blocked) {
                 counters.blocked.inc();
-                let (digest, server) = (change.digest.to_string(), self.server.as_str());
+                let digest = change.digest.to_string();
                 warn!(node.shared.log, "a request crashed a second backend server \
                     and is blocked"; "digest" => digest, "server" => server);
             }
