gate: log the limits that servers name

The adapter reads the header and a daemon logs each change of a server's limit. Nothing is decided by it yet.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -153,7 +153,7 @@
 }
 
 /// What the daemon reads from the head of a backend server's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHead {
     /// The id of the attempt, as echoed by the server.
     pub id: Option<String>,
@@ -165,4 +165,47 @@
     pub signed: bool,
     /// How long the server keeps an idle connection open, if it announces it.
     pub keep_alive: Option<Duration>,
+    /// How many requests the server takes from all daemons together, if it names a limit.
+    pub request_limit: Option<RequestRate>,
+}
+
+/// A number of requests a second; finite and not negative.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct RequestRate(f64);
+
+/// A number that is no rate: it is negative or not finite.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct InvalidRate(pub f64);
+
+impl RequestRate {
+    /// The number of requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
 }
+
+impl TryFrom<f64> for RequestRate {
+    type Error = InvalidRate;
+
+    fn try_from(rate: f64) -> Result<Self, InvalidRate> {
+        match rate.is_finite() && rate >= 0.0 {
+            true => Ok(Self(rate)),
+            false => Err(InvalidRate(rate)),
+        }
+    }
+}
+
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> f64 {
+        rate.0
+    }
+}
+
+impl Display for InvalidRate {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is no rate of requests; name a finite number of 0 or more", self.0)
+    }
+}
+
+impl std::error::Error for InvalidRate {}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,8 +18,8 @@
 pub mod store;
 
 pub use call::{
-    Attempt, Call, CallError, Caller, Credential, GenerationSize, PromptPart,
-    ResponseHead, TargetModel,
+    Attempt, Call, CallError, Caller, Credential, GenerationSize, InvalidRate,
+    PromptPart, RequestRate, ResponseHead, TargetModel,
 };
 pub use declared::{
     Declarations, Engine, Model, RequestLimits, Route, RouteKind, Service, TrafficShare,
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::message::FirstEvent;
 use crate::permit::Permit;
 use crate::shared::Shared;
-use crate::{accounts, crashes, planner, usage_reports};
+use crate::{accounts, crashes, planner, server_limits, usage_reports};
 
 /// How long after its arrival a request waits for the response of one server before another
 /// is tried, as a multiple of the route's objective.
@@ -291,6 +291,7 @@
     let connection =
         connected.map_err(|error| AttemptError::Unreachable(error.to_string()))?;
     in_flight.dispatch = Some(crashes::begin_dispatch(job, target).await?);
+    let sent_at = shared.now();
     let request = build_request(job, target, resume_after);
     let mut sending = pin!(connection.send(request));
     let mut early_result = None;
@@ -317,6 +318,9 @@
         // request runs is unknown.
         return Err(AttemptError::Lost("the response is for another request".into()));
     }
+    if !metadata.misdirected {
+        server_limits::observe(job, target, &metadata, sent_at);
+    }
     if metadata.not_run || metadata.misdirected {
         return Err(AttemptError::Rejected(head.status.as_u16()));
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod relay;
 pub mod run;
 pub mod serve;
+pub mod server_limits;
 pub mod settings;
 pub mod shared;
 pub mod store;
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use axum::Router;
-use chestnut_base::{Clock, MemberId};
+use chestnut_base::{Clock, Incarnation, MemberId};
 use chestnut_edge::Dialect;
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info, warn};
@@ -200,7 +200,12 @@
     loop {
         sleep(PRUNE_PERIOD).await;
         shared.client.close_expired();
-        shared.fleet().remove_missing(shared.now());
+        let listed: Vec<Incarnation> = {
+            let mut fleet = shared.fleet();
+            fleet.remove_missing(shared.now());
+            fleet.iter().map(|(_, server)| server.incarnation()).collect()
+        };
+        shared.server_limits().retain(|server| listed.contains(server));
     }
 }
 
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -9,7 +9,7 @@
 use chestnut_member::{ClaimKey, MembershipRows, Neighbours, SuspensionDetector};
 use chestnut_pool::budget::RetryBound;
 use chestnut_pool::placement::PlacementPlanner;
-use chestnut_pool::{EngineTimings, Fleet, RetryBudget};
+use chestnut_pool::{EngineTimings, Fleet, RetryBudget, ServerLimits};
 use indexmap::IndexMap;
 use slog::{Logger, warn};
 use tokio::sync::watch;
@@ -96,6 +96,7 @@
     /// Whether the system table has been read.
     pub system_table_loaded: watch::Sender<bool>,
     fleet: Mutex<Fleet>,
+    server_limits: Mutex<ServerLimits>,
     membership: Mutex<MembershipRows>,
     /// The daemons that this one exchanges heartbeats with.
     neighbours: Mutex<Neighbours>,
@@ -152,6 +153,7 @@
             tables,
             system_table_loaded: watch::Sender::new(false),
             fleet: Mutex::default(),
+            server_limits: Mutex::default(),
             membership: Mutex::default(),
             neighbours: Mutex::default(),
             held_runners: Mutex::default(),
@@ -180,6 +182,11 @@
         self.fleet.lock().expect("no holder of the lock panics")
     }
 
+    /// Locks the limits on requests that servers have announced.
+    pub fn server_limits(&self) -> MutexGuard<'_, ServerLimits> {
+        self.server_limits.lock().expect("no holder of the lock panics")
+    }
+
     /// Locks the rows of daemons and claims.
     pub fn membership(&self) -> MutexGuard<'_, MembershipRows> {
         self.membership.lock().expect("no holder of the lock panics")
--- a/crates/pool/src/fleet.rs
+++ b/crates/pool/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::{ServerName, ServiceName};
+use chestnut_base::{Incarnation, ServerName, ServiceName};
 use chestnut_edge::{Phase, ServerEntry};
 use indexmap::IndexMap;
 use slotmap::{SlotMap, new_key_type};
@@ -28,6 +28,14 @@
     pub missing_since: Option<Instant>,
 }
 
+impl Server {
+    /// Its current incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        let server = self.entry.name.clone();
+        Incarnation { server, started_at: self.entry.started_at_ms }
+    }
+}
+
 /// The backend servers of all services.
 #[derive(Debug, Default)]
 pub struct Fleet {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,7 +13,8 @@
 //! 7. [`queue`] decides which server of a plain service runs which request, and when,
 //! 8. [`attempts`] decides what may follow an attempt without a complete response, and
 //!    whether the request may have run,
-//! 9. [`budget`] bounds how often requests are retried.
+//! 9. [`budget`] bounds how often requests are retried,
+//! 10. [`server_limits`] tracks how many requests servers say that they take.
 //!
 //! Independently of requests, [`placement`] plans which runner holds which model, by
 //! [`demand`] and at the rate of the [`pacer`] for the weight store, without servers that
@@ -32,6 +33,7 @@
 pub mod prefix;
 pub mod queue;
 pub mod runner;
+pub mod server_limits;
 pub mod timing;
 pub mod unreachable;
 pub mod usage;
@@ -53,5 +55,6 @@
     ListedServer, PermitOutcome, PermitQueue, PlainRequest, QueueDecision, RequestKey,
 };
 pub use runner::{AdapterNeed, AdapterState, RunnerView};
+pub use server_limits::{LimitSighting, ServerLimits};
 pub use timing::EngineTimings;
 pub use usage::{InFlightRequest, Usage};
