gate: don't write the row of a block that was lifted

The second daemon to write the row of a blocked request did so though an operator had deleted the first one's in between, which blocked the request again.

--- a/crates/gate/src/blocked_requests.rs
+++ b/crates/gate/src/blocked_requests.rs
@@ -15,6 +15,7 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
+use crate::crashes;
 use crate::shared::Shared;
 use crate::store::{self, StoreError};
 use crate::table_sync::{self, ChangeHandler, SYSTEM_TABLE};
@@ -103,7 +104,8 @@
         &key,
         value,
     );
-    while !shared.crashes.has_row(digest) {
+    // An operator may have deleted the row that another daemon wrote.
+    while crashes::is_blocked(&shared, digest) && !shared.crashes.has_row(digest) {
         let result = store::commit(&shared, &transaction).await;
         info!(shared.log, "blocked request persisted"; "digest" => digest.to_string(),
             "answer" => format!("{result:?}"));
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -104,6 +104,9 @@
     .await;
     let crashes = crash_times(&cluster).len();
     cluster.store.put("chestnut", &blocked_row().expect("the row exists"), None);
+    // No daemon writes it again.
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(blocked_row(), None);
     wait_until("the request reaches a runner", async || {
         cluster.send(0, &copy).await;
         crash_times(&cluster).len() > crashes
