--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod command_line;
 mod crashes;
+mod limits;
 mod log_diagnosis;
 mod membership;
 mod proxy;
