--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -183,6 +183,11 @@
     pub fn per_second(self) -> f64 {
         self.0
     }
+
+    /// An equal share of the rate; `parts` of 0 count as 1.
+    pub fn divided_by(self, parts: usize) -> Self {
+        Self(self.0 / parts.max(1) as f64)
+    }
 }
 
 impl TryFrom<f64> for RequestRate {
--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -264,12 +264,21 @@
         PrefillAction::Expired(queued) => {
             decide(shared, runner, queued.ticket, AdmissionVerdict::Denied)
         }
-        PrefillAction::WaitUntil(until) => return Some(until.min(latest_check)),
-        PrefillAction::Idle => return Some(latest_check),
+        PrefillAction::WaitUntil(until) => {
+            return Some(until.min(latest_check).min(paced_until(runner, now)));
+        }
+        PrefillAction::Idle => return Some(latest_check.min(paced_until(runner, now))),
     }
     None
 }
 
+/// Until when the limit that the runner announces holds up requests; a later time if it
+/// holds up none.
+fn paced_until(runner: &HeldRunner, now: Instant) -> Instant {
+    let ready_at = runner.state().next_request_at().filter(|at| now < *at);
+    ready_at.unwrap_or(now + MAX_CHECK_INTERVAL)
+}
+
 /// Denies all queued requests, because the runner accepts no new ones.
 ///
 /// A request that stayed queued while the runner drains could be sent after the time within
@@ -328,6 +337,7 @@
             state.prefix_cache.uncertain_tokens(&request.target, &request.parts);
         state.prefix_cache.record_sent(&request.target, &request.parts, kv_capacity);
         state.mark_adapter_used(&request.target, now);
+        state.record_request_sent(now);
         (
             uncached_tokens,
             f64::from(uncertain_tokens)
@@ -357,18 +367,21 @@
     runner: &HeldRunner,
     now: Instant,
 ) -> Option<RunnerCapacity> {
-    let is_listed = {
+    let incarnation = {
         let fleet = shared.fleet();
         let server = fleet.get(fleet.key(&runner.server)?)?;
-        fleet.is_listed(server, now)
+        fleet.is_listed(server, now).then(|| server.incarnation())?
     };
-    if !is_listed {
-        return None;
-    }
     let engine = shared.engine_of(&runner.server)?;
-    let usage = runner.state().total_usage(now);
+    let limit = shared.server_limits().rate(&incarnation);
+    let (usage, is_paced) = {
+        let mut state = runner.state();
+        state.set_request_limit(limit, now);
+        (state.total_usage(now), state.next_request_at().is_some_and(|at| now < at))
+    };
+    let free_slots = engine.slots.saturating_sub(usage.requests);
     Some(RunnerCapacity {
-        requests: engine.slots.saturating_sub(usage.requests),
+        requests: if is_paced { 0 } else { free_slots },
         kv_tokens: engine.usable_kv_tokens().saturating_sub(usage.kv_tokens),
         max_event_gap: shared
             .declarations()
--- a/crates/gate/src/bidding.rs
+++ b/crates/gate/src/bidding.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chestnut_base::id::rendezvous_rank;
 use chestnut_base::{Incarnation, MemberId, ServerName};
@@ -27,6 +27,7 @@
 use crate::metrics::{Span, Step};
 use crate::peers::ReplyTo;
 use crate::shared::Shared;
+use crate::{members, server_limits};
 
 /// How long other daemons may take to send their bids.
 ///
@@ -128,12 +129,24 @@
         .map(|(key, server)| Runner {
             key,
             name: server.entry.name.clone(),
-            own_wait_ms: estimate_wait_ms(server.own_usage, job.call.size, token_time),
+            own_wait_ms: estimate_wait_ms(server.own_usage, job.call.size, token_time)
+                + share_wait_ms(shared, server, now),
             local_cost_ms: local_cost_ms(server, &shared.settings.domain, now),
         })
         .collect()
 }
 
+/// How long a server's limit holds up what this daemon sends by its own counts.
+fn share_wait_ms(shared: &Shared, server: &Server, now: Instant) -> f64 {
+    let limits = shared.server_limits();
+    if limits.is_empty() {
+        return 0.0;
+    }
+    let daemons = members::daemon_count(shared);
+    let wait = limits.share_wait(&server.incarnation(), daemons, now);
+    wait.as_secs_f64() * 1000.0
+}
+
 /// Whether a server has not restarted since that incarnation.
 fn is_incarnation(server: &Server, incarnation: &Incarnation) -> bool {
     server.entry.name == incarnation.server
@@ -276,12 +289,13 @@
 /// adapter.
 pub async fn request_admission(
     job: &Job,
-    server: &ServerName,
+    incarnation: &Incarnation,
     adapter_missing: bool,
 ) -> Admission {
+    let server = &incarnation.server;
     let started = job.shared.now();
     let (number, receiver) = job.shared.peers.open_request();
-    let pending = PendingAdmission { job, server, number, decided: false };
+    let pending = PendingAdmission { job, incarnation, server, number, decided: false };
     let admission = match job.shared.held_runner(server) {
         Some(holder) => pending.request_local(&holder, adapter_missing).await,
         None => pending.request_remote(receiver, adapter_missing).await,
@@ -298,6 +312,7 @@
 /// A request for admission; withdraws itself if dropped before it is decided.
 struct PendingAdmission<'a> {
     job: &'a Job,
+    incarnation: &'a Incarnation,
     server: &'a ServerName,
     number: u64,
     decided: bool,
@@ -351,7 +366,8 @@
             let Some(request) = self.job.generation_request() else {
                 return Admission::Denied;
             };
-            let Some(addr) = holder::holder_addr(shared, self.server) else { break };
+            let Some((member, addr)) = holder::holder(shared, self.server) else { break };
+            server_limits::announce(shared, self.incarnation, (member, addr));
             let (number, server) = (self.number, self.server.clone());
             shared.peers.send(
                 addr,
--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 
-use chestnut_base::ServerName;
+use chestnut_base::{MemberId, ServerName};
 use chestnut_edge::TargetModel;
 use chestnut_member::ClaimKey;
 use chestnut_pool::RunnerView;
@@ -18,8 +18,8 @@
 use crate::admission::{self, AdmissionTable};
 use crate::driver::Driver;
 use crate::message::Message;
-use crate::planner;
 use crate::shared::Shared;
+use crate::{planner, server_limits};
 
 /// How long after its receipt a move may still be started.
 ///
@@ -111,13 +111,18 @@
         });
         runners.collect()
     };
-    let mut held_runners = shared.held_runners();
-    held_runners.retain(|name, _| held_servers.contains(name));
-    for name in held_servers {
-        held_runners
-            .entry(name.clone())
-            .or_insert_with(|| start_runner(shared.clone(), name));
+    let mut started = Vec::new();
+    {
+        let mut held_runners = shared.held_runners();
+        held_runners.retain(|name, _| held_servers.contains(name));
+        for name in held_servers {
+            held_runners.entry(name.clone()).or_insert_with(|| {
+                started.push(name.clone());
+                start_runner(shared.clone(), name)
+            });
+        }
     }
+    server_limits::broadcast_held(shared, |server| started.contains(&server.server));
 }
 
 fn start_runner(shared: Arc<Shared>, server: ServerName) -> Arc<HeldRunner> {
@@ -164,9 +169,14 @@
     }
 }
 
-/// Where the holder of a runner's claim receives datagrams; `None` if it has no holder.
-pub fn holder_addr(shared: &Shared, server: &ServerName) -> Option<SocketAddr> {
+/// The holder of a runner's claim, and where it receives datagrams; `None` if it has none.
+pub fn holder(shared: &Shared, server: &ServerName) -> Option<(MemberId, SocketAddr)> {
     let membership = shared.membership();
     let (row, _) = membership.claims.get(&ClaimKey::Server(server.clone()))?;
-    membership.member_row(row.holder?).map(|row| row.peer_addr)
+    membership.member_row(row.holder?).map(|row| (row.member, row.peer_addr))
+}
+
+/// Where the holder of a runner's claim receives datagrams; `None` if it has no holder.
+pub fn holder_addr(shared: &Shared, server: &ServerName) -> Option<SocketAddr> {
+    holder(shared, server).map(|(_, addr)| addr)
 }
--- a/crates/gate/src/introspection.rs
+++ b/crates/gate/src/introspection.rs
@@ -114,6 +114,8 @@
     pub accepts_requests: bool,
     /// This daemon's requests in flight at the server.
     pub requests: usize,
+    /// The requests a second that it takes from all daemons, if it announces a limit.
+    pub limit_per_second: Option<f64>,
 }
 
 /// A runner whose claim this daemon holds.
@@ -221,6 +223,7 @@
 fn servers(shared: &Shared) -> IndexMap<ServerName, ServerState> {
     let now = shared.now();
     let fleet = shared.fleet();
+    let limits = shared.server_limits();
     let server = |(_, server): (_, &chestnut_pool::Server)| {
         let state = ServerState {
             service: server.entry.service.to_string(),
@@ -228,6 +231,7 @@
             accepts_requests: fleet.accepts_requests(server, now)
                 && server.health.allows_requests(now),
             requests: server.own_usage.requests as usize,
+            limit_per_second: limits.rate(&server.incarnation()).map(f64::from),
         };
         (server.entry.name.clone(), state)
     };
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -8,9 +8,9 @@
 //! understand each other during an upgrade.
 
 use chestnut_account::{Slice, Verdict};
-use chestnut_base::{Digest, MemberId, ModelName, ServerName, ServiceName};
+use chestnut_base::{Digest, Incarnation, MemberId, ModelName, ServerName, ServiceName};
 use chestnut_crash::CrashReport;
-use chestnut_edge::TargetModel;
+use chestnut_edge::{RequestRate, TargetModel};
 use chestnut_pool::moves::Move;
 use chestnut_pool::timing::LearnedTimings;
 use chestnut_pool::{
@@ -186,6 +186,17 @@
     CrashReport(CrashReport),
     /// Suspects that completed at the sender.
     SuspectsCleared(Vec<Digest>),
+    /// What a response told about the limit on requests of a server, whose requests or models
+    /// the receiver decides on.
+    ServerLimit {
+        /// The server.
+        server: Incarnation,
+        /// The limit that the response named, in requests a second; `None` if it named none.
+        limit: Option<RequestRate>,
+        /// How long ago that was, in milliseconds: since a response that named a limit
+        /// arrived, or since the request was sent whose response named none.
+        age_ms: u32,
+    },
 }
 
 impl Message {
@@ -211,6 +222,7 @@
             Self::ChargeRefund { .. } => "charge refund",
             Self::CrashReport(_) => "crash report",
             Self::SuspectsCleared(_) => "cleared suspects",
+            Self::ServerLimit { .. } => "server limit",
         }
     }
 }
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -51,6 +51,8 @@
     Move,
     /// A charge to an account's limit that got no response.
     Charge,
+    /// A limit on requests that a server announced, changed or ended.
+    Limit,
     /// A crash of a server, or what was concluded from crashes.
     Crash,
 }
--- a/crates/gate/src/permit.rs
+++ b/crates/gate/src/permit.rs
@@ -19,8 +19,8 @@
 use crate::message::{Message, PermitVerdict};
 use crate::metrics::{Span, Step};
 use crate::peers::ReplyTo;
-use crate::permit_queue;
 use crate::shared::Shared;
+use crate::{permit_queue, server_limits};
 
 /// How long the holder of a queue may take to respond.
 ///
@@ -106,8 +106,9 @@
     }
 }
 
-/// The daemon that holds a service's queue, and where it receives datagrams.
-fn holder(shared: &Shared, service: &ServiceName) -> Option<(MemberId, SocketAddr)> {
+/// The daemon that holds a service's queue, or plans its models, and where it receives
+/// datagrams.
+pub fn holder(shared: &Shared, service: &ServiceName) -> Option<(MemberId, SocketAddr)> {
     let membership = shared.membership();
     let (claim, _) = membership.claims.get(&pool_key(service)?)?;
     let row = membership.member_row(claim.holder?)?;
@@ -127,6 +128,9 @@
     let (number, receiver) = shared.peers.open_request();
     let request = plain_request(job, avoid);
     let mut pending = PendingPermit { job, number, granted: false };
+    if member != shared.peers.me {
+        server_limits::announce_all(shared, &job.service, (member, addr));
+    }
     let decision = match member == shared.peers.me {
         true => pending.request_local(request).await,
         false => pending.request_remote(addr, receiver, request).await,
--- a/crates/gate/src/permit_queue.rs
+++ b/crates/gate/src/permit_queue.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 
-use chestnut_base::ServiceName;
+use chestnut_base::{Incarnation, ServiceName};
 use chestnut_pool::{
     ListedServer, PermitOutcome, PermitQueue, PlainRequest, QueueDecision, RequestKey,
 };
@@ -18,6 +18,7 @@
 use crate::claims::pool_key;
 use crate::message::{Message, PermitVerdict};
 use crate::peers::ReplyTo;
+use crate::server_limits;
 use crate::shared::Shared;
 
 /// The longest time between two checks of the queue.
@@ -89,14 +90,21 @@
 /// has lost.
 pub fn sync_claims(shared: &Arc<Shared>) {
     let held = held_services(shared);
+    let mut started = Vec::new();
     let lost: Vec<Arc<ServiceQueue>> = {
         let mut queues = shared.queues();
         for service in &held {
-            let start = || start(shared, service.clone());
-            queues.entry(service.clone()).or_insert_with(start);
+            queues.entry(service.clone()).or_insert_with(|| {
+                started.push(service.clone());
+                start(shared, service.clone())
+            });
         }
         queues.extract_if(.., |service, _| !held.contains(service)).map(|q| q.1).collect()
     };
+    if !started.is_empty() {
+        let servers = servers_of(shared, &started);
+        server_limits::broadcast_held(shared, |server| servers.contains(server));
+    }
     for queue in lost {
         // Daemons send their queued requests by their own counts.
         let replies = std::mem::take(&mut queue.state().replies);
@@ -106,6 +114,13 @@
     }
 }
 
+/// The listed servers of some services.
+fn servers_of(shared: &Shared, services: &[ServiceName]) -> Vec<Incarnation> {
+    let fleet = shared.fleet();
+    let servers = fleet.iter().filter(|(_, at)| services.contains(&at.entry.service));
+    servers.map(|(_, server)| server.incarnation()).collect()
+}
+
 /// The plain services whose claims this daemon holds.
 fn held_services(shared: &Shared) -> Vec<ServiceName> {
     let Some(declared) = shared.declarations() else { return Vec::new() };
@@ -161,6 +176,15 @@
     decide_all(shared, &queue);
 }
 
+/// Has all queues of this daemon read the list of their servers again.
+pub fn reload_servers(shared: &Shared) {
+    let queues: Vec<Arc<ServiceQueue>> = shared.queues().values().cloned().collect();
+    for queue in queues {
+        queue.state().listed = None;
+        queue.changed.notify_one();
+    }
+}
+
 /// Checks a queue whenever it changes or a time limit ends, until its claim is lost.
 async fn run(shared: Arc<Shared>, queue: Weak<ServiceQueue>) {
     loop {
@@ -207,6 +231,7 @@
     }
     let listed: Vec<ListedServer> = {
         let fleet = shared.fleet();
+        let limits = shared.server_limits();
         let servers =
             fleet.iter().filter(|(_, server)| server.entry.service == queue.service);
         let listed = servers.filter(|(_, server)| fleet.is_listed(server, now));
@@ -214,6 +239,7 @@
             name: server.entry.name.clone(),
             slots: server.entry.slots,
             domain: server.entry.domain.clone(),
+            limit: limits.rate(&server.incarnation()),
         });
         listed.collect()
     };
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -19,6 +19,7 @@
 use crate::crashes;
 use crate::job::Job;
 use crate::permit::{self, PermitDecision};
+use crate::server_limits;
 
 /// The delay before the first retry at the same server; it doubles with each further one.
 ///
@@ -109,7 +110,7 @@
         }
         let mut target = build_target(job, chosen).ok_or(PickError::NoServer)?;
         let missing = missing_adapter == Some(&target.name);
-        match bidding::request_admission(job, &target.name, missing).await {
+        match bidding::request_admission(job, &target.incarnation(), missing).await {
             Admission::Send(number) => {
                 target.number = Some(number);
                 return Ok(target);
@@ -117,7 +118,12 @@
             // Without a verdict, the request is sent by this daemon's own counts. If such
             // runners were avoided, those whose holders have just started would get no
             // requests until the holders have joined.
-            Admission::Silent | Admission::Moved => return Ok(target),
+            Admission::Silent | Admission::Moved => {
+                match server_limits::try_send_share(&job.shared, &target.incarnation()) {
+                    Ok(()) => return Ok(target),
+                    Err(_) => avoid.push(target.name),
+                }
+            }
             Admission::Denied => avoid.push(target.name),
             Admission::Again if job.shared.now() < job.wait_deadline() => {}
             Admission::Again => return Err(PickError::NoServer),
@@ -141,8 +147,25 @@
             PermitDecision::Nowhere | PermitDecision::Silent => break,
         }
     }
-    let chosen = pick_by_own_usage(job, avoid).ok_or(PickError::NoServer)?;
-    build_target(job, chosen).ok_or(PickError::NoServer)
+    pick_plain_by_own_usage(job, avoid)
+}
+
+/// Picks the server with the fewest requests of this daemon in flight among those whose
+/// limits allow a request.
+fn pick_plain_by_own_usage(job: &Job, avoid: &[ServerName]) -> Result<Target, PickError> {
+    let mut exhausted = Vec::new();
+    let mut shortest_wait: Option<Duration> = None;
+    while let Some(chosen) = pick_by_own_usage(job, avoid, &exhausted) {
+        let target = build_target(job, chosen).ok_or(PickError::NoServer)?;
+        match server_limits::try_send_share(&job.shared, &target.incarnation()) {
+            Ok(()) => return Ok(target),
+            Err(wait) => {
+                shortest_wait = Some(shortest_wait.map_or(wait, |least| least.min(wait)));
+                exhausted.push(target.name);
+            }
+        }
+    }
+    Err(shortest_wait.map_or(PickError::NoServer, PickError::Full))
 }
 
 /// The server that a permit is for; releases the permit if the server accepts no requests.
@@ -166,12 +189,20 @@
     Some(Target { number: Some(number), ..target? })
 }
 
-/// The server with the fewest requests of this daemon in flight.
-fn pick_by_own_usage(job: &Job, avoid: &[ServerName]) -> Option<Candidate> {
+/// The server with the fewest requests of this daemon in flight, without those in
+/// `exhausted`.
+fn pick_by_own_usage(
+    job: &Job,
+    avoid: &[ServerName],
+    exhausted: &[ServerName],
+) -> Option<Candidate> {
     let shared = &job.shared;
     let (now, domain) = (shared.now(), &shared.settings.domain);
     let fleet = shared.fleet();
-    let available = || fleet.available(&job.service, now);
+    let available = || {
+        let servers = fleet.available(&job.service, now);
+        servers.filter(|(_, server)| !exhausted.contains(&server.entry.name))
+    };
     let preferred = available().filter(|(_, server)| !avoid.contains(&server.entry.name));
     // If all servers have rejected the request, one of them may have free capacity by now.
     choose(preferred, domain, now).or_else(|| choose(available(), domain, now))
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
-use chestnut_edge::{Engine, ServerEntry};
+use chestnut_edge::{Engine, RequestRate, ServerEntry};
 use chestnut_member::ClaimKey;
 use chestnut_pool::DemandCounts;
 use chestnut_pool::moves::Move;
@@ -183,6 +183,7 @@
         runners.retain(|runner| !planner.is_unreachable(&runner.name, daemons, now));
     }
     let locked = locked_runners(shared, &runners);
+    let limits = announced_limits(shared);
     let load_bound = shared.bounds.borrow().load_bound(engine);
     let moves: Vec<Move> = {
         let mut planners = shared.planners();
@@ -190,6 +191,7 @@
         let input = PlacementInput {
             runners: &runners,
             fixed: &locked,
+            limits: &limits,
             engine,
             load_bound,
             timings: &timings,
@@ -210,6 +212,12 @@
     }
 }
 
+/// The limits on requests that servers announce.
+fn announced_limits(shared: &Shared) -> IndexMap<ServerName, RequestRate> {
+    let limits = shared.server_limits();
+    limits.iter().map(|(server, rate, _)| (server.server.clone(), rate)).collect()
+}
+
 /// Runners that can't be sent orders now: their claim has no live holder, or its holder has
 /// just taken it and must wait before the first order.
 fn locked_runners(shared: &Shared, runners: &[ServerEntry]) -> Vec<ServerName> {
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -10,8 +10,8 @@
 use crate::peers::ReplyTo;
 use crate::shared::Shared;
 use crate::{
-    account_slices, bidding, crashes, members, permit_queue, planner, table_sync,
-    usage_reports,
+    account_slices, bidding, crashes, members, permit_queue, planner, server_limits,
+    table_sync, usage_reports,
 };
 
 /// Receives datagrams until the daemon ends.
@@ -114,6 +114,9 @@
         Message::CrashReport(report) => {
             crashes::apply_report(shared, packet.from, &report)
         }
+        Message::ServerLimit { server, limit, age_ms } => {
+            server_limits::apply_report(shared, &server, limit, age_ms);
+        }
         Message::SuspectsCleared(digests) => crashes::apply_cleared(shared, &digests),
     }
 }
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::permit_queue::ServiceQueue;
 use crate::persisted_timings::PersistedTimings;
 use crate::planner::DemandCounters;
+use crate::server_limits::LimitReports;
 use crate::settings::{Bounds, Settings};
 use crate::table_sync::{self, SYSTEM_TABLE, SyncedTable};
 
@@ -97,6 +98,7 @@
     pub system_table_loaded: watch::Sender<bool>,
     fleet: Mutex<Fleet>,
     server_limits: Mutex<ServerLimits>,
+    limit_reports: Mutex<LimitReports>,
     membership: Mutex<MembershipRows>,
     /// The daemons that this one exchanges heartbeats with.
     neighbours: Mutex<Neighbours>,
@@ -154,6 +156,7 @@
             system_table_loaded: watch::Sender::new(false),
             fleet: Mutex::default(),
             server_limits: Mutex::default(),
+            limit_reports: Mutex::default(),
             membership: Mutex::default(),
             neighbours: Mutex::default(),
             held_runners: Mutex::default(),
@@ -187,6 +190,11 @@
         self.server_limits.lock().expect("no holder of the lock panics")
     }
 
+    /// Locks the times at which other daemons were told of limits.
+    pub fn limit_reports(&self) -> MutexGuard<'_, LimitReports> {
+        self.limit_reports.lock().expect("no holder of the lock panics")
+    }
+
     /// Locks the rows of daemons and claims.
     pub fn membership(&self) -> MutexGuard<'_, MembershipRows> {
         self.membership.lock().expect("no holder of the lock panics")
--- a/crates/gate/tests/priority.rs
+++ b/crates/gate/tests/priority.rs
@@ -32,7 +32,12 @@
     let mut queue = PermitQueue::default();
     let server = ServerName::try_from("s").expect("the name is valid");
     let domain = DomainName::try_from("d").expect("the name is valid");
-    let listed = ListedServer { name: server.clone(), slots: 6, domain: domain.clone() };
+    let listed = ListedServer {
+        name: server.clone(),
+        slots: 6,
+        domain: domain.clone(),
+        limit: None,
+    };
     let mut running: Vec<(Instant, (MemberId, u64))> = Vec::new();
     let (mut sent, mut served) = ([0.0, 0.0], [0.0, 0.0]);
     for millis in 0..6000 {
--- a/crates/lab/src/decisions.rs
+++ b/crates/lab/src/decisions.rs
@@ -193,6 +193,7 @@
         name: ServerName::try_from(format!("server-{index}")).expect("well formed"),
         slots: SERVER_SLOTS,
         domain: domain(index),
+        limit: None,
     };
     queue.update_servers((0..servers).map(listed).collect(), now);
     let request_key = |number: u64| (MemberId(number % 100), number);
@@ -230,7 +231,9 @@
     let timings = EngineTimings::default();
     let window = Duration::from_secs(5);
     let load_bound = LoadBound { rate: engine.loads_per_s, window, overshoot: 1.1 };
+    let limits = indexmap::IndexMap::new();
     let input = PlacementInput {
+        limits: &limits,
         runners: &entries,
         fixed: &[],
         engine: &engine,
--- a/crates/lab/src/moves/mod.rs
+++ b/crates/lab/src/moves/mod.rs
@@ -203,6 +203,7 @@
         other_bytes: 0,
         accepts_models: true,
         locked: false,
+        lost_throughput: 0.0,
     };
     PoolState {
         models: (0..models).map(model).collect(),
--- a/crates/lab/src/moves/policy.rs
+++ b/crates/lab/src/moves/policy.rs
@@ -113,6 +113,7 @@
             other_bytes: 0,
             accepts_models: true,
             locked: false,
+            lost_throughput: 0.0,
         };
         let pool = PoolState {
             runners: (0..spec.runners).map(runner).collect(),
@@ -135,7 +136,7 @@
         observed: &[f64],
         placement: &mut [Vec<usize>],
     ) {
-        let distribution = distribute_load(observed, placement, spec.runners);
+        let distribution = distribute_load(observed, placement, &vec![0.0; spec.runners]);
         for (model, runners) in placement.iter().enumerate() {
             for (share, runner) in distribution.shares[model].iter().zip(runners) {
                 // Less than 2 % of a runner's throughput doesn't count as use.
@@ -207,7 +208,7 @@
 /// its runner, but no last replica. Changes nothing if there is no room.
 fn place_greedily(spec: &DeploymentSpec, observed: &[f64], placement: &mut [Vec<usize>]) {
     let Some(model) = most_overloaded_model(spec, observed, placement) else { return };
-    let distribution = distribute_load(observed, placement, spec.runners);
+    let distribution = distribute_load(observed, placement, &vec![0.0; spec.runners]);
     let runner = (0..spec.runners)
         .filter(|runner| !placement[model].contains(runner))
         .min_by(|a, b| distribution.loads[*a].total_cmp(&distribution.loads[*b]));
@@ -231,7 +232,7 @@
     observed: &[f64],
     placement: &[Vec<usize>],
 ) -> Option<usize> {
-    let distribution = distribute_load(observed, placement, spec.runners);
+    let distribution = distribute_load(observed, placement, &vec![0.0; spec.runners]);
     let limit = MAX_UTILIZATION * spec.runner_throughput;
     let excess = |model: usize| {
         if placement[model].is_empty() {
--- a/crates/lab/src/moves/pool.rs
+++ b/crates/lab/src/moves/pool.rs
@@ -178,7 +178,8 @@
             })
             .collect();
         let demands = &self.trace.actual[step];
-        let distribution = distribute_load(demands, &ready, self.spec.runners);
+        let distribution =
+            distribute_load(demands, &ready, &vec![0.0; self.spec.runners]);
         for (runner, load) in distribution.loads.iter().enumerate() {
             let is_loading =
                 self.loads.iter().any(|job| job.runner == runner && job.started);
--- a/crates/node/src/planner/placement_input.rs
+++ b/crates/node/src/planner/placement_input.rs
@@ -308,6 +308,7 @@
             other_bytes,
             accepts_models: !server.leaving && !down,
             locked: false,
+            lost_throughput: 0.0,
         }
     }
 
--- a/crates/place/src/balance.rs
+++ b/crates/place/src/balance.rs
@@ -14,7 +14,8 @@
 /// The load of runners and the demand at each replica, in tokens per second.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct LoadDistribution {
-    /// The demand that is sent to each runner, by runner index.
+    /// The load of each runner, by runner index: the demand that is sent to it, and its other
+    /// load.
     pub loads: Vec<f64>,
     /// For each model, the demand that each of its replicas gets, in the order of
     /// the replicas.
@@ -24,18 +25,18 @@
 /// Spreads each model's demand over the runners that hold it.
 ///
 /// `demands` is in tokens per second and `placed` lists each model's runners, both by
-/// model index; `runners` is the number of runners.
+/// model index. `other_loads` is the load of each runner that no model causes.
 pub fn distribute_load(
     demands: &[f64],
     placed: &[Vec<usize>],
-    runners: usize,
+    other_loads: &[f64],
 ) -> LoadDistribution {
     let mut shares: Vec<Vec<f64>> = demands
         .iter()
         .zip(placed)
         .map(|(demand, hosts)| vec![demand / hosts.len().max(1) as f64; hosts.len()])
         .collect();
-    let mut loads = sum_by_runner(&shares, placed, runners);
+    let mut loads = sum_by_runner(&shares, placed, other_loads);
     for _ in 0..ROUNDS {
         for (model, hosts) in placed.iter().enumerate() {
             if hosts.len() > 1 {
@@ -77,8 +78,12 @@
     level
 }
 
-fn sum_by_runner(shares: &[Vec<f64>], placed: &[Vec<usize>], runners: usize) -> Vec<f64> {
-    let mut loads = vec![0.0; runners];
+fn sum_by_runner(
+    shares: &[Vec<f64>],
+    placed: &[Vec<usize>],
+    other_loads: &[f64],
+) -> Vec<f64> {
+    let mut loads = other_loads.to_vec();
     for (shares, hosts) in shares.iter().zip(placed) {
         for (share, runner) in shares.iter().zip(hosts) {
             loads[*runner] += share;
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -422,8 +422,9 @@
 
     fn update_distribution(&mut self) {
         let demands: Vec<f64> = self.pool.models.iter().map(|m| m.demand).collect();
-        self.distribution =
-            distribute_load(&demands, &self.placed, self.pool.runners.len());
+        let runners = self.pool.runners.iter();
+        let lost: Vec<f64> = runners.map(|runner| runner.lost_throughput).collect();
+        self.distribution = distribute_load(&demands, &self.placed, &lost);
     }
 
     fn domain_count(&self) -> usize {
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -37,6 +37,8 @@
     pub accepts_models: bool,
     /// Whether nothing can be loaded or dropped there for now.
     pub locked: bool,
+    /// The throughput that no model can use, in tokens per second.
+    pub lost_throughput: f64,
 }
 
 /// A model in its declared version, with the adapters on top.
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -11,7 +11,14 @@
 const ROUNDS: usize = 40;
 
 fn runner(domain: usize, capacity: u64) -> RunnerState {
-    RunnerState { domain, capacity, other_bytes: 0, accepts_models: true, locked: false }
+    RunnerState {
+        domain,
+        capacity,
+        other_bytes: 0,
+        accepts_models: true,
+        locked: false,
+        lost_throughput: 0.0,
+    }
 }
 
 fn model(bytes: u64, replicas: usize, demand: f64) -> ModelState {
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -151,7 +151,10 @@
         engine,
         timings.service_time(),
     );
-    let wait = millis(ahead.prefill_time).max(adapter_wait).max(capacity_wait);
+    // A server that takes few requests has few in flight and would seem the best.
+    let limit_wait = millis(runner.limit_wait(ahead.requests, now));
+    let wait =
+        millis(ahead.prefill_time).max(adapter_wait).max(capacity_wait).max(limit_wait);
     let prefill_time = runner.prefill_time(request, timings);
     let late_cost_ms =
         late_event_cost_ms(runner, prefill_time, requests, timings.service_time(), now);
--- a/crates/pool/src/demand.rs
+++ b/crates/pool/src/demand.rs
@@ -112,6 +112,30 @@
     }
 }
 
+/// Decaying mean of the runner time of a request.
+#[derive(Debug, Clone, Copy, Default)]
+struct MeanWork {
+    requests: f64,
+    seconds: f64,
+}
+
+impl MeanWork {
+    fn add(&mut self, requests: f64, seconds: f64) {
+        self.requests += requests;
+        self.seconds += seconds;
+    }
+
+    fn decay(&mut self, elapsed: Duration) {
+        let decay = (-elapsed.as_secs_f64() / SERVICE_TIME_AVERAGE.as_secs_f64()).exp();
+        self.requests *= decay;
+        self.seconds *= decay;
+    }
+
+    fn seconds(self) -> Option<f64> {
+        (self.requests > f64::EPSILON).then(|| self.seconds / self.requests)
+    }
+}
+
 /// Moving averages of one model's demand, in runners.
 #[derive(Debug, Clone, Copy, Default)]
 struct Averages {
@@ -145,6 +169,7 @@
     pending: IndexMap<ModelName, DemandCounts>,
     service_times: IndexMap<ModelName, MeanServiceTime>,
     averages: IndexMap<ModelName, Averages>,
+    mean_work: MeanWork,
     /// Total length of the intervals in which requests arrived.
     observed: Duration,
     advanced_at: Instant,
@@ -158,6 +183,7 @@
             pending: IndexMap::new(),
             service_times: IndexMap::new(),
             averages: IndexMap::new(),
+            mean_work: MeanWork::default(),
             observed: Duration::ZERO,
             advanced_at: now,
         }
@@ -202,7 +228,14 @@
                 engine,
             );
             self.averages.entry(model.clone()).or_default().add(work, elapsed);
+            self.mean_work.add(counts.requests, work);
         }
+        self.mean_work.decay(elapsed);
+    }
+
+    /// The mean runner time of a request of any model, in seconds; `None` before the first.
+    pub fn mean_work(&self) -> Option<f64> {
+        self.mean_work.seconds()
     }
 
     /// Whether requests were observed for long enough to tell which models have no demand.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -14,7 +14,8 @@
 //! 8. [`attempts`] decides what may follow an attempt without a complete response, and
 //!    whether the request may have run,
 //! 9. [`budget`] bounds how often requests are retried,
-//! 10. [`server_limits`] tracks how many requests servers say that they take.
+//! 10. [`server_limits`] tracks how many requests servers say that they take, and the
+//!     [`request_pacer`] spaces those that are sent to them.
 //!
 //! Independently of requests, [`placement`] plans which runner holds which model, by
 //! [`demand`] and at the rate of the [`pacer`] for the weight store, without servers that
@@ -32,6 +33,7 @@
 pub mod prefill_queue;
 pub mod prefix;
 pub mod queue;
+pub mod request_pacer;
 pub mod runner;
 pub mod server_limits;
 pub mod timing;
@@ -54,6 +56,7 @@
 pub use queue::{
     ListedServer, PermitOutcome, PermitQueue, PlainRequest, QueueDecision, RequestKey,
 };
+pub use request_pacer::RequestPacer;
 pub use runner::{AdapterNeed, AdapterState, RunnerView};
 pub use server_limits::{LimitSighting, ServerLimits};
 pub use timing::EngineTimings;
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{DomainName, MemberId, ModelName, ServerName};
-use chestnut_edge::{Engine, LoadedModel, ServerEntry};
+use chestnut_edge::{Engine, LoadedModel, RequestRate, ServerEntry};
 use chestnut_place::{ModelState, Placement, PoolState, RunnerState, plan_placement};
 use indexmap::{IndexMap, IndexSet};
 
@@ -74,6 +74,8 @@
     pub runners: &'a [ServerEntry],
     /// Runners to which no daemon can give orders now.
     pub fixed: &'a [ServerName],
+    /// The requests a second that runners take which announce a limit.
+    pub limits: &'a IndexMap<ServerName, RequestRate>,
     /// The declared engine of the runners, with its models.
     pub engine: &'a Engine,
     /// The operators' bound on loads from the weight store.
@@ -328,6 +330,7 @@
             other_bytes: (input.engine.adapter_reserve_mb() * BYTES_PER_MB) as u64,
             accepts_models: true,
             locked: self.is_fixed(input, runner),
+            lost_throughput: self.lost_throughput(input, runner),
         };
         let names = input.engine.models.keys();
         let models: Vec<ModelState> =
@@ -335,9 +338,13 @@
         let total_demand: f64 = models.iter().map(|model| model.demand).sum();
         // When demand exceeds what the pool can serve, every runner is overloaded and no
         // move seems to help. Raising the throughput lets the plan balance the load.
-        let balanced = total_demand / (runners.len().max(1) as f64 * MAX_UTILIZATION);
+        let runners: Vec<RunnerState> = runners.iter().map(runner_state).collect();
+        let usable =
+            runners.iter().map(|runner| RUNNER_THROUGHPUT - runner.lost_throughput);
+        let usable = usable.sum::<f64>().max(RUNNER_THROUGHPUT);
+        let balanced = total_demand / (usable * MAX_UTILIZATION);
         PoolState {
-            runners: runners.iter().map(runner_state).collect(),
+            runners,
             models,
             runner_throughput: RUNNER_THROUGHPUT.max(balanced),
             parallel_loads: 0,
@@ -348,6 +355,13 @@
         }
     }
 
+    /// The throughput that a runner loses by the limit that it announces.
+    fn lost_throughput(&self, input: &PlacementInput, runner: &ServerEntry) -> f64 {
+        let limit = input.limits.get(&runner.name).zip(self.demands.mean_work());
+        let usable = limit.map(|(rate, work)| rate.per_second() * work);
+        usable.map_or(0.0, |usable| (RUNNER_THROUGHPUT - usable).max(0.0))
+    }
+
     fn is_fixed(&self, input: &PlacementInput, runner: &ServerEntry) -> bool {
         let backing_off = self.backoff_until.contains_key(&runner.name);
         backing_off || input.fixed.contains(&runner.name)
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -14,11 +14,13 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{DomainName, MemberId, ServerName};
+use chestnut_edge::RequestRate;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::choose::REMOTE_DOMAIN_COST_MS;
+use crate::request_pacer::{self, RequestPacer};
 use crate::unreachable::UnreachableReports;
 
 /// Identifies a request: the daemon that sends it, and its number there.
@@ -75,6 +77,10 @@
 /// late are refused instead, and the others are on time.
 const OVERLOAD_AFTER: Duration = Duration::from_millis(300);
 
+/// The lowest rate of all servers together that waits are estimated with, in requests a
+/// second.
+const MIN_SERVICE_RATE: f64 = 0.1;
+
 /// How many times the backoff of a server that rejects requests doubles at most.
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
@@ -125,7 +131,7 @@
 }
 
 /// A server of the service, as listed in the registry.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ListedServer {
     /// Unique within the service.
     pub name: ServerName,
@@ -133,6 +139,8 @@
     pub slots: u32,
     /// The failure domain that it runs in.
     pub domain: DomainName,
+    /// The requests a second that it takes, if it announces a limit.
+    pub limit: Option<RequestRate>,
 }
 
 /// The queue of a plain service, and the permits for its servers.
@@ -162,6 +170,8 @@
     rejections: u32,
     /// End of the backoff after a rejection.
     backoff_until: Option<Instant>,
+    /// Spaces requests while the server announces a limit; `None` without one.
+    pacer: Option<RequestPacer>,
 }
 
 #[derive(Debug)]
@@ -211,8 +221,10 @@
                 updated_at: now,
                 rejections: 0,
                 backoff_until: None,
+                pacer: None,
             };
             let server = self.servers.entry(entry.name.clone()).or_insert_with(new);
+            request_pacer::update(&mut server.pacer, entry.limit, now);
             server.listed = entry;
         }
     }
@@ -351,8 +363,12 @@
     pub fn next_decision_at(&self, now: Instant) -> Option<Instant> {
         let deadlines = self.queued.iter().map(|queued| queued.deadline);
         let backoffs = self.servers.values().filter_map(|server| server.backoff_until);
-        let times =
-            deadlines.chain(self.next_expiry).chain(backoffs).filter(|at| *at > now);
+        let pacers = self.servers.values().filter_map(|server| server.pacer);
+        let times = deadlines
+            .chain(self.next_expiry)
+            .chain(backoffs)
+            .chain(pacers.map(|pacer| pacer.ready_at()))
+            .filter(|at| *at > now);
         if self.queued.is_empty() { None } else { times.min() }
     }
 
@@ -370,6 +386,9 @@
         let QueuedRequest { key, deadline, .. } = self.queued.swap_remove(index);
         if let Some(server) = self.servers.get_mut(&server) {
             server.in_use += 1;
+            if let Some(pacer) = &mut server.pacer {
+                pacer.record_sent(now);
+            }
         }
         self.next_expiry = Some(self.next_expiry.map_or(deadline, |at| at.min(deadline)));
         let permit =
@@ -420,14 +439,18 @@
 
     fn is_free(&self, server: &Server, now: Instant) -> bool {
         let backing_off = server.backoff_until.is_some_and(|until| now < until);
-        !backing_off && server.in_use < server.slots() + EXTRA_PERMITS
+        let is_paced = server.pacer.is_some_and(|pacer| !pacer.is_ready(now));
+        !backing_off && !is_paced && server.in_use < server.slots() + EXTRA_PERMITS
     }
 
     /// Estimated wait of a request with `ahead` others before it.
     fn wait_behind(&self, ahead: usize) -> Duration {
-        let slots: u32 = self.servers.values().map(Server::slots).sum();
-        let each = self.mean_service_ms / f64::from(slots.max(1));
-        Duration::from_secs_f64((ahead + 1) as f64 * each / 1000.0)
+        let rates = self.servers.values().map(|server| server.rate(self.mean_service_ms));
+        let total = match self.servers.is_empty() {
+            true => 1000.0 / self.mean_service_ms,
+            false => rates.sum::<f64>().max(MIN_SERVICE_RATE),
+        };
+        Duration::from_secs_f64((ahead + 1) as f64 / total)
     }
 }
 
@@ -448,6 +471,12 @@
         self.listed.slots.max(1)
     }
 
+    /// The requests a second that it can run.
+    fn rate(&self, mean_service_ms: f64) -> f64 {
+        let by_slots = f64::from(self.slots()) * 1000.0 / mean_service_ms;
+        self.listed.limit.map_or(by_slots, |limit| by_slots.min(limit.per_second()))
+    }
+
     /// Share of requests that failed recently.
     fn failure_rate(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.updated_at).as_secs_f64();
--- a/crates/pool/src/runner.rs
+++ b/crates/pool/src/runner.rs
@@ -7,12 +7,15 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{AdapterName, MemberId, ModelName};
-use chestnut_edge::{Engine, EngineReport, LoadedModel, OrderAction, TargetModel};
+use chestnut_edge::{
+    Engine, EngineReport, LoadedModel, OrderAction, RequestRate, TargetModel,
+};
 use indexmap::IndexMap;
 
 use crate::choose::GenerationRequest;
 use crate::prefill_queue::PrefillQueue;
 use crate::prefix::PrefixCache;
+use crate::request_pacer::{self, RequestPacer};
 use crate::timing::EngineTimings;
 use crate::usage::Usage;
 
@@ -94,6 +97,8 @@
     pub prefill_queue: PrefillQueue,
     /// Prompt parts that the runner has probably cached.
     pub prefix_cache: PrefixCache,
+    /// Spaces requests while the runner announces a limit; `None` without one.
+    pacer: Option<RequestPacer>,
 }
 
 impl RunnerView {
@@ -105,6 +110,28 @@
         }
     }
 
+    /// Applies the limit on requests that the runner announces, if any.
+    pub fn set_request_limit(&mut self, limit: Option<RequestRate>, now: Instant) {
+        request_pacer::update(&mut self.pacer, limit, now);
+    }
+
+    /// When the announced limit allows the next request; `None` without a limit.
+    pub fn next_request_at(&self) -> Option<Instant> {
+        self.pacer.map(|pacer| pacer.ready_at())
+    }
+
+    /// How long the announced limit holds up a request that is sent after `ahead` others.
+    pub fn limit_wait(&self, ahead: u32, now: Instant) -> Duration {
+        self.pacer.map_or(Duration::ZERO, |pacer| pacer.wait(ahead, now))
+    }
+
+    /// Counts a request that is sent against the announced limit.
+    pub fn record_request_sent(&mut self, now: Instant) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.record_sent(now);
+        }
+    }
+
     /// What all daemons together have in flight.
     pub fn total_usage(&self, now: Instant) -> Usage {
         let is_current = |at: Instant| now.saturating_duration_since(at) < USAGE_TIMEOUT;
--- a/crates/pool/tests/choose.rs
+++ b/crates/pool/tests/choose.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::MemberId;
-use chestnut_edge::{GenerationSize, LoadedModel, PromptPart};
+use chestnut_edge::{GenerationSize, LoadedModel, PromptPart, RequestRate};
 use chestnut_pool::{
     Bid, EngineTimings, GenerationRequest, PrefixCache, QueuedPrompt, RunnerCapacity,
     RunnerView, Ticket, Usage, bid,
@@ -366,3 +366,21 @@
     assert!(bid.wait_ms < prefill_ms + 100.0, "{bid:?}");
     assert!(bid.cost_ms > bid.wait_ms + 400.0, "{bid:?}");
 }
+
+/// Guards against a runner that takes few requests and seems idle.
+#[test]
+fn a_runner_that_takes_few_requests_is_not_preferred() {
+    let now = Instant::now();
+    let mut limited = loaded_runner(0, now);
+    let mut busy = loaded_runner(0, now);
+    busy.update_usage(MemberId(1), usage(20, 0), now);
+    let rate = RequestRate::try_from(2.0).expect("a valid rate");
+    limited.set_request_limit(Some(rate), now);
+    limited.record_request_sent(now);
+    let cost =
+        |runner: &RunnerView, at| bid_for(runner, without_adapter("m"), at).cost_ms;
+    assert!(cost(&limited, now) > cost(&busy, now));
+    // Once the limit allows another request, the runner is as good as its load says.
+    let later = now + Duration::from_millis(500);
+    assert!(cost(&limited, later) < cost(&busy, later));
+}
--- a/crates/pool/tests/permits.rs
+++ b/crates/pool/tests/permits.rs
@@ -53,6 +53,7 @@
         name: server(*number),
         slots: SLOTS as u32,
         domain: DomainName::try_from("north").expect("a valid name"),
+        limit: None,
     };
     numbers.iter().map(entry).collect()
 }
--- a/crates/pool/tests/placement.rs
+++ b/crates/pool/tests/placement.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{DomainName, MemberId, ModelName, ServerName, ServiceName};
-use chestnut_edge::{Engine, LoadedModel, Phase, ServerEntry};
+use chestnut_edge::{Engine, LoadedModel, Phase, RequestRate, ServerEntry};
 use chestnut_pool::moves::Move;
 use chestnut_pool::placement::{PlacementInput, PlacementPlanner};
 use chestnut_pool::{DemandCounts, EngineTimings, LoadBound};
+use indexmap::IndexMap;
 
 use support::{engine, model};
 
@@ -78,6 +79,7 @@
         let orphaned = if now < start + WITHOUT_HOLDER { &runners[1..2] } else { &[] };
         let fixed: Vec<_> = orphaned.iter().map(|runner| runner.name.clone()).collect();
         let input = PlacementInput {
+            limits: &IndexMap::new(),
             runners: &runners,
             fixed: &fixed,
             engine: &declared,
@@ -118,6 +120,7 @@
     fn plan(&mut self, planner: &mut PlacementPlanner, declared: &Engine, now: Instant) {
         let timings = EngineTimings::default();
         let input = PlacementInput {
+            limits: &IndexMap::new(),
             runners: &self.runners,
             fixed: &[],
             engine: declared,
@@ -270,6 +273,7 @@
     let timings = EngineTimings::default();
     let mut planner = PlacementPlanner::new(start);
     let input = PlacementInput {
+        limits: &IndexMap::new(),
         runners: &runners,
         fixed: &[],
         engine: &declared,
@@ -287,3 +291,36 @@
     assert!(a > 0.0 && a < 1.0, "{a}");
     assert_eq!(a, b);
 }
+
+/// Guards against a model that has its only replica on a runner that takes few requests.
+#[test]
+fn a_model_on_a_limited_runner_gets_another_replica() {
+    let declared = engine(&[("a", 80.0), ("b", 80.0)]);
+    let plans_load = |limit: Option<f64>| {
+        let runners = [runner("r1", &["a"]), runner("r2", &["b"])];
+        let rate = limit.map(|rate| RequestRate::try_from(rate).expect("a valid rate"));
+        let limits =
+            rate.map(|rate| (runners[0].name.clone(), rate)).into_iter().collect();
+        let start = Instant::now();
+        let timings = EngineTimings::default();
+        let mut planner = PlacementPlanner::new(start);
+        let mut total = DemandCounts::default();
+        (1..20).any(|period| {
+            total.requests += 1.0;
+            total.prompt_tokens += 400.0;
+            planner.update_demand(MemberId(1), 0, vec![(model("a"), total)]);
+            let input = PlacementInput {
+                limits: &limits,
+                runners: &runners,
+                fixed: &[],
+                engine: &declared,
+                load_bound: load_bound(&declared),
+                timings: &timings,
+            };
+            let moves = planner.plan(&input, start + PERIOD * period);
+            moves.iter().any(|change| change.load == Some(model("a")))
+        })
+    };
+    assert!(!plans_load(None));
+    assert!(plans_load(Some(0.5)));
+}
--- a/crates/pool/tests/queue.rs
+++ b/crates/pool/tests/queue.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_base::{DomainName, MemberId, ServerName, ServiceName};
-use chestnut_edge::{GenerationSize, Phase, ServerEntry};
+use chestnut_edge::{GenerationSize, Phase, RequestRate, ServerEntry};
 use chestnut_pool::{
     Fleet, InFlightRequest, ListedServer, PermitOutcome, PermitQueue, PlainRequest,
     QueueDecision, RequestKey, choose,
@@ -38,6 +38,7 @@
         name: server(number),
         slots: SLOTS,
         domain: domain(number),
+        limit: None,
     };
     (0..count).map(entry).collect()
 }
@@ -345,3 +346,46 @@
     assert!(backoff_end <= now + Duration::from_millis(10));
     assert!(matches!(queue.next_decision(backoff_end), Some(QueueDecision::Grant(..))));
 }
+
+/// Guards against a plain server that takes few requests and gets all that fit its slots.
+#[test]
+fn a_server_gets_no_more_than_its_limit() {
+    let start = Instant::now();
+    let mut queue = PermitQueue::default();
+    let mut servers = listed(2);
+    servers[0].limit = RequestRate::try_from(2.0).ok();
+    queue.update_servers(servers, start);
+    let mut granted = [0, 0];
+    for number in 0..400 {
+        let now = start + Duration::from_millis(10 * number);
+        queue.push(key(number), request(number), now);
+        while let Some(decision) = queue.next_decision(now) {
+            let QueueDecision::Grant(key, at) = decision else {
+                panic!("{decision:?}");
+            };
+            granted[usize::from(at == server(1))] += 1;
+            queue.release(key, PermitOutcome::Answered, now);
+        }
+    }
+    assert!((6..=8).contains(&granted[0]), "{granted:?} in 4 s");
+    assert_eq!(granted[0] + granted[1], 400);
+}
+
+/// Guards against requests that wait for their whole time where all servers take few.
+#[test]
+fn requests_beyond_the_limits_of_all_servers_are_refused_at_once() {
+    let start = Instant::now();
+    let mut queue = PermitQueue::default();
+    let mut servers = listed(1);
+    servers[0].limit = RequestRate::try_from(1.0).ok();
+    queue.update_servers(servers, start);
+    for number in 0..5 {
+        queue.push(key(number), request(number), start);
+    }
+    let refused =
+        std::iter::from_fn(|| queue.next_decision(start)).collect::<Vec<QueueDecision>>();
+    let is_refusal =
+        |decision: &QueueDecision| matches!(decision, QueueDecision::Full(..));
+    assert_eq!(refused.len(), 4, "{refused:?}");
+    assert!(refused.iter().all(is_refusal), "{refused:?}");
+}
--- a/crates/pool/tests/server_limits.rs
+++ b/crates/pool/tests/server_limits.rs
@@ -30,7 +30,9 @@
 fn a_response_to_a_later_request_ends_the_limit() {
     let (mut limits, now) = (ServerLimits::default(), Instant::now());
     limits.record(&server(1), LimitSighting::Named(rate(2.0), now));
-    let later = now + Duration::from_millis(1);
+    let at_once = now + Duration::from_millis(50);
+    assert!(!limits.record(&server(1), LimitSighting::None(at_once)));
+    let later = now + Duration::from_millis(200);
     assert!(limits.record(&server(1), LimitSighting::None(later)));
     assert_eq!(limits.rate(&server(1)), None);
 }
--- a/tests/platform/limits.rs
+++ b/tests/platform/limits.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant};
 
 use chestnut_platform_stand_in::{Caller, CallerRequest};
+use rustix::process::Signal;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, wait_until};
 
 /// The limit that a server names, in requests a second.
 const LIMIT: f64 = 2.0;
@@ -47,6 +48,59 @@
     );
 }
 
+/// Guards against a limit that is forgotten, or granted twice, when another daemon takes over.
+#[tokio::test]
+async fn a_limit_holds_while_daemons_stop_are_suspended_and_killed() {
+    let mut cluster = Cluster::start("handover", 3).await;
+    let callers = Callers::start(&cluster);
+    cluster.runners[0].set_limit(Some(LIMIT));
+    cluster.services[0].set_limit(Some(LIMIT));
+    let named_at = Instant::now();
+    for daemon in 0..3 {
+        let signal = [Signal::TERM, Signal::KILL, Signal::STOP][daemon];
+        cluster.daemons[daemon].signal(signal);
+        sleep(Duration::from_secs(4)).await;
+        if signal == Signal::STOP {
+            cluster.daemons[daemon].signal(Signal::CONT);
+            continue;
+        }
+        wait_until("the daemon has ended", async || {
+            cluster.daemons[daemon].exit_status().is_some()
+        })
+        .await;
+        cluster.daemons[daemon].restart();
+    }
+    sleep(Duration::from_secs(3)).await;
+    callers.stop().await;
+    let from = named_at + CONTACT_TIME;
+    let runner = most_arrivals(&cluster.runners[0].arrivals(), from);
+    let plain = most_arrivals(&cluster.services[0].arrivals(), from);
+    assert!(
+        runner <= MAX_ARRIVALS && plain <= MAX_ARRIVALS,
+        "{runner} requests at the runner, {plain} at the plain server"
+    );
+}
+
+/// Guards against a server that stays idle after it has taken back its limit.
+#[tokio::test]
+async fn a_limit_that_ends_is_noticed() {
+    let cluster = Cluster::start("limit-end", 2).await;
+    let callers = Callers::start(&cluster);
+    cluster.runners[0].set_limit(Some(LIMIT));
+    cluster.services[0].set_limit(Some(LIMIT));
+    sleep(CONTACT_TIME).await;
+    cluster.runners[0].set_limit(None);
+    cluster.services[0].set_limit(None);
+    wait_until("both servers get more than the limit again", async || {
+        let from = Instant::now() - WINDOW;
+        let runner = most_arrivals(&cluster.runners[0].arrivals(), from);
+        let plain = most_arrivals(&cluster.services[0].arrivals(), from);
+        runner > MAX_ARRIVALS && plain > MAX_ARRIVALS
+    })
+    .await;
+    callers.stop().await;
+}
+
 /// Callers that send streams and plain requests to all daemons.
 struct Callers {
     tasks: JoinSet<()>,
