gate: forget what a runner held when it restarts under its name

A runner that had accepted orders and restarted under its name got none any more: its holder went on believing what the process before had loaded, and took its reports, which count from zero, for outdated. Callers of its models were refused until the claim moved. A holder now starts anew with each incarnation that the registry lists.

--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -13,6 +13,7 @@
 use chestnut_member::ClaimKey;
 use chestnut_pool::RunnerView;
 use chestnut_pool::moves::Move;
+use indexmap::IndexMap;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::admission::{self, AdmissionTable};
@@ -33,6 +34,9 @@
 pub struct HeldRunner {
     /// The runner's name.
     pub server: ServerName,
+    /// When the runner started, in Unix milliseconds; `None` if unknown. What is known of one
+    /// incarnation does not hold for the next.
+    started_at: Option<u64>,
     admissions: Mutex<AdmissionTable>,
     /// Wakes the task that admits requests to the runner.
     pub changed: Notify,
@@ -96,7 +100,7 @@
     }
 }
 
-/// Starts and stops [`HeldRunner`]s as claims are taken and lost.
+/// Starts and stops [`HeldRunner`]s as claims are taken and lost and runners restart.
 pub fn sync_claims(shared: &Arc<Shared>) {
     let held_servers: Vec<ServerName> = {
         let membership = shared.membership();
@@ -113,23 +117,46 @@
     };
     let mut started = Vec::new();
     {
+        let starts = start_times(shared, &held_servers);
         let mut held_runners = shared.held_runners();
-        held_runners.retain(|name, _| held_servers.contains(name));
+        held_runners.retain(|name, runner| {
+            let is_current = |start: &Option<u64>| *start == runner.started_at;
+            held_servers.contains(name) && starts.get(name).is_none_or(is_current)
+        });
         for name in held_servers {
             held_runners.entry(name.clone()).or_insert_with(|| {
                 started.push(name.clone());
-                start_runner(shared.clone(), name)
+                let started_at = starts.get(&name).copied().flatten();
+                start_runner(shared.clone(), name, started_at)
             });
         }
     }
     server_limits::broadcast_held(shared, |server| started.contains(&server.server));
 }
 
-fn start_runner(shared: Arc<Shared>, server: ServerName) -> Arc<HeldRunner> {
+/// When runners started, by the registry; those that it has not listed are left out.
+fn start_times(
+    shared: &Shared,
+    servers: &[ServerName],
+) -> IndexMap<ServerName, Option<u64>> {
+    let fleet = shared.fleet();
+    let start_time = |name: &ServerName| {
+        let server = fleet.get(fleet.key(name)?)?;
+        Some((name.clone(), server.entry.started_at_ms))
+    };
+    servers.iter().filter_map(start_time).collect()
+}
+
+fn start_runner(
+    shared: Arc<Shared>,
+    server: ServerName,
+    started_at: Option<u64>,
+) -> Arc<HeldRunner> {
     let (commands, receiver) = mpsc::channel(MAX_QUEUED_COMMANDS);
     let (admissions, changed, state) =
         (Mutex::default(), Notify::new(), Mutex::default());
-    let runner = Arc::new(HeldRunner { server, admissions, changed, state, commands });
+    let runner =
+        Arc::new(HeldRunner { server, started_at, admissions, changed, state, commands });
     tokio::spawn(run_commands(shared.clone(), Arc::downgrade(&runner), receiver));
     tokio::spawn(admission::run(shared, Arc::downgrade(&runner)));
     runner
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -7,6 +7,7 @@
 use chestnut_edge::{Change, ServerEntry};
 use slog::{info, warn};
 
+use crate::holder;
 use crate::shared::Shared;
 use crate::table_sync::ChangeHandler;
 
@@ -88,6 +89,7 @@
         }
         self.0.fleet().remove_missing(now);
         self.0.server_updates.send_modify(|count| *count += 1);
+        holder::sync_claims(&self.0);
     }
 
     fn on_store_recovery(&mut self) {
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -228,6 +228,25 @@
     .await;
 }
 
+/// Guards against a runner that gets no orders after its second restart, because it is
+/// believed to hold what the process before had loaded.
+#[tokio::test]
+async fn a_runner_that_restarts_after_orders_gets_orders_again() {
+    let cluster = Cluster::start("restarts", 2).await;
+    for _ in 0..3 {
+        cluster.runners.iter().for_each(Runner::restart);
+        wait_until("both models are served again", async || {
+            let mut all_complete = true;
+            for model in ["red", "blue"] {
+                let request = CallerRequest::stream("draft", model, 3);
+                all_complete &= cluster.send(0, &request).await.complete;
+            }
+            all_complete
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn a_draining_runner_receives_no_new_requests() {
     // A runner reports that it drains. From then on requests go to the other runner with
