gate: log when a replica is outdated, and who told a daemon about a table

The logs name the revision that refused a request and the age of its replica, but not who had confirmed it, nor why a daemon whose replica is outdated neither reads the store nor is told: its rank among the readers, whether failed calls keep it from reading, which neighbours it hears, whether it has a row of its own.

'replica outdated' and 'replica current again' tell that once each; 'declarations in force' and 'request refused' name from whom the declarations and their confirmation came.

--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -47,11 +47,13 @@
         let code = format!("{:?}", self.refusal.code);
         shared.metrics.record_end("", &code);
         let declared = shared.tables.declarations.announcement(shared.now());
+        let confirmed_by = shared.tables.declarations.origins().confirmation;
         info!(shared.log, "request refused"; "id" => self.id.as_deref().unwrap_or("-"),
             "code" => code, "why" => &self.refusal.message,
             "revision" => self.revision.map(|revision| revision.0),
             "table_version" => declared.map(|(version, _)| version),
-            "table_age_ms" => declared.map(|(_, age)| age));
+            "table_age_ms" => declared.map(|(_, age)| age),
+            "table_confirmed_by" => confirmed_by.map(|origin| origin.to_string()));
         let id = self.id.as_deref();
         shared.dialect.write_refusal(&self.refusal, id).map(full_body)
     }
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -54,9 +54,11 @@
         return;
     }
     let routes = declarations.routes.len();
+    let origin = shared.tables.declarations.origins().changes;
     shared.declarations.send_replace(Some(Arc::new(declarations)));
     info!(shared.log, "declarations in force";
-        "revision" => revision.0, "before" => current.unwrap_or(Revision(0)).0, "routes" => routes);
+        "revision" => revision.0, "before" => current.unwrap_or(Revision(0)).0,
+        "from" => origin.map(|origin| origin.to_string()), "routes" => routes);
 }
 
 impl ChangeHandler for ServerHandler {
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -225,6 +225,21 @@
         silence.is_none_or(|silence| silence < HEARTBEAT_TIMEOUT)
     }
 
+    /// How many neighbours there are, how many of them this daemon hears, and whether it has
+    /// a row, for logs.
+    pub fn neighbour_summary(&self, now: Instant) -> String {
+        let membership = self.membership();
+        let neighbours = self.neighbours();
+        let is_heard = |member| {
+            let last_received_at = self.peers.last_received_at(member);
+            last_received_at
+                .is_some_and(|at| now.saturating_duration_since(at) < HEARTBEAT_TIMEOUT)
+        };
+        let heard = neighbours.addrs().filter(|(member, _)| is_heard(*member)).count();
+        let has_row = membership.own_row(&self.settings.vm, self.peers.me).is_some();
+        format!("{heard} of {} heard, own row {has_row}", neighbours.addrs().count())
+    }
+
     /// Locks the runners whose claims this daemon holds.
     pub fn held_runners(&self) -> MutexGuard<'_, IndexMap<ServerName, Arc<HeldRunner>>> {
         self.held_runners.lock().expect("no holder of the lock panics")
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -7,8 +7,9 @@
 //! version: the reader may be down, suspended or partitioned, and changes must still be
 //! in force in time. A daemon that can't reach the store gets changes from others.
 
+use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use chestnut_base::MemberId;
@@ -91,12 +92,40 @@
     fn on_store_recovery(&mut self) {}
 }
 
+/// Who told a daemon something about a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// The store.
+    Store,
+    /// Another daemon.
+    Peer(MemberId),
+}
+
+impl Display for Origin {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Peer(member) => member.fmt(f),
+        }
+    }
+}
+
+/// Who told a daemon what it knows of a table; `None` if nobody has.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Origins {
+    /// From whom the last changes came.
+    pub changes: Option<Origin>,
+    /// Who reported the last confirmation of the replica by the store.
+    pub confirmation: Option<Origin>,
+}
+
 /// A table of the store with this daemon's replica of it.
 pub struct SyncedTable {
     /// The table's name in the store.
     pub name: &'static str,
     /// This daemon's replica.
-    pub replica: std::sync::Mutex<TableReplica>,
+    replica: Mutex<TableReplica>,
+    origins: Mutex<Origins>,
     /// A newer version and the daemon that announced it.
     pub newer_version: watch::Sender<Option<(MemberId, u64)>>,
 }
@@ -106,16 +135,36 @@
     pub fn new(name: &'static str) -> Self {
         Self {
             name,
-            replica: Default::default(),
+            replica: Mutex::default(),
+            origins: Mutex::default(),
             newer_version: watch::Sender::new(None),
         }
     }
 
     /// Locks the replica.
-    pub fn replica(&self) -> std::sync::MutexGuard<'_, TableReplica> {
+    pub fn replica(&self) -> MutexGuard<'_, TableReplica> {
         self.replica.lock().expect("no holder of the lock panics")
     }
 
+    /// Who told this daemon what it knows of the table, for logs.
+    pub fn origins(&self) -> Origins {
+        *self.lock_origins()
+    }
+
+    fn lock_origins(&self) -> MutexGuard<'_, Origins> {
+        self.origins.lock().expect("no holder of the lock panics")
+    }
+
+    /// Records that at `at` the store had no changes after `version`.
+    fn record_confirmation(&self, version: u64, at: Instant, origin: Origin) {
+        let mut replica = self.replica();
+        let before = replica.confirmed_at();
+        replica.record_confirmation(version, at);
+        if replica.confirmed_at() > before {
+            self.lock_origins().confirmation = Some(origin);
+        }
+    }
+
     /// Time since the store confirmed the replica; `None` before the first confirmation.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         Some(now.saturating_duration_since(self.replica().confirmed_at()?))
@@ -137,11 +186,10 @@
         now: Instant,
     ) {
         let confirmed = now.checked_sub(Duration::from_millis(age_ms.into()));
-        let mut replica = self.replica();
         if let Some(confirmed) = confirmed {
-            replica.record_confirmation(version, confirmed);
+            self.record_confirmation(version, confirmed, Origin::Peer(from));
         }
-        if replica.version().is_some_and(|own| own < version) {
+        if self.replica().version().is_some_and(|own| own < version) {
             self.newer_version.send_replace(Some((from, version)));
         }
     }
@@ -159,6 +207,7 @@
         table,
         handler,
         outage,
+        outdated_since: None,
         store_unavailable: false,
         backoff: Backoff::default(),
     };
@@ -176,6 +225,8 @@
     table: Arc<SyncedTable>,
     handler: F,
     outage: Outage,
+    /// Since when the replica has been older than the freshness limit.
+    outdated_since: Option<Instant>,
     /// Whether the last call to the store failed.
     store_unavailable: bool,
     /// Delays calls to the store after failed ones.
@@ -186,8 +237,8 @@
 enum Source {
     /// The store, which may hold its response for that long.
     Store(Duration),
-    /// A daemon that has a newer version.
-    Peer(SocketAddr),
+    /// A daemon that has a newer version, and its address.
+    Peer(MemberId, SocketAddr),
     /// Nowhere for now: the replica is current, or the store may not be called yet.
     Idle,
 }
@@ -195,9 +246,10 @@
 impl<F: ChangeHandler> TableSync<F> {
     async fn sync_once(&mut self) {
         self.detect_outage();
+        self.log_freshness();
         let result = match self.choose_source() {
             Source::Store(hold) => self.read_store(hold).await,
-            Source::Peer(addr) => self.fetch_from_peer(addr).await,
+            Source::Peer(member, addr) => self.fetch_from_peer(member, addr).await,
             Source::Idle => {
                 let mut newer_version = self.table.newer_version.subscribe();
                 newer_version.borrow_and_update();
@@ -230,8 +282,8 @@
         if rank == 0 && past_startup && may_call {
             return Source::Store(freshness_limit(&self.shared) / HOLD_DIVISOR);
         }
-        if let Some(addr) = self.newer_peer(now) {
-            return Source::Peer(addr);
+        if let Some((member, addr)) = self.newer_peer(now) {
+            return Source::Peer(member, addr);
         }
         let limit = freshness_limit(&self.shared) + READ_STAGGER * rank.min(10) as u32;
         match self.age() {
@@ -246,18 +298,22 @@
         self.table.age(self.shared.now())
     }
 
-    /// The address of a live daemon that has a newer version.
-    fn newer_peer(&self, now: Instant) -> Option<SocketAddr> {
+    /// A live daemon that has a newer version, and its address.
+    fn newer_peer(&self, now: Instant) -> Option<(MemberId, SocketAddr)> {
         let (member, version) = (*self.table.newer_version.borrow())?;
         let own = self.table.replica().version()?;
         let alive = self.shared.is_alive(member, now);
         if version <= own || !alive {
             return None;
         }
-        members::table_changes_addr(&self.shared, member)
+        Some((member, members::table_changes_addr(&self.shared, member)?))
     }
 
-    async fn fetch_from_peer(&mut self, addr: SocketAddr) -> Result<(), StoreError> {
+    async fn fetch_from_peer(
+        &mut self,
+        member: MemberId,
+        addr: SocketAddr,
+    ) -> Result<(), StoreError> {
         let own = self.table.replica().version().unwrap_or_default();
         let fetch =
             if self.store_unavailable { OUTAGE_FETCH_LIMITS } else { FETCH_LIMITS };
@@ -275,14 +331,14 @@
                 return Err(error);
             }
         };
-        if self.apply_peer_changes(changes) {
+        if self.apply_peer_changes(member, changes) {
             members::announce_tables(&self.shared);
         }
         Ok(())
     }
 
     /// Applies changes from another daemon; returns whether any was new.
-    fn apply_peer_changes(&mut self, changes: TableChanges) -> bool {
+    fn apply_peer_changes(&mut self, member: MemberId, changes: TableChanges) -> bool {
         let TableChanges { rows, snapshot, version } = changes;
         let rows: Vec<Change> = rows.into_iter().map(Change::from).collect();
         let new_changes = {
@@ -293,7 +349,7 @@
             }
         };
         let any_new = !new_changes.is_empty();
-        self.dispatch(new_changes);
+        self.dispatch(new_changes, Origin::Peer(member));
         any_new
     }
 
@@ -329,11 +385,10 @@
         let as_of = confirmation_time(sent_at, hold, received_at, has_changes);
         let new_changes = {
             let mut replica = self.table.replica();
-            let new_changes = replica.apply(delta.changes, delta.version);
-            replica.record_confirmation(delta.version, as_of);
-            new_changes
+            replica.apply(delta.changes, delta.version)
         };
-        self.dispatch(new_changes);
+        self.table.record_confirmation(delta.version, as_of, Origin::Store);
+        self.dispatch(new_changes, Origin::Store);
         if has_changes {
             // Others are notified at once, and rows that change in quick succession share
             // a poll.
@@ -349,22 +404,60 @@
         let new_changes = {
             let mut replica = self.table.replica();
             let new_changes = replica.apply_snapshot(rows, version);
-            let new_changes = new_changes
-                .ok_or_else(|| StoreError(format!("stale read at version {version}")))?;
-            replica.record_confirmation(version, sent_at);
             new_changes
+                .ok_or_else(|| StoreError(format!("stale read at version {version}")))?
         };
-        self.dispatch(new_changes);
+        self.table.record_confirmation(version, sent_at, Origin::Store);
+        self.dispatch(new_changes, Origin::Store);
         Ok(())
     }
 
-    fn dispatch(&mut self, new_changes: Vec<Change>) {
+    fn dispatch(&mut self, new_changes: Vec<Change>, origin: Origin) {
+        if !new_changes.is_empty() {
+            self.table.lock_origins().changes = Some(origin);
+        }
         for change in new_changes {
             self.handler.on_change(change);
         }
         self.handler.on_batch_end();
     }
 
+    /// Logs when the replica becomes outdated and when it is current again, with what
+    /// decides from where it is updated.
+    fn log_freshness(&mut self) {
+        let now = self.shared.now();
+        let version = self.table.replica().version();
+        let is_outdated = match self.age() {
+            Some(age) => age > freshness_limit(&self.shared),
+            // The daemon was suspended, or has just started.
+            None => version.is_some(),
+        };
+        let age_ms = self.age().map(|age| age.as_millis() as u64);
+        let confirmed_by = self.table.origins().confirmation;
+        let confirmed_by = confirmed_by.map(|origin| origin.to_string());
+        match (is_outdated, self.outdated_since) {
+            (true, None) => {
+                self.outdated_since = Some(now);
+                let rank = reader_rank(&self.shared, self.table.name);
+                let may_call = self.backoff.may_call(rank, now);
+                let newer = *self.table.newer_version.borrow();
+                let newer =
+                    newer.map(|(member, version)| format!("{version} at {member}"));
+                info!(self.shared.log, "replica outdated"; "table" => self.table.name,
+                    "version" => version, "age_ms" => age_ms,
+                    "confirmed_by" => confirmed_by, "rank" => rank, "may_call" => may_call,
+                    "newer" => newer, "neighbours" => self.shared.neighbour_summary(now));
+            }
+            (false, Some(since)) => {
+                self.outdated_since = None;
+                info!(self.shared.log, "replica current again"; "table" => self.table.name,
+                    "version" => version, "age_ms" => age_ms, "confirmed_by" => confirmed_by,
+                    "outdated_ms" => now.duration_since(since).as_millis() as u64);
+            }
+            (true, Some(_)) | (false, None) => {}
+        }
+    }
+
     /// Logs the start and the end of an outage, and notifies the handler of the end.
     fn detect_outage(&mut self) {
         let now = self.shared.now();
