gate: decide apart from I/O from where a table is updated

No change of what is decided. The simulated cluster of tests/membership.rs had a copy of the decision, which differed from the daemon's: it ignored the stagger of readers, took the versions of daemons whose rows it did not know, and had a replica confirmed by a fetch. It takes TableView::source of the daemon now, lists the daemons that are heard in every second heartbeat only, and announces nothing before the first read.

removed_daemon_learns_of_changes_after_an_outage still fails where heartbeats of daemons that are no neighbours aren't answered.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -21,7 +21,8 @@
 //! [`planner`] assigns models to runners and writes [`persisted_timings`]. Daemons exchange
 //! datagrams: [`message`], [`peers`], [`receive`].
 //!
-//! [`table_sync`] keeps a [`table_replica`] of each of the [`store`]'s tables, from which
+//! [`table_sync`] keeps a [`table_replica`] of each of the [`store`]'s tables, updated from
+//! where [`table_source`] decides, from which
 //! [`registry`] reads declarations and backend servers. [`directory`] serves the addresses
 //! that callers connect to; [`introspection`] serves [`metrics`] and the daemon's state. All
 //! requests go through one [`client`]; modules share their state in [`shared`].
@@ -66,6 +67,7 @@
 pub mod shared;
 pub mod store;
 pub mod table_replica;
+pub mod table_source;
 pub mod table_sync;
 pub mod usage_reports;
 
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -24,6 +24,7 @@
 use crate::shared::Shared;
 use crate::store::{self, FetchLimits, StoreError};
 use crate::table_replica::{TableChanges, TableReplica, confirmation_time};
+use crate::table_source::{Source, TableView};
 use crate::{blocked_requests, claims, members, persisted_timings};
 
 /// The store may hold the reader's long poll for [`freshness_limit`] divided by this. The
@@ -49,9 +50,6 @@
 
 const _: () = assert!(MAX_FRESHNESS.as_millis() <= members::FAILURE_TIMEOUT.as_millis());
 
-/// Delay per rank before a daemon polls the store itself, so that one read serves all.
-const READ_STAGGER: Duration = Duration::from_millis(40);
-
 /// How often a daemon checks whether its replica is current.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 
@@ -233,23 +231,16 @@
     backoff: Backoff,
 }
 
-/// Where the next changes come from.
-enum Source {
-    /// The store, which may hold its response for that long.
-    Store(Duration),
-    /// A daemon that has a newer version, and its address.
-    Peer(MemberId, SocketAddr),
-    /// Nowhere for now: the replica is current, or the store may not be called yet.
-    Idle,
-}
-
 impl<F: ChangeHandler> TableSync<F> {
     async fn sync_once(&mut self) {
         self.detect_outage();
         self.log_freshness();
         let result = match self.choose_source() {
-            Source::Store(hold) => self.read_store(hold).await,
-            Source::Peer(member, addr) => self.fetch_from_peer(member, addr).await,
+            Source::LongPoll => {
+                self.read_store(freshness_limit(&self.shared) / HOLD_DIVISOR).await
+            }
+            Source::Read => self.read_store(Duration::ZERO).await,
+            Source::Peer((member, addr)) => self.fetch_from_peer(member, addr).await,
             Source::Idle => {
                 let mut newer_version = self.table.newer_version.subscribe();
                 newer_version.borrow_and_update();
@@ -268,29 +259,20 @@
         }
     }
 
-    fn choose_source(&self) -> Source {
+    fn choose_source(&self) -> Source<(MemberId, SocketAddr)> {
         let now = self.shared.now();
         let rank = reader_rank(&self.shared, self.table.name);
-        let may_call = self.backoff.may_call(rank, now);
-        if self.table.replica().version().is_none() {
-            let first = Source::Store(Duration::ZERO);
-            return if may_call { first } else { Source::Idle };
-        }
-        // Right after its start a daemon may not know the others and would consider itself the
-        // reader.
-        let past_startup = self.shared.uptime() > STARTUP_TIME;
-        if rank == 0 && past_startup && may_call {
-            return Source::Store(freshness_limit(&self.shared) / HOLD_DIVISOR);
-        }
-        if let Some((member, addr)) = self.newer_peer(now) {
-            return Source::Peer(member, addr);
-        }
-        let limit = freshness_limit(&self.shared) + READ_STAGGER * rank.min(10) as u32;
-        match self.age() {
-            Some(age) if age < limit => Source::Idle,
-            _ if !may_call => Source::Idle,
-            _ => Source::Store(Duration::ZERO),
-        }
+        let version = self.table.replica().version();
+        let view = TableView {
+            rank,
+            may_call: self.backoff.may_call(rank, now),
+            is_loaded: version.is_some(),
+            past_startup: self.shared.uptime() > STARTUP_TIME,
+            newer_peer: self.newer_peer(now),
+            age: self.age(),
+            freshness_limit: freshness_limit(&self.shared),
+        };
+        view.source()
     }
 
     /// Time since the store confirmed the replica.
--- a/crates/gate/tests/membership.rs
+++ b/crates/gate/tests/membership.rs
@@ -10,6 +10,7 @@
 use chestnut_gate::backoff::Backoff;
 use chestnut_gate::members::FAILURE_TIMEOUT;
 use chestnut_gate::peers::HEARTBEAT_TIMEOUT;
+use chestnut_gate::table_source::{Source, TableView};
 use chestnut_member::{MemberRow, MembershipRows, Neighbours, reader_rank};
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
@@ -22,6 +23,9 @@
 /// The age from which a daemon reads the store itself.
 const FRESHNESS_LIMIT: Duration = Duration::from_millis(1500);
 
+/// The time after its start from which a daemon may be the reader.
+const STARTUP_TIME: Duration = Duration::from_secs(1);
+
 /// The time within which declarations must be in force, of the strictest deployment.
 const APPLY_BOUND: Duration = Duration::from_secs(2);
 
@@ -36,12 +40,13 @@
     /// The version of the tables that it has.
     version: u64,
     confirmed_at: Instant,
+    started_at: Instant,
     backoff: Backoff,
     neighbours: Neighbours,
     last_received: IndexMap<MemberId, Instant>,
     alive_for: IndexMap<MemberId, (Instant, Vec<MemberId>)>,
-    /// A newer version and the index of the daemon that has it.
-    newer: Option<(usize, u64)>,
+    /// A newer version and the daemon that has it.
+    newer: Option<(MemberId, u64)>,
 }
 
 enum Message {
@@ -50,9 +55,8 @@
     Other,
 }
 
-/// A version and when the store confirmed it.
-#[derive(Clone, Copy)]
-struct Announcement(u64, Instant);
+/// A version and when the store confirmed it; `None` before the first read.
+type Announcement = Option<(u64, Instant)>;
 
 struct Cluster {
     rng: StdRng,
@@ -119,6 +123,7 @@
             rows: MembershipRows::default(),
             version: 0,
             confirmed_at: self.now(),
+            started_at: self.now(),
             backoff: Backoff::default(),
             neighbours: Neighbours::default(),
             last_received: IndexMap::new(),
@@ -149,6 +154,13 @@
         self.history.push(rows);
     }
 
+    /// The live daemons whose tables are older than `version`.
+    fn outdated(&self, version: u64) -> Vec<String> {
+        let outdated =
+            self.daemons.iter().filter(|daemon| daemon.is_up && daemon.version < version);
+        outdated.map(|daemon| daemon.vm.to_string()).collect()
+    }
+
     fn run(&mut self, duration: Duration) {
         for _ in 0..duration.as_millis() / STEP.as_millis() {
             self.step();
@@ -184,7 +196,8 @@
     }
 
     fn announcement(&self, index: usize) -> Announcement {
-        Announcement(self.daemons[index].version, self.daemons[index].confirmed_at)
+        let daemon = &self.daemons[index];
+        (daemon.version > 0).then_some((daemon.version, daemon.confirmed_at))
     }
 
     fn deliver_messages(&mut self) {
@@ -215,10 +228,11 @@
     }
 
     fn record_announcement(&mut self, from: usize, to: usize, announced: Announcement) {
-        let Announcement(version, confirmed_at) = announced;
+        let Some((version, confirmed_at)) = announced else { return };
+        let member = self.daemons[from].member;
         let daemon = &mut self.daemons[to];
         match version.cmp(&daemon.version) {
-            std::cmp::Ordering::Greater => daemon.newer = Some((from, version)),
+            std::cmp::Ordering::Greater => daemon.newer = Some((member, version)),
             _ if version == daemon.version => {
                 daemon.confirmed_at = daemon.confirmed_at.max(confirmed_at)
             }
@@ -240,9 +254,15 @@
             .map(|(member, _)| *member)
             .collect();
         let addrs: Vec<_> = daemon.neighbours.addrs().collect();
+        let lists_alive =
+            ((self.steps + index as u64) / HEARTBEAT_STEPS).is_multiple_of(2);
         for (_, addr) in addrs {
             let to = usize::from(addr.port()) - 1000;
-            self.send(index, to, Message::Heartbeat(announcement, alive.clone()));
+            let message = match lists_alive {
+                true => Message::Heartbeat(announcement, alive.clone()),
+                false => Message::TableUpdate(announcement),
+            };
+            self.send(index, to, message);
         }
     }
 
@@ -286,6 +306,22 @@
     }
 
     fn sync_table(&mut self, index: usize) {
+        match self.source(index) {
+            Source::LongPoll | Source::Read => self.read_store(index),
+            Source::Peer(peer) => self.fetch(index, peer),
+            Source::Idle => {}
+        }
+    }
+
+    fn fetch(&mut self, index: usize, peer: MemberId) {
+        let peer = self.daemons.iter().find(|one| one.is_up && one.member == peer);
+        match peer.map(|peer| peer.version) {
+            Some(version) => self.apply(index, version),
+            None => self.daemons[index].newer = None,
+        }
+    }
+
+    fn source(&self, index: usize) -> Source<MemberId> {
         let now = self.now();
         let daemon = &self.daemons[index];
         let is_alive = |member| daemon.is_alive(member, now);
@@ -294,19 +330,19 @@
             true => 0,
             false => reader_rank(&daemon.rows, &daemon.vm, 100, "table", is_alive),
         };
-        let age = now - daemon.confirmed_at;
-        let may_call = daemon.backoff.may_call(rank, now);
-        let peer = daemon.newer.filter(|(_, version)| *version > daemon.version);
-        match peer {
-            _ if daemon.version == 0 && may_call => self.read_store(index),
-            _ if rank == 0 && may_call => self.read_store(index),
-            Some((peer, _)) if self.daemons[peer].is_up => {
-                let Announcement(version, confirmed_at) = self.announcement(peer);
-                self.apply(index, version, confirmed_at);
-            }
-            _ if age > FRESHNESS_LIMIT && may_call => self.read_store(index),
-            _ => {}
-        }
+        let newer = daemon.newer.filter(|(member, version)| {
+            *version > daemon.version && daemon.rows.member_row(*member).is_some()
+        });
+        let view = TableView {
+            rank,
+            may_call: daemon.backoff.may_call(rank, now),
+            is_loaded: daemon.version > 0,
+            past_startup: now - daemon.started_at > STARTUP_TIME,
+            newer_peer: newer.map(|(peer, _)| peer),
+            age: Some(now - daemon.confirmed_at),
+            freshness_limit: FRESHNESS_LIMIT,
+        };
+        view.source()
     }
 
     fn read_store(&mut self, index: usize) {
@@ -314,16 +350,16 @@
         match self.store_up {
             true => {
                 self.daemons[index].backoff.record_success();
-                self.apply(index, self.last_version(), now);
+                self.apply(index, self.last_version());
+                self.daemons[index].confirmed_at = now;
             }
             false => self.daemons[index].backoff.record_failure(now),
         }
     }
 
-    fn apply(&mut self, index: usize, version: u64, confirmed_at: Instant) {
+    fn apply(&mut self, index: usize, version: u64) {
         let now = self.now();
         let daemon = &mut self.daemons[index];
-        daemon.confirmed_at = daemon.confirmed_at.max(confirmed_at);
         if version <= daemon.version {
             return;
         }
@@ -388,8 +424,7 @@
         cluster.run(Duration::from_millis(700));
         let declared = cluster.last_version();
         cluster.run(APPLY_BOUND);
-        let outdated = cluster.daemons.iter().filter(|daemon| daemon.version < declared);
-        let outdated: Vec<_> = outdated.map(|daemon| daemon.vm.to_string()).collect();
+        let outdated = cluster.outdated(declared);
         assert!(outdated.is_empty(), "seed {seed}: {outdated:?}");
     }
 }
