gate: answer the heartbeats of daemons that are shutting down

The row of a live daemon of a large fleet was removed 50 ms after the store's return: for 0.7 s its claims went to others, and tables reached it through answers to its own heartbeats alone.

Cause: while neighbours are silent, a daemon watches others in their place. These don't know it as a neighbour and only answer its heartbeats, but not those of a daemon that is shutting down. 1.2 s after its SIGTERM it took them for failed, and as the store was away, their rows stayed until its return and then went at once.

A heartbeat of a daemon that is shutting down is answered like any other. Only the announcement of the shutdown isn't, which goes to all daemons at once and names no tables. leaving_daemons_remove_no_live_daemon fails without it: two or three live daemons of 100 are removed.

--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -271,19 +271,15 @@
     shared.membership().members.len().max(1)
 }
 
-/// Records a heartbeat of another daemon.
-///
-/// One that isn't a neighbour sends heartbeats because the two daemons know different
-/// members. It is answered with the versions of the tables: it may watch this daemon,
-/// which must not seem silent, or its row may have been removed, which it learns from
-/// newer tables.
+/// Records a heartbeat of another daemon, and answers it with the versions of the tables if
+/// need be.
 pub fn record_heartbeat(
     shared: &Shared,
     (from, addr): (MemberId, SocketAddr),
     heartbeat: &Heartbeat,
 ) {
     table_sync::record_announcements(shared, from, &heartbeat.tables);
-    if !heartbeat.shutting_down && !shared.neighbours().expects(from) {
+    if heartbeat.needs_answer(shared.neighbours().expects(from)) {
         let announcements = table_sync::announcements(shared);
         shared.peers.send(addr, Message::TableUpdate(announcements));
     }
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -276,10 +276,23 @@
     /// which. Without these reports they would remove each other's rows.
     #[serde(rename = "heard")]
     pub alive_members: Vec<MemberId>,
-    /// Its view of the store's tables, in a fixed order.
+    /// Its view of the store's tables, in a fixed order; empty in the announcement of a
+    /// shutdown, which is sent to all daemons at once.
     pub tables: Vec<TableFreshness>,
 }
 
+impl Heartbeat {
+    /// Whether the sender must be answered; `is_expected` is whether it is a neighbour.
+    ///
+    /// One that isn't a neighbour sends heartbeats because the two daemons know different
+    /// members. It may watch this daemon, which must not seem silent, or its row may have
+    /// been removed, which it learns from newer tables. Both hold until the end of a daemon
+    /// that is shutting down.
+    pub fn needs_answer(&self, is_expected: bool) -> bool {
+        !is_expected && !self.tables.is_empty()
+    }
+}
+
 /// A daemon's view of one of the store's tables: the version of its replica, and the
 /// milliseconds since the store confirmed it. `None` if it has not read the table.
 pub type TableFreshness = Option<(u64, u32)>;
--- a/crates/gate/tests/membership.rs
+++ b/crates/gate/tests/membership.rs
@@ -9,6 +9,7 @@
 use chestnut_base::{DomainName, MemberId, VmName};
 use chestnut_gate::backoff::Backoff;
 use chestnut_gate::members::FAILURE_TIMEOUT;
+use chestnut_gate::message::Heartbeat;
 use chestnut_gate::peers::HEARTBEAT_TIMEOUT;
 use chestnut_gate::table_source::{Source, TableView};
 use chestnut_member::{MemberRow, MembershipRows, Neighbours, reader_rank};
@@ -36,6 +37,7 @@
     vm: VmName,
     member: MemberId,
     is_up: bool,
+    is_leaving: bool,
     rows: MembershipRows,
     /// The version of the tables that it has.
     version: u64,
@@ -50,7 +52,7 @@
 }
 
 enum Message {
-    Heartbeat(Announcement, Vec<MemberId>),
+    Heartbeat(Announcement, Heartbeat),
     TableUpdate(Announcement),
     Other,
 }
@@ -120,6 +122,7 @@
             vm: vm(index),
             member: MemberId(1 + index as u64 + 1000 * self.steps),
             is_up: true,
+            is_leaving: false,
             rows: MembershipRows::default(),
             version: 0,
             confirmed_at: self.now(),
@@ -211,10 +214,13 @@
             let member = self.daemons[from].member;
             self.daemons[to].last_received.insert(member, now);
             match message {
-                Message::Heartbeat(announcement, alive) => {
-                    self.daemons[to].alive_for.insert(member, (now, alive));
+                Message::Heartbeat(announcement, heartbeat) => {
+                    let is_expected = self.daemons[to].neighbours.expects(member);
+                    let needs_answer = heartbeat.needs_answer(is_expected);
+                    let alive = (now, heartbeat.alive_members);
+                    self.daemons[to].alive_for.insert(member, alive);
                     self.record_announcement(from, to, announcement);
-                    if !self.daemons[to].neighbours.expects(member) {
+                    if needs_answer {
                         let answer = Message::TableUpdate(self.announcement(to));
                         self.send(to, from, answer);
                     }
@@ -249,17 +255,22 @@
         let silent = rows.filter(|(row, _)| !daemon.is_alive(row.member, now)).count();
         daemon.neighbours.replace_silent(&daemon.rows, &daemon.vm, silent, now);
         let heard = daemon.last_received.iter();
-        let alive: Vec<_> = heard
+        let alive_members: Vec<_> = heard
             .filter(|(_, at)| now - **at < HEARTBEAT_TIMEOUT)
             .map(|(member, _)| *member)
             .collect();
+        let heartbeat = Heartbeat {
+            shutting_down: daemon.is_leaving,
+            alive_members,
+            tables: vec![announcement.map(|(version, _)| (version, 0))],
+        };
         let addrs: Vec<_> = daemon.neighbours.addrs().collect();
         let lists_alive =
             ((self.steps + index as u64) / HEARTBEAT_STEPS).is_multiple_of(2);
         for (_, addr) in addrs {
             let to = usize::from(addr.port()) - 1000;
             let message = match lists_alive {
-                true => Message::Heartbeat(announcement, alive.clone()),
+                true => Message::Heartbeat(announcement, heartbeat.clone()),
                 false => Message::TableUpdate(announcement),
             };
             self.send(index, to, message);
@@ -447,6 +458,26 @@
     assert!(cluster.daemons[isolated].version > version);
 }
 
+/// A daemon that leaves must not remove those that it watches in place of silent ones.
+#[test]
+fn leaving_daemons_remove_no_live_daemon() {
+    for seed in 0..3 {
+        let mut cluster = Cluster::new(100, seed);
+        cluster.store_up = false;
+        let stopped = (0..100).sample(&mut cluster.rng, 30);
+        for (count, index) in stopped.into_iter().enumerate() {
+            cluster.daemons[index].is_leaving = true;
+            cluster.run(Duration::from_millis(100));
+            // The first of them have ended, and their rows stay during the outage.
+            cluster.daemons[index].is_up = count >= 15;
+        }
+        cluster.run(Duration::from_secs(2));
+        cluster.store_up = true;
+        cluster.run(Duration::from_millis(500));
+        assert_eq!(cluster.removed_alive, [], "seed {seed}");
+    }
+}
+
 /// The few daemons that are left must find all others failed, not eight at a time.
 #[test]
 fn rows_of_most_daemons_are_removed_soon() {
