gate: read the store when other daemons pass nothing on after an outage

A daemon of a large fleet can serve callers by old declarations for as long as the failed call of its own backs it off, up to 30 s: long after the store is back and all others go by the new ones.

Cause: a daemon that isn't among the first readers leaves the calls to others, whether or not they tell it anything. It stopped doing so only where it heard no neighbour at all, and any datagram counted as hearing one. Two states remain on the code after, which made others answer a daemon without a row: it gets requests but no tables, as when what it sends is lost; and it is told of newer versions by daemons that it doesn't know, which started during the outage, while the first readers that it knows have failed.

A daemon to which nobody announces a table within three heartbeats calls like the first reader. One that is told that the store has responded to others since its own failed call waits three heartbeats for what they pass on, then calls likewise; a failed call starts that anew, so that a daemon that the store alone rejects calls once a second at most. While all pass changes on, nothing more is called: replicas are confirmed before the wait is over.

--- a/crates/gate/src/backoff.rs
+++ b/crates/gate/src/backoff.rs
@@ -29,12 +29,19 @@
 /// partitioned from the others has rank 0 among those that it can reach, and calls often.
 const MAX_DELAY: Duration = Duration::from_secs(30);
 
+/// How long a daemon waits for changes after others have announced that the store responds.
+///
+/// Three heartbeats, within which a change reaches every daemon that the others know.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Decides when the store may be called again.
 #[derive(Debug, Default)]
 pub struct Backoff {
     /// Consecutive failed calls.
     failures: u32,
     failed_at: Option<Instant>,
+    /// When others first announced that the store had responded since the last failed call.
+    recovery_known_at: Option<Instant>,
 }
 
 impl Backoff {
@@ -42,6 +49,14 @@
     pub fn record_failure(&mut self, now: Instant) {
         self.failures = self.failures.saturating_add(1);
         self.failed_at = Some(now);
+        self.recovery_known_at = None;
+    }
+
+    /// Records that the store responded to another daemon at `responded_at`.
+    pub fn record_recovery(&mut self, responded_at: Instant, now: Instant) {
+        if self.failed_at.is_some_and(|failed_at| responded_at > failed_at) {
+            self.recovery_known_at.get_or_insert(now);
+        }
     }
 
     /// Ends the delay after a successful call.
@@ -54,7 +69,12 @@
     ///
     /// A daemon that gets partitioned from the others moves to rank 0. It must not wait out
     /// a delay that relied on them: its replica would be stale while the store is readable.
+    /// So would that of a daemon to which the others pass nothing on, though the store
+    /// responds to them.
     pub fn may_call(&self, rank: usize, now: Instant) -> bool {
+        let is_left_out =
+            self.recovery_known_at.is_some_and(|at| now >= at + RELAY_TIMEOUT);
+        let rank = if is_left_out { 0 } else { rank };
         self.failed_at.is_none_or(|failed_at| now >= failed_at + self.delay(rank))
     }
 
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -24,7 +24,7 @@
 use crate::shared::Shared;
 use crate::store::{self, FetchLimits, StoreError};
 use crate::table_replica::{TableChanges, TableReplica, confirmation_time};
-use crate::table_source::{Source, TableView};
+use crate::table_source::{Announcements, Source, TableView};
 use crate::{blocked_requests, claims, members, persisted_timings};
 
 /// The store may hold the reader's long poll for [`freshness_limit`] divided by this. The
@@ -124,6 +124,8 @@
     /// This daemon's replica.
     replica: Mutex<TableReplica>,
     origins: Mutex<Origins>,
+    /// What other daemons announced.
+    announcements: Mutex<Announcements>,
     /// A newer version and the daemon that announced it.
     pub newer_version: watch::Sender<Option<(MemberId, u64)>>,
 }
@@ -135,6 +137,7 @@
             name,
             replica: Mutex::default(),
             origins: Mutex::default(),
+            announcements: Mutex::default(),
             newer_version: watch::Sender::new(None),
         }
     }
@@ -153,6 +156,15 @@
         self.origins.lock().expect("no holder of the lock panics")
     }
 
+    /// What other daemons announced of the table.
+    fn announcements(&self) -> Announcements {
+        *self.lock_announcements()
+    }
+
+    fn lock_announcements(&self) -> MutexGuard<'_, Announcements> {
+        self.announcements.lock().expect("no holder of the lock panics")
+    }
+
     /// Records that at `at` the store had no changes after `version`.
     fn record_confirmation(&self, version: u64, at: Instant, origin: Origin) {
         let mut replica = self.replica();
@@ -184,6 +196,7 @@
         now: Instant,
     ) {
         let confirmed = now.checked_sub(Duration::from_millis(age_ms.into()));
+        self.lock_announcements().record(confirmed, now);
         if let Some(confirmed) = confirmed {
             self.record_confirmation(version, confirmed, Origin::Peer(from));
         }
@@ -259,20 +272,27 @@
         }
     }
 
-    fn choose_source(&self) -> Source<(MemberId, SocketAddr)> {
+    fn choose_source(&mut self) -> Source<(MemberId, SocketAddr)> {
         let now = self.shared.now();
+        if let Some(responded_at) = self.table.announcements().responded_at() {
+            self.backoff.record_recovery(responded_at, now);
+        }
+        self.view(now).source(&self.backoff, now)
+    }
+
+    fn view(&self, now: Instant) -> TableView<(MemberId, SocketAddr)> {
         let rank = reader_rank(&self.shared, self.table.name);
         let version = self.table.replica().version();
-        let view = TableView {
+        let is_informed = self.table.announcements().are_recent(now);
+        TableView {
             rank,
-            may_call: self.backoff.may_call(rank, now),
+            is_informed,
             is_loaded: version.is_some(),
             past_startup: self.shared.uptime() > STARTUP_TIME,
             newer_peer: self.newer_peer(now),
             age: self.age(),
             freshness_limit: freshness_limit(&self.shared),
-        };
-        view.source()
+        }
     }
 
     /// Time since the store confirmed the replica.
@@ -420,15 +440,15 @@
         match (is_outdated, self.outdated_since) {
             (true, None) => {
                 self.outdated_since = Some(now);
-                let rank = reader_rank(&self.shared, self.table.name);
-                let may_call = self.backoff.may_call(rank, now);
+                let view = self.view(now);
+                let may_call = view.may_call(&self.backoff, now);
                 let newer = *self.table.newer_version.borrow();
                 let newer =
                     newer.map(|(member, version)| format!("{version} at {member}"));
                 info!(self.shared.log, "replica outdated"; "table" => self.table.name,
                     "version" => version, "age_ms" => age_ms,
-                    "confirmed_by" => confirmed_by, "rank" => rank, "may_call" => may_call,
-                    "newer" => newer, "neighbours" => self.shared.neighbour_summary(now));
+                    "confirmed_by" => confirmed_by, "rank" => view.rank,
+                    "informed" => view.is_informed, "may_call" => may_call, "newer" => newer, "neighbours" => self.shared.neighbour_summary(now));
             }
             (false, Some(since)) => {
                 self.outdated_since = None;
--- a/crates/gate/tests/backoff.rs
+++ b/crates/gate/tests/backoff.rs
@@ -80,3 +80,37 @@
     assert!(!backoff.may_call(77, later));
     assert!(backoff.may_call(0, later));
 }
+
+#[test]
+fn a_daemon_that_is_left_out_calls_soon() {
+    // The store is back, as others announce, but they pass nothing on to one of the last of
+    // 78 daemons. It waits for three heartbeats, then calls like the first ones.
+    let failed_at = Instant::now();
+    let mut backoff = Backoff::default();
+    backoff.record_failure(failed_at);
+    let announced_at = failed_at + Duration::from_secs(5);
+    backoff.record_recovery(failed_at - Duration::from_millis(1), announced_at);
+    assert!(!backoff.may_call(77, announced_at + Duration::from_secs(2)));
+    backoff.record_recovery(failed_at + Duration::from_millis(1), announced_at);
+    assert!(!backoff.may_call(77, announced_at + Duration::from_millis(800)));
+    assert!(backoff.may_call(77, announced_at + Duration::from_millis(900)));
+}
+
+#[test]
+fn a_daemon_that_the_store_rejects_calls_rarely() {
+    // The store rejects one daemon and responds to the others, which announce that all the
+    // time. Each call of its own that fails starts the wait anew.
+    let start = Instant::now();
+    let mut backoff = Backoff::default();
+    backoff.record_failure(start);
+    let mut calls = 0;
+    for step in 1..1000 {
+        let now = start + Duration::from_millis(10) * step;
+        backoff.record_recovery(now, now);
+        if backoff.may_call(77, now) {
+            backoff.record_failure(now);
+            calls += 1;
+        }
+    }
+    assert!(calls <= 10_000 / 900, "{calls} calls in ten seconds");
+}
--- a/crates/gate/tests/membership.rs
+++ b/crates/gate/tests/membership.rs
@@ -11,7 +11,7 @@
 use chestnut_gate::members::FAILURE_TIMEOUT;
 use chestnut_gate::message::Heartbeat;
 use chestnut_gate::peers::HEARTBEAT_TIMEOUT;
-use chestnut_gate::table_source::{Source, TableView};
+use chestnut_gate::table_source::{Announcements, Source, TableView};
 use chestnut_member::{MemberRow, MembershipRows, Neighbours, reader_rank};
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
@@ -30,6 +30,9 @@
 /// The time within which declarations must be in force, of the strictest deployment.
 const APPLY_BOUND: Duration = Duration::from_secs(2);
 
+/// The time after the end of an outage from which all other bounds hold again.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
 /// The time within which a cluster must serve again, of the strictest deployment.
 const RECOVERY_BOUND: Duration = Duration::from_secs(12);
 
@@ -47,6 +50,7 @@
     neighbours: Neighbours,
     last_received: IndexMap<MemberId, Instant>,
     alive_for: IndexMap<MemberId, (Instant, Vec<MemberId>)>,
+    announcements: Announcements,
     /// A newer version and the daemon that has it.
     newer: Option<(MemberId, u64)>,
 }
@@ -131,6 +135,7 @@
             neighbours: Neighbours::default(),
             last_received: IndexMap::new(),
             alive_for: IndexMap::new(),
+            announcements: Announcements::default(),
             newer: None,
         }
     }
@@ -157,6 +162,13 @@
         self.history.push(rows);
     }
 
+    /// Changes the declarations; returns the version of the change.
+    fn declare(&mut self) -> u64 {
+        let rows = self.members().clone();
+        self.history.push(rows);
+        self.last_version()
+    }
+
     /// The live daemons whose tables are older than `version`.
     fn outdated(&self, version: u64) -> Vec<String> {
         let outdated =
@@ -235,8 +247,9 @@
 
     fn record_announcement(&mut self, from: usize, to: usize, announced: Announcement) {
         let Some((version, confirmed_at)) = announced else { return };
-        let member = self.daemons[from].member;
+        let (now, member) = (self.now(), self.daemons[from].member);
         let daemon = &mut self.daemons[to];
+        daemon.announcements.record(Some(confirmed_at), now);
         match version.cmp(&daemon.version) {
             std::cmp::Ordering::Greater => daemon.newer = Some((member, version)),
             _ if version == daemon.version => {
@@ -317,6 +330,11 @@
     }
 
     fn sync_table(&mut self, index: usize) {
+        let now = self.now();
+        let daemon = &mut self.daemons[index];
+        if let Some(responded_at) = daemon.announcements.responded_at() {
+            daemon.backoff.record_recovery(responded_at, now);
+        }
         match self.source(index) {
             Source::LongPoll | Source::Read => self.read_store(index),
             Source::Peer(peer) => self.fetch(index, peer),
@@ -346,14 +364,14 @@
         });
         let view = TableView {
             rank,
-            may_call: daemon.backoff.may_call(rank, now),
+            is_informed: daemon.announcements.are_recent(now),
             is_loaded: daemon.version > 0,
             past_startup: now - daemon.started_at > STARTUP_TIME,
             newer_peer: newer.map(|(peer, _)| peer),
             age: Some(now - daemon.confirmed_at),
             freshness_limit: FRESHNESS_LIMIT,
         };
-        view.source()
+        view.source(&daemon.backoff, now)
     }
 
     fn read_store(&mut self, index: usize) {
@@ -458,6 +476,55 @@
     assert!(cluster.daemons[isolated].version > version);
 }
 
+/// A daemon that only receives requests must read the store itself after an outage.
+#[test]
+fn daemon_that_is_told_nothing_reads_the_store_after_an_outage() {
+    let mut cluster = Cluster::new(60, 1);
+    cluster.store_up = false;
+    cluster.run(Duration::from_secs(8));
+    cluster.store_up = true;
+    let isolated = 50;
+    let (version, neighbours) = {
+        let daemon = &cluster.daemons[isolated];
+        (daemon.version, daemon.neighbours.addrs().collect::<Vec<_>>())
+    };
+    cluster.remove_row(&vm(3));
+    let deadline = cluster.now() + APPLY_BOUND;
+    while cluster.now() < deadline {
+        cluster.network.retain(|(_, from, to, message)| {
+            *from != isolated && (*to != isolated || matches!(message, Message::Other))
+        });
+        let (_, addr) = neighbours[cluster.steps as usize % neighbours.len()];
+        cluster.send(usize::from(addr.port()) - 1000, isolated, Message::Other);
+        cluster.step();
+    }
+    assert!(cluster.daemons[isolated].version > version);
+}
+
+/// Daemons must not wait for those that they knew before most failed during an outage.
+#[test]
+fn survivors_learn_of_changes_after_an_outage() {
+    for seed in 0..3 {
+        let mut cluster = Cluster::new(100, seed);
+        cluster.store_up = false;
+        cluster.run(Duration::from_secs(7));
+        let failed = (0..100).sample(&mut cluster.rng, 70);
+        for index in &failed {
+            cluster.daemons[*index].is_up = false;
+        }
+        cluster.run(Duration::from_millis(600));
+        for index in failed {
+            cluster.daemons[index] = cluster.new_daemon(index);
+        }
+        cluster.run(Duration::from_millis(400));
+        cluster.store_up = true;
+        let declared = cluster.declare();
+        cluster.run(CONTACT_TIME);
+        let outdated = cluster.outdated(declared);
+        assert!(outdated.is_empty(), "seed {seed}: {outdated:?}");
+    }
+}
+
 /// A daemon that leaves must not remove those that it watches in place of silent ones.
 #[test]
 fn leaving_daemons_remove_no_live_daemon() {
