--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -21,11 +21,11 @@
 //! [`planner`] assigns models to runners and writes [`persisted_timings`]. Daemons exchange
 //! datagrams: [`message`], [`peers`], [`receive`].
 //!
-//! [`table_sync`] keeps a [`table_replica`] of each of the [`store`]'s tables, updated from
-//! where [`table_source`] decides, from which
-//! [`registry`] reads declarations and backend servers. [`directory`] serves the addresses
-//! that callers connect to; [`introspection`] serves [`metrics`] and the daemon's state. All
-//! requests go through one [`client`]; modules share their state in [`shared`].
+//! [`table_sync`] keeps a [`table_replica`] of each of the [`store`]'s tables, and
+//! [`table_source`] decides from where it is updated. From the replicas [`registry`] reads
+//! declarations and backend servers. [`directory`] serves the addresses that callers connect
+//! to; [`introspection`] serves [`metrics`] and the daemon's state. All requests go through
+//! one [`client`]; modules share their state in [`shared`].
 
 pub mod account_slices;
 pub mod accounts;
--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -345,7 +345,8 @@
         .collect()
 }
 
-fn is_own_row_missing(shared: &Shared) -> bool {
+/// Whether this daemon has no row: it hasn't joined, or others have removed it.
+pub fn is_own_row_missing(shared: &Shared) -> bool {
     let membership = shared.membership();
     membership.own_row(&shared.settings.vm, shared.peers.me).is_none()
 }
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -225,10 +225,8 @@
         silence.is_none_or(|silence| silence < HEARTBEAT_TIMEOUT)
     }
 
-    /// How many neighbours there are, how many of them this daemon hears, and whether it has
-    /// a row, for logs.
-    pub fn neighbour_summary(&self, now: Instant) -> String {
-        let membership = self.membership();
+    /// The number of neighbours, and how many of them this daemon hears, for logs.
+    pub fn count_neighbours(&self, now: Instant) -> (usize, usize) {
         let neighbours = self.neighbours();
         let is_heard = |member| {
             let last_received_at = self.peers.last_received_at(member);
@@ -236,8 +234,7 @@
                 .is_some_and(|at| now.saturating_duration_since(at) < HEARTBEAT_TIMEOUT)
         };
         let heard = neighbours.addrs().filter(|(member, _)| is_heard(*member)).count();
-        let has_row = membership.own_row(&self.settings.vm, self.peers.me).is_some();
-        format!("{heard} of {} heard, own row {has_row}", neighbours.addrs().count())
+        (neighbours.addrs().count(), heard)
     }
 
     /// Locks the runners whose claims this daemon holds.
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -147,6 +147,11 @@
         self.replica.lock().expect("no holder of the lock panics")
     }
 
+    /// The version up to which the replica is complete; `None` before the first read.
+    pub fn version(&self) -> Option<u64> {
+        self.replica().version()
+    }
+
     /// Who told this daemon what it knows of the table, for logs.
     pub fn origins(&self) -> Origins {
         *self.lock_origins()
@@ -200,7 +205,7 @@
         if let Some(confirmed) = confirmed {
             self.record_confirmation(version, confirmed, Origin::Peer(from));
         }
-        if self.replica().version().is_some_and(|own| own < version) {
+        if self.version().is_some_and(|own| own < version) {
             self.newer_version.send_replace(Some((from, version)));
         }
     }
@@ -282,7 +287,7 @@
 
     fn view(&self, now: Instant) -> TableView<(MemberId, SocketAddr)> {
         let rank = reader_rank(&self.shared, self.table.name);
-        let version = self.table.replica().version();
+        let version = self.table.version();
         let is_informed = self.table.announcements().are_recent(now);
         TableView {
             rank,
@@ -303,7 +308,7 @@
     /// A live daemon that has a newer version, and its address.
     fn newer_peer(&self, now: Instant) -> Option<(MemberId, SocketAddr)> {
         let (member, version) = (*self.table.newer_version.borrow())?;
-        let own = self.table.replica().version()?;
+        let own = self.table.version()?;
         let alive = self.shared.is_alive(member, now);
         if version <= own || !alive {
             return None;
@@ -316,7 +321,7 @@
         member: MemberId,
         addr: SocketAddr,
     ) -> Result<(), StoreError> {
-        let own = self.table.replica().version().unwrap_or_default();
+        let own = self.table.version().unwrap_or_default();
         let fetch =
             if self.store_unavailable { OUTAGE_FETCH_LIMITS } else { FETCH_LIMITS };
         let changes =
@@ -365,7 +370,7 @@
     }
 
     async fn poll_store(&mut self, hold: Duration) -> Result<(), StoreError> {
-        let version = self.table.replica().version();
+        let version = self.table.version();
         let Some(after) = version else { return self.read_full_table().await };
         let request =
             self.shared.dialect.write_changes_request(self.table.name, after, hold);
@@ -424,42 +429,55 @@
         self.handler.on_batch_end();
     }
 
-    /// Logs when the replica becomes outdated and when it is current again, with what
-    /// decides from where it is updated.
+    /// Logs when the replica becomes outdated and when it is current again.
     fn log_freshness(&mut self) {
         let now = self.shared.now();
-        let version = self.table.replica().version();
         let is_outdated = match self.age() {
             Some(age) => age > freshness_limit(&self.shared),
             // The daemon was suspended, or has just started.
-            None => version.is_some(),
+            None => self.table.version().is_some(),
         };
-        let age_ms = self.age().map(|age| age.as_millis() as u64);
-        let confirmed_by = self.table.origins().confirmation;
-        let confirmed_by = confirmed_by.map(|origin| origin.to_string());
         match (is_outdated, self.outdated_since) {
             (true, None) => {
+                self.log_outdated(now);
                 self.outdated_since = Some(now);
-                let view = self.view(now);
-                let may_call = view.may_call(&self.backoff, now);
-                let newer = *self.table.newer_version.borrow();
-                let newer =
-                    newer.map(|(member, version)| format!("{version} at {member}"));
-                info!(self.shared.log, "replica outdated"; "table" => self.table.name,
-                    "version" => version, "age_ms" => age_ms,
-                    "confirmed_by" => confirmed_by, "rank" => view.rank,
-                    "informed" => view.is_informed, "may_call" => may_call, "newer" => newer, "neighbours" => self.shared.neighbour_summary(now));
             }
             (false, Some(since)) => {
+                self.log_current(now.duration_since(since));
                 self.outdated_since = None;
-                info!(self.shared.log, "replica current again"; "table" => self.table.name,
-                    "version" => version, "age_ms" => age_ms, "confirmed_by" => confirmed_by,
-                    "outdated_ms" => now.duration_since(since).as_millis() as u64);
             }
             (true, Some(_)) | (false, None) => {}
         }
     }
 
+    /// Logs an outdated replica with what decides from where it is updated.
+    fn log_outdated(&self, now: Instant) {
+        let view = self.view(now);
+        let may_call = view.may_call(&self.backoff, now);
+        let (neighbours, heard) = self.shared.count_neighbours(now);
+        let has_row = !members::is_own_row_missing(&self.shared);
+        let newer = *self.table.newer_version.borrow();
+        let newer = newer.map(|(member, version)| format!("{version} at {member}"));
+        info!(self.shared.log, "replica outdated"; "table" => self.table.name,
+            "version" => self.table.version(),
+            "age_ms" => self.age().map(|age| age.as_millis() as u64),
+            "confirmed_by" => self.confirmed_by(), "rank" => view.rank,
+            "informed" => view.is_informed, "may_call" => may_call, "newer" => newer,
+            "neighbours" => neighbours, "heard" => heard, "own_row" => has_row);
+    }
+
+    fn log_current(&self, outdated: Duration) {
+        info!(self.shared.log, "replica current again"; "table" => self.table.name,
+            "version" => self.table.version(),
+            "age_ms" => self.age().map(|age| age.as_millis() as u64),
+            "confirmed_by" => self.confirmed_by(),
+            "outdated_ms" => outdated.as_millis() as u64);
+    }
+
+    fn confirmed_by(&self) -> Option<String> {
+        self.table.origins().confirmation.map(|origin| origin.to_string())
+    }
+
     /// Logs the start and the end of an outage, and notifies the handler of the end.
     fn detect_outage(&mut self) {
         let now = self.shared.now();
