gate: don't take a confirmation that others pass on for a later one

Replicas seem younger than they are while the store doesn't respond. A daemon then serves keys and denies routes by declarations older than allowed, and reads the store itself later than it should when the reader of a table fails.

Cause: daemons report the age of their replica, and the receiver counts it from when it reads the report. The transit isn't in it, so that a report seems to be of a confirmation some milliseconds later than the one that it repeats. It was taken for that, and reported in turn: with sixteen neighbours, a confirmation is passed on every 15 ms or so, and each time gains its transit.

A reported confirmation counts only if it is later than the last by the least time between two of the store's. Within that, it can't be told from the same one. Reports whose transit takes longer than 150 ms still gain it once each.

replicas_age_while_the_store_is_unavailable, a_confirmation_that_is_passed_to_and_fro_gets_no_later and changes_are_in_force_in_time_while_the_store_rejects_the_reader fail without it. The simulated cluster had reported times instead of ages, and a daemon looked at newer versions later than it does; survivors_learn_of_changes_after_an_outage has its daemons fail later, as it passed without the change that it guards.

--- a/crates/gate/src/table_replica.rs
+++ b/crates/gate/src/table_replica.rs
@@ -11,6 +11,13 @@
 /// The number of tombstones that are retained, so that other daemons learn of removals.
 const MAX_TOMBSTONES: usize = 1024;
 
+/// The least time between two confirmations by the store that other daemons report.
+///
+/// A reported age lacks the transit of the report. Two daemons that report the same
+/// confirmation to each other would take each report for a later confirmation, and their
+/// replicas would seem younger than they are for as long as the store is unavailable.
+pub const MIN_CONFIRMATION_INTERVAL: Duration = Duration::from_millis(150);
+
 /// A row as daemons send it to each other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -51,6 +58,11 @@
     }
 }
 
+/// Whether a reported confirmation must be a later one than the last.
+pub fn is_later_confirmation(last: Option<Instant>, reported: Instant) -> bool {
+    last.is_none_or(|last| reported >= last + MIN_CONFIRMATION_INTERVAL)
+}
+
 /// A replica of a table of the store.
 #[derive(Debug, Default)]
 pub struct TableReplica {
@@ -83,6 +95,14 @@
         }
     }
 
+    /// Records a confirmation that another daemon reports; ignored unless it must be a later
+    /// one than the last.
+    pub fn record_reported_confirmation(&mut self, version: u64, at: Instant) {
+        if is_later_confirmation(self.confirmed_at, at) {
+            self.record_confirmation(version, at);
+        }
+    }
+
     /// Discards the last confirmation, so that the replica counts as outdated.
     pub fn clear_confirmation(&mut self) {
         self.confirmed_at = None;
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -23,7 +23,9 @@
 use crate::peers::HEARTBEAT_TIMEOUT;
 use crate::shared::Shared;
 use crate::store::{self, FetchLimits, StoreError};
-use crate::table_replica::{TableChanges, TableReplica, confirmation_time};
+use crate::table_replica::{
+    MIN_CONFIRMATION_INTERVAL, TableChanges, TableReplica, confirmation_time,
+};
 use crate::table_source::{Announcements, Source, TableView};
 use crate::{blocked_requests, claims, members, persisted_timings};
 
@@ -66,6 +68,9 @@
 /// Delay between long polls of a table that changes continuously.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(150);
 
+const _: () =
+    assert!(MIN_CONFIRMATION_INTERVAL.as_millis() <= MIN_POLL_INTERVAL.as_millis());
+
 /// Delay after a failed read, during which other daemons may announce changes.
 const ERROR_DELAY: Duration = Duration::from_millis(60);
 
@@ -174,7 +179,10 @@
     fn record_confirmation(&self, version: u64, at: Instant, origin: Origin) {
         let mut replica = self.replica();
         let before = replica.confirmed_at();
-        replica.record_confirmation(version, at);
+        match origin {
+            Origin::Store => replica.record_confirmation(version, at),
+            Origin::Peer(_) => replica.record_reported_confirmation(version, at),
+        }
         if replica.confirmed_at() > before {
             self.lock_origins().confirmation = Some(origin);
         }
--- a/crates/gate/tests/membership.rs
+++ b/crates/gate/tests/membership.rs
@@ -11,6 +11,7 @@
 use chestnut_gate::members::FAILURE_TIMEOUT;
 use chestnut_gate::message::Heartbeat;
 use chestnut_gate::peers::HEARTBEAT_TIMEOUT;
+use chestnut_gate::table_replica::is_later_confirmation;
 use chestnut_gate::table_source::{Announcements, Source, TableView};
 use chestnut_member::{MemberRow, MembershipRows, Neighbours, reader_rank};
 use indexmap::IndexMap;
@@ -20,6 +21,7 @@
 
 const STEP: Duration = Duration::from_millis(10);
 const HEARTBEAT_STEPS: u64 = 25;
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
 
 /// The age from which a daemon reads the store itself.
 const FRESHNESS_LIMIT: Duration = Duration::from_millis(1500);
@@ -61,8 +63,8 @@
     Other,
 }
 
-/// A version and when the store confirmed it; `None` before the first read.
-type Announcement = Option<(u64, Instant)>;
+/// A version and the time since the store confirmed it; `None` before the first read.
+type Announcement = Option<(u64, Duration)>;
 
 struct Cluster {
     rng: StdRng,
@@ -72,6 +74,8 @@
     /// The members as of each version, from 0.
     history: Vec<MembershipRows>,
     store_up: bool,
+    /// A daemon that the store rejects.
+    rejected: Option<usize>,
     network: Vec<(u64, usize, usize, Message)>,
     /// The live daemons that others have removed.
     removed_alive: Vec<VmName>,
@@ -105,6 +109,7 @@
             daemons: Vec::new(),
             history: vec![MembershipRows::default()],
             store_up: true,
+            rejected: None,
             network: Vec::new(),
             removed_alive: Vec::new(),
         };
@@ -194,7 +199,8 @@
                 self.remove_unresponsive(index);
                 self.rejoin(index);
             }
-            if self.rng.random_bool(0.08) {
+            // The announcement of a newer version wakes the task that syncs the table.
+            if self.daemons[index].knows_newer() || self.rng.random_bool(0.08) {
                 self.sync_table(index);
             }
             if self.rng.random_bool(0.02) {
@@ -212,7 +218,8 @@
 
     fn announcement(&self, index: usize) -> Announcement {
         let daemon = &self.daemons[index];
-        (daemon.version > 0).then_some((daemon.version, daemon.confirmed_at))
+        let age = self.now() - daemon.confirmed_at;
+        (daemon.version > 0).then_some((daemon.version, age))
     }
 
     fn deliver_messages(&mut self) {
@@ -246,14 +253,17 @@
     }
 
     fn record_announcement(&mut self, from: usize, to: usize, announced: Announcement) {
-        let Some((version, confirmed_at)) = announced else { return };
+        let Some((version, age)) = announced else { return };
         let (now, member) = (self.now(), self.daemons[from].member);
+        let confirmed_at = now - age;
         let daemon = &mut self.daemons[to];
         daemon.announcements.record(Some(confirmed_at), now);
         match version.cmp(&daemon.version) {
             std::cmp::Ordering::Greater => daemon.newer = Some((member, version)),
-            _ if version == daemon.version => {
-                daemon.confirmed_at = daemon.confirmed_at.max(confirmed_at)
+            _ if version == daemon.version
+                && is_later_confirmation(Some(daemon.confirmed_at), confirmed_at) =>
+            {
+                daemon.confirmed_at = confirmed_at
             }
             _ => {}
         }
@@ -376,7 +386,7 @@
 
     fn read_store(&mut self, index: usize) {
         let now = self.now();
-        match self.store_up {
+        match self.store_up && self.rejected != Some(index) {
             true => {
                 self.daemons[index].backoff.record_success();
                 self.apply(index, self.last_version());
@@ -406,6 +416,10 @@
 }
 
 impl Daemon {
+    fn knows_newer(&self) -> bool {
+        self.newer.is_some_and(|(_, version)| version > self.version)
+    }
+
     fn is_alive(&self, member: MemberId, now: Instant) -> bool {
         let last = self.last_received.get(&member).copied();
         let silence = self.neighbours.silence(member, last, now);
@@ -476,6 +490,34 @@
     assert!(cluster.daemons[isolated].version > version);
 }
 
+/// Daemons that pass confirmations on must not take them for later ones.
+#[test]
+fn replicas_age_while_the_store_is_unavailable() {
+    let mut cluster = Cluster::new(60, 1);
+    cluster.store_up = false;
+    let outage = cluster.now();
+    cluster.run(Duration::from_secs(8));
+    for daemon in &cluster.daemons {
+        let confirmed = daemon.confirmed_at.saturating_duration_since(outage);
+        assert!(confirmed < HEARTBEAT_PERIOD, "{}: {confirmed:?}", daemon.vm);
+    }
+}
+
+/// Daemons must not rely for longer than allowed on a reader that the store rejects.
+#[test]
+fn changes_are_in_force_in_time_while_the_store_rejects_the_reader() {
+    for seed in 0..3 {
+        let mut cluster = Cluster::new(60, seed);
+        let is_reader = |index: &usize| cluster.source(*index) == Source::LongPoll;
+        cluster.rejected = (0..60).find(is_reader);
+        assert!(cluster.rejected.is_some());
+        let declared = cluster.declare();
+        cluster.run(APPLY_BOUND);
+        let outdated = cluster.outdated(declared);
+        assert!(outdated.is_empty(), "seed {seed}: {outdated:?}");
+    }
+}
+
 /// A daemon that only receives requests must read the store itself after an outage.
 #[test]
 fn daemon_that_is_told_nothing_reads_the_store_after_an_outage() {
@@ -507,16 +549,16 @@
     for seed in 0..3 {
         let mut cluster = Cluster::new(100, seed);
         cluster.store_up = false;
-        cluster.run(Duration::from_secs(7));
-        let failed = (0..100).sample(&mut cluster.rng, 70);
+        cluster.run(Duration::from_millis(7800));
+        let failed = (0..100).sample(&mut cluster.rng, 90);
         for index in &failed {
             cluster.daemons[*index].is_up = false;
         }
-        cluster.run(Duration::from_millis(600));
+        cluster.run(Duration::from_millis(190));
         for index in failed {
             cluster.daemons[index] = cluster.new_daemon(index);
         }
-        cluster.run(Duration::from_millis(400));
+        cluster.run(Duration::from_millis(10));
         cluster.store_up = true;
         let declared = cluster.declare();
         cluster.run(CONTACT_TIME);
--- a/crates/gate/tests/table_replica.rs
+++ b/crates/gate/tests/table_replica.rs
@@ -192,6 +192,35 @@
     assert_eq!(replica.confirmed_at(), Some(now));
 }
 
+#[test]
+fn a_confirmation_that_is_passed_to_and_fro_gets_no_later() {
+    // Two daemons tell each other the ages of their replicas. An age lacks its transit, so
+    // that each report seems to be of a later confirmation than the one that it repeats.
+    let start = Instant::now();
+    let transit = Duration::from_millis(20);
+    let mut replicas = [TableReplica::default(), TableReplica::default()];
+    for replica in &mut replicas {
+        replica.apply(Vec::new(), 10);
+    }
+    replicas[0].record_confirmation(10, start);
+    for step in 0..100 {
+        let sent_at = start + Duration::from_millis(250) * step;
+        for (from, to) in [(0, 1), (1, 0)] {
+            if let Some(confirmed_at) = replicas[from].confirmed_at() {
+                let age = sent_at - confirmed_at;
+                let reported = sent_at + transit - age;
+                replicas[to].record_reported_confirmation(10, reported);
+            }
+        }
+    }
+    assert_eq!(replicas[0].confirmed_at(), Some(start));
+    assert_eq!(replicas[1].confirmed_at(), Some(start + transit));
+    // A later confirmation counts.
+    let later = start + Duration::from_secs(25);
+    replicas[0].record_reported_confirmation(10, later);
+    assert_eq!(replicas[0].confirmed_at(), Some(later));
+}
+
 #[test]
 fn snapshot_reveals_removal_of_own_row() {
     // A daemon writes its row and is suspended before it reads anything more. Others
