platform: test the bound on retries over all daemons

The stand-ins record each arrival with its id and the callers what they sent, so that the sum of retries in any window is counted as the operators count it. The soak checks the bound in all its variants, the number of servers of a request and the time left for it; a new variant lets several daemons fail at once with few requests.

--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::proxy::Proxy;
+use crate::retry_bound;
 
 /// Wait limit of all conditions.
 ///
@@ -183,8 +184,9 @@
             "directory": directory_addr, "metrics": metrics_addr,
             "ports": ports, "store": store_addr,
             "bounds": {
-                "stop_s": 8, "directory_s": 5, "retry_ratio": 0.2, "retry_slack": 52,
-                "retry_window_s": 10, "fenced": true, "turn_ms": 300, "load_window_s": 5, "load_overshoot": 1.1,
+                "stop_s": 8, "directory_s": 5, "retry_ratio": retry_bound::RATIO,
+                "retry_slack": retry_bound::SLACK,
+                "retry_window_s": retry_bound::WINDOW.as_secs(), "fenced": true, "turn_ms": 300, "load_window_s": 5, "load_overshoot": 1.1,
                 "revoke_ms": 3000, "quota_window_s": 8, "quota_overshoot": 0.1, "quota_slack": 1000,
             },
         });
--- a/tests/platform/limits.rs
+++ b/tests/platform/limits.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use chestnut_platform_stand_in::{Caller, CallerRequest};
+use chestnut_platform_stand_in::{Arrival, Caller, CallerRequest};
 use rustix::process::Signal;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -142,8 +142,9 @@
 }
 
 /// The most arrivals in any [`WINDOW`] that begins at `from` or later.
-fn most_arrivals(arrivals: &[Instant], from: Instant) -> usize {
-    let later: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
+fn most_arrivals(arrivals: &[Arrival], from: Instant) -> usize {
+    let times = arrivals.iter().map(|arrival| arrival.at);
+    let later: Vec<Instant> = times.filter(|at| *at >= from).collect();
     let in_window = |start: &Instant| {
         later.iter().filter(|at| **at >= *start && **at < *start + WINDOW).count()
     };
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,8 @@
 mod log_diagnosis;
 mod membership;
 mod proxy;
+mod retries;
+mod retry_bound;
 mod servers;
 mod soak;
 mod store;
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -2,21 +2,25 @@
 //!
 //! While callers send streams and plain requests, daemons are suspended, killed, stopped
 //! and restarted, and the store, the runners and the servers fail; in a second variant,
-//! connections are delayed, blocked and reset too. Responses and runs are checked against
-//! the guarantees to callers. `SOAK_SEEDS=FROM..TO` runs other seeds than the listed
-//! ones.
+//! connections are delayed, blocked and reset too; in a third, more daemons fail together
+//! while servers reject most requests. Responses, runs and arrivals are checked against the
+//! guarantees to callers and the operators' bounds. `SOAK_SEEDS=FROM..TO` runs other seeds
+//! than the listed ones, and `SOAK_DAEMONS` sets the number of daemons of the third variant.
 
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::os::unix::process::ExitStatusExt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use chestnut_platform_stand_in::{
-    Caller, CallerRequest, CallerResponse, RunnerFault, ServerFault, StoreFault,
+    Arrival, Caller, CallerRequest, CallerResponse, PlainServer, Runner, RunnerFault,
+    ServerFault, StoreFault,
 };
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 use tokio::task::JoinSet;
@@ -24,6 +28,7 @@
 
 use crate::cluster::{Cluster, wait_until};
 use crate::proxy::{Proxy, ProxyFault};
+use crate::retry_bound;
 
 /// Seeds that always run.
 ///
@@ -36,12 +41,24 @@
 /// Seeds that always run with connection faults.
 const PROXY_SEEDS: [u64; 2] = [1, 2];
 
+/// Seeds that always run with series of faults.
+const SERIES_SEEDS: [u64; 1] = [1];
+
 /// Period in which faults are injected.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
 
 /// Number of concurrent callers.
 const CALLER_COUNT: usize = 6;
 
+/// Number of daemons that series of faults hit.
+const SERIES_DAEMONS: usize = 6;
+
+/// The most servers on which a request of the declared routes may run.
+const MAX_RUNS: usize = 2;
+
+/// How much longer than its caller waits the time left for a request may seem.
+const BUDGET_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// Unsigned responses with these statuses state that the request has not run and never
 /// will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -63,6 +80,74 @@
     Proxy(ProxyTarget),
 }
 
+impl Recovery {
+    /// Whether the fault that it ends suspends or stops this daemon.
+    fn disturbs(&self, daemon: usize) -> bool {
+        matches!(self, Self::Resume(at) | Self::Restart(at) if *at == daemon)
+    }
+}
+
+/// The faults of a run, and the traffic that they meet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Faults {
+    /// Faults of single daemons and servers, and of connections if these pass through
+    /// proxies.
+    Single,
+    /// Faults of several daemons at once as well, and of all servers of a service. There are
+    /// few requests, so that the retry bound's slack outweighs its ratio.
+    Series,
+}
+
+impl Faults {
+    /// How long the cluster runs before the first fault.
+    fn settling_time(self) -> Duration {
+        match self {
+            Self::Single => Duration::ZERO,
+            Self::Series => 2 * retry_bound::WINDOW,
+        }
+    }
+
+    /// The period in which faults are injected.
+    fn period(self) -> Duration {
+        match self {
+            Self::Single => FAULT_PERIOD,
+            Self::Series => 2 * FAULT_PERIOD,
+        }
+    }
+
+    /// The number of concurrent callers.
+    fn callers(self, daemons: usize) -> usize {
+        match self {
+            Self::Single => CALLER_COUNT,
+            Self::Series => daemons * 4,
+        }
+    }
+
+    /// The longest pause of a caller between two requests.
+    fn max_pause_ms(self) -> u64 {
+        match self {
+            Self::Single => 60,
+            Self::Series => 1000,
+        }
+    }
+
+    /// The shortest and the longest time between two faults.
+    fn interval_ms(self) -> Range<u64> {
+        match self {
+            Self::Single => 50..500,
+            Self::Series => 500..2500,
+        }
+    }
+
+    /// The longest duration of a fault.
+    fn max_duration_ms(self) -> u64 {
+        match self {
+            Self::Single => 2500,
+            Self::Series => 6000,
+        }
+    }
+}
+
 /// The part of a cluster whose connections pass through a proxy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ProxyTarget {
@@ -80,7 +165,8 @@
     // hold more than its memory, and after all faults every daemon serves again.
     for seed in selected_seeds(&SEEDS) {
         eprintln!("seed {seed}");
-        run_soak(seed, Cluster::start(&format!("soak{seed}"), 3).await).await;
+        let cluster = Cluster::start(&format!("soak{seed}"), 3).await;
+        run_soak(seed, cluster, Faults::Single).await;
     }
 }
 
@@ -92,8 +178,22 @@
     // about them must stay true.
     for seed in selected_seeds(&PROXY_SEEDS) {
         eprintln!("seed {seed}");
-        run_soak(seed, Cluster::start_with_proxies(&format!("links{seed}"), 3).await)
-            .await;
+        let cluster = Cluster::start_with_proxies(&format!("links{seed}"), 3).await;
+        run_soak(seed, cluster, Faults::Single).await;
+    }
+}
+
+/// Guards against retries beyond the operators' bound, and against all that the other variants
+/// check, while daemons fail in series and servers reject most requests.
+#[tokio::test]
+async fn guarantees_hold_under_series_of_faults() {
+    let daemons = std::env::var("SOAK_DAEMONS").ok();
+    let daemons = daemons.map(|text| text.parse().expect("SOAK_DAEMONS is a number"));
+    let daemons = daemons.unwrap_or(SERIES_DAEMONS);
+    for seed in selected_seeds(&SERIES_SEEDS) {
+        eprintln!("seed {seed}");
+        let cluster = Cluster::start(&format!("series{seed}"), daemons).await;
+        run_soak(seed, cluster, Faults::Series).await;
     }
 }
 
@@ -104,18 +204,19 @@
     (number(from)..number(to)).collect()
 }
 
-async fn run_soak(seed: u64, mut cluster: Cluster) {
+async fn run_soak(seed: u64, mut cluster: Cluster, faults: Faults) {
+    sleep(faults.settling_time()).await;
     let exchanges: Arc<Mutex<Vec<Exchange>>> = Arc::default();
     let stop = Arc::new(AtomicBool::new(false));
     let mut callers = JoinSet::new();
-    for number in 0..CALLER_COUNT as u64 {
+    for number in 0..faults.callers(cluster.daemons.len()) as u64 {
         let rng = SmallRng::seed_from_u64(seed * 100 + number);
         let addresses = caller_addresses(&cluster);
         let (caller, exchanges, stop) =
             (cluster.caller.clone(), exchanges.clone(), stop.clone());
-        callers.spawn(send_requests(caller, addresses, rng, exchanges, stop));
+        callers.spawn(send_requests(caller, addresses, rng, faults, exchanges, stop));
     }
-    inject_faults(&mut cluster, SmallRng::seed_from_u64(seed)).await;
+    inject_faults(&mut cluster, SmallRng::seed_from_u64(seed), faults).await;
     stop.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
     cluster.wait_until_ready().await;
@@ -145,24 +246,29 @@
     }
 }
 
-/// Sends one request after another, each to a random daemon.
+/// Sends one request after another, each to a random daemon; in series of faults, to the same
+/// one until that fails.
 async fn send_requests(
     caller: Caller,
     addresses: Vec<SocketAddr>,
     mut rng: SmallRng,
+    faults: Faults,
     exchanges: Arc<Mutex<Vec<Exchange>>>,
     stop: Arc<AtomicBool>,
 ) {
+    let mut kept: Option<SocketAddr> = None;
     while !stop.load(Ordering::Relaxed) {
-        let addr = *addresses.choose(&mut rng).expect("there are daemons");
+        let addr = kept
+            .unwrap_or_else(|| *addresses.choose(&mut rng).expect("there are daemons"));
         let mut request = random_request(&mut rng);
         request.budget = Duration::from_millis(rng.random_range(500..4000));
         let response = caller.send(addr, &request).await;
+        kept = (faults == Faults::Series && response.status != 0).then_some(addr);
         exchanges
             .lock()
             .expect("no holder of the lock panics")
             .push(Exchange { request, response });
-        sleep(Duration::from_millis(rng.random_range(0..60))).await;
+        sleep(Duration::from_millis(rng.random_range(0..faults.max_pause_ms()))).await;
     }
 }
 
@@ -179,16 +285,26 @@
 }
 
 /// Injects faults in overlapping series until the fault period ends, then ends them all.
-async fn inject_faults(cluster: &mut Cluster, mut rng: SmallRng) {
-    let end = Instant::now() + FAULT_PERIOD;
+async fn inject_faults(cluster: &mut Cluster, mut rng: SmallRng, faults: Faults) {
+    let end = Instant::now() + faults.period();
     let mut recoveries: Vec<(Instant, Recovery)> = Vec::new();
+    if faults == Faults::Series {
+        reject_at_all(&cluster.runners, &cluster.services);
+    }
     while Instant::now() < end {
-        let duration = Duration::from_millis(rng.random_range(100..2500));
-        if let Some(recovery) = inject_fault(cluster, &mut rng, &recoveries) {
+        let duration =
+            Duration::from_millis(rng.random_range(100..faults.max_duration_ms()));
+        let injected = match faults {
+            Faults::Series if rng.random_bool(0.8) => {
+                inject_series(cluster, &mut rng, &recoveries)
+            }
+            _ => inject_fault(cluster, &mut rng, &recoveries).into_iter().collect(),
+        };
+        for recovery in injected {
             eprintln!("fault injected, ends after {duration:?} by {recovery:?}");
             recoveries.push((Instant::now() + duration, recovery));
         }
-        sleep(Duration::from_millis(rng.random_range(50..500))).await;
+        sleep(Duration::from_millis(rng.random_range(faults.interval_ms()))).await;
         let now = Instant::now();
         for (_, due) in recoveries.extract_if(.., |(at, _)| *at <= now) {
             recover(cluster, due).await;
@@ -199,6 +315,8 @@
         recover(cluster, remaining).await;
     }
     restart_exited(cluster, &[]);
+    cluster.runners.iter().for_each(|runner| runner.set_fault(RunnerFault::None));
+    cluster.services.iter().for_each(|service| service.set_fault(ServerFault::None));
 }
 
 /// Restarts daemons that exited by themselves, as the platform does.
@@ -222,6 +340,50 @@
     }
 }
 
+/// Injects the same fault into several daemons that are undisturbed, or into all servers of a
+/// service.
+fn inject_series(
+    cluster: &mut Cluster,
+    rng: &mut SmallRng,
+    recoveries: &[(Instant, Recovery)],
+) -> Vec<Recovery> {
+    let draw = rng.random_range(0..6);
+    let count = rng.random_range(1..=cluster.daemons.len());
+    let is_undisturbed = |daemon: &usize| {
+        recoveries.iter().all(|(_, recovery)| !recovery.disturbs(*daemon))
+    };
+    let mut daemons: Vec<usize> =
+        (0..cluster.daemons.len()).filter(is_undisturbed).collect();
+    daemons.shuffle(rng);
+    daemons.truncate(count);
+    match draw {
+        0 | 1 => {
+            daemons.iter().for_each(|daemon| cluster.daemons[*daemon].kill());
+            daemons.into_iter().map(Recovery::Restart).collect()
+        }
+        2 => {
+            let signal = |daemon: &usize| cluster.daemons[*daemon].signal(Signal::STOP);
+            daemons.iter().for_each(signal);
+            daemons.into_iter().map(Recovery::Resume).collect()
+        }
+        3 => {
+            let signal = |daemon: &usize| cluster.daemons[*daemon].signal(Signal::TERM);
+            daemons.iter().for_each(signal);
+            daemons.into_iter().map(Recovery::Restart).collect()
+        }
+        _ => {
+            reject_at_all(&cluster.runners, &cluster.services);
+            Vec::new()
+        }
+    }
+}
+
+/// Has all servers reject all requests.
+fn reject_at_all(runners: &[Runner], services: &[PlainServer]) {
+    runners.iter().for_each(|runner| runner.set_fault(RunnerFault::Rejecting));
+    services.iter().for_each(|service| service.set_fault(ServerFault::Rejecting));
+}
+
 /// Injects a random fault and returns the action that ends it, if one is needed. A daemon
 /// that is suspended or stopped gets no further fault.
 fn inject_fault(
@@ -230,8 +392,8 @@
     recoveries: &[(Instant, Recovery)],
 ) -> Option<Recovery> {
     let daemon = rng.random_range(0..cluster.daemons.len());
-    let unaffected = |recovery: &Recovery| !matches!(recovery, Recovery::Resume(at) | Recovery::Restart(at) if *at == daemon);
-    let is_undisturbed = recoveries.iter().all(|(_, recovery)| unaffected(recovery));
+    let is_undisturbed =
+        recoveries.iter().all(|(_, recovery)| !recovery.disturbs(daemon));
     let runner = rng.random_range(0..cluster.runners.len());
     let service = rng.random_range(0..cluster.services.len());
     let has_proxies = !cluster.proxies.callers.is_empty();
@@ -353,6 +515,9 @@
 
 fn check_guarantees(cluster: &Cluster, exchanges: &[Exchange]) {
     assert!(exchanges.len() > CALLER_COUNT, "{} requests", exchanges.len());
+    retry_bound::check(cluster);
+    check_attempts(cluster);
+    check_time_budgets(cluster);
     for Exchange { request, response } in exchanges {
         let runs = cluster.runs(response);
         let context = format!("{request:?} {response:?} ran {runs} times");
@@ -388,3 +553,41 @@
         );
     }
 }
+
+/// Checks that hardly any request runs on more servers than its route allows.
+fn check_attempts(cluster: &Cluster) {
+    let mut servers: HashMap<String, HashSet<SocketAddr>> = HashMap::new();
+    let streams = cluster
+        .runners
+        .iter()
+        .flat_map(|runner| runner.runs().into_iter().map(|(id, _)| (id, runner.addr)));
+    let plain = cluster
+        .services
+        .iter()
+        .flat_map(|service| service.runs().into_iter().map(|(id, _)| (id, service.addr)));
+    for (id, server) in streams.chain(plain) {
+        servers.entry(id).or_default().insert(server);
+    }
+    let exceeding = servers.values().filter(|servers| servers.len() > MAX_RUNS).count();
+    eprintln!("{exceeding} requests ran on more than {MAX_RUNS} servers");
+    assert!(exceeding <= 3, "{exceeding} requests ran on more than {MAX_RUNS} servers");
+}
+
+/// Checks that servers are not told of more time for a plain request than its caller waits.
+fn check_time_budgets(cluster: &Cluster) {
+    let sent = cluster.caller.sent();
+    let sent = sent.iter().filter(|request| !request.is_stream);
+    let sent: HashMap<_, _> = sent.map(|request| (&request.id, request)).collect();
+    let arrivals: Vec<Arrival> =
+        cluster.services.iter().flat_map(PlainServer::arrivals).collect();
+    let exceeds = |arrival: &&Arrival| {
+        let limit = sent.get(&arrival.id).map(|request| request.budget);
+        match (arrival.budget, limit) {
+            (Some(budget), Some(limit)) => budget > limit + BUDGET_TOLERANCE,
+            _ => true,
+        }
+    };
+    let exceeding = arrivals.iter().filter(exceeds).count();
+    eprintln!("{exceeding} of {} arrivals had too much time", arrivals.len());
+    assert!(exceeding <= 20, "{exceeding} of {} arrivals", arrivals.len());
+}
