gate: log each decision on a retry with what decided it

The logs of retries beyond the bound show neither the number of daemons that a share was divided by, nor its age, nor what was used. 'retry decided' names them, the uptime and the service, also when a retry is denied.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::message::FirstEvent;
 use crate::permit::Permit;
 use crate::shared::Shared;
-use crate::{accounts, crashes, planner, server_limits, usage_reports};
+use crate::{accounts, crashes, planner, retries, server_limits, usage_reports};
 
 /// How long after its arrival a request waits for the response of one server before another
 /// is tried, as a multiple of the route's objective.
@@ -298,7 +298,8 @@
     if let Some(abandon_after) = abandon_timeout(job) {
         early_result = timeout(abandon_after, &mut sending).await.ok();
         // If the retry budget is used up, the attempt continues until the deadline.
-        if early_result.is_none() && job.shared.try_take_retry(&job.service) {
+        if early_result.is_none() && retries::try_take(job, AttemptError::Silent.label())
+        {
             return Err(AttemptError::Silent);
         }
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,7 +7,8 @@
 //!    after [`accounts`] has found the client account that sent it,
 //! 3. [`charge`] charges it to the account's limit, which other daemons' [`account_slices`]
 //!    keep,
-//! 4. [`serve`] has [`pick`] choose a server, and retries within the retry limits,
+//! 4. [`serve`] has [`pick`] choose a server, and retries within the operators' bound
+//!    ([`retries`]),
 //! 5. [`attempt`] sends it to one server and waits for the response head, unless the request
 //!    has crashed servers ([`crashes`], [`blocked_requests`]),
 //! 6. [`relay`] relays the response, and lets another server continue where a
@@ -60,6 +61,7 @@
 pub mod receive;
 pub mod registry;
 pub mod relay;
+pub mod retries;
 pub mod run;
 pub mod serve;
 pub mod server_limits;
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -20,8 +20,9 @@
 use crate::attempt::{AttemptError, ServerResponse, attempt};
 use crate::events::{DuplicateEvent, Event, EventDecoder, Sequence};
 use crate::job::{Job, RequestEnd, StreamTiming};
-use crate::metrics::{Span, Step};
+use crate::metrics::Span;
 use crate::pick::pick;
+use crate::retries;
 use crate::serve::full_body;
 
 /// The body of a response to a caller.
@@ -297,8 +298,7 @@
         info!(self.job.shared.log, "resuming the stream at another server";
             "id" => self.job.id(), "server" => self.server.to_string(), "why" => why,
             "after" => self.sequence.last());
-        while self.job.shared.try_take_retry(&self.job.service) {
-            self.job.shared.metrics.count(Step::Repeat, "resumed");
+        while retries::try_take(&self.job, "resumed") {
             let Ok(target) = pick(&self.job, None, &[]).await else { return false };
             match attempt(&self.job, &target, self.sequence.last()).await {
                 Ok(response) if is_event_stream(&response.head) => {
--- /dev/null
+++ b/crates/gate/src/retries.rs
@@ -0,0 +1,61 @@
+//! Keeps retries within the operators' bound.
+
+use chestnut_base::ServiceName;
+use chestnut_pool::{RetryBound, RetryBudget};
+use slog::info;
+
+use crate::job::Job;
+use crate::members;
+use crate::metrics::Step;
+use crate::shared::Shared;
+
+/// Adds a request to its service's retry budget.
+pub fn record_request(job: &Job) {
+    let shared = &job.shared;
+    let (window, now) = (shared.bounds.borrow().retry_window, shared.now());
+    with_budget(shared, &job.service, |budget| budget.record_request(window, now));
+}
+
+/// Takes a retry from the service's budget; returns whether there was one.
+///
+/// `cause` is the label in metrics.
+pub fn try_take(job: &Job, cause: &'static str) -> bool {
+    let shared = &job.shared;
+    let now = shared.now();
+    let daemons =
+        shared.system_table_loaded.borrow().then(|| members::daemon_count(shared));
+    let bound = retry_bound(shared);
+    let grant = with_budget(shared, &job.service, |budget| {
+        budget.try_consume(bound, daemons, now)
+    });
+    let members = shared.tables.system.announcement(now);
+    info!(shared.log, "retry decided"; "id" => job.id(), "service" => job.service.as_str(),
+        "cause" => cause, "granted" => grant.granted, "used" => grant.used,
+        "limit" => grant.limit, "requests" => grant.requests, "daemons" => daemons,
+        "members_version" => members.map(|(version, _)| version),
+        "members_age_ms" => members.map(|(_, age)| age),
+        "uptime_ms" => shared.uptime().as_millis() as u64);
+    if grant.granted {
+        shared.metrics.count(Step::Repeat, cause);
+    }
+    grant.granted
+}
+
+fn retry_bound(shared: &Shared) -> RetryBound {
+    let bounds = shared.bounds.borrow();
+    RetryBound {
+        ratio: bounds.retry_ratio,
+        slack: bounds.retry_slack,
+        window: bounds.retry_window,
+    }
+}
+
+fn with_budget<T>(
+    shared: &Shared,
+    service: &ServiceName,
+    update: impl FnOnce(&mut RetryBudget) -> T,
+) -> T {
+    let mut budgets = shared.retry_budgets();
+    let new = || RetryBudget::new(shared.started_at);
+    update(budgets.entry(service.clone()).or_insert_with(new))
+}
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::pick::{PickError, pick, wait_before_retry};
 use crate::relay::{self, ResponseBody};
 use crate::shared::Shared;
-use crate::{charge, crashes, planner, read};
+use crate::{charge, crashes, planner, read, retries};
 
 /// The maximum number of attempts to serve one request.
 const MAX_ATTEMPTS: usize = 6;
@@ -98,7 +98,7 @@
 
 async fn run(job: Job) -> Result<Response<ResponseBody>, Refused> {
     let mut job = Box::new(job);
-    job.shared.record_request(&job.service);
+    retries::record_request(&job);
     if let Some(target) = &job.call.target {
         planner::record_demand(&job.shared, &job.service, &target.model, job.demand());
     }
@@ -171,7 +171,7 @@
     }
     let decision =
         job.attempts.record(response.target.incarnation(), AttemptOutcome::Failed);
-    decision == RetryDecision::RetryWithinBudget && take_retry(job, "failed")
+    decision == RetryDecision::RetryWithinBudget && retries::try_take(job, "failed")
 }
 
 /// Whether to retry after a failed attempt; takes the retry from the budget where it counts.
@@ -179,24 +179,10 @@
     match decision {
         _ if matches!(error, AttemptError::Blocked | AttemptError::Quarantined) => false,
         RetryDecision::GiveUp => false,
-        RetryDecision::RetryWithinBudget => take_retry(job, error.label()),
-        RetryDecision::Retry => {
-            // The attempt took its retry from the budget when it abandoned the server.
-            if *error == AttemptError::Silent {
-                job.shared.metrics.count(Step::Repeat, error.label());
-            }
-            true
-        }
-    }
-}
-
-/// Takes a retry from the service's budget; `false` if it is used up.
-fn take_retry(job: &Job, cause: &'static str) -> bool {
-    let granted = job.shared.try_take_retry(&job.service);
-    if granted {
-        job.shared.metrics.count(Step::Repeat, cause);
+        RetryDecision::RetryWithinBudget => retries::try_take(job, error.label()),
+        // An attempt that abandons a server has taken its retry from the budget.
+        RetryDecision::Retry => true,
     }
-    granted
 }
 
 /// The refusal after the last attempt failed.
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -7,7 +7,6 @@
 use chestnut_base::{Clock, MemberId, ServerName, ServiceName};
 use chestnut_edge::{Declarations, Dialect, Engine};
 use chestnut_member::{ClaimKey, MembershipRows, Neighbours, SuspensionDetector};
-use chestnut_pool::budget::RetryBound;
 use chestnut_pool::placement::PlacementPlanner;
 use chestnut_pool::{EngineTimings, Fleet, RetryBudget, ServerLimits};
 use indexmap::IndexMap;
@@ -19,7 +18,6 @@
 use crate::client::Client;
 use crate::crashes::Crashes;
 use crate::holder::HeldRunner;
-use crate::members;
 use crate::metrics::Metrics;
 use crate::peers::{HEARTBEAT_TIMEOUT, Peers};
 use crate::permit_queue::ServiceQueue;
@@ -106,7 +104,7 @@
     queues: Mutex<IndexMap<ServiceName, Arc<ServiceQueue>>>,
     /// Until when the holder of a plain service's queue is sent no requests.
     unresponsive_queue_holders: Mutex<IndexMap<ServiceName, Instant>>,
-    budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
+    retry_budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
     engine_timings: Mutex<EngineTimings>,
     persisted_timings: Mutex<IndexMap<ServiceName, PersistedTimings>>,
     demand_counters: Mutex<DemandCounters>,
@@ -162,7 +160,7 @@
             held_runners: Mutex::default(),
             queues: Mutex::default(),
             unresponsive_queue_holders: Mutex::default(),
-            budgets: Mutex::default(),
+            retry_budgets: Mutex::default(),
             engine_timings: Mutex::default(),
             persisted_timings: Mutex::default(),
             demand_counters: Mutex::default(),
@@ -392,33 +390,8 @@
         *self.refusing_requests.borrow()
     }
 
-    /// Adds a request to the service's retry budget.
-    pub fn record_request(&self, service: &ServiceName) {
-        let (window, now) = (self.bounds.borrow().retry_window, self.now());
-        self.with_budget(service, |budget| budget.record_request(window, now));
-    }
-
-    /// Takes a retry from the service's budget; returns whether there was one.
-    pub fn try_take_retry(&self, service: &ServiceName) -> bool {
-        let now = self.now();
-        let bounds = self.bounds.borrow().clone();
-        let bound = RetryBound {
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack,
-            window: bounds.retry_window,
-        };
-        let is_loaded = *self.system_table_loaded.borrow();
-        let daemons = is_loaded.then(|| members::daemon_count(self));
-        self.with_budget(service, |budget| budget.try_consume(bound, daemons, now))
-    }
-
-    fn with_budget<T>(
-        &self,
-        service: &ServiceName,
-        update: impl FnOnce(&mut RetryBudget) -> T,
-    ) -> T {
-        let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
-        let new = || RetryBudget::new(self.started_at);
-        update(budgets.entry(service.clone()).or_insert_with(new))
+    /// Locks the retry budgets of the services.
+    pub fn retry_budgets(&self) -> MutexGuard<'_, IndexMap<ServiceName, RetryBudget>> {
+        self.retry_budgets.lock().expect("no holder of the lock panics")
     }
 }
--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -31,6 +31,19 @@
 /// in the number of daemons may be noticed late.
 const PLANNED_SHARE: f64 = 0.8;
 
+/// The decision on a retry, and what decided it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryGrant {
+    /// Whether the request may be retried.
+    pub granted: bool,
+    /// The daemon's requests in the window.
+    pub requests: usize,
+    /// The daemon's retries in the window before this one.
+    pub used: usize,
+    /// The most retries that the daemon may make in the window; the fraction doesn't count.
+    pub limit: f64,
+}
+
 /// A daemon's share of the retries for one service.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -60,7 +73,7 @@
         self.requests.len() + self.retries.len()
     }
 
-    /// Consumes one retry of the budget; returns whether one was left.
+    /// Consumes one retry of the budget if one is left.
     ///
     /// All `daemons` share the slack; while their number is unknown there is none.
     pub fn try_consume(
@@ -68,17 +81,18 @@
         bound: RetryBound,
         daemons: Option<usize>,
         now: Instant,
-    ) -> bool {
+    ) -> RetryGrant {
         self.remove_expired(bound.window, now);
         let share = daemons.map_or(0.0, |daemons| bound.slack / daemons.max(1) as f64);
         let is_new = now.saturating_duration_since(self.started) < bound.window;
         let slack = share * if is_new { 1.0 - PLANNED_SHARE } else { PLANNED_SHARE };
         let limit = self.requests.len() as f64 * bound.ratio * PLANNED_SHARE + slack;
-        let granted = (self.retries.len() as f64) < limit.floor();
+        let (requests, used) = (self.requests.len(), self.retries.len());
+        let granted = (used as f64) < limit.floor();
         if granted {
             self.retries.push_back(now);
         }
-        granted
+        RetryGrant { granted, requests, used, limit }
     }
 
     fn remove_expired(&mut self, window: Duration, now: Instant) {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -41,7 +41,7 @@
 pub mod usage;
 
 pub use attempts::{AttemptOutcome, Attempts, RetryDecision};
-pub use budget::RetryBudget;
+pub use budget::{RetryBound, RetryBudget, RetryGrant};
 pub use choose::{
     Bid, Candidate, GenerationRequest, bid, choose, estimate_wait_ms, local_cost_ms,
 };
--- a/crates/pool/tests/bounds.rs
+++ b/crates/pool/tests/bounds.rs
@@ -2,8 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_pool::budget::RetryBound;
-use chestnut_pool::{LoadBound, LoadPacer, RetryBudget};
+use chestnut_pool::{LoadBound, LoadPacer, RetryBound, RetryBudget};
 use proptest::prelude::*;
 
 const BOUND: RetryBound =
@@ -66,7 +65,7 @@
             daemons[daemon].record_request(BOUND.window, now);
             requests.push(now);
             for _ in 0..tries {
-                if daemons[daemon].try_consume(BOUND, Some(6), now) {
+                if daemons[daemon].try_consume(BOUND, Some(6), now).granted {
                     retries.push(now);
                 }
             }
@@ -87,7 +86,7 @@
         let now = start + BOUND.window;
         let mut budget = RetryBudget::new(start);
         (0..requests).for_each(|_| budget.record_request(BOUND.window, now));
-        let granted = (0..100).filter(|_| budget.try_consume(BOUND, None, now)).count();
+        let granted = (0..100).filter(|_| budget.try_consume(BOUND, None, now).granted).count();
         prop_assert!(granted as f64 <= f64::from(requests) * BOUND.ratio);
     }
 
