gate: let what requests earn be spent once, and expire

A daemon allowed itself a fifth of the requests of its last window. The requests that it got within one window after another daemon had made all its retries and ended, or after a restart of its own process, earned retries a second time: together up to twice what operators allow for the same traffic.

A request now earns its part of a retry once, at the daemon that it was sent to, and what is not spent within a quarter of a window expires. The retries of any window were so earned by requests of one and a quarter windows at most, whichever daemons got these; with the planned share of 0.8 that is what the operators allow.

--- a/crates/gate/src/retries.rs
+++ b/crates/gate/src/retries.rs
@@ -12,8 +12,8 @@
 /// Adds a request to its service's retry budget.
 pub fn record_request(job: &Job) {
     let shared = &job.shared;
-    let (window, now) = (shared.bounds.borrow().retry_window, shared.now());
-    with_budget(shared, &job.service, |budget| budget.record_request(window, now));
+    let (bound, now) = (retry_bound(shared), shared.now());
+    with_budget(shared, &job.service, |budget| budget.record_request(bound, now));
 }
 
 /// Takes a retry from the service's budget; returns whether there was one.
@@ -29,8 +29,8 @@
     });
     let members = shared.tables.system.announcement(now);
     info!(shared.log, "retry decided"; "id" => job.id(), "service" => job.service.as_str(),
-        "cause" => cause, "granted" => grant.granted, "used" => grant.used,
-        "limit" => grant.limit, "requests" => grant.requests, "daemons" => daemons,
+        "cause" => cause, "granted" => grant.granted, "earned" => grant.earned,
+        "slack" => grant.slack, "daemons" => daemons,
         "members_version" => members.map(|(version, _)| version),
         "members_age_ms" => members.map(|(_, age)| age),
         "uptime_ms" => shared.uptime().as_millis() as u64);
--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -3,11 +3,15 @@
 //! Load pattern: servers of a service reject or fail many requests at once, and each retry
 //! adds to the load that made them fail. Without a bound every request is sent as often as
 //! its deadline allows. The operators' bound holds for the sum over all daemons, in any
-//! window; each daemon keeps to its own share, which needs no messages. The caller counts the
-//! daemons such that the shares used within one window add up to the bound.
+//! window: a part of the retries for each request, and a slack. Each daemon keeps to its own
+//! part, which needs no messages.
 //!
-//! A daemon that has just started does not know how many retries the previous process on
-//! its VM made. It has no share of the slack until the caller counts it.
+//! The slack is shared. The caller counts the daemons such that the shares used within one
+//! window add up to the slack, and says when this one must not use its share.
+//!
+//! A request earns a part of a retry at the daemon that it was sent to. What it has earned is
+//! spent once and expires soon, so that a window has little more than its own requests have
+//! earned, whichever daemons they were sent to and whether these still run.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -25,46 +29,51 @@
 
 /// Share of the bound that daemons plan with.
 ///
-/// Requests are counted at the server, some milliseconds after they were sent, and a change
-/// in the number of daemons may be noticed late.
+/// Retries are counted at the server, some milliseconds after they were sent, and those of a
+/// window may have been earned up to [`EARNED_WINDOWS`] before it.
 const PLANNED_SHARE: f64 = 0.8;
 
+/// How long what a request has earned may be spent, in windows.
+const EARNED_WINDOWS: f64 = 0.25;
+
+const _: () = assert!(PLANNED_SHARE * (1.0 + EARNED_WINDOWS) <= 1.0);
+
+/// A daemon's part of the retries for one service.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    /// What requests have earned and is not spent, in retries, oldest first.
+    earned: VecDeque<(Instant, f64)>,
+    /// What was taken from the slack, in retries, oldest first.
+    taken: VecDeque<(Instant, f64)>,
+}
+
 /// The decision on a retry, and what decided it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryGrant {
     /// Whether the request may be retried.
     pub granted: bool,
-    /// The daemon's requests in the window.
-    pub requests: usize,
-    /// The daemon's retries in the window before this one.
-    pub used: usize,
-    /// The most retries that the daemon may make in the window; the fraction doesn't count.
-    pub limit: f64,
-}
-
-/// A daemon's share of the retries for one service.
-#[derive(Debug, Default)]
-pub struct RetryBudget {
-    requests: VecDeque<Instant>,
-    retries: VecDeque<Instant>,
+    /// What requests had earned, in retries.
+    pub earned: f64,
+    /// What was left of this daemon's share of the slack, in retries.
+    pub slack: f64,
 }
 
 impl RetryBudget {
     /// Records a request for the service.
     ///
-    /// This also removes records older than `window`, which would accumulate in memory
-    /// while no request of the service is retried.
-    pub fn record_request(&mut self, window: Duration, now: Instant) {
-        self.remove_expired(window, now);
-        self.requests.push_back(now);
+    /// This also removes what has expired, which would accumulate in memory while no request
+    /// of the service is retried.
+    pub fn record_request(&mut self, bound: RetryBound, now: Instant) {
+        self.remove_expired(bound, now);
+        self.earned.push_back((now, bound.ratio * PLANNED_SHARE));
     }
 
-    /// Number of requests and retries that are held in memory.
+    /// Number of records that are held in memory.
     pub fn tracked(&self) -> usize {
-        self.requests.len() + self.retries.len()
+        self.earned.len() + self.taken.len()
     }
 
-    /// Consumes one retry of the budget if one is left.
+    /// Takes one retry from the budget if one is left.
     ///
     /// All `daemons` share the slack; `None` while this daemon must not use its share.
     pub fn try_consume(
@@ -73,23 +82,43 @@
         daemons: Option<usize>,
         now: Instant,
     ) -> RetryGrant {
-        self.remove_expired(bound.window, now);
+        self.remove_expired(bound, now);
+        let earned = self.earned.iter().map(|(_, part)| part).sum();
         let share = daemons.map_or(0.0, |daemons| bound.slack / daemons.max(1) as f64);
-        let earned = self.requests.len() as f64 * bound.ratio;
-        let limit = (earned + share) * PLANNED_SHARE;
-        let (requests, used) = (self.requests.len(), self.retries.len());
-        let granted = (used as f64) < limit.floor();
+        let taken: f64 = self.taken.iter().map(|(_, part)| part).sum();
+        let slack = (share * PLANNED_SHARE - taken).max(0.0);
+        let granted = earned + slack >= 1.0;
         if granted {
-            self.retries.push_back(now);
+            let missing = self.spend_earned(1.0);
+            if missing > 0.0 {
+                self.taken.push_back((now, missing));
+            }
         }
-        RetryGrant { granted, requests, used, limit }
+        RetryGrant { granted, earned, slack }
     }
 
-    fn remove_expired(&mut self, window: Duration, now: Instant) {
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|&at| now.duration_since(at) > window) {
-                times.pop_front();
+    /// Spends what requests have earned, oldest first; returns what is missing to `amount`.
+    fn spend_earned(&mut self, mut amount: f64) -> f64 {
+        while let Some((_, part)) = self.earned.front_mut() {
+            if *part > amount {
+                *part -= amount;
+                return 0.0;
             }
+            amount -= *part;
+            self.earned.pop_front();
+        }
+        amount
+    }
+
+    fn remove_expired(&mut self, bound: RetryBound, now: Instant) {
+        let expired = |record: Option<&(Instant, f64)>, after| {
+            record.is_some_and(|(at, _)| now.duration_since(*at) > after)
+        };
+        while expired(self.earned.front(), bound.window.mul_f64(EARNED_WINDOWS)) {
+            self.earned.pop_front();
+        }
+        while expired(self.taken.front(), bound.window) {
+            self.taken.pop_front();
         }
     }
 }
--- a/crates/pool/tests/bounds.rs
+++ b/crates/pool/tests/bounds.rs
@@ -10,14 +10,14 @@
 
 #[test]
 fn requests_older_than_the_window_are_removed() {
-    // A daemon serves a service for an hour without retries. It keeps the requests of one
-    // window in memory, not those of the hour.
+    // A daemon serves a service for an hour without retries. It keeps the requests of less
+    // than a window in memory, not those of the hour.
     let start = Instant::now();
     let mut budget = RetryBudget::default();
     for second in 0..3600 {
-        budget.record_request(BOUND.window, start + Duration::from_secs(second));
+        budget.record_request(BOUND, start + Duration::from_secs(second));
     }
-    assert_eq!(budget.tracked(), 11);
+    assert_eq!(budget.tracked(), 3);
 }
 
 fn load_bound(rate: f64) -> LoadBound {
@@ -65,7 +65,7 @@
                 daemons.fill_with(RetryBudget::default);
                 sharing_from = now + BOUND.window.mul_f64(1.5);
             }
-            daemons[daemon].record_request(BOUND.window, now);
+            daemons[daemon].record_request(BOUND, now);
             requests.push(now);
             let sharers = (now >= sharing_from).then_some(6);
             for _ in 0..tries {
@@ -92,7 +92,7 @@
         let start = Instant::now();
         let now = start + BOUND.window;
         let mut budget = RetryBudget::default();
-        (0..requests).for_each(|_| budget.record_request(BOUND.window, now));
+        (0..requests).for_each(|_| budget.record_request(BOUND, now));
         let granted = (0..100).filter(|_| budget.try_consume(BOUND, None, now).granted).count();
         prop_assert!(granted as f64 <= f64::from(requests) * BOUND.ratio);
     }
