gate: keep a reserve of retries for daemons that have just joined

Since daemons have no share of the slack for one and a half windows after they have joined, a daemon that had just started retried nothing unless it had many requests: a single request that a full server rejected was refused, and a stream that broke wasn't resumed.

A fifth of the slack is a reserve again, for half a window after a daemon has joined, and no longer for each process: a row of each VM in the store tells whether its last process has had a share, and only then the next one has the reserve. It is written in the transaction that joins, and once more by a daemon that has a share. The reserve is divided by all VMs that ever had such a row.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -17,7 +17,8 @@
 //! To pick a runner, a daemon requests bids ([`bidding`]), which estimate the time to the
 //! first event, from the daemons that hold the runners' claims. To pick a plain service's
 //! server, it requests a permit ([`permit`]) from the service's [`permit_queue`].
-//! [`members`] and [`claims`] determine the holders. The [`holder`] of a runner collects
+//! [`members`] and [`claims`] determine the holders, [`share_rows`] a daemon's part of bounds
+//! on the cluster. The [`holder`] of a runner collects
 //! [`usage_reports`], decides on [`admission`], and sends orders with its [`driver`]. The
 //! [`planner`] assigns models to runners and writes [`persisted_timings`]. Daemons exchange
 //! datagrams: [`message`], [`peers`], [`receive`].
@@ -66,6 +67,7 @@
 pub mod serve;
 pub mod server_limits;
 pub mod settings;
+pub mod share_rows;
 pub mod shared;
 pub mod store;
 pub mod table_replica;
--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -11,7 +11,7 @@
 
 use chestnut_base::{MemberId, VmName};
 use chestnut_edge::{Change, Transaction, TransactionOutcome};
-use chestnut_member::MemberRow;
+use chestnut_member::{MemberRow, Part};
 use rand::seq::IteratorRandom;
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -19,7 +19,7 @@
 use crate::message::{Heartbeat, Message};
 use crate::shared::Shared;
 use crate::table_sync::{self, ChangeHandler, SYSTEM_TABLE};
-use crate::{claims, store};
+use crate::{claims, share_rows, store};
 
 /// Prefix of the keys of daemons' rows; the VM's name follows.
 pub const KEY_PREFIX: &str = "daemon:";
@@ -122,6 +122,7 @@
     loop {
         claims::update_claims(&shared).await;
         remove_unresponsive(&shared).await;
+        share_rows::persist_settled(&shared).await;
         if is_own_row_missing(&shared) {
             info!(shared.log, "own row was removed, joining again");
             join(&shared).await;
@@ -144,12 +145,14 @@
     let row = own_row(shared);
     let vm = shared.settings.vm.as_str();
     record_previous_incarnation(shared);
+    let has_reserve = shared.sharers().offers_reserve(&shared.settings.vm);
     while let Err(reason) = write_row(shared, vm, &row).await {
         warn!(shared.log, "failed to join, retrying"; "why" => reason);
         sleep(RETRY_DELAY).await;
     }
-    shared.sharers().record_join(shared.now());
-    info!(shared.log, "joined"; "me" => shared.peers.me.to_string());
+    shared.sharers().record_join(has_reserve, shared.now());
+    info!(shared.log, "joined"; "me" => shared.peers.me.to_string(),
+        "reserve" => has_reserve);
 }
 
 /// Records the earlier process on this VM, if its row still exists.
@@ -166,12 +169,14 @@
 async fn write_row(shared: &Shared, vm: &str, row: &MemberRow) -> Result<(), String> {
     let value = serde_json::to_vec(row).map_err(|error| error.to_string())?;
     let transaction = Transaction::default().put(SYSTEM_TABLE, &row_key(vm), value);
+    let transaction = share_rows::put_unsettled(shared, transaction);
     match store::commit(shared, &transaction).await {
         Ok(TransactionOutcome::Committed { version }) => {
             let mut membership = shared.membership();
             let current = table_sync::record_own_writes(shared, &transaction, version);
+            share_rows::record_join(shared, &current, version);
             // A row that was removed meanwhile must be written again.
-            if !current.is_empty() {
+            if current.contains(&row_key(vm)) {
                 let vm = shared.settings.vm.clone();
                 membership.members.insert(vm, (row.clone(), version));
             }
@@ -283,16 +288,17 @@
     shared.membership().members.len().max(1)
 }
 
-/// The number of daemons that share a bound with this window; `None` while this daemon must
-/// not use its part.
-pub fn sharer_count(shared: &Shared, window: Duration) -> Option<usize> {
+/// The part of a bound with this window that this daemon may use now.
+pub fn part(shared: &Shared, window: Duration) -> Part {
     // Detects a suspension of the daemon, which the age of the table may not show.
     shared.is_resuming();
     let now = shared.now();
     let age = shared.tables.system.age(now);
     let membership = shared.membership();
-    membership.own_row(&shared.settings.vm, shared.peers.me)?;
-    shared.sharers().count(membership.members.keys(), age, window, now)
+    match membership.own_row(&shared.settings.vm, shared.peers.me) {
+        Some(_) => shared.sharers().part(membership.members.keys(), age, window, now),
+        None => Part::None,
+    }
 }
 
 /// Records a heartbeat of another daemon, and answers it with the versions of the tables if
--- a/crates/gate/src/retries.rs
+++ b/crates/gate/src/retries.rs
@@ -21,16 +21,15 @@
 /// `cause` is the label in metrics.
 pub fn try_take(job: &Job, cause: &'static str) -> bool {
     let shared = &job.shared;
-    let now = shared.now();
-    let bound = retry_bound(shared);
-    let daemons = members::sharer_count(shared, bound.window);
+    let (bound, now) = (retry_bound(shared), shared.now());
+    let part = members::part(shared, bound.window);
     let grant = with_budget(shared, &job.service, |budget| {
-        budget.try_consume(bound, daemons, now)
+        budget.try_consume(bound, part.fraction(), now)
     });
     let members = shared.tables.system.announcement(now);
     info!(shared.log, "retry decided"; "id" => job.id(), "service" => job.service.as_str(),
         "cause" => cause, "granted" => grant.granted, "earned" => grant.earned,
-        "slack" => grant.slack, "daemons" => daemons,
+        "slack" => grant.slack, "part" => format!("{part:?}"),
         "members_version" => members.map(|(version, _)| version),
         "members_age_ms" => members.map(|(_, age)| age),
         "uptime_ms" => shared.uptime().as_millis() as u64);
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -21,6 +21,7 @@
 use crate::persisted_timings::EngineTimingsHandler;
 use crate::registry::{DeclarationsHandler, ServerHandler};
 use crate::settings::Settings;
+use crate::share_rows::ShareHandler;
 use crate::shared::Shared;
 use crate::table_sync::SystemTableHandler;
 use crate::{
@@ -138,6 +139,7 @@
     tokio::spawn(table_sync::run(shared.clone(), tables.servers.clone(), servers));
     let system = SystemTableHandler {
         members: MemberHandler(shared.clone()),
+        shares: ShareHandler(shared.clone()),
         claims: ClaimHandler(shared.clone()),
         timings: EngineTimingsHandler(shared.clone()),
         blocked: BlockedRequestHandler(shared.clone()),
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -27,7 +27,7 @@
     MIN_CONFIRMATION_INTERVAL, TableChanges, TableReplica, confirmation_time,
 };
 use crate::table_source::{Announcements, Source, TableView};
-use crate::{blocked_requests, claims, members, persisted_timings};
+use crate::{blocked_requests, claims, members, persisted_timings, share_rows};
 
 /// The store may hold the reader's long poll for [`freshness_limit`] divided by this. The
 /// rest of the limit is for the heartbeat period and the delay of the response.
@@ -587,6 +587,8 @@
 pub struct SystemTableHandler {
     /// Handles rows of daemons.
     pub members: members::MemberHandler,
+    /// Handles rows of VMs' shares.
+    pub shares: share_rows::ShareHandler,
     /// Handles rows of claims.
     pub claims: claims::ClaimHandler,
     /// Handles rows of engine timings.
@@ -599,6 +601,8 @@
     fn on_change(&mut self, change: Change) {
         if change.key.starts_with(members::KEY_PREFIX) {
             self.members.on_change(change);
+        } else if change.key.starts_with(share_rows::KEY_PREFIX) {
+            self.shares.on_change(change);
         } else if change.key.starts_with(claims::KEY_PREFIX) {
             self.claims.on_change(change);
         } else if change.key.starts_with(persisted_timings::KEY_PREFIX) {
--- a/crates/gate/tests/retry_model.rs
+++ b/crates/gate/tests/retry_model.rs
@@ -9,10 +9,10 @@
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
-use chestnut_base::VmName;
-use chestnut_member::Sharers;
+use chestnut_base::{MemberId, VmName};
+use chestnut_member::{Part, ShareRow, Sharers};
 use chestnut_pool::{RetryBound, RetryBudget};
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
@@ -62,6 +62,8 @@
     daemons: Vec<Daemon>,
     /// The daemons that have a row.
     rows: IndexSet<VmName>,
+    /// The last process of each VM.
+    share_rows: IndexMap<VmName, ShareRow>,
     store_down_until: Instant,
     /// Requests a second.
     rate: f64,
@@ -128,6 +130,7 @@
             now,
             daemons: (0..count).map(|index| Daemon::start(vm(index))).collect(),
             rows: IndexSet::new(),
+            share_rows: IndexMap::new(),
             store_down_until: now,
             rate,
             tries: 0,
@@ -197,10 +200,20 @@
         daemon.listed.clone_from(&self.rows);
         daemon.confirmed_at = Some(now);
         daemon.sharers.record_confirmation(now, BOUND.window);
-        if daemon.listed.insert(daemon.vm.clone()) || !daemon.has_joined {
-            self.rows.insert(daemon.vm.clone());
-            daemon.sharers.record_join(now);
+        for (vm, row) in &self.share_rows {
+            daemon.sharers.record_row(vm.clone(), Some((*row, 1)));
+        }
+        let vm = daemon.vm.clone();
+        let mut row = ShareRow { member: MemberId(index as u64), settled: false };
+        if daemon.listed.insert(vm.clone()) || !daemon.has_joined {
+            let has_reserve = daemon.sharers.offers_reserve(&vm);
+            self.rows.insert(vm.clone());
+            self.share_rows.insert(vm, row);
+            daemon.sharers.record_join(has_reserve, now);
             daemon.has_joined = true;
+        } else if matches!(daemon.part(now), Part::Share(_)) {
+            row.settled = true;
+            self.share_rows.insert(vm, row);
         }
     }
 
@@ -284,9 +297,13 @@
     }
 
     fn try_retry(&mut self, now: Instant) -> bool {
+        let part = self.part(now).fraction();
+        self.budget.try_consume(BOUND, part, now).granted
+    }
+
+    fn part(&mut self, now: Instant) -> Part {
         let age = self.confirmed_at.map(|at| now - at);
-        let daemons = self.sharers.count(self.listed.iter(), age, BOUND.window, now);
-        self.budget.try_consume(BOUND, daemons, now).granted
+        self.sharers.part(self.listed.iter(), age, BOUND.window, now)
     }
 }
 
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -9,7 +9,7 @@
 //! 4. [`view`] is the result that the rest of the daemon reads.
 //!
 //! A daemon that needs no leases exchanges heartbeats with its [`neighbours`] instead.
-//! [`sharers`] counts the daemons that divide a bound on the whole cluster among them;
+//! [`sharers`] decides which part of a bound on the whole cluster a daemon may use;
 //! [`suspension`] limits what a daemon may do after its VM was suspended.
 
 pub mod assignment;
@@ -24,6 +24,6 @@
 pub use lease::{Lease, expired, watched_vms, watchers};
 pub use neighbours::{Neighbours, reader_rank};
 pub use rows::{ClaimRow, LeaseRow, MemberRow, MembershipRows, ONE_CORE_WEIGHT};
-pub use sharers::Sharers;
+pub use sharers::{Part, ShareRow, Sharers};
 pub use suspension::SuspensionDetector;
 pub use view::{Claim, ClaimKey, Member, Server, ServerRole, View};
--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -6,8 +6,8 @@
 //! window: a part of the retries for each request, and a slack. Each daemon keeps to its own
 //! part, which needs no messages.
 //!
-//! The slack is shared. The caller counts the daemons such that the shares used within one
-//! window add up to the slack, and says when this one must not use its share.
+//! The slack is shared. The caller says which part of it this daemon may use, such that the
+//! parts used within one window add up to the slack.
 //!
 //! A request earns a part of a retry at the daemon that it was sent to. What it has earned is
 //! spent once and expires soon, so that a window has little more than its own requests have
@@ -27,16 +27,15 @@
     pub window: Duration,
 }
 
-/// Share of the bound that daemons plan with.
+/// Fraction of the retries allowed for each request that it earns.
 ///
-/// Retries are counted at the server, some milliseconds after they were sent, and those of a
-/// window may have been earned up to [`EARNED_WINDOWS`] before it.
-const PLANNED_SHARE: f64 = 0.8;
+/// The retries of a window may have been earned up to [`EARNED_WINDOWS`] before it.
+const EARNED_FRACTION: f64 = 0.8;
 
 /// How long what a request has earned may be spent, in windows.
 const EARNED_WINDOWS: f64 = 0.25;
 
-const _: () = assert!(PLANNED_SHARE * (1.0 + EARNED_WINDOWS) <= 1.0);
+const _: () = assert!(EARNED_FRACTION * (1.0 + EARNED_WINDOWS) <= 1.0);
 
 /// A daemon's part of the retries for one service.
 #[derive(Debug, Default)]
@@ -54,7 +53,7 @@
     pub granted: bool,
     /// What requests had earned, in retries.
     pub earned: f64,
-    /// What was left of this daemon's share of the slack, in retries.
+    /// What was left of this daemon's part of the slack, in retries.
     pub slack: f64,
 }
 
@@ -65,7 +64,7 @@
     /// of the service is retried.
     pub fn record_request(&mut self, bound: RetryBound, now: Instant) {
         self.remove_expired(bound, now);
-        self.earned.push_back((now, bound.ratio * PLANNED_SHARE));
+        self.earned.push_back((now, bound.ratio * EARNED_FRACTION));
     }
 
     /// Number of records that are held in memory.
@@ -75,24 +74,21 @@
 
     /// Takes one retry from the budget if one is left.
     ///
-    /// All `daemons` share the slack; `None` while this daemon must not use its share.
+    /// `part` is the fraction of the slack that this daemon may use.
     pub fn try_consume(
         &mut self,
         bound: RetryBound,
-        daemons: Option<usize>,
+        part: f64,
         now: Instant,
     ) -> RetryGrant {
         self.remove_expired(bound, now);
         let earned = self.earned.iter().map(|(_, part)| part).sum();
-        let share = daemons.map_or(0.0, |daemons| bound.slack / daemons.max(1) as f64);
         let taken: f64 = self.taken.iter().map(|(_, part)| part).sum();
-        let slack = (share * PLANNED_SHARE - taken).max(0.0);
+        let slack = (bound.slack * part - taken).max(0.0);
         let granted = earned + slack >= 1.0;
-        if granted {
-            let missing = self.spend_earned(1.0);
-            if missing > 0.0 {
-                self.taken.push_back((now, missing));
-            }
+        let taken = if granted { self.spend_earned(1.0) } else { 0.0 };
+        if taken > 0.0 {
+            self.taken.push_back((now, taken));
         }
         RetryGrant { granted, earned, slack }
     }
--- a/crates/pool/tests/bounds.rs
+++ b/crates/pool/tests/bounds.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use chestnut_member::Part;
 use chestnut_pool::{LoadBound, LoadPacer, RetryBound, RetryBudget};
 use proptest::prelude::*;
 
@@ -46,8 +47,8 @@
     // All servers fail, and every daemon retries as often as its budget allows. In no
     // window do the retries of all daemons together exceed the operators' bound for the
     // requests of that window, of the one before it or of the one half a window before it,
-    // not even when all daemons are killed and restarted. New daemons have no share of the
-    // slack for one and a half windows.
+    // not even when all daemons are killed and restarted. New daemons have the reserve for half
+    // a window, and a share after one and a half.
     #[test]
     fn retries_stay_within_the_bound(
         steps in prop::collection::vec((0u64..120, 0usize..6, 0u32..4), 1..400),
@@ -55,7 +56,7 @@
     ) {
         let start = Instant::now();
         let mut now = start;
-        let mut sharing_from = start;
+        let mut restarted_at = None;
         let mut daemons: Vec<RetryBudget> = Vec::new();
         daemons.resize_with(6, RetryBudget::default);
         let (mut requests, mut retries) = (Vec::new(), Vec::new());
@@ -63,13 +64,19 @@
             now += Duration::from_millis(wait);
             if step == restart {
                 daemons.fill_with(RetryBudget::default);
-                sharing_from = now + BOUND.window.mul_f64(1.5);
+                restarted_at = Some(now);
             }
             daemons[daemon].record_request(BOUND, now);
             requests.push(now);
-            let sharers = (now >= sharing_from).then_some(6);
+            let windows = restarted_at
+                .map(|at| now.duration_since(at).div_duration_f64(BOUND.window));
+            let part = match windows {
+                Some(..0.5) => Part::Reserve(6),
+                Some(..1.5) => Part::None,
+                _ => Part::Share(6),
+            };
             for _ in 0..tries {
-                if daemons[daemon].try_consume(BOUND, sharers, now).granted {
+                if daemons[daemon].try_consume(BOUND, part.fraction(), now).granted {
                     retries.push(now);
                 }
             }
@@ -85,15 +92,15 @@
         }
     }
 
-    // A daemon does not know yet how many others there are. It must not spend the slack of
-    // all of them.
+    // A daemon does not know how many others there are, so that it has no part of the slack. It
+    // must not spend the slack of all of them.
     #[test]
     fn no_slack_is_spent_while_the_number_of_daemons_is_unknown(requests in 0u32..100) {
         let start = Instant::now();
         let now = start + BOUND.window;
         let mut budget = RetryBudget::default();
         (0..requests).for_each(|_| budget.record_request(BOUND, now));
-        let granted = (0..100).filter(|_| budget.try_consume(BOUND, None, now).granted).count();
+        let granted = (0..100).filter(|_| budget.try_consume(BOUND, 0.0, now).granted).count();
         prop_assert!(granted as f64 <= f64::from(requests) * BOUND.ratio);
     }
 
