gate: decide again on retries that have waited for a server

A retry was counted when it was granted.

A retry that is sent later than a fortieth of the window after its grant now gives back what it took from the slack and is decided again; if nothing is left it isn't sent, and its caller is told what is true of the request.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -190,6 +190,9 @@
     Blocked,
     /// No byte was sent: the request may crash servers, and another copy of it is running.
     Quarantined,
+    /// No byte was sent: the request is a retry that has waited for a server, and the retry
+    /// budget is used up by now.
+    Exhausted,
 }
 
 impl AttemptError {
@@ -203,15 +206,17 @@
             Self::Late => "late",
             Self::Blocked => "blocked",
             Self::Quarantined => "quarantined",
+            Self::Exhausted => "exhausted",
         }
     }
 
     /// The outcome for the decision on a retry.
     pub fn outcome(&self) -> AttemptOutcome {
         match self {
-            Self::Unreachable(_) | Self::Blocked | Self::Quarantined => {
-                AttemptOutcome::NotSent
-            }
+            Self::Unreachable(_)
+            | Self::Blocked
+            | Self::Quarantined
+            | Self::Exhausted => AttemptOutcome::NotSent,
             Self::Rejected(_) => AttemptOutcome::Rejected,
             Self::Lost(_) => AttemptOutcome::ResponseLost,
             Self::Silent => AttemptOutcome::Unresponsive,
@@ -222,11 +227,11 @@
 
 /// Sends a request to a server and waits for the response head.
 pub async fn attempt(
-    job: &Job,
+    job: &mut Job,
     target: &Target,
     resume_after: Option<u64>,
 ) -> Result<ServerResponse, AttemptError> {
-    let shared = &job.shared;
+    let shared = &job.shared.clone();
     let mut in_flight = InFlight::new(job, target);
     let result = exchange(job, target, resume_after, &mut in_flight).await;
     let now = shared.now();
@@ -238,7 +243,9 @@
             PermitOutcome::Failed
         }
         Err(AttemptError::Rejected(_)) => PermitOutcome::Rejected,
-        Err(AttemptError::Blocked | AttemptError::Quarantined) => PermitOutcome::Unused,
+        Err(
+            AttemptError::Blocked | AttemptError::Quarantined | AttemptError::Exhausted,
+        ) => PermitOutcome::Unused,
     };
     if matches!(result, Err(AttemptError::Lost(_))) {
         in_flight.record_interruption().await;
@@ -259,7 +266,8 @@
                 AttemptError::Rejected(_)
                 | AttemptError::Late
                 | AttemptError::Blocked
-                | AttemptError::Quarantined,
+                | AttemptError::Quarantined
+                | AttemptError::Exhausted,
             ) => {}
         }
     }
@@ -277,12 +285,12 @@
 type Exchange = (response::Parts, ResponseHead, Incoming, Connection);
 
 async fn exchange(
-    job: &Job,
+    job: &mut Job,
     target: &Target,
     resume_after: Option<u64>,
     in_flight: &mut InFlight,
 ) -> Result<Exchange, AttemptError> {
-    let shared = &job.shared;
+    let shared = &job.shared.clone();
     let deadline = tokio::time::Instant::from_std(job.deadline);
     let connected = timeout_at(deadline, shared.client.connect(target.addr)).await;
     let connected = connected.map_err(|_| {
@@ -291,6 +299,9 @@
     let connection =
         connected.map_err(|error| AttemptError::Unreachable(error.to_string()))?;
     in_flight.dispatch = Some(crashes::begin_dispatch(job, target).await?);
+    if !retries::may_send(job) {
+        return Err(AttemptError::Exhausted);
+    }
     let sent_at = shared.now();
     let request = build_request(job, target, resume_after);
     let mut sending = pin!(connection.send(request));
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -8,7 +8,7 @@
 use chestnut_account::AccountKey;
 use chestnut_base::{Digest, Refusal, ServiceName};
 use chestnut_edge::{Call, Declarations, Engine, GenerationSize, Route, RouteKind};
-use chestnut_pool::{Attempts, DemandCounts, GenerationRequest};
+use chestnut_pool::{Attempts, DemandCounts, GenerationRequest, RetryGrant};
 use http::request;
 use slog::info;
 
@@ -75,6 +75,8 @@
     pub sent_at: Instant,
     /// The attempts so far and which retries are safe.
     pub attempts: Attempts,
+    /// The retry that the current attempt uses; `None` if that is no retry.
+    pub retry: Option<RetryGrant>,
     /// Whether its caller has part of the response.
     pub response_started: bool,
     /// Whether its end has been logged and counted; set once.
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -114,6 +114,7 @@
         deadline,
         sent_at: arrived_at,
         attempts,
+        retry: None,
         response_started: false,
         end_recorded: AtomicBool::new(false),
     })
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -298,9 +298,9 @@
         info!(self.job.shared.log, "resuming the stream at another server";
             "id" => self.job.id(), "server" => self.server.to_string(), "why" => why,
             "after" => self.sequence.last());
-        while retries::try_take(&self.job, "resumed") {
+        while retries::try_take(&mut self.job, "resumed") {
             let Ok(target) = pick(&self.job, None, &[]).await else { return false };
-            match attempt(&self.job, &target, self.sequence.last()).await {
+            match attempt(&mut self.job, &target, self.sequence.last()).await {
                 Ok(response) if is_event_stream(&response.head) => {
                     self.server = response.target.name.clone();
                     self.source = Some(response);
@@ -310,7 +310,8 @@
                 | Err(
                     AttemptError::Late
                     | AttemptError::Blocked
-                    | AttemptError::Quarantined,
+                    | AttemptError::Quarantined
+                    | AttemptError::Exhausted,
                 ) => return false,
                 Err(error) => {
                     let _ =
--- a/crates/gate/src/retries.rs
+++ b/crates/gate/src/retries.rs
@@ -1,7 +1,9 @@
 //! Keeps retries within the operators' bound.
 
+use std::time::Instant;
+
 use chestnut_base::ServiceName;
-use chestnut_pool::{RetryBound, RetryBudget};
+use chestnut_pool::{RetryBound, RetryBudget, RetryGrant};
 use slog::info;
 
 use crate::job::Job;
@@ -19,12 +21,42 @@
 /// Takes a retry from the service's budget; returns whether there was one.
 ///
 /// `cause` is the label in metrics.
-pub fn try_take(job: &Job, cause: &'static str) -> bool {
+pub fn try_take(job: &mut Job, cause: &'static str) -> bool {
+    let grant = decide(job, cause, |budget, bound, part, now| {
+        budget.try_consume(bound, part, now)
+    });
+    job.retry = Some(grant).filter(|grant| grant.granted);
+    if grant.granted {
+        job.shared.metrics.count(Step::Repeat, cause);
+    }
+    grant.granted
+}
+
+/// Whether a request may be sent now; decides again on a retry that has waited for a server.
+pub fn may_send(job: &mut Job) -> bool {
+    let Some(grant) = job.retry else { return true };
+    let max_age = retry_bound(&job.shared).max_grant_age();
+    if job.shared.now() < grant.at + max_age {
+        return true;
+    }
+    let renewed = decide(job, "waited", |budget, bound, part, now| {
+        budget.renew(grant, bound, part, now)
+    });
+    job.retry = Some(renewed);
+    renewed.granted
+}
+
+/// Decides on a retry with the service's budget, and logs the decision.
+fn decide(
+    job: &Job,
+    cause: &'static str,
+    decision: impl FnOnce(&mut RetryBudget, RetryBound, f64, Instant) -> RetryGrant,
+) -> RetryGrant {
     let shared = &job.shared;
     let (bound, now) = (retry_bound(shared), shared.now());
     let part = members::part(shared, bound.window);
     let grant = with_budget(shared, &job.service, |budget| {
-        budget.try_consume(bound, part.fraction(), now)
+        decision(budget, bound, part.fraction(), now)
     });
     let members = shared.tables.system.announcement(now);
     info!(shared.log, "retry decided"; "id" => job.id(), "service" => job.service.as_str(),
@@ -33,10 +65,7 @@
         "members_version" => members.map(|(version, _)| version),
         "members_age_ms" => members.map(|(_, age)| age),
         "uptime_ms" => shared.uptime().as_millis() as u64);
-    if grant.granted {
-        shared.metrics.count(Step::Repeat, cause);
-    }
-    grant.granted
+    grant
 }
 
 fn retry_bound(shared: &Shared) -> RetryBound {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -113,7 +113,8 @@
         };
         wait_before_retry(&target.name, &failed).await;
         job.sent_at = job.shared.now();
-        let error = match attempt(&job, &target, job.call.resume_after).await {
+        let resume_after = job.call.resume_after;
+        let error = match attempt(&mut job, &target, resume_after).await {
             Ok(response) => match retry_server_error(&mut job, &response) {
                 true => {
                     failed.push(target.name);
@@ -141,9 +142,10 @@
             AttemptError::Unreachable(_)
             | AttemptError::Late
             | AttemptError::Blocked
-            | AttemptError::Quarantined => {}
+            | AttemptError::Quarantined
+            | AttemptError::Exhausted => {}
         }
-        if !may_retry(&job, decision, &error) {
+        if !may_retry(&mut job, decision, &error) {
             return Err((failure(&job, &error), job));
         }
     }
@@ -175,9 +177,10 @@
 }
 
 /// Whether to retry after a failed attempt; takes the retry from the budget where it counts.
-fn may_retry(job: &Job, decision: RetryDecision, error: &AttemptError) -> bool {
+fn may_retry(job: &mut Job, decision: RetryDecision, error: &AttemptError) -> bool {
+    use AttemptError::{Blocked, Exhausted, Quarantined};
     match decision {
-        _ if matches!(error, AttemptError::Blocked | AttemptError::Quarantined) => false,
+        _ if matches!(error, Blocked | Quarantined | Exhausted) => false,
         RetryDecision::GiveUp => false,
         RetryDecision::RetryWithinBudget => retries::try_take(job, error.label()),
         // An attempt that abandons a server has taken its retry from the budget.
@@ -208,7 +211,8 @@
         AttemptError::Quarantined => crashes::quarantined(),
         AttemptError::Unreachable(_)
         | AttemptError::Rejected(_)
-        | AttemptError::Silent => no_server(job),
+        | AttemptError::Silent
+        | AttemptError::Exhausted => no_server(job),
     }
 }
 
--- a/crates/gate/tests/retry_model.rs
+++ b/crates/gate/tests/retry_model.rs
@@ -1,7 +1,8 @@
 //! Retries over all daemons of a simulated cluster, with the decisions of the product.
 //!
-//! Servers fail all requests at times, while daemons are killed, suspended, restarted in
-//! series and cut off from the store, and callers move to those that are left. The store and
+//! Servers fail all requests at times, or can't be reached so that retries wait for them, while
+//! daemons are killed, suspended, restarted in series and cut off from the store, and callers
+//! move to those that are left. The store and
 //! the callers are simulated; time passes in steps of fifty milliseconds.
 //! `RETRY_SEEDS=FROM..TO` plays other seeds, `RETRY_STATS=1` prints how near each comes to the
 //! bound.
@@ -11,7 +12,7 @@
 
 use chestnut_base::{MemberId, VmName};
 use chestnut_member::{Part, ShareRow, Sharers};
-use chestnut_pool::{RetryBound, RetryBudget};
+use chestnut_pool::{RetryBound, RetryBudget, RetryGrant};
 use indexmap::{IndexMap, IndexSet};
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
@@ -54,6 +55,8 @@
     listed: IndexSet<VmName>,
     confirmed_at: Option<Instant>,
     has_joined: bool,
+    /// Granted retries that wait for a server.
+    waiting: Vec<RetryGrant>,
 }
 
 struct Cluster {
@@ -70,6 +73,8 @@
     /// The retries that each request needs while the servers fail.
     tries: u32,
     servers_fail: bool,
+    /// Until when retries wait for a server.
+    servers_busy_until: Instant,
     requests: Vec<Instant>,
     retries: Vec<Instant>,
 }
@@ -135,6 +140,7 @@
             rate,
             tries: 0,
             servers_fail: false,
+            servers_busy_until: now,
             requests: Vec::new(),
             retries: Vec::new(),
         };
@@ -152,6 +158,7 @@
             }
         }
         self.send_requests();
+        self.send_waiting();
     }
 
     /// Ends the faults that are over.
@@ -229,8 +236,21 @@
             daemon.budget.record_request(BOUND, self.now);
             let tries = if self.servers_fail { self.tries } else { 0 };
             for _ in 0..tries {
-                if daemon.try_retry(self.now) {
-                    self.retries.push(self.now);
+                daemon.request_retry(self.now);
+            }
+        }
+    }
+
+    /// Sends the retries that wait for a server, if one can be reached.
+    fn send_waiting(&mut self) {
+        if self.now < self.servers_busy_until {
+            return;
+        }
+        let now = self.now;
+        for daemon in self.daemons.iter_mut().filter(|daemon| daemon.is_serving()) {
+            for grant in std::mem::take(&mut daemon.waiting) {
+                if daemon.renew(grant, now) {
+                    self.retries.push(now);
                 }
             }
         }
@@ -239,13 +259,14 @@
     fn inject_fault(&mut self) {
         let until = self.now + Duration::from_millis(self.rng.random_range(50..15_000));
         let soon = self.now + Duration::from_millis(self.rng.random_range(50..1500));
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..9) {
             0 => self.disturb(State::Down(until)),
             1 => self.disturb(State::Down(soon)),
             2 => self.disturb(State::Suspended(until)),
             3 => self.disturb(State::CutOff(until)),
             4 => self.store_down_until = until,
             5 => self.servers_fail = false,
+            6 => self.servers_busy_until = until,
             _ => self.servers_fail = true,
         }
     }
@@ -289,6 +310,7 @@
             listed: IndexSet::new(),
             confirmed_at: None,
             has_joined: false,
+            waiting: Vec::new(),
         }
     }
 
@@ -296,9 +318,16 @@
         matches!(self.state, State::Running | State::CutOff(_))
     }
 
-    fn try_retry(&mut self, now: Instant) -> bool {
+    /// Has a retry wait for a server if it is granted.
+    fn request_retry(&mut self, now: Instant) {
+        let part = self.part(now).fraction();
+        let grant = self.budget.try_consume(BOUND, part, now);
+        self.waiting.extend(Some(grant).filter(|grant| grant.granted));
+    }
+
+    fn renew(&mut self, grant: RetryGrant, now: Instant) -> bool {
         let part = self.part(now).fraction();
-        self.budget.try_consume(BOUND, part, now).granted
+        self.budget.renew(grant, BOUND, part, now).granted
     }
 
     fn part(&mut self, now: Instant) -> Part {
--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -27,6 +27,13 @@
     pub window: Duration,
 }
 
+impl RetryBound {
+    /// How long after its grant a retry may be sent without another decision.
+    pub fn max_grant_age(&self) -> Duration {
+        self.window.mul_f64(MAX_GRANT_WINDOWS)
+    }
+}
+
 /// Fraction of the retries allowed for each request that it earns.
 ///
 /// The retries of a window may have been earned up to [`EARNED_WINDOWS`] before it.
@@ -35,6 +42,9 @@
 /// How long what a request has earned may be spent, in windows.
 const EARNED_WINDOWS: f64 = 0.25;
 
+/// How long after its grant a retry may be sent without another decision, in windows.
+const MAX_GRANT_WINDOWS: f64 = 0.025;
+
 const _: () = assert!(EARNED_FRACTION * (1.0 + EARNED_WINDOWS) <= 1.0);
 
 /// A daemon's part of the retries for one service.
@@ -51,6 +61,10 @@
 pub struct RetryGrant {
     /// Whether the request may be retried.
     pub granted: bool,
+    /// When it was decided.
+    pub at: Instant,
+    /// What it took from the slack, in retries.
+    pub taken: f64,
     /// What requests had earned, in retries.
     pub earned: f64,
     /// What was left of this daemon's part of the slack, in retries.
@@ -90,7 +104,28 @@
         if taken > 0.0 {
             self.taken.push_back((now, taken));
         }
-        RetryGrant { granted, earned, slack }
+        RetryGrant { granted, at: now, taken, earned, slack }
+    }
+
+    /// Decides again on a granted retry that is about to be sent.
+    ///
+    /// Retries that were granted one after the other and waited for the same server would
+    /// all count in the window in which they are sent.
+    pub fn renew(
+        &mut self,
+        grant: RetryGrant,
+        bound: RetryBound,
+        part: f64,
+        now: Instant,
+    ) -> RetryGrant {
+        if now < grant.at + bound.max_grant_age() {
+            return grant;
+        }
+        let is_own = |record: &(Instant, f64)| *record == (grant.at, grant.taken);
+        if let Some(index) = self.taken.iter().position(is_own) {
+            self.taken.remove(index);
+        }
+        self.try_consume(bound, part, now)
     }
 
     /// Spends what requests have earned, oldest first; returns what is missing to `amount`.
--- a/crates/pool/tests/bounds.rs
+++ b/crates/pool/tests/bounds.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use chestnut_member::Part;
-use chestnut_pool::{LoadBound, LoadPacer, RetryBound, RetryBudget};
+use chestnut_pool::{LoadBound, LoadPacer, RetryBound, RetryBudget, RetryGrant};
 use proptest::prelude::*;
 
 const BOUND: RetryBound =
@@ -21,6 +21,26 @@
     assert_eq!(budget.tracked(), 3);
 }
 
+/// Guards against retries that are granted in two windows and wait for a server, which then
+/// gets all of them in one.
+#[test]
+fn a_retry_that_has_waited_is_decided_again() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::default();
+    let mut grant_all = |now| {
+        let grants = (0..100).map(|_| budget.try_consume(BOUND, 1.0, now));
+        grants.filter(|grant| grant.granted).collect::<Vec<RetryGrant>>()
+    };
+    let mut grants = grant_all(start);
+    let later = start + BOUND.window + Duration::from_secs(1);
+    grants.extend(grant_all(later));
+    let sent_at = later + Duration::from_secs(1);
+    let renewed =
+        grants.into_iter().map(|grant| budget.renew(grant, BOUND, 1.0, sent_at));
+    let sent = renewed.filter(|grant| grant.granted).count();
+    assert!(sent as f64 <= BOUND.slack, "{sent} retries were sent");
+}
+
 fn load_bound(rate: f64) -> LoadBound {
     LoadBound { rate, window: Duration::from_secs(5), overshoot: 1.1 }
 }
