--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -28,12 +28,6 @@
 }
 
 impl RetryBound {
-    /// How long what was taken from the slack counts, in windows.
-    ///
-    /// A retry reaches its server later than it is sent by the time for which its connection may
-    /// leave it unacknowledged.
-    const TAKEN_WINDOWS: f64 = 1.15;
-
     /// How long after its grant a retry may be sent without another decision.
     pub fn max_grant_age(&self) -> Duration {
         self.window.mul_f64(MAX_GRANT_WINDOWS)
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -42,7 +42,10 @@
 const PROXY_SEEDS: [u64; 2] = [1, 2];
 
 /// Seeds that always run with series of faults.
-const SERIES_SEEDS: [u64; 1] = [1];
+///
+/// In all of them daemons retried more than the operators allow, after others were suspended or
+/// killed.
+const SERIES_SEEDS: [u64; 4] = [2, 6, 7, 12];
 
 /// Period in which faults are injected.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
