gate: spread the writes of settled shares

Daemons that started together would all write their rows at the same moment, one and a half windows later.

--- a/crates/gate/src/share_rows.rs
+++ b/crates/gate/src/share_rows.rs
@@ -17,6 +17,11 @@
 /// Prefix of the keys of the rows; the VM's name follows.
 pub const KEY_PREFIX: &str = "share:";
 
+/// How likely a row that is due is written at each check.
+///
+/// Daemons that started together would otherwise all write at once.
+const WRITE_PROBABILITY: f64 = 0.1;
+
 /// Handles the rows of the VMs' last processes.
 pub struct ShareHandler(pub Arc<Shared>);
 
@@ -65,7 +70,7 @@
     let is_due = row.member == shared.peers.me
         && !row.settled
         && matches!(members::part(shared, window), Part::Share(_));
-    if !is_due {
+    if !is_due || !rand::random_bool(WRITE_PROBABILITY) {
         return;
     }
     let row = ShareRow { settled: true, ..row };
