gate: forget a daemon's share as soon as its row is removed

Found by reading; no run showed it. A daemon whose row was removed joins again; between the commit of its new row, which it may read from the table, and the response to that, it took itself for a member of long standing and had its whole share at once.

a_removed_daemon_has_no_share_before_it_knows_that_it_has_joined_again fails without the call.

--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -67,7 +67,10 @@
                 info!(shared.log, "daemon removed"; "member" => vm.to_string(),
                     "version" => change.version);
                 membership.members.swap_remove(&vm);
-                shared.sharers().record_removal(vm, shared.now());
+                match vm == shared.settings.vm {
+                    true => shared.sharers().record_own_removal(),
+                    false => shared.sharers().record_removal(vm, shared.now()),
+                }
             }
         }
     }
--- a/crates/member/src/sharers.rs
+++ b/crates/member/src/sharers.rs
@@ -115,6 +115,11 @@
         (self.member_since, self.has_reserve) = (Some(now), has_reserve);
     }
 
+    /// Records that this daemon is no longer listed.
+    pub fn record_own_removal(&mut self) {
+        self.member_since = None;
+    }
+
     /// Records that the store has confirmed the list as of `at`.
     ///
     /// If the time since the last confirmation exceeds the window, a daemon may have joined,
@@ -127,7 +132,7 @@
         }
     }
 
-    /// Records that the daemon of a VM is no longer listed.
+    /// Records that the daemon of another VM is no longer listed.
     pub fn record_removal(&mut self, vm: VmName, now: Instant) {
         self.removed.insert(vm, now);
     }
--- a/crates/member/tests/sharers.rs
+++ b/crates/member/tests/sharers.rs
@@ -74,6 +74,16 @@
     assert_eq!(rejoined, Part::None);
 }
 
+/// Guards against a daemon that uses its share between the commit of its new row and the
+/// response to that.
+#[test]
+fn a_removed_daemon_has_no_share_before_it_knows_that_it_has_joined_again() {
+    let (all, start) = (vms(3), Instant::now());
+    let mut sharers = settled(start);
+    sharers.record_own_removal();
+    assert_eq!(sharers.part(all.iter(), RECENT, WINDOW, start), Part::None);
+}
+
 /// Guards against a reserve for each process of a VM that restarts in a loop.
 #[test]
 fn the_reserve_is_not_offered_again_before_a_process_has_had_a_share() {
