pool: let the test of waiting retries grant those of two windows again

a_retry_that_has_waited_is_decided_again passed without the decision that it guards since what is taken of the slack counts for 1.15 windows: its second window came after 1.1, so that only one window's retries were granted. Found by reading the diff.

--- a/crates/pool/tests/bounds.rs
+++ b/crates/pool/tests/bounds.rs
@@ -32,8 +32,9 @@
         grants.filter(|grant| grant.granted).collect::<Vec<RetryGrant>>()
     };
     let mut grants = grant_all(start);
-    let later = start + BOUND.window + Duration::from_secs(1);
+    let later = start + 2 * BOUND.window;
     grants.extend(grant_all(later));
+    assert!(grants.len() as f64 > BOUND.slack, "retries of two windows are granted");
     let sent_at = later + Duration::from_secs(1);
     let renewed =
         grants.into_iter().map(|grant| budget.renew(grant, BOUND, 1.0, sent_at));
