Registry: software versions of servers, and what a request resumes, in the logs

Which daemon sent a resumed stream to which software version could not be told from the logs: the adapter did not read the version in a server's entry, nor the attempt that a caller's resume names. Both are read and logged now (server listed, server picked, request ended); nothing decides by them yet.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,13 +4,15 @@
 //! - [`id`]: identifiers that the system generates, and hashes for placement,
 //! - [`clock`]: the time source, which tests replace,
 //! - [`request`]: the metadata of a request, for queueing and routing,
-//! - [`outcome`]: error responses to callers.
+//! - [`outcome`]: error responses to callers,
+//! - [`software`]: versions of backend servers' software.
 
 pub mod clock;
 pub mod id;
 pub mod name;
 pub mod outcome;
 pub mod request;
+pub mod software;
 
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use id::{
@@ -22,3 +24,4 @@
 };
 pub use outcome::{Outcome, Refusal, RefusalCode};
 pub use request::{RequestId, RequestSpec, Target, Urgency, prefix_hashes};
+pub use software::{SoftwareVersion, SoftwareVersionError};
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -100,6 +100,9 @@
     pub parts: Vec<PromptPart>,
     /// The number of the last event that the caller received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// The id of the caller's attempt that got the first event of the stream that this
+    /// request resumes.
+    pub resumed_id: Option<String>,
     /// The key.
     pub credential: Credential,
 }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -5,6 +5,7 @@
 
 use chestnut_base::{
     AdapterName, DomainName, Incarnation, ModelName, ServerName, ServiceName,
+    SoftwareVersion,
 };
 use serde::{Deserialize, Serialize};
 
@@ -44,6 +45,8 @@
     pub started_at_ms: Option<u64>,
     /// The service that the server belongs to.
     pub service: ServiceName,
+    /// The version of its software; `None` if it names none.
+    pub software: Option<SoftwareVersion>,
     /// The address that the server listens on.
     pub address: SocketAddr,
     /// The failure domain.
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use chestnut_base::{Incarnation, MemberId, ModelName, ServerName, ServiceName};
+use chestnut_base::{
+    Incarnation, MemberId, ModelName, ServerName, ServiceName, SoftwareVersion,
+};
 use chestnut_edge::{Attempt, ResponseHead, RouteKind};
 use chestnut_pool::{
     AttemptOutcome, DemandCounts, InFlightRequest, Path, PermitOutcome, ServerKey,
@@ -162,6 +164,8 @@
     pub name: ServerName,
     /// When its current incarnation started, in Unix milliseconds; `None` if unknown.
     pub started_at: Option<u64>,
+    /// The version of its software; `None` if it names none.
+    pub software: Option<SoftwareVersion>,
     /// The address that it listens on.
     pub addr: SocketAddr,
     /// Identifies the request to the holder of the runner or queue that admitted it; `None`
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -214,6 +214,7 @@
             "why" => end.reason, "route" => &route.name,
             "account" => accounts::account_name(&self.declarations, self.account),
             "priority" => self.priority(), "server" => end.server,
+            "resumes" => self.call.resumed_id.as_deref(), "after" => self.call.resume_after,
             "digest" => self.digest.to_string(), "parts" => self.part_list(),
             "body_bytes" => self.body.len(),
             "revision" => self.declarations.revision.0, "ms" => millis(time),
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -255,8 +255,8 @@
     let fleet = job.shared.fleet();
     let server = fleet.get(chosen.key)?;
     let (name, started_at) = (server.entry.name.clone(), server.entry.started_at_ms);
-    let addr = server.entry.address;
-    Some(Target { key: chosen.key, name, started_at, addr, number: None })
+    let (addr, software) = (server.entry.address, server.entry.software.clone());
+    Some(Target { key: chosen.key, name, started_at, software, addr, number: None })
 }
 
 /// Logs the server that was picked for a request, with the bid that decided.
@@ -265,6 +265,8 @@
     let name = target.name.to_string();
     info!(job.shared.log, "server picked"; "id" => job.id(), "server" => name,
         "target" => job.call.target.as_ref().map(|target| target.to_string()),
+        "software" => target.software.as_ref().map(|version| version.as_str()),
+        "resumes" => job.call.resumed_id.as_deref(), "after" => job.call.resume_after,
         "cost_ms" => bid.cost_ms as u64, "requests" => bid.requests,
         "registry_version" => registry.map(|(version, _)| version),
         "registry_age_ms" => registry.map(|(_, age)| age));
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -78,6 +78,7 @@
             Ok(entry) => {
                 info!(shared.log, "server listed"; "server" => entry.name.to_string(),
                     "version" => change.version, "service" => entry.service.to_string(),
+                    "software" => entry.software.as_ref().map(|version| version.as_str()),
                     "phase" => format!("{:?}", entry.phase), "models" => model_names(&entry));
                 let is_first_read = *shared.server_updates.borrow() == 0;
                 shared.fleet().update_seen(entry, is_first_read, shared.now());
--- a/crates/lab/src/decisions.rs
+++ b/crates/lab/src/decisions.rs
@@ -307,6 +307,7 @@
         models: models.into_iter().map(loaded).collect(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: None,
     }
 }
 
--- a/crates/pool/tests/placement.rs
+++ b/crates/pool/tests/placement.rs
@@ -35,6 +35,7 @@
         models: models.iter().map(held).collect(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: None,
     }
 }
 
--- a/crates/pool/tests/queue.rs
+++ b/crates/pool/tests/queue.rs
@@ -154,6 +154,7 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: None,
     }
 }
 
--- a/crates/pool/tests/servers.rs
+++ b/crates/pool/tests/servers.rs
@@ -24,6 +24,7 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: None,
     }
 }
 
