--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -18,6 +18,7 @@
 mod servers;
 mod soak;
 mod store;
+mod versions;
 
 use std::time::Duration;
 
