Streams that a daemon resumes stay at the software version that began them

Callers got one response that two software versions had written: after an interruption, or a stop for urgent work, a daemon picked any runner with the model.

The first event that a caller gets binds its request to the version of the runner that sent it (SoftwareBinding); bids, the fallback by own counts, permits and the building of a target leave out servers of other versions, so that no way to a server passes by it. A stream whose version no listed server has ends at once instead of at its deadline.

--- a/crates/gate/src/bidding.rs
+++ b/crates/gate/src/bidding.rs
@@ -148,6 +148,7 @@
         .available(&job.service, now)
         .filter(|(_, server)| server.entry.has_model(&target.model))
         .filter(|(_, server)| !avoid.contains(&server.entry.name))
+        .filter(|(_, server)| job.software.permits(server.entry.software.as_ref()))
         .filter(|(_, server)| {
             allowed.is_none_or(|allowed| {
                 allowed.iter().any(|incarnation| is_incarnation(server, incarnation))
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -10,7 +10,7 @@
 use chestnut_crash::part_digest;
 use chestnut_edge::{Call, Declarations, Engine, GenerationSize, Route, RouteKind};
 use chestnut_pool::{
-    Attempts, DemandCounts, GenerationRequest, RequestClass, RetryGrant,
+    Attempts, DemandCounts, GenerationRequest, RequestClass, RetryGrant, SoftwareBinding,
 };
 use http::request;
 use slog::info;
@@ -80,6 +80,8 @@
     pub attempts: Attempts,
     /// The retry that the current attempt uses; `None` if that is no retry.
     pub retry: Option<RetryGrant>,
+    /// The software versions that may run it.
+    pub software: SoftwareBinding,
     /// Whether its caller has part of the response.
     pub response_started: bool,
     /// When its caller got the last event; `None` unless the stream is stopped for more
@@ -214,6 +216,7 @@
             "why" => end.reason, "route" => &route.name,
             "account" => accounts::account_name(&self.declarations, self.account),
             "priority" => self.priority(), "server" => end.server,
+            "software" => self.software.name(),
             "resumes" => self.call.resumed_id.as_deref(), "after" => self.call.resume_after,
             "digest" => self.digest.to_string(), "parts" => self.part_list(),
             "body_bytes" => self.body.len(),
--- a/crates/gate/src/permit.rs
+++ b/crates/gate/src/permit.rs
@@ -154,7 +154,10 @@
     let now = job.shared.now();
     let fleet = job.shared.fleet();
     let servers = fleet.iter().filter(|(_, server)| server.entry.service == job.service);
-    let unavailable = servers.filter(|(_, server)| !fleet.accepts_requests(server, now));
+    let unavailable = servers.filter(|(_, server)| {
+        !fleet.accepts_requests(server, now)
+            || !job.software.permits(server.entry.software.as_ref())
+    });
     let unavailable = unavailable.map(|(_, server)| server.entry.name.clone());
     let target_time = job.arrived_at + job.route().objective;
     PlainRequest {
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use chestnut_base::ServerName;
-use chestnut_pool::{Bid, Candidate, PermitOutcome, choose};
+use chestnut_pool::{Bid, Candidate, PermitOutcome, SoftwareBinding, choose};
 use slog::info;
 use tokio::time::{Instant, timeout_at};
 
@@ -58,6 +58,8 @@
     Full(Duration),
     /// The daemon exits before a server is free.
     Stopping,
+    /// No server of the software version that began the stream is listed.
+    VersionGone,
 }
 
 /// Picks a server. A generation waits for a runner if none can accept it.
@@ -74,6 +76,9 @@
     let mut avoid = failed.to_vec();
     loop {
         listed.borrow_and_update();
+        if !is_version_listed(job) {
+            return Err(PickError::VersionGone);
+        }
         match pick_now(job, &mut avoid, missing_adapter.as_ref()).await {
             // Copies that waited at several daemons would all be sent at the same time.
             Err(PickError::NoServer) if crashes::is_quarantined(job) => {
@@ -89,6 +94,22 @@
     }
 }
 
+/// Whether a server that may run the request is listed as ready, whatever its health, or its
+/// entry may still return.
+///
+/// Servers of a version that has been replaced don't come back, so that waiting is in vain.
+fn is_version_listed(job: &Job) -> bool {
+    if job.software == SoftwareBinding::Any {
+        return true;
+    }
+    let (fleet, now) = (job.shared.fleet(), job.shared.now());
+    let mut listed = fleet.iter().filter(|(_, server)| {
+        server.entry.service == job.service && fleet.is_listed(server, now)
+    });
+    listed.any(|(_, server)| job.software.permits(server.entry.software.as_ref()))
+        || !fleet.grace_left(now).is_zero()
+}
+
 /// Until when a request waits for a server with its model.
 fn residency_deadline(job: &Job) -> std::time::Instant {
     if job.response_started {
@@ -237,7 +258,9 @@
     let fleet = shared.fleet();
     let available = || {
         let servers = fleet.available(&job.service, now);
-        servers.filter(|(_, server)| !exhausted.contains(&server.entry.name))
+        servers
+            .filter(|(_, server)| job.software.permits(server.entry.software.as_ref()))
+            .filter(|(_, server)| !exhausted.contains(&server.entry.name))
     };
     let preferred = available().filter(|(_, server)| !avoid.contains(&server.entry.name));
     // If all servers have rejected the request, one of them may have free capacity by now.
@@ -250,10 +273,14 @@
     Some(target)
 }
 
-/// The target of a request at a server; `None` if it is no longer listed.
+/// The target of a request at a server; `None` if it is no longer listed or may not run the
+/// request.
 pub fn target_of(job: &Job, chosen: Candidate) -> Option<Target> {
     let fleet = job.shared.fleet();
     let server = fleet.get(chosen.key)?;
+    if !job.software.permits(server.entry.software.as_ref()) {
+        return None;
+    }
     let (name, started_at) = (server.entry.name.clone(), server.entry.started_at_ms);
     let (addr, software) = (server.entry.address, server.entry.software.clone());
     Some(Target { key: chosen.key, name, started_at, software, addr, number: None })
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use chestnut_base::{Digest, Refusal, RefusalCode, Revision, ServiceName};
 use chestnut_edge::{Call, Declarations, Route};
-use chestnut_pool::Attempts;
 use chestnut_pool::fleet::RELIST_GRACE;
+use chestnut_pool::{Attempts, SoftwareBinding};
 use http::{Response, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -115,6 +115,7 @@
         sent_at: arrived_at,
         attempts,
         retry: None,
+        software: SoftwareBinding::default(),
         response_started: false,
         paused_since: None,
         end_recorded: AtomicBool::new(false),
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -298,6 +298,9 @@
         if let Err(DuplicateEvent { id, last }) = self.sequence.accept(&event) {
             return StreamItem::Interrupted(format!("event {id} after event {last}"));
         }
+        if let Some(source) = &self.source {
+            self.job.software.bind(source.target.software.as_ref());
+        }
         let now = self.job.shared.now();
         match self.timing.first_after_send {
             None => {
@@ -346,7 +349,8 @@
             return false;
         }
         info!(self.job.shared.log, "resuming the stream at another server";
-            "id" => self.job.id(), "server" => self.server.to_string(), "why" => why,
+            "id" => self.job.id(), "server" => self.server.to_string(),
+            "software" => self.job.software.name(), "why" => why,
             "after" => self.sequence.last());
         while retries::try_take(&mut self.job, "resumed") {
             let Ok(target) = pick(&self.job, None, &[]).await else { return false };
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -119,6 +119,7 @@
             Ok(target) => target,
             Err(PickError::Stopping) => return Err((stopping(&job), job)),
             Err(PickError::NoServer) => return Err((no_server(&job), job)),
+            Err(PickError::VersionGone) => return Err((version_gone(&job), job)),
             Err(PickError::Full(wait)) => return Err((overloaded(&job, wait), job)),
         };
         wait_before_retry(&target.name, &failed).await;
@@ -182,6 +183,19 @@
     }
 }
 
+/// The refusal of a request to resume a stream of whose software version no server is left.
+///
+/// A server that has crashed may return, within its caller's time.
+fn version_gone(job: &Job) -> Refusal {
+    let message = "no server of the software version that began the stream is left; \
+        start it anew unless one returns";
+    match job.attempts.may_have_run() {
+        true => Refusal::in_doubt(RefusalCode::Broken, message),
+        false => Refusal::not_run(RefusalCode::Unavailable, message)
+            .with_retry_after(NOT_RESIDENT_RETRY_DELAY),
+    }
+}
+
 /// The refusal of a request whose wait would exceed its caller's wait limit.
 ///
 /// If it waited to the end, its caller would get nothing and would be too late to retry.
--- a/crates/gate/src/yielding.rs
+++ b/crates/gate/src/yielding.rs
@@ -19,7 +19,7 @@
 use crate::attempt::{AttemptError, ServerResponse, attempt};
 use crate::job::Job;
 use crate::metrics::Step;
-use crate::pick::pick;
+use crate::pick::{PickError, pick};
 use crate::relay::is_event_stream;
 use crate::retries;
 use crate::settings::Policy;
@@ -270,7 +270,14 @@
     let mut is_granted = true;
     while job.shared.now() < job.wait_deadline() {
         is_granted = is_granted || retries::try_take(job, "resumed");
-        if is_granted && let Ok(target) = pick(job, None, &[]).await {
+        let picked = match is_granted {
+            true => pick(job, None, &[]).await,
+            false => Err(PickError::NoServer),
+        };
+        if matches!(picked, Err(PickError::VersionGone)) {
+            return None;
+        }
+        if let Ok(target) = picked {
             let error = match attempt(job, &target, after).await {
                 Ok(response) if is_event_stream(&response.head) => return Some(response),
                 Ok(_)
