Callers' resumed streams stay at the software version that began them

Callers who took a stream up again, after the daemon that served it had ended, got its rest from any runner with the model: with two runners of each version 28 of 48 streams went on at the other version.

Cause: only the daemon that passed the first event on knew the version, and it was not asked, nor could it be. Class: knowledge that a request needs later is kept where it may end before that.

The first event now leaves a record of its stream's service and version, sent before the event itself: at the daemon, and while a service has several versions at three others in different failure domains, found by rendezvous hashing of the account and the attempt's id. A daemon without the record of a resumed stream asks six; a single version that all who answer know needs no record. What isn't known isn't guessed: 503 with a time to come back; 400 for a resume that names no attempt where several versions serve. Versions that were replaced stay known for a minute after they were last listed, also to daemons that start later, by rows of the store (one write for each version of a service).

A resume that names no attempt is served as before where one version serves.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -98,7 +98,10 @@
     /// The segments of the prompt, in order; the last one is specific to the caller's
     /// session.
     pub parts: Vec<PromptPart>,
-    /// The number of the last event that the caller received, if it resumes a stream.
+    /// Whether the caller resumes a stream.
+    pub resuming: bool,
+    /// The number of the last event that the caller received, if it resumes a stream and the
+    /// number is valid.
     pub resume_after: Option<u64>,
     /// The id of the caller's attempt that got the first event of the stream that this
     /// request resumes.
--- a/crates/gate/src/introspection.rs
+++ b/crates/gate/src/introspection.rs
@@ -54,6 +54,10 @@
     pub account_slices: IndexMap<String, i64>,
     /// The digests of requests that are blocked because they crash servers.
     pub blocked_requests: Vec<String>,
+    /// The software versions that may have begun streams, by service.
+    pub software_versions: IndexMap<ServiceName, Vec<String>>,
+    /// The number of streams of which it has recorded where they began.
+    pub stream_origins: usize,
     /// The servers that it can't connect to.
     pub unreachable_servers: Vec<ServerName>,
     /// The datagrams that it has sent to other daemons, by their kind.
@@ -178,6 +182,8 @@
             .iter()
             .map(ToString::to_string)
             .collect(),
+        software_versions: shared.software_history().versions(),
+        stream_origins: shared.stream_origins().count(),
         unreachable_servers: lost_servers(shared),
         sent_datagrams: shared.peers.sent_counts(),
         queues: shared
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -102,6 +102,16 @@
         &self.declarations.routes[self.route]
     }
 
+    /// Whether its caller resumes a stream.
+    pub fn resumes(&self) -> bool {
+        self.call.resuming
+    }
+
+    /// Whether its route's responses are streams that may be resumed.
+    pub fn is_resumable_stream(&self) -> bool {
+        matches!(self.route().kind, RouteKind::Stream { resumable: true, .. })
+    }
+
     /// The rank in queues; 0 is the first. The account's priority goes before the route's.
     pub fn priority(&self) -> u8 {
         let accounts = self.declarations.accounts.as_ref();
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -5,14 +5,16 @@
 //! 1. [`listener`] accepts the caller's connection,
 //! 2. [`read`] reads the request, matches its route and makes it a [`job`],
 //!    after [`accounts`] has found the client account that sent it,
-//! 3. [`charge`] charges it to the account's limit, which other daemons' [`account_slices`]
+//! 3. [`resumption`] finds out which software version began the stream that it resumes, if
+//!    any, from records of daemons and from [`software_rows`],
+//! 4. [`charge`] charges it to the account's limit, which other daemons' [`account_slices`]
 //!    keep,
-//! 4. [`serve`] has [`pick`] choose a server, and retries within the operators' bound
+//! 5. [`serve`] has [`pick`] choose a server, and retries within the operators' bound
 //!    ([`retries`]),
-//! 5. [`attempt`] sends it to one server and waits for the response head, unless the request
+//! 6. [`attempt`] sends it to one server and waits for the response head, unless the request
 //!    has crashed servers ([`crashes`], [`blocked_requests`]); it goes directly or, if the
 //!    daemon can't connect to the server ([`mod@paths`]), through another daemon ([`forward`]),
-//! 6. [`relay`] relays the response, and lets another server continue where a
+//! 7. [`relay`] relays the response, and lets another server continue where a
 //!    stream of numbered [`events`] breaks or stops for more urgent requests ([`yielding`]).
 //!
 //! To pick a runner, a daemon requests bids ([`bidding`]), which estimate the time to the
@@ -70,6 +72,7 @@
 pub mod receive;
 pub mod registry;
 pub mod relay;
+pub mod resumption;
 pub mod retries;
 pub mod run;
 pub mod serve;
@@ -79,6 +82,7 @@
 pub mod share_rows;
 pub mod shared;
 pub mod sharing;
+pub mod software_rows;
 pub mod store;
 pub mod table_replica;
 pub mod table_source;
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -12,6 +12,8 @@
 use chestnut_crash::{CollectedReport, CrashReport};
 use chestnut_edge::{RequestRate, TargetModel};
 use chestnut_pool::moves::Move;
+use chestnut_pool::origins::OriginRecord;
+use chestnut_pool::software::OriginKnowledge;
 use chestnut_pool::timing::LearnedTimings;
 use chestnut_pool::{
     Bid, DemandCounts, GenerationRequest, PermitOutcome, PlainRequest, Reachability,
@@ -267,6 +269,24 @@
     CollectedReports(Vec<CollectedReport>),
     /// Tells the sender of a `CrashReport` that this daemon reads `CollectedReports`.
     CollectedReportsOffer,
+    /// Where streams began that callers may resume; the receiver keeps it.
+    StreamOrigins(Vec<OriginRecord>),
+    /// Asks what the receiver knows of where the stream of an attempt began.
+    OriginRequest {
+        /// Identifies the response.
+        number: u64,
+        /// The attempt that got the first event.
+        attempt: Digest,
+        /// The service that the request to resume the stream is for.
+        service: ServiceName,
+    },
+    /// The response to `OriginRequest`.
+    OriginResponse {
+        /// The number of the request.
+        number: u64,
+        /// What the sender knows.
+        knowledge: OriginKnowledge,
+    },
 }
 
 impl Message {
@@ -302,6 +322,9 @@
             Self::AttemptEnded { .. } => "ended attempt",
             Self::CollectedReports(_) => "collected crash reports",
             Self::CollectedReportsOffer => "offer to read collected reports",
+            Self::StreamOrigins(_) => "stream origins",
+            Self::OriginRequest { .. } => "origin request",
+            Self::OriginResponse { .. } => "origin response",
         }
     }
 }
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -72,6 +72,8 @@
     EarlyRefusal,
     /// The queues of several runners that one request waits in.
     LateBinding,
+    /// A stream that a caller resumes, by how it was found out where it began.
+    Resume,
 }
 
 /// A duration with a histogram; the variant is the metric label.
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -14,7 +14,7 @@
 use crate::shared::Shared;
 use crate::{
     account_slices, bidding, crashes, members, pace, paths, permit_queue, planner,
-    server_limits, server_speeds, table_sync, usage_reports, yielding,
+    resumption, server_limits, server_speeds, table_sync, usage_reports, yielding,
 };
 
 /// Receives datagrams until the daemon ends.
@@ -108,7 +108,8 @@
         | Message::ChargeResponse { number, .. }
         | Message::AdmissionResponse { number, .. }
         | Message::PermitResponse { number, .. }
-        | Message::ReachabilityResponse { number, .. } => {
+        | Message::ReachabilityResponse { number, .. }
+        | Message::OriginResponse { number, .. } => {
             shared.peers.deliver_response(number, packet.message);
         }
         Message::DemandReport { service, part, demand, unreachable, learned } => {
@@ -151,6 +152,10 @@
         Message::AttemptEnded { number, server, outcome } => {
             pace::record_end(shared, &server, (packet.from, number), outcome);
         }
+        Message::StreamOrigins(records) => resumption::apply_records(shared, records),
+        Message::OriginRequest { number, attempt, service } => {
+            resumption::answer(shared, from, number, attempt, &service);
+        }
         Message::SuspectsCleared(digests) => crashes::apply_cleared(shared, &digests),
     }
 }
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -8,9 +8,9 @@
 use chestnut_pool::ServiceProfile;
 use slog::{info, warn};
 
-use crate::holder;
 use crate::shared::Shared;
 use crate::table_sync::ChangeHandler;
+use crate::{holder, software_rows};
 
 /// Handles the row of the operators' declarations.
 pub struct DeclarationsHandler(pub Arc<Shared>);
@@ -98,6 +98,7 @@
             self.0.fleet().start_grace(now);
         }
         self.0.fleet().remove_missing(now);
+        software_rows::update_listed(&self.0);
         self.0.server_updates.send_modify(|count| *count += 1);
         holder::sync_claims(&self.0);
     }
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -22,10 +22,10 @@
 use crate::job::{Job, RequestEnd, StreamTiming};
 use crate::metrics::Span;
 use crate::pick::pick;
-use crate::retries;
 use crate::serve::full_body;
 use crate::server_speeds::RelayedStream;
 use crate::yielding::{self, StopDecision, StreamRegistration};
+use crate::{resumption, retries};
 
 /// The body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, Interrupted>;
@@ -298,8 +298,9 @@
         if let Err(DuplicateEvent { id, last }) = self.sequence.accept(&event) {
             return StreamItem::Interrupted(format!("event {id} after event {last}"));
         }
-        if let Some(source) = &self.source {
+        if let Some(source) = self.source.as_ref().filter(|_| self.timing.events == 0) {
             self.job.software.bind(source.target.software.as_ref());
+            resumption::record_origin(&self.job);
         }
         let now = self.job.shared.now();
         match self.timing.first_after_send {
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -23,10 +23,11 @@
 use crate::settings::Settings;
 use crate::share_rows::ShareHandler;
 use crate::shared::Shared;
+use crate::software_rows::SoftwareHandler;
 use crate::table_sync::SystemTableHandler;
 use crate::{
-    directory, introspection, listener, members, paths, planner, receive, table_sync,
-    usage_reports,
+    directory, introspection, listener, members, paths, planner, receive, software_rows,
+    table_sync, usage_reports,
 };
 
 /// How long a daemon that shuts down still accepts requests, which callers send to cached
@@ -124,6 +125,7 @@
     tokio::spawn(serve_introspection(shared.clone()));
     tokio::spawn(paths::run(shared.clone()));
     tokio::spawn(prune(shared.clone()));
+    tokio::spawn(software_rows::run(shared.clone()));
     tokio::spawn(log_traffic(shared.clone()));
     loop {
         tokio::select! {
@@ -153,6 +155,7 @@
         claims: ClaimHandler(shared.clone()),
         timings: EngineTimingsHandler(shared.clone()),
         blocked: BlockedRequestHandler(shared.clone()),
+        software: SoftwareHandler(shared.clone()),
     };
     tokio::spawn(table_sync::run(shared.clone(), tables.system.clone(), system));
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -23,7 +23,7 @@
 use crate::pick::{PickError, pick, wait_before_retry};
 use crate::relay::{self, ResponseBody};
 use crate::shared::Shared;
-use crate::{charge, crashes, planner, read, retries};
+use crate::{charge, crashes, planner, read, resumption, retries};
 
 /// The maximum number of attempts to serve one request.
 const MAX_ATTEMPTS: usize = 6;
@@ -51,7 +51,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let (head, body) = request.into_parts();
-    let job = match read::read_job(shared.clone(), head, body).await {
+    let mut job = match read::read_job(shared.clone(), head, body).await {
         Ok(job) => job,
         Err(refused) => return Ok(refused.response(&shared)),
     };
@@ -60,6 +60,9 @@
             "digest" => digest.to_string());
         return Ok(refuse(&shared, &job, &crashes::blocked()));
     }
+    if let Err(refusal) = resumption::bind(&mut job).await {
+        return Ok(refuse(&shared, &job, &refusal));
+    }
     let charge = match charge::charge(&job).await {
         Ok(charge) => charge,
         Err(refusal) => return Ok(refuse(&shared, &job, &refusal)),
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -13,6 +13,7 @@
 use chestnut_pool::speed_reports::ServiceSpeeds;
 use chestnut_pool::{
     EngineTimings, Fleet, Paths, RetryBudget, ServerLimits, ServiceProfile,
+    SoftwareHistory, StreamOrigins,
 };
 use indexmap::IndexMap;
 use slog::{Logger, warn};
@@ -109,6 +110,8 @@
     fleet: Mutex<Fleet>,
     paths: Mutex<Paths>,
     server_limits: Mutex<ServerLimits>,
+    stream_origins: Mutex<StreamOrigins>,
+    software_history: Mutex<SoftwareHistory>,
     limit_reports: Mutex<LimitReports>,
     membership: Mutex<MembershipRows>,
     sharers: Mutex<Sharers>,
@@ -174,6 +177,8 @@
             fleet: Mutex::default(),
             paths: Mutex::default(),
             server_limits: Mutex::default(),
+            stream_origins: Mutex::default(),
+            software_history: Mutex::default(),
             limit_reports: Mutex::default(),
             membership: Mutex::default(),
             sharers: Mutex::default(),
@@ -215,6 +220,16 @@
         self.server_limits.lock().expect("no holder of the lock panics")
     }
 
+    /// Locks the records of where streams began.
+    pub fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.stream_origins.lock().expect("no holder of the lock panics")
+    }
+
+    /// Locks the software versions of services.
+    pub fn software_history(&self) -> MutexGuard<'_, SoftwareHistory> {
+        self.software_history.lock().expect("no holder of the lock panics")
+    }
+
     /// Locks the times at which other daemons were told of limits.
     pub fn limit_reports(&self) -> MutexGuard<'_, LimitReports> {
         self.limit_reports.lock().expect("no holder of the lock panics")
--- a/crates/gate/src/table_sync.rs
+++ b/crates/gate/src/table_sync.rs
@@ -27,7 +27,9 @@
     MIN_CONFIRMATION_INTERVAL, TableChanges, TableReplica, confirmation_time,
 };
 use crate::table_source::{Announcements, Source, TableView};
-use crate::{blocked_requests, claims, members, persisted_timings, share_rows};
+use crate::{
+    blocked_requests, claims, members, persisted_timings, share_rows, software_rows,
+};
 
 /// The store may hold the reader's long poll for [`freshness_limit`] divided by this. The
 /// rest of the limit is for the heartbeat period and the delay of the response.
@@ -513,6 +515,12 @@
     bounds.apply.min(bounds.leave).mul_f64(FRESHNESS_SHARE).min(MAX_FRESHNESS)
 }
 
+/// Whether the store has confirmed a replica recently.
+pub fn is_current(shared: &Shared, table: &SyncedTable) -> bool {
+    let age = table.age(shared.now());
+    age.is_some_and(|age| age <= freshness_limit(shared))
+}
+
 /// This daemon's rank among the live daemons that may read a table, or write the row of that
 /// key; 0 is the reader, or a daemon that is cut off from the others.
 pub fn reader_rank(shared: &Shared, table: &str) -> usize {
@@ -595,6 +603,8 @@
     pub timings: persisted_timings::EngineTimingsHandler,
     /// Handles rows of blocked requests.
     pub blocked: blocked_requests::BlockedRequestHandler,
+    /// Handles rows of software versions.
+    pub software: software_rows::SoftwareHandler,
 }
 
 impl ChangeHandler for SystemTableHandler {
@@ -609,11 +619,14 @@
             self.timings.on_change(change);
         } else if change.key.starts_with(blocked_requests::KEY_PREFIX) {
             self.blocked.on_change(change);
+        } else if change.key.starts_with(software_rows::KEY_PREFIX) {
+            self.software.on_change(change);
         }
     }
 
     fn on_batch_end(&mut self) {
         self.members.on_batch_end();
         self.claims.on_batch_end();
+        self.software.on_batch_end();
     }
 }
