--- a/crates/pool/tests/software.rs
+++ b/crates/pool/tests/software.rs
@@ -104,7 +104,7 @@
     let later = start + Duration::from_secs(1);
     history.update_listed([(&service, Some(&v2))], later);
     assert_eq!(history.known(&service), KnownVersions::Several);
-    assert_eq!(history.take_mixed(), [service.clone()]);
+    assert_eq!(history.take_mixed(), std::slice::from_ref(&service));
     assert!(history.take_mixed().is_empty());
     let end = start + VERSION_RETENTION;
     history.update_listed([(&service, Some(&v2))], end);
