Soak with runners that change their software versions; records outlive an attempt

Daemons write no row of a version in their first two seconds, in which each of three found itself alone and wrote them all.

Few streams continue there: most are refused because no runner of their version has the model.

--- a/crates/gate/src/resumption.rs
+++ b/crates/gate/src/resumption.rs
@@ -118,9 +118,9 @@
     };
     let Some(attempt) = attempt.filter(|_| job.is_resumable_stream()) else { return };
     let (shared, now) = (&job.shared, job.shared.now());
-    // The caller may retry until its own time is over.
-    let deadline = job.call.budget.map_or(job.deadline, |budget| job.arrived_at + budget);
-    let lifetime = deadline.max(job.deadline).saturating_duration_since(now);
+    // A caller may resume the stream when its attempt is over, and name a budget for each.
+    let budget = job.call.budget.unwrap_or_default().max(job.route().timeout);
+    let lifetime = budget + job.route().timeout;
     let origin =
         StreamOrigin { service: job.service.clone(), software: software.clone() };
     let lifetime_ms = lifetime.as_millis().try_into().unwrap_or(u32::MAX);
--- a/crates/gate/src/software_rows.rs
+++ b/crates/gate/src/software_rows.rs
@@ -26,6 +26,11 @@
 /// How often the rows are compared with the registry.
 const CHECK_PERIOD: Duration = Duration::from_secs(1);
 
+/// How long after its start a daemon writes no rows.
+///
+/// Of daemons that start together each would find itself to be the only one.
+const STARTUP_GRACE: Duration = Duration::from_secs(2);
+
 /// A software version of a service.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct VersionRow {
@@ -87,7 +92,8 @@
 /// Writes rows of versions that have none, and removes those of versions that are no longer
 /// listed; of all daemons, one does it for each row.
 async fn persist(shared: &Arc<Shared>) {
-    if !table_sync::is_current(shared, &shared.tables.servers) {
+    let knows_others = shared.uptime() >= STARTUP_GRACE;
+    if !knows_others || !table_sync::is_current(shared, &shared.tables.servers) {
         return;
     }
     let (unwritten, expired) = {
--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -227,6 +227,16 @@
         }
     }
 
+    /// Adds a runner with the model `red` and this version of its software, behind a proxy.
+    pub async fn add_runner_with_proxy(&mut self, name: &str, version: &str) {
+        let runner = Runner::start(&self.store, name, &["red"]).await;
+        runner.set_version(version);
+        let proxy = Proxy::start(runner.addr).await;
+        runner.register_at(proxy.addr);
+        self.proxies.runners.push(proxy);
+        self.runners.push(runner);
+    }
+
     /// Adds a proxy in front of the store and returns its address.
     async fn add_store_proxy(&mut self) -> SocketAddr {
         let proxy = Proxy::start(self.store.addr).await;
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -5,9 +5,10 @@
 //! connections are delayed, blocked and reset too; in a third, more daemons fail together
 //! while servers reject most requests; in a fourth, daemons are cut off from servers, and a
 //! part of prompts crashes runners; in a fifth, streams of mixed objectives contend for few
-//! slots, with all `policy` settings on. Responses, runs and arrivals are checked against the
+//! slots, with all `policy` settings on; in a sixth, runners change their software versions and
+//! callers resume their streams. Responses, runs and arrivals are checked against the
 //! guarantees to callers and the operators' bounds. `SOAK_SEEDS=FROM..TO` runs other seeds
-//! than the listed ones, and `SOAK_DAEMONS` sets the number of daemons of the last three
+//! than the listed ones, and `SOAK_DAEMONS` sets the number of daemons of the last four
 //! variants.
 
 use std::collections::{HashMap, HashSet};
@@ -57,6 +58,9 @@
 /// Seeds that always run with streams that contend for slots.
 const CONTENTION_SEEDS: [u64; 2] = [1, 2];
 
+/// Seeds that always run with runners of several software versions.
+const VERSION_SEEDS: [u64; 2] = [1, 2];
+
 /// Period in which faults are injected.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
 
@@ -66,6 +70,9 @@
 /// Number of daemons that series of faults hit.
 const SERIES_DAEMONS: usize = 6;
 
+/// How often a caller tries to resume a stream.
+const MAX_RESUMES: usize = 4;
+
 /// The most servers on which a request of the declared routes may run.
 const MAX_RUNS: usize = 2;
 
@@ -80,6 +87,17 @@
 struct Exchange {
     request: CallerRequest,
     response: CallerResponse,
+    /// The stream that it resumes; empty if it resumes none.
+    earlier: EarlierPart,
+}
+
+/// What a caller has of a stream.
+#[derive(Debug, Clone, Default)]
+struct EarlierPart {
+    /// The number of events.
+    events: u64,
+    /// The software versions that wrote them.
+    versions: Vec<String>,
 }
 
 /// Action that ends a fault; indices are those of the cluster's parts.
@@ -116,13 +134,18 @@
     /// Like `Single`, some of them daemons that are cut off from servers. More callers than
     /// slots send streams of mixed objectives.
     Contention,
+    /// Like `Single`, and runners that crash and return with other software versions. Callers
+    /// resume interrupted streams at any daemon.
+    Versions,
 }
 
 impl Faults {
     /// How long the cluster runs before the first fault.
     fn settling_time(self) -> Duration {
         match self {
-            Self::Single | Self::Cuts | Self::Contention => Duration::ZERO,
+            Self::Single | Self::Cuts | Self::Contention | Self::Versions => {
+                Duration::ZERO
+            }
             Self::Series => 2 * retry_bound::WINDOW,
         }
     }
@@ -130,7 +153,7 @@
     /// The period in which faults are injected.
     fn period(self) -> Duration {
         match self {
-            Self::Single | Self::Cuts | Self::Contention => FAULT_PERIOD,
+            Self::Single | Self::Cuts | Self::Contention | Self::Versions => FAULT_PERIOD,
             Self::Series => 2 * FAULT_PERIOD,
         }
     }
@@ -139,7 +162,7 @@
     fn callers(self, daemons: usize) -> usize {
         match self {
             Self::Single | Self::Cuts => CALLER_COUNT,
-            Self::Contention => 3 * CALLER_COUNT,
+            Self::Contention | Self::Versions => 3 * CALLER_COUNT,
             Self::Series => daemons * 4,
         }
     }
@@ -147,7 +170,7 @@
     /// The longest pause of a caller between two requests.
     fn max_pause_ms(self) -> u64 {
         match self {
-            Self::Single | Self::Cuts | Self::Contention => 60,
+            Self::Single | Self::Cuts | Self::Contention | Self::Versions => 60,
             Self::Series => 1000,
         }
     }
@@ -155,7 +178,7 @@
     /// The shortest and the longest time between two faults.
     fn interval_ms(self) -> Range<u64> {
         match self {
-            Self::Single | Self::Cuts | Self::Contention => 50..500,
+            Self::Single | Self::Cuts | Self::Contention | Self::Versions => 50..500,
             Self::Series => 500..2500,
         }
     }
@@ -163,7 +186,7 @@
     /// The share of cuts in the faults.
     fn cut_share(self) -> f64 {
         match self {
-            Self::Single | Self::Series => 0.0,
+            Self::Single | Self::Series | Self::Versions => 0.0,
             Self::Cuts => 0.5,
             Self::Contention => 0.15,
         }
@@ -172,7 +195,7 @@
     /// The longest duration of a fault.
     fn max_duration_ms(self) -> u64 {
         match self {
-            Self::Single | Self::Cuts | Self::Contention => 2500,
+            Self::Single | Self::Cuts | Self::Contention | Self::Versions => 2500,
             Self::Series => 6000,
         }
     }
@@ -249,6 +272,21 @@
     }
 }
 
+/// Guards against streams that go on at another software version, and against all that the other
+/// variants check, while runners change their versions and callers resume streams at any daemon.
+#[tokio::test]
+async fn guarantees_hold_while_runners_change_their_software() {
+    for seed in selected_seeds(&VERSION_SEEDS) {
+        eprintln!("seed {seed}");
+        let daemons = soak_daemons(3);
+        let mut cluster =
+            Cluster::start_with_proxies(&format!("versions{seed}"), daemons).await;
+        cluster.add_runner_with_proxy("r4", "v2").await;
+        cluster.add_runner_with_proxy("r5", "v2").await;
+        run_soak(seed, cluster, Faults::Versions).await;
+    }
+}
+
 /// The number of daemons, which `SOAK_DAEMONS` overrides.
 fn soak_daemons(default: usize) -> usize {
     let daemons = std::env::var("SOAK_DAEMONS").ok();
@@ -330,16 +368,64 @@
         if faults == Faults::Contention && rng.random_bool(0.3) {
             request = random_summary(&mut rng);
         }
+        if faults == Faults::Versions && rng.random_bool(0.6) {
+            request = CallerRequest::stream("demand", "red", rng.random_range(20..60));
+            request.budget = Duration::from_secs(8);
+        }
         let response = caller.send(addr, &request).await;
+        if faults == Faults::Versions && request.route == "demand" {
+            let first = (request.clone(), response.clone());
+            resume_stream(&caller, &addresses, &mut rng, first, &exchanges).await;
+        }
         kept = (faults == Faults::Series && response.status != 0).then_some(addr);
-        exchanges
-            .lock()
-            .expect("no holder of the lock panics")
-            .push(Exchange { request, response });
+        exchanges.lock().expect("no holder of the lock panics").push(Exchange {
+            request,
+            response,
+            earlier: EarlierPart::default(),
+        });
         sleep(Duration::from_millis(rng.random_range(0..faults.max_pause_ms()))).await;
     }
 }
 
+/// Resumes an interrupted stream at random daemons, as long as parts of it are missing.
+async fn resume_stream(
+    caller: &Caller,
+    addresses: &[SocketAddr],
+    rng: &mut SmallRng,
+    (request, first): (CallerRequest, CallerResponse),
+    exchanges: &Mutex<Vec<Exchange>>,
+) {
+    let mut earlier = EarlierPart {
+        events: first.events.len() as u64,
+        versions: first.versions.clone(),
+    };
+    for _ in 0..MAX_RESUMES {
+        let is_missing = earlier.events < u64::from(request.event_count);
+        if earlier.events == 0 || !is_missing {
+            return;
+        }
+        let addr = *addresses.choose(rng).expect("there are daemons");
+        let mut request = request.clone();
+        request.headers = vec![
+            ("last-event-id".to_owned(), earlier.events.to_string()),
+            ("resumes".to_owned(), first.id.clone()),
+        ];
+        let response = caller.send(addr, &request).await;
+        let delay = response.retry_after.unwrap_or(0.1).min(1.0);
+        let mut later = earlier.clone();
+        later.events += response.events.len() as u64;
+        later.versions.extend(response.versions.clone());
+        later.versions.dedup();
+        exchanges.lock().expect("no holder of the lock panics").push(Exchange {
+            request,
+            response,
+            earlier,
+        });
+        earlier = later;
+        sleep(Duration::from_secs_f64(delay)).await;
+    }
+}
+
 fn random_request(rng: &mut SmallRng) -> CallerRequest {
     let models = ["red", "red/a1", "red/a2", "red/a5", "blue"];
     let model = models.choose(rng).expect("there are models");
@@ -378,6 +464,10 @@
                 cut_off_daemons(cluster, &mut rng);
                 vec![Recovery::Cuts]
             }
+            Faults::Versions if rng.random_bool(0.2) => {
+                change_software(cluster, &mut rng);
+                Vec::new()
+            }
             _ => inject_fault(cluster, &mut rng, &recoveries).into_iter().collect(),
         };
         for recovery in injected {
@@ -477,6 +567,15 @@
     }
 }
 
+/// Crashes some runners, which return with one of three software versions.
+fn change_software(cluster: &Cluster, rng: &mut SmallRng) {
+    let version = *["v1", "v2", "v3"].choose(rng).expect("there are versions");
+    let runners: Vec<&Runner> =
+        cluster.runners.iter().filter(|_| rng.random_bool(0.4)).collect();
+    eprintln!("{} runners change to {version}", runners.len());
+    runners.iter().for_each(|runner| runner.crash_into(version));
+}
+
 /// Has all servers reject all requests.
 fn reject_at_all(runners: &[Runner], services: &[PlainServer]) {
     runners.iter().for_each(|runner| runner.set_fault(RunnerFault::Rejecting));
@@ -652,7 +751,11 @@
     retry_bound::check(cluster);
     check_attempts(cluster);
     check_time_budgets(cluster);
-    for Exchange { request, response } in exchanges {
+    check_versions(exchanges);
+    if exchanges.iter().any(|exchange| exchange.earlier.events > 0) {
+        report_lookups(cluster);
+    }
+    for Exchange { request, response, earlier } in exchanges {
         let runs = cluster.runs(response);
         let context = format!("{request:?} {response:?} ran {runs} times");
         if NOT_RUN_STATUSES.contains(&response.status) && !response.signed {
@@ -660,13 +763,14 @@
         }
         let at_most_once = ["record", "draft"].contains(&request.route.as_str());
         assert!(!at_most_once || runs <= 1, "{context}");
-        let numbers: Vec<u64> = (1..=response.events.len() as u64).collect();
+        let last = earlier.events + response.events.len() as u64;
+        let numbers: Vec<u64> = (earlier.events + 1..=last).collect();
         assert_eq!(response.events, numbers, "{context}");
         if response.status == 200 && response.complete {
             assert!(response.signed && runs >= 1, "{context}");
             match &request.model {
                 Some(_) => {
-                    assert_eq!(numbers.len(), request.event_count as usize, "{context}")
+                    assert_eq!(last, u64::from(request.event_count), "{context}")
                 }
                 None => assert!(response.body.contains(&response.id), "{context}"),
             }
@@ -688,6 +792,43 @@
     }
 }
 
+/// Checks that no stream has events of two software versions, and prints how many were resumed.
+fn check_versions(exchanges: &[Exchange]) {
+    let (mut resumed, mut continued) = (0, 0);
+    for Exchange { request, response, earlier } in exchanges {
+        let mut versions = earlier.versions.clone();
+        versions.extend(response.versions.clone());
+        versions.dedup();
+        assert!(versions.len() <= 1, "{versions:?} {request:?} {response:?}");
+        resumed += usize::from(earlier.events > 0);
+        continued += usize::from(earlier.events > 0 && !response.events.is_empty());
+    }
+    if resumed > 0 {
+        eprintln!("{continued} of {resumed} resumes continued a stream");
+    }
+}
+
+/// Prints how daemons found out where resumed streams began, and how these requests ended.
+fn report_lookups(cluster: &Cluster) {
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    let lines = cluster.daemons.iter().flat_map(|daemon| daemon.all_lines());
+    for line in lines.filter(|line| line["resumes"].is_string()) {
+        match line["msg"].as_str() {
+            Some("resumed stream looked up") => {
+                *counts.entry(format!("lookup: {}", line["outcome"])).or_default() += 1;
+            }
+            Some("request ended") => {
+                let end = format!("end: {} {}", line["end"], line["why"]);
+                *counts.entry(end).or_default() += 1;
+            }
+            _ => {}
+        }
+    }
+    let mut counts: Vec<_> = counts.into_iter().collect();
+    counts.sort();
+    counts.iter().for_each(|(what, count)| eprintln!("{count} of {what}"));
+}
+
 /// Checks that hardly any request runs on more servers than its route allows.
 fn check_attempts(cluster: &Cluster) {
     let mut servers: HashMap<String, HashSet<SocketAddr>> = HashMap::new();
