Load a model at the software version that a resumed stream needs

A stream whose runner had ended was refused until its caller's deadline where other runners of its version lacked the model: the planner counts replicas of all versions. A daemon whose bound request finds no runner of the version with its model now tells the planner, which loads it there, into free room first, else in place of a model with another replica, within the bound on loads.

--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -8,7 +8,9 @@
 //! understand each other during an upgrade.
 
 use chestnut_account::{Slice, Verdict};
-use chestnut_base::{Digest, Incarnation, MemberId, ModelName, ServerName, ServiceName};
+use chestnut_base::{
+    Digest, Incarnation, MemberId, ModelName, ServerName, ServiceName, SoftwareVersion,
+};
 use chestnut_crash::{CollectedReport, CrashReport};
 use chestnut_edge::{RequestRate, TargetModel};
 use chestnut_pool::moves::Move;
@@ -287,6 +289,16 @@
         /// What the sender knows.
         knowledge: OriginKnowledge,
     },
+    /// Tells a service's planner that a stream can go on only at runners of a software
+    /// version, of which none has its model.
+    ModelWanted {
+        /// The service.
+        service: ServiceName,
+        /// The model.
+        model: ModelName,
+        /// The version; `None` for servers that name none.
+        software: Option<SoftwareVersion>,
+    },
 }
 
 impl Message {
@@ -325,6 +337,7 @@
             Self::StreamOrigins(_) => "stream origins",
             Self::OriginRequest { .. } => "origin request",
             Self::OriginResponse { .. } => "origin response",
+            Self::ModelWanted { .. } => "wanted model",
         }
     }
 }
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -21,6 +21,7 @@
 use crate::late_binding;
 use crate::metrics::Step;
 use crate::permit::{self, PermitDecision};
+use crate::planner;
 use crate::server_limits;
 
 /// The delay before the first retry at the same server; it doubles with each further one.
@@ -87,6 +88,7 @@
             Err(PickError::NoServer) if job.call.target.is_some() => avoid.clear(),
             result => return result,
         }
+        request_model(job);
         let changed = timeout_at(limit, listed.changed()).await;
         if !matches!(changed, Ok(Ok(()))) {
             return Err(PickError::NoServer);
@@ -94,6 +96,28 @@
     }
 }
 
+/// Has the model of a resumed stream loaded at its software version, if no runner of that has
+/// it: the planner goes by the demand at all versions.
+fn request_model(job: &Job) {
+    let (SoftwareBinding::Only(software), Some(target)) =
+        (&job.software, &job.call.target)
+    else {
+        return;
+    };
+    let has_model = {
+        let (fleet, now) = (job.shared.fleet(), job.shared.now());
+        fleet.iter().any(|(_, server)| {
+            server.entry.service == job.service
+                && server.entry.software == *software
+                && server.entry.has_model(&target.model)
+                && fleet.is_listed(server, now)
+        })
+    };
+    if !has_model {
+        planner::request_model(&job.shared, &job.service, &target.model, software);
+    }
+}
+
 /// Whether a server that may run the request is listed as ready, whatever its health, or its
 /// entry may still return.
 ///
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnut_base::{MemberId, ModelName, ServerName, ServiceName};
+use chestnut_base::{MemberId, ModelName, ServerName, ServiceName, SoftwareVersion};
 use chestnut_edge::{Engine, RequestRate, ServerEntry};
 use chestnut_member::ClaimKey;
 use chestnut_pool::DemandCounts;
@@ -77,6 +77,42 @@
     planner.record_unreachable(from, unreachable, now);
 }
 
+/// Tells a service's planner that a stream waits for a model at runners of one software
+/// version.
+pub fn request_model(
+    shared: &Shared,
+    service: &ServiceName,
+    model: &ModelName,
+    software: &Option<SoftwareVersion>,
+) {
+    let (model, software) = (model.clone(), software.clone());
+    match locate_planner(shared, service) {
+        PlannerLocation::Local => apply_wanted(shared, service, model, software),
+        PlannerLocation::Remote(addr) => {
+            let service = service.clone();
+            shared.peers.send(addr, Message::ModelWanted { service, model, software });
+        }
+        PlannerLocation::Unknown => {}
+    }
+}
+
+/// Records that a stream waits for a model at runners of one software version.
+pub fn apply_wanted(
+    shared: &Shared,
+    service: &ServiceName,
+    model: ModelName,
+    software: Option<SoftwareVersion>,
+) {
+    let now = shared.now();
+    let name = software.as_ref().map(|version| version.to_string());
+    let mut planners = shared.planners();
+    let Some(planner) = planners.get_mut(service) else { return };
+    if planner.record_wanted(model.clone(), software, now) {
+        info!(shared.log, "model wanted by a stream"; "service" => service.as_str(),
+            "model" => model.as_str(), "software" => name);
+    }
+}
+
 /// Records that a runner's holder could not make a move.
 pub fn record_failed_move(shared: &Shared, planned: &Move) {
     let now = shared.now();
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -156,6 +156,9 @@
         Message::OriginRequest { number, attempt, service } => {
             resumption::answer(shared, from, number, attempt, &service);
         }
+        Message::ModelWanted { service, model, software } => {
+            planner::apply_wanted(shared, &service, model, software);
+        }
         Message::SuspectsCleared(digests) => crashes::apply_cleared(shared, &digests),
     }
 }
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -11,7 +11,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::{DomainName, MemberId, ModelName, ServerName};
+use chestnut_base::{DomainName, MemberId, ModelName, ServerName, SoftwareVersion};
 use chestnut_edge::{Engine, LoadedModel, Model, RequestRate, ServerEntry};
 use chestnut_place::{ModelState, Placement, PoolState, RunnerState, plan_placement};
 use indexmap::{IndexMap, IndexSet};
@@ -53,6 +53,11 @@
 /// loaded and dropped in turns.
 const MAX_DEMAND_AFTER_DROP: f64 = 0.35;
 
+/// How long after a request a model is wanted at runners of a software version.
+///
+/// Longer than a request waits for a runner with its model.
+const WANTED_DURATION: Duration = Duration::from_secs(5);
+
 /// Bytes in a megabyte, the unit of declared sizes.
 const BYTES_PER_MB: f64 = 1e6;
 
@@ -66,6 +71,8 @@
     active: IndexMap<ServerName, ActiveMove>,
     /// Runners on which a move failed, and the end of their backoff.
     backoff_until: IndexMap<ServerName, Instant>,
+    /// Models that streams need at runners of one software version, and until when.
+    wanted: IndexMap<(ModelName, Option<SoftwareVersion>), Instant>,
 }
 
 /// The state of a service that a plan is based on.
@@ -95,6 +102,7 @@
             unreachable: UnreachableReports::default(),
             active: IndexMap::new(),
             backoff_until: IndexMap::new(),
+            wanted: IndexMap::new(),
         }
     }
 
@@ -118,6 +126,17 @@
         self.unreachable.record(from, servers, now);
     }
 
+    /// Records that a stream can go on only at a runner of this software version, of which
+    /// none has its model; returns whether that is new.
+    pub fn record_wanted(
+        &mut self,
+        model: ModelName,
+        software: Option<SoftwareVersion>,
+        now: Instant,
+    ) -> bool {
+        self.wanted.insert((model, software), now + WANTED_DURATION).is_none()
+    }
+
     /// Whether enough of the service's `daemons` can't connect to a server.
     pub fn is_unreachable(
         &self,
@@ -149,7 +168,9 @@
     pub fn plan(&mut self, input: &PlacementInput, now: Instant) -> Vec<Move> {
         self.demands.advance(input.engine, input.timings, now);
         self.remove_finished(input, now);
-        let mut planned = self.plan_loads(input, now);
+        self.wanted.retain(|_, until| now < *until);
+        let mut planned = self.plan_wanted(input, now);
+        planned.extend(self.plan_loads(input, now));
         planned.extend(self.plan_drains(input, now));
         planned.extend(self.plan_drops(input, now));
         planned
@@ -196,6 +217,90 @@
         allowed
     }
 
+    /// Starts loads of models that streams need at runners of one software version, and frees
+    /// room for them.
+    fn plan_wanted(&mut self, input: &PlacementInput, now: Instant) -> Vec<Move> {
+        let mut planned = Vec::new();
+        let wanted: Vec<_> = self.wanted.keys().cloned().collect();
+        for (model, software) in wanted {
+            let Some(declared) = input.engine.models.get(&model) else { continue };
+            let of_version =
+                || input.runners.iter().filter(|runner| runner.software == software);
+            let has_or_loads = |runner: &ServerEntry| {
+                let active = self.active.get(&runner.name);
+                runner.has_model(&model)
+                    || active.is_some_and(|active| active.target_model() == Some(&model))
+            };
+            if of_version().any(has_or_loads) {
+                continue;
+            }
+            let is_free = |runner: &&ServerEntry| {
+                !self.is_fixed(input, runner) && !self.active.contains_key(&runner.name)
+            };
+            let free: Vec<&ServerEntry> = of_version().filter(is_free).collect();
+            let with_room =
+                free.iter().filter(|runner| fits(input.engine, runner, declared));
+            let fastest =
+                with_room.min_by_key(|runner| runner.load_time(&model, declared));
+            let (server, drop) = match fastest {
+                Some(runner) => (*runner, Vec::new()),
+                None => {
+                    let droppable = free.iter().filter_map(|runner| {
+                        Some((*runner, self.least_wanted(input, runner)?))
+                    });
+                    let least = droppable.min_by(|(_, a), (_, b)| {
+                        self.demand(a).total_cmp(&self.demand(b))
+                    });
+                    let Some((runner, dropped)) = least else { continue };
+                    (runner, vec![dropped])
+                }
+            };
+            let needs_room = !drop.is_empty();
+            let change =
+                Move { server: server.name.clone(), drop, load: Some(model.clone()) };
+            let active = match needs_room {
+                true => ActiveMove::start_drain(change, now),
+                false if self.try_start_load(input, server, &model, now) => {
+                    let load_time = server.load_time(&model, declared);
+                    ActiveMove::start_load(change, load_time, now)
+                }
+                false => continue,
+            };
+            planned.push(active.current_step());
+            self.active.insert(server.name.clone(), active);
+        }
+        planned
+    }
+
+    /// The model with the least demand that a runner can drop: another one has it, and no
+    /// stream needs it at this one.
+    fn least_wanted(
+        &self,
+        input: &PlacementInput,
+        runner: &ServerEntry,
+    ) -> Option<ModelName> {
+        let replicas = |model: &ModelName| {
+            let stays = |other: &&ServerEntry| {
+                let active = self.active.get(&other.name);
+                other.has_model(model)
+                    && !active.is_some_and(|active| active.planned.drop.contains(model))
+            };
+            input.runners.iter().filter(stays).count()
+        };
+        let held = runner.models.iter().map(|held| &held.model);
+        let droppable = held.filter(|model| {
+            replicas(model) > 1
+                && input.engine.models.contains_key(*model)
+                && !self.is_wanted(model, runner)
+        });
+        droppable.min_by(|a, b| self.demand(a).total_cmp(&self.demand(b))).cloned()
+    }
+
+    /// Whether streams need a model at runners of this one's software version.
+    fn is_wanted(&self, model: &ModelName, runner: &ServerEntry) -> bool {
+        self.wanted.contains_key(&(model.clone(), runner.software.clone()))
+    }
+
     /// Starts loads into free room, whatever model it was freed for.
     fn plan_loads(&mut self, input: &PlacementInput, now: Instant) -> Vec<Move> {
         let parallel = self.pacer.available(input.load_bound, now)
@@ -289,7 +394,9 @@
             }
             let is_droppable = |model: &&ModelName| {
                 let count = replicas.get(model).copied().unwrap_or_default();
-                count > 1 && Self::has_spare_replica(self.demand(model), count)
+                count > 1
+                    && Self::has_spare_replica(self.demand(model), count)
+                    && !self.is_wanted(model, runner)
             };
             let models = runner.models.iter().map(|held| &held.model);
             let Some(model) = models
@@ -424,10 +531,19 @@
 
 /// Whether the largest declared model fits beside those that the runner holds.
 fn has_room(engine: &Engine, runner: &ServerEntry) -> bool {
+    let largest = engine.models.values().map(|m| m.weights_mb).fold(0.0, f64::max);
+    has_free_mb(engine, runner, largest)
+}
+
+/// Whether a model fits beside those that the runner holds.
+fn fits(engine: &Engine, runner: &ServerEntry, model: &Model) -> bool {
+    has_free_mb(engine, runner, model.weights_mb)
+}
+
+fn has_free_mb(engine: &Engine, runner: &ServerEntry, wanted_mb: f64) -> bool {
     let size = |name: &ModelName| engine.models.get(name).map_or(0.0, |m| m.weights_mb);
     let held: f64 = runner.models.iter().map(|held| size(&held.model)).sum();
-    let largest = engine.models.values().map(|m| m.weights_mb).fold(0.0, f64::max);
-    held + largest + engine.adapter_reserve_mb() <= engine.memory_mb
+    held + wanted_mb + engine.adapter_reserve_mb() <= engine.memory_mb
 }
 
 /// The moves that lead to a placement, in its order; at most one for each runner.
--- a/crates/pool/tests/placement.rs
+++ b/crates/pool/tests/placement.rs
@@ -4,7 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::{DomainName, MemberId, ModelName, ServerName, ServiceName};
+use chestnut_base::{
+    DomainName, MemberId, ModelName, ServerName, ServiceName, SoftwareVersion,
+};
 use chestnut_edge::{Engine, LoadedModel, Phase, RequestRate, ServerEntry};
 use chestnut_pool::moves::Move;
 use chestnut_pool::placement::{PlacementInput, PlacementPlanner};
@@ -98,6 +100,48 @@
     assert_eq!(dropped_by.len(), 1, "{dropped_by:?} drop it");
 }
 
+/// Guards against streams that can't go on because the only runner of their software version with
+/// their model has ended, while another version serves all new ones.
+#[test]
+fn a_model_is_loaded_at_the_version_that_streams_need() {
+    let declared = engine(&[("hot", 80.0), ("x", 80.0), ("y", 80.0)]);
+    let version = |name: &str| Some(SoftwareVersion::try_from(name).expect("a version"));
+    let mut runners =
+        [runner("r1", &["hot", "x"]), runner("r2", &["x", "y"]), runner("r3", &["y"])];
+    for (runner, name) in runners.iter_mut().zip(["v1", "v2", "v2"]) {
+        runner.software = version(name);
+    }
+    let (start, timings) = (Instant::now(), EngineTimings::default());
+    let first_move = |runners: &[ServerEntry]| {
+        let mut planner = PlacementPlanner::new(start);
+        let mut moves = Vec::new();
+        for period in 1..12 {
+            let now = start + PERIOD * period;
+            planner.record_wanted(model("hot"), version("v2"), now);
+            let input = PlacementInput {
+                limits: &IndexMap::new(),
+                speeds: &IndexMap::new(),
+                runners,
+                fixed: &[],
+                engine: &declared,
+                load_bound: load_bound(&declared),
+                timings: &timings,
+            };
+            moves.extend(planner.plan(&input, now));
+        }
+        moves.into_iter().next()
+    };
+    let load = Move {
+        server: runners[2].name.clone(),
+        drop: Vec::new(),
+        load: Some(model("hot")),
+    };
+    assert_eq!(first_move(&runners), Some(load));
+    runners[2].software = version("v1");
+    let planned = first_move(&runners).expect("room is freed");
+    assert_eq!((&planned.server, planned.drop.len()), (&runners[1].name, 1));
+}
+
 /// Runners that carry out all planned moves, as listed in the registry.
 struct SimulatedPool {
     runners: Vec<ServerEntry>,
