--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -173,6 +173,11 @@
     pub keep_alive: Option<Duration>,
     /// How many requests the server takes from all daemons together, if it names a limit.
     pub request_limit: Option<RequestRate>,
+    /// How long the server wants no requests from this daemon, if it rejected one and asks for
+    /// that.
+    pub rest: Option<Duration>,
+    /// Whether the server shuts down.
+    pub leaving: bool,
 }
 
 /// A number of requests a second; finite and not negative.
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -29,7 +29,7 @@
 pub use cli::main;
 pub use engine::text::expected_text;
 pub use engine::{EngineConfig, EngineCounts};
-pub use listener::{CrashSwitch, ServerHandle};
+pub use listener::{Connection, CrashSwitch, ServerHandle};
 pub use platform::PlatformCounts;
 pub use service::{ServiceConfig, ServiceCounts};
 pub use weights::WeightStoreConfig;
--- a/crates/fake/src/listener.rs
+++ b/crates/fake/src/listener.rs
@@ -112,11 +112,17 @@
 
 /// The connection on which a request arrived.
 #[derive(Debug, Clone)]
-pub(crate) struct Connection {
+pub struct Connection {
     reset: CancellationToken,
+    peer: SocketAddr,
 }
 
 impl Connection {
+    /// The address that it comes from.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
     /// Resets the connection; data not yet sent is lost.
     pub fn reset(&self) {
         self.reset.cancel();
@@ -176,7 +182,7 @@
                 }
                 accepted = listener.accept() => accepted,
             };
-            if let Ok((stream, _)) = accepted {
+            if let Ok((stream, peer)) = accepted {
                 // With Nagle's algorithm, each small response would wait for the
                 // acknowledgement of the one before.
                 if stream.set_nodelay(true).is_err() {
@@ -185,14 +191,14 @@
                 let reset = crash.child_token();
                 return (
                     ResettableStream::new(stream, reset.clone()),
-                    Connection { reset },
+                    Connection { reset, peer },
                 );
             }
         }
     }
 
     fn local_addr(&self) -> io::Result<Connection> {
-        Ok(Connection { reset: self.crash_switch.token() })
+        Ok(Connection { reset: self.crash_switch.token(), peer: self.address })
     }
 }
 
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -393,6 +393,12 @@
     if !metadata.misdirected {
         server_limits::observe(job, target, &metadata, sent_at);
     }
+    if metadata.rest.is_some() || metadata.leaving {
+        info!(shared.log, "server wants no requests"; "id" => job.id(),
+            "server" => target.name.as_str(), "path" => format!("{path:?}"),
+            "rest_ms" => metadata.rest.map(|rest| rest.as_millis() as u64),
+            "leaving" => metadata.leaving);
+    }
     if metadata.not_run || metadata.misdirected {
         return Err(AttemptError::Rejected(head.status.as_u16()));
     }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod membership;
 mod paths;
 mod proxy;
+mod rests;
 mod retries;
 mod retry_bound;
 mod servers;
