Servers that ask for rest get no requests from that daemon until its end

Callers were refused after several attempts, and servers that had asked a daemon for 3 s of rest got up to 14 requests from it: a rejected attempt changed nothing in what the daemon knew of its server, which had the fewest requests in flight and stayed the best candidate. Class: feedback that is read for one request and not kept for the next.

A rejection's Retry-After is kept for the server's incarnation, beside the registry's entries, which may lapse and return. Servers that rest are left out by all that choose one (bids, permits, own counts, retries), and a request that was picked before is held back at the one place that all sends pass; forwarders keep the rests that they were asked for. While all servers of a request rest it is refused at once with the time at which the first is back, spread over 0.5 s, unless it can still be served within half of its objective or its caller has a part of the response.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -221,6 +221,8 @@
     /// No byte was sent: the request is a retry that has waited for a server, and the retry
     /// budget is used up by now.
     Exhausted,
+    /// No byte was sent: the server has asked for rest since it was picked.
+    Resting,
 }
 
 impl AttemptError {
@@ -235,6 +237,7 @@
             Self::Blocked => "blocked",
             Self::Quarantined => "quarantined",
             Self::Exhausted => "exhausted",
+            Self::Resting => "resting",
         }
     }
 
@@ -244,7 +247,8 @@
             Self::Unreachable(_)
             | Self::Blocked
             | Self::Quarantined
-            | Self::Exhausted => AttemptOutcome::NotSent,
+            | Self::Exhausted
+            | Self::Resting => AttemptOutcome::NotSent,
             Self::Rejected(_) => AttemptOutcome::Rejected,
             Self::Lost(_) => AttemptOutcome::ResponseLost,
             Self::Silent => AttemptOutcome::Unresponsive,
@@ -272,7 +276,10 @@
         }
         Err(AttemptError::Rejected(_)) => PermitOutcome::Rejected,
         Err(
-            AttemptError::Blocked | AttemptError::Quarantined | AttemptError::Exhausted,
+            AttemptError::Blocked
+            | AttemptError::Quarantined
+            | AttemptError::Exhausted
+            | AttemptError::Resting,
         ) => PermitOutcome::Unused,
     };
     if in_flight.outcome == PermitOutcome::Unused {
@@ -304,7 +311,8 @@
                 | AttemptError::Late
                 | AttemptError::Blocked
                 | AttemptError::Quarantined
-                | AttemptError::Exhausted,
+                | AttemptError::Exhausted
+                | AttemptError::Resting,
             ) => {}
         }
     }
@@ -378,6 +386,10 @@
         return Err(AttemptError::Exhausted);
     }
     let sent_at = shared.now();
+    if !shared.fleet().rest_left(&target.incarnation(), sent_at).is_zero() {
+        shared.metrics.count(Step::Rest, "held back");
+        return Err(AttemptError::Resting);
+    }
     let request = build_request(job, target, path, resume_after);
     let (response, connection) = send(job, connection, request).await?;
     let (mut head, body) = response.into_parts();
@@ -393,6 +405,10 @@
     if !metadata.misdirected {
         server_limits::observe(job, target, &metadata, sent_at);
     }
+    if let Some(rest) = metadata.rest {
+        shared.metrics.count(Step::Rest, "asked for");
+        shared.fleet().record_rest(&target.incarnation(), rest, shared.now());
+    }
     if metadata.rest.is_some() || metadata.leaving {
         info!(shared.log, "server wants no requests"; "id" => job.id(),
             "server" => target.name.as_str(), "path" => format!("{path:?}"),
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -201,9 +201,13 @@
     let connection = paths::connect(shared, &to.server, addr).await;
     let connection =
         connection.map_err(|error| Failure::unreachable(error.to_string()))?;
-    if shared.now() >= deadline {
+    let now = shared.now();
+    if now >= deadline {
         return Err(Failure::refused("the deadline passed before it was sent"));
     }
+    if !shared.fleet().rest_left(&to.server, now).is_zero() {
+        return Err(Failure::refused("the server has asked for rest"));
+    }
     let sent = connection.send(Request::from_parts(head, body)).await;
     let (response, connection) = sent.map_err(|error| match error {
         SendError::NotSent(why) => Failure::unreachable(why),
@@ -214,6 +218,9 @@
     if metadata.id.is_some() && metadata.id.as_deref() != id {
         return Err(Failure::lost("the response is for another request"));
     }
+    if let Some(rest) = metadata.rest {
+        shared.fleet().record_rest(&to.server, rest, shared.now());
+    }
     let body = ForwardedBody {
         shared: shared.clone(),
         body,
--- a/crates/gate/src/introspection.rs
+++ b/crates/gate/src/introspection.rs
@@ -120,6 +120,8 @@
     pub accepts_requests: bool,
     /// This daemon's requests in flight at the server.
     pub requests: usize,
+    /// Milliseconds for which it wants no requests from this daemon.
+    pub rest_ms: u64,
     /// The requests a second that it takes from all daemons, if it announces a limit.
     pub limit_per_second: Option<f64>,
 }
@@ -242,8 +244,8 @@
         let state = ServerState {
             service: server.entry.service.to_string(),
             phase: format!("{:?}", server.entry.phase),
-            accepts_requests: fleet.accepts_requests(server, now)
-                && server.health.allows_requests(now),
+            accepts_requests: fleet.accepts_requests(server, now),
+            rest_ms: server.rest_left(now).as_millis() as u64,
             requests: server.own_usage.requests as usize,
             limit_per_second: limits.rate(&server.incarnation()).map(f64::from),
         };
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -72,6 +72,8 @@
     EarlyRefusal,
     /// The queues of several runners that one request waits in.
     LateBinding,
+    /// A rest that a server asked for, and requests that were held back or refused in it.
+    Rest,
     /// A stream that a caller resumes, by how it was found out where it began.
     Resume,
 }
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use chestnut_base::ServerName;
-use chestnut_pool::{Bid, Candidate, PermitOutcome, SoftwareBinding, choose};
+use chestnut_pool::{Bid, Candidate, PermitOutcome, Server, SoftwareBinding, choose};
 use slog::info;
 use tokio::time::{Instant, timeout_at};
 
@@ -45,6 +45,9 @@
 /// How many permits are requested for one request if this daemon can't use the granted ones.
 const MAX_PERMIT_REQUESTS: usize = 3;
 
+/// The fraction of its objective that a request waits for servers that rest.
+const REST_WAIT_FRACTION: f64 = 0.5;
+
 /// The number of runners by whose forecasts a request has no prospect before it is refused.
 ///
 /// They are those with the best bids, each of which has made two forecasts.
@@ -61,6 +64,8 @@
     Stopping,
     /// No server of the software version that began the stream is listed.
     VersionGone,
+    /// All servers that could run the request want none; for how long at least.
+    Resting(Duration),
 }
 
 /// Picks a server. A generation waits for a runner if none can accept it.
@@ -80,6 +85,15 @@
         if !is_version_listed(job) {
             return Err(PickError::VersionGone);
         }
+        if let Some(rest) = shortest_rest(job) {
+            let end = rest_to_wait_for(job, rest)?;
+            if limit <= end {
+                return Err(PickError::NoServer);
+            }
+            // A server that is listed meanwhile may be free.
+            let _ = timeout_at(end, listed.changed()).await;
+            continue;
+        }
         match pick_now(job, &mut avoid, missing_adapter.as_ref()).await {
             // Copies that waited at several daemons would all be sent at the same time.
             Err(PickError::NoServer) if crashes::is_quarantined(job) => {
@@ -88,6 +102,9 @@
             Err(PickError::NoServer) if job.call.target.is_some() => avoid.clear(),
             result => return result,
         }
+        if shortest_rest(job).is_some() {
+            continue;
+        }
         request_model(job);
         let changed = timeout_at(limit, listed.changed()).await;
         if !matches!(changed, Ok(Ok(()))) {
@@ -96,6 +113,32 @@
     }
 }
 
+/// How long all servers that could run a request want none; `None` if one accepts requests or
+/// none is listed.
+fn shortest_rest(job: &Job) -> Option<Duration> {
+    let (fleet, now) = (job.shared.fleet(), job.shared.now());
+    let could_run = |server: &&Server| {
+        let model = job.call.target.as_ref().map(|target| &target.model);
+        server.entry.service == job.service
+            && model.is_none_or(|model| server.entry.has_model(model))
+            && job.software.permits(server.entry.software.as_ref())
+            && fleet.accepts_after_rest(server, now)
+    };
+    let servers = fleet.iter().map(|(_, server)| server).filter(could_run);
+    servers.map(|server| server.rest_left(now)).min().filter(|rest| !rest.is_zero())
+}
+
+/// Until when a request waits for a server that rests; one that can still be served early
+/// enough, or whose caller has part of the response, is not refused.
+fn rest_to_wait_for(job: &Job, rest: Duration) -> Result<Instant, PickError> {
+    let now = job.shared.now();
+    let early_enough = job.arrived_at + job.route().objective.mul_f64(REST_WAIT_FRACTION);
+    match job.response_started || now + rest <= early_enough {
+        true => Ok(Instant::from_std(now + rest)),
+        false => Err(PickError::Resting(rest)),
+    }
+}
+
 /// Has the model of a resumed stream loaded at its software version, if no runner of that has
 /// it: the planner goes by the demand at all versions.
 fn request_model(job: &Job) {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -45,6 +45,9 @@
 /// A stream occupies a runner for some three seconds; then its capacity is free again.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(3);
 
+/// The time over which callers return to servers that have rested.
+const RETURN_SPREAD: Duration = Duration::from_millis(500);
+
 /// Serves one request; all failures become responses.
 pub async fn handle(
     shared: Arc<Shared>,
@@ -122,6 +125,7 @@
             Ok(target) => target,
             Err(PickError::Stopping) => return Err((stopping(&job), job)),
             Err(PickError::NoServer) => return Err((no_server(&job), job)),
+            Err(PickError::Resting(rest)) => return Err((resting(&job, rest), job)),
             Err(PickError::VersionGone) => return Err((version_gone(&job), job)),
             Err(PickError::Full(wait)) => return Err((overloaded(&job, wait), job)),
         };
@@ -157,7 +161,8 @@
             | AttemptError::Late
             | AttemptError::Blocked
             | AttemptError::Quarantined
-            | AttemptError::Exhausted => {}
+            | AttemptError::Exhausted
+            | AttemptError::Resting => {}
         }
         if !may_retry(&mut job, decision, &error) {
             return Err((failure(&job, &error), job));
@@ -199,6 +204,19 @@
     }
 }
 
+/// The refusal of a request while all servers that could run it want no requests.
+fn resting(job: &Job, rest: Duration) -> Refusal {
+    let message = "all servers for this request have asked for rest; retry after the given \
+        delay";
+    job.shared.metrics.count(Step::Rest, "refused");
+    match job.attempts.may_have_run() {
+        true => Refusal::in_doubt(RefusalCode::Broken, message),
+        // Callers that were refused together would return together.
+        false => Refusal::not_run(RefusalCode::Unavailable, message)
+            .with_retry_after(rest + RETURN_SPREAD.mul_f64(rand::random())),
+    }
+}
+
 /// The refusal of a request whose wait would exceed its caller's wait limit.
 ///
 /// If it waited to the end, its caller would get nothing and would be too late to retry.
@@ -259,7 +277,8 @@
         AttemptError::Unreachable(_)
         | AttemptError::Rejected(_)
         | AttemptError::Silent
-        | AttemptError::Exhausted => no_server(job),
+        | AttemptError::Exhausted
+        | AttemptError::Resting => no_server(job),
     }
 }
 
--- a/crates/pool/src/fleet.rs
+++ b/crates/pool/src/fleet.rs
@@ -8,6 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::health::Health;
+use crate::rests::Rests;
 use crate::usage::{InFlightRequest, Usage};
 
 new_key_type! {
@@ -28,6 +29,8 @@
     pub missing_since: Option<Instant>,
     /// When this daemon saw it start; `None` if it may have been running before.
     pub start_seen_at: Option<Instant>,
+    /// Until when it wants no requests from this daemon; `None` if it has not asked for that.
+    rest_until: Option<Instant>,
 }
 
 impl Server {
@@ -35,6 +38,12 @@
     pub fn incarnation(&self) -> Incarnation {
         self.entry.incarnation()
     }
+
+    /// How much longer it wants no requests from this daemon; zero if it wants some.
+    pub fn rest_left(&self, now: Instant) -> Duration {
+        self.rest_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
 }
 
 /// The backend servers of all services.
@@ -44,6 +53,7 @@
     names: IndexMap<ServerName, ServerKey>,
     /// Until when entries may be missing because the registry was unavailable.
     grace_until: Option<Instant>,
+    rests: Rests,
 }
 
 /// How long after an outage of the registry a missing entry may still return.
@@ -68,12 +78,14 @@
         }
         let name = entry.name.clone();
         let (health, own_usage) = (Health::default(), Usage::default());
+        let rest_until = self.rests.end(&entry.incarnation());
         let key = self.servers.insert(Server {
             entry,
             health,
             own_usage,
             missing_since: None,
             start_seen_at: None,
+            rest_until,
         });
         self.names.insert(name, key);
         key
@@ -151,11 +163,33 @@
         (server.missing_since.is_none() || in_grace) && server.entry.phase == Phase::Ready
     }
 
-    /// Whether a server is listed as ready and its health allows requests.
-    pub fn accepts_requests(&self, server: &Server, now: Instant) -> bool {
+    /// Records that a server wants no requests from this daemon for a time.
+    pub fn record_rest(&mut self, server: &Incarnation, rest: Duration, now: Instant) {
+        let until = self.rests.record(server, rest, now);
+        let key = self.names.get(&server.server);
+        if let Some(listed) = key.and_then(|key| self.servers.get_mut(*key))
+            && listed.incarnation() == *server
+        {
+            listed.rest_until = Some(until);
+        }
+    }
+
+    /// How much longer a server wants no requests from this daemon; zero if it wants some.
+    pub fn rest_left(&self, server: &Incarnation, now: Instant) -> Duration {
+        let end = self.rests.end(server);
+        end.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Whether a server would get requests if it did not want none for a time.
+    pub fn accepts_after_rest(&self, server: &Server, now: Instant) -> bool {
         self.is_listed(server, now) && server.health.allows_requests(now)
     }
 
+    /// Whether a server is listed as ready, its health allows requests, and it wants some.
+    pub fn accepts_requests(&self, server: &Server, now: Instant) -> bool {
+        self.accepts_after_rest(server, now) && server.rest_left(now).is_zero()
+    }
+
     /// The servers of a service that accept new requests.
     pub fn available<'a>(
         &'a self,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -3,7 +3,8 @@
 //! The modules are listed in the order in which they concern a request:
 //!
 //! 1. [`fleet`] holds the servers that the registry lists,
-//! 2. [`health`] tracks the recent failures of a server,
+//! 2. [`health`] tracks the recent failures of a server, and [`rests`] when it wants no
+//!    requests,
 //! 3. [`usage`] counts what is in flight at a server,
 //! 4. [`runner`] is the view that the holder of a runner's claim has of it, with the
 //!    [`prefix`]es in its KV cache,
@@ -51,6 +52,7 @@
 pub mod profile;
 pub mod queue;
 pub mod request_pacer;
+pub mod rests;
 pub mod runner;
 pub mod server_limits;
 pub mod sharing;
