A server that announced its shutdown in an answer gets no further requests

Servers say in all their answers that they shut down; daemons went by the registry alone, whose entry may say that the server is ready, lapse, or be back after an outage of the store. Callers sent later than the drain time met a server that was about to end.

The announcement is kept for the server's incarnation for ten minutes and goes before the registry: the server counts as not listed, also for plans and forwarded requests. What runs there ends in peace. Each daemon learns it from its own answers. A 421 of another server at the address is not the server's answer.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -409,7 +409,9 @@
         shared.metrics.count(Step::Rest, "asked for");
         shared.fleet().record_rest(&target.incarnation(), rest, shared.now());
     }
-    if metadata.rest.is_some() || metadata.leaving {
+    let is_new_leave = metadata.leaving
+        && shared.fleet().record_leaving(&target.incarnation(), shared.now());
+    if metadata.rest.is_some() || is_new_leave {
         info!(shared.log, "server wants no requests"; "id" => job.id(),
             "server" => target.name.as_str(), "path" => format!("{path:?}"),
             "rest_ms" => metadata.rest.map(|rest| rest.as_millis() as u64),
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -221,6 +221,9 @@
     if let Some(rest) = metadata.rest {
         shared.fleet().record_rest(&to.server, rest, shared.now());
     }
+    if metadata.leaving {
+        shared.fleet().record_leaving(&to.server, shared.now());
+    }
     let body = ForwardedBody {
         shared: shared.clone(),
         body,
--- a/crates/pool/src/fleet.rs
+++ b/crates/pool/src/fleet.rs
@@ -31,6 +31,8 @@
     pub start_seen_at: Option<Instant>,
     /// Until when it wants no requests from this daemon; `None` if it has not asked for that.
     rest_until: Option<Instant>,
+    /// Whether it has announced its shutdown in a response.
+    is_leaving: bool,
 }
 
 impl Server {
@@ -54,6 +56,9 @@
     /// Until when entries may be missing because the registry was unavailable.
     grace_until: Option<Instant>,
     rests: Rests,
+    /// Servers that have announced their shutdown in a response, and when. They are kept apart
+    /// from the registry's entries, which may lapse and return meanwhile.
+    leaving: IndexMap<Incarnation, Instant>,
 }
 
 /// How long after an outage of the registry a missing entry may still return.
@@ -61,6 +66,9 @@
 /// The platform specifies about two seconds.
 pub const RELIST_GRACE: Duration = Duration::from_secs(2);
 
+/// How long a server that has announced its shutdown is remembered; it ends within seconds.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+
 impl Fleet {
     /// Adds or updates a server's registry entry.
     pub fn update(&mut self, entry: ServerEntry) -> ServerKey {
@@ -78,7 +86,9 @@
         }
         let name = entry.name.clone();
         let (health, own_usage) = (Health::default(), Usage::default());
-        let rest_until = self.rests.end(&entry.incarnation());
+        let incarnation = entry.incarnation();
+        let rest_until = self.rests.end(&incarnation);
+        let is_leaving = self.leaving.contains_key(&incarnation);
         let key = self.servers.insert(Server {
             entry,
             health,
@@ -86,6 +96,7 @@
             missing_since: None,
             start_seen_at: None,
             rest_until,
+            is_leaving,
         });
         self.names.insert(name, key);
         key
@@ -157,10 +168,27 @@
 
     /// Whether a server is listed as ready for new requests.
     ///
-    /// A missing server counts as listed within the grace period.
+    /// A missing server counts as listed within the grace period, and one that has announced
+    /// its shutdown as not listed, whatever its entry says.
     pub fn is_listed(&self, server: &Server, now: Instant) -> bool {
         let in_grace = !self.grace_left(now).is_zero();
-        (server.missing_since.is_none() || in_grace) && server.entry.phase == Phase::Ready
+        let is_ready = server.entry.phase == Phase::Ready && !server.is_leaving;
+        (server.missing_since.is_none() || in_grace) && is_ready
+    }
+
+    /// Records that a server has announced its shutdown in a response; returns whether that
+    /// is new.
+    pub fn record_leaving(&mut self, server: &Incarnation, now: Instant) -> bool {
+        let is_recent =
+            |at: Instant| now.saturating_duration_since(at) < LEAVING_RETENTION;
+        self.leaving.retain(|_, at| is_recent(*at));
+        let key = self.names.get(&server.server);
+        if let Some(listed) = key.and_then(|key| self.servers.get_mut(*key))
+            && listed.incarnation() == *server
+        {
+            listed.is_leaving = true;
+        }
+        self.leaving.insert(server.clone(), now).is_none()
     }
 
     /// Records that a server wants no requests from this daemon for a time.
--- a/crates/pool/tests/rests.rs
+++ b/crates/pool/tests/rests.rs
@@ -1,4 +1,4 @@
-//! Which servers get requests after they have asked for rest.
+//! Which servers get requests after they have asked for rest or announced their shutdown.
 
 use std::time::{Duration, Instant};
 
@@ -63,3 +63,25 @@
     fleet.record_rest(&entry(1).incarnation(), Duration::from_secs(60), now);
     assert_eq!(available(&fleet, now), 1);
 }
+
+/// Guards against requests to a server that has announced its shutdown, because its entry says that
+/// it is ready, or lapses and returns; and against a restarted server that gets none.
+#[test]
+fn a_server_that_announced_its_shutdown_stays_out() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    fleet.update(entry(1));
+    let server = entry(1).incarnation();
+    assert!(fleet.record_leaving(&server, now));
+    assert!(!fleet.record_leaving(&server, now));
+    fleet.update(entry(1));
+    assert_eq!(available(&fleet, now), 0);
+    fleet.start_grace(now);
+    fleet.mark_missing(&server.server, now);
+    assert_eq!(available(&fleet, now), 0);
+    let later = now + Duration::from_secs(10);
+    fleet.remove_missing(later);
+    fleet.update(entry(1));
+    assert_eq!(available(&fleet, later), 0);
+    fleet.update(entry(2));
+    assert_eq!(available(&fleet, later), 1);
+}
