Streams of a service with one software version wait for its servers as before

A resumed stream ended at once, or had its model loaded apart from the planner's plan, also where its service never had a second version: by reading, found before a landing. Both now need several known versions. The check for rests costs nothing while no server has asked for one.

--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use chestnut_base::ServerName;
+use chestnut_pool::software::KnownVersions;
 use chestnut_pool::{Bid, Candidate, PermitOutcome, Server, SoftwareBinding, choose};
 use slog::info;
 use tokio::time::{Instant, timeout_at};
@@ -117,6 +118,9 @@
 /// none is listed.
 fn shortest_rest(job: &Job) -> Option<Duration> {
     let (fleet, now) = (job.shared.fleet(), job.shared.now());
+    if !fleet.has_rests() {
+        return None;
+    }
     let could_run = |server: &&Server| {
         let model = job.call.target.as_ref().map(|target| &target.model);
         server.entry.service == job.service
@@ -147,6 +151,9 @@
     else {
         return;
     };
+    if !is_bound_among_versions(job) {
+        return;
+    }
     let has_model = {
         let (fleet, now) = (job.shared.fleet(), job.shared.now());
         fleet.iter().any(|(_, server)| {
@@ -161,12 +168,19 @@
     }
 }
 
+/// Whether a request may run at one software version of several that its service has or had.
+fn is_bound_among_versions(job: &Job) -> bool {
+    let is_bound = job.software != SoftwareBinding::Any;
+    let known = || job.shared.software_history().known(&job.service);
+    is_bound && known() == KnownVersions::Several
+}
+
 /// Whether a server that may run the request is listed as ready, whatever its health, or its
 /// entry may still return.
 ///
 /// Servers of a version that has been replaced don't come back, so that waiting is in vain.
 fn is_version_listed(job: &Job) -> bool {
-    if job.software == SoftwareBinding::Any {
+    if !is_bound_among_versions(job) {
         return true;
     }
     let (fleet, now) = (job.shared.fleet(), job.shared.now());
--- a/crates/pool/src/fleet.rs
+++ b/crates/pool/src/fleet.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// Whether servers have asked for rest.
+    pub fn has_rests(&self) -> bool {
+        !self.rests.is_empty()
+    }
+
     /// How much longer a server wants no requests from this daemon; zero if it wants some.
     pub fn rest_left(&self, server: &Incarnation, now: Instant) -> Duration {
         let end = self.rests.end(server);
--- a/crates/pool/src/rests.rs
+++ b/crates/pool/src/rests.rs
@@ -31,6 +31,11 @@
         *end
     }
 
+    /// Whether no rest is recorded, not even one that is over.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// When the last rest of a server ends, which may be over; `None` if it never asked for
     /// one.
     pub fn end(&self, server: &Incarnation) -> Option<Instant> {
