Soak with servers that ask for rest or announce their shutdown

Servers reject requests with a Retry-After of 0.8, 2 or 3 s, or announce their shutdown and end later, beside faults of the store and of other servers; counted at the servers by daemon.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -6,9 +6,10 @@
 //! while servers reject most requests; in a fourth, daemons are cut off from servers, and a
 //! part of prompts crashes runners; in a fifth, streams of mixed objectives contend for few
 //! slots, with all `policy` settings on; in a sixth, runners change their software versions and
-//! callers resume their streams. Responses, runs and arrivals are checked against the
+//! callers resume their streams; in a seventh, servers ask daemons for rest and announce their
+//! shutdown. Responses, runs and arrivals are checked against the
 //! guarantees to callers and the operators' bounds. `SOAK_SEEDS=FROM..TO` runs other seeds
-//! than the listed ones, and `SOAK_DAEMONS` sets the number of daemons of the last four
+//! than the listed ones, and `SOAK_DAEMONS` sets the number of daemons of the last five
 //! variants.
 
 use std::collections::{HashMap, HashSet};
@@ -61,6 +62,12 @@
 /// Seeds that always run with runners of several software versions.
 const VERSION_SEEDS: [u64; 2] = [1, 2];
 
+/// Seeds that always run with servers that ask for rest.
+const REST_SEEDS: [u64; 2] = [1, 2];
+
+/// The requests that a daemon may send to a server in a rest.
+const MAX_DISTURBANCES: u32 = 2;
+
 /// Period in which faults are injected.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
 
@@ -110,6 +117,7 @@
     Service(usize),
     Proxy(ProxyTarget),
     Cuts,
+    Departure(usize),
 }
 
 impl Recovery {
@@ -137,15 +145,20 @@
     /// Like `Single`, and runners that crash and return with other software versions. Callers
     /// resume interrupted streams at any daemon.
     Versions,
+    /// Servers that reject requests and ask for rest, or announce their shutdown, and faults of
+    /// servers and the store. Daemons are not disturbed: one that restarts knows of no rest.
+    Rests,
 }
 
 impl Faults {
     /// How long the cluster runs before the first fault.
     fn settling_time(self) -> Duration {
         match self {
-            Self::Single | Self::Cuts | Self::Contention | Self::Versions => {
-                Duration::ZERO
-            }
+            Self::Single
+            | Self::Cuts
+            | Self::Contention
+            | Self::Versions
+            | Self::Rests => Duration::ZERO,
             Self::Series => 2 * retry_bound::WINDOW,
         }
     }
@@ -153,7 +166,11 @@
     /// The period in which faults are injected.
     fn period(self) -> Duration {
         match self {
-            Self::Single | Self::Cuts | Self::Contention | Self::Versions => FAULT_PERIOD,
+            Self::Single
+            | Self::Cuts
+            | Self::Contention
+            | Self::Versions
+            | Self::Rests => FAULT_PERIOD,
             Self::Series => 2 * FAULT_PERIOD,
         }
     }
@@ -162,7 +179,7 @@
     fn callers(self, daemons: usize) -> usize {
         match self {
             Self::Single | Self::Cuts => CALLER_COUNT,
-            Self::Contention | Self::Versions => 3 * CALLER_COUNT,
+            Self::Contention | Self::Versions | Self::Rests => 3 * CALLER_COUNT,
             Self::Series => daemons * 4,
         }
     }
@@ -170,7 +187,11 @@
     /// The longest pause of a caller between two requests.
     fn max_pause_ms(self) -> u64 {
         match self {
-            Self::Single | Self::Cuts | Self::Contention | Self::Versions => 60,
+            Self::Single
+            | Self::Cuts
+            | Self::Contention
+            | Self::Versions
+            | Self::Rests => 60,
             Self::Series => 1000,
         }
     }
@@ -178,7 +199,11 @@
     /// The shortest and the longest time between two faults.
     fn interval_ms(self) -> Range<u64> {
         match self {
-            Self::Single | Self::Cuts | Self::Contention | Self::Versions => 50..500,
+            Self::Single
+            | Self::Cuts
+            | Self::Contention
+            | Self::Versions
+            | Self::Rests => 50..500,
             Self::Series => 500..2500,
         }
     }
@@ -186,7 +211,7 @@
     /// The share of cuts in the faults.
     fn cut_share(self) -> f64 {
         match self {
-            Self::Single | Self::Series | Self::Versions => 0.0,
+            Self::Single | Self::Series | Self::Versions | Self::Rests => 0.0,
             Self::Cuts => 0.5,
             Self::Contention => 0.15,
         }
@@ -195,7 +220,11 @@
     /// The longest duration of a fault.
     fn max_duration_ms(self) -> u64 {
         match self {
-            Self::Single | Self::Cuts | Self::Contention | Self::Versions => 2500,
+            Self::Single
+            | Self::Cuts
+            | Self::Contention
+            | Self::Versions
+            | Self::Rests => 2500,
             Self::Series => 6000,
         }
     }
@@ -287,6 +316,18 @@
     }
 }
 
+/// Guards against requests that disturb servers in their rests or reach those that have announced
+/// their shutdown, and against all that the other variants check.
+#[tokio::test]
+async fn guarantees_hold_while_servers_ask_for_rest() {
+    for seed in selected_seeds(&REST_SEEDS) {
+        eprintln!("seed {seed}");
+        let daemons = soak_daemons(3);
+        let cluster = Cluster::start(&format!("rests{seed}"), daemons).await;
+        run_soak(seed, cluster, Faults::Rests).await;
+    }
+}
+
 /// The number of daemons, which `SOAK_DAEMONS` overrides.
 fn soak_daemons(default: usize) -> usize {
     let daemons = std::env::var("SOAK_DAEMONS").ok();
@@ -464,11 +505,18 @@
                 cut_off_daemons(cluster, &mut rng);
                 vec![Recovery::Cuts]
             }
+            Faults::Rests if rng.random_bool(0.5) => {
+                vec![ask_for_rest(cluster, &mut rng)]
+            }
             Faults::Versions if rng.random_bool(0.2) => {
                 change_software(cluster, &mut rng);
                 Vec::new()
             }
-            _ => inject_fault(cluster, &mut rng, &recoveries).into_iter().collect(),
+            _ => {
+                let may_disturb = faults != Faults::Rests;
+                let injected = inject_fault(cluster, &mut rng, &recoveries, may_disturb);
+                injected.into_iter().collect()
+            }
         };
         for recovery in injected {
             eprintln!("fault injected, ends after {duration:?} by {recovery:?}");
@@ -567,6 +615,25 @@
     }
 }
 
+/// Has a server reject requests and ask for rest, or a runner announce its shutdown.
+fn ask_for_rest(cluster: &Cluster, rng: &mut SmallRng) -> Recovery {
+    let rest = ["0.8", "2", "3"].choose(rng).copied();
+    if rng.random_bool(0.3) {
+        let service = rng.random_range(0..cluster.services.len());
+        cluster.services[service].set_retry_after(rest);
+        cluster.services[service].set_fault(ServerFault::Rejecting);
+        return Recovery::Service(service);
+    }
+    let runner = rng.random_range(0..cluster.runners.len());
+    if rng.random_bool(0.25) {
+        cluster.runners[runner].announce_leaving();
+        return Recovery::Departure(runner);
+    }
+    cluster.runners[runner].set_retry_after(rest);
+    cluster.runners[runner].set_fault(RunnerFault::Rejecting);
+    Recovery::Runner(runner)
+}
+
 /// Crashes some runners, which return with one of three software versions.
 fn change_software(cluster: &Cluster, rng: &mut SmallRng) {
     let version = *["v1", "v2", "v3"].choose(rng).expect("there are versions");
@@ -588,10 +655,11 @@
     cluster: &mut Cluster,
     rng: &mut SmallRng,
     recoveries: &[(Instant, Recovery)],
+    may_disturb_daemons: bool,
 ) -> Option<Recovery> {
     let daemon = rng.random_range(0..cluster.daemons.len());
-    let is_undisturbed =
-        recoveries.iter().all(|(_, recovery)| !recovery.disturbs(daemon));
+    let is_undisturbed = may_disturb_daemons
+        && recoveries.iter().all(|(_, recovery)| !recovery.disturbs(daemon));
     let runner = rng.random_range(0..cluster.runners.len());
     let service = rng.random_range(0..cluster.services.len());
     let has_proxies = !cluster.proxies.callers.is_empty();
@@ -709,6 +777,7 @@
         }
         Recovery::Proxy(target) => proxy(cluster, target).set_fault(ProxyFault::None),
         Recovery::Cuts => cluster.proxies.servers().for_each(Proxy::end_cut),
+        Recovery::Departure(runner) => cluster.runners[runner].crash(),
     }
 }
 
@@ -751,6 +820,7 @@
     retry_bound::check(cluster);
     check_attempts(cluster);
     check_time_budgets(cluster);
+    check_rests(cluster);
     check_versions(exchanges);
     if exchanges.iter().any(|exchange| exchange.earlier.events > 0) {
         report_lookups(cluster);
@@ -792,6 +862,22 @@
     }
 }
 
+/// Checks that no undisturbed daemon has sent too many requests to a server in its rest, or any to
+/// one that had announced its shutdown.
+fn check_rests(cluster: &Cluster) {
+    let runners = cluster.runners.iter().flat_map(Runner::disturbances);
+    let services = cluster.services.iter().flat_map(PlainServer::disturbances);
+    let disturbances: Vec<u32> = runners.chain(services).collect();
+    if !disturbances.is_empty() {
+        eprintln!("{} rests", disturbances.len());
+    }
+    let is_disturbed = |count: &&u32| **count > MAX_DISTURBANCES;
+    let disturbed = disturbances.iter().filter(is_disturbed).count();
+    assert_eq!(disturbed, 0, "rests were disturbed: {disturbances:?}");
+    let late: u32 = cluster.runners.iter().map(Runner::late_arrivals).sum();
+    assert_eq!(late, 0, "requests to servers that had announced their shutdown");
+}
+
 /// Checks that no stream has events of two software versions, and prints how many were resumed.
 fn check_versions(exchanges: &[Exchange]) {
     let (mut resumed, mut continued) = (0, 0);
