--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -10,19 +10,18 @@
 use std::time::Duration;
 
 use chestnut_base::ServerName;
-use chestnut_pool::software::KnownVersions;
-use chestnut_pool::{Bid, Candidate, PermitOutcome, Server, SoftwareBinding, choose};
+use chestnut_pool::{Bid, Candidate, PermitOutcome, choose};
 use slog::info;
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::Target;
 use crate::bidding::{self, Admission};
 use crate::crashes;
+use crate::eligible::{is_version_listed, request_model, rest_end, shortest_rest};
 use crate::job::Job;
 use crate::late_binding;
 use crate::metrics::Step;
 use crate::permit::{self, PermitDecision};
-use crate::planner;
 use crate::server_limits;
 
 /// The delay before the first retry at the same server; it doubles with each further one.
@@ -46,9 +45,6 @@
 /// How many permits are requested for one request if this daemon can't use the granted ones.
 const MAX_PERMIT_REQUESTS: usize = 3;
 
-/// The fraction of its objective that a request waits for servers that rest.
-const REST_WAIT_FRACTION: f64 = 0.5;
-
 /// The number of runners by whose forecasts a request has no prospect before it is refused.
 ///
 /// They are those with the best bids, each of which has made two forecasts.
@@ -87,7 +83,8 @@
             return Err(PickError::VersionGone);
         }
         if let Some(rest) = shortest_rest(job) {
-            let end = rest_to_wait_for(job, rest)?;
+            let end =
+                Instant::from_std(rest_end(job, rest).ok_or(PickError::Resting(rest))?);
             if limit <= end {
                 return Err(PickError::NoServer);
             }
@@ -114,83 +111,6 @@
     }
 }
 
-/// How long all servers that could run a request want none; `None` if one accepts requests or
-/// none is listed.
-fn shortest_rest(job: &Job) -> Option<Duration> {
-    let (fleet, now) = (job.shared.fleet(), job.shared.now());
-    if !fleet.has_rests() {
-        return None;
-    }
-    let could_run = |server: &&Server| {
-        let model = job.call.target.as_ref().map(|target| &target.model);
-        server.entry.service == job.service
-            && model.is_none_or(|model| server.entry.has_model(model))
-            && job.software.permits(server.entry.software.as_ref())
-            && fleet.accepts_after_rest(server, now)
-    };
-    let servers = fleet.iter().map(|(_, server)| server).filter(could_run);
-    servers.map(|server| server.rest_left(now)).min().filter(|rest| !rest.is_zero())
-}
-
-/// Until when a request waits for a server that rests; one that can still be served early
-/// enough, or whose caller has part of the response, is not refused.
-fn rest_to_wait_for(job: &Job, rest: Duration) -> Result<Instant, PickError> {
-    let now = job.shared.now();
-    let early_enough = job.arrived_at + job.route().objective.mul_f64(REST_WAIT_FRACTION);
-    match job.response_started || now + rest <= early_enough {
-        true => Ok(Instant::from_std(now + rest)),
-        false => Err(PickError::Resting(rest)),
-    }
-}
-
-/// Has the model of a resumed stream loaded at its software version, if no runner of that has
-/// it: the planner goes by the demand at all versions.
-fn request_model(job: &Job) {
-    let (SoftwareBinding::Only(software), Some(target)) =
-        (&job.software, &job.call.target)
-    else {
-        return;
-    };
-    if !is_bound_among_versions(job) {
-        return;
-    }
-    let has_model = {
-        let (fleet, now) = (job.shared.fleet(), job.shared.now());
-        fleet.iter().any(|(_, server)| {
-            server.entry.service == job.service
-                && server.entry.software == *software
-                && server.entry.has_model(&target.model)
-                && fleet.is_listed(server, now)
-        })
-    };
-    if !has_model {
-        planner::request_model(&job.shared, &job.service, &target.model, software);
-    }
-}
-
-/// Whether a request may run at one software version of several that its service has or had.
-fn is_bound_among_versions(job: &Job) -> bool {
-    let is_bound = job.software != SoftwareBinding::Any;
-    let known = || job.shared.software_history().known(&job.service);
-    is_bound && known() == KnownVersions::Several
-}
-
-/// Whether a server that may run the request is listed as ready, whatever its health, or its
-/// entry may still return.
-///
-/// Servers of a version that has been replaced don't come back, so that waiting is in vain.
-fn is_version_listed(job: &Job) -> bool {
-    if !is_bound_among_versions(job) {
-        return true;
-    }
-    let (fleet, now) = (job.shared.fleet(), job.shared.now());
-    let mut listed = fleet.iter().filter(|(_, server)| {
-        server.entry.service == job.service && fleet.is_listed(server, now)
-    });
-    listed.any(|(_, server)| job.software.permits(server.entry.software.as_ref()))
-        || !fleet.grace_left(now).is_zero()
-}
-
 /// Until when a request waits for a server with its model.
 fn residency_deadline(job: &Job) -> std::time::Instant {
     if job.response_started {
