--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -119,6 +119,14 @@
     hash.digest()
 }
 
+/// The rank of a daemon for a hashed key in rendezvous hashing; the highest rank owns the key.
+pub fn digest_rank(key: Digest, member: MemberId) -> u64 {
+    let mut input = [0; 24];
+    input[..16].copy_from_slice(&key.0.to_le_bytes());
+    input[16..].copy_from_slice(&member.0.to_le_bytes());
+    xxh3_64(&input)
+}
+
 /// The rank of `member` for `key` in weighted rendezvous hashing; the highest wins.
 ///
 /// Each member owns a fraction of the keys in proportion to its weight; a weight of 0
--- a/crates/gate/src/resumption.rs
+++ b/crates/gate/src/resumption.rs
@@ -240,7 +240,7 @@
         .values()
         .map(|(row, _)| row)
         .filter(|row| row.member != shared.peers.me);
-    let members = others.map(|row| (row.member, row.domain.clone()));
+    let members = others.map(|row| (row.member, &row.domain));
     let kept_at = record_keepers(attempt, members, count);
     let addr =
         |member: &MemberId| Some((*member, membership.member_row(*member)?.peer_addr));
--- a/crates/pool/src/origins.rs
+++ b/crates/pool/src/origins.rs
@@ -9,7 +9,7 @@
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-use chestnut_base::id::rendezvous_rank;
+use chestnut_base::id::digest_rank;
 use chestnut_base::{Digest, DomainName, MemberId, ServiceName, SoftwareVersion};
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -118,19 +118,16 @@
 /// `members`; the first of them keep it.
 ///
 /// The first are in different failure domains, as far as there are any.
-pub fn record_keepers(
+pub fn record_keepers<'a>(
     attempt: Digest,
-    members: impl IntoIterator<Item = (MemberId, DomainName)>,
+    members: impl IntoIterator<Item = (MemberId, &'a DomainName)>,
     count: usize,
 ) -> Vec<MemberId> {
-    let key = attempt.to_string();
-    let ranked = |(member, domain): (MemberId, DomainName)| {
-        (rendezvous_rank(&key, &member.to_string()), member, domain)
-    };
+    let ranked = |(member, domain)| (digest_rank(attempt, member), member, domain);
     let mut ranked: Vec<_> = members.into_iter().map(ranked).collect();
-    ranked.sort_by_key(|(rank, member, _)| Reverse((*rank, *member)));
+    ranked.sort_unstable_by_key(|(rank, member, _)| Reverse((*rank, *member)));
     let mut domains = IndexSet::new();
     let (first, rest): (Vec<_>, Vec<_>) =
-        ranked.into_iter().partition(|(_, _, domain)| domains.insert(domain.clone()));
+        ranked.into_iter().partition(|(_, _, domain)| domains.insert(*domain));
     first.into_iter().chain(rest).map(|(_, member, _)| member).take(count).collect()
 }
--- a/crates/pool/tests/resume_model.rs
+++ b/crates/pool/tests/resume_model.rs
@@ -94,6 +94,7 @@
     now: u64,
     rng: SmallRng,
     daemons: Vec<Daemon>,
+    domains: [DomainName; 3],
     next_id: u64,
     servers: Timeline<Vec<Server>>,
     rows: Timeline<Vec<u32>>,
@@ -141,6 +142,8 @@
             now: 0,
             rng: SmallRng::seed_from_u64(seed),
             daemons,
+            domains: ["a", "b", "c"]
+                .map(|name| DomainName::try_from(name).expect("a name")),
             next_id: 100,
             servers: Timeline::from([(0, first)]),
             rows: Timeline::from([(0, Vec::new())]),
@@ -307,11 +310,10 @@
     }
 
     fn keepers(&self, index: usize, attempt: Digest, count: usize) -> Vec<MemberId> {
-        let domain = |index: usize| DomainName::try_from(format!("d{}", index % 3));
         let members =
             self.daemons.iter().enumerate().filter(|(other, _)| *other != index);
-        let members = members
-            .map(|(other, daemon)| (daemon.id, domain(other).expect("a valid name")));
+        let members =
+            members.map(|(other, daemon)| (daemon.id, &self.domains[other % 3]));
         record_keepers(attempt, members, count)
     }
 
--- a/crates/pool/tests/software.rs
+++ b/crates/pool/tests/software.rs
@@ -153,8 +153,8 @@
 /// that don't find them because another one has ended.
 #[test]
 fn keepers_of_records_are_in_different_domains() {
-    let domain =
-        |number: u64| DomainName::try_from(format!("d{}", number % 3)).expect("a name");
+    let domains = ["a", "b", "c"].map(|name| DomainName::try_from(name).expect("a name"));
+    let domain = |number: u64| &domains[number as usize % 3];
     for attempt in 0..200 {
         let attempt = Digest(attempt);
         let members = (0..9).map(|number| (MemberId(number), domain(number)));
