A resume without a named attempt is refused by a daemon that has just started, too

A daemon that had read the registry and not yet the system table knew of no version and sent such a resume to any, also where it listed several. Found by reading; what is listed counts now where it shows several versions. Nothing changes where one version serves.

--- a/crates/gate/src/resumption.rs
+++ b/crates/gate/src/resumption.rs
@@ -191,9 +191,10 @@
     let is_loaded = *shared.system_table_loaded.borrow();
     let current =
         is_loaded && tables.iter().all(|table| table_sync::is_current(shared, table));
-    let versions = match is_loaded {
-        true => shared.software_history().known(service),
-        false => KnownVersions::None,
+    // Without the rows of the system table there may have been others than are listed.
+    let versions = match shared.software_history().known(service) {
+        KnownVersions::One(_) if !is_loaded => KnownVersions::None,
+        versions => versions,
     };
     let origin = attempt.and_then(|it| shared.stream_origins().get(it, now).cloned());
     OriginKnowledge { origin, versions, current }
