--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,8 +9,8 @@
 //!    any, from records of daemons and from [`software_rows`],
 //! 4. [`charge`] charges it to the account's limit, which other daemons' [`account_slices`]
 //!    keep,
-//! 5. [`serve`] has [`pick`] choose one of the [`eligible`] servers, and retries within the operators' bound
-//!    ([`retries`]),
+//! 5. [`serve`] has [`pick`] choose one of the [`eligible`] servers, and retries within the
+//!    operators' bound ([`retries`]),
 //! 6. [`attempt`] sends it to one server and waits for the response head, unless the request
 //!    has crashed servers ([`crashes`], [`blocked_requests`]); it goes directly or, if the
 //!    daemon can't connect to the server ([`mod@paths`]), through another daemon ([`forward`]),
