--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -224,7 +224,7 @@
         self.extra = lambda kind: False
         self.ip = loopback(2, number)
         self.runs, self.state = [], "ready"
-        self.work_s, self.events, self.gap_s = 0.03, 3, 0.03
+        self.work_s, self.events, self.gap_s, self.event_bytes = 0.03, 3, 0.03, 40
 
     async def start(self):
         self.port = free_port(self.ip)
@@ -329,7 +329,7 @@
         head = [*echo, *seal, ("Content-Type", "text/event-stream"), ("X-Weight-Versions", "1"), ("Transfer-Encoding", "chunked")]
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{n}: {v}\r\n" for n, v in head) + "\r\n").encode())
         for number in range(1, self.events + 1):
-            event = f"id: {number}\ndata: {request} {number}\n\n".encode()
+            event = f"id: {number}\ndata: {request} {number}".ljust(self.event_bytes - 2, "x").encode() + b"\n\n"
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
             await asyncio.sleep(self.gap_s)
