--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -11,6 +11,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -81,8 +82,10 @@
         return b"", False
 
 
-def response(status, headers=(), body=b""):
+def response(status, headers=(), body=b"", chunked=False):
     head = f"HTTP/1.1 {status} X\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers)
+    if chunked:
+        return f"{head}Transfer-Encoding: chunked\r\n\r\n{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
     return (head + f"Content-Length: {len(body)}\r\n\r\n").encode() + body
 
 
@@ -222,8 +225,11 @@
         self.seq, self.fence, self.answers, self.extras = 0, 0, 0, 0
         self.adapter_s, self.ready_at = 0.010, {}
         self.extra = lambda kind: False
+        self.cut_from, self.links = set(), set()  # addresses whose connections are reset
         self.ip = loopback(2, number)
         self.runs, self.state = [], "ready"
+        self.events_of = None
+        self.work = []  # request, from, until: when the runner was at work, by the record's clock
         self.work_s, self.events, self.gap_s, self.event_bytes = 0.03, 3, 0.03, 40
 
     async def start(self):
@@ -248,8 +254,21 @@
     def held(self):
         return [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in self.models.items()]
 
+    def cut(self, ip):
+        """Resets the connections from an address, and those that it opens from now on."""
+        self.cut_from.add(ip)
+        for writer in self.links:
+            if writer.get_extra_info("peername")[0] == ip:
+                writer.transport.abort()
+
     async def serve(self, reader, writer):
         late = b""
+        if writer.get_extra_info("peername")[0] in self.cut_from:
+            link = writer.get_extra_info("socket")
+            link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            return
+        self.links.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 method, path, _ = head[0].split(" ", 2)
@@ -268,10 +287,11 @@
                 if answer and self.extra(kind):
                     self.extras += 1
                     late = answer
-                    self.record.write(f"{self.name}: will send its answer to {kind} once more, late")
+                    self.record.write(f"{self.name}: will send its answer to {kind} {head[1].get('x-request-id', '')} once more, late")
         except (ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
+            self.links.discard(writer)
             writer.close()
 
     async def answer(self, method, path, headers, body, writer):
@@ -286,7 +306,8 @@
             return "stray", response(421, [("X-Instance-Id", self.name)])
         if path == "/v1/order":
             return "order", self.order(json.loads(body))
-        return "request", await self.run(method, path, headers, body, writer)
+        answer = await self.run(method, path, headers, body, writer)
+        return "rejection" if answer and answer.startswith(b"HTTP/1.1 421") else "request", answer
 
     def order(self, order):
         if order.get("fence_token", 0) < self.fence:
@@ -319,16 +340,28 @@
             loaded = held is not None and (not adapter or adapter in held and time.monotonic() >= self.ready_at.get(adapter, 0))
             if not loaded:
                 self.record.write(f"{self.name}: {request} not run, {headers.get('x-model')} is not present")
-                return response(421, echo)
+                return response(421, echo + [("Content-Type", "application/json")], b'{"error":"not present"}', chunked=True)
         self.runs.append(request)
         self.record.write(f"{self.name}: runs {request}")
+        at_work = [request, self.record.now(), None]
+        self.work.append(at_work)
+        try:
+            return await self.respond(headers, request, echo, writer)
+        finally:
+            at_work[2] = self.record.now()
+
+    async def respond(self, headers, request, echo, writer):
         await asyncio.sleep(self.work_s)
         seal = [("X-Response-Seal", f"{self.name}.{request}")]
         if not self.models:
             return response(200, echo + seal, b"r" * 800)
         head = [*echo, *seal, ("Content-Type", "text/event-stream"), ("X-Weight-Versions", "1"), ("Transfer-Encoding", "chunked")]
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{n}: {v}\r\n" for n, v in head) + "\r\n").encode())
-        for number in range(1, self.events + 1):
+        first = int(headers.get("last-event-id", "0")) + 1
+        events = self.events_of(request) if self.events_of else self.events
+        for number in range(first, events + 1):
+            if writer.is_closing():
+                raise ConnectionError("the connection was closed")
             event = f"id: {number}\ndata: {request} {number}".ljust(self.event_bytes - 2, "x").encode() + b"\n\n"
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
@@ -394,6 +427,7 @@
     """One process of the system."""
 
     def __init__(self, store, folder, number, bounds=None):
+        self.zone = ZONES[number % 3]
         self.number, self.name, self.folder = number, f"front-{ZONES[number % 3]}-{number // 3 + 1}", folder
         self.ip = loopback(3, number)
         ports = [free_port(self.ip) for _ in range(6)]
@@ -446,6 +480,7 @@
     def __init__(self, request, status=None, headers=None, body=b"", whole=False, why=""):
         self.request, self.status, self.headers = request, status, headers or {}
         self.body, self.whole, self.why = body, whole, why
+        self.sent = self.ended = None
 
     @property
     def sealed(self):
@@ -468,6 +503,7 @@
         try:
             reader, writer = await asyncio.open_connection(gate.ip, gate.front)
             self.record.write(f"client: sends {request} {route_name} {dict(headers).get('X-Model', '')} to {gate.name}")
+            answer.sent = self.record.now()
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
             await writer.drain()
             head = await asyncio.wait_for(read_head(reader), budget_ms / 1000 + 1)
@@ -477,6 +513,7 @@
         except (ConnectionError, OSError, asyncio.TimeoutError) as error:
             answer.why = repr(error)
         finally:
+            answer.ended = self.record.now()
             if writer:
                 writer.close()
         seal = "sealed" if answer.sealed else "no seal"
