--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -1,4 +1,4 @@
-"""Callers that read slowly: each reads nothing for three seconds in the middle of a stream."""
+"""Callers that read slowly and steadily: 6 KB a second, over links with small windows."""
 
 import asyncio
 import os
@@ -11,7 +11,7 @@
 
 START_S = 14.0
 CALLERS = 12
-PAUSE_S = 3.0
+READ_BYTES, READ_GAP_S = 600, 0.1              # the whole answer in 8 of the 20 s that a caller has
 EVENTS, EVENT_BYTES, GAP_S = 150, 300, 0.02   # the largest stream of mbct-runner-grown
 WINDOW = 4096                                 # bytes; links have small windows
 END = b"\r\n0\r\n\r\n"
@@ -31,26 +31,24 @@
         self.link.setblocking(False)
         await asyncio.get_running_loop().sock_connect(self.link, (self.gate.ip, self.gate.front))
 
-    async def ask(self, kind, pause_s):
+    async def ask(self, kind, is_slow):
         """Sends a request; returns whether its answer arrived whole."""
         loop, record = asyncio.get_running_loop(), self.world.record
         request = f"{os.getpid():x}{kind}{self.number:06x}"
         head = ["POST /grade-review/x HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {request}", "X-Model: m0",
                 "X-Token-Count: 400,450", f"X-Prompt-Prefix: bb:380,{kind}{self.number:x}:20", "X-Time-Budget-Ms: 20000", "Content-Length: 2"]
         record.write(f"caller {self.number}: sends {request} to {self.gate.name}")
-        data, why, paused = b"", "", False
+        data, why = b"", ""
         try:
             await loop.sock_sendall(self.link, ("\r\n".join(head) + "\r\n\r\n{}").encode())
             while not data.endswith(END):
-                part = await asyncio.wait_for(loop.sock_recv(self.link, 2048), 20)
+                part = await asyncio.wait_for(loop.sock_recv(self.link, READ_BYTES if is_slow else 2048), 20)
                 if not part:
                     why = "closed"
                     break
                 data += part
-                if pause_s and not paused and len(data) > 4000:
-                    paused = True
-                    record.write(f"caller {self.number}: reads nothing for {pause_s} s")
-                    await asyncio.sleep(pause_s)
+                if is_slow:
+                    await asyncio.sleep(READ_GAP_S)
         except (OSError, asyncio.TimeoutError) as error:
             why = repr(error)
         whole = data.startswith(b"HTTP/1.1 200") and data.endswith(END)
@@ -67,11 +65,10 @@
         runner.events, runner.gap_s, runner.event_bytes = EVENTS, GAP_S, EVENT_BYTES
     callers = [Caller(world, world.gates[number % 3], number) for number in range(CALLERS)]
     await asyncio.gather(*(caller.connect() for caller in callers))
-    first = await asyncio.gather(*(caller.ask(1, 0) for caller in callers))
+    first = await asyncio.gather(*(caller.ask(1, False) for caller in callers))
     if not all(first):
         raise RuntimeError("the first requests were not served")
-    pause_s = PAUSE_S if world.trouble else 0
-    second = await asyncio.gather(*(caller.ask(2, pause_s) for caller in callers))
+    second = await asyncio.gather(*(caller.ask(2, world.trouble) for caller in callers))
     lost = second.count(False)
     run = sum(len(runner.runs) for runner in world.runners)
     world.record.write(f"{run} runs; {lost} of {CALLERS} requests on kept connections got no whole answer")
