Add review case 3: requests that wait at a stopped holder get no answer

A daemon that holds a full runner gets SIGTERM while eight requests of its callers wait for it. It hands the claim over and goes on admitting its own requests under it; 3.5 s later it takes the runner for empty, sends all eight and ends before the runner starts any of them.

--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -1,96 +1,117 @@
-"""A machine is stopped (SIGTERM) while patient streams of its callers have been put aside."""
+"""The holder of a full runner is stopped (SIGTERM) while requests of its callers wait for the runner."""
 
 import asyncio
 import os
 import signal
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
-from standins import configuration, main, route  # noqa: E402
+from standins import Runner, configuration, main, response, route  # noqa: E402
 
-START_S = 20.0       # a gate has its share of the retry budget 15 s after its start
-SLOTS = 12
-PATIENT = 24         # streams that fill both runners
-URGENT_PER_S = 22    # the runners can take 23: 12 slots each, a second a stream
-LOAD_S = 8.8
+START_S = 14.0
+SLOTS, QUEUE = 12, 25             # of a runner of mbct-runner-grown
+EVENTS, GAP_S = 150, 0.07         # the site's largest stream, at one of its slow runners
+WAITING, MEAN_EVENTS = 8, 43      # requests of the stopped machine's callers, streams of the mean size
 GRACE_S = 8.0
 BOUNDS = {"contact_ms": 4000, "ack_ms": 6000, "catch_up_s": 6, "drain_ms": 3000, "config_apply_ms": 3000,
-          "max_skew_ms": 6000, "retry_slack": 160, "recover_s": 15, "pass_ms": 200, "strict_revoke": True,
-          "revoke_ms": 5000, "quota_window_s": 8, "quota_overshoot": 0.1, "quota_slack": 11000}
-KEY = "k-4711"
+          "max_skew_ms": 6000, "retry_slack": 204, "recover_s": 15, "pass_ms": 200}
 
+serve_connection, run_request = Runner.serve, Runner.run
+
+
+async def serve(self, reader, writer):
+    self.__dict__.setdefault("readers", {})[writer] = reader
+    await serve_connection(self, reader, writer)
+
+
+async def run(self, method, path, headers, body, writer):
+    """Runs SLOTS requests at once and queues QUEUE more; drops one whose connection closes."""
+    if not self.models:
+        return await run_request(self, method, path, headers, body, writer)
+    queue = self.__dict__.setdefault("queue", [])
+    running = self.__dict__.setdefault("running", set())
+    request = headers.get("x-request-id", "")
+    if len(running) >= SLOTS and len(queue) >= QUEUE:
+        return response(503, [("X-Request-Id", request), ("X-Not-Executed", "1")])
+    queue.append(request)
+    if len(running) >= SLOTS:
+        self.record.write(f"{self.name}: queues {request}")
+    try:
+        while queue[0] != request or len(running) >= SLOTS:
+            await asyncio.sleep(0.01)
+            if self.readers[writer].at_eof():
+                self.record.write(f"{self.name}: drops {request} from its queue, the connection is closed; it has not run")
+                self.dropped.append(request)
+                raise ConnectionError("the connection was closed")
+        running.add(request)
+    finally:
+        queue.remove(request)
+    try:
+        return await run_request(self, method, path, headers, body, writer)
+    finally:
+        running.discard(request)
 
-def settings():
-    """The streams of cruzadas-plata-grown."""
-    config = configuration()
-    stream = dict(sticky=True, gap_target_ms=250)
-    config["routes"] += [
-        route("pista-rapida", "streaming", "drafting-pool", 15000, 500, 0, 1, resumable=False, **stream),
-        route("borrador-lento", "streaming", "drafting-pool", 15000, 3000, 2, 2, resumable=True, **stream),
-    ]
-    config["routes"] = [r for r in config["routes"] if r["name"] in ("pista-rapida", "borrador-lento", "dispatch-record")]
-    config["services"][0]["engine"]["slots"] = SLOTS
-    config["tenants"] = [{"name": "diario", "api_keys": [KEY], "unit": "tokens", "plain_tokens": 200}]
-    return config
+
+Runner.serve, Runner.run = serve, run
 
 
 async def scenario(world):
-    await world.start(gates=3, drafting=2, ledger=0, config=settings(), bounds=BOUNDS)
-    for runner in world.runners:
-        runner.slots, runner.gap_s = SLOTS, 0.04
-        runner.beat()
+    config = configuration()
+    config["routes"].append(route("grade-review", "streaming", "drafting-pool", 20000, 4000, 1, 1, resumable=False, sticky=True, gap_target_ms=300))
+    config["services"][0]["engine"]["slots"] = SLOTS
+    await world.start(gates=3, drafting=1, ledger=0, config=config, bounds=BOUNDS)
+    runner = world.runners[0]
+    runner.slots, runner.gap_s, runner.dropped = SLOTS, GAP_S, []
+    runner.events_of = lambda request: EVENTS if int(request[-8:], 16) <= SLOTS else MEAN_EVENTS
     await asyncio.sleep(START_S)
-    holders = [world.holder(runner) for runner in world.runners]
-    gate = next(gate for gate in world.gates if gate not in holders)
+    gate = world.holder(runner)
+    if gate is None:
+        raise RuntimeError("the runner has no holder")
     others = [other for other in world.gates if other is not gate]
-    world.record.write(f"runners are held by {[holder.name for holder in holders if holder]}")
-    tasks, patient = [], []
+    world.record.write(f"{gate.name} holds {runner.name}")
 
-    def send(to, name, number, tokens):
-        headers = [("Authorization", f"Bearer {KEY}"), ("X-Model", "m0"), ("X-Token-Count", tokens), ("X-Prompt-Prefix", f"cc:100,{number:x}:20")]
-        return asyncio.create_task(world.client.send(to, name, headers, request=f"{os.getpid():x}{name[0]}{number:05x}"))
+    def send(to, number):
+        headers = [("X-Model", "m0"), ("X-Token-Count", f"400,{600 if number < SLOTS else 172}"), ("X-Prompt-Prefix", f"bb:380,{number:x}:20")]
+        return asyncio.create_task(world.client.send(to, "grade-review", headers, budget_ms=20000))
 
-    for runner in world.runners:
-        runner.events_of = lambda request: 120 if "b" == request[len(f"{os.getpid():x}")] else 25
-    for number in range(PATIENT):
-        patient.append(send(gate, "borrador-lento", number, "120,450"))
+    first = []
+    for number in range(SLOTS):
+        first.append(send(others[number % 2], number))
         await asyncio.sleep(0.02)
     await asyncio.sleep(0.5)
-    began, stopped_at = time.monotonic(), None
-    number = 0
-    while time.monotonic() - began < LOAD_S:
-        number += 1
-        tasks.append(send(others[number % 2], "pista-rapida", number, "120,60"))
-        await asyncio.sleep(1 / URGENT_PER_S)
-        if world.trouble and stopped_at is None and time.monotonic() - began > 1.1:
-            stopped_at = world.record.now()
-            world.record.write(f"SIGTERM for {gate.name}")
-            gate.signal(signal.SIGTERM)
-        if stopped_at and world.record.now() > stopped_at + GRACE_S and gate.process.poll() is None:
-            gate.signal(signal.SIGKILL)
-    answers = await asyncio.gather(*patient)
-    await asyncio.gather(*tasks)
+    waiting = [send(gate, SLOTS + number) for number in range(WAITING)]
+    await asyncio.sleep(0.5)
+    stopped_at = None
+    if world.trouble:
+        stopped_at = world.record.now()
+        world.record.write(f"SIGTERM for {gate.name}")
+        gate.signal(signal.SIGTERM)
+        while gate.process.poll() is None:
+            await asyncio.sleep(0.02)
+            if world.record.now() > stopped_at + GRACE_S:
+                world.record.write(f"SIGKILL for {gate.name}")
+                gate.signal(signal.SIGKILL)
+                break
+        world.record.write(f"{gate.name} has ended, {world.record.now() - stopped_at:.2f} s after SIGTERM")
+    await asyncio.gather(*first)
+    answers = await asyncio.gather(*waiting)
     lost = []
     for answer in answers:
-        whole = answer.whole and answer.status is not None
-        if whole:
-            continue
-        if answer.ended - answer.sent > 14.9:
-            world.record.write(f"cut: {answer.request} at its deadline; not counted")
+        if answer.status is not None and answer.whole:
             continue
         if stopped_at is None:
-            raise RuntimeError("a stream was cut before its deadline without trouble")
-        # Not counted: the runner was still at work in the last sixth of grace_s.
+            raise RuntimeError("a request got no whole answer without trouble")
+        # Not counted: the deadline was reached, or the runner was at work in the last sixth of grace_s.
+        work = [w for w in runner.work if w[0] == answer.request]
+        passed_on = answer.request in runner.dropped or bool(work)
         begun, ended = stopped_at + GRACE_S * 5 / 6, stopped_at + GRACE_S
-        work = [w for r in world.runners for w in r.work if w[0] == answer.request]
         at_work = any(w[1] < ended and (w[2] is None or w[2] > begun) for w in work)
-        spans = ", ".join(f"{w[1]:.2f} to {w[2]:.2f}" for w in work)
-        world.record.write(f"cut: {answer.request}, at work {spans}; {'not counted' if at_work else 'LOST'}")
-        if work and not at_work:
+        counts = passed_on and not at_work and answer.ended - answer.sent < 19.5
+        world.record.write(f"no answer: {answer.request}, after {answer.ended - answer.sent:.2f} s; {'LOST' if counts else 'not counted'}")
+        if counts:
             lost.append(answer.request)
-    world.record.write(f"{len(answers)} patient streams, {len(lost)} lost")
+    world.record.write(f"{len(answers)} requests waited, {len(lost)} lost")
     return bool(lost)
 
 
--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -1,79 +1,97 @@
-"""Callers that read slowly and steadily: 6 KB a second, over links with small windows."""
+"""A machine is stopped (SIGTERM) while patient streams of its callers have been put aside."""
 
 import asyncio
 import os
-import socket
+import signal
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
-from standins import HOST, configuration, main, route  # noqa: E402
+from standins import configuration, main, route  # noqa: E402
 
-START_S = 14.0
-CALLERS = 12
-READ_BYTES, READ_GAP_S = 600, 0.1              # the whole answer in 8 of the 20 s that a caller has
-EVENTS, EVENT_BYTES, GAP_S = 150, 300, 0.02   # the largest stream of mbct-runner-grown
-WINDOW = 4096                                 # bytes; links have small windows
-END = b"\r\n0\r\n\r\n"
+START_S = 20.0       # a gate has its share of the retry budget 15 s after its start
+SLOTS = 12
+PATIENT = 24         # streams that fill both runners
+URGENT_PER_S = 22    # the runners can take 23: 12 slots each, a second a stream
+LOAD_S = 8.8
+GRACE_S = 8.0
 BOUNDS = {"contact_ms": 4000, "ack_ms": 6000, "catch_up_s": 6, "drain_ms": 3000, "config_apply_ms": 3000,
-          "max_skew_ms": 6000, "retry_slack": 204, "recover_s": 15, "pass_ms": 200}
+          "max_skew_ms": 6000, "retry_slack": 160, "recover_s": 15, "pass_ms": 200, "strict_revoke": True,
+          "revoke_ms": 5000, "quota_window_s": 8, "quota_overshoot": 0.1, "quota_slack": 11000}
+KEY = "k-4711"
 
 
-class Caller:
-    """A caller with one kept connection."""
-
-    def __init__(self, world, gate, number):
-        self.world, self.gate, self.number = world, gate, number
-
-    async def connect(self):
-        self.link = socket.socket()
-        self.link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
-        self.link.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(self.link, (self.gate.ip, self.gate.front))
-
-    async def ask(self, kind, is_slow):
-        """Sends a request; returns whether its answer arrived whole."""
-        loop, record = asyncio.get_running_loop(), self.world.record
-        request = f"{os.getpid():x}{kind}{self.number:06x}"
-        head = ["POST /grade-review/x HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {request}", "X-Model: m0",
-                "X-Token-Count: 400,450", f"X-Prompt-Prefix: bb:380,{kind}{self.number:x}:20", "X-Time-Budget-Ms: 20000", "Content-Length: 2"]
-        record.write(f"caller {self.number}: sends {request} to {self.gate.name}")
-        data, why = b"", ""
-        try:
-            await loop.sock_sendall(self.link, ("\r\n".join(head) + "\r\n\r\n{}").encode())
-            while not data.endswith(END):
-                part = await asyncio.wait_for(loop.sock_recv(self.link, READ_BYTES if is_slow else 2048), 20)
-                if not part:
-                    why = "closed"
-                    break
-                data += part
-                if is_slow:
-                    await asyncio.sleep(READ_GAP_S)
-        except (OSError, asyncio.TimeoutError) as error:
-            why = repr(error)
-        whole = data.startswith(b"HTTP/1.1 200") and data.endswith(END)
-        record.write(f"caller {self.number}: {request} got {data[:12]!r}, {data.count(b'id: ')} events, {'whole' if whole else 'no whole answer: ' + why}")
-        return whole
+def settings():
+    """The streams of cruzadas-plata-grown."""
+    config = configuration()
+    stream = dict(sticky=True, gap_target_ms=250)
+    config["routes"] += [
+        route("pista-rapida", "streaming", "drafting-pool", 15000, 500, 0, 1, resumable=False, **stream),
+        route("borrador-lento", "streaming", "drafting-pool", 15000, 3000, 2, 2, resumable=True, **stream),
+    ]
+    config["routes"] = [r for r in config["routes"] if r["name"] in ("pista-rapida", "borrador-lento", "dispatch-record")]
+    config["services"][0]["engine"]["slots"] = SLOTS
+    config["tenants"] = [{"name": "diario", "api_keys": [KEY], "unit": "tokens", "plain_tokens": 200}]
+    return config
 
 
 async def scenario(world):
-    config = configuration()
-    config["routes"].append(route("grade-review", "streaming", "drafting-pool", 20000, 4000, 1, 1, resumable=False, sticky=True, gap_target_ms=300))
-    await world.start(gates=3, drafting=3, ledger=0, config=config, bounds=BOUNDS)
+    await world.start(gates=3, drafting=2, ledger=0, config=settings(), bounds=BOUNDS)
+    for runner in world.runners:
+        runner.slots, runner.gap_s = SLOTS, 0.04
+        runner.beat()
     await asyncio.sleep(START_S)
+    holders = [world.holder(runner) for runner in world.runners]
+    gate = next(gate for gate in world.gates if gate not in holders)
+    others = [other for other in world.gates if other is not gate]
+    world.record.write(f"runners are held by {[holder.name for holder in holders if holder]}")
+    tasks, patient = [], []
+
+    def send(to, name, number, tokens):
+        headers = [("Authorization", f"Bearer {KEY}"), ("X-Model", "m0"), ("X-Token-Count", tokens), ("X-Prompt-Prefix", f"cc:100,{number:x}:20")]
+        return asyncio.create_task(world.client.send(to, name, headers, request=f"{os.getpid():x}{name[0]}{number:05x}"))
+
     for runner in world.runners:
-        runner.events, runner.gap_s, runner.event_bytes = EVENTS, GAP_S, EVENT_BYTES
-    callers = [Caller(world, world.gates[number % 3], number) for number in range(CALLERS)]
-    await asyncio.gather(*(caller.connect() for caller in callers))
-    first = await asyncio.gather(*(caller.ask(1, False) for caller in callers))
-    if not all(first):
-        raise RuntimeError("the first requests were not served")
-    second = await asyncio.gather(*(caller.ask(2, world.trouble) for caller in callers))
-    lost = second.count(False)
-    run = sum(len(runner.runs) for runner in world.runners)
-    world.record.write(f"{run} runs; {lost} of {CALLERS} requests on kept connections got no whole answer")
-    # LOST: more than three times.
-    return lost > 3
+        runner.events_of = lambda request: 120 if "b" == request[len(f"{os.getpid():x}")] else 25
+    for number in range(PATIENT):
+        patient.append(send(gate, "borrador-lento", number, "120,450"))
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.5)
+    began, stopped_at = time.monotonic(), None
+    number = 0
+    while time.monotonic() - began < LOAD_S:
+        number += 1
+        tasks.append(send(others[number % 2], "pista-rapida", number, "120,60"))
+        await asyncio.sleep(1 / URGENT_PER_S)
+        if world.trouble and stopped_at is None and time.monotonic() - began > 1.1:
+            stopped_at = world.record.now()
+            world.record.write(f"SIGTERM for {gate.name}")
+            gate.signal(signal.SIGTERM)
+        if stopped_at and world.record.now() > stopped_at + GRACE_S and gate.process.poll() is None:
+            gate.signal(signal.SIGKILL)
+    answers = await asyncio.gather(*patient)
+    await asyncio.gather(*tasks)
+    lost = []
+    for answer in answers:
+        whole = answer.whole and answer.status is not None
+        if whole:
+            continue
+        if answer.ended - answer.sent > 14.9:
+            world.record.write(f"cut: {answer.request} at its deadline; not counted")
+            continue
+        if stopped_at is None:
+            raise RuntimeError("a stream was cut before its deadline without trouble")
+        # Not counted: the runner was still at work in the last sixth of grace_s.
+        begun, ended = stopped_at + GRACE_S * 5 / 6, stopped_at + GRACE_S
+        work = [w for r in world.runners for w in r.work if w[0] == answer.request]
+        at_work = any(w[1] < ended and (w[2] is None or w[2] > begun) for w in work)
+        spans = ", ".join(f"{w[1]:.2f} to {w[2]:.2f}" for w in work)
+        world.record.write(f"cut: {answer.request}, at work {spans}; {'not counted' if at_work else 'LOST'}")
+        if work and not at_work:
+            lost.append(answer.request)
+    world.record.write(f"{len(answers)} patient streams, {len(lost)} lost")
+    return bool(lost)
 
 
 main(FOLDER, scenario)
