--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -29,8 +29,7 @@
     """Runs SLOTS requests at once and queues QUEUE more; drops one whose connection closes."""
     if not self.models:
         return await run_request(self, method, path, headers, body, writer)
-    queue = self.__dict__.setdefault("queue", [])
-    running = self.__dict__.setdefault("running", set())
+    queue, running = self.queue, self.running
     request = headers.get("x-request-id", "")
     if len(running) >= SLOTS and len(queue) >= QUEUE:
         return response(503, [("X-Request-Id", request), ("X-Not-Executed", "1")])
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -231,6 +231,7 @@
         self.events_of = None
         self.work = []  # request, from, until: when the runner was at work, by the record's clock
         self.work_s, self.events, self.gap_s, self.event_bytes = 0.03, 3, 0.03, 40
+        self.queue, self.running = [], set()  # requests, where a script bounds them
 
     async def start(self):
         self.port = free_port(self.ip)
@@ -299,7 +300,7 @@
             return "health", response(200, [("X-Instance-Id", self.name)])
         if path == "/v1/report":
             report = {"stage": "colocated", "models": self.held(), "busy": False, "seq": self.seq,
-                      "queued": 0, "active": 0, "kv_used": 0, "kv_total": 156454, "handles": 0}
+                      "queued": len(self.queue), "active": len(self.running), "kv_used": 0, "kv_total": 156454, "handles": 0}
             return "report", json_response(200, report)
         named = headers.get("x-target-instance")
         if named is not None and named != self.name:
