Log responses that are not certainly the ones to their requests

Cause: nothing in the logs told a late response to an order from one to another request, or from a copy on the same connection. Change: each response is attributed by the id that it echoes and by the requests that its connection has carried; counted, and logged unless it is its own. What is passed on is unchanged.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -158,11 +158,23 @@
     pub resume_after: Option<u64>,
 }
 
+/// The id of a request as a backend server's response echoes it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum EchoedId {
+    /// The response names no request.
+    #[default]
+    Missing,
+    /// The response names one request.
+    One(String),
+    /// The response has several ids, or one that is no text.
+    Ambiguous,
+}
+
 /// What the daemon reads from the head of a backend server's response.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHead {
     /// The id of the attempt, as echoed by the server.
-    pub id: Option<String>,
+    pub id: EchoedId,
     /// Whether the server guarantees that it has not run the request and never will.
     pub not_run: bool,
     /// Whether the address now belongs to another server.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod store;
 
 pub use call::{
-    Attempt, Call, CallError, Caller, Credential, GenerationSize, InvalidRate,
+    Attempt, Call, CallError, Caller, Credential, EchoedId, GenerationSize, InvalidRate,
     PromptPart, RequestRate, ResponseHead, TargetModel,
 };
 pub use declared::{
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -9,13 +9,13 @@
 use chestnut_base::{
     Incarnation, MemberId, ModelName, ServerName, ServiceName, SoftwareVersion,
 };
-use chestnut_edge::{Attempt, ResponseHead, RouteKind};
+use chestnut_edge::{Attempt, EchoedId, ResponseHead, RouteKind};
 use chestnut_pool::{
     AttemptOutcome, DemandCounts, InFlightRequest, Path, PermitOutcome, ServerKey,
 };
 use http::{Request, response};
 use hyper::body::Incoming;
-use slog::info;
+use slog::{info, warn};
 use tokio::time::{timeout, timeout_at};
 
 use crate::client::{Connection, ResponseAndConnection, SendError};
@@ -391,13 +391,22 @@
         return Err(AttemptError::Resting);
     }
     let request = build_request(job, target, path, resume_after);
-    let (response, connection) = send(job, connection, request).await?;
+    let (response, mut connection) = send(job, connection, request).await?;
     let (mut head, body) = response.into_parts();
     if let Path::Forwarded(member) = path {
         check_forwarded(shared, target, member, &mut head)?;
     }
     let metadata = shared.dialect.read_response_head(&head);
-    if metadata.id.is_some() && metadata.id != job.call.id {
+    let attribution = connection.attribute(job.call.id.as_deref(), &metadata.id);
+    shared.metrics.count(Step::Response, attribution.label());
+    if !attribution.is_own() || (head.status.is_success() && !metadata.signed) {
+        warn!(shared.log, "dubious response"; "id" => job.id(),
+            "server" => target.name.as_str(), "path" => format!("{path:?}"),
+            "status" => head.status.as_u16(), "echoed" => format!("{:?}", metadata.id),
+            "attribution" => attribution.label(), "signed" => metadata.signed,
+            "requests_on_connection" => connection.request_count());
+    }
+    if matches!(&metadata.id, EchoedId::One(id) if Some(id) != job.call.id.as_ref()) {
         // This is the response to an earlier request on the connection. Whether the current
         // request runs is unknown.
         return Err(AttemptError::Lost("the response is for another request".into()));
@@ -431,7 +440,8 @@
     request: Request<Bytes>,
 ) -> Result<ResponseAndConnection, AttemptError> {
     let deadline = tokio::time::Instant::from_std(job.deadline);
-    let mut sending = pin!(connection.send(request));
+    let id = job.call.id.clone();
+    let mut sending = pin!(connection.send(request, id.as_deref()));
     let mut early_result = None;
     if let Some(abandon_after) = abandon_timeout(job) {
         early_result = timeout(abandon_after, &mut sending).await.ok();
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -12,7 +12,8 @@
 
 use bytes::Bytes;
 use chestnut_base::Clock;
-use chestnut_pool::Reachability;
+use chestnut_edge::EchoedId;
+use chestnut_pool::{Attribution, Exchanges, Reachability};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -74,6 +75,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    exchanges: Exchanges,
 }
 
 impl Drop for Connection {
@@ -213,7 +215,7 @@
         request: Request<Bytes>,
     ) -> Result<ResponseAndConnection, SendError> {
         let connection = self.connect(addr).await?;
-        connection.send(with_host(request, addr)).await
+        connection.send(with_host(request, addr), None).await
     }
 
     /// Takes the newest connection to an address from the pool.
@@ -228,11 +230,23 @@
 }
 
 impl Connection {
-    /// Sends a request and waits for the response head.
+    /// The number of requests that were sent.
+    pub fn request_count(&self) -> usize {
+        self.exchanges.count()
+    }
+
+    /// Tells whether a response is the one to the last request, whose id is `id`.
+    pub fn attribute(&mut self, id: Option<&str>, echoed: &EchoedId) -> Attribution {
+        self.exchanges.attribute(id, echoed)
+    }
+
+    /// Sends a request with this id and waits for the response head.
     pub async fn send(
         mut self,
         request: Request<Bytes>,
+        id: Option<&str>,
     ) -> Result<ResponseAndConnection, SendError> {
+        self.exchanges.begin(id);
         let request = request.map(Full::new);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok((response, self)),
@@ -263,7 +277,7 @@
     let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
     // The driver ends with its connection. Errors reach the user of the sender.
     let task = tokio::spawn(async move { drop(driver.await) }).abort_handle();
-    Ok(Connection { sender, task })
+    Ok(Connection { sender, task, exchanges: Exchanges::default() })
 }
 
 /// Connects to an address from one of this VM's own.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -13,12 +13,13 @@
 
 use bytes::Bytes;
 use chestnut_base::{Incarnation, ServerName};
+use chestnut_edge::EchoedId;
 use futures::stream::unfold;
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
-use slog::info;
+use slog::{info, warn};
 use tokio::time::timeout;
 
 use crate::client::{Connection, SendError};
@@ -208,14 +209,23 @@
     if !shared.fleet().rest_left(&to.server, now).is_zero() {
         return Err(Failure::refused("the server has asked for rest"));
     }
-    let sent = connection.send(Request::from_parts(head, body)).await;
-    let (response, connection) = sent.map_err(|error| match error {
+    let sent = connection.send(Request::from_parts(head, body), id).await;
+    let (response, mut connection) = sent.map_err(|error| match error {
         SendError::NotSent(why) => Failure::unreachable(why),
         SendError::Lost(why) => Failure::lost(why),
     })?;
     let (head, body) = response.into_parts();
     let metadata = shared.dialect.read_response_head(&head);
-    if metadata.id.is_some() && metadata.id.as_deref() != id {
+    let attribution = connection.attribute(id, &metadata.id);
+    shared.metrics.count(Step::Response, attribution.label());
+    if !attribution.is_own() {
+        warn!(shared.log, "dubious response"; "id" => id.unwrap_or("-"),
+            "server" => to.server.server.as_str(), "from" => from.to_string(),
+            "status" => head.status.as_u16(), "echoed" => format!("{:?}", metadata.id),
+            "attribution" => attribution.label(), "signed" => metadata.signed,
+            "requests_on_connection" => connection.request_count());
+    }
+    if matches!(&metadata.id, EchoedId::One(echoed) if Some(echoed.as_str()) != id) {
         return Err(Failure::lost("the response is for another request"));
     }
     if let Some(rest) = metadata.rest {
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -76,6 +76,8 @@
     Rest,
     /// A stream that a caller resumes, by how it was found out where it began.
     Resume,
+    /// A backend server's response, by how it was attributed to its request.
+    Response,
 }
 
 /// A duration with a histogram; the variant is the metric label.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -17,14 +17,15 @@
 //! 9. [`budget`] bounds how often requests are retried,
 //! 10. [`paths`] decides whether the request goes to its server directly or through another
 //!     daemon,
-//! 11. [`server_limits`] tracks how many requests servers say that they take, and the
+//! 11. [`exchanges`] tells whether a response is the one to the request,
+//! 12. [`server_limits`] tracks how many requests servers say that they take, and the
 //!     [`request_pacer`] spaces those that are sent to them.
 //!
-//! 12. [`profile`] tells whether the declared routes of a service call for the decisions of
+//! 13. [`profile`] tells whether the declared routes of a service call for the decisions of
 //!     the modules that follow, and [`class`] what they need to know of a request,
-//! 13. [`speed`] learns how fast one runner is, [`speed_reports`] compares runners, [`pace`]
+//! 14. [`speed`] learns how fast one runner is, [`speed_reports`] compares runners, [`pace`]
 //!     bounds what a fresh one gets, and [`sharing`] divides it between accounts,
-//! 14. [`late_binding`] decides in which runners' queues a request waits, and [`forecast`]
+//! 15. [`late_binding`] decides in which runners' queues a request waits, and [`forecast`]
 //!     estimates when queued prompts start, so that those without a prospect are refused
 //!     early.
 //!
@@ -37,6 +38,7 @@
 pub mod choose;
 pub mod class;
 pub mod demand;
+pub mod exchanges;
 pub mod fleet;
 pub mod forecast;
 pub mod health;
@@ -70,6 +72,7 @@
 };
 pub use class::RequestClass;
 pub use demand::DemandCounts;
+pub use exchanges::{Attribution, Exchanges};
 pub use fleet::{Fleet, Server, ServerKey};
 pub use forecast::RunnerLoad;
 pub use health::Health;
