Number requests to other daemons from a random start

Cause: each process numbered its requests from 1, and responses are matched by number alone. A late response to a killed daemon, such as a permit or a charge, could be taken for one to the same number of its successor at that address. Found while looking for the cause of the late second responses elsewhere; no caller is known to have seen it. Change: numbers start anywhere in 28 bits, four bytes of a datagram.

--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -73,12 +73,20 @@
 }
 
 /// Requests to other daemons that wait for responses, by number.
-#[derive(Default)]
 struct PendingRequests {
     last_number: u64,
     senders: IndexMap<u64, mpsc::UnboundedSender<Message>>,
 }
 
+impl PendingRequests {
+    /// Numbers start anywhere, so that a response to an earlier process at this address has
+    /// the number of no request; 28 bits take four bytes of a datagram.
+    fn new() -> Self {
+        let last_number = u64::from(rand::random::<u32>() >> 4);
+        Self { last_number, senders: IndexMap::new() }
+    }
+}
+
 impl Peers {
     /// Binds the datagram socket.
     pub async fn bind(
@@ -88,8 +96,8 @@
         log: Logger,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(addr).await?;
-        let (states, pending, sent) =
-            (Mutex::default(), Mutex::default(), Mutex::default());
+        let (states, sent) = (Mutex::default(), Mutex::default());
+        let pending = Mutex::new(PendingRequests::new());
         Ok(Self { me, socket, clock, log, states, pending, sent })
     }
 
