Match each response to its request before it counts

Cause: HTTP/1.1 matches responses by their order. A server that responds twice shifts them, and the id that servers echo was only compared where it was there. Orders carried none, shared connections with requests, and took any response for their own. An id was sent on one connection twice, so that a copy of a rejection counted for the next attempt. Class: a message is attributed by its position, and identity is checked only where it happens to be stated. Change: Exchanges (crates/pool) knows what a connection has carried. A response is the request's if it echoes its id, which the connection carries once, or if the connection has carried nothing else. Others count as lost: the request may have run. Orders and report requests have ids and connections of their own; an engine that echoes none gets a new connection for each. Forwarding daemons check the same.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -9,7 +9,7 @@
 use chestnut_base::{
     Incarnation, MemberId, ModelName, ServerName, ServiceName, SoftwareVersion,
 };
-use chestnut_edge::{Attempt, EchoedId, ResponseHead, RouteKind};
+use chestnut_edge::{Attempt, ResponseHead, RouteKind};
 use chestnut_pool::{
     AttemptOutcome, DemandCounts, InFlightRequest, Path, PermitOutcome, ServerKey,
 };
@@ -373,7 +373,8 @@
 ) -> Result<Exchange, AttemptError> {
     let shared = &job.shared.clone();
     let deadline = tokio::time::Instant::from_std(job.deadline);
-    let connecting = paths::connect_along(shared, target, path);
+    let id = job.call.id.clone();
+    let connecting = paths::connect_along(shared, target, path, id.as_deref());
     let connected = timeout_at(deadline, connecting).await.map_err(|_| {
         AttemptError::Unreachable("the deadline passed while connecting".into())
     })?;
@@ -397,7 +398,7 @@
         check_forwarded(shared, target, member, &mut head)?;
     }
     let metadata = shared.dialect.read_response_head(&head);
-    let attribution = connection.attribute(job.call.id.as_deref(), &metadata.id);
+    let attribution = connection.attribute(id.as_deref(), &metadata.id);
     shared.metrics.count(Step::Response, attribution.label());
     if !attribution.is_own() || (head.status.is_success() && !metadata.signed) {
         warn!(shared.log, "dubious response"; "id" => job.id(),
@@ -406,10 +407,11 @@
             "attribution" => attribution.label(), "signed" => metadata.signed,
             "requests_on_connection" => connection.request_count());
     }
-    if matches!(&metadata.id, EchoedId::One(id) if Some(id) != job.call.id.as_ref()) {
-        // This is the response to an earlier request on the connection. Whether the current
-        // request runs is unknown.
-        return Err(AttemptError::Lost("the response is for another request".into()));
+    if !attribution.is_own() {
+        // Whether the request runs is unknown: its own response has not been read.
+        let why =
+            format!("the response may be for another request ({})", attribution.label());
+        return Err(AttemptError::Lost(why));
     }
     if !metadata.misdirected {
         server_limits::observe(job, target, &metadata, sent_at);
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -2,11 +2,15 @@
 //!
 //! The users of this module decide whether to retry a request. For that, errors distinguish
 //! whether any byte of the request was handed to a connection.
+//!
+//! Servers may respond twice, the second time late. A connection is therefore used again only
+//! while the id that its peer echoes tells the next response from late ones.
 
 use std::collections::VecDeque;
 use std::fmt::{self, Display, Formatter};
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,7 +18,7 @@
 use chestnut_base::Clock;
 use chestnut_edge::EchoedId;
 use chestnut_pool::{Attribution, Exchanges, Reachability};
-use http::{Request, Response};
+use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -71,6 +75,24 @@
 
 impl std::error::Error for SendError {}
 
+/// How the responses of a client's peers are matched to requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Matching {
+    /// By the ids that they echo.
+    ByEcho,
+    /// By their order; the peer responds to each request once.
+    InOrder,
+}
+
+/// Limits of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallLimits {
+    /// The size of the largest body that is read, in bytes.
+    pub max_bytes: usize,
+    /// The time to the response head; the body has its own time limit.
+    pub head_timeout: Duration,
+}
+
 /// An open connection; dropping it closes it.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -95,6 +117,9 @@
     clock: Arc<dyn Clock>,
     /// The address that connections come from, by which other daemons recognize this one.
     source: IpAddr,
+    matching: Matching,
+    /// The number of ids that were given to calls.
+    call_count: AtomicU64,
     idle: Mutex<IndexMap<SocketAddr, VecDeque<IdleConnection>>>,
 }
 
@@ -103,13 +128,18 @@
 
 impl Client {
     /// Creates a client with an empty pool, which connects from `source`.
-    pub fn new(clock: Arc<dyn Clock>, source: IpAddr) -> Self {
-        Self { clock, source, idle: Mutex::default() }
+    pub fn new(clock: Arc<dyn Clock>, source: IpAddr, matching: Matching) -> Self {
+        let (call_count, idle) = (AtomicU64::new(0), Mutex::default());
+        Self { clock, source, matching, call_count, idle }
     }
 
-    /// Takes a connection from the pool, or opens one.
-    pub async fn connect(&self, addr: SocketAddr) -> Result<Connection, SendError> {
-        match self.take_idle(addr) {
+    /// Takes a connection for a request with this id from the pool, or opens one.
+    async fn connect(
+        &self,
+        addr: SocketAddr,
+        id: Option<&str>,
+    ) -> Result<Connection, SendError> {
+        match self.take_idle(addr, id) {
             Some(connection) => Ok(connection),
             None => self.open(addr, CONNECT_TIMEOUT).await,
         }
@@ -150,16 +180,22 @@
         Reachability::Connected
     }
 
-    /// Returns a connection to the pool after its last response was read to the end.
+    /// Returns a connection to the pool after its last response was read to the end, or
+    /// closes it if the next response could be mistaken.
     ///
     /// The pool hands out the newest connections first, so that unused ones expire.
     /// `keep_alive` is the idle timeout that the server announced.
     pub fn release(
         &self,
         addr: SocketAddr,
-        connection: Connection,
+        mut connection: Connection,
         keep_alive: Option<Duration>,
     ) {
+        match self.matching {
+            Matching::ByEcho if !connection.exchanges.is_reusable() => return,
+            Matching::ByEcho => {}
+            Matching::InOrder => connection.exchanges = Exchanges::default(),
+        }
         // The margin avoids sending a request while the peer closes the connection.
         let keep_alive =
             keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |keep_alive| keep_alive.mul_f64(0.7));
@@ -185,23 +221,65 @@
     }
 
     /// Sends a request and reads the complete response.
-    ///
-    /// `head_timeout` limits the time to the response head; the body has its own time limit.
-    /// `max_bytes` is the size of the largest body that is read.
     pub async fn call(
         &self,
         addr: SocketAddr,
         request: Request<Bytes>,
-        max_bytes: usize,
-        head_timeout: Duration,
+        limits: CallLimits,
+    ) -> Result<Response<Bytes>, SendError> {
+        self.call_and_check(addr, request, None, limits, |_, _| Ok(())).await
+    }
+
+    /// An id for [`Self::call_by_id`] that no other call of this client has.
+    pub fn next_call_id(&self) -> String {
+        format!("call-{}", self.call_count.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Sends a request with this id and reads the complete response; `read_id` reads the id
+    /// that a response echoes.
+    ///
+    /// A response that may be one to an earlier request is an error.
+    pub async fn call_by_id(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        id: &str,
+        limits: CallLimits,
+        read_id: impl Fn(&response::Parts) -> EchoedId,
+    ) -> Result<Response<Bytes>, SendError> {
+        let check = |connection: &mut Connection, head: &response::Parts| {
+            let attribution = connection.attribute(Some(id), &read_id(head));
+            match attribution.is_own() {
+                true => Ok(()),
+                false => Err(SendError::Lost(format!(
+                    "the response may be one to another request ({})",
+                    attribution.label()
+                ))),
+            }
+        };
+        self.call_and_check(addr, request, Some(id), limits, check).await
+    }
+
+    async fn call_and_check(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        id: Option<&str>,
+        CallLimits { max_bytes, head_timeout }: CallLimits,
+        check: impl FnOnce(&mut Connection, &response::Parts) -> Result<(), SendError>,
     ) -> Result<Response<Bytes>, SendError> {
         let timed_out = |missing, limit: Duration| {
             SendError::Lost(format!("no {missing} within {} ms", limit.as_millis()))
         };
-        let head = timeout(head_timeout, self.send_on_connection(addr, request)).await;
-        let (response, connection) =
+        let sending = async {
+            let connection = self.connect(addr, id).await?;
+            connection.send(with_host(request, addr), id).await
+        };
+        let head = timeout(head_timeout, sending).await;
+        let (response, mut connection) =
             head.unwrap_or_else(|_| Err(timed_out("response", head_timeout)))?;
         let (head, body) = response.into_parts();
+        check(&mut connection, &head)?;
         let body = timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await;
         let body = body.map_err(|_| timed_out("end of the response", BODY_TIMEOUT))?;
         let body = body.map_err(|error| SendError::Lost(error.to_string()))?;
@@ -209,22 +287,16 @@
         Ok(Response::from_parts(head, body.to_bytes()))
     }
 
-    async fn send_on_connection(
-        &self,
-        addr: SocketAddr,
-        request: Request<Bytes>,
-    ) -> Result<ResponseAndConnection, SendError> {
-        let connection = self.connect(addr).await?;
-        connection.send(with_host(request, addr), None).await
-    }
-
-    /// Takes the newest connection to an address from the pool.
-    pub fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
+    /// Takes the newest connection to an address that can carry a request with this id from
+    /// the pool.
+    pub fn take_idle(&self, addr: SocketAddr, id: Option<&str>) -> Option<Connection> {
         let now = self.clock.now();
         let mut pools = self.idle.lock().expect("no holder of the lock panics");
         let pool = pools.get_mut(&addr)?;
         pool.retain(|idle| now < idle.expires_at && !idle.connection.sender.is_closed());
-        let index = pool.iter().rposition(|idle| idle.connection.sender.is_ready())?;
+        let index = pool.iter().rposition(|IdleConnection { connection, .. }| {
+            connection.sender.is_ready() && connection.exchanges.may_carry(id)
+        })?;
         pool.remove(index).map(|idle| idle.connection)
     }
 }
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use chestnut_base::ModelName;
 use chestnut_edge::{
     Engine, Order, OrderAction, OrderResponse, ServerEntry, TargetModel,
@@ -16,9 +17,11 @@
 use chestnut_member::suspension;
 use chestnut_pool::AdapterNeed;
 use chestnut_pool::moves::Move;
+use http::{Request, Response, response};
 use slog::{info, warn};
 use tokio::time::sleep;
 
+use crate::client::{CallLimits, SendError};
 use crate::holder::HeldRunner;
 use crate::metrics::Step;
 use crate::shared::Shared;
@@ -30,8 +33,9 @@
 /// effect later.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The largest report that is read, in bytes.
-const MAX_REPORT_BYTES: usize = 1 << 20;
+/// Limits of an order or a report request.
+const CALL_LIMITS: CallLimits =
+    CallLimits { max_bytes: 1 << 20, head_timeout: RESPONSE_TIMEOUT };
 
 /// How far an engine's report may lag behind its state.
 ///
@@ -200,10 +204,9 @@
             return None;
         }
         let addr = self.addr()?;
-        let request = self.shared.dialect.write_report_request();
-        let client = &self.shared.client;
-        let response =
-            client.call(addr, request, MAX_REPORT_BYTES, RESPONSE_TIMEOUT).await;
+        let id = self.shared.engine_client.next_call_id();
+        let request = self.shared.dialect.write_report_request(&id);
+        let response = self.call(addr, request, &id).await;
         let report = match response {
             Ok(response) => self.shared.dialect.read_report(response.body()),
             Err(error) => {
@@ -262,10 +265,9 @@
         let holder = self.shared.settings.vm.clone();
         let order =
             Order { server: server.clone(), action, expected_orders, holder, fence };
-        let request = self.shared.dialect.write_order(&order);
-        let client = &self.shared.client;
-        let response =
-            client.call(addr, request, MAX_REPORT_BYTES, RESPONSE_TIMEOUT).await;
+        let id = self.shared.engine_client.next_call_id();
+        let request = self.shared.dialect.write_order(&order, &id);
+        let response = self.call(addr, request, &id).await;
         let response = match response {
             Ok(response) => self
                 .shared
@@ -286,6 +288,19 @@
         Some(response)
     }
 
+    /// Sends the runner a call with this id.
+    async fn call(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        id: &str,
+    ) -> Result<Response<Bytes>, SendError> {
+        let read_id =
+            |head: &response::Parts| self.shared.dialect.read_response_head(head).id;
+        let client = &self.shared.engine_client;
+        client.call_by_id(addr, request, id, CALL_LIMITS, read_id).await
+    }
+
     /// Checks whether the runner accepts connections, after a call got no response.
     async fn check_path(&self) {
         if let Some(entry) = self.entry() {
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -13,7 +13,6 @@
 
 use bytes::Bytes;
 use chestnut_base::{Incarnation, ServerName};
-use chestnut_edge::EchoedId;
 use futures::stream::unfold;
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, response};
@@ -199,7 +198,7 @@
     let addr = server_addr(shared, &to.server)?;
     let (head, body) = request.into_parts();
     let body = read_body(shared, body).await?;
-    let connection = paths::connect(shared, &to.server, addr).await;
+    let connection = paths::connect(shared, &to.server, addr, id).await;
     let connection =
         connection.map_err(|error| Failure::unreachable(error.to_string()))?;
     let now = shared.now();
@@ -225,8 +224,8 @@
             "attribution" => attribution.label(), "signed" => metadata.signed,
             "requests_on_connection" => connection.request_count());
     }
-    if matches!(&metadata.id, EchoedId::One(echoed) if Some(echoed.as_str()) != id) {
-        return Err(Failure::lost("the response is for another request"));
+    if !attribution.is_own() {
+        return Err(Failure::lost("the response may be for another request"));
     }
     if let Some(rest) = metadata.rest {
         shared.fleet().record_rest(&to.server, rest, shared.now());
--- a/crates/gate/src/paths.rs
+++ b/crates/gate/src/paths.rs
@@ -243,23 +243,25 @@
     usable.map(forwarder).collect()
 }
 
-/// Opens or reuses the connection that leads to a server on a path; returns it with the address
-/// that it leads to.
+/// Opens or reuses a connection for a request with this id that leads to a server on a path;
+/// returns it with the address that it leads to.
 pub async fn connect_along(
     shared: &Shared,
     target: &Target,
     path: Path,
+    id: Option<&str>,
 ) -> Result<(Connection, SocketAddr), SendError> {
     match path {
         Path::Direct => {
-            let connection = connect(shared, &target.incarnation(), target.addr).await?;
+            let server = target.incarnation();
+            let connection = connect(shared, &server, target.addr, id).await?;
             Ok((connection, target.addr))
         }
         Path::Forwarded(member) => {
             let addr = shared.membership().member_row(member).map(|row| row.peer_addr);
             let addr =
                 addr.ok_or_else(|| SendError::NotSent("the daemon has left".into()))?;
-            let connection = match shared.client.take_idle(addr) {
+            let connection = match shared.client.take_idle(addr, id) {
                 Some(connection) => Ok(connection),
                 None => shared.client.open(addr, FORWARDER_TIMEOUT).await,
             };
@@ -279,7 +281,7 @@
     }
 }
 
-/// Connects to a server directly.
+/// Connects to a server directly, for a request with this id.
 ///
 /// Where other daemons could forward the request, a connection that is not accepted soon is
 /// given up early.
@@ -287,8 +289,9 @@
     shared: &Shared,
     server: &Incarnation,
     addr: SocketAddr,
+    id: Option<&str>,
 ) -> Result<Connection, SendError> {
-    if let Some(connection) = shared.client.take_idle(addr) {
+    if let Some(connection) = shared.client.take_idle(addr, id) {
         return Ok(connection);
     }
     let limit = match members::daemon_count(shared) {
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -215,7 +215,9 @@
 async fn prune(shared: Arc<Shared>) {
     loop {
         sleep(PRUNE_PERIOD).await;
-        shared.client.close_expired();
+        for client in [&shared.client, &shared.engine_client, &shared.store_client] {
+            client.close_expired();
+        }
         let listed: Vec<Incarnation> = {
             let mut fleet = shared.fleet();
             fleet.remove_missing(shared.now());
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -21,7 +21,7 @@
 
 use crate::account_slices::AccountSlices;
 use crate::accounts;
-use crate::client::Client;
+use crate::client::{Client, Matching};
 use crate::crashes::Crashes;
 use crate::holder::HeldRunner;
 use crate::metrics::Metrics;
@@ -76,8 +76,14 @@
     pub log: Logger,
     /// Counters and histograms.
     pub metrics: Metrics,
-    /// Connections to backend servers, the store and other daemons.
+    /// Connections for requests, to backend servers and to daemons that forward them.
     pub client: Client,
+    /// Connections for orders and report requests.
+    ///
+    /// Engines may echo no id in response to these, so that each takes a connection of its own.
+    pub engine_client: Client,
+    /// Connections to the store, and to other daemons for their replicas.
+    pub store_client: Client,
     /// Datagrams to and from other daemons.
     pub peers: Peers,
     /// When the daemon started.
@@ -152,6 +158,7 @@
             system: table(SYSTEM_TABLE),
         };
         let source = settings.ip;
+        let client = |matching| Client::new(clock.clone(), source, matching);
         Self {
             started_at: clock.now(),
             bounds: watch::Sender::new(settings.bounds.clone()),
@@ -161,7 +168,9 @@
             peers,
             settings,
             dialect,
-            client: Client::new(clock.clone(), source),
+            client: client(Matching::ByEcho),
+            engine_client: client(Matching::ByEcho),
+            store_client: client(Matching::InOrder),
             clock,
             log,
             metrics: Metrics::new(),
--- a/crates/gate/src/store.rs
+++ b/crates/gate/src/store.rs
@@ -8,6 +8,7 @@
 use chestnut_edge::{Change, Page, Transaction, TransactionOutcome};
 use http::{Request, Response, StatusCode};
 
+use crate::client::CallLimits;
 use crate::metrics::{Span, Step};
 use crate::shared::Shared;
 use crate::table_replica::TableChanges;
@@ -85,7 +86,8 @@
 ) -> Result<Response<Bytes>, StoreError> {
     let store = shared.settings.store_addr;
     let started_at = shared.now();
-    let response = shared.client.call(store, request, MAX_RESPONSE_BYTES, timeout).await;
+    let limits = CallLimits { max_bytes: MAX_RESPONSE_BYTES, head_timeout: timeout };
+    let response = shared.store_client.call(store, request, limits).await;
     shared
         .metrics
         .observe(Span::Store, shared.now().saturating_duration_since(started_at));
@@ -116,7 +118,8 @@
     let uri = format!("/changes/{table}/{after}/{limit}");
     let request = Request::builder().uri(uri).body(Bytes::new());
     let request = request.map_err(|error| StoreError(error.to_string()))?;
-    let response = shared.client.call(addr, request, MAX_RESPONSE_BYTES, timeout).await;
+    let limits = CallLimits { max_bytes: MAX_RESPONSE_BYTES, head_timeout: timeout };
+    let response = shared.store_client.call(addr, request, limits).await;
     let response = response.map_err(|error| StoreError(error.to_string()))?;
     if response.status() != StatusCode::OK {
         return Err(StoreError(format!("peer returned status {}", response.status())));
--- a/crates/gate/tests/client.rs
+++ b/crates/gate/tests/client.rs
@@ -1,4 +1,4 @@
-//! Servers that send bytes without end instead of a response.
+//! Servers that send bytes without end instead of a response, or respond twice.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -7,8 +7,9 @@
 
 use bytes::Bytes;
 use chestnut_base::SystemClock;
-use chestnut_gate::client::{Client, SendError};
-use http::Request;
+use chestnut_edge::EchoedId;
+use chestnut_gate::client::{CallLimits, Client, Matching, SendError};
+use http::{Request, response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -33,11 +34,18 @@
     (addr, sent)
 }
 
+const LIMITS: CallLimits =
+    CallLimits { max_bytes: 1 << 20, head_timeout: Duration::from_secs(5) };
+
 async fn call(start: &'static str) -> (Result<(), SendError>, u64) {
     let (addr, sent) = start_server(start).await;
-    let client = Client::new(Arc::new(SystemClock), IpAddr::from(Ipv4Addr::UNSPECIFIED));
+    let client = Client::new(
+        Arc::new(SystemClock),
+        IpAddr::from(Ipv4Addr::UNSPECIFIED),
+        Matching::InOrder,
+    );
     let request = Request::get("/").body(Bytes::new()).expect("a request");
-    let result = client.call(addr, request, 1 << 20, Duration::from_secs(5)).await;
+    let result = client.call(addr, request, LIMITS).await;
     drop(client);
     tokio::time::sleep(Duration::from_millis(200)).await;
     (result.map(drop), sent.load(Ordering::Relaxed))
@@ -66,3 +74,73 @@
         assert!(sent < MAX_SENT_BYTES, "{sent} bytes were read");
     }
 }
+
+/// Starts a server that responds to the request with the id that it echoes, if `echoes`, and once
+/// more when the next request on the connection arrives; returns its address and the number of
+/// connections.
+async fn start_stuttering_server(echoes: bool) -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let addr = listener.local_addr().expect("the listener is bound");
+    let connections = Arc::new(AtomicU64::new(0));
+    let count = connections.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let (mut buffer, mut last) = (vec![0; 4096], String::new());
+                while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+                    let head = String::from_utf8_lossy(&buffer[..length]).into_owned();
+                    let id = head.lines().find_map(|line| line.strip_prefix("id: "));
+                    let id = id.unwrap_or_default().to_owned();
+                    let echo =
+                        if echoes { format!("id: {id}\r\n") } else { String::new() };
+                    let length = id.len();
+                    let own = format!(
+                        "HTTP/1.1 200 OK\r\n{echo}content-length: {length}\r\n\r\n{id}"
+                    );
+                    let late = std::mem::replace(&mut last, own.clone());
+                    if stream.write_all((late + &own).as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (addr, connections)
+}
+
+fn read_id(head: &response::Parts) -> EchoedId {
+    match head.headers.get("id") {
+        Some(id) => EchoedId::One(String::from_utf8_lossy(id.as_bytes()).into_owned()),
+        None => EchoedId::Missing,
+    }
+}
+
+/// Guards against an order that takes a late response to an earlier call for its own.
+#[tokio::test]
+async fn a_call_takes_no_late_response_to_an_earlier_one() {
+    for echoes in [true, false] {
+        let (addr, connections) = start_stuttering_server(echoes).await;
+        let source = IpAddr::from(Ipv4Addr::UNSPECIFIED);
+        let client = Client::new(Arc::new(SystemClock), source, Matching::ByEcho);
+        let (mut own, mut lost) = (0, 0);
+        for _ in 0..20 {
+            let id = client.next_call_id();
+            let request = Request::get("/").header("id", &id).body(Bytes::new());
+            let request = request.expect("a request");
+            match client.call_by_id(addr, request, &id, LIMITS, read_id).await {
+                Ok(response) => {
+                    assert_eq!(response.body(), id.as_bytes());
+                    own += 1;
+                }
+                Err(SendError::Lost(_)) => lost += 1,
+                Err(error) => panic!("{error}"),
+            }
+        }
+        let connections = connections.load(Ordering::Relaxed);
+        match echoes {
+            true => assert_eq!((own, lost, connections), (10, 10, 10)),
+            false => assert_eq!((own, lost, connections), (20, 0, 20)),
+        }
+    }
+}
