An interrupted stream resets the connection of an HTTP/1.0 caller

To a caller of HTTP/1.0 a stream has neither a length nor chunks: it ends with its connection. When a stream was interrupted or reached its deadline, the daemon closed that connection in order, and the caller took what it had for the whole. The connection is reset now, which such a caller sees as a failure. Callers of HTTP/1.1 miss the last chunk and are not reset, so that they lose no event that is on its way.

--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -3,9 +3,10 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -83,7 +84,7 @@
 
 /// Serves HTTP on a connection until it closes.
 async fn serve_http<B, F>(
-    stream: TcpStream,
+    mut stream: TcpStream,
     idle_timeout: Duration,
     handler: impl Fn(Request<Incoming>) -> F,
 ) where
@@ -94,8 +95,20 @@
     configure_socket(&stream);
     let mut server = http1::Builder::new();
     server.timer(TokioTimer::new()).header_read_timeout(idle_timeout);
-    let connection = server.serve_connection(TokioIo::new(stream), service_fn(handler));
-    // An error means that the caller disconnected or sent invalid HTTP. It ends only this
-    // connection, and each request on it logs its own end.
-    drop(connection.await);
+    let ends_with_connection = AtomicBool::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        let is_old = request.version() == Version::HTTP_10;
+        ends_with_connection.store(is_old, Ordering::Relaxed);
+        handler(request)
+    });
+    let (reader, writer) = stream.split();
+    let io = TokioIo::new(tokio::io::join(reader, writer));
+    // An error means that the caller disconnected or sent invalid HTTP, or that a response was
+    // interrupted. It ends only this connection, and each request on it logs its own end.
+    let result = server.serve_connection(io, service).await;
+    let is_interrupted = result.is_err_and(|error| error.is_user());
+    if is_interrupted && ends_with_connection.load(Ordering::Relaxed) {
+        // Closed in order, the connection would end a whole response.
+        let _ = stream.set_zero_linger();
+    }
 }
--- a/tests/platform/cut_heads.rs
+++ b/tests/platform/cut_heads.rs
@@ -1,5 +1,6 @@
 //! Servers whose answers end early, or whose heads lack parts.
 
+use std::io::ErrorKind;
 use std::net::IpAddr;
 
 use chestnut_platform_stand_in::{
@@ -7,6 +8,8 @@
 };
 use futures::{StreamExt, stream};
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::cluster::{Cluster, wait_until};
 use crate::event_numbers;
@@ -197,6 +200,33 @@
     check_resumed("earlyfar", true, &CLOSED_EARLY).await;
 }
 
+/// Guards against an interrupted stream that looks whole to a caller of HTTP/1.0, for whom a body
+/// ends with its connection.
+#[tokio::test]
+async fn an_interrupted_stream_resets_the_connection_of_an_http_1_0_caller() {
+    let whole = Kind::Stream.whole_answers().remove(1);
+    let (cluster, _server) = start("old", Kind::Stream, false, &[&whole]).await;
+    let addr = cluster.daemons[DAEMON].caller_addr;
+    let cut = Err(ErrorKind::ConnectionReset);
+    for (sent, expected) in [(usize::MAX, Ok(())), (whole.len() - 20, cut)] {
+        // A stream that goes on for too long is interrupted at its deadline.
+        let (name, value) =
+            RawAnswer::header(&[RawAnswer { text: 0, sent, end: RawEnd::Keep }]);
+        let request = format!(
+            "POST /draft/x HTTP/1.0\r\nHost: letters.example\r\nX-Request-Id: old{sent}\r\n\
+             X-Time-Budget-Ms: 500\r\nX-Model: red\r\nX-Token-Count: 400,15\r\n\
+             X-Prompt-Prefix: a1:400\r\n{name}: {value}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(addr).await.expect("a connection");
+        stream.write_all(request.as_bytes()).await.expect("the request is sent");
+        let mut received = Vec::new();
+        let end = stream.read_to_end(&mut received).await;
+        let received = String::from_utf8_lossy(&received);
+        assert!(received.contains("id: 1\n"), "{received}");
+        assert_eq!(end.map(drop).map_err(|error| error.kind()), expected, "{received}");
+    }
+}
+
 /// Sends a request for each cut of a whole answer in each framing, closed and reset, at every
 /// `step`th byte.
 async fn check_cuts(name: &str, kind: Kind, is_forwarded: bool, step: usize) {
