--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -11,7 +11,8 @@
 };
 use chestnut_edge::{Attempt, ResponseHead, RouteKind};
 use chestnut_pool::{
-    AttemptOutcome, DemandCounts, InFlightRequest, Path, PermitOutcome, ServerKey,
+    AttemptOutcome, Attribution, DemandCounts, InFlightRequest, Path, PermitOutcome,
+    ServerKey,
 };
 use http::{Request, response};
 use hyper::body::Incoming;
@@ -100,6 +101,11 @@
         }
     }
 
+    /// Whether the server has sent its first event.
+    pub fn has_first_event(&self) -> bool {
+        self.request.responding
+    }
+
     /// Records that the response is complete.
     pub fn record_completion(&mut self) {
         if let Some(dispatch) = self.dispatch.take() {
@@ -399,19 +405,13 @@
     }
     let metadata = shared.dialect.read_response_head(&head);
     let attribution = connection.attribute(id.as_deref(), &metadata.id);
-    shared.metrics.count(Step::Response, attribution.label());
-    if !attribution.is_own() || (head.status.is_success() && !metadata.signed) {
-        warn!(shared.log, "dubious response"; "id" => job.id(),
-            "server" => target.name.as_str(), "path" => format!("{path:?}"),
+    if let Some(why) = discard_reason(&head, &metadata, attribution) {
+        shared.metrics.count(Step::Discard, why);
+        warn!(shared.log, "response discarded"; "id" => job.id(),
+            "server" => target.name.as_str(), "path" => format!("{path:?}"), "why" => why,
             "status" => head.status.as_u16(), "echoed" => format!("{:?}", metadata.id),
-            "attribution" => attribution.label(), "signed" => metadata.signed,
             "requests_on_connection" => connection.request_count());
-    }
-    if !attribution.is_own() {
-        // Whether the request runs is unknown: its own response has not been read.
-        let why =
-            format!("the response may be for another request ({})", attribution.label());
-        return Err(AttemptError::Lost(why));
+        return Err(AttemptError::Lost(format!("the response was discarded: {why}")));
     }
     if !metadata.misdirected {
         server_limits::observe(job, target, &metadata, sent_at);
@@ -434,6 +434,21 @@
     Ok(Exchange { head, metadata, body, connection, addr })
 }
 
+/// Why a response can't be passed on; `None` if it can.
+///
+/// The request may have run: its own response has not been read.
+fn discard_reason(
+    head: &response::Parts,
+    metadata: &ResponseHead,
+    attribution: Attribution,
+) -> Option<&'static str> {
+    match attribution {
+        Attribution::Unidentified | Attribution::Foreign => Some(attribution.label()),
+        _ if head.status.is_success() && !metadata.signed => Some("unsigned"),
+        Attribution::Echoed | Attribution::OnlyRequest => None,
+    }
+}
+
 /// Sends a request and waits for the response head; abandons an unresponsive server where
 /// another may be tried.
 async fn send(
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -24,7 +24,7 @@
 use crate::client::{Connection, SendError};
 use crate::metrics::Step;
 use crate::paths;
-use crate::relay::{Interrupted, ResponseBody};
+use crate::relay::{Interrupted, ResponseBody, ends_with_connection, is_event_stream};
 use crate::serve::full_body;
 use crate::shared::{ActiveRequests, Shared};
 
@@ -216,15 +216,13 @@
     let (head, body) = response.into_parts();
     let metadata = shared.dialect.read_response_head(&head);
     let attribution = connection.attribute(id, &metadata.id);
-    shared.metrics.count(Step::Response, attribution.label());
     if !attribution.is_own() {
-        warn!(shared.log, "dubious response"; "id" => id.unwrap_or("-"),
+        shared.metrics.count(Step::Discard, attribution.label());
+        warn!(shared.log, "response discarded"; "id" => id.unwrap_or("-"),
             "server" => to.server.server.as_str(), "from" => from.to_string(),
-            "status" => head.status.as_u16(), "echoed" => format!("{:?}", metadata.id),
-            "attribution" => attribution.label(), "signed" => metadata.signed,
+            "why" => attribution.label(), "status" => head.status.as_u16(),
+            "echoed" => format!("{:?}", metadata.id),
             "requests_on_connection" => connection.request_count());
-    }
-    if !attribution.is_own() {
         return Err(Failure::lost("the response may be for another request"));
     }
     if let Some(rest) = metadata.rest {
@@ -236,6 +234,7 @@
     let body = ForwardedBody {
         shared: shared.clone(),
         body,
+        needs_bytes: is_event_stream(&head) && ends_with_connection(&head),
         connection: Some((addr, connection, metadata.keep_alive)),
         _active: active,
     };
@@ -322,6 +321,9 @@
 struct ForwardedBody {
     shared: Arc<Shared>,
     body: Incoming,
+    /// Whether an end is an interruption, since a stream without a length has sent nothing. The
+    /// other daemon gets the body in chunks and can't tell.
+    needs_bytes: bool,
     /// The connection to the server at this address, and its idle timeout; `None` after the
     /// end of the body.
     connection: Option<(SocketAddr, Connection, Option<Duration>)>,
@@ -333,17 +335,20 @@
     async fn next_frame(mut self) -> Option<(Result<Frame<Bytes>, Interrupted>, Self)> {
         self.connection.as_ref()?;
         match self.body.frame().await {
-            Some(Ok(frame)) => Some((Ok(frame), self)),
-            Some(Err(_)) => {
-                self.connection = None;
-                Some((Err(Interrupted), self))
+            Some(Ok(frame)) => {
+                self.needs_bytes = false;
+                Some((Ok(frame), self))
             }
-            None => {
+            None if !self.needs_bytes => {
                 if let Some((addr, connection, keep_alive)) = self.connection.take() {
                     self.shared.client.release(addr, connection, keep_alive);
                 }
                 None
             }
+            None | Some(Err(_)) => {
+                self.connection = None;
+                Some((Err(Interrupted), self))
+            }
         }
     }
 }
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -59,6 +59,8 @@
     Speed,
     /// A server that this daemon can't connect to, or can again.
     Path,
+    /// A response that was not passed on, by why.
+    Discard,
     /// A request that was sent through another daemon, or for one.
     Forward,
     /// A bound on a server that has just started or recovered.
@@ -76,8 +78,6 @@
     Rest,
     /// A stream that a caller resumes, by how it was found out where it began.
     Resume,
-    /// A backend server's response, by how it was attributed to its request.
-    Response,
 }
 
 /// A duration with a histogram; the variant is the metric label.
