Attribute by the recorded id, and trust a forwarder's match

Cause: the id was passed in three places, and nothing noticed a connection that had carried it before; a response without an id that a forwarding daemon had matched counted as lost at the other daemon. Change: Exchanges keeps the id of the last request, and a repeated one identifies nothing. A forwarder responds once, so a missing id is taken from it.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -9,7 +9,7 @@
 use chestnut_base::{
     Incarnation, MemberId, ModelName, ServerName, ServiceName, SoftwareVersion,
 };
-use chestnut_edge::{Attempt, ResponseHead, RouteKind};
+use chestnut_edge::{Attempt, EchoedId, ResponseHead, RouteKind};
 use chestnut_pool::{
     AttemptOutcome, Attribution, DemandCounts, InFlightRequest, Path, PermitOutcome,
     ServerKey,
@@ -404,7 +404,11 @@
         check_forwarded(shared, target, member, &mut head)?;
     }
     let metadata = shared.dialect.read_response_head(&head);
-    let attribution = connection.attribute(id.as_deref(), &metadata.id);
+    let attribution = match (path, &metadata.id) {
+        // A forwarder responds once, and has matched the server's response itself.
+        (Path::Forwarded(_), EchoedId::Missing) => Attribution::OnlyRequest,
+        _ => connection.attribute(&metadata.id),
+    };
     if let Some(why) = discard_reason(&head, &metadata, attribution) {
         shared.metrics.count(Step::Discard, why);
         warn!(shared.log, "response discarded"; "id" => job.id(),
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -248,7 +248,7 @@
         read_id: impl Fn(&response::Parts) -> EchoedId,
     ) -> Result<Response<Bytes>, SendError> {
         let check = |connection: &mut Connection, head: &response::Parts| {
-            let attribution = connection.attribute(Some(id), &read_id(head));
+            let attribution = connection.attribute(&read_id(head));
             match attribution.is_own() {
                 true => Ok(()),
                 false => Err(SendError::Lost(format!(
@@ -307,9 +307,9 @@
         self.exchanges.count()
     }
 
-    /// Tells whether a response is the one to the last request, whose id is `id`.
-    pub fn attribute(&mut self, id: Option<&str>, echoed: &EchoedId) -> Attribution {
-        self.exchanges.attribute(id, echoed)
+    /// Tells whether a response is the one to the last request.
+    pub fn attribute(&mut self, echoed: &EchoedId) -> Attribution {
+        self.exchanges.attribute(echoed)
     }
 
     /// Sends a request with this id and waits for the response head.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -215,7 +215,7 @@
     })?;
     let (head, body) = response.into_parts();
     let metadata = shared.dialect.read_response_head(&head);
-    let attribution = connection.attribute(id, &metadata.id);
+    let attribution = connection.attribute(&metadata.id);
     if !attribution.is_own() {
         shared.metrics.count(Step::Discard, attribution.label());
         warn!(shared.log, "response discarded"; "id" => id.unwrap_or("-"),
--- a/crates/pool/src/exchanges.rs
+++ b/crates/pool/src/exchanges.rs
@@ -13,14 +13,15 @@
 /// Bounds the memory for their ids.
 const MAX_REQUESTS: usize = 512;
 
-/// What is known of the sender's intent from a response's id.
+/// Which request a response is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Attribution {
     /// The response echoes the request's id, which no earlier request had.
     Echoed,
     /// The response names no request, and the connection has carried only this one.
     OnlyRequest,
-    /// The response names no request, and may be a late one to an earlier request.
+    /// The response may be a late one to an earlier request: it names none, or one whose id the
+    /// connection has carried twice.
     Unidentified,
     /// The response names another request, or more than one.
     Foreign,
@@ -46,8 +47,10 @@
 /// The requests that a connection has carried, one after another.
 #[derive(Debug, Default)]
 pub struct Exchanges {
-    /// The ids of the requests, in order; no two are the same.
-    ids: Vec<Digest>,
+    /// The ids of the requests, in order; `None` for a request without one.
+    ids: Vec<Option<Digest>>,
+    /// Whether the last request has the id of an earlier one.
+    is_repeated: bool,
     /// Whether a later response could not be told from one to the last request.
     is_spent: bool,
 }
@@ -58,7 +61,7 @@
     pub fn may_carry(&self, id: Option<&str>) -> bool {
         match id {
             _ if self.is_spent || self.ids.len() >= MAX_REQUESTS => false,
-            Some(id) => !self.ids.contains(&digest(id)),
+            Some(id) => !self.ids.contains(&Some(digest(id))),
             None => self.ids.is_empty(),
         }
     }
@@ -67,16 +70,20 @@
     pub fn begin(&mut self, id: Option<&str>) {
         // Until the response echoes an id, the connection can carry no other request.
         self.is_spent = true;
-        self.ids.push(digest(id.unwrap_or_default()));
+        let id = id.map(digest);
+        self.is_repeated = self.ids.contains(&id);
+        self.ids.push(id);
     }
 
-    /// Tells whether a response is the one to the last request, whose id is `id`.
-    pub fn attribute(&mut self, id: Option<&str>, echoed: &EchoedId) -> Attribution {
-        let attribution = match (echoed, id) {
-            (EchoedId::One(echoed), Some(id)) if echoed == id => Attribution::Echoed,
-            (EchoedId::One(_) | EchoedId::Ambiguous, _) => Attribution::Foreign,
-            (EchoedId::Missing, _) if self.ids.len() == 1 => Attribution::OnlyRequest,
-            (EchoedId::Missing, _) => Attribution::Unidentified,
+    /// Tells whether a response is the one to the last request.
+    pub fn attribute(&mut self, echoed: &EchoedId) -> Attribution {
+        let is_last = |id: &str| self.ids.last() == Some(&Some(digest(id)));
+        let attribution = match echoed {
+            EchoedId::One(id) if is_last(id) && !self.is_repeated => Attribution::Echoed,
+            EchoedId::One(id) if is_last(id) => Attribution::Unidentified,
+            EchoedId::One(_) | EchoedId::Ambiguous => Attribution::Foreign,
+            EchoedId::Missing if self.ids.len() == 1 => Attribution::OnlyRequest,
+            EchoedId::Missing => Attribution::Unidentified,
         };
         self.is_spent = attribution != Attribution::Echoed;
         attribution
--- a/crates/pool/tests/exchanges.rs
+++ b/crates/pool/tests/exchanges.rs
@@ -23,7 +23,7 @@
     ] {
         let mut exchanges = Exchanges::default();
         exchanges.begin(first);
-        assert_eq!(exchanges.attribute(first, &echoed), expected, "{first:?} {echoed:?}");
+        assert_eq!(exchanges.attribute(&echoed), expected, "{first:?} {echoed:?}");
         assert_eq!(exchanges.is_reusable(), expected == Echoed);
     }
     for (echoed, expected) in
@@ -31,9 +31,9 @@
     {
         let mut exchanges = Exchanges::default();
         exchanges.begin(Some("a"));
-        exchanges.attribute(Some("a"), &one("a"));
+        exchanges.attribute(&one("a"));
         exchanges.begin(Some("b"));
-        assert_eq!(exchanges.attribute(Some("b"), &echoed), expected, "{echoed:?}");
+        assert_eq!(exchanges.attribute(&echoed), expected, "{echoed:?}");
     }
 }
 
@@ -45,10 +45,12 @@
     assert!(exchanges.may_carry(None));
     exchanges.begin(Some("a"));
     assert!(!exchanges.may_carry(Some("b")), "no response has arrived");
-    exchanges.attribute(Some("a"), &one("a"));
+    exchanges.attribute(&one("a"));
     assert!(exchanges.may_carry(Some("b")));
     assert!(!exchanges.may_carry(Some("a")));
     assert!(!exchanges.may_carry(None));
+    exchanges.begin(Some("a"));
+    assert_eq!(exchanges.attribute(&one("a")), Attribution::Unidentified);
 }
 
 /// Guards against a connection whose memory of ids grows without a bound.
@@ -59,7 +61,7 @@
         let id = number.to_string();
         let may_carry = exchanges.may_carry(Some(&id));
         exchanges.begin(Some(&id));
-        exchanges.attribute(Some(&id), &one(&id));
+        exchanges.attribute(&one(&id));
         !may_carry
     });
     assert!(reused.is_some_and(|count| (100..10_000).contains(&count)), "{reused:?}");
@@ -128,7 +130,7 @@
         let echoed = id.filter(|_| echoes).map_or(EchoedId::Missing, one);
         connection.respond(Response { request, echoed }, &mut rng);
         let response = connection.arriving.remove(0);
-        if !connection.exchanges.attribute(id, &response.echoed).is_own() {
+        if !connection.exchanges.attribute(&response.echoed).is_own() {
             counts.lost += 1;
             continue;
         }
