Reproduce late second responses with servers that stutter

Cause: a response without an id counts as that to whatever call waits on its connection, the daemon's own calls check no response at all, and the copy of a rejection bears the id of the next attempt. No test had servers answer an order, a report request or a rejection twice.

A proxy in front of a server can send a copy of one response in N once more: where the response to the next call is expected, right behind the first, or on the idle connection, with its id or without.

--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -75,6 +75,8 @@
     pub contended_slots: Option<u32>,
     /// The number of daemons, from the last, with all `policy` settings on.
     pub with_policy: usize,
+    /// The retries that are allowed besides the ratio; `None` for [`retry_bound::SLACK`].
+    pub retry_slack: Option<f64>,
 }
 
 impl Setup {
@@ -144,7 +146,7 @@
 
     /// Like `start`, as `setup` says.
     pub async fn start_with(name: &str, setup: Setup) -> Self {
-        let Setup { daemons, with_proxies, contended_slots, with_policy } = setup;
+        let Setup { daemons, with_proxies, contended_slots, .. } = setup;
         let store = Store::start().await;
         let operator = Operator::start(&store);
         let runners = vec![
@@ -183,8 +185,7 @@
                 true => cluster.add_store_proxy().await,
                 false => cluster.store.addr,
             };
-            let daemon =
-                cluster.start_daemon(number, store_addr, number + with_policy >= daemons);
+            let daemon = cluster.start_daemon(number, store_addr, setup);
             if with_proxies {
                 cluster.proxies.callers.push(Proxy::start(daemon.caller_addr).await);
             }
@@ -249,7 +250,7 @@
         &self,
         number: usize,
         store_addr: SocketAddr,
-        with_policy: bool,
+        setup: Setup,
     ) -> Daemon {
         let probing = PORT_PROBES.lock().unwrap_or_else(PoisonError::into_inner);
         let free_addr = || free_addr_at(daemon_ip(number));
@@ -266,12 +267,12 @@
             "ports": ports, "store": store_addr,
             "bounds": {
                 "stop_s": 8, "directory_s": 5, "retry_ratio": retry_bound::RATIO,
-                "retry_slack": retry_bound::SLACK,
+                "retry_slack": setup.retry_slack.unwrap_or(retry_bound::SLACK),
                 "retry_window_s": retry_bound::WINDOW.as_secs(), "fenced": true, "turn_ms": 300, "load_window_s": 5, "load_overshoot": 1.1,
                 "revoke_ms": 3000, "quota_window_s": 8, "quota_overshoot": 0.1, "quota_slack": 1000,
             },
         });
-        if with_policy {
+        if number + setup.with_policy >= setup.daemons {
             settings["policy"] =
                 POLICY_SETTINGS.iter().map(|name| (*name, true)).collect();
         }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod command_line;
 mod contention;
 mod crashes;
+mod late_responses;
 mod limits;
 mod log_diagnosis;
 mod membership;
@@ -19,6 +20,7 @@
 mod servers;
 mod soak;
 mod store;
+mod stutter;
 mod versions;
 
 use std::time::Duration;
--- a/tests/platform/proxy.rs
+++ b/tests/platform/proxy.rs
@@ -1,5 +1,5 @@
-//! TCP proxies that delay connections, block them in one or both directions, or reset
-//! them.
+//! TCP proxies that delay connections, block them in one or both directions, reset them, or
+//! repeat responses.
 //!
 //! A proxy listens on the loopback address and forwards the bytes of each connection to
 //! its target. Blocked bytes are delivered late, as after a network partition, even if
@@ -17,6 +17,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::stutter::{Exchange, Stutter, Stutters};
+
 /// Buffer size for one read.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -71,15 +73,26 @@
     fault: watch::Sender<ProxyFault>,
     /// Number of resets of all connections so far.
     reset_count: watch::Sender<u64>,
+    /// Which responses are sent twice.
+    stutters: Stutters,
 }
 
 /// Direction of the forwarded bytes.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Direction {
     ToTarget,
     ToClient,
 }
 
+/// One direction of a connection.
+struct Path<'a> {
+    direction: Direction,
+    /// The address of the client.
+    from: IpAddr,
+    state: &'a State,
+    exchange: &'a Exchange<'a>,
+}
+
 impl Proxy {
     /// Starts a proxy for a target, which need not listen yet.
     pub async fn start(target: SocketAddr) -> Self {
@@ -87,8 +100,9 @@
         let listener = TcpListener::bind(any).await.expect("a port is free");
         let addr = listener.local_addr().expect("the listener is bound");
         let (fault, reset_count) = (watch::Sender::default(), watch::Sender::default());
-        let cut = watch::Sender::default();
-        let state = Arc::new(State { target, listener, cut, fault, reset_count });
+        let (cut, stutters) = (watch::Sender::default(), Stutters::default());
+        let state = State { target, listener, cut, fault, reset_count, stutters };
+        let state = Arc::new(state);
         let task = tokio::spawn(accept(state.clone()));
         Self { addr, state, task }
     }
@@ -98,6 +112,17 @@
         self.state.fault.send_replace(fault);
     }
 
+    /// Sends some responses of the target twice from now on; `None` for none.
+    pub fn set_stutter(&self, stutter: Option<Stutter>) {
+        self.state.stutters.set(stutter);
+    }
+
+    /// The number of copies that clients were sent while they waited for another response or
+    /// for none.
+    pub fn copies(&self) -> usize {
+        self.state.stutters.copies()
+    }
+
     /// Cuts off the clients with these addresses.
     pub fn cut_off(&self, clients: &[IpAddr], kind: CutKind) {
         self.accept_from_all();
@@ -155,10 +180,11 @@
     let finished = {
         let (client_reader, client_writer) = client.split();
         let (target_reader, target_writer) = target.split();
-        let to_target =
-            forward(client_reader, target_writer, Direction::ToTarget, from, &state);
-        let to_client =
-            forward(target_reader, client_writer, Direction::ToClient, from, &state);
+        let exchange = Exchange::new(&state.stutters);
+        let path =
+            |direction| Path { direction, from, state: &state, exchange: &exchange };
+        let to_target = forward(client_reader, target_writer, path(Direction::ToTarget));
+        let to_client = forward(target_reader, client_writer, path(Direction::ToClient));
         tokio::select! {
             (to_target, to_client) = async { tokio::join!(to_target, to_client) } => to_target && to_client,
             _ = reset_count.changed() => false,
@@ -226,15 +252,21 @@
 async fn forward(
     mut reader: impl AsyncRead + Unpin,
     mut writer: impl AsyncWrite + Unpin,
-    direction: Direction,
-    from: IpAddr,
-    state: &State,
+    path: Path<'_>,
 ) -> bool {
+    let Path { direction, from, state, exchange } = path;
     let mut fault = state.fault.subscribe();
     let mut cut = state.cut.subscribe();
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let Ok(count) = reader.read(&mut buffer).await else { return false };
+        let (bytes, is_copy) = tokio::select! {
+            biased;
+            copy = exchange.next_copy(), if direction == Direction::ToClient => (copy, true),
+            count = reader.read(&mut buffer) => {
+                let Ok(count) = count else { return false };
+                (buffer[..count].to_vec(), false)
+            }
+        };
         let current = *fault.borrow();
         if let ProxyFault::Delayed(delay) = current {
             sleep(delay).await;
@@ -242,14 +274,19 @@
         let unblocked =
             fault.wait_for(|fault| !is_blocked(*fault, direction)).await.is_ok()
                 && cut.wait_for(|cut| !is_cut(cut, from, CutKind::Silent)).await.is_ok();
-        let written = match count {
-            0 => writer.shutdown().await,
-            _ => writer.write_all(&buffer[..count]).await,
+        let written = match bytes.is_empty() {
+            true => writer.shutdown().await,
+            false => writer.write_all(&bytes).await,
         };
         if !unblocked || written.is_err() {
             return false;
         }
-        if count == 0 {
+        match direction {
+            _ if is_copy => state.stutters.count_copy(),
+            Direction::ToTarget => exchange.record_request(&bytes),
+            Direction::ToClient => exchange.record_response(&bytes),
+        }
+        if bytes.is_empty() {
             return true;
         }
     }
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -88,7 +88,7 @@
 
 /// Unsigned responses with these statuses state that the request has not run and never
 /// will.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+pub const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// A request and its response.
 struct Exchange {
