--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod contention;
 mod crashes;
 mod cut_heads;
+mod late_responses;
 mod limits;
 mod log_diagnosis;
 mod membership;
@@ -20,6 +21,7 @@
 mod servers;
 mod soak;
 mod store;
+mod stutter;
 mod versions;
 
 use std::time::Duration;
