--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -14,7 +14,7 @@
     AttemptOutcome, Attribution, DemandCounts, InFlightRequest, Path, PermitOutcome,
     ServerKey,
 };
-use http::{Request, response};
+use http::{Request, StatusCode, response};
 use hyper::body::Incoming;
 use slog::{info, warn};
 use tokio::time::{timeout, timeout_at};
@@ -40,6 +40,13 @@
 /// times as long.
 const ABANDON_AFTER_OBJECTIVES: u32 = 4;
 
+/// The statuses by which callers take a request for not run.
+const NOT_RUN_STATUSES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// A request in flight; stops being counted when dropped.
 pub struct InFlight {
     shared: Arc<Shared>,
@@ -409,7 +416,7 @@
         (Path::Forwarded(_), EchoedId::Missing) => Attribution::OnlyRequest,
         _ => connection.attribute(&metadata.id),
     };
-    if let Some(why) = discard_reason(&head, &metadata, attribution) {
+    if let Some(why) = discard_reason(head.status, &metadata, attribution) {
         shared.metrics.count(Step::Discard, why);
         warn!(shared.log, "response discarded"; "id" => job.id(),
             "server" => target.name.as_str(), "path" => format!("{path:?}"), "why" => why,
@@ -440,15 +447,20 @@
 
 /// Why a response can't be passed on; `None` if it can.
 ///
-/// The request may have run: its own response has not been read.
+/// It may be for another request, or its head may lack what its server meant to send. The request
+/// may have run.
 fn discard_reason(
-    head: &response::Parts,
+    status: StatusCode,
     metadata: &ResponseHead,
     attribution: Attribution,
 ) -> Option<&'static str> {
+    let is_guaranteed = metadata.not_run || metadata.misdirected;
     match attribution {
         Attribution::Unidentified | Attribution::Foreign => Some(attribution.label()),
-        _ if head.status.is_success() && !metadata.signed => Some("unsigned"),
+        _ if metadata.signed => None,
+        _ if status.is_success() => Some("unsigned"),
+        // Callers would take the request for not run.
+        _ if NOT_RUN_STATUSES.contains(&status) && !is_guaranteed => Some("no guarantee"),
         Attribution::Echoed | Attribution::OnlyRequest => None,
     }
 }
