Refuse registry entries with values that no server can have

Seen: an entry of a plain service with 4,294,967,295 slots ends every daemon that queues requests for that service.

Cause: the queue adds its extra permits to the listed slots. In a debug build the addition panics under the queue's lock, and the destructors that meet the poisoned lock abort the process; in a release build the sum wraps to 3. Durations of an entry may also be too long to be added to a time, and its address may be one at which no server can be.

Evidence: before, odd_entries_end_no_daemon fails with 'attempt to add with overflow' at queue.rs:517 and 'panic in a destructor during cleanup', and any_number_of_slots_can_be_queued_for with the former.

The registry refuses the row, with its key, version and reason in the log. The queue's sum saturates.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,7 +29,7 @@
     StoreProtocol,
 };
 pub use order::{EngineReport, Order, OrderAction, OrderResponse};
-pub use server::{LoadedModel, Phase, ServerEntry};
+pub use server::{EntryError, LoadedModel, MAX_SLOTS, Phase, ServerEntry};
 pub use store::{
     Change, Delta, Page, Precondition, Transaction, TransactionOutcome, Write,
 };
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -1,6 +1,7 @@
 //! What a backend server publishes about itself in the registry.
 
-use std::net::SocketAddr;
+use std::fmt::{self, Display, Formatter};
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use chestnut_base::{
@@ -11,6 +12,14 @@
 
 use crate::declared::Model;
 
+/// The most requests that a server can run concurrently.
+///
+/// Each takes a connection, and a daemon has no more ports for those to one address.
+pub const MAX_SLOTS: u32 = u16::MAX as u32;
+
+/// The longest time that a server's warm-up or shutdown may take.
+pub const MAX_PHASE_TIME: Duration = Duration::from_secs(24 * 3600);
+
 /// Whether a backend server accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
@@ -70,7 +79,66 @@
     pub on_disk: Vec<ModelName>,
 }
 
+/// Why a backend server can't be as its entry describes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryError {
+    /// Nobody can be reached at the address.
+    Address(SocketAddr),
+    /// The number of slots is above [`MAX_SLOTS`].
+    Slots(u32),
+    /// The warm-up or the shutdown takes longer than [`MAX_PHASE_TIME`].
+    Time(Duration),
+}
+
+impl Display for EntryError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Address(addr) => write!(
+                f,
+                "no server can listen on {addr}; register the address and the port of one"
+            ),
+            Self::Slots(slots) => write!(
+                f,
+                "a server can't have {slots} slots; register {MAX_SLOTS} or fewer"
+            ),
+            Self::Time(time) => write!(
+                f,
+                "a warm-up or a shutdown doesn't take {} s; register {} s or less",
+                time.as_secs(),
+                MAX_PHASE_TIME.as_secs()
+            ),
+        }
+    }
+}
+
+impl std::error::Error for EntryError {}
+
 impl ServerEntry {
+    /// Checks that the numbers and the address are those of a server.
+    ///
+    /// What computes with a server relies on it: entries come from other programs.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first value that no server can have.
+    pub fn check(&self) -> Result<(), EntryError> {
+        if !is_address_of_one(self.address) {
+            return Err(EntryError::Address(self.address));
+        }
+        if self.slots > MAX_SLOTS {
+            return Err(EntryError::Slots(self.slots));
+        }
+        let shutdown = match self.phase {
+            Phase::Ready => Duration::ZERO,
+            Phase::Leaving(left) => left.unwrap_or_default(),
+        };
+        let time = self.warmup_remaining.max(shutdown);
+        if time > MAX_PHASE_TIME {
+            return Err(EntryError::Time(time));
+        }
+        Ok(())
+    }
+
     /// The server's current incarnation.
     pub fn incarnation(&self) -> Incarnation {
         Incarnation { server: self.name.clone(), started_at: self.started_at_ms }
@@ -93,3 +161,10 @@
         }
     }
 }
+
+/// Whether an address can be that of a single server.
+fn is_address_of_one(addr: SocketAddr) -> bool {
+    let ip = addr.ip().to_canonical();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    addr.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -74,7 +74,7 @@
             mark_missing(shared, &change.key, change.version);
             return;
         };
-        match shared.dialect.read_server(&change.key, &value) {
+        match read_entry(shared, &change.key, &value) {
             Ok(entry) => {
                 info!(shared.log, "server listed"; "server" => entry.name.to_string(),
                     "version" => change.version, "service" => entry.service.to_string(),
@@ -90,7 +90,7 @@
             Err(error) => {
                 // A server whose entry can't be read must not be used.
                 warn!(shared.log, "server's entry refused"; "key" => &change.key,
-                    "version" => change.version, "error" => error.to_string());
+                    "version" => change.version, "error" => error);
                 mark_missing(shared, &change.key, change.version);
             }
         }
@@ -113,6 +113,14 @@
     }
 }
 
+/// Reads an entry of which no value is impossible.
+fn read_entry(shared: &Shared, key: &str, value: &Bytes) -> Result<ServerEntry, String> {
+    let entry = shared.dialect.read_server(key, value);
+    let entry = entry.map_err(|error| error.to_string())?;
+    entry.check().map_err(|error| error.to_string())?;
+    Ok(entry)
+}
+
 /// The names of a server's models, for logs.
 fn model_names(entry: &ServerEntry) -> String {
     let model_names: Vec<&str> =
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -514,7 +514,7 @@
         !backing_off
             && !is_paced
             && !is_bounded
-            && server.in_use < server.slots() + EXTRA_PERMITS
+            && server.in_use < server.slots().saturating_add(EXTRA_PERMITS)
     }
 
     /// Estimated wait of a request with `ahead` others before it.
--- a/crates/pool/tests/queue.rs
+++ b/crates/pool/tests/queue.rs
@@ -419,3 +419,15 @@
     assert_eq!(grants(true, &[]), [10, 10, 10]);
     assert_eq!(grants(false, &listed(2)[1..]), [10, 10, 10]);
 }
+
+/// Guards against a queue that ends because a server lists more slots than can be counted.
+#[test]
+fn any_number_of_slots_can_be_queued_for() {
+    let (mut queue, now) = (PermitQueue::default(), Instant::now());
+    let listed = listed(1).into_iter();
+    let listed = listed.map(|entry| ListedServer { slots: u32::MAX, ..entry });
+    queue.update_servers(listed.collect(), now);
+    queue.push(key(1), request(1), now);
+    let granted = QueueDecision::Grant(key(1), server(0));
+    assert_eq!(queue.next_decision(now), Some(granted));
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod log_diagnosis;
 mod membership;
+mod odd_entries;
 mod paths;
 mod proxy;
 mod rests;
