Send no requests to entries that name the address of a daemon

Seen: an entry with a daemon's address for callers is used as a server. The daemon takes the request for a caller's and forwards it, to such an entry again if no other server is free.

Cause: whatever address an entry names counts as its server's.

Fix: the fleet knows the addresses of this daemon and of all that have a row, set after each read of the registry and of the system table. A server at one of them isn't listed for requests, and the log names it once.

--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -12,6 +12,7 @@
 use chestnut_base::{MemberId, VmName};
 use chestnut_edge::{Change, Transaction, TransactionOutcome};
 use chestnut_member::{MemberRow, Part};
+use indexmap::IndexSet;
 use rand::seq::IteratorRandom;
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -19,7 +20,7 @@
 use crate::message::{Heartbeat, Message};
 use crate::shared::Shared;
 use crate::table_sync::{self, ChangeHandler, SYSTEM_TABLE};
-use crate::{claims, share_rows, store};
+use crate::{claims, registry, share_rows, store};
 
 /// Prefix of the keys of daemons' rows; the VM's name follows.
 pub const KEY_PREFIX: &str = "daemon:";
@@ -81,6 +82,8 @@
         let mut membership = shared.membership();
         membership.record_first_seen(now);
         shared.neighbours().update(&membership, &shared.settings.vm, now);
+        drop(membership);
+        registry::exclude_daemons(shared);
     }
 }
 
@@ -333,6 +336,22 @@
     rows.filter(|(member, _)| *member != me).collect()
 }
 
+/// The addresses at which this daemon and those that have a row listen.
+pub fn daemon_addrs(shared: &Shared) -> IndexSet<SocketAddr> {
+    let settings = &shared.settings;
+    let own = [
+        settings.caller_addr,
+        settings.readiness_addr,
+        settings.directory_addr,
+        settings.peer_addr(),
+        settings.table_changes_addr(),
+    ];
+    let membership = shared.membership();
+    let rows = membership.members.values();
+    let others = rows.flat_map(|(row, _)| [row.caller_addr, row.peer_addr, row.ops_addr]);
+    others.chain(own).chain(settings.metrics_addr).collect()
+}
+
 /// The number of daemons that have a row, and at least 1.
 pub fn daemon_count(shared: &Shared) -> usize {
     shared.membership().members.len().max(1)
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -10,7 +10,7 @@
 
 use crate::shared::Shared;
 use crate::table_sync::ChangeHandler;
-use crate::{holder, resumption};
+use crate::{holder, members, resumption};
 
 /// Handles the row of the operators' declarations.
 pub struct DeclarationsHandler(pub Arc<Shared>);
@@ -102,6 +102,7 @@
             self.0.fleet().start_grace(now);
         }
         self.0.fleet().remove_missing(now);
+        exclude_daemons(&self.0);
         resumption::send_mixed(&self.0);
         self.0.server_updates.send_modify(|count| *count += 1);
         holder::sync_claims(&self.0);
@@ -113,6 +114,15 @@
     }
 }
 
+/// Keeps requests away from servers whose entries name the address of a daemon.
+pub fn exclude_daemons(shared: &Shared) {
+    let addrs = members::daemon_addrs(shared);
+    for server in shared.fleet().set_daemon_addrs(&addrs) {
+        warn!(shared.log, "server not used, its entry names a daemon's address";
+            "server" => server.to_string());
+    }
+}
+
 /// Reads an entry of which no value is impossible.
 fn read_entry(shared: &Shared, key: &str, value: &Bytes) -> Result<ServerEntry, String> {
     let entry = shared.dialect.read_server(key, value);
--- a/crates/pool/src/fleet.rs
+++ b/crates/pool/src/fleet.rs
@@ -1,10 +1,11 @@
 //! The backend servers that this daemon knows from the registry.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use chestnut_base::{Incarnation, ServerName, ServiceName};
 use chestnut_edge::{Phase, ServerEntry};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::health::Health;
@@ -33,6 +34,8 @@
     rest_until: Option<Instant>,
     /// Whether it has announced its shutdown in a response.
     is_leaving: bool,
+    /// Whether its entry names the address of a daemon.
+    names_daemon: bool,
 }
 
 impl Server {
@@ -97,6 +100,7 @@
             start_seen_at: None,
             rest_until,
             is_leaving,
+            names_daemon: false,
         });
         self.names.insert(name, key);
         key
@@ -138,6 +142,24 @@
         }
     }
 
+    /// Records at which addresses daemons listen, to be called after each read; returns the
+    /// servers whose entries name one and did not before.
+    ///
+    /// A daemon would take a request that is sent there for one of a caller and forward it,
+    /// perhaps to the same address again.
+    pub fn set_daemon_addrs(&mut self, addrs: &IndexSet<SocketAddr>) -> Vec<ServerName> {
+        let addrs: IndexSet<SocketAddr> = addrs.iter().copied().map(canonical).collect();
+        let mut found = Vec::new();
+        for server in self.servers.values_mut() {
+            let names_daemon = addrs.contains(&canonical(server.entry.address));
+            if names_daemon && !server.names_daemon {
+                found.push(server.entry.name.clone());
+            }
+            server.names_daemon = names_daemon;
+        }
+        found
+    }
+
     /// Starts a grace period for missing entries, since they expire during an outage of the
     /// registry while their servers are alive.
     ///
@@ -169,10 +191,13 @@
     /// Whether a server is listed as ready for new requests.
     ///
     /// A missing server counts as listed within the grace period, and one that has announced
-    /// its shutdown as not listed, whatever its entry says.
+    /// its shutdown, or whose entry names a daemon's address, as not listed, whatever its entry
+    /// says.
     pub fn is_listed(&self, server: &Server, now: Instant) -> bool {
         let in_grace = !self.grace_left(now).is_zero();
-        let is_ready = server.entry.phase == Phase::Ready && !server.is_leaving;
+        let is_ready = server.entry.phase == Phase::Ready
+            && !server.is_leaving
+            && !server.names_daemon;
         (server.missing_since.is_none() || in_grace) && is_ready
     }
 
@@ -268,3 +293,8 @@
         }
     }
 }
+
+/// The address with an IPv4 address in its own form if it is mapped to IPv6.
+fn canonical(addr: SocketAddr) -> SocketAddr {
+    SocketAddr::new(addr.ip().to_canonical(), addr.port())
+}
--- a/crates/pool/tests/rests.rs
+++ b/crates/pool/tests/rests.rs
@@ -85,3 +85,19 @@
     fleet.update(entry(2));
     assert_eq!(available(&fleet, later), 1);
 }
+
+/// Guards against requests to an entry that names a daemon, whichever of the two is read first.
+#[test]
+fn a_server_at_a_daemons_address_gets_no_requests() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    let addr = |text: &str| text.parse().expect("a valid address");
+    fleet.update(entry(1));
+    assert_eq!(fleet.set_daemon_addrs(&[addr("10.0.0.2:80")].into()), []);
+    assert_eq!(available(&fleet, now), 1);
+    let mapped = [addr("[::ffff:10.0.0.1]:80")].into();
+    assert_eq!(fleet.set_daemon_addrs(&mapped), [entry(1).name]);
+    assert_eq!(fleet.set_daemon_addrs(&mapped), [], "it is reported once");
+    assert_eq!(available(&fleet, now), 0);
+    fleet.set_daemon_addrs(&[].into());
+    assert_eq!(available(&fleet, now), 1);
+}
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -64,6 +64,43 @@
     assert!(failures.is_empty(), "{} of 36: {failures:?}", failures.len());
 }
 
+/// Guards against requests that daemons send to each other, or to themselves, as if to a server.
+#[tokio::test]
+async fn entries_that_name_daemons_are_not_used() {
+    let cluster = Cluster::start("loop", 2).await;
+    for (number, daemon) in cluster.daemons.iter().enumerate() {
+        for service in ["pool", "ledger"] {
+            let addr = json!(daemon.caller_addr).to_string();
+            let key = format!("{service}{number}");
+            cluster.store.put_bytes(
+                "servers",
+                &key,
+                Some(entry(service, "address", &addr)),
+            );
+        }
+    }
+    for daemon in &cluster.daemons {
+        wait_until("the entries are read", async || {
+            let message = "server not used, its entry names a daemon's address";
+            daemon.lines(message).len() == 4
+        })
+        .await;
+    }
+    // Without others, requests would be sent there once these may not return any more.
+    for name in ["r1", "r2", "r3", "s1", "s2"] {
+        cluster.store.put("servers", name, None);
+    }
+    for _ in 0..6 {
+        sleep(Duration::from_millis(500)).await;
+        for daemon in 0..2 {
+            cluster.send(daemon, &CallerRequest::plain("record")).await;
+        }
+    }
+    let sent = cluster.caller.sent().len();
+    let ends = cluster.daemons.iter().map(|daemon| daemon.lines("request ended").len());
+    assert_eq!(ends.sum::<usize>(), sent, "a daemon got a request of another");
+}
+
 /// Puts odd entries into the registry, by key before and after those of sound servers.
 fn put_odd_entries(cluster: &Cluster) {
     for (number, entry) in odd_entries().into_iter().enumerate() {
