Saturate counts that other programs report

Seen: a runner's report of 18,446,744,073,709,551,615 orders, a claim's row with that fence, or datagrams with usages that sum up to more than can be counted, end a daemon of a debug build; in a release build the counts wrap.

Cause: the counts are added to without a check.

Evidence: any_number_of_orders_can_be_reported, any_usage_can_be_reported and a_claim_with_the_last_fence_is_taken; before, all three panic with 'attempt to add with overflow' (runner.rs:266, usage.rs:43, assignment.rs:117).

Fix: the additions saturate. After the last fence, a change of the holder no longer increases it.

--- a/crates/member/src/assignment.rs
+++ b/crates/member/src/assignment.rs
@@ -114,7 +114,7 @@
         };
         let row = ClaimRow {
             holder: new_holder,
-            fence: Fence(last_fence + 1),
+            fence: Fence(last_fence.saturating_add(1)),
             handed_over: holder == Some(me),
         };
         changes.push(ClaimChange { key: key.clone(), expected_version: version, row });
--- a/crates/member/tests/claims.rs
+++ b/crates/member/tests/claims.rs
@@ -309,3 +309,30 @@
     lease.revoke();
     assert!(!lease.is_valid(sent_at));
 }
+
+/// Guards against a daemon that ends because a claim's row has the last fence that there is.
+#[test]
+fn a_claim_with_the_last_fence_is_taken() {
+    let now = Instant::now();
+    let mut rows = MembershipRows::default();
+    let vm = VmName::try_from("vm0").expect("a valid name");
+    let addr = "10.0.0.1:80".parse().expect("a valid address");
+    let row = MemberRow {
+        member: MemberId(1),
+        domain: DomainName::try_from("a").expect("a valid name"),
+        caller_addr: addr,
+        peer_addr: addr,
+        ops_addr: addr,
+        leaving: false,
+        weight: u32::MAX,
+        unreachable: Vec::new(),
+    };
+    rows.members.insert(vm.clone(), (row, 1));
+    rows.record_first_seen(now);
+    let key = ClaimKey::Slot(SlotId(0));
+    let fence = Fence(u64::MAX);
+    let claim = ClaimRow { holder: None, fence, handed_over: false };
+    rows.claims.insert(key.clone(), (claim, u64::MAX));
+    let plan = plan_claims(&rows, &vm, MemberId(1), &[key], now);
+    assert_eq!(plan.changes.len(), 1);
+}
--- a/crates/pool/src/runner.rs
+++ b/crates/pool/src/runner.rs
@@ -263,7 +263,7 @@
         time: Duration,
         now: Instant,
     ) {
-        self.order_count = self.order_count.map(|orders| orders + 1);
+        self.order_count = self.order_count.map(|orders| orders.saturating_add(1));
         self.min_order_count = self.order_count.unwrap_or(self.min_order_count);
         match action {
             OrderAction::Load(model) => {
@@ -301,7 +301,8 @@
             // An unused adapter is dropped at once, by an accepted order.
             OrderAction::UnloadAdapter(model, adapter) => {
                 self.adapters.swap_remove(&target(model, adapter));
-                self.order_count = self.order_count.map(|orders| orders + 1);
+                self.order_count =
+                    self.order_count.map(|orders| orders.saturating_add(1));
                 self.min_order_count = self.order_count.unwrap_or(self.min_order_count);
             }
         }
--- a/crates/pool/src/usage.rs
+++ b/crates/pool/src/usage.rs
@@ -39,10 +39,12 @@
 }
 
 impl AddAssign for Usage {
+    /// Saturates, since other daemons report what they have in flight.
     fn add_assign(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.pending_prompt_tokens += other.pending_prompt_tokens;
-        self.kv_tokens += other.kv_tokens;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.pending_prompt_tokens =
+            self.pending_prompt_tokens.saturating_add(other.pending_prompt_tokens);
+        self.kv_tokens = self.kv_tokens.saturating_add(other.kv_tokens);
     }
 }
 
--- a/crates/pool/tests/orders.rs
+++ b/crates/pool/tests/orders.rs
@@ -9,9 +9,9 @@
 
 use std::time::{Duration, Instant};
 
-use chestnut_base::ModelName;
+use chestnut_base::{MemberId, ModelName};
 use chestnut_edge::{Engine, EngineReport, LoadedModel, OrderAction, TargetModel};
-use chestnut_pool::{AdapterNeed, RunnerView};
+use chestnut_pool::{AdapterNeed, RunnerView, Usage};
 use proptest::prelude::*;
 
 use support::{engine, model, with_adapter};
@@ -375,3 +375,30 @@
         prop_assert!(simulation.runner.models.iter().any(|held| held.model == model("a")));
     }
 }
+
+/// Guards against a daemon that ends because a runner reports more orders than can be counted.
+#[test]
+fn any_number_of_orders_can_be_reported() {
+    let (mut view, now) = (RunnerView::default(), Instant::now());
+    let report = EngineReport { accepted_orders: u64::MAX, ..EngineReport::default() };
+    assert!(view.apply_report(&report, now));
+    view.record_accepted(&OrderAction::Load(model("a")), LOAD_TIME, now);
+    view.record_accepted(&OrderAction::Unload(model("a")), LOAD_TIME, now);
+    view.record_in_force(&OrderAction::Load(model("a")), now);
+    assert_eq!(view.order_count(), Some(u64::MAX));
+}
+
+/// Guards against a daemon that ends because others report more requests than can be counted.
+#[test]
+fn any_usage_can_be_reported() {
+    let (mut view, now) = (RunnerView::default(), Instant::now());
+    let usage = Usage {
+        requests: u32::MAX,
+        pending_prompt_tokens: u64::MAX,
+        kv_tokens: u64::MAX,
+    };
+    for member in 0..2 {
+        view.update_usage(MemberId(member), usage, now);
+    }
+    assert_eq!(view.total_usage(now), usage);
+}
