Keep log lines about odd entries short

Seen: a text of a megabyte where a number is expected makes a log line of that size, on each daemon and each time the entry is written; so does an entry with 20,000 models.

Cause: the reasons of errors repeat the text, and all models are listed.

Fix: a reason is cut after 300 characters, and 64 models are named.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -15,6 +15,10 @@
 use crate::server::ServerEntry;
 use crate::store::{Delta, Page, Transaction, TransactionOutcome};
 
+/// The longest reason for an error, in characters. A reason may repeat a part of the message,
+/// which can be long.
+const MAX_REASON_CHARS: usize = 300;
+
 /// A message that can't be decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DecodeError {
@@ -25,9 +29,14 @@
 }
 
 impl DecodeError {
-    /// Creates an error about a message of the kind `subject`.
+    /// Creates an error about a message of the kind `subject`; a long reason is cut.
     pub fn new(subject: &'static str, reason: impl Display) -> Self {
-        Self { subject, reason: reason.to_string() }
+        let mut reason = reason.to_string();
+        if let Some((end, _)) = reason.char_indices().nth(MAX_REASON_CHARS) {
+            reason.truncate(end);
+            reason.push_str("...");
+        }
+        Self { subject, reason }
     }
 }
 
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -12,6 +12,9 @@
 use crate::table_sync::ChangeHandler;
 use crate::{holder, members, resumption};
 
+/// The number of a server's models that are logged.
+const MAX_LOGGED_MODELS: usize = 64;
+
 /// Handles the row of the operators' declarations.
 pub struct DeclarationsHandler(pub Arc<Shared>);
 
@@ -133,9 +136,12 @@
 
 /// The names of a server's models, for logs.
 fn model_names(entry: &ServerEntry) -> String {
-    let model_names: Vec<&str> =
-        entry.models.iter().map(|loaded| loaded.model.as_str()).collect();
-    model_names.join(" ")
+    let names = entry.models.iter().map(|loaded| loaded.model.as_str());
+    let logged: Vec<&str> = names.take(MAX_LOGGED_MODELS).collect();
+    match entry.models.len() - logged.len() {
+        0 => logged.join(" "),
+        others => format!("{} and {others} others", logged.join(" ")),
+    }
 }
 
 fn mark_missing(shared: &Shared, key: &str, version: u64) {
