Wait for the logged ends in the test of entries that name daemons

The last end of a request may be logged after its caller has the response: one of 43 tests in a run failed with an end that was logged 1 ms later.

--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -97,8 +97,12 @@
         }
     }
     let sent = cluster.caller.sent().len();
-    let ends = cluster.daemons.iter().map(|daemon| daemon.lines("request ended").len());
-    assert_eq!(ends.sum::<usize>(), sent, "a daemon got a request of another");
+    let ended = || {
+        let lines = cluster.daemons.iter().map(|daemon| daemon.lines("request ended"));
+        lines.map(|lines| lines.len()).sum::<usize>()
+    };
+    wait_until("all ends are logged", async || ended() >= sent).await;
+    assert_eq!(ended(), sent, "a daemon got a request of another");
 }
 
 /// Puts odd entries into the registry, by key before and after those of sound servers.
