--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -10,7 +10,10 @@
 
 use crate::shared::Shared;
 use crate::table_sync::ChangeHandler;
-use crate::{holder, resumption};
+use crate::{holder, members, resumption};
+
+/// The number of a server's models that are logged.
+const MAX_LOGGED_MODELS: usize = 64;
 
 /// Handles the row of the operators' declarations.
 pub struct DeclarationsHandler(pub Arc<Shared>);
@@ -74,7 +77,7 @@
             mark_missing(shared, &change.key, change.version);
             return;
         };
-        match shared.dialect.read_server(&change.key, &value) {
+        match read_entry(shared, &change.key, &value) {
             Ok(entry) => {
                 info!(shared.log, "server listed"; "server" => entry.name.to_string(),
                     "version" => change.version, "service" => entry.service.to_string(),
@@ -90,7 +93,7 @@
             Err(error) => {
                 // A server whose entry can't be read must not be used.
                 warn!(shared.log, "server's entry refused"; "key" => &change.key,
-                    "version" => change.version, "error" => error.to_string());
+                    "version" => change.version, "error" => error);
                 mark_missing(shared, &change.key, change.version);
             }
         }
@@ -102,6 +105,7 @@
             self.0.fleet().start_grace(now);
         }
         self.0.fleet().remove_missing(now);
+        exclude_daemons(&self.0);
         resumption::send_mixed(&self.0);
         self.0.server_updates.send_modify(|count| *count += 1);
         holder::sync_claims(&self.0);
@@ -113,11 +117,31 @@
     }
 }
 
+/// Keeps requests away from servers whose entries name the address of a daemon.
+pub fn exclude_daemons(shared: &Shared) {
+    let addrs = members::daemon_addrs(shared);
+    for server in shared.fleet().set_daemon_addrs(&addrs) {
+        warn!(shared.log, "server not used, its entry names a daemon's address";
+            "server" => server.to_string());
+    }
+}
+
+/// Reads an entry of which no value is impossible.
+fn read_entry(shared: &Shared, key: &str, value: &Bytes) -> Result<ServerEntry, String> {
+    let entry = shared.dialect.read_server(key, value);
+    let entry = entry.map_err(|error| error.to_string())?;
+    entry.check().map_err(|error| error.to_string())?;
+    Ok(entry)
+}
+
 /// The names of a server's models, for logs.
 fn model_names(entry: &ServerEntry) -> String {
-    let model_names: Vec<&str> =
-        entry.models.iter().map(|loaded| loaded.model.as_str()).collect();
-    model_names.join(" ")
+    let names = entry.models.iter().map(|loaded| loaded.model.as_str());
+    let logged: Vec<&str> = names.take(MAX_LOGGED_MODELS).collect();
+    match entry.models.len() - logged.len() {
+        0 => logged.join(" "),
+        others => format!("{} and {others} others", logged.join(" ")),
+    }
 }
 
 fn mark_missing(shared: &Shared, key: &str, version: u64) {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod log_diagnosis;
 mod membership;
+mod odd_entries;
 mod paths;
 mod proxy;
 mod rests;
