Bound how many servers one request fails to connect to

Cause: attempts at servers that can't be connected to no longer counted, so that a request for a service that is gone would go on until its deadline. Change: 24 such failures end it, beside six attempts.

--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -27,11 +27,15 @@
 
 /// The maximum number of attempts to serve one request, without those at servers that can't be
 /// connected to.
-///
-/// After each of those the server gets no requests for a time, so that the rest of a service is
-/// tried however many such servers are listed.
 const MAX_ATTEMPTS: usize = 6;
 
+/// The maximum number of servers that one request fails to connect to.
+///
+/// After each failure the server gets no requests for a time, so that the next try meets
+/// another one. Without a maximum, requests would wait until their deadline for a service that is
+/// gone.
+const MAX_CONNECT_FAILURES: usize = 24;
+
 /// The HTTP status of a server that lacks the model or the adapter.
 pub const MISDIRECTED_STATUS: u16 = 421;
 
@@ -118,8 +122,11 @@
     let mut failed = Vec::new();
     let mut missing_adapter: Option<ServerName> = None;
     let mut misdirected = Vec::new();
-    let mut attempts = 0;
-    while attempts < MAX_ATTEMPTS && job.shared.now() < job.deadline {
+    let (mut attempts, mut connect_failures) = (0, 0);
+    while attempts < MAX_ATTEMPTS
+        && connect_failures < MAX_CONNECT_FAILURES
+        && job.shared.now() < job.deadline
+    {
         let missing = missing_adapter.take();
         let picked = tokio::select! {
             biased;
@@ -148,7 +155,10 @@
             },
             Err(error) => error,
         };
-        attempts += usize::from(!matches!(error, AttemptError::Unreachable(_)));
+        match error {
+            AttemptError::Unreachable(_) => connect_failures += 1,
+            _ => attempts += 1,
+        }
         job.shared.metrics.count(Step::Missed, error.label());
         info!(job.shared.log, "attempt missed"; "id" => job.id(),
             "server" => target.name.to_string(), "why" => format!("{error:?}"));
