Bound engine timings where they are merged

Seen: a row of engine timings, or a datagram, that names 1e300 ms for a model: at the first request for that model, or for one without timings, the task panics under the lock of the timings, and no later stream is served. The row stays, so that it happens again after each restart.

Cause: step and service times were clamped, the models' timings weren't; a Duration is made of them.

Fix: the nearest plausible timing is taken instead, and the lowest for what is no number.

--- a/crates/pool/src/timing.rs
+++ b/crates/pool/src/timing.rs
@@ -47,6 +47,10 @@
 const STEP_TIME_RANGE: (Duration, Duration) =
     (Duration::from_micros(200), Duration::from_secs(1));
 
+/// Largest time of a first event besides prefill that is accepted from another daemon, in
+/// milliseconds.
+const MAX_OVERHEAD_MS: f64 = 60_000.0;
+
 /// Largest mean service time that is accepted from another daemon.
 const MAX_SERVICE_TIME: Duration = Duration::from_secs(600);
 
@@ -217,6 +221,15 @@
     const INITIAL: Self =
         Self { token_ms: INITIAL_TOKEN_MS, overhead_ms: INITIAL_OVERHEAD_MS };
 
+    /// The nearest plausible timing; the lowest in place of what is no number.
+    fn bounded(self) -> Self {
+        let (min, max) = TOKEN_MS_RANGE;
+        Self {
+            token_ms: self.token_ms.max(min).min(max),
+            overhead_ms: self.overhead_ms.max(0.0).min(MAX_OVERHEAD_MS),
+        }
+    }
+
     fn differs_from(self, other: Self) -> bool {
         (self.token_ms - other.token_ms).abs() > SHARED_CHANGE * other.token_ms
     }
@@ -341,7 +354,9 @@
                 learned.step_time.clamp(STEP_TIME_RANGE.0, STEP_TIME_RANGE.1);
             self.service_time = learned.service_time.min(MAX_SERVICE_TIME);
         }
-        self.shared.extend(learned.models.clone());
+        let models = learned.models.iter();
+        let bounded = models.map(|(model, timing)| (model.clone(), timing.bounded()));
+        self.shared.extend(bounded);
     }
 
     /// Timings learned by this daemon.
--- a/crates/pool/tests/timing.rs
+++ b/crates/pool/tests/timing.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chestnut_pool::EngineTimings;
-use chestnut_pool::timing::LearnedTimings;
+use chestnut_pool::timing::{LearnedTimings, PrefillTiming};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -157,3 +157,25 @@
     });
     assert!(timings.step_time() > Duration::ZERO);
 }
+
+/// Guards against a daemon that ends because a row or another daemon names impossible timings.
+#[test]
+fn any_timings_can_be_merged() {
+    for value in [1e30, 1e200, 1e308, -1e308, f64::INFINITY, f64::NAN] {
+        let timing = PrefillTiming { token_ms: value, overhead_ms: value };
+        let models = [(model("a"), timing)].into_iter().collect();
+        let learned = LearnedTimings {
+            models,
+            step_time: Duration::MAX,
+            service_time: Duration::MAX,
+        };
+        let mut timings = EngineTimings::default();
+        timings.merge(&learned);
+        for name in ["a", "b"] {
+            let overhead = timings.first_event_overhead(&model(name));
+            let prefill = timings.prefill_time(&model(name), 1_000);
+            let total = overhead + prefill + timings.step_time() + timings.service_time();
+            assert!(total < Duration::from_secs(3600), "{value} {total:?}");
+        }
+    }
+}
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -40,6 +40,54 @@
     assert_no_daemon_ended(&mut cluster);
 }
 
+/// Guards against a daemon that ends because of odd rows in the table that daemons write.
+#[tokio::test]
+async fn odd_rows_of_daemons_end_no_daemon() {
+    let mut cluster = Cluster::start("rows", 2).await;
+    for (number, (key, value)) in ODD_ROWS.iter().enumerate() {
+        let key = key.replace('#', &number.to_string());
+        cluster.store.put_bytes("chestnut", &key, Some(value.as_bytes().to_vec()));
+    }
+    for _ in 0..3 {
+        send_requests(&cluster).await;
+        sleep(Duration::from_millis(500)).await;
+    }
+    cluster.daemons[1].kill();
+    cluster.daemons[1].restart();
+    cluster.wait_until_ready().await;
+    assert_eq!(send_requests(&cluster).await, Vec::<String>::new());
+    assert_no_daemon_ended(&mut cluster);
+}
+
+/// Odd rows of each kind; `#` stands for a number.
+const ODD_ROWS: [(&str, &str); 13] = [
+    ("daemon:x#", "[[[[1e999]]]]"),
+    (
+        "daemon:x#",
+        r#"{"member":18446744073709551615,"domain":"north","caller_addr":"0.0.0.0:0","peer_addr":"255.255.255.255:0","ops_addr":"[::]:0","leaving":false,"weight":4294967295}"#,
+    ),
+    ("claim:server:x#", r#"{"holder":null,"fence":18446744073709551615}"#),
+    ("claim:pool:pool", r#"{"holder":null,"fence":18446744073709551615}"#),
+    ("claim:server:r1", "{"),
+    (
+        "engine:pool",
+        r#"{"models":{"red":{"token":1e308,"base":1e308}},"step":18446744073709551615,"stay":18446744073709551615}"#,
+    ),
+    (
+        "engine:ledger",
+        r#"{"models":{"red":{"token":-1e308,"base":-1e308}},"step":0,"stay":0}"#,
+    ),
+    ("engine:x#", r#"{"models":{"blue":{"token":1e200,"base":-1e300}}}"#),
+    ("share:x#", r#"{"member":18446744073709551615,"settled":true}"#),
+    (
+        "software:pool/ffffffffffffffffffffffffffffffff",
+        r#"{"service":"pool","software":"v9"}"#,
+    ),
+    ("blocked:ffffffffffffffffffffffffffffffff", r#"{"at_ms":18446744073709551615}"#),
+    ("blocked:00", r#"{"at_ms":0}"#),
+    ("é\0", ""),
+];
+
 /// Guards against requests that are refused although sound servers are idle, since many listed
 /// ones can't be connected to.
 #[tokio::test]
