Soak test with servers that answer calls twice

Cause: no soak variant had servers answer a call a second time, and none checked whose response a caller gets beyond the body of a plain one.

All variants now check that a response names its own request and no other.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -7,9 +7,9 @@
 //! part of prompts crashes runners; in a fifth, streams of mixed objectives contend for few
 //! slots, with all `policy` settings on; in a sixth, runners change their software versions and
 //! callers resume their streams; in a seventh, servers ask daemons for rest and announce their
-//! shutdown. Responses, runs and arrivals are checked against the
+//! shutdown; in an eighth, servers answer calls twice. Responses, runs and arrivals are checked against the
 //! guarantees to callers and the operators' bounds. `SOAK_SEEDS=FROM..TO` runs other seeds
-//! than the listed ones, and `SOAK_DAEMONS` sets the number of daemons of the last five
+//! than the listed ones, and `SOAK_DAEMONS` sets the number of daemons of the last six
 //! variants.
 
 use std::collections::{HashMap, HashSet};
@@ -35,6 +35,7 @@
 use crate::cluster::{Cluster, Setup, wait_until};
 use crate::proxy::{CutKind, Proxy, ProxyFault};
 use crate::retry_bound;
+use crate::stutter::{Call, Moment, Stutter};
 
 /// Seeds that always run.
 ///
@@ -65,6 +66,9 @@
 /// Seeds that always run with servers that ask for rest.
 const REST_SEEDS: [u64; 2] = [1, 2];
 
+/// Seeds that always run with servers that answer twice.
+const STUTTER_SEEDS: [u64; 1] = [1];
+
 /// The requests that a daemon may send to a server in a rest.
 const MAX_DISTURBANCES: u32 = 2;
 
@@ -148,6 +152,9 @@
     /// Servers that reject requests and ask for rest, or announce their shutdown, and faults of
     /// servers and the store. Daemons are not disturbed: one that restarts knows of no rest.
     Rests,
+    /// Like `Single`, some of them daemons that are cut off from servers. Servers answer some calls
+    /// twice.
+    Stutters,
 }
 
 impl Faults {
@@ -158,7 +165,8 @@
             | Self::Cuts
             | Self::Contention
             | Self::Versions
-            | Self::Rests => Duration::ZERO,
+            | Self::Rests
+            | Self::Stutters => Duration::ZERO,
             Self::Series => 2 * retry_bound::WINDOW,
         }
     }
@@ -170,7 +178,8 @@
             | Self::Cuts
             | Self::Contention
             | Self::Versions
-            | Self::Rests => FAULT_PERIOD,
+            | Self::Rests
+            | Self::Stutters => FAULT_PERIOD,
             Self::Series => 2 * FAULT_PERIOD,
         }
     }
@@ -179,7 +188,9 @@
     fn callers(self, daemons: usize) -> usize {
         match self {
             Self::Single | Self::Cuts => CALLER_COUNT,
-            Self::Contention | Self::Versions | Self::Rests => 3 * CALLER_COUNT,
+            Self::Contention | Self::Versions | Self::Rests | Self::Stutters => {
+                3 * CALLER_COUNT
+            }
             Self::Series => daemons * 4,
         }
     }
@@ -191,7 +202,8 @@
             | Self::Cuts
             | Self::Contention
             | Self::Versions
-            | Self::Rests => 60,
+            | Self::Rests
+            | Self::Stutters => 60,
             Self::Series => 1000,
         }
     }
@@ -203,7 +215,8 @@
             | Self::Cuts
             | Self::Contention
             | Self::Versions
-            | Self::Rests => 50..500,
+            | Self::Rests
+            | Self::Stutters => 50..500,
             Self::Series => 500..2500,
         }
     }
@@ -213,7 +226,7 @@
         match self {
             Self::Single | Self::Series | Self::Versions | Self::Rests => 0.0,
             Self::Cuts => 0.5,
-            Self::Contention => 0.15,
+            Self::Contention | Self::Stutters => 0.15,
         }
     }
 
@@ -224,7 +237,8 @@
             | Self::Cuts
             | Self::Contention
             | Self::Versions
-            | Self::Rests => 2500,
+            | Self::Rests
+            | Self::Stutters => 2500,
             Self::Series => 6000,
         }
     }
@@ -328,6 +342,19 @@
     }
 }
 
+/// Guards against a response that reaches the caller of another request, or counts as that to
+/// another attempt, order or report, and against all that the other variants check.
+#[tokio::test]
+async fn guarantees_hold_while_servers_answer_twice() {
+    for seed in selected_seeds(&STUTTER_SEEDS) {
+        eprintln!("seed {seed}");
+        let daemons = soak_daemons(3);
+        let cluster =
+            Cluster::start_with_proxies(&format!("stutters{seed}"), daemons).await;
+        run_soak(seed, cluster, Faults::Stutters).await;
+    }
+}
+
 /// The number of daemons, which `SOAK_DAEMONS` overrides.
 fn soak_daemons(default: usize) -> usize {
     let daemons = std::env::var("SOAK_DAEMONS").ok();
@@ -376,6 +403,11 @@
     if faults == Faults::Contention {
         report_actions(&cluster);
     }
+    if faults == Faults::Stutters {
+        let copies: usize = cluster.proxies.servers().map(Proxy::copies).sum();
+        eprintln!("{copies} copies of responses");
+        assert!(copies > 0, "no server answered twice");
+    }
     check_guarantees(&cluster, &exchanges.lock().expect("no holder of the lock panics"));
 }
 
@@ -501,7 +533,13 @@
             Faults::Series if rng.random_bool(0.8) => {
                 inject_series(cluster, &mut rng, &recoveries)
             }
-            Faults::Cuts | Faults::Contention if rng.random_bool(faults.cut_share()) => {
+            Faults::Stutters if rng.random_bool(0.3) => {
+                stutter(cluster, &mut rng);
+                Vec::new()
+            }
+            Faults::Cuts | Faults::Contention | Faults::Stutters
+                if rng.random_bool(faults.cut_share()) =>
+            {
                 cut_off_daemons(cluster, &mut rng);
                 vec![Recovery::Cuts]
             }
@@ -533,6 +571,7 @@
         recover(cluster, remaining).await;
     }
     restart_exited(cluster, &[]);
+    cluster.proxies.servers().for_each(|proxy| proxy.set_stutter(None));
     cluster.runners.iter().for_each(|runner| runner.set_fault(RunnerFault::None));
     cluster.services.iter().for_each(|service| service.set_fault(ServerFault::None));
 }
@@ -615,6 +654,29 @@
     }
 }
 
+/// Has most servers answer some calls twice.
+fn stutter(cluster: &Cluster, rng: &mut SmallRng) {
+    for (number, proxy) in cluster.proxies.servers().enumerate() {
+        let stutter = rng.random_bool(0.8).then(|| random_stutter(rng));
+        eprintln!("server {number} answers twice: {stutter:?}");
+        proxy.set_stutter(stutter);
+    }
+}
+
+fn random_stutter(rng: &mut SmallRng) -> Stutter {
+    let calls: [&[Call]; 4] =
+        [Call::ALL, Call::OWN, &[Call::Request], &[Call::Rejection]];
+    let idle = Duration::from_millis(rng.random_range(0..10));
+    let moments =
+        [Moment::Before(Call::ALL), Moment::Before(Call::OWN), Moment::Idle(idle)];
+    Stutter {
+        of: calls.choose(rng).expect("there are calls"),
+        one_in: rng.random_range(1..5),
+        moment: *moments.choose(rng).expect("there are moments"),
+        has_id: rng.random(),
+    }
+}
+
 /// Has a server reject requests and ask for rest, or a runner announce its shutdown.
 fn ask_for_rest(cluster: &Cluster, rng: &mut SmallRng) -> Recovery {
     let rest = ["0.8", "2", "3"].choose(rng).copied();
@@ -831,6 +893,7 @@
         if NOT_RUN_STATUSES.contains(&response.status) && !response.signed {
             assert_eq!(runs, 0, "{context}");
         }
+        assert!(response.is_own(), "{context}");
         let at_most_once = ["record", "draft"].contains(&request.route.as_str());
         assert!(!at_most_once || runs <= 1, "{context}");
         let last = earlier.events + response.events.len() as u64;
