Tests: cut answers wait until no server is reached directly

In 1 of 6 runs 4 of 23 requests were sent to a connection that was reset at once: the daemon knew that it can't connect to the server under one of its two names only.

--- a/tests/platform/cut_heads.rs
+++ b/tests/platform/cut_heads.rs
@@ -360,21 +360,25 @@
             Kind::Stream => server.register_runner(&cluster.store, name, "red"),
         }
     }
-    for daemon in &cluster.daemons {
+    let state = async |daemon: usize| -> Value {
+        let addr = cluster.daemons[daemon].metrics_addr;
+        let state = cluster.caller.get_text(addr, "/state").await;
+        serde_json::from_str(&state).unwrap_or_default()
+    };
+    for daemon in 0..cluster.daemons.len() {
         wait_until("only the raw server is left", async || {
-            let state = cluster.caller.get_text(daemon.metrics_addr, "/state").await;
-            let state: Value = serde_json::from_str(&state).unwrap_or_default();
+            let state = state(daemon).await;
             let names = state["servers"].as_object().into_iter().flatten();
             names.map(|(name, _)| name).eq(["raw1", "raw2"])
         })
         .await;
     }
-    wait_until("the server is used", async || {
-        let mut request = kind.request();
-        request
-            .headers
-            .push(RawAnswer::header(&[RawAnswer::whole(texts.len(), RawEnd::Keep)]));
-        cluster.send(DAEMON, &request).await.complete
+    let unreachable = if is_forwarded { 2 } else { 0 };
+    let whole = RawAnswer::whole(texts.len(), RawEnd::Keep);
+    wait_until("the server is used on its path", async || {
+        let served = send_all(&cluster, kind, vec![whole; 4 * CALLERS]).await;
+        let listed = state(DAEMON).await["unreachable_servers"].as_array().map(Vec::len);
+        served.iter().all(|response| response.complete) && listed == Some(unreachable)
     })
     .await;
     (cluster, server)
