--- a/crates/pool/src/timing.rs
+++ b/crates/pool/src/timing.rs
@@ -223,10 +223,13 @@
 
     /// The nearest plausible timing; the lowest in place of what is no number.
     fn bounded(self) -> Self {
-        let (min, max) = TOKEN_MS_RANGE;
+        let bound = |value: f64, (min, max): (f64, f64)| match value.is_nan() {
+            true => min,
+            false => value.clamp(min, max),
+        };
         Self {
-            token_ms: self.token_ms.max(min).min(max),
-            overhead_ms: self.overhead_ms.max(0.0).min(MAX_OVERHEAD_MS),
+            token_ms: bound(self.token_ms, TOKEN_MS_RANGE),
+            overhead_ms: bound(self.overhead_ms, (0.0, MAX_OVERHEAD_MS)),
         }
     }
 
