A second response is no part of a body without a length

Callers could get the body of two responses as one whole: of a server that responds twice and marks no end of its bodies, which the protocol allows. Cause: such a body ends where its connection is closed, so that the second response arrives as its last part. The head alone was checked. Change: a status line in such a body interrupts it, at the daemon that reads it from the server. A body whose own text has one fails, too, and is in doubt.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::client::{Connection, ResponseAndConnection, SendError};
 use crate::crashes::Dispatch;
 use crate::forward::{ForwardOutcome, ForwardTo};
+use crate::framing::SecondResponse;
 use crate::job::Job;
 use crate::message::FirstEvent;
 use crate::metrics::Step;
@@ -201,6 +202,8 @@
     pub metadata: ResponseHead,
     /// The body as it arrives.
     pub body: Incoming,
+    /// Looks for a second response in the body; `None` if the end of the body is marked.
+    pub second: Option<SecondResponse>,
     /// The connection that the body arrives on.
     pub connection: Connection,
     /// The address that the connection leads to: the server's, or that of the daemon that
@@ -212,6 +215,17 @@
     pub in_flight: InFlight,
 }
 
+impl ServerResponse {
+    /// Fails if a second response begins in the next bytes of the body.
+    pub fn check_end(&mut self, bytes: &[u8]) -> Result<(), &'static str> {
+        let is_second = self.second.as_mut().is_some_and(|second| second.is_in(bytes));
+        match is_second {
+            true => Err("a second response follows without an end of the first"),
+            false => Ok(()),
+        }
+    }
+}
+
 /// Why an attempt failed.
 ///
 /// The names of the variants are logged.
@@ -331,6 +345,7 @@
     }
     let Exchange { head, metadata, body, connection, addr } = result?;
     Ok(ServerResponse {
+        second: SecondResponse::watch(&head),
         head,
         metadata,
         body,
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -22,9 +22,10 @@
 use tokio::time::timeout;
 
 use crate::client::{Connection, SendError};
+use crate::framing::{SecondResponse, ends_with_connection};
 use crate::metrics::Step;
 use crate::paths;
-use crate::relay::{Interrupted, ResponseBody, ends_with_connection, is_event_stream};
+use crate::relay::{Interrupted, ResponseBody, is_event_stream};
 use crate::serve::full_body;
 use crate::shared::{ActiveRequests, Shared};
 
@@ -235,6 +236,7 @@
         shared: shared.clone(),
         body,
         needs_bytes: is_event_stream(&head) && ends_with_connection(&head),
+        second: SecondResponse::watch(&head),
         connection: Some((addr, connection, metadata.keep_alive)),
         _active: active,
     };
@@ -324,6 +326,8 @@
     /// Whether an end is an interruption, since a stream without a length has sent nothing. The
     /// other daemon gets the body in chunks and can't tell.
     needs_bytes: bool,
+    /// Looks for a second response in the body; `None` if the end of the body is marked.
+    second: Option<SecondResponse>,
     /// The connection to the server at this address, and its idle timeout; `None` after the
     /// end of the body.
     connection: Option<(SocketAddr, Connection, Option<Duration>)>,
@@ -335,7 +339,7 @@
     async fn next_frame(mut self) -> Option<(Result<Frame<Bytes>, Interrupted>, Self)> {
         self.connection.as_ref()?;
         match self.body.frame().await {
-            Some(Ok(frame)) => {
+            Some(Ok(frame)) if !self.has_second_response(&frame) => {
                 self.needs_bytes = false;
                 Some((Ok(frame), self))
             }
@@ -345,10 +349,16 @@
                 }
                 None
             }
-            None | Some(Err(_)) => {
+            None | Some(_) => {
                 self.connection = None;
                 Some((Err(Interrupted), self))
             }
         }
     }
+
+    fn has_second_response(&mut self, frame: &Frame<Bytes>) -> bool {
+        let bytes = frame.data_ref();
+        let second = self.second.as_mut();
+        second.zip(bytes).is_some_and(|(second, bytes)| second.is_in(bytes))
+    }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,7 +14,7 @@
 //! 6. [`attempt`] sends it to one server and waits for the response head, unless the request
 //!    has crashed servers ([`crashes`], [`blocked_requests`]); it goes directly or, if the
 //!    daemon can't connect to the server ([`mod@paths`]), through another daemon ([`forward`]),
-//! 7. [`relay`] relays the response, and lets another server continue where a
+//! 7. [`relay`] relays the response as far as its [`framing`] tells its end, and lets another server continue where a
 //!    stream of numbered [`events`] breaks or stops for more urgent requests ([`yielding`]).
 //!
 //! To pick a runner, a daemon requests bids ([`bidding`]), which estimate the time to the
@@ -51,6 +51,7 @@
 pub mod eligible;
 pub mod events;
 pub mod forward;
+pub mod framing;
 pub mod holder;
 pub mod introspection;
 pub mod job;
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -9,16 +9,17 @@
 use chestnut_base::{Refusal, RefusalCode, ServerName};
 use chestnut_pool::{AttemptOutcome, RetryDecision};
 use futures::stream::unfold;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
-use http::{HeaderValue, Response, response};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::{Response, response};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use slog::info;
 use tokio::time::timeout_at;
 
 use crate::attempt::{AttemptError, ServerResponse, attempt};
 use crate::events::{DuplicateEvent, Event, EventDecoder, Sequence};
+use crate::framing::ends_with_connection;
 use crate::job::{Job, RequestEnd, StreamTiming};
 use crate::metrics::Span;
 use crate::pick::pick;
@@ -71,7 +72,7 @@
     mut response: ServerResponse,
 ) -> Result<Response<ResponseBody>, (Refusal, Box<Job>)> {
     let deadline = tokio::time::Instant::from_std(job.deadline);
-    let body = timeout_at(deadline, read_full_body(&mut response.body)).await;
+    let body = timeout_at(deadline, read_full_body(&mut response)).await;
     let refusal = match body {
         Ok(Ok(bytes)) => {
             response.in_flight.record_completion();
@@ -108,11 +109,12 @@
     Err((refusal, job))
 }
 
-async fn read_full_body(body: &mut Incoming) -> Result<Bytes, String> {
+async fn read_full_body(response: &mut ServerResponse) -> Result<Bytes, String> {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = response.body.frame().await {
         let frame = frame.map_err(|error| error.to_string())?;
         if let Some(data) = frame.data_ref() {
+            response.check_end(data)?;
             bytes.extend_from_slice(data);
         }
         if bytes.len() > MAX_BUFFERED_BYTES {
@@ -142,18 +144,6 @@
             .is_some_and(|content_type| content_type.starts_with("text/event-stream"))
 }
 
-/// Whether the body of a response ends where its connection is closed, since its head names
-/// neither a length nor chunks.
-pub fn ends_with_connection(head: &response::Parts) -> bool {
-    let mut encodings = head.headers.get_all(TRANSFER_ENCODING).iter();
-    let is_chunked = |value: &HeaderValue| {
-        let last = value.to_str().ok().and_then(|value| value.rsplit(',').next());
-        last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
-    };
-    !head.headers.contains_key(CONTENT_LENGTH)
-        && !encodings.next_back().is_some_and(is_chunked)
-}
-
 /// Relays an event stream to a caller and resumes it at another server if interrupted.
 struct StreamRelay {
     job: Box<Job>,
@@ -260,6 +250,7 @@
         let deadline = tokio::time::Instant::from_std(self.job.deadline);
         loop {
             let event = self.decoder.next_event();
+            let has_events = self.has_events();
             let Some(source) = &mut self.source else {
                 return match event {
                     Some(event) => self.accept_event(event),
@@ -288,7 +279,7 @@
                 }
                 // A response without a length ends like this when its server crashes.
                 None if !source.in_flight.has_first_event()
-                    && (ends_with_connection(&source.head) || !self.has_events()) =>
+                    && (ends_with_connection(&source.head) || !has_events) =>
                 {
                     return StreamItem::Interrupted(
                         "the stream ended before its first event".into(),
@@ -298,6 +289,9 @@
                 Some(Err(error)) => return StreamItem::Interrupted(error.to_string()),
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else { continue };
+                    if let Err(why) = source.check_end(data) {
+                        return StreamItem::Interrupted(why.into());
+                    }
                     if self.decoder.push(data).is_err() {
                         return StreamItem::Interrupted("an event is too large".into());
                     }
--- a/tests/platform/cut_heads.rs
+++ b/tests/platform/cut_heads.rs
@@ -164,6 +164,17 @@
     }
 }
 
+/// Guards against a second response that passes for the end of a body without a length, also through
+/// another daemon.
+#[tokio::test]
+async fn a_second_response_is_no_part_of_a_body_without_a_length() {
+    let second = format!("{PLAIN_HEAD}\r\n{BODY}");
+    let text = format!("{second}{second}");
+    for is_forwarded in [false, true] {
+        check_texts("second", Kind::Plain, is_forwarded, &[&text]).await;
+    }
+}
+
 /// Guards against an idempotent request that fails though its answer was lost only once.
 #[tokio::test]
 async fn an_idempotent_request_is_retried_after_an_unsigned_success() {
