Orders and reports have no id, and a connection each

Cause: orders and report requests bore ids of the daemon's own. A server of another service that had the runner's address by then ran 'GET /v1/report' as a request; without an id it answers 400 and runs nothing. Change: no id. Each has a connection that has carried nothing, closed after its response, so that no late response is read; simpler than the pool that it replaces.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -94,14 +94,14 @@
     /// Builds the headers of the response to the caller from the backend server's.
     fn write_response_headers(&self, head: &response::Parts) -> HeaderMap;
 
-    /// Builds the request that sends an order to an engine; its response echoes `id`.
-    fn write_order(&self, order: &Order, id: &str) -> Request<Bytes>;
+    /// Builds the request that sends an order to an engine.
+    fn write_order(&self, order: &Order) -> Request<Bytes>;
 
     /// Interprets the response to an order.
     fn read_order_response(&self, status: StatusCode, head: &HeaderMap) -> OrderResponse;
 
-    /// Builds the request for an engine's report; its response echoes `id`.
-    fn write_report_request(&self, id: &str) -> Request<Bytes>;
+    /// Builds the request for an engine's report.
+    fn write_report_request(&self) -> Request<Bytes>;
 
     /// Decodes an engine's report.
     fn read_report(&self, body: &Bytes) -> Result<EngineReport, DecodeError>;
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -10,7 +10,6 @@
 use std::fmt::{self, Display, Formatter};
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,7 +17,7 @@
 use chestnut_base::Clock;
 use chestnut_edge::EchoedId;
 use chestnut_pool::{Attribution, Exchanges, Reachability};
-use http::{Request, Response, response};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -118,8 +117,6 @@
     /// The address that connections come from, by which other daemons recognize this one.
     source: IpAddr,
     matching: Matching,
-    /// The number of ids that were given to calls.
-    call_count: AtomicU64,
     idle: Mutex<IndexMap<SocketAddr, VecDeque<IdleConnection>>>,
 }
 
@@ -129,20 +126,7 @@
 impl Client {
     /// Creates a client with an empty pool, which connects from `source`.
     pub fn new(clock: Arc<dyn Clock>, source: IpAddr, matching: Matching) -> Self {
-        let (call_count, idle) = (AtomicU64::new(0), Mutex::default());
-        Self { clock, source, matching, call_count, idle }
-    }
-
-    /// Takes a connection for a request with this id from the pool, or opens one.
-    async fn connect(
-        &self,
-        addr: SocketAddr,
-        id: Option<&str>,
-    ) -> Result<Connection, SendError> {
-        match self.take_idle(addr, id) {
-            Some(connection) => Ok(connection),
-            None => self.open(addr, CONNECT_TIMEOUT).await,
-        }
+        Self { clock, source, matching, idle: Mutex::default() }
     }
 
     /// Opens a connection, which may take up to `limit`.
@@ -220,66 +204,23 @@
         pools.retain(|_, pool| !pool.is_empty());
     }
 
-    /// Sends a request and reads the complete response.
-    pub async fn call(
-        &self,
-        addr: SocketAddr,
-        request: Request<Bytes>,
-        limits: CallLimits,
-    ) -> Result<Response<Bytes>, SendError> {
-        self.call_and_check(addr, request, None, limits, |_, _| Ok(())).await
-    }
-
-    /// An id for [`Self::call_by_id`] that no other call of this client has.
-    pub fn next_call_id(&self) -> String {
-        format!("call-{}", self.call_count.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// Sends a request with this id and reads the complete response; `read_id` reads the id
-    /// that a response echoes.
+    /// Sends a request without an id and reads the complete response.
     ///
-    /// A response that may be one to an earlier request is an error.
-    pub async fn call_by_id(
-        &self,
-        addr: SocketAddr,
-        request: Request<Bytes>,
-        id: &str,
-        limits: CallLimits,
-        read_id: impl Fn(&response::Parts) -> EchoedId,
-    ) -> Result<Response<Bytes>, SendError> {
-        let check = |connection: &mut Connection, head: &response::Parts| {
-            let attribution = connection.attribute(&read_id(head));
-            match attribution.is_own() {
-                true => Ok(()),
-                false => Err(SendError::Lost(format!(
-                    "the response may be one to another request ({})",
-                    attribution.label()
-                ))),
-            }
-        };
-        self.call_and_check(addr, request, Some(id), limits, check).await
-    }
-
-    async fn call_and_check(
+    /// Where responses are matched by echo, it gets a connection that has carried nothing and that
+    /// carries nothing else: no other response can arrive on it.
+    pub async fn call(
         &self,
         addr: SocketAddr,
         request: Request<Bytes>,
-        id: Option<&str>,
         CallLimits { max_bytes, head_timeout }: CallLimits,
-        check: impl FnOnce(&mut Connection, &response::Parts) -> Result<(), SendError>,
     ) -> Result<Response<Bytes>, SendError> {
         let timed_out = |missing, limit: Duration| {
             SendError::Lost(format!("no {missing} within {} ms", limit.as_millis()))
         };
-        let sending = async {
-            let connection = self.connect(addr, id).await?;
-            connection.send(with_host(request, addr), id).await
-        };
-        let head = timeout(head_timeout, sending).await;
-        let (response, mut connection) =
+        let head = timeout(head_timeout, self.send_on_connection(addr, request)).await;
+        let (response, connection) =
             head.unwrap_or_else(|_| Err(timed_out("response", head_timeout)))?;
         let (head, body) = response.into_parts();
-        check(&mut connection, &head)?;
         let body = timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await;
         let body = body.map_err(|_| timed_out("end of the response", BODY_TIMEOUT))?;
         let body = body.map_err(|error| SendError::Lost(error.to_string()))?;
@@ -287,6 +228,18 @@
         Ok(Response::from_parts(head, body.to_bytes()))
     }
 
+    async fn send_on_connection(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+    ) -> Result<ResponseAndConnection, SendError> {
+        let connection = match self.take_idle(addr, None) {
+            Some(connection) => connection,
+            None => self.open(addr, CONNECT_TIMEOUT).await?,
+        };
+        connection.send(with_host(request, addr), None).await
+    }
+
     /// Takes the newest connection to an address that can carry a request with this id from
     /// the pool.
     pub fn take_idle(&self, addr: SocketAddr, id: Option<&str>) -> Option<Connection> {
--- a/crates/gate/src/driver.rs
+++ b/crates/gate/src/driver.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use chestnut_base::ModelName;
 use chestnut_edge::{
     Engine, Order, OrderAction, OrderResponse, ServerEntry, TargetModel,
@@ -17,11 +16,10 @@
 use chestnut_member::suspension;
 use chestnut_pool::AdapterNeed;
 use chestnut_pool::moves::Move;
-use http::{Request, Response, response};
 use slog::{info, warn};
 use tokio::time::sleep;
 
-use crate::client::{CallLimits, SendError};
+use crate::client::CallLimits;
 use crate::holder::HeldRunner;
 use crate::metrics::Step;
 use crate::shared::Shared;
@@ -204,9 +202,8 @@
             return None;
         }
         let addr = self.addr()?;
-        let id = self.shared.engine_client.next_call_id();
-        let request = self.shared.dialect.write_report_request(&id);
-        let response = self.call(addr, request, &id).await;
+        let request = self.shared.dialect.write_report_request();
+        let response = self.shared.client.call(addr, request, CALL_LIMITS).await;
         let report = match response {
             Ok(response) => self.shared.dialect.read_report(response.body()),
             Err(error) => {
@@ -265,9 +262,8 @@
         let holder = self.shared.settings.vm.clone();
         let order =
             Order { server: server.clone(), action, expected_orders, holder, fence };
-        let id = self.shared.engine_client.next_call_id();
-        let request = self.shared.dialect.write_order(&order, &id);
-        let response = self.call(addr, request, &id).await;
+        let request = self.shared.dialect.write_order(&order);
+        let response = self.shared.client.call(addr, request, CALL_LIMITS).await;
         let response = match response {
             Ok(response) => self
                 .shared
@@ -288,19 +284,6 @@
         Some(response)
     }
 
-    /// Sends the runner a call with this id.
-    async fn call(
-        &self,
-        addr: SocketAddr,
-        request: Request<Bytes>,
-        id: &str,
-    ) -> Result<Response<Bytes>, SendError> {
-        let read_id =
-            |head: &response::Parts| self.shared.dialect.read_response_head(head).id;
-        let client = &self.shared.engine_client;
-        client.call_by_id(addr, request, id, CALL_LIMITS, read_id).await
-    }
-
     /// Checks whether the runner accepts connections, after a call got no response.
     async fn check_path(&self) {
         if let Some(entry) = self.entry() {
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -215,7 +215,7 @@
 async fn prune(shared: Arc<Shared>) {
     loop {
         sleep(PRUNE_PERIOD).await;
-        for client in [&shared.client, &shared.engine_client, &shared.store_client] {
+        for client in [&shared.client, &shared.store_client] {
             client.close_expired();
         }
         let listed: Vec<Incarnation> = {
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -76,12 +76,8 @@
     pub log: Logger,
     /// Counters and histograms.
     pub metrics: Metrics,
-    /// Connections for requests, to backend servers and to daemons that forward them.
+    /// Connections to backend servers and to daemons that forward requests.
     pub client: Client,
-    /// Connections for orders and report requests.
-    ///
-    /// Engines may echo no id in response to these, so that each takes a connection of its own.
-    pub engine_client: Client,
     /// Connections to the store, and to other daemons for their replicas.
     pub store_client: Client,
     /// Datagrams to and from other daemons.
@@ -169,7 +165,6 @@
             settings,
             dialect,
             client: client(Matching::ByEcho),
-            engine_client: client(Matching::ByEcho),
             store_client: client(Matching::InOrder),
             clock,
             log,
--- a/tests/platform/proxy.rs
+++ b/tests/platform/proxy.rs
@@ -123,6 +123,11 @@
         self.state.stutters.copies()
     }
 
+    /// The number of copies whose client closed the connection before they were sent.
+    pub fn unsent_copies(&self) -> usize {
+        self.state.stutters.unsent()
+    }
+
     /// Cuts off the clients with these addresses.
     pub fn cut_off(&self, clients: &[IpAddr], kind: CutKind) {
         self.accept_from_all();
--- a/tests/platform/stutter.rs
+++ b/tests/platform/stutter.rs
@@ -80,6 +80,8 @@
     /// The number of responses that could be sent twice.
     candidates: AtomicUsize,
     copies: AtomicUsize,
+    /// The number of copies whose client closed the connection before they were sent.
+    unsent: AtomicUsize,
 }
 
 impl Stutters {
@@ -93,6 +95,11 @@
         self.copies.load(Ordering::Relaxed)
     }
 
+    /// The number of copies whose client closed the connection before they were sent.
+    pub fn unsent(&self) -> usize {
+        self.unsent.load(Ordering::Relaxed)
+    }
+
     /// Counts a copy that was sent.
     pub fn count_copy(&self) {
         self.copies.fetch_add(1, Ordering::Relaxed);
@@ -164,6 +171,9 @@
         state.response.clear();
         let (is_open, call) = (!bytes.is_empty(), state.call);
         let is_on = is_open && self.stutters.get().is_some();
+        if !is_open && state.copy.is_some() {
+            self.stutters.unsent.fetch_add(1, Ordering::Relaxed);
+        }
         match state.copy.as_ref().map(|copy| copy.moment) {
             Some(Moment::Before(calls)) if is_on => {
                 if calls.contains(&call) {
