--- a/tests/platform/cut_heads.rs
+++ b/tests/platform/cut_heads.rs
@@ -424,8 +424,7 @@
     let has_run =
         |response: &CallerResponse| runs.iter().any(|run| run.id == response.id);
     let is_wrong = |response: &&CallerResponse| {
-        let is_genuine =
-            response.signed && response.named_id.as_ref() == Some(&response.id);
+        let is_genuine = response.signed && response.is_own();
         let is_whole = is_genuine && kind.is_whole(response);
         let is_promise = [408, 421, 429, 503].contains(&response.status);
         response.complete && !is_whole || is_promise && has_run(response)
--- a/tests/platform/late_responses.rs
+++ b/tests/platform/late_responses.rs
@@ -15,8 +15,8 @@
 use crate::cluster::{Cluster, Setup};
 use crate::event_numbers;
 use crate::proxy::{CutKind, Proxy};
+use crate::repeats::{Call, Moment, Repeat};
 use crate::soak::NOT_RUN_STATUSES;
-use crate::stutter::{Call, Moment, Stutter};
 
 /// The number of callers that send requests at the same time.
 const CALLERS: usize = 8;
@@ -221,7 +221,7 @@
     play(&cluster, copies, &[0, 1], &adapter_requests()).await;
 }
 
-/// Has callers send requests to these daemons while servers stutter, and checks the guarantees.
+/// Has callers send requests to these daemons while servers repeat, and checks the guarantees.
 async fn play(
     cluster: &Cluster,
     copies: Copies<'_>,
@@ -229,14 +229,14 @@
     requests: &[CallerRequest],
 ) {
     let Copies { of, one_in, has_id, moments } = copies;
-    let stutter = |stutter| {
-        cluster.proxies.servers().for_each(|proxy| proxy.set_stutter(stutter));
+    let repeat = |repeat| {
+        cluster.proxies.servers().for_each(|proxy| proxy.set_repeat(repeat));
     };
     let sent = || cluster.proxies.servers().map(Proxy::copies).sum::<usize>();
     let mut exchanges = Vec::new();
     for moment in moments.iter().copied() {
         let earlier = sent();
-        stutter(Some(Stutter { of, one_in, moment, has_id }));
+        repeat(Some(Repeat { of, one_in, moment, has_id }));
         let callers = daemons.iter().flat_map(|daemon| {
             (0..CALLERS / daemons.len())
                 .map(|caller| send_all(cluster, *daemon, caller, requests))
@@ -244,7 +244,7 @@
         exchanges.extend(join_all(callers).await.concat());
         eprintln!("{} copies of {of:?}, {moment:?}, id: {has_id}", sent() - earlier);
     }
-    stutter(None);
+    repeat(None);
     check(cluster, &exchanges);
     // Orders and report requests have connections that may close before the copy comes.
     let is_own = of.iter().all(|call| Call::OWN.contains(call));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -16,13 +16,13 @@
 mod odd_entries;
 mod paths;
 mod proxy;
+mod repeats;
 mod rests;
 mod retries;
 mod retry_bound;
 mod servers;
 mod soak;
 mod store;
-mod stutter;
 mod versions;
 
 use std::time::Duration;
--- a/tests/platform/proxy.rs
+++ b/tests/platform/proxy.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::stutter::{Exchange, Stutter, Stutters};
+use crate::repeats::{Exchange, Repeat, Repeats};
 
 /// Buffer size for one read.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -74,7 +74,7 @@
     /// Number of resets of all connections so far.
     reset_count: watch::Sender<u64>,
     /// Which responses are sent twice.
-    stutters: Stutters,
+    repeats: Repeats,
 }
 
 /// Direction of the forwarded bytes.
@@ -100,8 +100,8 @@
         let listener = TcpListener::bind(any).await.expect("a port is free");
         let addr = listener.local_addr().expect("the listener is bound");
         let (fault, reset_count) = (watch::Sender::default(), watch::Sender::default());
-        let (cut, stutters) = (watch::Sender::default(), Stutters::default());
-        let state = State { target, listener, cut, fault, reset_count, stutters };
+        let (cut, repeats) = (watch::Sender::default(), Repeats::default());
+        let state = State { target, listener, cut, fault, reset_count, repeats };
         let state = Arc::new(state);
         let task = tokio::spawn(accept(state.clone()));
         Self { addr, state, task }
@@ -113,19 +113,19 @@
     }
 
     /// Sends some responses of the target twice from now on; `None` for none.
-    pub fn set_stutter(&self, stutter: Option<Stutter>) {
-        self.state.stutters.set(stutter);
+    pub fn set_repeat(&self, repeat: Option<Repeat>) {
+        self.state.repeats.set(repeat);
     }
 
     /// The number of copies that clients were sent while they waited for another response or
     /// for none.
     pub fn copies(&self) -> usize {
-        self.state.stutters.copies()
+        self.state.repeats.copies()
     }
 
     /// The number of copies whose client closed the connection before they were sent.
     pub fn unsent_copies(&self) -> usize {
-        self.state.stutters.unsent()
+        self.state.repeats.unsent()
     }
 
     /// Cuts off the clients with these addresses.
@@ -185,7 +185,7 @@
     let finished = {
         let (client_reader, client_writer) = client.split();
         let (target_reader, target_writer) = target.split();
-        let exchange = Exchange::new(&state.stutters);
+        let exchange = Exchange::new(&state.repeats);
         let path =
             |direction| Path { direction, from, state: &state, exchange: &exchange };
         let to_target = forward(client_reader, target_writer, path(Direction::ToTarget));
@@ -287,7 +287,7 @@
             return false;
         }
         match direction {
-            _ if is_copy => state.stutters.count_copy(),
+            _ if is_copy => state.repeats.count_copy(),
             Direction::ToTarget => exchange.record_request(&bytes),
             Direction::ToClient => exchange.record_response(&bytes),
         }
--- a/tests/platform/stutter.rs
+++ b/tests/platform/repeats.rs
@@ -14,7 +14,7 @@
 
 /// Which responses are sent twice, and when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Stutter {
+pub struct Repeat {
     /// The calls whose responses are sent twice.
     pub of: &'static [Call],
     /// One in so many of these responses is sent twice.
@@ -75,8 +75,8 @@
 
 /// Which responses a proxy sends twice.
 #[derive(Default)]
-pub struct Stutters {
-    stutter: Mutex<Option<Stutter>>,
+pub struct Repeats {
+    repeat: Mutex<Option<Repeat>>,
     /// The number of responses that could be sent twice.
     candidates: AtomicUsize,
     copies: AtomicUsize,
@@ -84,10 +84,10 @@
     unsent: AtomicUsize,
 }
 
-impl Stutters {
+impl Repeats {
     /// Sets which responses are sent twice from now on; `None` for none.
-    pub fn set(&self, stutter: Option<Stutter>) {
-        *self.stutter.lock().expect("no holder of the lock panics") = stutter;
+    pub fn set(&self, repeat: Option<Repeat>) {
+        *self.repeat.lock().expect("no holder of the lock panics") = repeat;
     }
 
     /// The number of copies sent.
@@ -105,29 +105,29 @@
         self.copies.fetch_add(1, Ordering::Relaxed);
     }
 
-    fn get(&self) -> Option<Stutter> {
-        *self.stutter.lock().expect("no holder of the lock panics")
+    fn get(&self) -> Option<Repeat> {
+        *self.repeat.lock().expect("no holder of the lock panics")
     }
 
     /// The copy to send of a response, if it is to be sent twice.
     fn copy(&self, call: Call, response: &[u8]) -> Option<PendingCopy> {
-        let stutter = self.get()?;
-        if !stutter.of.contains(&call) || !is_whole(response) {
+        let repeat = self.get()?;
+        if !repeat.of.contains(&call) || !is_whole(response) {
             return None;
         }
         let earlier = self.candidates.fetch_add(1, Ordering::Relaxed);
-        let bytes = match stutter.has_id {
+        let bytes = match repeat.has_id {
             true => response.to_vec(),
             false => without_id(response),
         };
-        let is_chosen = earlier.is_multiple_of(stutter.one_in);
-        is_chosen.then_some(PendingCopy { bytes, moment: stutter.moment })
+        let is_chosen = earlier.is_multiple_of(repeat.one_in);
+        is_chosen.then_some(PendingCopy { bytes, moment: repeat.moment })
     }
 }
 
 /// The calls on one connection.
 pub struct Exchange<'a> {
-    stutters: &'a Stutters,
+    repeats: &'a Repeats,
     state: Mutex<ExchangeState>,
     /// Notified when a copy is due because of a call.
     due: Notify,
@@ -149,14 +149,14 @@
 
 impl<'a> Exchange<'a> {
     /// A connection without a call.
-    pub fn new(stutters: &'a Stutters) -> Self {
+    pub fn new(repeats: &'a Repeats) -> Self {
         let state = ExchangeState {
             call: Call::Request,
             awaits_response: false,
             response: Vec::new(),
             copy: None,
         };
-        Self { stutters, state: Mutex::new(state), due: Notify::new() }
+        Self { repeats, state: Mutex::new(state), due: Notify::new() }
     }
 
     /// Records what was passed to the server; nothing if the client has closed.
@@ -170,9 +170,9 @@
         state.call = Call::of_request(bytes);
         state.response.clear();
         let (is_open, call) = (!bytes.is_empty(), state.call);
-        let is_on = is_open && self.stutters.get().is_some();
+        let is_on = is_open && self.repeats.get().is_some();
         if !is_open && state.copy.is_some() {
-            self.stutters.unsent.fetch_add(1, Ordering::Relaxed);
+            self.repeats.unsent.fetch_add(1, Ordering::Relaxed);
         }
         match state.copy.as_ref().map(|copy| copy.moment) {
             Some(Moment::Before(calls)) if is_on => {
@@ -191,7 +191,7 @@
         state.response.extend_from_slice(bytes);
         if state.copy.is_none() {
             let call = state.call.with_response(&state.response);
-            state.copy = self.stutters.copy(call, &state.response);
+            state.copy = self.repeats.copy(call, &state.response);
         }
     }
 
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -7,10 +7,10 @@
 //! part of prompts crashes runners; in a fifth, streams of mixed objectives contend for few
 //! slots, with all `policy` settings on; in a sixth, runners change their software versions and
 //! callers resume their streams; in a seventh, servers ask daemons for rest and announce their
-//! shutdown; in an eighth, servers answer calls twice. Responses, runs and arrivals are checked against the
-//! guarantees to callers and the operators' bounds. `SOAK_SEEDS=FROM..TO` runs other seeds
-//! than the listed ones, and `SOAK_DAEMONS` sets the number of daemons of the last six
-//! variants.
+//! shutdown; in an eighth, servers answer calls twice. Responses, runs and arrivals are checked
+//! against the guarantees to callers and the operators' bounds. `SOAK_SEEDS=FROM..TO` runs
+//! other seeds than the listed ones, and `SOAK_DAEMONS` sets the number of daemons of the last
+//! six variants.
 
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -34,8 +34,8 @@
 
 use crate::cluster::{Cluster, Setup, wait_until};
 use crate::proxy::{CutKind, Proxy, ProxyFault};
+use crate::repeats::{Call, Moment, Repeat};
 use crate::retry_bound;
-use crate::stutter::{Call, Moment, Stutter};
 
 /// Seeds that always run.
 ///
@@ -67,7 +67,7 @@
 const REST_SEEDS: [u64; 2] = [1, 2];
 
 /// Seeds that always run with servers that answer twice.
-const STUTTER_SEEDS: [u64; 1] = [1];
+const REPEAT_SEEDS: [u64; 1] = [1];
 
 /// The requests that a daemon may send to a server in a rest.
 const MAX_DISTURBANCES: u32 = 2;
@@ -154,7 +154,7 @@
     Rests,
     /// Like `Single`, some of them daemons that are cut off from servers. Servers answer some calls
     /// twice.
-    Stutters,
+    Repeats,
 }
 
 impl Faults {
@@ -166,7 +166,7 @@
             | Self::Contention
             | Self::Versions
             | Self::Rests
-            | Self::Stutters => Duration::ZERO,
+            | Self::Repeats => Duration::ZERO,
             Self::Series => 2 * retry_bound::WINDOW,
         }
     }
@@ -179,7 +179,7 @@
             | Self::Contention
             | Self::Versions
             | Self::Rests
-            | Self::Stutters => FAULT_PERIOD,
+            | Self::Repeats => FAULT_PERIOD,
             Self::Series => 2 * FAULT_PERIOD,
         }
     }
@@ -188,7 +188,7 @@
     fn callers(self, daemons: usize) -> usize {
         match self {
             Self::Single | Self::Cuts => CALLER_COUNT,
-            Self::Contention | Self::Versions | Self::Rests | Self::Stutters => {
+            Self::Contention | Self::Versions | Self::Rests | Self::Repeats => {
                 3 * CALLER_COUNT
             }
             Self::Series => daemons * 4,
@@ -203,7 +203,7 @@
             | Self::Contention
             | Self::Versions
             | Self::Rests
-            | Self::Stutters => 60,
+            | Self::Repeats => 60,
             Self::Series => 1000,
         }
     }
@@ -216,7 +216,7 @@
             | Self::Contention
             | Self::Versions
             | Self::Rests
-            | Self::Stutters => 50..500,
+            | Self::Repeats => 50..500,
             Self::Series => 500..2500,
         }
     }
@@ -226,7 +226,7 @@
         match self {
             Self::Single | Self::Series | Self::Versions | Self::Rests => 0.0,
             Self::Cuts => 0.5,
-            Self::Contention | Self::Stutters => 0.15,
+            Self::Contention | Self::Repeats => 0.15,
         }
     }
 
@@ -238,7 +238,7 @@
             | Self::Contention
             | Self::Versions
             | Self::Rests
-            | Self::Stutters => 2500,
+            | Self::Repeats => 2500,
             Self::Series => 6000,
         }
     }
@@ -346,12 +346,12 @@
 /// another attempt, order or report, and against all that the other variants check.
 #[tokio::test]
 async fn guarantees_hold_while_servers_answer_twice() {
-    for seed in selected_seeds(&STUTTER_SEEDS) {
+    for seed in selected_seeds(&REPEAT_SEEDS) {
         eprintln!("seed {seed}");
         let daemons = soak_daemons(3);
         let cluster =
-            Cluster::start_with_proxies(&format!("stutters{seed}"), daemons).await;
-        run_soak(seed, cluster, Faults::Stutters).await;
+            Cluster::start_with_proxies(&format!("repeats{seed}"), daemons).await;
+        run_soak(seed, cluster, Faults::Repeats).await;
     }
 }
 
@@ -403,7 +403,7 @@
     if faults == Faults::Contention {
         report_actions(&cluster);
     }
-    if faults == Faults::Stutters {
+    if faults == Faults::Repeats {
         let copies: usize = cluster.proxies.servers().map(Proxy::copies).sum();
         eprintln!("{copies} copies of responses");
         assert!(copies > 0, "no server answered twice");
@@ -533,11 +533,11 @@
             Faults::Series if rng.random_bool(0.8) => {
                 inject_series(cluster, &mut rng, &recoveries)
             }
-            Faults::Stutters if rng.random_bool(0.3) => {
-                stutter(cluster, &mut rng);
+            Faults::Repeats if rng.random_bool(0.3) => {
+                repeat_responses(cluster, &mut rng);
                 Vec::new()
             }
-            Faults::Cuts | Faults::Contention | Faults::Stutters
+            Faults::Cuts | Faults::Contention | Faults::Repeats
                 if rng.random_bool(faults.cut_share()) =>
             {
                 cut_off_daemons(cluster, &mut rng);
@@ -571,7 +571,7 @@
         recover(cluster, remaining).await;
     }
     restart_exited(cluster, &[]);
-    cluster.proxies.servers().for_each(|proxy| proxy.set_stutter(None));
+    cluster.proxies.servers().for_each(|proxy| proxy.set_repeat(None));
     cluster.runners.iter().for_each(|runner| runner.set_fault(RunnerFault::None));
     cluster.services.iter().for_each(|service| service.set_fault(ServerFault::None));
 }
@@ -655,21 +655,21 @@
 }
 
 /// Has most servers answer some calls twice.
-fn stutter(cluster: &Cluster, rng: &mut SmallRng) {
+fn repeat_responses(cluster: &Cluster, rng: &mut SmallRng) {
     for (number, proxy) in cluster.proxies.servers().enumerate() {
-        let stutter = rng.random_bool(0.8).then(|| random_stutter(rng));
-        eprintln!("server {number} answers twice: {stutter:?}");
-        proxy.set_stutter(stutter);
+        let repeat = rng.random_bool(0.8).then(|| random_repeat(rng));
+        eprintln!("server {number} answers twice: {repeat:?}");
+        proxy.set_repeat(repeat);
     }
 }
 
-fn random_stutter(rng: &mut SmallRng) -> Stutter {
+fn random_repeat(rng: &mut SmallRng) -> Repeat {
     let calls: [&[Call]; 4] =
         [Call::ALL, Call::OWN, &[Call::Request], &[Call::Rejection]];
     let idle = Duration::from_millis(rng.random_range(0..10));
     let moments =
         [Moment::Before(Call::ALL), Moment::Before(Call::OWN), Moment::Idle(idle)];
-    Stutter {
+    Repeat {
         of: calls.choose(rng).expect("there are calls"),
         one_in: rng.random_range(1..5),
         moment: *moments.choose(rng).expect("there are moments"),
