Requests are admitted only by a current holder that knows the load

Requests that wait at two daemons which are stopped in turn end in the same way.

Ruled out: a lost verdict (each `turn` says Send) and the limit on waits at a stop, which applies 4 s after SIGTERM, to requests that were not sent.

Two more decisions by missing counts lie behind it. A request that was told that the claim had moved, or got no response, was sent without a verdict. And a new holder takes a full runner for idle until the daemons have reported to it: up to a second.

Change: admission ends with the claim (`admission::end`), and waiting requests are told so. They ask the next holder, where the order of the queue, by the time at which they are due, gives them their place back. A daemon that is leaving sends nothing without a verdict, and keeps claims that nobody could take. All report to a new holder as soon as they learn of it, and it admits nothing for 300 ms, as its bids say. No message between daemons has changed. The log names holder and version of the claim with each verdict, and the end of admission with the counts.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -67,6 +67,9 @@
 pub struct AdmissionTable {
     last_ticket: u64,
     entries: IndexMap<RequestKey, AdmissionEntry>,
+    /// Whether this daemon has lost the runner's claim. From then on no request is queued, and
+    /// all entries are decided.
+    ended: bool,
 }
 
 struct AdmissionEntry {
@@ -84,8 +87,11 @@
 }
 
 impl AdmissionTable {
-    /// The verdict on a request that was entered before.
+    /// The verdict on a request that was entered before, or after the claim was lost.
     fn verdict(&self, key: RequestKey) -> Option<AdmissionVerdict> {
+        if self.ended {
+            return Some(AdmissionVerdict::Moved);
+        }
         let entry = self.entries.get(&key)?;
         Some(entry.decision.map_or(AdmissionVerdict::Queued, |(verdict, _)| verdict))
     }
@@ -334,10 +340,29 @@
     }
 }
 
+/// Ends the admission of requests to a runner whose claim this daemon has lost.
+///
+/// All daemons report their usage to the next holder from now on, so that the view of this one
+/// would soon show an idle runner. The waiting requests are told to ask the next holder.
+pub fn end(shared: &Shared, runner: &HeldRunner) {
+    runner.admissions().ended = true;
+    let waiting = runner.admissions().undecided();
+    let usage = runner.state().total_usage(shared.now());
+    info!(shared.log, "admission ended"; "server" => runner.server.to_string(),
+        "waiting" => waiting.len(), "requests" => usage.requests);
+    for ticket in waiting {
+        decide(shared, runner, ticket, AdmissionVerdict::Moved);
+    }
+    runner.changed.notify_one();
+}
+
 /// Admits requests to a runner until its claim is lost.
 pub async fn run(shared: Arc<Shared>, runner: Weak<HeldRunner>) {
     loop {
         let Some(runner) = runner.upgrade() else { return };
+        if runner.admissions().ended {
+            return;
+        }
         let Some(until) = decide_next(&shared, &runner) else { continue };
         let until = tokio::time::Instant::from_std(until);
         // Ends early when the runner's state changes.
@@ -353,6 +378,10 @@
         deny_all(shared, runner);
         return Some(latest_check);
     };
+    let report_wait = runner.state().report_wait(now);
+    if !report_wait.is_zero() {
+        return Some(latest_check.min(now + report_wait));
+    }
     let (refusal, latest_check) = early_refusal(shared, runner, latest_check, now);
     let action = refusal
         .unwrap_or_else(|| sharing::next_action(shared, runner, free_capacity, now));
@@ -462,6 +491,10 @@
     let (key, reply, request) = {
         let mut admissions = runner.admissions();
         let Some((key, entry)) = admissions.find(ticket) else { return };
+        // The claim may have been lost while the adapter was loaded.
+        if entry.decision.is_some() {
+            return;
+        }
         entry.decision = Some((verdict, now));
         let reply = match &entry.reply {
             Some(ReplyTo::Remote(addr)) => Some(ReplyTo::Remote(*addr)),
@@ -480,7 +513,8 @@
         | AdmissionVerdict::Full(_) => {
             runner.state().prefill_queue.remove(ticket);
             info!(shared.log, "admission denied"; "server" => runner.server.to_string(),
-                "daemon" => key.0.to_string(), "number" => key.1);
+                "daemon" => key.0.to_string(), "number" => key.1,
+                "verdict" => format!("{verdict:?}"));
         }
     }
     if let Some(reply) = reply {
--- a/crates/gate/src/bidding.rs
+++ b/crates/gate/src/bidding.rs
@@ -18,7 +18,7 @@
 use indexmap::IndexMap;
 use slog::info;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::admission::{self, AdmissionRequest};
 use crate::attempt::Target;
@@ -48,6 +48,15 @@
 /// that joins it again keeps its position.
 pub const ADMISSION_WAIT: Duration = Duration::from_millis(400);
 
+/// How long a request that was told of a moved claim waits for a response of its new holder.
+///
+/// The new holder learns of its claim within a heartbeat period, and may learn of it later than
+/// this daemon, or earlier.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long after a response without a verdict admission is requested again.
+const NO_VERDICT_DELAY: Duration = Duration::from_millis(50);
+
 /// The number of runners that are compared for one request.
 const SHORTLIST_LEN: usize = 8;
 
@@ -339,6 +348,7 @@
     let server = &incarnation.server;
     let started = job.shared.now();
     let classified = job.shared.policy(&job.service).uses_class();
+    let mut moved_at = None;
     let admission = loop {
         let (number, receiver) = job.shared.peers.open_request();
         let decided = false;
@@ -355,18 +365,38 @@
             Some(holder) => pending.request_local(&holder, adapter_missing).await,
             None => pending.request_remote(receiver, adapter_missing).await,
         };
-        // A response that has started is not refused. It is queued again with its class,
-        // without which the holder would not count it as latency-tolerant; the next refusal
-        // takes the holder two forecasts.
-        if !(matches!(admission, Admission::Full(_)) && job.response_started) {
-            break admission;
+        match admission {
+            // A response that has started is not refused. It is queued again with its class,
+            // without which the holder would not count it as latency-tolerant; the next
+            // refusal takes the holder two forecasts.
+            Admission::Full(_) if job.response_started => {}
+            Admission::Moved | Admission::Silent => {
+                let now = job.shared.now();
+                let is_leaving = *job.shared.shutting_down.borrow();
+                let waits_until = match admission {
+                    _ if is_leaving => limit,
+                    Admission::Moved => *moved_at.get_or_insert(now) + MOVE_TIMEOUT,
+                    _ => now,
+                };
+                match now + NO_VERDICT_DELAY <= waits_until.min(limit) {
+                    true => sleep(NO_VERDICT_DELAY).await,
+                    // Sent without a verdict, it might wait at a full runner until the exit.
+                    false if is_leaving => break Admission::Again,
+                    false => break admission,
+                }
+            }
+            admission => break admission,
         }
     };
     job.shared.metrics.count(Step::Turn, admission.label());
     let waited = job.shared.now().saturating_duration_since(started);
     job.shared.metrics.observe(Span::Turn, waited);
+    let (holder, claim_version) = holder::claim(&job.shared, server).unzip();
     info!(job.shared.log, "turn"; "id" => job.id(), "server" => server.to_string(),
         "turn" => format!("{admission:?}"), "missed" => adapter_missing,
+        "holder" => holder.map(|holder| holder.to_string()),
+        "claim_version" => claim_version,
+        "leaving" => *job.shared.shutting_down.borrow(),
         "waited_ms" => waited.as_millis() as u64);
     admission
 }
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -19,7 +19,7 @@
 
 use crate::shared::Shared;
 use crate::table_sync::{self, ChangeHandler, SYSTEM_TABLE};
-use crate::{account_slices, holder, metrics, permit_queue, store};
+use crate::{account_slices, holder, metrics, permit_queue, store, usage_reports};
 
 /// Prefix of the keys of claims; the claim's name follows.
 pub const KEY_PREFIX: &str = "claim:";
@@ -72,6 +72,9 @@
             (true, true) | (false, false) => {}
         }
         if holder != previous && previous.is_some() {
+            if let ClaimKey::Server(server) = &key {
+                usage_reports::report_to_new_holder(shared, server);
+            }
             // Another daemon sends the orders from now on.
             shared.set_order_start_time(key, next_order_time(shared));
         }
@@ -128,6 +131,9 @@
         )
         .changes
     };
+    // A daemon that leaves goes on deciding on requests where nobody can take over.
+    changes
+        .retain(|change| change.row.holder.is_some() || !decides_requests(&change.key));
     if changes.is_empty() {
         return;
     }
@@ -195,6 +201,14 @@
     )
 }
 
+/// Whether requests wait for a decision of the claim's holder.
+fn decides_requests(claim: &ClaimKey) -> bool {
+    match claim {
+        ClaimKey::Server(_) | ClaimKey::Pool(_) => true,
+        ClaimKey::Slot(_) | ClaimKey::Vms | ClaimKey::AccountSlice(..) => false,
+    }
+}
+
 /// Whether no other VM can have sent orders under the claim recently.
 fn may_order_at_once(shared: &Shared, change: &ClaimChange) -> bool {
     let membership = shared.membership();
@@ -204,7 +218,7 @@
         || holder.is_some() && holder == shared.previous_incarnation()
 }
 
-fn record_change(shared: &Shared, change: ClaimChange, version: u64, at_once: bool) {
+fn record_change(shared: &Arc<Shared>, change: ClaimChange, version: u64, at_once: bool) {
     let is_mine = change.row.holder == Some(shared.peers.me);
     let from = if at_once { shared.now() } else { next_order_time(shared) };
     if is_mine {
@@ -218,6 +232,9 @@
     } else {
         account_slices::end(shared, &change.key);
     }
+    if let ClaimKey::Server(server) = &change.key {
+        usage_reports::report_to_new_holder(shared, server);
+    }
     let outcome = if is_mine { "taken" } else { "handed over" };
     shared.metrics.count(metrics::Step::Claim, outcome);
     info!(shared.log, "claim {outcome}";
--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -20,13 +20,22 @@
 use crate::driver::Driver;
 use crate::message::Message;
 use crate::shared::Shared;
-use crate::{pace, planner, server_limits, server_speeds};
+use crate::{pace, planner, server_limits, server_speeds, usage_reports};
 
 /// How long after its receipt a move may still be started.
 ///
 /// The planner repeats a move four times a second while it is planned.
 const MOVE_TTL: Duration = Duration::from_millis(1000);
 
+/// How long after it has gained a claim a daemon waits for the usage reports of the others.
+///
+/// Most daemons learn of the new holder within a few milliseconds, the others from the next
+/// heartbeat. Without their reports a full runner would seem idle.
+const REPORT_TIME: Duration = Duration::from_millis(300);
+
+const _: () =
+    assert!(usage_reports::NEW_HOLDER_DELAY.as_millis() < REPORT_TIME.as_millis());
+
 /// The number of commands that may be queued for a runner.
 const MAX_QUEUED_COMMANDS: usize = 256;
 
@@ -121,20 +130,31 @@
         runners.collect()
     };
     let mut started = Vec::new();
-    {
+    let ended: Vec<Arc<HeldRunner>> = {
         let starts = start_times(shared, &held_servers);
         let mut held_runners = shared.held_runners();
-        held_runners.retain(|name, runner| {
+        let is_over = |name: &ServerName, runner: &mut Arc<HeldRunner>| {
             let is_current = |start: &Option<u64>| *start == runner.started_at;
-            held_servers.contains(name) && starts.get(name).is_none_or(is_current)
-        });
+            !held_servers.contains(name) || !starts.get(name).is_none_or(is_current)
+        };
+        let ended = held_runners.extract_if(.., is_over).map(|(_, runner)| runner);
+        let ended: Vec<Arc<HeldRunner>> = ended.collect();
         for name in held_servers {
             held_runners.entry(name.clone()).or_insert_with(|| {
                 started.push(name.clone());
                 let started_at = starts.get(&name).copied().flatten();
-                start_runner(shared.clone(), name, started_at)
+                let runner = start_runner(shared.clone(), name, started_at);
+                let has_restarted = ended.iter().any(|old| old.server == runner.server);
+                if !has_restarted {
+                    runner.state().await_reports(shared.now() + REPORT_TIME);
+                }
+                runner
             });
         }
+        ended
+    };
+    for runner in ended {
+        admission::end(shared, &runner);
     }
     server_speeds::start_held(shared, &started);
     server_limits::broadcast_held(shared, |server| started.contains(&server.server));
@@ -203,6 +223,13 @@
     }
 }
 
+/// The holder of a runner's claim by its row, and the row's version; `None` if it has none.
+pub fn claim(shared: &Shared, server: &ServerName) -> Option<(MemberId, u64)> {
+    let membership = shared.membership();
+    let (row, version) = membership.claims.get(&ClaimKey::Server(server.clone()))?;
+    Some((row.holder?, *version))
+}
+
 /// The holder of a runner's claim, and where it receives datagrams; `None` if it has none.
 pub fn holder(shared: &Shared, server: &ServerName) -> Option<(MemberId, SocketAddr)> {
     let membership = shared.membership();
--- a/crates/gate/src/usage_reports.rs
+++ b/crates/gate/src/usage_reports.rs
@@ -14,10 +14,13 @@
 
 /// How often usage other than zero is reported again.
 ///
-/// After a lost datagram the holder's total is wrong for up to this long, and a new
-/// holder of a claim has received all reports after this time.
+/// After a lost datagram the holder's total is wrong for up to this long.
 const REPEAT_PERIOD: Duration = Duration::from_secs(1);
 
+/// When a report to a new holder is repeated, which may have learned of its claim later than
+/// this daemon.
+pub const NEW_HOLDER_DELAY: Duration = Duration::from_millis(200);
+
 /// Reports this daemon's current usage of a runner to its holder.
 ///
 /// `target` is the model of a request that was just sent, and `first_event` the first event
@@ -55,6 +58,29 @@
     }
 }
 
+/// Reports this daemon's usage of a runner whose claim has moved to its new holder, and once
+/// more after [`NEW_HOLDER_DELAY`].
+pub fn report_to_new_holder(shared: &Arc<Shared>, server: &ServerName) {
+    if own_usage(shared, server).is_none() {
+        return;
+    }
+    let (shared, server) = (shared.clone(), server.clone());
+    tokio::spawn(async move {
+        for delay in [Duration::ZERO, NEW_HOLDER_DELAY] {
+            sleep(delay).await;
+            let usage = own_usage(&shared, &server).unwrap_or_default();
+            send_report(&shared, server.clone(), usage, None, None);
+        }
+    });
+}
+
+/// What this daemon has in flight at a runner; `None` if that is nothing.
+fn own_usage(shared: &Shared, server: &ServerName) -> Option<Usage> {
+    let fleet = shared.fleet();
+    let usage = fleet.get(fleet.key(server)?)?.own_usage;
+    (usage.requests > 0).then_some(usage)
+}
+
 /// Applies a daemon's report on a runner that this daemon holds; ignored for others.
 pub fn apply(
     shared: &Shared,
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -181,7 +181,8 @@
         .max(adapter_wait)
         .max(capacity_wait)
         .max(limit_wait)
-        .max(pace_wait);
+        .max(pace_wait)
+        .max(millis(runner.report_wait(now)));
     let prefill_time = runner.prefill_time(request, timings);
     let late_cost_ms =
         late_event_cost_ms(runner, prefill_time, requests, service_time, now);
--- a/crates/pool/src/runner.rs
+++ b/crates/pool/src/runner.rs
@@ -85,6 +85,9 @@
 pub struct RunnerView {
     /// The last usage report of each daemon, and when it arrived.
     usage: IndexMap<MemberId, (Usage, Instant)>,
+    /// Until when daemons may not have reported yet what they have in flight, since the claim
+    /// has moved; `None` if it has not.
+    reported_by: Option<Instant>,
     adapters: IndexMap<TargetModel, AdapterSlot>,
     models: Vec<ModelName>,
     /// The model that is being unloaded; the runner rejects requests for it.
@@ -119,6 +122,17 @@
         }
     }
 
+    /// Has [`Self::report_wait`] last until `at`, by when all daemons have reported what they
+    /// have in flight.
+    pub fn await_reports(&mut self, at: Instant) {
+        self.reported_by = Some(at);
+    }
+
+    /// How long [`Self::total_usage`] may still be too low because the claim has just moved.
+    pub fn report_wait(&self, now: Instant) -> Duration {
+        self.reported_by.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+    }
+
     /// Applies the limit on requests that the runner announces, if any.
     pub fn set_request_limit(&mut self, limit: Option<RequestRate>, now: Instant) {
         request_pacer::update(&mut self.pacer, limit, now);
--- a/crates/pool/tests/choose.rs
+++ b/crates/pool/tests/choose.rs
@@ -84,6 +84,25 @@
     assert_eq!(runner.total_usage(now + Duration::from_secs(5)).requests, 0);
 }
 
+#[test]
+fn a_new_holder_bids_with_the_wait_for_usage_reports() {
+    // Guards against a full runner whose bid is that of an idle one, because its claim has just
+    // moved and no daemon has reported to the new holder yet.
+    let now = Instant::now();
+    let wait_ms = |runner: &RunnerView, at| {
+        let request = request(without_adapter("m"), 500);
+        bid(runner, &request, &EngineTimings::default(), &engine(&[]), at).wait_ms
+    };
+    let (mut runner, report_time) = (RunnerView::default(), Duration::from_millis(300));
+    let idle = wait_ms(&runner, now);
+    runner.await_reports(now + report_time);
+    assert_eq!(runner.report_wait(now), report_time);
+    assert_eq!(wait_ms(&runner, now), idle + 300.0);
+    let later = now + report_time;
+    assert_eq!(runner.report_wait(later), Duration::ZERO);
+    assert_eq!(wait_ms(&runner, later), idle);
+}
+
 /// A runner that holds the model `m` with adapters that were used `now`.
 fn loaded_runner(adapters: usize, now: Instant) -> RunnerView {
     let names = (0..adapters).map(|n| support::adapter(&format!("a{n}")));
--- a/tests/platform/contention.rs
+++ b/tests/platform/contention.rs
@@ -16,10 +16,10 @@
 use crate::servers::holder_of;
 
 /// The claims of the cluster's runners.
-const RUNNER_CLAIMS: [&str; 3] = ["server:r1", "server:r2", "server:r3"];
+pub const RUNNER_CLAIMS: [&str; 3] = ["server:r1", "server:r2", "server:r3"];
 
 /// Sends requests to a daemon in the background, all at the same time.
-fn spawn_requests(
+pub fn spawn_requests(
     cluster: &Cluster,
     daemon: usize,
     requests: impl IntoIterator<Item = CallerRequest>,
@@ -48,7 +48,7 @@
 }
 
 /// The number of runs at all runners.
-fn run_count(cluster: &Cluster) -> usize {
+pub fn run_count(cluster: &Cluster) -> usize {
     cluster.runners.iter().map(|runner| runner.runs().len()).sum()
 }
 
@@ -225,7 +225,7 @@
 
 /// Checks that a response is complete after one run, or a refusal that states truthfully that
 /// the request has not run.
-fn check_answered_once(
+pub fn check_answered_once(
     cluster: &Cluster,
     request: &CallerRequest,
     response: &CallerResponse,
@@ -258,7 +258,7 @@
 
 /// Waits until all daemons know the holders of all runners' claims; until then they send
 /// requests by their own counts.
-async fn wait_for_holders(cluster: &Cluster) {
+pub async fn wait_for_holders(cluster: &Cluster) {
     for daemon in &cluster.daemons {
         wait_until("a daemon knows the holders", async || {
             let state = cluster.caller.get_text(daemon.metrics_addr, "/state").await;
--- /dev/null
+++ b/tests/platform/stops.rs
@@ -0,0 +1,157 @@
+//! Daemons that are stopped (SIGTERM) while requests wait.
+
+use std::time::Duration;
+
+use chestnut_platform_stand_in::{CallerRequest, CallerResponse, Runner};
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::cluster::{Cluster, Setup, wait_until};
+use crate::contention::{
+    RUNNER_CLAIMS, check_answered_once, run_count, spawn_requests, wait_for_holders,
+};
+use crate::servers::holder_of;
+
+/// How long callers wait: longer than a daemon takes to stop.
+const BUDGET: Duration = Duration::from_secs(14);
+
+/// The requests of one daemon that wait for a full runner.
+const WAITING: usize = 4;
+
+type Exchanges = JoinSet<(CallerRequest, CallerResponse)>;
+
+/// A cluster whose runners are full for longer than a daemon takes to stop.
+struct FullCluster {
+    cluster: Cluster,
+    /// The daemon that holds the only runner of `blue`.
+    holder: usize,
+    /// A daemon that neither holds that runner nor has streams at any.
+    other: usize,
+    running: Exchanges,
+}
+
+impl FullCluster {
+    /// Starts a cluster; its last daemon sends the streams that fill the runners.
+    async fn start(name: &str, setup: Setup) -> Self {
+        let cluster = Cluster::start_with(name, setup).await;
+        wait_for_holders(&cluster).await;
+        let holder = holder_of(&cluster, RUNNER_CLAIMS[2]).await;
+        let mut daemons = (0..setup.daemons).rev().filter(|daemon| *daemon != holder);
+        let sender = daemons.next().expect("there are several daemons");
+        let other = daemons.next().expect("there are three daemons or more");
+        let stream = |model| CallerRequest {
+            budget: BUDGET,
+            ..CallerRequest::stream("draft", model, 1000)
+        };
+        let streams = ["blue", "red", "red"].into_iter().map(stream);
+        let mut running = JoinSet::new();
+        // One after the other, so that no runner gets three.
+        for stream in streams.clone().chain(streams) {
+            let before = run_count(&cluster);
+            let addr = cluster.daemons[sender].caller_addr;
+            let caller = cluster.caller.clone();
+            running.spawn(async move {
+                let response = caller.send(addr, &stream).await;
+                (stream, response)
+            });
+            wait_until("a stream runs", async || run_count(&cluster) > before).await;
+        }
+        for runner in &cluster.runners {
+            assert_eq!(runner.runs().len(), 2, "{} is full", runner.name);
+        }
+        Self { cluster, holder, other, running }
+    }
+
+    /// Has requests wait at a daemon for the runner of `blue`.
+    async fn wait_at(&self, daemon: usize) -> Exchanges {
+        let request = CallerRequest {
+            budget: BUDGET,
+            ..CallerRequest::stream("summary", "blue", 5)
+        };
+        let waiting = spawn_requests(&self.cluster, daemon, vec![request; WAITING]);
+        wait_until("the requests wait", async || {
+            let picked = self.cluster.daemons[daemon].lines("server picked");
+            picked.iter().filter(|line| line["requests"] == 2).count() >= WAITING
+        })
+        .await;
+        waiting
+    }
+
+    fn stop(&self, daemon: usize) {
+        self.cluster.daemons[daemon].signal(Signal::TERM);
+    }
+
+    /// Checks that each request got a whole answer after one run, or a refusal and no run.
+    async fn check_answered(&self, mut waiting: Exchanges) {
+        while let Some(ended) = waiting.join_next().await {
+            let (request, response) = ended.expect("the caller ends");
+            check_answered_once(&self.cluster, &request, &response);
+        }
+    }
+
+    async fn end(mut self) {
+        self.running.shutdown().await;
+    }
+}
+
+/// Setups of three daemons and more, in which requests wait in the queue of one runner or of
+/// several.
+fn setups(daemons: usize) -> [Setup; 2] {
+    let late_binding = Setup::contended(daemons);
+    [Setup { with_policy: 0, ..late_binding }, late_binding]
+}
+
+/// Guards against requests whose connections end without an answer because the stopped holder
+/// of a full runner admits them by a view of the runner that nobody updates any more.
+#[tokio::test]
+async fn requests_that_wait_at_a_stopped_holder_are_answered() {
+    for setup in setups(3) {
+        let full = FullCluster::start("holder", setup).await;
+        let waiting = full.wait_at(full.holder).await;
+        full.stop(full.holder);
+        full.check_answered(waiting).await;
+        full.end().await;
+    }
+}
+
+/// Guards against requests that are sent to a full runner without a verdict of its next holder,
+/// by a daemon that is stopped soon after the former one.
+#[tokio::test]
+async fn requests_are_answered_while_daemons_stop_in_turn() {
+    for (setup, pause) in setups(4).into_iter().zip([600, 50]) {
+        let full = FullCluster::start("in-turn", setup).await;
+        let at_holder = full.wait_at(full.holder).await;
+        let at_other = full.wait_at(full.other).await;
+        full.stop(full.holder);
+        sleep(Duration::from_millis(pause)).await;
+        full.stop(full.other);
+        full.check_answered(at_holder).await;
+        full.check_answered(at_other).await;
+        full.end().await;
+    }
+}
+
+/// Guards against a new holder that takes a full runner for idle, because the daemons with
+/// streams there have not reported to it yet, and admits all requests that wait.
+#[tokio::test]
+async fn a_new_holder_admits_no_request_to_a_full_runner() {
+    for setup in setups(12) {
+        let full = FullCluster::start("new-holder", setup).await;
+        let waiting = full.wait_at(full.other).await;
+        let blue = full.cluster.runners.last().map(Runner::runs).unwrap_or_default();
+        full.stop(full.holder);
+        let holder = &full.cluster.daemons[full.holder];
+        wait_until("the claim is handed over", async || {
+            let ended = holder.lines("claim handed over");
+            ended.iter().any(|line| line["claim"] == RUNNER_CLAIMS[2])
+        })
+        .await;
+        // Several times as long as the reports and requests take.
+        sleep(Duration::from_secs(2)).await;
+        let runs = full.cluster.runners.last().map(Runner::runs).unwrap_or_default();
+        assert_eq!(runs, blue, "no request was sent to the full runner");
+        drop(waiting);
+        full.end().await;
+    }
+}
