Permits are requested from the next holder of a queue that has moved

Cause: `Moved` was taken for no response. The request was sent at once by the daemon's own counts, and the service's holder, by then the next one, was marked as unresponsive for a second.

Change: a request that is told that the queue has moved asks the next holder, for at most 250 ms; `Moved` marks nobody as unresponsive.

--- a/crates/gate/src/permit.rs
+++ b/crates/gate/src/permit.rs
@@ -42,6 +42,14 @@
 /// seventh of all permits.
 const RELEASE_REPEAT_DELAY: Duration = Duration::from_millis(10);
 
+/// How long a request that was told of a moved queue waits for a response of the next holder.
+///
+/// The next holder learns of its claim within a heartbeat period.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How long after such a response the permit is requested again.
+const MOVED_DELAY: Duration = Duration::from_millis(15);
+
 /// How long an unresponsive holder is sent no permit requests.
 ///
 /// A request loses 60 ms on an unresponsive holder. After two seconds another daemon takes
@@ -61,6 +69,9 @@
     Nowhere,
     /// No daemon holds the queue, or its holder does not respond.
     Silent,
+    /// The daemon that received the request no longer holds the queue, or does not know yet
+    /// that it does.
+    Moved,
 }
 
 impl PermitDecision {
@@ -71,6 +82,7 @@
             Self::Full(_) => "full",
             Self::Nowhere => "nowhere",
             Self::Silent => "silent",
+            Self::Moved => "moved",
         }
     }
 }
@@ -122,20 +134,19 @@
     if shared.is_queue_holder_unresponsive(&job.service, started) {
         return PermitDecision::Silent;
     }
-    let Some((member, addr)) = holder(shared, &job.service) else {
-        return PermitDecision::Silent;
-    };
-    let (number, receiver) = shared.peers.open_request();
-    let request = plain_request(job, avoid);
-    let mut pending = PendingPermit { job, number, granted: false };
-    if member != shared.peers.me {
-        server_limits::announce_all(shared, &job.service, (member, addr));
-    }
-    let decision = match member == shared.peers.me {
-        true => pending.request_local(request).await,
-        false => pending.request_remote(addr, receiver, request).await,
+    let mut moved_at = None;
+    let (member, decision) = loop {
+        let Some((member, addr)) = holder(shared, &job.service) else {
+            return PermitDecision::Silent;
+        };
+        let decision = request_from(job, avoid, (member, addr)).await;
+        let now = shared.now();
+        let waits_until = *moved_at.get_or_insert(now) + MOVE_TIMEOUT;
+        if decision != PermitDecision::Moved || now + MOVED_DELAY > waits_until {
+            break (member, decision);
+        }
+        sleep(MOVED_DELAY).await;
     };
-    pending.granted = matches!(decision, PermitDecision::Send(..));
     if decision == PermitDecision::Silent {
         shared.mark_queue_holder_unresponsive(
             &job.service,
@@ -150,6 +161,27 @@
     decision
 }
 
+/// Waits for a permit from one daemon.
+async fn request_from(
+    job: &Job,
+    avoid: &[ServerName],
+    (member, addr): (MemberId, SocketAddr),
+) -> PermitDecision {
+    let shared = &job.shared;
+    let (number, receiver) = shared.peers.open_request();
+    let request = plain_request(job, avoid);
+    let mut pending = PendingPermit { job, number, granted: false };
+    if member != shared.peers.me {
+        server_limits::announce_all(shared, &job.service, (member, addr));
+    }
+    let decision = match member == shared.peers.me {
+        true => pending.request_local(request).await,
+        false => pending.request_remote(addr, receiver, request).await,
+    };
+    pending.granted = matches!(decision, PermitDecision::Send(..));
+    decision
+}
+
 fn plain_request(job: &Job, avoid: &[ServerName]) -> PlainRequest {
     let now = job.shared.now();
     let fleet = job.shared.fleet();
@@ -192,7 +224,7 @@
         match receiver.await {
             Ok(verdict) => self.decision(verdict).unwrap_or(PermitDecision::Silent),
             // The claim was lost.
-            Err(_) => PermitDecision::Silent,
+            Err(_) => PermitDecision::Moved,
         }
     }
 
@@ -238,7 +270,7 @@
                 Some(PermitDecision::Full(Duration::from_millis(millis.into())))
             }
             PermitVerdict::Nowhere => Some(PermitDecision::Nowhere),
-            PermitVerdict::Moved => Some(PermitDecision::Silent),
+            PermitVerdict::Moved => Some(PermitDecision::Moved),
         }
     }
 }
--- a/crates/gate/src/permit_queue.rs
+++ b/crates/gate/src/permit_queue.rs
@@ -108,7 +108,7 @@
         server_limits::broadcast_held(shared, |server| servers.contains(server));
     }
     for queue in lost {
-        // Daemons send their queued requests by their own counts.
+        // Daemons request the permits of queued requests from the next holder.
         let replies = std::mem::take(&mut queue.state().replies);
         for (key, reply) in replies {
             send_verdict(shared, key, reply, PermitVerdict::Moved);
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -202,7 +202,9 @@
                 }
             }
             PermitDecision::Full(wait) => return Err(PickError::Full(wait)),
-            PermitDecision::Nowhere | PermitDecision::Silent => break,
+            PermitDecision::Nowhere | PermitDecision::Silent | PermitDecision::Moved => {
+                break;
+            }
         }
     }
     pick_plain_by_own_usage(job, avoid)
--- a/tests/platform/contention.rs
+++ b/tests/platform/contention.rs
@@ -259,11 +259,16 @@
 /// Waits until all daemons know the holders of all runners' claims; until then they send
 /// requests by their own counts.
 pub async fn wait_for_holders(cluster: &Cluster) {
+    wait_for_claims(cluster, &RUNNER_CLAIMS).await;
+}
+
+/// Waits until all daemons know the holders of these claims.
+pub async fn wait_for_claims(cluster: &Cluster, claims: &[&str]) {
     for daemon in &cluster.daemons {
         wait_until("a daemon knows the holders", async || {
             let state = cluster.caller.get_text(daemon.metrics_addr, "/state").await;
             let state: Value = serde_json::from_str(&state).unwrap_or_default();
-            RUNNER_CLAIMS.iter().all(|claim| !state["claims"][claim]["holder"].is_null())
+            claims.iter().all(|claim| !state["claims"][claim]["holder"].is_null())
         })
         .await;
     }
--- a/tests/platform/stops.rs
+++ b/tests/platform/stops.rs
@@ -1,15 +1,18 @@
 //! Daemons that are stopped (SIGTERM) while requests wait.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use chestnut_platform_stand_in::{CallerRequest, CallerResponse, Runner};
 use rustix::process::Signal;
+use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::cluster::{Cluster, Setup, wait_until};
 use crate::contention::{
-    RUNNER_CLAIMS, check_answered_once, run_count, spawn_requests, wait_for_holders,
+    RUNNER_CLAIMS, check_answered_once, run_count, spawn_requests, wait_for_claims,
+    wait_for_holders,
 };
 use crate::servers::holder_of;
 
@@ -155,3 +158,59 @@
         full.end().await;
     }
 }
+
+/// Sends plain requests to a daemon, several at a time, until they are aborted.
+fn send_lookups(cluster: &Cluster, daemon: usize) -> JoinSet<()> {
+    let mut lookups = JoinSet::new();
+    for _ in 0..16 {
+        let (caller, addr) =
+            (cluster.caller.clone(), cluster.daemons[daemon].caller_addr);
+        lookups.spawn(async move {
+            loop {
+                let response = caller.send(addr, &CallerRequest::plain("lookup")).await;
+                assert_eq!(response.status, 200, "{response:?}");
+            }
+        });
+    }
+    lookups
+}
+
+/// Guards against plain requests that are sent without a permit, for a second after each planned
+/// stop, because the former holder of their queue told one that the queue has moved.
+#[tokio::test]
+async fn permits_are_requested_from_the_next_holder_of_a_queue() {
+    let cluster = Cluster::start("queue", 3).await;
+    wait_for_claims(&cluster, &["pool:ledger"]).await;
+    let holder = holder_of(&cluster, "pool:ledger").await;
+    let others: Vec<usize> = (0..3).filter(|daemon| *daemon != holder).collect();
+    let mut lookups: Vec<_> =
+        others.iter().map(|daemon| send_lookups(&cluster, *daemon)).collect();
+    sleep(Duration::from_millis(300)).await;
+    cluster.daemons[holder].signal(Signal::TERM);
+    wait_until("the queue has moved", async || {
+        let lines = cluster.daemons[holder].lines("claim handed over");
+        lines.iter().any(|line| line["claim"] == "pool:ledger")
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
+    for lookups in &mut lookups {
+        while let Some(ended) = lookups.try_join_next() {
+            ended.expect("all requests are served");
+        }
+        lookups.abort_all();
+    }
+    for daemon in others {
+        let lines = cluster.daemons[daemon].all_lines();
+        let granted = lines.iter().filter(|line| {
+            line["place"].as_str().is_some_and(|place| place.starts_with("Send"))
+        });
+        let granted: HashSet<&Value> = granted.map(|line| &line["id"]).collect();
+        let served = lines
+            .iter()
+            .filter(|line| line["msg"] == "request ended" && line["end"] == "answered");
+        let served: HashSet<&Value> = served.map(|line| &line["id"]).collect();
+        assert!(served.len() > 100, "{} requests", served.len());
+        let without_permit = served.difference(&granted).count();
+        assert_eq!(without_permit, 0, "{} were served in all", served.len());
+    }
+}
