A request without a response is answered before its daemon exits

A caller whose request had been sent to a server that had not begun to respond when the daemon exited saw the connection end, 7.6 s after SIGTERM, without an answer.

Cause: the limit on waits at a stop ends waits for a server only; a request that has been sent waits for its response until the process ends.

Change: 0.2 s before the exit, such a request is answered 502 "may have run" (`response_end` in `StopTimes`), with a log line that says whether a holder had admitted it. The response of a server that has begun is passed on as before.

--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -22,7 +22,7 @@
 use crate::registry::{DeclarationsHandler, ServerHandler};
 use crate::settings::Settings;
 use crate::share_rows::ShareHandler;
-use crate::shared::Shared;
+use crate::shared::{Shared, StopTimes};
 use crate::software_rows::SoftwareHandler;
 use crate::table_sync::SystemTableHandler;
 use crate::{
@@ -54,6 +54,10 @@
 /// of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long before the end of that time requests without a response are answered, so that the
+/// answers reach their callers.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
+
 /// How often the settings file is read again.
 const RELOAD_PERIOD: Duration = Duration::from_secs(2);
 
@@ -185,9 +189,12 @@
     // From now on its claims are assigned to other daemons.
     shared.membership().leaving.insert(shared.peers.me);
     members::announce_shutdown(shared);
-    let stop_time = shared.bounds.borrow().stop;
-    shared.wait_end.send_replace(Some(shared.now() + stop_time.mul_f64(WAIT_FRACTION)));
+    let (now, stop_time) = (shared.now(), shared.bounds.borrow().stop);
     let time_limit = stop_time.saturating_sub(EXIT_MARGIN);
+    shared.stop_times.send_replace(Some(StopTimes {
+        wait_end: now + stop_time.mul_f64(WAIT_FRACTION),
+        response_end: now + time_limit.saturating_sub(RESPONSE_MARGIN),
+    }));
     let finished = async {
         sleep(DRAIN_TIME).await;
         shared.refusing_requests.send_replace(true);
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -6,7 +6,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnut_base::{Outcome, Refusal, RefusalCode, ServerName};
@@ -17,12 +17,12 @@
 use slog::info;
 use tokio::time::sleep_until;
 
-use crate::attempt::{AttemptError, ServerResponse, attempt};
+use crate::attempt::{AttemptError, ServerResponse, Target, attempt};
 use crate::job::Job;
 use crate::metrics::Step;
 use crate::pick::{PickError, pick, wait_before_retry};
 use crate::relay::{self, ResponseBody};
-use crate::shared::Shared;
+use crate::shared::{Shared, StopTimes};
 use crate::{charge, crashes, planner, read, resumption, retries};
 
 /// The maximum number of attempts to serve one request, without those at servers that can't be
@@ -131,7 +131,9 @@
         let picked = tokio::select! {
             biased;
             picked = pick(&job, missing, &failed) => picked,
-            () = end_of_waits(&job.shared) => Err(PickError::Stopping),
+            () = reach_stop_time(&job.shared, |times| times.wait_end) => {
+                Err(PickError::Stopping)
+            }
         };
         let target = match picked {
             Ok(target) => target,
@@ -143,8 +145,14 @@
         };
         wait_before_retry(&target.name, &failed).await;
         job.sent_at = job.shared.now();
-        let resume_after = job.call.resume_after;
-        let error = match attempt(&mut job, &target, resume_after).await {
+        let (shared, resume_after) = (job.shared.clone(), job.call.resume_after);
+        let result = tokio::select! {
+            biased;
+            result = attempt(&mut job, &target, resume_after) => Some(result),
+            () = reach_stop_time(&shared, |times| times.response_end) => None,
+        };
+        let Some(result) = result else { return Err((unanswered(&job, &target), job)) };
+        let error = match result {
             Ok(response) => match retry_server_error(&mut job, &response) {
                 true => {
                     failed.push(target.name);
@@ -188,16 +196,26 @@
     Err((no_server(&job), job))
 }
 
-/// Returns when requests may wait no longer because the daemon exits.
-async fn end_of_waits(shared: &Shared) {
-    let mut wait_end = shared.wait_end.subscribe();
-    let until = wait_end.wait_for(Option::is_some).await.ok().and_then(|until| *until);
-    match until {
-        Some(until) => sleep_until(until.into()).await,
+/// Returns at one of the time limits of the shutdown; never unless the daemon is shutting down.
+async fn reach_stop_time(shared: &Shared, limit: fn(&StopTimes) -> Instant) {
+    let mut stop_times = shared.stop_times.subscribe();
+    let times = stop_times.wait_for(Option::is_some).await.ok().and_then(|times| *times);
+    match times {
+        Some(times) => sleep_until(limit(&times).into()).await,
         None => std::future::pending().await,
     }
 }
 
+/// The refusal of a request whose server has not responded when the daemon exits.
+fn unanswered(job: &Job, target: &Target) -> Refusal {
+    info!(job.shared.log, "no response before the exit"; "id" => job.id(),
+        "server" => target.name.as_str(), "admitted" => target.number.is_some(),
+        "waited_ms" => job.shared.now().saturating_duration_since(job.sent_at).as_millis() as u64);
+    let message = "this daemon shuts down before the server responds; retry the request if it \
+        may run twice";
+    Refusal::in_doubt(RefusalCode::Broken, message)
+}
+
 /// The refusal of a request that waits for a server while the daemon exits.
 fn stopping(job: &Job) -> Refusal {
     let message = "this daemon shuts down before a server is free; retry at another one";
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -60,6 +60,15 @@
     pub system: Arc<SyncedTable>,
 }
 
+/// The time limits of a daemon that is shutting down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopTimes {
+    /// Until when requests may wait for a server.
+    pub wait_end: Instant,
+    /// Until when requests may wait for the response of a server, after `wait_end`.
+    pub response_end: Instant,
+}
+
 /// The state that the modules of the daemon share.
 ///
 /// Locks are held only briefly and never across an await.
@@ -95,8 +104,8 @@
     pub server_updates: watch::Sender<u64>,
     /// Whether the daemon has received SIGTERM.
     pub shutting_down: watch::Sender<bool>,
-    /// Until when requests may wait for a server; `None` unless the daemon is shutting down.
-    pub wait_end: watch::Sender<Option<Instant>>,
+    /// The time limits of the shutdown; `None` unless the daemon is shutting down.
+    pub stop_times: watch::Sender<Option<StopTimes>>,
     /// Whether the daemon accepts no more requests.
     pub refusing_requests: watch::Sender<bool>,
     /// Callers' requests in progress.
@@ -174,7 +183,7 @@
             applied_version: watch::Sender::new(0),
             server_updates: watch::Sender::new(0),
             shutting_down: watch::Sender::new(false),
-            wait_end: watch::Sender::new(None),
+            stop_times: watch::Sender::new(None),
             refusing_requests: watch::Sender::new(false),
             tables,
             system_table_loaded: watch::Sender::new(false),
--- a/tests/platform/stops.rs
+++ b/tests/platform/stops.rs
@@ -14,6 +14,7 @@
     RUNNER_CLAIMS, check_answered_once, run_count, spawn_requests, wait_for_claims,
     wait_for_holders,
 };
+use crate::proxy::ProxyFault;
 use crate::servers::holder_of;
 
 /// How long callers wait: longer than a daemon takes to stop.
@@ -214,3 +215,24 @@
         assert_eq!(without_permit, 0, "{} were served in all", served.len());
     }
 }
+
+/// Guards against a connection that ends without an answer because the server of a request has
+/// not responded when its daemon exits.
+#[tokio::test]
+async fn a_request_without_a_response_is_answered_before_its_daemon_exits() {
+    let cluster = Cluster::start_with_proxies("unanswered", 2).await;
+    wait_for_holders(&cluster).await;
+    for proxy in cluster.proxies.servers() {
+        proxy.set_fault(ProxyFault::Blocked { to_target: false, to_client: true });
+    }
+    let (caller, addr) = (cluster.caller.clone(), cluster.daemons[0].caller_addr);
+    let request =
+        CallerRequest { budget: BUDGET, ..CallerRequest::stream("draft", "blue", 3) };
+    let waiting = tokio::spawn(async move { caller.send(addr, &request).await });
+    wait_until("the request runs", async || run_count(&cluster) == 1).await;
+    cluster.daemons[0].signal(Signal::TERM);
+    let response = waiting.await.expect("the caller ends");
+    // The request has run, which no refusal as not run may deny.
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_eq!(cluster.runs(&response), 1);
+}
