A stopping daemon resumes its stopped streams before other requests

Nothing in the wait for a resume looks at the shutdown. Ruled out: the retry budget (each of 22 decisions was granted). The urgent requests have other daemons and another try; for a stream whose caller has part of it there is only the daemon that holds the connection.

Change: when the daemon begins to shut down, such a stream joins the queues anew, with a message of its own (`ContinuationRequest`): its prompt goes before all others, is neither capped nor refused, and its account is not charged a second time. That holds for streams whose server failed, too. A daemon that shuts down does not act on a request to stop a stream that it got just before. The retry budget decides as before.

--- a/crates/gate/src/bidding.rs
+++ b/crates/gate/src/bidding.rs
@@ -347,7 +347,7 @@
 ) -> Admission {
     let server = &incarnation.server;
     let started = job.shared.now();
-    let classified = job.shared.policy(&job.service).uses_class();
+    let classified = job.shared.policy(&job.service).uses_class() || job.must_continue();
     let mut moved_at = None;
     let admission = loop {
         let (number, receiver) = job.shared.peers.open_request();
@@ -551,6 +551,14 @@
             };
         }
         let class = self.job.class();
+        if class.must_continue {
+            return Message::ContinuationRequest {
+                number,
+                server,
+                request,
+                adapter_missing,
+            };
+        }
         Message::ClassifiedRequest { number, server, request, adapter_missing, class }
     }
 
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -120,6 +120,12 @@
         self.shared.settings.policy.priority.rank(priority, self.route().priority)
     }
 
+    /// Whether it goes before other requests: the daemon is shutting down, and the caller has
+    /// part of the response, which no other daemon can continue.
+    pub fn must_continue(&self) -> bool {
+        self.response_started && *self.shared.shutting_down.borrow()
+    }
+
     /// The caller's id for the request, for logs; "-" if it sent none.
     pub fn id(&self) -> &str {
         self.call.id.as_deref().unwrap_or("-")
@@ -131,11 +137,13 @@
         // A stream that was on time is not late because it was stopped.
         let started_at = self.paused_since.unwrap_or(self.arrived_at);
         let target_time = started_at + self.route().objective;
+        // Holders of older versions know no precedence.
+        let urgency = if self.must_continue() { 0 } else { self.priority() };
         Some(GenerationRequest {
             target: self.call.target.clone()?,
             size: self.estimated_size(),
             parts: self.call.parts.clone(),
-            urgency: self.priority(),
+            urgency,
             target_time: target_time.saturating_duration_since(now),
             wait_limit: self.wait_deadline().saturating_duration_since(now),
         })
@@ -143,11 +151,16 @@
 
     /// What distinguishes it from others of the same urgency.
     pub fn class(&self) -> RequestClass {
+        // It has been charged to its account, and is not to be stopped once more.
+        if self.must_continue() {
+            return RequestClass { must_continue: true, ..RequestClass::default() };
+        }
         let name = || accounts::account_name(&self.declarations, self.account).to_owned();
         let profile = self.shared.profile(&self.service);
         RequestClass {
             account: self.account.map(|_| name()),
             patient: profile.is_patient(self.route()),
+            must_continue: false,
         }
     }
 
--- a/crates/gate/src/message.rs
+++ b/crates/gate/src/message.rs
@@ -299,6 +299,20 @@
         /// The version; `None` for servers that name none.
         software: Option<SoftwareVersion>,
     },
+    /// Like `AdmissionRequest`, for a stream that goes before all other requests: the sender is
+    /// shutting down, and its caller has part of the response.
+    ///
+    /// Daemons of versions before this message don't respond to it.
+    ContinuationRequest {
+        /// Identifies the request at its daemon.
+        number: u64,
+        /// The runner.
+        server: ServerName,
+        /// What the request needs.
+        request: GenerationRequest,
+        /// Whether the runner has just rejected the request for lack of the adapter.
+        adapter_missing: bool,
+    },
 }
 
 impl Message {
@@ -338,6 +352,7 @@
             Self::OriginRequest { .. } => "origin request",
             Self::OriginResponse { .. } => "origin response",
             Self::ModelWanted { .. } => "wanted model",
+            Self::ContinuationRequest { .. } => "continuation request",
         }
     }
 }
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -111,6 +111,25 @@
     }
 }
 
+/// Picks a server for a stream whose caller has part of it.
+///
+/// If the daemon begins to shut down meanwhile, the stream joins the queues anew: it has
+/// precedence from then on.
+pub async fn pick_to_resume(job: &Job) -> Result<Target, PickError> {
+    if !job.must_continue() {
+        let mut shutting_down = job.shared.shutting_down.subscribe();
+        tokio::select! {
+            biased;
+            picked = pick(job, None, &[]) => return picked,
+            // `shared` owns the sender, so the channel can't be closed.
+            _ = shutting_down.wait_for(|is_leaving| *is_leaving) => {}
+        }
+    }
+    info!(job.shared.log, "resume before the exit"; "id" => job.id(),
+        "age_ms" => job.age().as_millis() as u64);
+    pick(job, None, &[]).await
+}
+
 /// Until when a request waits for a server with its model.
 fn residency_deadline(job: &Job) -> std::time::Instant {
     if job.response_started {
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -68,6 +68,14 @@
                 AdmissionRequest { key, request, adapter_missing, class, refusable };
             request_admission(shared, from, &server, admission);
         }
+        Message::ContinuationRequest { number, server, request, adapter_missing } => {
+            let key = (packet.from, number);
+            let class = RequestClass { must_continue: true, ..RequestClass::default() };
+            let refusable = false;
+            let admission =
+                AdmissionRequest { key, request, adapter_missing, class, refusable };
+            request_admission(shared, from, &server, admission);
+        }
         Message::StreamTiming { server, step_us, gaps } => {
             server_speeds::apply_stream(shared, &server, step_us, gaps)
         }
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::framing::ends_with_connection;
 use crate::job::{Job, RequestEnd, StreamTiming};
 use crate::metrics::Span;
-use crate::pick::pick;
+use crate::pick::pick_to_resume;
 use crate::serve::full_body;
 use crate::server_speeds::RelayedStream;
 use crate::yielding::{self, StopDecision, StreamRegistration};
@@ -367,7 +367,7 @@
             "software" => self.job.software.name(), "why" => why,
             "after" => self.sequence.last());
         while retries::try_take(&mut self.job, "resumed") {
-            let Ok(target) = pick(&self.job, None, &[]).await else { return false };
+            let Ok(target) = pick_to_resume(&self.job).await else { return false };
             match attempt(&mut self.job, &target, self.sequence.last()).await {
                 Ok(response) if is_event_stream(&response.head) => {
                     self.server = response.target.name.clone();
@@ -410,8 +410,9 @@
         self.registration = None;
         let Some(source) = &self.source else { return true };
         let server = source.target.incarnation();
+        let is_leaving = *self.job.shared.shutting_down.borrow();
         let is_current = yielding::is_current(requested_at, self.job.shared.now());
-        if !is_current || !self.sequence.is_resumable() {
+        if is_leaving || !is_current || !self.sequence.is_resumable() {
             return true;
         }
         let decision = yielding::try_stop(&mut self.job, &server, self.sequence.last());
--- a/crates/gate/src/yielding.rs
+++ b/crates/gate/src/yielding.rs
@@ -19,7 +19,7 @@
 use crate::attempt::{AttemptError, ServerResponse, attempt};
 use crate::job::Job;
 use crate::metrics::Step;
-use crate::pick::{PickError, pick};
+use crate::pick::{PickError, pick_to_resume};
 use crate::relay::is_event_stream;
 use crate::retries;
 use crate::settings::Policy;
@@ -271,7 +271,7 @@
     while job.shared.now() < job.wait_deadline() {
         is_granted = is_granted || retries::try_take(job, "resumed");
         let picked = match is_granted {
-            true => pick(job, None, &[]).await,
+            true => pick_to_resume(job).await,
             false => Err(PickError::NoServer),
         };
         if matches!(picked, Err(PickError::VersionGone)) {
--- a/crates/gate/tests/messages.rs
+++ b/crates/gate/tests/messages.rs
@@ -1,7 +1,8 @@
-//! Sizes of datagrams that are sent for each request.
+//! Sizes and encodings of datagrams.
 
 use chestnut_base::{Digest, MemberId, ServiceName, SoftwareVersion};
 use chestnut_gate::message::{Message, Packet};
+use chestnut_pool::RequestClass;
 use chestnut_pool::origins::{OriginRecord, StreamOrigin};
 
 /// The bytes a second that a daemon may send for control at full size, the streams a second that
@@ -29,3 +30,15 @@
     let each_second = size as f64 * STREAMS * MIXED_SHARE * KEEPERS;
     assert!(each_second <= CONTROL_BYTES, "{size} bytes");
 }
+
+/// Guards against classes that daemons of older versions can't read, which then get no requests.
+#[test]
+fn the_encoding_of_a_class_is_that_of_older_versions() {
+    let account = Some("letters".to_owned());
+    let class = RequestClass { account, patient: true, must_continue: true };
+    let encoded = postcard::to_allocvec(&class).expect("it can be encoded");
+    assert_eq!(encoded, b"\x01\x07letters\x01");
+    let decoded: RequestClass =
+        postcard::from_bytes(&encoded).expect("it can be decoded");
+    assert_eq!(decoded, RequestClass { must_continue: false, ..class });
+}
--- a/crates/gate/tests/yielding.rs
+++ b/crates/gate/tests/yielding.rs
@@ -64,7 +64,7 @@
     };
     let others = Policy { late_binding: true, account_shares: true, ..Policy::default() };
     let on = Policy { yielding: true, ..others };
-    let patient = RequestClass { account: None, patient: true };
+    let patient = RequestClass { patient: true, ..RequestClass::default() };
     let stops = |policy| {
         let is_listed = yielding::may_stop(policy, &patient);
         (sharing::may_ask(policy, &PrefillAction::Idle), is_listed)
--- a/crates/pool/src/class.rs
+++ b/crates/pool/src/class.rs
@@ -10,4 +10,9 @@
     /// Whether the request may wait for all others and, once it runs, be stopped and
     /// resumed later.
     pub patient: bool,
+    /// Whether it goes before all others: its caller has part of the response, which only this
+    /// daemon can continue, and the daemon is shutting down. Not part of the serialized class,
+    /// which older daemons read.
+    #[serde(skip)]
+    pub must_continue: bool,
 }
--- a/crates/pool/src/prefill_queue.rs
+++ b/crates/pool/src/prefill_queue.rs
@@ -10,7 +10,7 @@
 //!
 //! When prompts arrive faster than the engine can prefill them, those that can still meet
 //! their target go first, by urgency; a prompt that is already late loses little more by
-//! waiting.
+//! waiting. A stream that only a daemon which is about to exit can continue goes before all.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -631,10 +631,10 @@
     prompt: &QueuedPrompt,
     limits: &SharingLimits,
     now: Instant,
-) -> (Rank, bool, Instant) {
+) -> (bool, Rank, bool, Instant) {
     let first = Rank { late: false, urgency: 0 };
     let rank = if limits.is_below_floor(prompt) { first } else { rank(prompt, now) };
-    (rank, limits.is_over_share(prompt), prompt.target)
+    (!prompt.class.must_continue, rank, limits.is_over_share(prompt), prompt.target)
 }
 
 /// Whether a prompt's first event would miss its target if it were sent now.
--- a/crates/pool/tests/forecast.rs
+++ b/crates/pool/tests/forecast.rs
@@ -185,7 +185,7 @@
     let refused = |limits: SharingLimits| {
         let mut queue = PrefillQueue::default();
         for number in 1..=60 {
-            let class = RequestClass { account: None, patient: true };
+            let class = RequestClass { patient: true, ..RequestClass::default() };
             queue.push(QueuedPrompt { urgency: 2, class, ..prompt(number, start) });
         }
         let deadline = start + Duration::from_secs(2);
--- a/crates/pool/tests/sharing.rs
+++ b/crates/pool/tests/sharing.rs
@@ -39,7 +39,7 @@
 }
 
 fn patient(number: u64, now: Instant) -> QueuedPrompt {
-    let class = RequestClass { account: None, patient: true };
+    let class = RequestClass { patient: true, ..RequestClass::default() };
     let target = now + Duration::from_secs(3);
     QueuedPrompt { urgency: 2, target, class, ..urgent(number, now) }
 }
@@ -250,12 +250,24 @@
     // With the settings off, a queue decides as if requests had no classes.
     assert_eq!(order(&prompts, &SharingLimits::default(), now), [1, 2, 4, 3]);
     let plain = prompts.map(|prompt| {
-        let class = RequestClass { account: None, patient: prompt.urgency == 1 };
+        let class =
+            RequestClass { patient: prompt.urgency == 1, ..RequestClass::default() };
         QueuedPrompt { class, ..prompt }
     });
     assert_eq!(order(&plain, &SharingLimits::default(), now), [1, 2, 4, 3]);
 }
 
+#[test]
+fn a_stream_that_must_continue_goes_before_urgent_prompts() {
+    // Guards against a stream of a daemon that is about to exit, of which its caller has a part,
+    // that waits behind urgent prompts, as one that is late does.
+    let now = Instant::now();
+    let class = RequestClass { must_continue: true, ..RequestClass::default() };
+    let resumed = QueuedPrompt { urgency: 2, target: now, class, ..urgent(3, now) };
+    let prompts = [patient(1, now), urgent(2, now), resumed];
+    assert_eq!(order(&prompts, &SharingLimits::default(), now), [3, 2, 1]);
+}
+
 #[test]
 fn withdrawn_requests_are_not_charged() {
     // A request that is admitted at several runners runs at one of them; its account would
--- a/tests/platform/contention.rs
+++ b/tests/platform/contention.rs
@@ -38,7 +38,7 @@
 
 /// Waits until a daemon has a settled part of the retry bound; before that it stops no
 /// streams.
-async fn wait_for_share(cluster: &Cluster, daemon: usize) {
+pub async fn wait_for_share(cluster: &Cluster, daemon: usize) {
     // It takes two windows, as long as `wait_until` waits.
     sleep(retry_bound::WINDOW).await;
     wait_until("the daemon has its share", async || {
@@ -53,7 +53,7 @@
 }
 
 /// The ids of the requests whose streams yielded with this outcome at a daemon.
-fn yielded(cluster: &Cluster, daemon: usize, outcome: &str) -> Vec<Value> {
+pub fn yielded(cluster: &Cluster, daemon: usize, outcome: &str) -> Vec<Value> {
     let lines = cluster.daemons[daemon].lines("stream yields");
     let lines = lines.into_iter().filter(|line| line["outcome"] == outcome);
     lines.map(|line| line["id"].clone()).collect()
@@ -116,11 +116,12 @@
     assert!(stopped.iter().all(|id| resumed.contains(id)), "{stopped:?} {resumed:?}");
 }
 
-/// Sends urgent requests to the second daemon until they are aborted.
-fn send_drafts(cluster: &Cluster) -> JoinSet<()> {
+/// Sends urgent requests to a daemon until they are aborted.
+pub fn send_drafts(cluster: &Cluster, daemon: usize) -> JoinSet<()> {
     let mut drafts = JoinSet::new();
     for _ in 0..16 {
-        let (caller, addr) = (cluster.caller.clone(), cluster.daemons[1].caller_addr);
+        let (caller, addr) =
+            (cluster.caller.clone(), cluster.daemons[daemon].caller_addr);
         drafts.spawn(async move {
             loop {
                 caller.send(addr, &CallerRequest::stream("draft", "blue", 40)).await;
@@ -141,7 +142,7 @@
         CallerRequest { budget, ..CallerRequest::stream("summary", "blue", 120) };
     let mut summaries = spawn_requests(cluster, 0, [summary.clone(), summary]);
     wait_until("the summaries run", async || run_count(cluster) == 2).await;
-    let mut drafts = send_drafts(cluster);
+    let mut drafts = send_drafts(cluster, 1);
     while let Some(ended) = summaries.join_next().await {
         let (_, response) = ended.expect("the caller ends");
         let numbers = event_numbers(response.events.len() as u64);
--- a/tests/platform/stops.rs
+++ b/tests/platform/stops.rs
@@ -11,8 +11,8 @@
 
 use crate::cluster::{Cluster, Setup, wait_until};
 use crate::contention::{
-    RUNNER_CLAIMS, check_answered_once, run_count, spawn_requests, wait_for_claims,
-    wait_for_holders,
+    RUNNER_CLAIMS, check_answered_once, run_count, send_drafts, spawn_requests,
+    wait_for_claims, wait_for_holders, wait_for_share, yielded,
 };
 use crate::proxy::ProxyFault;
 use crate::servers::holder_of;
@@ -237,3 +237,40 @@
     assert_eq!(response.status, 502, "{response:?}");
     assert_eq!(cluster.runs(&response), 1);
 }
+
+/// Guards against a stream that its caller never gets the rest of because it was stopped for
+/// urgent requests, which leave it no slot before its daemon exits.
+#[tokio::test]
+async fn a_stopped_stream_is_resumed_before_its_daemon_exits() {
+    let setup = Setup {
+        contended_slots: Some(6),
+        retry_slack: Some(60.0),
+        ..Setup::contended(3)
+    };
+    let cluster = Cluster::start_with("paused", setup).await;
+    wait_for_holders(&cluster).await;
+    let holder = holder_of(&cluster, RUNNER_CLAIMS[2]).await;
+    let daemon = (holder + 1) % 3;
+    wait_for_share(&cluster, daemon).await;
+    let urgent = (daemon + 1) % 3;
+    // The model may be loaded at the others, which must not have free slots either.
+    let long = CallerRequest::stream("draft", "red", 1000);
+    let mut others = spawn_requests(&cluster, urgent, vec![long; 12]);
+    wait_until("the others are full", async || run_count(&cluster) == 12).await;
+    let summary = CallerRequest::stream("summary", "blue", 150);
+    let mut summaries = spawn_requests(&cluster, daemon, vec![summary; 6]);
+    wait_until("the streams run", async || run_count(&cluster) == 18).await;
+    let mut drafts = send_drafts(&cluster, urgent);
+    wait_until("several streams were stopped", async || {
+        yielded(&cluster, daemon, "stopped").len() >= 4
+    })
+    .await;
+    cluster.daemons[daemon].signal(Signal::TERM);
+    while let Some(ended) = summaries.join_next().await {
+        let (request, response) = ended.expect("the caller ends");
+        assert!(response.complete, "{response:?}");
+        check_answered_once(&cluster, &request, &response);
+    }
+    drafts.shutdown().await;
+    others.shutdown().await;
+}
