Soak test of planned stops

Daemons are stopped in overlapping series while more streams are in progress than runners have slots; callers go on using a daemon until its process is gone. Each request that a daemon has read must be answered, and each stream that has begun be completed, unless its retry is beyond the operators' bound.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -22,6 +22,7 @@
 mod retry_bound;
 mod servers;
 mod soak;
+mod stop_soak;
 mod stops;
 mod store;
 mod versions;
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -356,13 +356,13 @@
 }
 
 /// The number of daemons, which `SOAK_DAEMONS` overrides.
-fn soak_daemons(default: usize) -> usize {
+pub fn soak_daemons(default: usize) -> usize {
     let daemons = std::env::var("SOAK_DAEMONS").ok();
     let daemons = daemons.map(|text| text.parse().expect("SOAK_DAEMONS is a number"));
     daemons.unwrap_or(default)
 }
 
-fn selected_seeds(defaults: &[u64]) -> Vec<u64> {
+pub fn selected_seeds(defaults: &[u64]) -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else { return defaults.to_vec() };
     let (from, to) = text.split_once("..").expect("SOAK_SEEDS is FROM..TO");
     let number = |text: &str| text.parse::<u64>().expect("a number");
