--- a/crates/gate/src/bidding.rs
+++ b/crates/gate/src/bidding.rs
@@ -350,6 +350,7 @@
     let classified = job.shared.policy(&job.service).uses_class() || job.must_continue();
     let mut moved_at = None;
     let admission = loop {
+        let requested_at = job.shared.now();
         let (number, receiver) = job.shared.peers.open_request();
         let decided = false;
         let pending = PendingAdmission {
@@ -373,6 +374,10 @@
             Admission::Moved | Admission::Silent => {
                 let now = job.shared.now();
                 let is_leaving = *job.shared.shutting_down.borrow();
+                // It was queued, so that this is not the move that it was told of before.
+                if now.saturating_duration_since(requested_at) > RESPONSE_TIMEOUT {
+                    moved_at = None;
+                }
                 let waits_until = match admission {
                     _ if is_leaving => limit,
                     Admission::Moved => *moved_at.get_or_insert(now) + MOVE_TIMEOUT,
--- a/tests/platform/stops.rs
+++ b/tests/platform/stops.rs
@@ -86,6 +86,16 @@
         self.cluster.daemons[daemon].signal(Signal::TERM);
     }
 
+    /// Stops the holder of the runner of `blue`, and waits until it has handed over the claim.
+    async fn hand_over(&self, holder: usize) {
+        self.stop(holder);
+        wait_until("the claim is handed over", async || {
+            let handed_over = self.cluster.daemons[holder].lines("claim handed over");
+            handed_over.iter().any(|line| line["claim"] == RUNNER_CLAIMS[2])
+        })
+        .await;
+    }
+
     /// Checks that each request got a whole answer after one run, or a refusal and no run.
     async fn check_answered(&self, mut waiting: Exchanges) {
         while let Some(ended) = waiting.join_next().await {
@@ -137,22 +147,19 @@
 }
 
 /// Guards against a new holder that takes a full runner for idle, because the daemons with
-/// streams there have not reported to it yet, and admits all requests that wait.
+/// streams there have not reported to it yet, and admits all requests that wait; and against
+/// requests that are sent without a verdict when the claim moves a second time.
 #[tokio::test]
 async fn a_new_holder_admits_no_request_to_a_full_runner() {
     for setup in setups(12) {
         let full = FullCluster::start("new-holder", setup).await;
         let waiting = full.wait_at(full.other).await;
         let blue = full.cluster.runners.last().map(Runner::runs).unwrap_or_default();
-        full.stop(full.holder);
-        let holder = &full.cluster.daemons[full.holder];
-        wait_until("the claim is handed over", async || {
-            let ended = holder.lines("claim handed over");
-            ended.iter().any(|line| line["claim"] == RUNNER_CLAIMS[2])
-        })
-        .await;
+        full.hand_over(full.holder).await;
         // Several times as long as the reports and requests take.
-        sleep(Duration::from_secs(2)).await;
+        sleep(Duration::from_secs(1)).await;
+        full.hand_over(holder_of(&full.cluster, RUNNER_CLAIMS[2]).await).await;
+        sleep(Duration::from_secs(1)).await;
         let runs = full.cluster.runners.last().map(Runner::runs).unwrap_or_default();
         assert_eq!(runs, blue, "no request was sent to the full runner");
         drop(waiting);
