The first holder of a claim waits for no usage reports

A request to a runner that was claimed for the first time waited for up to 300 ms, although no daemon can have sent requests under an earlier claim.

A claim with the fence 1 has not moved, and its holder does not wait now.

--- a/crates/gate/src/holder.rs
+++ b/crates/gate/src/holder.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 
-use chestnut_base::{MemberId, ServerName};
+use chestnut_base::{Fence, MemberId, ServerName};
 use chestnut_edge::TargetModel;
 use chestnut_member::ClaimKey;
 use chestnut_pool::RunnerView;
@@ -36,6 +36,9 @@
 const _: () =
     assert!(usage_reports::NEW_HOLDER_DELAY.as_millis() < REPORT_TIME.as_millis());
 
+/// The fence of a claim that has not moved yet.
+const FIRST_FENCE: Fence = Fence(1);
+
 /// The number of commands that may be queued for a runner.
 const MAX_QUEUED_COMMANDS: usize = 256;
 
@@ -116,19 +119,17 @@
 
 /// Starts and stops [`HeldRunner`]s as claims are taken and lost and runners restart.
 pub fn sync_claims(shared: &Arc<Shared>) {
-    let held_servers: Vec<ServerName> = {
-        let membership = shared.membership();
-        let claims = membership.claims.iter();
-        let mine = claims.filter(|(_, (row, _))| row.holder == Some(shared.peers.me));
-        let runners = mine.filter_map(|(key, _)| match key {
-            ClaimKey::Server(name) => Some(name.clone()),
-            ClaimKey::Slot(_)
-            | ClaimKey::Pool(_)
-            | ClaimKey::Vms
-            | ClaimKey::AccountSlice(..) => None,
-        });
-        runners.collect()
-    };
+    let (mut held_servers, mut moved_servers) = (Vec::new(), Vec::new());
+    for (key, (row, _)) in &shared.membership().claims {
+        let ClaimKey::Server(name) = key else { continue };
+        if row.holder != Some(shared.peers.me) {
+            continue;
+        }
+        held_servers.push(name.clone());
+        if row.fence > FIRST_FENCE {
+            moved_servers.push(name.clone());
+        }
+    }
     let mut started = Vec::new();
     let ended: Vec<Arc<HeldRunner>> = {
         let starts = start_times(shared, &held_servers);
@@ -145,7 +146,7 @@
                 let started_at = starts.get(&name).copied().flatten();
                 let runner = start_runner(shared.clone(), name, started_at);
                 let has_restarted = ended.iter().any(|old| old.server == runner.server);
-                if !has_restarted {
+                if !has_restarted && moved_servers.contains(&runner.server) {
                     runner.state().await_reports(shared.now() + REPORT_TIME);
                 }
                 runner
