Tests: crowds of clients that don't end what they begin

What is seen: in a trial such clients ended a process, which ran out of memory. These tests play them on one real daemon with 64 MB and 400 descriptors, 200 of them for files: unfinished bodies at once, in pieces, in large and in tiny chunks; whole bodies for silent servers; empty lines and heads over the limit; half heads and silence; most of them at each listener.

--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -77,6 +77,17 @@
     pub with_policy: usize,
     /// The retries that are allowed besides the ratio; `None` for [`retry_bound::SLACK`].
     pub retry_slack: Option<f64>,
+    /// What the daemons may use; `None` if their settings don't tell.
+    pub limits: Option<ProcessLimits>,
+}
+
+/// What the process of a daemon may use.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessLimits {
+    /// Memory, in MB.
+    pub memory_mb: u64,
+    /// Open descriptors.
+    pub descriptors: u64,
 }
 
 impl Setup {
@@ -276,6 +287,10 @@
             settings["policy"] =
                 POLICY_SETTINGS.iter().map(|name| (*name, true)).collect();
         }
+        if let Some(limits) = setup.limits {
+            settings["memory_mb"] = limits.memory_mb.into();
+            settings["descriptors"] = limits.descriptors.into();
+        }
         let path = self.dir.join(format!("vm{number}.json"));
         fs::write(&path, settings.to_string()).expect("a file can be written");
         let log = self.dir.join(format!("vm{number}.log"));
@@ -327,10 +342,14 @@
 }
 
 impl Daemon {
+    /// The id of the process.
+    pub fn pid(&self) -> Pid {
+        Pid::from_child(&self.child)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
-        kill_process(pid, signal).expect("the process exists");
+        kill_process(self.pid(), signal).expect("the process exists");
     }
 
     /// Kills the process (SIGKILL) and waits for its exit.
