Heads keep to the declared size and time

What is seen: a client that sends empty lines, or a head without end, makes the daemon keep 400 KB of it, and one that sends a byte now and then keeps its connection for 20 s. 250 of them held 117 to 123 MB.

Cause: `header_bytes` and `header_timeout_ms` were read and checked, and nothing on the path of a request used them. The parser's own limits applied, and the idle timeout.

Change: the new crate `intake` serves callers' connections. A head that exceeds its size gets 431, one that exceeds its time 408, which guarantees that it has not run; the time counts from its first byte, and bytes that have arrived are read before it is looked at, so that a daemon that is late itself refuses nobody. What still arrives after a last response is discarded, for half a second and 256 KB at most, since closing with unread bytes resets the connection and may destroy the response. Each close is counted by its reason, and logged once a second and reason at most. The crate's quota has no limits yet here.

--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -1,4 +1,4 @@
-//! Accepts callers' connections.
+//! Accepts the connections of callers and other daemons.
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use chestnut_intake::{HttpLimits, Intake, QuotaLimits, Server};
 use http::{Request, Response, Version};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -14,6 +15,7 @@
 use slog::warn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::client::configure_socket;
 use crate::shared::Shared;
@@ -31,13 +33,23 @@
 /// How long a connection of another daemon may be idle; longer than it keeps one in its pool.
 const FORWARDER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Accepts connections and serves requests on them until the daemon ends.
-pub async fn run(shared: Arc<Shared>, listener: TcpListener) {
-    accept(shared.clone(), listener, move |stream| {
+/// The account of callers' connections, which has no limits.
+pub fn unlimited(shared: &Shared) -> Arc<Intake> {
+    let quota = QuotaLimits { connections: usize::MAX, bytes: usize::MAX };
+    let (clock, log) = (shared.clock.clone(), shared.log.clone());
+    Arc::new(Intake::new("callers", quota, clock, log, shared.metrics.clone()))
+}
+
+/// Accepts connections of callers and serves requests on them until the daemon ends.
+pub async fn run(shared: Arc<Shared>, intake: Arc<Intake>, listener: TcpListener) {
+    let limits = {
         let shared = shared.clone();
-        async move { serve_connection(shared, stream).await }
-    })
-    .await;
+        move || http_limits(&shared)
+    };
+    let handler = move |request, _| serve::handle(shared.clone(), request);
+    let stop = CancellationToken::new();
+    let server = Server { intake, listener, configure: configure_socket, stop };
+    server.run(limits, handler).await;
 }
 
 /// Accepts connections of other daemons and forwards their requests to servers.
@@ -72,16 +84,6 @@
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
-    let idle = shared.declarations().map(|declared| declared.limits.idle_timeout);
-    let idle = idle.unwrap_or_default() + IDLE_MARGIN;
-    let handler = {
-        let shared = shared.clone();
-        move |request| serve::handle(shared.clone(), request)
-    };
-    serve_http(stream, idle, handler).await;
-}
-
 /// Serves HTTP on a connection until it closes.
 async fn serve_http<B, F>(
     mut stream: TcpStream,
@@ -112,3 +114,13 @@
         let _ = stream.set_zero_linger();
     }
 }
+
+/// The declared limits on heads and times; connections stay idle for longer.
+fn http_limits(shared: &Shared) -> HttpLimits {
+    let limits = shared.request_limits();
+    HttpLimits {
+        head_bytes: limits.head_bytes,
+        head_timeout: limits.head_timeout,
+        idle_timeout: limits.idle_timeout + IDLE_MARGIN,
+    }
+}
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use chestnut_intake::{CloseReason, Observer};
 use indexmap::IndexSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -78,6 +79,8 @@
     Rest,
     /// A stream that a caller resumes, by how it was found out where it began.
     Resume,
+    /// A connection that the daemon closed or refused, by why.
+    Close,
 }
 
 /// A duration with a histogram; the variant is the metric label.
@@ -186,6 +189,12 @@
     }
 }
 
+impl Observer for Metrics {
+    fn record_close(&self, reason: CloseReason) {
+        self.count(Step::Close, reason.label());
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -121,7 +121,8 @@
     tokio::spawn(members::run_heartbeats(shared.clone()));
     tokio::spawn(usage_reports::repeat_reports(shared.clone()));
     tokio::spawn(planner::run(shared.clone()));
-    tokio::spawn(listener::run(shared.clone(), callers));
+    let intake = listener::unlimited(&shared);
+    tokio::spawn(listener::run(shared.clone(), intake, callers));
     tokio::spawn(listener::run_forwarder(shared.clone(), forwarded));
     tokio::spawn(serve(readiness, directory::readiness_router(shared.clone())));
     tokio::spawn(serve(directory, directory::directory_router(shared.clone())));
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -5,7 +5,7 @@
 
 use chestnut_account::{ProofState, SliceChooser};
 use chestnut_base::{Clock, MemberId, ServerName, ServiceName};
-use chestnut_edge::{Declarations, Dialect, Engine};
+use chestnut_edge::{Declarations, Dialect, Engine, RequestLimits};
 use chestnut_member::{
     ClaimKey, MembershipRows, Neighbours, Sharers, SuspensionDetector,
 };
@@ -84,7 +84,7 @@
     /// The daemon's logger.
     pub log: Logger,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     /// Connections to backend servers and to daemons that forward requests.
     pub client: Client,
     /// Connections to the store, and to other daemons for their replicas.
@@ -177,7 +177,7 @@
             store_client: client(Matching::InOrder),
             clock,
             log,
-            metrics: Metrics::new(),
+            metrics: Arc::new(Metrics::new()),
             declarations: watch::Sender::new(None),
             profiles: watch::Sender::default(),
             applied_version: watch::Sender::new(0),
@@ -437,6 +437,11 @@
         self.declarations.borrow().clone()
     }
 
+    /// The limits on callers' requests and connections.
+    pub fn request_limits(&self) -> RequestLimits {
+        self.declarations().map(|declared| declared.limits).unwrap_or_default()
+    }
+
     /// The engine that a runner's service declares; `None` if the runner is unknown or
     /// has none.
     pub fn engine_of(&self, server: &ServerName) -> Option<Arc<Engine>> {
--- /dev/null
+++ b/crates/intake/src/quota.rs
@@ -0,0 +1,265 @@
+//! Which connection yields when a quota is used up.
+//!
+//! Load pattern: many clients that open connections or begin requests and never end them, among
+//! ordinary callers. Without a quota they use up memory or descriptors and the process ends; with
+//! one that serves whoever came first they keep what they have taken and nobody else is served.
+//! So what is unfinished yields to what is finished, a client without progress to one that makes
+//! some, and of unfinished messages that which has held the most memory for the longest.
+
+use std::time::Instant;
+
+use slotmap::{SlotMap, new_key_type};
+
+new_key_type! {
+    /// A connection in a [`Quota`].
+    pub struct ConnectionKey;
+}
+
+/// The largest message in bytes that may use the last quarter of a quota, so that small
+/// requests are served beside large ones.
+const SMALL_MESSAGE: usize = 64 * 1024;
+
+/// The limits of a [`Quota`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaLimits {
+    /// The most open connections, without those that were told to close.
+    pub connections: usize,
+    /// The most bytes of messages, without those of connections that were told to close.
+    pub bytes: usize,
+}
+
+impl QuotaLimits {
+    /// The most connections with those that were told to close.
+    pub fn max_open(self) -> usize {
+        self.connections.saturating_add(self.connections / 4)
+    }
+}
+
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// No byte of the next request has arrived.
+    Idle,
+    /// A head is arriving.
+    Head,
+    /// A body is arriving.
+    Body,
+    /// A request was read to its end.
+    Serving,
+    /// The response was sent, and what still arrives is discarded.
+    Closing,
+}
+
+impl Phase {
+    /// Whether a message is arriving.
+    const fn is_unfinished(self) -> bool {
+        matches!(self, Self::Head | Self::Body)
+    }
+}
+
+/// Whether requests on a connection are served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// They are served.
+    Served,
+    /// They are refused, since requests in progress use up the quota.
+    Refused,
+}
+
+/// A connection that was opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Opened {
+    /// Its key.
+    pub key: ConnectionKey,
+    /// Whether its requests are served.
+    pub admission: Admission,
+    /// The connection that has to close for it.
+    pub evicted: Option<ConnectionKey>,
+}
+
+/// Memory that was requested for a message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reserved {
+    /// Whether the memory may be used.
+    pub granted: bool,
+    /// The connections that have to give up their messages.
+    pub evicted: Vec<ConnectionKey>,
+}
+
+/// A connection and what it holds.
+#[derive(Debug)]
+struct Entry {
+    phase: Phase,
+    /// The bytes of its message.
+    bytes: usize,
+    /// When its message began.
+    begun_at: Instant,
+    /// When its last byte arrived, or its last response ended.
+    progress_at: Instant,
+    /// Whether it has had a response.
+    has_served: bool,
+    /// Whether it was told to close; neither it nor its bytes count any more.
+    is_evicted: bool,
+}
+
+impl Entry {
+    /// How much memory its message has held for how long, in byte milliseconds.
+    fn cost(&self, more: usize, now: Instant) -> u128 {
+        let age = now.saturating_duration_since(self.begun_at).as_millis().max(1);
+        (self.bytes + more) as u128 * age
+    }
+}
+
+/// The connections of some listeners and the memory of their messages.
+#[derive(Debug)]
+pub struct Quota {
+    limits: QuotaLimits,
+    entries: SlotMap<ConnectionKey, Entry>,
+    /// The number of entries that are not evicted.
+    open: usize,
+    /// The sum of the bytes of entries that are not evicted.
+    bytes: usize,
+}
+
+impl Quota {
+    /// Creates a quota without connections.
+    pub fn new(limits: QuotaLimits) -> Self {
+        Self { limits, entries: SlotMap::with_key(), open: 0, bytes: 0 }
+    }
+
+    /// The open connections and the bytes of their messages, without those that were told to
+    /// close.
+    pub fn usage(&self) -> QuotaLimits {
+        QuotaLimits { connections: self.open, bytes: self.bytes }
+    }
+
+    /// Adds a connection; `None` if it has to be closed at once.
+    pub fn open(&mut self, now: Instant) -> Option<Opened> {
+        if self.entries.len() >= self.limits.max_open() {
+            return None;
+        }
+        let evicted = match self.open < self.limits.connections {
+            true => None,
+            false => self.evict_stalled(),
+        };
+        let admission = match self.open < self.limits.connections {
+            true => Admission::Served,
+            false => Admission::Refused,
+        };
+        let key = self.entries.insert(Entry {
+            phase: Phase::Idle,
+            bytes: 0,
+            begun_at: now,
+            progress_at: now,
+            has_served: false,
+            is_evicted: false,
+        });
+        self.open += 1;
+        Some(Opened { key, admission, evicted })
+    }
+
+    /// Removes a connection that was closed.
+    pub fn close(&mut self, key: ConnectionKey) {
+        if let Some(entry) = self.entries.remove(key)
+            && !entry.is_evicted
+        {
+            self.open -= 1;
+            self.bytes -= entry.bytes;
+        }
+    }
+
+    /// Records what a connection does now.
+    pub fn set_phase(&mut self, key: ConnectionKey, phase: Phase, now: Instant) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        match (entry.phase, phase) {
+            (_, Phase::Idle) => {
+                entry.has_served = true;
+                let bytes = std::mem::take(&mut entry.bytes);
+                if !entry.is_evicted {
+                    self.bytes -= bytes;
+                }
+            }
+            (Phase::Idle, _) => entry.begun_at = now,
+            _ => {}
+        }
+        entry.phase = phase;
+        entry.progress_at = now;
+    }
+
+    /// Records that bytes have arrived on a connection.
+    pub fn record_progress(&mut self, key: ConnectionKey, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.progress_at = now;
+        }
+    }
+
+    /// Requests memory for the message of a connection.
+    ///
+    /// If there is too little, unfinished messages give up theirs; that of the connection itself
+    /// if it has cost the most.
+    pub fn reserve(&mut self, key: ConnectionKey, more: usize, now: Instant) -> Reserved {
+        let mut evicted = Vec::new();
+        let Some(entry) = self.entries.get(key).filter(|entry| !entry.is_evicted) else {
+            return Reserved { granted: false, evicted };
+        };
+        let own_cost = entry.cost(more, now);
+        let limit = match entry.bytes + more > SMALL_MESSAGE {
+            true => self.limits.bytes / 4 * 3,
+            false => self.limits.bytes,
+        };
+        while self.bytes + more > limit {
+            let victim = self.costliest(key, now).filter(|(_, cost)| *cost > own_cost);
+            let Some((victim, _)) = victim else {
+                return Reserved { granted: false, evicted };
+            };
+            self.evict(victim);
+            evicted.push(victim);
+        }
+        self.bytes += more;
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.bytes += more;
+        }
+        Reserved { granted: true, evicted }
+    }
+
+    /// The unfinished message, other than that of `but`, that has cost the most.
+    fn costliest(
+        &self,
+        but: ConnectionKey,
+        now: Instant,
+    ) -> Option<(ConnectionKey, u128)> {
+        let unfinished = self.entries.iter().filter(|(key, entry)| {
+            *key != but
+                && !entry.is_evicted
+                && entry.phase.is_unfinished()
+                && entry.bytes > 0
+        });
+        let costs = unfinished.map(|(key, entry)| (key, entry.cost(0, now)));
+        costs.max_by_key(|(_, cost)| *cost)
+    }
+
+    /// Evicts the connection that has made no progress for the longest; `None` if requests are
+    /// being served on all.
+    ///
+    /// One that has had a response goes after those that have not: its client may reuse it.
+    pub fn evict_stalled(&mut self) -> Option<ConnectionKey> {
+        let candidates = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !entry.is_evicted && entry.phase != Phase::Serving);
+        let (key, _) = candidates.min_by_key(|(_, entry)| {
+            let is_closing = entry.phase == Phase::Closing;
+            (!is_closing, entry.has_served, entry.progress_at)
+        })?;
+        self.evict(key);
+        Some(key)
+    }
+
+    fn evict(&mut self, key: ConnectionKey) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.is_evicted = true;
+            self.open -= 1;
+            self.bytes -= entry.bytes;
+        }
+    }
+}
--- /dev/null
+++ b/crates/intake/src/shares.rs
@@ -0,0 +1,77 @@
+//! How the limits of a process are divided.
+
+use rustix::process::{Resource, getrlimit};
+
+use crate::quota::QuotaLimits;
+
+/// The descriptors that a machine reserves for files.
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// The memory of a process whose settings don't tell it, in bytes.
+const DEFAULT_MEMORY: u64 = 256_000_000;
+
+/// The descriptors of a process that has no limit.
+const MAX_DESCRIPTORS: u64 = 1 << 20;
+
+/// The memory that a connection takes beside what its quota counts, in bytes: its task, the
+/// buffers of HTTP, and [`RECEIVE_BUFFER`].
+const CONNECTION_BYTES: u64 = 56 * 1024;
+
+/// The most received bytes of a connection that the kernel holds unread.
+pub const RECEIVE_BUFFER: u32 = 32 * 1024;
+
+/// What a process may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Memory in bytes, with what the kernel has received for the process.
+    pub memory: u64,
+    /// Open descriptors.
+    pub descriptors: u64,
+}
+
+/// The listeners that share a quota.
+///
+/// A crowd at some listeners leaves the share of the others alone. What no share has is left for
+/// connections to servers, for the store and for the state of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Share {
+    /// Listeners for callers' requests.
+    Callers,
+    /// Listeners for lookups, checks and operators.
+    Lookups,
+    /// Listeners for other daemons.
+    Peers,
+}
+
+impl ProcessLimits {
+    /// Limits of `memory_mb` (10⁶ bytes) and `descriptors`, where they are known.
+    ///
+    /// Descriptors default to the limit of the process (`RLIMIT_NOFILE`).
+    pub fn new(memory_mb: Option<f64>, descriptors: Option<u64>) -> Self {
+        let allowed = getrlimit(Resource::Nofile).current;
+        let allowed = allowed.unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS);
+        let memory = memory_mb.map(|megabytes| (megabytes * 1e6) as u64);
+        Self {
+            memory: memory.unwrap_or(DEFAULT_MEMORY),
+            descriptors: descriptors.unwrap_or(allowed).min(allowed),
+        }
+    }
+
+    /// The part of a share.
+    pub fn quota(self, share: Share) -> QuotaLimits {
+        // Connections that are being closed may exceed their number by a quarter.
+        let (connections, connection_memory, bytes) = match share {
+            Share::Callers => (0.4, 0.3, 0.2),
+            Share::Lookups => (0.1, 0.04, 0.03),
+            Share::Peers => (0.1, 0.04, 0.05),
+        };
+        let part = |whole: u64, part: f64| (whole as f64 * part) as u64;
+        let sockets = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let by_descriptors = part(sockets, connections);
+        let by_memory = part(self.memory, connection_memory) / CONNECTION_BYTES;
+        QuotaLimits {
+            connections: by_descriptors.min(by_memory).max(1) as usize,
+            bytes: part(self.memory, bytes) as usize,
+        }
+    }
+}
