Callers' connections have a bound, and stalled ones yield

What is seen: with 600 connections that send nothing, or half a head, a daemon opened over 600 descriptors where its machine allows it 200 sockets. Where the process may not open more, callers get neither an answer nor a refusal, and connections to servers, the store and other daemons fail with them.

Cause: connections were accepted without a bound, and the daemon did not know its limits.

Callers get 0.4 of the sockets, as far as 0.3 of the memory holds them. When these are in use, the connection that has been without progress for the longest closes, those that have had no response first; one on which a request is in progress never does. If all are, a newcomer's request is read and refused with 503, which has not run. A failed accept frees a descriptor too.

--- a/crates/demo/src/platform/cluster.rs
+++ b/crates/demo/src/platform/cluster.rs
@@ -137,6 +137,8 @@
             peer_ports: (ports[0], ports[1]),
             store_addr: self.store.addr,
             cores: 1.0,
+            memory_mb: None,
+            descriptors: None,
             bounds: BOUNDS,
             policy: Policy::default(),
             path: None,
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -121,7 +121,7 @@
     tokio::spawn(members::run_heartbeats(shared.clone()));
     tokio::spawn(usage_reports::repeat_reports(shared.clone()));
     tokio::spawn(planner::run(shared.clone()));
-    let intake = listener::unlimited(&shared);
+    let intake = listener::callers_intake(&shared);
     tokio::spawn(listener::run(shared.clone(), intake, callers));
     tokio::spawn(listener::run_forwarder(shared.clone(), forwarded));
     tokio::spawn(serve(readiness, directory::readiness_router(shared.clone())));
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -51,6 +51,12 @@
 /// The largest number of cores that is accepted.
 const MAX_CORES: f64 = 1024.0;
 
+/// The least memory that is accepted, in MB.
+const MIN_MEMORY_MB: f64 = 32.0;
+
+/// The fewest descriptors that are accepted; 200 of them are for files.
+const MIN_DESCRIPTORS: u64 = 300;
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -99,6 +105,13 @@
     /// The daemon's share of CPU time, in cores.
     #[serde(default = "whole_core")]
     pub cores: f64,
+    /// The memory of the process in MB (10⁶ bytes), with what the kernel has received for it;
+    /// `None` if it is unknown.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// The descriptors that the process may open; `None` for the limit of the process.
+    #[serde(default)]
+    pub descriptors: Option<u64>,
     /// Durations and bounds that the operators set; reloaded while the daemon runs.
     pub bounds: Bounds,
     /// How the daemon decides where there are several ways.
@@ -307,6 +320,12 @@
         if !(self.cores > 0.0 && self.cores <= MAX_CORES) {
             return Err(SettingsError::Value("cores", "give a number of cores above 0"));
         }
+        if !self.memory_mb.is_none_or(|memory| memory >= MIN_MEMORY_MB) {
+            return Err(SettingsError::Value("memory_mb", "give 32 or more"));
+        }
+        if self.descriptors.is_some_and(|count| count < MIN_DESCRIPTORS) {
+            return Err(SettingsError::Value("descriptors", "give 300 or more"));
+        }
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
             return Err(SettingsError::Value(
                 "bounds.retry_ratio",
