Bodies are copied together and end by their request's deadline

What is seen: 24 callers with 100,000 chunks of one byte each made a daemon use 108 MB, 160 with 3,000 such chunks, ten at a time, 193 MB.

Cause: a body was kept as the pieces in which it came. A piece of one byte costs some 30, and keeps the buffer of 8 KB that it was read into. Nothing limited the time either: the request was refused at its deadline only once its body had ended.

Change: `intake::body` copies a body together as it arrives. One that has not ended by the deadline of its request is refused then, with the 503 that it would have got later; one whose declared length is over the limit is refused before it is read. The connection closes after it.

--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -7,10 +7,11 @@
 use bytes::Bytes;
 use chestnut_base::{Digest, Refusal, RefusalCode, Revision, ServiceName};
 use chestnut_edge::{Call, Declarations, Route};
+use chestnut_intake::{BodyError, Connection, body};
 use chestnut_pool::fleet::RELIST_GRACE;
 use chestnut_pool::{Attempts, SoftwareBinding};
-use http::{Response, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::header::CONNECTION;
+use http::{HeaderValue, Response, request};
 use hyper::body::Incoming;
 use rand::{Rng, RngExt};
 use slog::info;
@@ -32,6 +33,9 @@
 /// unavailable.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The retry delay sent to callers whose requests there is no room for.
+const FULL_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// A request that is refused before it becomes a [`Job`].
 pub struct EarlyRefusal {
     refusal: Refusal,
@@ -55,14 +59,19 @@
             "table_age_ms" => declared.map(|(_, age)| age),
             "table_confirmed_by" => confirmed_by.map(|origin| origin.to_string()));
         let id = self.id.as_deref();
-        shared.dialect.write_refusal(&self.refusal, id).map(full_body)
+        let mut response = shared.dialect.write_refusal(&self.refusal, id).map(full_body);
+        if matches!(self.refusal.code, RefusalCode::EntryFull | RefusalCode::Deadline) {
+            // The rest of the body is not read, and the descriptor is needed for others.
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     }
 }
 
 /// Reads a request and assigns it a route and a service.
 pub async fn read_job(
     shared: Arc<Shared>,
-    head: request::Parts,
+    mut head: request::Parts,
     body: Incoming,
 ) -> Result<Job, EarlyRefusal> {
     let arrived_at = shared.now();
@@ -78,6 +87,9 @@
     if shared.is_refusing_requests() {
         return Err(refused(shutting_down()));
     }
+    let connection = head.extensions.remove::<Arc<Connection>>();
+    let connection = connection.filter(|connection| !connection.is_refusing());
+    let connection = connection.ok_or_else(|| refused(entry_full()))?;
     wait_for_declarations(&shared).await;
     // The proof is taken first: of declarations that are read after it, it is true.
     let proof = accounts::wait_for_proof(&shared).await;
@@ -90,9 +102,11 @@
     let matched = &declarations.routes[route];
     let account = accounts::authenticate(&shared, &declarations, matched, &call, proof)
         .map_err(&refused)?;
-    let body = read_body(body, declarations.limits.body_bytes).await.map_err(&refused)?;
     let budget =
         call.budget.unwrap_or(Duration::MAX).min(declarations.routes[route].timeout);
+    let (limit, body_deadline) = (declarations.limits.body_bytes, arrived_at + budget);
+    let body = body::read(body, &connection, limit, body_deadline).await;
+    let body = body.map_err(|error| refused(unread_body(&error)))?;
     let service = sample_service(&declarations.routes[route], &mut rand::rng());
     let deadline = arrived_at + budget;
     let matched = &declarations.routes[route];
@@ -166,21 +180,25 @@
     Refusal::not_run(RefusalCode::UnknownRoute, message)
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let message = format!("the body is larger than {limit} bytes; send less");
-            Err(Refusal::not_run(RefusalCode::TooLarge, message))
-        }
-        Err(error) => {
-            let message =
-                format!("the body is incomplete ({error}); send the request again");
-            Err(Refusal::not_run(RefusalCode::BadRequest, message))
-        }
+/// The refusal of a request whose body was not read to its end.
+fn unread_body(error: &BodyError) -> Refusal {
+    let message = error.to_string();
+    match error {
+        BodyError::TooLarge(_) => Refusal::not_run(RefusalCode::TooLarge, message),
+        BodyError::Invalid(_) => Refusal::not_run(RefusalCode::BadRequest, message),
+        BodyError::Late => Refusal::not_run(RefusalCode::Deadline, message)
+            .with_retry_after(Duration::ZERO),
+        BodyError::OutOfMemory => Refusal::not_run(RefusalCode::EntryFull, message)
+            .with_retry_after(FULL_RETRY_DELAY),
     }
 }
 
+/// The refusal of a request for which the daemon has no room.
+fn entry_full() -> Refusal {
+    let message = "the daemon serves as many requests as it can; use another address";
+    Refusal::not_run(RefusalCode::EntryFull, message).with_retry_after(FULL_RETRY_DELAY)
+}
+
 /// Hashes what two copies of a request have in common.
 ///
 /// Callers send a copy with another id, and may use another key of their account.
