Bodies have a bound together, and the costliest unfinished one yields

What is seen: 100 callers that send a body of 1 MB but for its last 9 bytes, at once, in pieces or in large chunks, made a daemon use 119 to 140 MB; whole bodies that wait for silent servers 90 to 98 MB. The machine allows 64 in these tests.

Cause: each body was checked against its own limit, and nothing against all of them.

Change: heads and bodies of callers draw on a fifth of the memory. When it is used up, the unfinished message that has held the most memory for the longest gives it up and is refused with 503 (not run, with a Retry-After); a newcomer's own if that has cost the most, or if only whole requests are left. Messages over 64 KB get three quarters of it, so that a crowd of large ones leaves room for ordinary requests.

--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use chestnut_intake::{HttpLimits, Intake, ProcessLimits, QuotaLimits, Server, Share};
+use chestnut_intake::{HttpLimits, Intake, ProcessLimits, Server, Share};
 use http::{Request, Response, Version};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -33,11 +33,11 @@
 /// How long a connection of another daemon may be idle; longer than it keeps one in its pool.
 const FORWARDER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The account of callers' connections, whose number is limited.
+/// The account of callers' connections.
 pub fn callers_intake(shared: &Shared) -> Arc<Intake> {
     let settings = &shared.settings;
     let limits = ProcessLimits::new(settings.memory_mb, settings.descriptors);
-    let quota = QuotaLimits { bytes: usize::MAX, ..limits.quota(Share::Callers) };
+    let quota = limits.quota(Share::Callers);
     let (clock, log) = (shared.clock.clone(), shared.log.clone());
     Arc::new(Intake::new("callers", quota, clock, log, shared.metrics.clone()))
 }
