The kernel holds few unread bytes of a connection

What is seen: 100 callers that send a request and then 3 MB more made a process and its kernel buffers hold 98 MB while the requests were served. Received bytes that were not read count as the process's memory.

Cause: nobody reads a connection on which a request is in progress, and the kernel's buffer grows to megabytes by itself.

Change: listeners have a receive buffer of 32 KB, which accepted connections inherit, also those that wait to be accepted.

--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -102,13 +102,13 @@
     let mut sigterm =
         signal(SignalKind::terminate()).change_context(StartError::Signals)?;
     let mut sighup = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
-    let callers = bind(settings.caller_addr).await?;
-    let readiness = bind(settings.readiness_addr).await?;
-    let directory = bind(settings.directory_addr).await?;
-    let table_changes = bind(settings.table_changes_addr()).await?;
+    let callers = bind(settings.caller_addr)?;
+    let readiness = bind(settings.readiness_addr)?;
+    let directory = bind(settings.directory_addr)?;
+    let table_changes = bind(settings.table_changes_addr())?;
     let me = MemberId(rand::random());
     let peer_addr = settings.peer_addr();
-    let forwarded = bind(peer_addr).await?;
+    let forwarded = bind(peer_addr)?;
     let peers = Peers::bind(me, peer_addr, clock.clone(), log.clone()).await;
     let peers = peers.change_context(StartError::Bind(peer_addr))?;
     let shared = Arc::new(Shared::new(settings, dialect, clock, log, peers));
@@ -240,7 +240,7 @@
 /// If the port is taken, the daemon serves callers nonetheless.
 async fn serve_introspection(shared: Arc<Shared>) {
     let Some(addr) = shared.settings.metrics_addr else { return };
-    match bind(addr).await {
+    match bind(addr) {
         Ok(listener) => serve(listener, introspection::router(shared)).await,
         Err(error) => {
             warn!(shared.log, "failed to serve metrics"; "error" => error.to_string());
@@ -248,8 +248,8 @@
     }
 }
 
-async fn bind(addr: SocketAddr) -> Result<TcpListener, Report<StartError>> {
-    TcpListener::bind(addr).await.change_context(StartError::Bind(addr))
+fn bind(addr: SocketAddr) -> Result<TcpListener, Report<StartError>> {
+    chestnut_intake::bind(addr).change_context(StartError::Bind(addr))
 }
 
 async fn serve(listener: TcpListener, router: Router) {
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -19,6 +19,11 @@
 #[path = "platform/retry_bound.rs"]
 mod retry_bound;
 
+#[path = "crowds/own_interface.rs"]
+mod own_interface;
+#[allow(dead_code)]
+mod support;
+
 use std::fs;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -121,7 +126,7 @@
         service.set_fault(ServerFault::Unresponsive);
     }
     let crowd = test.crowd(test.callers(), 100, vec![bytes]);
-    let watch = Watch::start(&test);
+    let watch = Watch::start(test.daemon().pid(), test.callers().ip());
     crowd.wait_until_sent().await;
     for service in &test.cluster.services {
         service.set_fault(ServerFault::None);
@@ -129,7 +134,29 @@
     test.answers_a_request().await;
     drop(crowd);
     test.answers_a_request().await;
-    watch.check(&test).await;
+    watch.check(test.limits).await;
+}
+
+/// Guards against bytes after a request that the kernel keeps without a bound, since nobody reads
+/// them while the request is served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_bytes_after_requests() {
+    let head = head_to("lookup", "content-length: 0\r\n");
+    let bytes = [head, vec![b'x'; 3 * MAX_BODY]].concat();
+    let test = Test::start("after-requests").await;
+    for service in &test.cluster.services {
+        service.set_fault(ServerFault::Unresponsive);
+    }
+    let watch = Watch::start(test.daemon().pid(), test.callers().ip());
+    let crowd = test.crowd(test.callers(), 100, vec![bytes]);
+    sleep(Duration::from_secs(1)).await;
+    for service in &test.cluster.services {
+        service.set_fault(ServerFault::None);
+    }
+    test.answers_a_request().await;
+    drop(crowd);
+    test.answers_a_request().await;
+    watch.check(test.limits).await;
 }
 
 /// Guards against empty lines before a request that are kept without a bound.
@@ -318,12 +345,7 @@
         let running = RUNNING.lock().await;
         let mut cluster = Cluster::start(name, 1).await;
         cluster.daemons[0].kill();
-        // A child inherits the limit of this process.
-        let before = getrlimit(Resource::Nofile);
-        let lowered = Rlimit { current: Some(descriptors), maximum: before.maximum };
-        setrlimit(Resource::Nofile, lowered).expect("the limit can be lowered");
-        cluster.daemons[0].restart();
-        setrlimit(Resource::Nofile, before).expect("the limit can be restored");
+        with_descriptors(descriptors, || cluster.daemons[0].restart());
         cluster.wait_until_ready().await;
         let limits = ProcessLimits { memory_mb: 260, descriptors };
         Self { cluster, limits, _running: running }
@@ -354,13 +376,13 @@
 
     /// Plays a crowd and checks the daemon.
     async fn withstands(&self, addr: SocketAddr, clients: usize, pieces: Vec<Vec<u8>>) {
-        let watch = Watch::start(self);
+        let watch = Watch::start(self.daemon().pid(), self.callers().ip());
         let crowd = self.crowd(addr, clients, pieces);
         crowd.wait_until_sent().await;
         self.answers_a_request().await;
         drop(crowd);
         self.answers_a_request().await;
-        watch.check(self).await;
+        watch.check(self.limits).await;
     }
 
     /// Waits until an ordinary request on a new connection is answered.
@@ -382,6 +404,17 @@
     SocketAddr::new(daemon.peer_addr.ip(), port.expect("it is a port"))
 }
 
+/// Starts a process that may open only so many descriptors.
+fn with_descriptors<T>(descriptors: u64, start: impl FnOnce() -> T) -> T {
+    // A child inherits the limit of this process.
+    let before = getrlimit(Resource::Nofile);
+    let lowered = Rlimit { current: Some(descriptors), maximum: before.maximum };
+    setrlimit(Resource::Nofile, lowered).expect("the limit can be lowered");
+    let started = start();
+    setrlimit(Resource::Nofile, before).expect("the limit can be restored");
+    started
+}
+
 /// Connections that have sent what they send, and stay open until this is dropped.
 struct Crowd {
     addr: SocketAddr,
@@ -442,6 +475,7 @@
 
 /// Watches the memory and the descriptors of a daemon.
 struct Watch {
+    pid: Pid,
     stopped: Arc<AtomicBool>,
     task: tokio::task::JoinHandle<Usage>,
 }
@@ -457,9 +491,8 @@
 }
 
 impl Watch {
-    fn start(test: &Test) -> Self {
+    fn start(pid: Pid, ip: IpAddr) -> Self {
         let stopped = Arc::new(AtomicBool::new(false));
-        let (pid, ip) = (test.daemon().pid(), test.callers().ip());
         let flag = stopped.clone();
         let task = tokio::spawn(async move {
             let mut most = Usage::default();
@@ -472,20 +505,16 @@
             }
             most
         });
-        Self { stopped, task }
+        Self { pid, stopped, task }
     }
 
     /// Checks that the process lives and has kept to its limits.
-    async fn check(self, test: &Test) {
+    async fn check(self, limits: ProcessLimits) {
         self.stopped.store(true, Ordering::Relaxed);
         let most = self.task.await.expect("watching does not fail");
-        assert!(
-            fs::metadata(format!("/proc/{}", test.daemon().pid().as_raw_nonzero()))
-                .is_ok(),
-            "the process has ended"
-        );
+        let dir = format!("/proc/{}", self.pid.as_raw_nonzero());
+        assert!(fs::metadata(dir).is_ok(), "the process has ended");
         println!("most: {most:?}");
-        let limits = test.limits;
         let max_sockets = limits.descriptors - FILE_DESCRIPTORS;
         assert!(
             most.memory <= limits.memory_mb * 1_000_000
--- /dev/null
+++ b/tests/crowds/own_interface.rs
@@ -0,0 +1,102 @@
+//! The daemon with the own interface: its callers' listener and the one for operators.
+
+use std::net::SocketAddr;
+
+use tokio::sync::MutexGuard;
+
+use crate::cluster::{ProcessLimits, wait_until};
+use crate::support::cluster::Cluster;
+use crate::support::command::{Options, ProcessKind};
+use crate::{Crowd, HEAD_BYTES, RUNNING, Watch, head_without_end, with_descriptors};
+
+/// The memory of a VM, and the descriptors of a process that may open few.
+const LIMITS: ProcessLimits = ProcessLimits { memory_mb: 260, descriptors: 400 };
+
+/// A caller's request whose body is a chunk without an end.
+const UNFINISHED: &[u8] = b"POST /v1/completions HTTP/1.1\r\nhost: entry\r\n\
+    authorization: Bearer key-portal\r\ntransfer-encoding: chunked\r\n\r\n1\r\n{\r\n";
+
+/// Guards against heads and empty lines without end that are kept.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_crowd_of_heads_over_the_limit() {
+    let limits = ProcessLimits { descriptors: 2000, ..LIMITS };
+    let test = Test::start(limits).await;
+    for addr in [test.addr("caller"), test.addr("ops")] {
+        for bytes in [head_without_end(), b"\r\n".repeat(HEAD_BYTES / 2)] {
+            test.withstands(addr, 800, bytes).await;
+        }
+    }
+}
+
+/// Guards against silent connections that take all descriptors.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_crowd_of_silent_connections() {
+    let test = Test::start(LIMITS).await;
+    for addr in [test.addr("caller"), test.addr("ops")] {
+        test.withstands(addr, 600, Vec::new()).await;
+    }
+}
+
+/// Guards against unfinished bodies that take all the room for bodies, so that callers get no
+/// answer for as long as the crowd stays.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_crowd_of_unfinished_bodies() {
+    let test = Test::start(LIMITS).await;
+    test.withstands(test.addr("caller"), 60, UNFINISHED.to_vec()).await;
+}
+
+struct Test {
+    cluster: Cluster,
+    limits: ProcessLimits,
+    _running: MutexGuard<'static, ()>,
+}
+
+impl Test {
+    /// Starts a daemon that may open so many descriptors, and the stand-ins that it needs.
+    async fn start(limits: ProcessLimits) -> Self {
+        let running = RUNNING.lock().await;
+        let mut cluster = Cluster::new().expect("a directory can be made");
+        let none = Options::default();
+        cluster.start(ProcessKind::Platform, "platform", &none).await.expect("it starts");
+        cluster.start(ProcessKind::Engine, "r1", &none).await.expect("it starts");
+        cluster.start(ProcessKind::Service, "s1", &none).await.expect("it starts");
+        with_descriptors(limits.descriptors, || {
+            let start = cluster.start(ProcessKind::Daemon, "e1", &none);
+            tokio::task::block_in_place(|| {
+                tokio::runtime::Handle::current().block_on(start).expect("it starts");
+            });
+        });
+        cluster.declare_base().await.expect("the declarations are valid");
+        cluster.wait_until_ready("e1").await.expect("it becomes ready");
+        Self { cluster, limits, _running: running }
+    }
+
+    fn addr(&self, name: &str) -> SocketAddr {
+        let process = self.cluster.process("e1").expect("it was started");
+        process.address(name).expect("it has the address").parse().expect("it is valid")
+    }
+
+    /// Plays a crowd and checks the daemon.
+    async fn withstands(&self, addr: SocketAddr, clients: usize, bytes: Vec<u8>) {
+        let pid = self.cluster.process("e1").expect("it was started").pid();
+        let watch = Watch::start(pid, addr.ip());
+        let crowd = Crowd::start(addr, clients, vec![bytes]);
+        crowd.wait_until_sent().await;
+        self.answers_a_request().await;
+        drop(crowd);
+        self.answers_a_request().await;
+        watch.check(self.limits).await;
+    }
+
+    /// Waits until an ordinary request on a new connection is answered.
+    async fn answers_a_request(&self) {
+        let url = format!("http://{}/svc/desk/seats", self.addr("caller"));
+        wait_until("an ordinary request is answered", async || {
+            let client = reqwest::Client::builder().no_proxy().build();
+            let request = client.expect("a client can be made").get(&url);
+            let response = request.bearer_auth("key-portal").body("{}").send().await;
+            response.is_ok_and(|response| response.status().is_success())
+        })
+        .await;
+    }
+}
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -252,7 +252,7 @@
         text
     }
 
-    async fn declare_base(&mut self) -> Result<(), Failure> {
+    pub async fn declare_base(&mut self) -> Result<(), Failure> {
         let mut text = include_str!("base.jsonc").to_owned();
         for caller in ["portal", "caseworker"] {
             let hash = sha256_hex(&format!("key-{caller}"));
@@ -334,7 +334,7 @@
     }
 
     /// Waits until a daemon serves every route and the service.
-    async fn wait_until_ready(&self, name: &str) -> Result<(), Failure> {
+    pub async fn wait_until_ready(&self, name: &str) -> Result<(), Failure> {
         let ready = [
             Options(IndexMap::from([("route".into(), "draft".into())])),
             Options(IndexMap::from([("route".into(), "water".into())])),
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -66,7 +66,7 @@
             Signal::Resume => rustix::process::Signal::CONT,
             Signal::Terminate => rustix::process::Signal::TERM,
         };
-        let pid = Pid::from_child(&self.child);
+        let pid = self.pid();
         kill_process(pid, number).map_err(|error| error.to_string())
     }
 
@@ -82,6 +82,11 @@
         Err("the process does not exit".into())
     }
 
+    /// The id of the process.
+    pub fn pid(&self) -> Pid {
+        Pid::from_child(&self.child)
+    }
+
     /// Last lines of the process's log.
     pub fn log_tail(&self) -> String {
         log_tail(&self.log)
