All listeners of the gate keep to the limits

What is seen: the same crowds at the directory's listener made a daemon hold 114 MB of heads, and 513 to 619 sockets.

Cause: the listeners for the directory, readiness checks, table changes, metrics and other daemons had no limits on heads, connections or times either.

The heads of forwarded requests may have 4 KB more than callers', for what daemons add. Bodies to forward are read like callers' ones.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -13,15 +13,15 @@
 
 use bytes::Bytes;
 use chestnut_base::{Incarnation, ServerName};
+use chestnut_intake::{Connection, body};
 use futures::stream::unfold;
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, response};
-use http_body_util::{BodyExt, Limited, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use slog::{info, warn};
-use tokio::time::timeout;
 
-use crate::client::{Connection, SendError};
+use crate::client::{self, SendError};
 use crate::framing::{SecondResponse, ends_with_connection};
 use crate::metrics::Step;
 use crate::paths;
@@ -53,6 +53,9 @@
 /// The most requests in progress with which a daemon forwards another one.
 const MAX_ACTIVE: usize = 512;
 
+/// Why a request is not forwarded when too many are.
+const TOO_MANY: &str = "too many requests are in progress; try another";
+
 /// What became of a request that another daemon was to forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ForwardOutcome {
@@ -197,8 +200,11 @@
     let active = shared.active.start();
     check_sender(shared, from)?;
     let addr = server_addr(shared, &to.server)?;
-    let (head, body) = request.into_parts();
-    let body = read_body(shared, body).await?;
+    let (mut head, body) = request.into_parts();
+    let connection = head.extensions.remove::<Arc<Connection>>();
+    let connection = connection.filter(|connection| !connection.is_refusing());
+    let connection = connection.ok_or_else(|| Failure::refused(TOO_MANY))?;
+    let body = read_body(shared, &connection, body).await?;
     let connection = paths::connect(shared, &to.server, addr, id).await;
     let connection =
         connection.map_err(|error| Failure::unreachable(error.to_string()))?;
@@ -259,7 +265,7 @@
     }
     // One request is this one's own.
     match shared.active.count() > MAX_ACTIVE {
-        true => Err(Failure::refused("too many requests are in progress; try another")),
+        true => Err(Failure::refused(TOO_MANY)),
         false => Ok(()),
     }
 }
@@ -284,14 +290,16 @@
     Ok(addr)
 }
 
-async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, Failure> {
+async fn read_body(
+    shared: &Shared,
+    connection: &Connection,
+    body: Incoming,
+) -> Result<Bytes, Failure> {
     let limit = shared.declarations().map(|declared| declared.limits.body_bytes);
     let limit = limit.ok_or_else(|| Failure::refused("no declarations were read"))?;
-    match timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => Err(Failure::refused(format!("the body is invalid: {error}"))),
-        Err(_) => Err(Failure::refused("the body did not arrive in time")),
-    }
+    let deadline = shared.now() + BODY_TIMEOUT;
+    let body = body::read(body, connection, limit, deadline).await;
+    body.map_err(|error| Failure::refused(error.to_string()))
 }
 
 /// Builds the response to the other daemon from the server's.
@@ -330,7 +338,7 @@
     second: Option<SecondResponse>,
     /// The connection to the server at this address, and its idle timeout; `None` after the
     /// end of the body.
-    connection: Option<(SocketAddr, Connection, Option<Duration>)>,
+    connection: Option<(SocketAddr, client::Connection, Option<Duration>)>,
     /// Counts the request as active.
     _active: ActiveRequests,
 }
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -1,29 +1,25 @@
-//! Accepts the connections of callers and other daemons.
+//! Serves the connections of callers, operators and other daemons.
+//!
+//! The listeners draw on shares of the process's descriptors and memory, so that a crowd at one
+//! of them leaves the others theirs.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use axum::Router;
 use chestnut_intake::{HttpLimits, Intake, ProcessLimits, Server, Share};
-use http::{Request, Response, Version};
-use hyper::body::{Body, Incoming};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::warn;
+use http::Request;
+use hyper::body::Incoming;
+use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::client::configure_socket;
 use crate::shared::Shared;
 use crate::{forward, serve};
 
-/// The delay after a failed accept, for example when no file descriptor is free.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// How much longer than the declared idle timeout a connection stays open.
 ///
 /// Callers reuse connections up to the declared timeout. Closing at that moment would cut
@@ -33,13 +29,36 @@
 /// How long a connection of another daemon may be idle; longer than it keeps one in its pool.
 const FORWARDER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The account of callers' connections.
-pub fn callers_intake(shared: &Shared) -> Arc<Intake> {
-    let settings = &shared.settings;
-    let limits = ProcessLimits::new(settings.memory_mb, settings.descriptors);
-    let quota = limits.quota(Share::Callers);
-    let (clock, log) = (shared.clock.clone(), shared.log.clone());
-    Arc::new(Intake::new("callers", quota, clock, log, shared.metrics.clone()))
+/// The most bytes of the headers that a daemon adds to a caller's before another one forwards the
+/// request.
+const FORWARD_HEADER_BYTES: usize = 4 * 1024;
+
+/// What the connections of the daemon's listeners may hold.
+pub struct Intakes {
+    /// Those of callers.
+    pub callers: Arc<Intake>,
+    /// Those for the directory, readiness checks and metrics.
+    pub lookups: Arc<Intake>,
+    /// Those of other daemons.
+    pub peers: Arc<Intake>,
+}
+
+impl Intakes {
+    /// Divides what the process may use.
+    pub fn new(shared: &Shared) -> Self {
+        let settings = &shared.settings;
+        let limits = ProcessLimits::new(settings.memory_mb, settings.descriptors);
+        let intake = |name, share| {
+            let (clock, log) = (shared.clock.clone(), shared.log.clone());
+            let quota = limits.quota(share);
+            Arc::new(Intake::new(name, quota, clock, log, shared.metrics.clone()))
+        };
+        Self {
+            callers: intake("callers", Share::Callers),
+            lookups: intake("lookups", Share::Lookups),
+            peers: intake("peers", Share::Peers),
+        }
+    }
 }
 
 /// Accepts connections of callers and serves requests on them until the daemon ends.
@@ -49,72 +68,51 @@
         move || http_limits(&shared)
     };
     let handler = move |request, _| serve::handle(shared.clone(), request);
-    let stop = CancellationToken::new();
-    let server = Server { intake, listener, configure: configure_socket, stop };
-    server.run(limits, handler).await;
+    server(intake, listener, configure_socket).run(limits, handler).await;
 }
 
 /// Accepts connections of other daemons and forwards their requests to servers.
-pub async fn run_forwarder(shared: Arc<Shared>, listener: TcpListener) {
-    accept(shared.clone(), listener, move |stream| {
+pub async fn run_forwarder(
+    shared: Arc<Shared>,
+    intake: Arc<Intake>,
+    listener: TcpListener,
+) {
+    let limits = {
         let shared = shared.clone();
-        async move {
-            let Ok(from) = stream.peer_addr() else { return };
-            let handler = |request| forward::handle(shared.clone(), from.ip(), request);
-            serve_http(stream, FORWARDER_IDLE_TIMEOUT, handler).await;
+        move || {
+            let limits = http_limits(&shared);
+            let head_bytes = limits.head_bytes + FORWARD_HEADER_BYTES;
+            HttpLimits { head_bytes, idle_timeout: FORWARDER_IDLE_TIMEOUT, ..limits }
         }
-    })
-    .await;
+    };
+    let handler = move |request, from: SocketAddr| {
+        forward::handle(shared.clone(), from.ip(), request)
+    };
+    server(intake, listener, configure_socket).run(limits, handler).await;
 }
 
-/// Spawns a task for each accepted connection.
-async fn accept<F: Future<Output = ()> + Send + 'static>(
+/// Serves a router until the daemon ends.
+pub async fn run_router(
     shared: Arc<Shared>,
+    intake: Arc<Intake>,
     listener: TcpListener,
-    serve: impl Fn(TcpStream) -> F,
+    router: Router,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(stream));
-            }
-            Err(error) => {
-                warn!(shared.log, "failed to accept a connection"; "error" => error.to_string());
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
+    let limits = move || http_limits(&shared);
+    let service = TowerToHyperService::new(router);
+    let handler = move |request: Request<Incoming>, _| {
+        let response = hyper::service::Service::call(&service, request);
+        async move { response.await.map_err(|never: Infallible| match never {}) }
+    };
+    server(intake, listener, |_: &TcpStream| {}).run(limits, handler).await;
 }
 
-/// Serves HTTP on a connection until it closes.
-async fn serve_http<B, F>(
-    mut stream: TcpStream,
-    idle_timeout: Duration,
-    handler: impl Fn(Request<Incoming>) -> F,
-) where
-    B: Body<Data = bytes::Bytes> + 'static,
-    B::Error: std::error::Error + Send + Sync,
-    F: Future<Output = Result<Response<B>, Infallible>>,
-{
-    configure_socket(&stream);
-    let mut server = http1::Builder::new();
-    server.timer(TokioTimer::new()).header_read_timeout(idle_timeout);
-    let ends_with_connection = AtomicBool::new(false);
-    let service = service_fn(|request: Request<Incoming>| {
-        let is_old = request.version() == Version::HTTP_10;
-        ends_with_connection.store(is_old, Ordering::Relaxed);
-        handler(request)
-    });
-    let (reader, writer) = stream.split();
-    let io = TokioIo::new(tokio::io::join(reader, writer));
-    // An error means that the caller disconnected or sent invalid HTTP, or that a response was
-    // interrupted. It ends only this connection, and each request on it logs its own end.
-    let result = server.serve_connection(io, service).await;
-    let is_interrupted = result.is_err_and(|error| error.is_user());
-    if is_interrupted && ends_with_connection.load(Ordering::Relaxed) {
-        // Closed in order, the connection would end a whole response.
-        let _ = stream.set_zero_linger();
-    }
+fn server(
+    intake: Arc<Intake>,
+    listener: TcpListener,
+    configure: fn(&TcpStream),
+) -> Server {
+    Server { intake, listener, configure, stop: CancellationToken::new() }
 }
 
 /// The declared limits on heads and times; connections stay idle for longer.
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::Router;
 use chestnut_base::{Clock, Incarnation, MemberId};
 use chestnut_edge::Dialect;
+use chestnut_intake::Intake;
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
@@ -16,6 +16,7 @@
 
 use crate::blocked_requests::BlockedRequestHandler;
 use crate::claims::ClaimHandler;
+use crate::listener::Intakes;
 use crate::members::MemberHandler;
 use crate::peers::Peers;
 use crate::persisted_timings::EngineTimingsHandler;
@@ -121,13 +122,20 @@
     tokio::spawn(members::run_heartbeats(shared.clone()));
     tokio::spawn(usage_reports::repeat_reports(shared.clone()));
     tokio::spawn(planner::run(shared.clone()));
-    let intake = listener::callers_intake(&shared);
-    tokio::spawn(listener::run(shared.clone(), intake, callers));
-    tokio::spawn(listener::run_forwarder(shared.clone(), forwarded));
-    tokio::spawn(serve(readiness, directory::readiness_router(shared.clone())));
-    tokio::spawn(serve(directory, directory::directory_router(shared.clone())));
-    tokio::spawn(serve(table_changes, directory::table_changes_router(shared.clone())));
-    tokio::spawn(serve_introspection(shared.clone()));
+    let intakes = Intakes::new(&shared);
+    tokio::spawn(listener::run(shared.clone(), intakes.callers, callers));
+    let peers = &intakes.peers;
+    tokio::spawn(listener::run_forwarder(shared.clone(), peers.clone(), forwarded));
+    let lookups = &intakes.lookups;
+    for (intake, listener, router) in [
+        (lookups, readiness, directory::readiness_router(shared.clone())),
+        (lookups, directory, directory::directory_router(shared.clone())),
+        (peers, table_changes, directory::table_changes_router(shared.clone())),
+    ] {
+        let intake = intake.clone();
+        tokio::spawn(listener::run_router(shared.clone(), intake, listener, router));
+    }
+    tokio::spawn(serve_introspection(shared.clone(), lookups.clone()));
     tokio::spawn(paths::run(shared.clone()));
     tokio::spawn(prune(shared.clone()));
     tokio::spawn(software_rows::run(shared.clone()));
@@ -238,10 +246,13 @@
 /// Serves metrics and the daemon's state, if the settings have an address for them.
 ///
 /// If the port is taken, the daemon serves callers nonetheless.
-async fn serve_introspection(shared: Arc<Shared>) {
+async fn serve_introspection(shared: Arc<Shared>, intake: Arc<Intake>) {
     let Some(addr) = shared.settings.metrics_addr else { return };
     match bind(addr) {
-        Ok(listener) => serve(listener, introspection::router(shared)).await,
+        Ok(listener) => {
+            let router = introspection::router(shared.clone());
+            listener::run_router(shared, intake, listener, router).await;
+        }
         Err(error) => {
             warn!(shared.log, "failed to serve metrics"; "error" => error.to_string());
         }
@@ -251,9 +262,3 @@
 fn bind(addr: SocketAddr) -> Result<TcpListener, Report<StartError>> {
     chestnut_intake::bind(addr).change_context(StartError::Bind(addr))
 }
-
-async fn serve(listener: TcpListener, router: Router) {
-    // Serving ends with an error only if the listener fails; then there is nothing left
-    // to serve.
-    drop(axum::serve(listener, router).await);
-}
