The own interface keeps to limits on connections, heads and times

What is seen, on chestnutlaned: 800 heads without end hold 316 MB; 600 silent connections take all 400 descriptors of a process, and 60 unfinished chunked bodies all the room for bodies: an ordinary request got no answer for as long as such a crowd stayed.

Cause: nothing limited connections, heads and times; the room for bodies was taken by declared sizes (a chunked body counted as the largest one) before a byte had arrived, and kept until the body ended.

Change: both HTTP listeners are served by `intake`. A body takes room as it arrives, and has to end within 60 s; when the room is used up, the costliest unfinished one yields. Heads have 32 KB and 10 s, connections 90 s between requests, and callers' connections are as many as `limits.requests`, or 0.4 of the descriptors.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::to_bytes;
 use axum::extract::{Path, Request, State};
 use axum::http::HeaderMap;
 use axum::response::Response;
@@ -14,6 +13,7 @@
 use chestnut_base::{
     CallerName, MemberId, Refusal, RefusalCode, RequestId, RequestSpec, slot_of,
 };
+use chestnut_intake::{BodyError, Connection, body};
 use chestnut_member::ClaimKey;
 use chestnut_wire::{HttpCall, OnceRequest, OnceState, PeerRequest, PeerResponse};
 use serde_json::{Value, json};
@@ -43,6 +43,9 @@
 /// this one learns that its row was written. Joining takes some polls of the table.
 const JOIN_WAIT_LIMIT: Duration = Duration::from_millis(1200);
 
+/// How long the body of a request may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// The time between two lookups of a slot's lead.
 const LEAD_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -206,8 +209,13 @@
     let caller = parse::authenticate(&shared.catalog(), &parts.headers)?;
     let limit = shared.settings.limits.max_body_bytes;
     let size = parse::body_size(&parts.headers, limit)?;
-    let permit = node.request_limiter.try_acquire(size).ok_or_else(entry_full)?;
-    let body = to_bytes(body, size).await.map_err(|_| parse::body_too_large(limit))?;
+    let connection = parts.extensions.get::<Arc<Connection>>();
+    let connection = connection.filter(|connection| !connection.is_refusing());
+    let connection = connection.ok_or_else(entry_full)?;
+    let deadline = shared.clock.now() + BODY_TIMEOUT;
+    let body = body::read(body, connection, size, deadline).await;
+    let body = body.map_err(|error| unread_body(&error, limit))?;
+    let permit = node.request_limiter.try_acquire(body.len()).ok_or_else(entry_full)?;
     let call = HttpCall {
         method: parts.method.to_string(),
         path: parts
@@ -388,6 +396,19 @@
         .with_retry_after(Duration::from_secs(1))
 }
 
+/// The refusal of a request whose body was not read to its end.
+fn unread_body(error: &BodyError, limit: usize) -> Refusal {
+    match error {
+        BodyError::TooLarge(_) => parse::body_too_large(limit),
+        BodyError::OutOfMemory => entry_full(),
+        BodyError::Late => Refusal::not_run(RefusalCode::Deadline, error.to_string())
+            .with_retry_after(Duration::ZERO),
+        BodyError::Invalid(_) => {
+            Refusal::not_run(RefusalCode::BadRequest, error.to_string())
+        }
+    }
+}
+
 fn entry_full() -> Refusal {
     let text = "this entry has as many requests in flight as it may; use another address";
     Refusal::not_run(RefusalCode::EntryFull, text)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 
 use chestnut_base::Refusal;
+use chestnut_intake::{CloseReason, Observer};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -16,6 +17,7 @@
     registry: Mutex<Registry>,
     served: Counter,
     refused: Family<RefusalLabels, Counter>,
+    closed: Family<CloseLabels, Counter>,
 }
 
 /// The labels of the counter of refusals.
@@ -27,6 +29,12 @@
     outcome: String,
 }
 
+/// The label of the counter of connections that the daemon closed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CloseLabels {
+    why: &'static str,
+}
+
 impl Metrics {
     /// Creates a registry with the counters of requests.
     pub fn new() -> Self {
@@ -36,7 +44,10 @@
         registry.register("served", "Requests with a complete response", served.clone());
         let help = "Requests refused or failed, by code and outcome";
         registry.register("refused", help, refused.clone());
-        Self { registry: Mutex::new(registry), served, refused }
+        let closed = Family::default();
+        let help = "Connections that the daemon closed or refused";
+        registry.register("closed", help, closed.clone());
+        Self { registry: Mutex::new(registry), served, refused, closed }
     }
 
     /// Counts a request that got its complete response.
@@ -67,6 +78,12 @@
     }
 }
 
+impl Observer for Metrics {
+    fn record_close(&self, reason: CloseReason) {
+        self.closed.get_or_create(&CloseLabels { why: reason.label() }).inc();
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -8,11 +8,17 @@
 use axum::Router;
 use chestnut_base::{Clock, MemberId};
 use chestnut_config::Settings;
+use chestnut_intake::{
+    HttpLimits, Intake, ProcessLimits, QuotaLimits, Server, Share, bind,
+};
 use chestnut_plat::{ObjectStore, TableClient, VmList};
 use chestnut_wire::PeerRequest;
 use error_stack::{Report, ResultExt};
+use http::Request;
+use hyper::body::Incoming;
+use hyper_util::service::TowerToHyperService;
 use slog::{Logger, info, warn};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -31,6 +37,15 @@
 /// How often a daemon that is shutting down checks whether its work is finished.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// What clients may send, and how long their heads and idle connections may last.
+///
+/// Callers send heads of some hundred bytes, and reuse connections within seconds.
+const HTTP_LIMITS: HttpLimits = HttpLimits {
+    head_bytes: 32 * 1024,
+    head_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(90),
+};
+
 /// Why a daemon could not be started.
 #[derive(Debug)]
 pub enum StartError {
@@ -73,8 +88,8 @@
     clock: Arc<dyn Clock>,
     log: Logger,
 ) -> Result<Daemon, Report<StartError>> {
-    let (caller_listener, caller) = bind(settings.caller_addr).await?;
-    let (ops_listener, ops) = bind(settings.ops_addr).await?;
+    let (caller_listener, caller) = listen(settings.caller_addr)?;
+    let (ops_listener, ops) = listen(settings.ops_addr)?;
     let tls = tls::load(&settings.tls).change_context(StartError::Tls)?;
     let peer_addr = settings.peer_addr;
     let peers =
@@ -93,13 +108,27 @@
     tasks.spawn(poison::run(node.clone()));
     tasks.spawn(slots::run(node.clone()));
     tasks.spawn(planner::run(node.shared.clone()));
+    let callers = intake(&node, Share::Callers);
     tasks.spawn(serve(
-        caller_listener,
+        Server {
+            intake: callers,
+            listener: caller_listener,
+            configure: |_: &TcpStream| {},
+            stop: stop_listeners.clone(),
+        },
         entry::router(node.clone()),
-        stop_listeners.clone(),
     ));
-    // Operators can inspect the daemon until its tasks end.
-    tasks.spawn(serve(ops_listener, ops::router(node.clone()), CancellationToken::new()));
+    let operators = intake(&node, Share::Lookups);
+    tasks.spawn(serve(
+        Server {
+            intake: operators,
+            listener: ops_listener,
+            configure: |_: &TcpStream| {},
+            // Operators can inspect the daemon until its tasks end.
+            stop: CancellationToken::new(),
+        },
+        ops::router(node.clone()),
+    ));
     info!(node.shared.log, "started"; "caller" => caller.to_string(), "ops" => ops.to_string());
     Ok(Daemon { addresses, node, tasks, stop_listeners })
 }
@@ -203,15 +232,35 @@
     })
 }
 
-async fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), Report<StartError>> {
+/// The account of a listener's connections.
+fn intake(node: &Node, share: Share) -> Arc<Intake> {
+    let shared = &node.shared;
+    let limits = shared.settings.limits;
+    let whole = ProcessLimits::new(Some(f64::MAX), None).quota(share);
+    let quota = QuotaLimits {
+        connections: whole.connections.min(limits.max_requests),
+        bytes: limits.max_buffered_bytes,
+    };
+    let name = match share {
+        Share::Callers => "callers",
+        Share::Lookups => "operators",
+        Share::Peers => "peers",
+    };
+    let (clock, log) = (shared.clock.clone(), shared.log.clone());
+    Arc::new(Intake::new(name, quota, clock, log, shared.metrics.clone()))
+}
+
+fn listen(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), Report<StartError>> {
     let error = StartError::Bind(addr);
-    let listener = TcpListener::bind(addr).await.change_context(error)?;
+    let listener = bind(addr).change_context(error)?;
     let bound = listener.local_addr().change_context(StartError::Bind(addr))?;
     Ok((listener, bound))
 }
 
-async fn serve(listener: TcpListener, router: Router, stop: CancellationToken) {
-    let stopped = async move { stop.cancelled().await };
-    // Serving fails only if the listener is closed, and then the task ends as well.
-    drop(axum::serve(listener, router).with_graceful_shutdown(stopped).await);
+async fn serve(server: Server, router: Router) {
+    let service = TowerToHyperService::new(router);
+    let handler = move |request: Request<Incoming>, _| {
+        hyper::service::Service::call(&service, request)
+    };
+    server.run(|| HTTP_LIMITS, handler).await;
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -48,7 +48,7 @@
     /// The logger; it adds the VM's name to each line.
     pub log: Logger,
     /// The registry of metrics.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     /// The client of the table service.
     pub table: TableClient,
     /// Changes of the tables that every daemon reads, refreshed by
@@ -113,7 +113,7 @@
         vms: VmList,
     ) -> Self {
         let term = settings.times.lease_duration;
-        let metrics = Metrics::new();
+        let metrics = Arc::new(Metrics::new());
         let config_state = ConfigState::new(&metrics);
         Self {
             settings,
