--- a/crates/gate/tests/settings.rs
+++ b/crates/gate/tests/settings.rs
@@ -29,6 +29,7 @@
     assert_eq!(settings.peer_addr().port(), 7000);
     assert_eq!(settings.table_changes_addr().port(), 7010);
     assert_eq!(settings.metrics_addr.map(|addr| addr.port()), Some(9464));
+    assert_eq!((settings.memory_mb, settings.descriptors), (None, None));
 }
 
 #[test]
@@ -36,6 +37,8 @@
     insta::assert_snapshot!(error_for("\"vm\": \"entry-1\", ", ""), @"missing field `vm`; see docs/CONFIGURATION.md for the fields");
     insta::assert_snapshot!(error_for("[7000, 7010]", "[7000, 6000]"), @"`ports` can't be used; give a first port and a higher last port");
     insta::assert_snapshot!(error_for("\"cores\": 0.25", "\"cores\": 0"), @"`cores` can't be used; give a number of cores above 0");
+    insta::assert_snapshot!(error_for("\"cores\": 0.25", "\"memory_mb\": 16"), @"`memory_mb` can't be used; give 32 or more");
+    insta::assert_snapshot!(error_for("\"cores\": 0.25", "\"descriptors\": 200"), @"`descriptors` can't be used; give 300 or more");
     insta::assert_snapshot!(error_for("\"retry_ratio\": 0.2", "\"retry_ratio\": 20"), @"`bounds.retry_ratio` can't be used; give a number between 0 and 1");
     insta::assert_snapshot!(error_for("\"stop_s\": 8", "\"stop_s\": 0.1"), @"`bounds.stop_s` can't be used; give a second or more");
     insta::assert_snapshot!(error_for("\"apply_ms\": 2000", "\"apply_ms\": 20"), @"`bounds.apply_ms` can't be used; give 500 or more");
--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -69,11 +69,11 @@
         return Err(BodyError::TooLarge(limit));
     }
     let max_bytes = size.exact().map_or(limit, |exact| exact as usize);
-    let collect = collect(&mut body, connection, limit, max_bytes);
+    let collected = collect(&mut body, connection, limit, max_bytes);
     let result = tokio::select! {
         biased;
         () = connection.evicted() => Err(BodyError::OutOfMemory),
-        result = timeout_at(deadline.into(), collect) => result.unwrap_or(Err(BodyError::Late)),
+        result = timeout_at(deadline.into(), collected) => result.unwrap_or(Err(BodyError::Late)),
     };
     match &result {
         Ok(_) => connection.set_phase(Phase::Serving),
--- a/crates/intake/src/server.rs
+++ b/crates/intake/src/server.rs
@@ -151,7 +151,8 @@
         request.extensions_mut().insert(connection.clone());
         let (response, connection) = (handler(request), connection.clone());
         async move {
-            Ok::<_, Infallible>(response.await?.map(|b| Served { body: b, connection }))
+            let response = response.await?;
+            Ok::<_, Infallible>(response.map(|body| TrackedBody { body, connection }))
         }
     });
     let result = {
@@ -230,18 +231,18 @@
 }
 
 /// The body of a response; the connection is idle when it ends.
-struct Served<B> {
+struct TrackedBody<B> {
     body: B,
     connection: Arc<Connection>,
 }
 
-impl<B> Drop for Served<B> {
+impl<B> Drop for TrackedBody<B> {
     fn drop(&mut self) {
         self.connection.set_phase(Phase::Idle);
     }
 }
 
-impl<B: Body + Unpin> Body for Served<B> {
+impl<B: Body + Unpin> Body for TrackedBody<B> {
     type Data = B::Data;
     type Error = B::Error;
 
