Unfinished changes of the configuration draw on the operators' account

What is seen: 100 clients without a key that send a change of 4 MB but for its last 9 bytes to the operators' address made chestnutlaned use 448 MB, where a VM has 260.

Cause: the handlers of the configuration API take their bodies whole before they look at the key. Each was checked against its own limit, and nothing against all of them or the time.

Change: the API's bodies are read by `intake::body`, within 60 s and 32 MiB together; 503 if there is no room, 413 if one is too large, as before.

--- a/crates/node/src/config_api.rs
+++ b/crates/node/src/config_api.rs
@@ -19,8 +19,9 @@
 use std::sync::Arc;
 
 use axum::extract::rejection::JsonRejection;
-use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::extract::{DefaultBodyLimit, Path, Query, Request, State};
 use axum::http::{HeaderMap, StatusCode};
+use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -28,11 +29,13 @@
 use chestnut_config::history::{MAX_ROLLBACK_REVISIONS, roll_back};
 use chestnut_config::rows::{HistoryEntry, REVISIONS_PER_BLOCK};
 use chestnut_config::{ApplyOutcome, Change, Plan, RefusalReason, Verdict, keys};
+use chestnut_intake::{BodyError, Connection, body};
 use chestnut_member::View;
 use chestnut_plat::{PlatformError, Txn};
 use serde::Deserialize;
 use serde_json::json;
 
+use crate::entry::BODY_TIMEOUT;
 use crate::members::{DRAINS, DrainRow};
 use crate::node::Node;
 use crate::shared::Shared;
@@ -59,9 +62,26 @@
         .route("/v1/config/explain", get(explain_request))
         .route("/v1/config/drain", post(drain))
         .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .layer(from_fn_with_state(node.clone(), read_body))
         .with_state(node)
 }
 
+/// Reads the body of a call before its handler, into memory that is accounted for.
+async fn read_body(
+    State(node): State<Arc<Node>>,
+    request: Request,
+    next: Next,
+) -> Result<Response, ApiError> {
+    let (parts, body) = request.into_parts();
+    let connection = parts.extensions.get::<Arc<Connection>>();
+    let connection =
+        connection.ok_or_else(|| ApiError::unread(&BodyError::OutOfMemory))?;
+    let deadline = node.shared.clock.now() + BODY_TIMEOUT;
+    let body = body::read(body, connection, MAX_BODY_BYTES, deadline).await;
+    let body = body.map_err(|error| ApiError::unread(&error))?;
+    Ok(next.run(Request::from_parts(parts, body.into())).await)
+}
+
 type JsonBody<T> = Result<Json<T>, JsonRejection>;
 
 async fn plan(
@@ -360,6 +380,16 @@
         Self { status, message: message.into() }
     }
 
+    /// The error for a body that was not read to its end; nothing was changed.
+    fn unread(error: &BodyError) -> Self {
+        let status = match error {
+            BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::OutOfMemory | BodyError::Late => StatusCode::SERVICE_UNAVAILABLE,
+            BodyError::Invalid(_) => StatusCode::BAD_REQUEST,
+        };
+        Self::new(status, error.to_string())
+    }
+
     fn undecided(reason: &str) -> Self {
         Self::new(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -44,7 +44,7 @@
 const JOIN_WAIT_LIMIT: Duration = Duration::from_millis(1200);
 
 /// How long the body of a request may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The time between two lookups of a slot's lead.
 const LEAD_POLL_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -46,6 +46,9 @@
     idle_timeout: Duration::from_secs(90),
 };
 
+/// The most bytes of the heads and bodies of operators' calls that the daemon holds.
+const OPERATOR_BYTES: usize = 32 << 20;
+
 /// Why a daemon could not be started.
 #[derive(Debug)]
 pub enum StartError {
@@ -237,15 +240,12 @@
     let shared = &node.shared;
     let limits = shared.settings.limits;
     let whole = ProcessLimits::new(Some(f64::MAX), None).quota(share);
-    let quota = QuotaLimits {
-        connections: whole.connections.min(limits.max_requests),
-        bytes: limits.max_buffered_bytes,
-    };
-    let name = match share {
-        Share::Callers => "callers",
-        Share::Lookups => "operators",
-        Share::Peers => "peers",
+    let (name, bytes) = match share {
+        Share::Callers => ("callers", limits.max_buffered_bytes),
+        Share::Lookups | Share::Peers => ("operators", OPERATOR_BYTES),
     };
+    let connections = whole.connections.min(limits.max_requests);
+    let quota = QuotaLimits { connections, bytes };
     let (clock, log) = (shared.clock.clone(), shared.log.clone());
     Arc::new(Intake::new(name, quota, clock, log, shared.metrics.clone()))
 }
--- a/tests/crowds/own_interface.rs
+++ b/tests/crowds/own_interface.rs
@@ -45,6 +45,20 @@
     test.withstands(test.addr("caller"), 60, UNFINISHED.to_vec()).await;
 }
 
+/// Guards against unfinished changes of the configuration, which need no key until they have
+/// arrived and are kept without a bound.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_crowd_of_unfinished_changes() {
+    let length = 4 << 20;
+    let head = format!(
+        "POST /v1/config/plan HTTP/1.1\r\nhost: entry\r\ncontent-type: \
+         application/json\r\ncontent-length: {length}\r\n\r\n"
+    );
+    let bytes = [head.into_bytes(), vec![b' '; length - 9]].concat();
+    let test = Test::start(ProcessLimits { descriptors: 2000, ..LIMITS }).await;
+    test.withstands(test.addr("ops"), 100, bytes).await;
+}
+
 struct Test {
     cluster: Cluster,
     limits: ProcessLimits,
