--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -19,10 +19,14 @@
 #[path = "platform/retry_bound.rs"]
 mod retry_bound;
 
+#[path = "crowds/odd.rs"]
+mod odd;
 #[path = "crowds/own_interface.rs"]
 mod own_interface;
 #[allow(dead_code)]
 mod support;
+#[path = "crowds/unread.rs"]
+mod unread;
 
 use std::fs;
 use std::net::{IpAddr, SocketAddr};
@@ -30,9 +34,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use chestnut_platform_stand_in::{Caller, CallerRequest, ServerFault};
+use chestnut_platform_stand_in::{Caller, CallerRequest, RawServer, ServerFault};
 use rustix::process::{Pid, Resource, Rlimit, getrlimit, setrlimit};
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{Mutex, MutexGuard};
@@ -65,6 +69,9 @@
 /// The pause of a client between its pieces, so that they are read one by one.
 const PIECE_PAUSE: Duration = Duration::from_millis(20);
 
+/// The looks at a crowd without a change after which its daemon does not go on reading.
+const STALLED_SAMPLES: u32 = 100;
+
 /// The time between two looks at the daemon's memory and descriptors.
 const SAMPLE_PERIOD: Duration = Duration::from_millis(10);
 
@@ -137,6 +144,49 @@
     watch.check(test.limits).await;
 }
 
+/// Guards against connections to servers that take the descriptors that clients leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_requests_for_silent_servers() {
+    let test = Test::start("for-silent").await;
+    for (name, service) in ["s1", "s2"].iter().zip(&test.cluster.services) {
+        service.set_fault(ServerFault::Unresponsive);
+        let entry = json!({
+            "service": "ledger", "address": service.addr, "zone": "north", "version": "v1",
+            "slots": 300, "state": "ready", "cold_ms": 0, "seq": 0, "born": 1,
+        });
+        test.cluster.store.put("servers", name, Some(&entry));
+    }
+    sleep(Duration::from_secs(1)).await;
+    let watch = Watch::start(test.daemon().pid(), test.callers().ip());
+    let silent = [test.daemon().metrics_addr, test.daemon().peer_addr]
+        .map(|addr| test.crowd(addr, 40, vec![]));
+    let crowd =
+        test.crowd(test.callers(), 600, vec![head_to("lookup", "content-length: 0\r\n")]);
+    sleep(Duration::from_secs(1)).await;
+    for service in &test.cluster.services {
+        service.set_fault(ServerFault::None);
+    }
+    test.answers_a_request().await;
+    drop((crowd, silent));
+    test.answers_a_request().await;
+    watch.check(test.limits).await;
+}
+
+/// Guards against trailers and extensions of chunks without end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_chunks_without_end() {
+    for bytes in [
+        [&b"0\r\nx-trailer: "[..], &[b't'; HEAD_BYTES]].concat(),
+        [&b"0\r\n"[..], &b"t:\r\n".repeat(HEAD_BYTES / 4)].concat(),
+        [&b"5;x="[..], &[b'e'; HEAD_BYTES]].concat(),
+        vec![b'0'; HEAD_BYTES],
+    ] {
+        let test = Test::start("endless-chunks").await;
+        test.withstands(test.callers(), 250, vec![[chunked_head(), bytes].concat()])
+            .await;
+    }
+}
+
 /// Guards against bytes after a request that the kernel keeps without a bound, since nobody reads
 /// them while the request is served.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -334,10 +384,32 @@
 
 impl Test {
     async fn start(name: &str) -> Self {
+        Self::start_with(name, LIMITS).await
+    }
+
+    async fn start_with(name: &str, limits: ProcessLimits) -> Self {
         let running = RUNNING.lock().await;
-        let setup = Setup { daemons: 1, limits: Some(LIMITS), ..Setup::default() };
+        let setup = Setup { daemons: 1, limits: Some(limits), ..Setup::default() };
         let cluster = Cluster::start_with(name, setup).await;
-        Self { cluster, limits: LIMITS, _running: running }
+        Self { cluster, limits, _running: running }
+    }
+
+    /// Replaces the servers of the plain service by a raw server.
+    async fn replace_services(&self, server: &RawServer) {
+        for name in ["raw1", "raw2"] {
+            server.register_plain(&self.cluster.store, name);
+        }
+        for name in ["s1", "s2"] {
+            self.cluster.store.put("servers", name, None);
+        }
+        wait_until("only the raw server is left", async || {
+            let addr = self.daemon().metrics_addr;
+            let state = self.cluster.caller.get_text(addr, "/state").await;
+            let state: Value = serde_json::from_str(&state).unwrap_or_default();
+            ["s1", "s2"].iter().all(|name| state["servers"][name].is_null())
+                && !state["servers"]["raw2"].is_null()
+        })
+        .await;
     }
 
     /// A daemon without limits in its settings, in a process with few descriptors.
@@ -387,7 +459,12 @@
 
     /// Waits until an ordinary request on a new connection is answered.
     async fn answers_a_request(&self) {
-        let request = CallerRequest::plain("lookup");
+        self.answers_a_request_with(&("x-plain".into(), "1".into())).await;
+    }
+
+    async fn answers_a_request_with(&self, header: &(String, String)) {
+        let mut request = CallerRequest::plain("lookup");
+        request.headers.push(header.clone());
         wait_until("an ordinary request is answered", async || {
             let caller = Caller::new("ordinary");
             caller.send(self.callers(), &request).await.status == 200
@@ -423,13 +500,23 @@
 }
 
 impl Crowd {
+    /// Connects from the daemon's own address, as another daemon of the tests would.
     fn start(addr: SocketAddr, clients: usize, pieces: Vec<Vec<u8>>) -> Self {
+        Self::start_from(addr.ip(), addr, clients, pieces)
+    }
+
+    fn start_from(
+        source: IpAddr,
+        addr: SocketAddr,
+        clients: usize,
+        pieces: Vec<Vec<u8>>,
+    ) -> Self {
         let mut tasks = JoinSet::new();
         let (sending, pieces) = (Arc::new(()), Arc::new(pieces));
         for _ in 0..clients {
             let (sending, pieces) = (sending.clone(), pieces.clone());
             tasks.spawn(async move {
-                let stream = connect(addr).await;
+                let stream = connect(source, addr).await;
                 let Some(mut stream) = stream else { return };
                 let write = async {
                     for piece in pieces.iter() {
@@ -458,12 +545,25 @@
             sleep(SAMPLE_PERIOD).await;
         }
     }
+
+    /// Waits until the daemon has read what the clients send, or does not go on for some time.
+    async fn wait_until_stalled(&self) {
+        let deadline = Instant::now() + SEND_TIME;
+        let mut last = (0, 0);
+        let mut unchanged = 0;
+        while Instant::now() < deadline && unchanged < STALLED_SAMPLES {
+            sleep(SAMPLE_PERIOD).await;
+            let connections = Connections::at(self.addr);
+            let now = (connections.0.len(), connections.on_the_way());
+            unchanged = if now == last { unchanged + 1 } else { 0 };
+            last = now;
+        }
+    }
 }
 
-/// Connects from the daemon's own address, as another daemon of the tests would.
-async fn connect(addr: SocketAddr) -> Option<TcpStream> {
+async fn connect(source: IpAddr, addr: SocketAddr) -> Option<TcpStream> {
     let socket = TcpSocket::new_v4().ok()?;
-    socket.bind(SocketAddr::new(addr.ip(), 0)).ok()?;
+    socket.bind(SocketAddr::new(source, 0)).ok()?;
     timeout(WRITE_TIME, socket.connect(addr)).await.ok()?.ok()
 }
 
@@ -483,7 +583,8 @@
 /// The most that was seen.
 #[derive(Debug, Clone, Copy, Default)]
 struct Usage {
-    /// Resident memory and received bytes that were not read.
+    /// Resident memory, received bytes that were not read, and bytes sent to other addresses
+    /// that were not acknowledged.
     memory: u64,
     descriptors: u64,
     /// Sockets and pipes.
@@ -541,8 +642,7 @@
             target.starts_with("socket:") || target.starts_with("pipe:")
         };
         Self {
-            memory: resident.unwrap_or_default() * 1024
-                + Connections::all().unread_by(ip),
+            memory: resident.unwrap_or_default() * 1024 + Connections::all().held_for(ip),
             descriptors: targets.len() as u64,
             sockets: targets.iter().filter(is_socket).count() as u64,
         }
@@ -578,12 +678,17 @@
         self.0.iter().map(|each| each.queued.0 + each.queued.1).sum()
     }
 
-    /// The bytes that were received at an address and not read.
+    /// The bytes that were received at an address and not read, or sent from it to another one
+    /// and not acknowledged.
     ///
-    /// A crowd's ends of connections have the same address, and receive next to nothing.
-    fn unread_by(&self, ip: IpAddr) -> u64 {
+    /// Ends of a crowd that have the same address receive next to nothing.
+    fn held_for(&self, ip: IpAddr) -> u64 {
         let local = self.0.iter().filter(|each| each.local.ip() == ip);
-        local.map(|each| each.queued.1).sum()
+        let held = |each: &KernelConnection| match each.remote.ip() == ip {
+            true => each.queued.1,
+            false => each.queued.0 + each.queued.1,
+        };
+        local.map(held).sum()
     }
 }
 
--- a/tests/crowds/own_interface.rs
+++ b/tests/crowds/own_interface.rs
@@ -1,8 +1,11 @@
 //! The daemon with the own interface: its callers' listener and the one for operators.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use rustix::process::{Signal, kill_process};
 use tokio::sync::MutexGuard;
+use tokio::time::sleep;
 
 use crate::cluster::{ProcessLimits, wait_until};
 use crate::support::cluster::Cluster;
@@ -59,6 +62,38 @@
     test.withstands(test.addr("ops"), 100, bytes).await;
 }
 
+/// Guards against connections that wait to be accepted while a daemon stands still, and whose
+/// bytes the kernel keeps without a bound.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_crowd_of_connections_to_a_suspended_daemon() {
+    let test = Test::start(ProcessLimits { descriptors: 5_000, ..LIMITS }).await;
+    let pid = test.cluster.process("e1").expect("it was started").pid();
+    let watch = Watch::start(pid, test.addr("caller").ip());
+    kill_process(pid, Signal::STOP).expect("the process exists");
+    let bytes = vec![head_without_end()];
+    let crowds =
+        ["caller", "ops"].map(|name| Crowd::start(test.addr(name), 1_500, bytes.clone()));
+    sleep(Duration::from_secs(3)).await;
+    kill_process(pid, Signal::CONT).expect("the process exists");
+    test.answers_a_request().await;
+    drop(crowds);
+    test.answers_a_request().await;
+    watch.check(test.limits).await;
+}
+
+/// Guards against a limit on the number of fields that requests within the size of a head meet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_heads_of_many_fields_are_served() {
+    let test = Test::start(LIMITS).await;
+    let url = format!("http://{}/svc/desk/seats", test.addr("caller"));
+    let client = reqwest::Client::builder().no_proxy().build().expect("it can be made");
+    let request = client.get(&url).bearer_auth("key-portal").body("{}");
+    let request = (0..1_000)
+        .fold(request, |request, number| request.header(format!("x{number}"), "v"));
+    let response = request.send().await.expect("the daemon responds");
+    assert_eq!(response.status().as_u16(), 200);
+}
+
 struct Test {
     cluster: Cluster,
     limits: ProcessLimits,
