--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -382,6 +382,9 @@
         callers.spawn(send_requests(caller, addresses, rng, faults, exchanges, stop));
     }
     inject_faults(&mut cluster, SmallRng::seed_from_u64(seed), faults).await;
+    if faults == Faults::Repeats {
+        repeat_each_response(&cluster).await;
+    }
     stop.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
     cluster.wait_until_ready().await;
@@ -403,11 +406,6 @@
     if faults == Faults::Contention {
         report_actions(&cluster);
     }
-    if faults == Faults::Repeats {
-        let copies: usize = cluster.proxies.servers().map(Proxy::copies).sum();
-        eprintln!("{copies} copies of responses");
-        assert!(copies > 0, "no server answered twice");
-    }
     check_guarantees(&cluster, &exchanges.lock().expect("no holder of the lock panics"));
 }
 
@@ -663,6 +661,23 @@
     }
 }
 
+/// Has all servers answer each request twice, until a copy was sent: the random choices before
+/// may leave no response that is sent twice.
+async fn repeat_each_response(cluster: &Cluster) {
+    let copies = || cluster.proxies.servers().map(Proxy::copies).sum::<usize>();
+    let earlier = copies();
+    let repeat = Repeat {
+        of: &[Call::Request],
+        one_in: 1,
+        moment: Moment::Idle(Duration::ZERO),
+        has_id: true,
+    };
+    cluster.proxies.servers().for_each(|proxy| proxy.set_repeat(Some(repeat)));
+    wait_until("a server answers twice", async || copies() > earlier).await;
+    cluster.proxies.servers().for_each(|proxy| proxy.set_repeat(None));
+    eprintln!("{} copies of responses, {earlier} at random", copies());
+}
+
 fn random_repeat(rng: &mut SmallRng) -> Repeat {
     let calls: [&[Call]; 4] =
         [Call::ALL, Call::OWN, &[Call::Request], &[Call::Rejection]];
