Sums of prompt parts saturate

Callers saw each later request end with a closed connection: a prompt whose parts add up to more than 2^32 tokens overflowed a sum in the estimate of a runner's KV cache. With overflow checks the task panics under the runner's lock, and everything that takes it afterwards panics too; without them the sum wraps and the prompt counts as nearly cached. Seen in the daemon's log by the test ("panicked at ... accum.rs", then "no holder of the lock panics").

The sums saturate, as those of usage reports do.

--- a/crates/pool/src/prefix.rs
+++ b/crates/pool/src/prefix.rs
@@ -18,6 +18,8 @@
 type PrefixHash = u64;
 
 /// An estimate of the prompt prefixes in a runner's KV cache.
+///
+/// Callers name the tokens of parts, so that sums of them saturate.
 #[derive(Debug, Default)]
 pub struct PrefixCache {
     /// The tokens of each prefix's last part, least recently used first.
@@ -31,7 +33,7 @@
     pub fn cached_tokens(&self, target: &TargetModel, parts: &[PromptPart]) -> u32 {
         let cached = prefix_hashes(target, parts)
             .take_while(|(hash, _)| self.parts.contains_key(hash));
-        cached.map(|(_, tokens)| tokens).sum()
+        cached.fold(0, |sum, (_, tokens)| sum.saturating_add(tokens))
     }
 
     /// Tokens of shared prompt parts that are not in this estimate, so that the runner
@@ -40,7 +42,7 @@
         let shared = &parts[..parts.len().saturating_sub(1)];
         let unknown = prefix_hashes(target, shared)
             .skip_while(|(hash, _)| self.parts.contains_key(hash));
-        unknown.map(|(_, tokens)| tokens).sum()
+        unknown.fold(0, |sum, (_, tokens)| sum.saturating_add(tokens))
     }
 
     /// Records that a prompt is sent to a runner whose KV cache holds `capacity` tokens.
@@ -76,9 +78,9 @@
         parts: &[PromptPart],
         tokens: u32,
     ) {
-        let mut end = 0;
+        let mut end: u32 = 0;
         for (hash, part_tokens) in prefix_hashes(target, parts) {
-            end += part_tokens;
+            end = end.saturating_add(part_tokens);
             if end > tokens
                 && let Some(removed) = self.parts.shift_remove(&hash)
             {
