Small prompt parts are evicted, at a cost that does not grow

A daemon kept each part of each prompt in its estimate of the runners' KV caches, oldest first, until the tokens of all exceeded a share of the cache. Parts without tokens never did, and parts of one token only by the ten thousands. Callers name both: 1,500 prompts of 1,000 empty parts each cost 90 MB that were never freed.

A part takes 16 tokens at least. With that alone (trial) the test did not end within ten minutes: removing the oldest entry of an IndexMap moves all others, and with thousands of parts a prompt took seconds. Uses are now kept in a queue in which older uses of a part are ignored, so that each use costs the same on average.

--- a/crates/pool/src/prefix.rs
+++ b/crates/pool/src/prefix.rs
@@ -7,6 +7,7 @@
 
 use chestnut_edge::{PromptPart, TargetModel};
 use indexmap::IndexMap;
+use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Share of the KV cache that is assumed to hold parts of finished requests.
@@ -14,6 +15,12 @@
 /// Running requests take the rest.
 const CACHED_SHARE: f64 = 0.4;
 
+/// The tokens that a part takes of the KV cache at least.
+///
+/// Engines keep tokens in blocks. Without it, callers could have any number of parts kept that
+/// have no tokens.
+const MIN_PART_TOKENS: u32 = 16;
+
 /// Hash of a model and adapter, a part, and all parts before it.
 type PrefixHash = u64;
 
@@ -22,10 +29,28 @@
 /// Callers name the tokens of parts, so that sums of them saturate.
 #[derive(Debug, Default)]
 pub struct PrefixCache {
-    /// The tokens of each prefix's last part, least recently used first.
-    parts: IndexMap<PrefixHash, u32>,
-    /// Sum of the tokens.
-    tokens: u64,
+    /// The last part of each prefix.
+    parts: IndexMap<PrefixHash, CachedPart>,
+    /// The uses of parts, oldest first; all but the last use of each part are ignored.
+    uses: VecDeque<(u64, PrefixHash)>,
+    /// The number of the last use.
+    last_use: u64,
+    /// The tokens that the parts take, each [`MIN_PART_TOKENS`] at least.
+    taken: u64,
+}
+
+/// A part of a prompt in the KV cache.
+#[derive(Debug, Clone, Copy)]
+struct CachedPart {
+    tokens: u32,
+    last_use: u64,
+}
+
+impl CachedPart {
+    /// The tokens that it takes of the cache.
+    fn taken(self) -> u64 {
+        u64::from(self.tokens.max(MIN_PART_TOKENS))
+    }
 }
 
 impl PrefixCache {
@@ -53,17 +78,40 @@
         capacity: u64,
     ) {
         for (hash, tokens) in prefix_hashes(target, parts) {
-            if let Some(old) = self.parts.shift_remove(&hash) {
-                self.tokens -= u64::from(old);
-            }
-            self.parts.insert(hash, tokens);
-            self.tokens += u64::from(tokens);
+            self.remove(hash);
+            self.last_use += 1;
+            let part = CachedPart { tokens, last_use: self.last_use };
+            self.taken += part.taken();
+            self.parts.insert(hash, part);
+            self.uses.push_back((self.last_use, hash));
         }
-        let limit = (capacity as f64 * CACHED_SHARE) as u64;
-        while self.tokens > limit
-            && let Some((_, tokens)) = self.parts.shift_remove_index(0)
+        self.evict((capacity as f64 * CACHED_SHARE) as u64);
+    }
+
+    /// Removes the least recently used parts until the others take `limit` tokens at most.
+    fn evict(&mut self, limit: u64) {
+        while self.taken > limit
+            && let Some((number, hash)) = self.uses.pop_front()
         {
-            self.tokens -= u64::from(tokens);
+            if self.is_last_use(number, hash) {
+                self.remove(hash);
+            }
+        }
+        // Half of the uses are the last ones, so that a use costs the same on average.
+        if self.uses.len() > 2 * self.parts.len() {
+            let mut uses = std::mem::take(&mut self.uses);
+            uses.retain(|(number, hash)| self.is_last_use(*number, *hash));
+            self.uses = uses;
+        }
+    }
+
+    fn is_last_use(&self, number: u64, hash: PrefixHash) -> bool {
+        self.parts.get(&hash).is_some_and(|part| part.last_use == number)
+    }
+
+    fn remove(&mut self, hash: PrefixHash) {
+        if let Some(part) = self.parts.swap_remove(&hash) {
+            self.taken -= part.taken();
         }
     }
 
@@ -81,10 +129,8 @@
         let mut end: u32 = 0;
         for (hash, part_tokens) in prefix_hashes(target, parts) {
             end = end.saturating_add(part_tokens);
-            if end > tokens
-                && let Some(removed) = self.parts.shift_remove(&hash)
-            {
-                self.tokens -= u64::from(removed);
+            if end > tokens {
+                self.remove(hash);
             }
         }
     }
