Heads within the declared size may have any number of fields

A head of 3,000 short fields within the declared 16 KB got 431: the HTTP library takes a hundred unless it is told, on both interfaces.

The number follows from the size now (four bytes a field). So the lines of a head count 256 bytes each in its share's memory, as they arrive and before the head is parsed; the fields of a head that was read ahead count when it is served. Memory that yields counted as free at once, though its connection had yet to close: it may now exceed the share by a quarter, and beyond that the newcomer is refused.

--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -225,6 +225,15 @@
         granted
     }
 
+    /// Requests memory that its message has taken already; without it, the message has to be
+    /// given up.
+    pub fn reserve_or_yield(&self, bytes: usize) {
+        if !self.reserve(bytes) {
+            self.intake.lock().quota.evict(self.key);
+            self.eviction.cancel();
+        }
+    }
+
     /// Waits until the connection has to close.
     pub async fn evicted(&self) {
         self.eviction.cancelled().await;
--- a/crates/intake/src/metered.rs
+++ b/crates/intake/src/metered.rs
@@ -12,7 +12,7 @@
 
 use crate::intake::{CloseReason, Connection};
 use crate::quota::Phase;
-use crate::server::HttpLimits;
+use crate::server::{FIELD_BYTES, HttpLimits};
 
 /// The stream of a connection, read as long as its client keeps to the limits.
 pub struct Metered {
@@ -22,6 +22,8 @@
     /// The phase as of the last read, and when it began.
     phase: (Phase, Instant),
     timer: Pin<Box<Sleep>>,
+    /// Counts the fields of the head that arrives.
+    fields: FieldCounter,
     /// Why reading has ended before the client closed the connection.
     failure: Option<CloseReason>,
 }
@@ -36,7 +38,8 @@
         let now = connection.intake().now();
         let timer = Box::pin(sleep_until((now + limits.idle_timeout).into()));
         let phase = (Phase::Idle, now);
-        Self { stream, connection, limits, phase, timer, failure: None }
+        let fields = FieldCounter::default();
+        Self { stream, connection, limits, phase, timer, fields, failure: None }
     }
 
     /// Why reading has ended before the client closed the connection.
@@ -84,13 +87,14 @@
     }
 
     /// Records bytes that have arrived; an error if there is no memory for them.
-    fn record(&mut self, count: usize) -> Result<(), CloseReason> {
+    fn record(&mut self, bytes: &[u8]) -> Result<(), CloseReason> {
         if self.phase.0 == Phase::Idle {
+            self.fields = FieldCounter::default();
             self.connection.set_phase(Phase::Head);
             self.enter(Phase::Head, self.connection.intake().now());
         }
         match self.phase.0 {
-            Phase::Head => match self.connection.reserve(count) {
+            Phase::Head => match self.connection.reserve(self.fields.cost(bytes)) {
                 true => {
                     self.connection.record_progress();
                     Ok(())
@@ -107,6 +111,39 @@
     }
 }
 
+/// Counts the lines of a head, each of which may be a field.
+#[derive(Debug, Default)]
+struct FieldCounter {
+    /// The bytes of the current line.
+    line: usize,
+    /// Whether a line has had bytes; only then an empty line ends the head.
+    has_begun: bool,
+    has_ended: bool,
+}
+
+impl FieldCounter {
+    /// The memory that the next bytes of a head take, also as fields.
+    fn cost(&mut self, bytes: &[u8]) -> usize {
+        let mut lines = 0;
+        for byte in bytes {
+            match byte {
+                _ if self.has_ended => break,
+                b'\n' => {
+                    lines += 1;
+                    self.has_ended = self.has_begun && self.line == 0;
+                    self.line = 0;
+                }
+                b'\r' => {}
+                _ => {
+                    self.line += 1;
+                    self.has_begun = true;
+                }
+            }
+        }
+        bytes.len() + lines * FIELD_BYTES
+    }
+}
+
 impl AsyncRead for Metered {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -116,11 +153,11 @@
         self.update_phase();
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let count = buf.filled().len() - before;
+        let arrived = &buf.filled()[before..];
         // Bytes that have arrived are read first: they may be late because this process is.
         let failure = match &poll {
             Poll::Pending => self.check(cx),
-            Poll::Ready(_) if count > 0 => self.record(count).err(),
+            Poll::Ready(_) if !arrived.is_empty() => self.record(arrived).err(),
             Poll::Ready(_) => None,
         };
         match failure {
--- a/crates/intake/src/quota.rs
+++ b/crates/intake/src/quota.rs
@@ -24,7 +24,8 @@
 pub struct QuotaLimits {
     /// The most open connections, without those that were told to close.
     pub connections: usize,
-    /// The most bytes of messages, without those of connections that were told to close.
+    /// The most bytes of messages, without those of connections that were told to close; with
+    /// them, a quarter more.
     pub bytes: usize,
 }
 
@@ -119,12 +120,14 @@
     open: usize,
     /// The sum of the bytes of entries that are not evicted.
     bytes: usize,
+    /// The sum of the bytes of evicted entries, which are freed when these close.
+    evicted_bytes: usize,
 }
 
 impl Quota {
     /// Creates a quota without connections.
     pub fn new(limits: QuotaLimits) -> Self {
-        Self { limits, entries: SlotMap::with_key(), open: 0, bytes: 0 }
+        Self { limits, entries: SlotMap::with_key(), open: 0, bytes: 0, evicted_bytes: 0 }
     }
 
     /// The open connections and the bytes of their messages, without those that were told to
@@ -160,11 +163,13 @@
 
     /// Removes a connection that was closed.
     pub fn close(&mut self, key: ConnectionKey) {
-        if let Some(entry) = self.entries.remove(key)
-            && !entry.is_evicted
-        {
-            self.open -= 1;
-            self.bytes -= entry.bytes;
+        let Some(entry) = self.entries.remove(key) else { return };
+        match entry.is_evicted {
+            true => self.evicted_bytes -= entry.bytes,
+            false => {
+                self.open -= 1;
+                self.bytes -= entry.bytes;
+            }
         }
     }
 
@@ -175,8 +180,9 @@
             (_, Phase::Idle) => {
                 entry.has_served = true;
                 let bytes = std::mem::take(&mut entry.bytes);
-                if !entry.is_evicted {
-                    self.bytes -= bytes;
+                match entry.is_evicted {
+                    true => self.evicted_bytes -= bytes,
+                    false => self.bytes -= bytes,
                 }
             }
             (Phase::Idle, _) => entry.begun_at = now,
@@ -207,6 +213,10 @@
             true => self.limits.bytes / 4 * 3,
             false => self.limits.bytes,
         };
+        if self.bytes + self.evicted_bytes + more > limit + self.limits.bytes / 4 {
+            // What was evicted is not freed yet.
+            return Reserved { granted: false, evicted };
+        }
         while self.bytes + more > limit {
             let victim = self.costliest(key, now).filter(|(_, cost)| *cost > own_cost);
             let Some((victim, _)) = victim else {
@@ -255,11 +265,13 @@
         Some(key)
     }
 
-    fn evict(&mut self, key: ConnectionKey) {
-        if let Some(entry) = self.entries.get_mut(key) {
+    /// Tells a connection to close; neither it nor its bytes count any more.
+    pub fn evict(&mut self, key: ConnectionKey) {
+        if let Some(entry) = self.entries.get_mut(key).filter(|entry| !entry.is_evicted) {
             entry.is_evicted = true;
             self.open -= 1;
             self.bytes -= entry.bytes;
+            self.evicted_bytes += entry.bytes;
         }
     }
 }
--- a/crates/intake/src/server.rs
+++ b/crates/intake/src/server.rs
@@ -36,6 +36,15 @@
 /// The smallest buffer of a connection that HTTP can be read with, in bytes.
 const MIN_READ_BUFFER: usize = 8 * 1024;
 
+/// The shortest field of a head, in bytes: a name of one, a colon and the end of the line.
+const MIN_FIELD_BYTES: usize = 4;
+
+/// The most fields of a head; the type of their map holds no more than some 24,000.
+const MAX_FIELDS: usize = 16 * 1024;
+
+/// The memory that a field takes beside its bytes, with the copy that is sent to a server.
+pub(crate) const FIELD_BYTES: usize = 256;
+
 /// How long what still arrives is discarded after the last response.
 ///
 /// A connection that is closed while bytes are unread is reset, and the reset may destroy the
@@ -139,15 +148,20 @@
     let mut server = http1::Builder::new();
     server
         .max_header_size(limits.head_bytes.saturating_add(1))
+        .max_headers((limits.head_bytes / MIN_FIELD_BYTES).clamp(1, MAX_FIELDS))
         .max_buf_size(limits.head_bytes.saturating_add(1).max(MIN_READ_BUFFER));
     let ends_with_connection = AtomicBool::new(false);
     let service = service_fn(|mut request: Request<Incoming>| {
         let is_old = request.version() == Version::HTTP_10;
         ends_with_connection.store(is_old, Ordering::Relaxed);
+        let was_read_ahead = connection.phase() == Phase::Idle;
         connection.set_phase(match request.body().is_end_stream() {
             true => Phase::Serving,
             false => Phase::Body,
         });
+        if was_read_ahead {
+            connection.reserve_or_yield(request.headers().len() * FIELD_BYTES);
+        }
         request.extensions_mut().insert(connection.clone());
         let (response, connection) = (handler(request), connection.clone());
         async move {
