Memory that yields is bounded for large messages too

The bound is one for all messages, and callers' heads and bodies have 0.18 of the memory instead of 0.2.

--- a/crates/intake/src/quota.rs
+++ b/crates/intake/src/quota.rs
@@ -24,8 +24,7 @@
 pub struct QuotaLimits {
     /// The most open connections, without those that were told to close.
     pub connections: usize,
-    /// The most bytes of messages, without those of connections that were told to close; with
-    /// them, a quarter more.
+    /// The most bytes of messages, without those of connections that were told to close.
     pub bytes: usize,
 }
 
@@ -34,6 +33,11 @@
     pub fn max_open(self) -> usize {
         self.connections.saturating_add(self.connections / 4)
     }
+
+    /// The most bytes with those of connections that were told to close.
+    pub fn max_bytes(self) -> usize {
+        self.bytes.saturating_add(self.bytes / 4)
+    }
 }
 
 /// What a connection is doing.
@@ -213,7 +217,7 @@
             true => self.limits.bytes / 4 * 3,
             false => self.limits.bytes,
         };
-        if self.bytes + self.evicted_bytes + more > limit + self.limits.bytes / 4 {
+        if self.bytes + self.evicted_bytes + more > self.limits.max_bytes() {
             // What was evicted is not freed yet.
             return Reserved { granted: false, evicted };
         }
--- a/crates/intake/src/shares.rs
+++ b/crates/intake/src/shares.rs
@@ -59,9 +59,9 @@
 
     /// The part of a share.
     pub fn quota(self, share: Share) -> QuotaLimits {
-        // Connections that are being closed may exceed their number by a quarter.
+        // Connections that are being closed may exceed their number and their bytes by a quarter.
         let (connections, connection_memory, bytes) = match share {
-            Share::Callers => (0.4, 0.3, 0.2),
+            Share::Callers => (0.4, 0.3, 0.18),
             Share::Lookups => (0.1, 0.04, 0.03),
             Share::Peers => (0.1, 0.04, 0.05),
         };
--- a/crates/intake/tests/quota.rs
+++ b/crates/intake/tests/quota.rs
@@ -113,7 +113,7 @@
     let shares = [Share::Callers, Share::Lookups, Share::Peers];
     let quotas = shares.map(|share| limits.quota(share));
     let open: usize = quotas.iter().map(|quota| quota.max_open()).sum();
-    let bytes: usize = quotas.iter().map(|quota| quota.bytes / 4 * 5).sum();
+    let bytes: usize = quotas.iter().map(|quota| quota.max_bytes()).sum();
     assert!(open <= (3075 - 200) / 4 * 3, "{open}");
     let connection_bytes = open * 56 * 1024;
     assert!(
