Datagrams of strangers take no memory

Anyone can send datagrams to the port between daemons. A daemon recorded each sender by the id that its datagram names, with its last heartbeat, for a minute, and went through all of them at each further datagram: 1,000 heartbeats of 16 KB took 137 MB, and any number of small ones makes it go through that many. A stranger could queue requests and have servers probed as well.

Only datagrams from the addresses of daemons that have a row, or had one in the last minute, are recorded and handled. Others are counted. A heartbeat among them gets the versions of the tables, as before: it may come from a daemon whose row was removed while the store was out of its reach, and that has to join again. The messages are unchanged.

--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use crate::message::{Heartbeat, Message};
+use crate::metrics::Step;
 use crate::shared::Shared;
 use crate::table_sync::{self, ChangeHandler, SYSTEM_TABLE};
 use crate::{claims, registry, share_rows, store};
@@ -82,6 +83,8 @@
         let mut membership = shared.membership();
         membership.record_first_seen(now);
         shared.neighbours().update(&membership, &shared.settings.vm, now);
+        let rows = membership.members.values();
+        shared.peers.set_listed(&rows.map(|(row, _)| row.peer_addr.ip()).collect());
         drop(membership);
         registry::exclude_daemons(shared);
     }
@@ -389,6 +392,20 @@
     }
 }
 
+/// Handles a datagram of a sender that has no row.
+///
+/// It may be a daemon whose row was removed while it could not reach the store; it learns from
+/// newer tables that it has to join again.
+pub fn answer_stranger(shared: &Shared, message: &Message, addr: SocketAddr) {
+    shared.metrics.count(Step::Stranger, message.kind());
+    if let Message::Heartbeat(heartbeat) = message
+        && heartbeat.needs_answer(false)
+    {
+        let announcements = table_sync::announcements(shared);
+        shared.peers.send(addr, Message::TableUpdate(announcements));
+    }
+}
+
 /// Removes the rows of unresponsive daemons.
 ///
 /// Does nothing right after a suspension of this daemon: it received no heartbeats in the
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -81,6 +81,8 @@
     Resume,
     /// A connection that the daemon closed or refused, by why.
     Close,
+    /// A datagram of a sender that has no row, by its kind.
+    Stranger,
 }
 
 /// A duration with a histogram; the variant is the metric label.
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -1,11 +1,11 @@
 //! Sends and receives datagrams, and tracks which daemons are alive.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use chestnut_base::{Clock, MemberId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
@@ -21,6 +21,9 @@
 /// Three heartbeats, since single datagrams may be lost.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// How long what is known of a daemon is kept after its last datagram or its removal.
+const RETENTION: Duration = Duration::from_secs(60);
+
 /// What another daemon last sent.
 #[derive(Debug, Clone)]
 pub struct PeerState {
@@ -40,6 +43,9 @@
     clock: Arc<dyn Clock>,
     log: Logger,
     states: Mutex<IndexMap<MemberId, PeerState>>,
+    /// The addresses of daemons that have a row, and of those whose row was removed, with the
+    /// time when that was noticed.
+    known_ips: Mutex<IndexMap<IpAddr, Option<Instant>>>,
     pending: Mutex<PendingRequests>,
     sent: Mutex<IndexMap<&'static str, SentCount>>,
 }
@@ -96,9 +102,9 @@
         log: Logger,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(addr).await?;
-        let (states, sent) = (Mutex::default(), Mutex::default());
-        let pending = Mutex::new(PendingRequests::new());
-        Ok(Self { me, socket, clock, log, states, pending, sent })
+        let (states, known_ips) = (Mutex::default(), Mutex::default());
+        let (pending, sent) = (Mutex::new(PendingRequests::new()), Mutex::default());
+        Ok(Self { me, socket, clock, log, states, known_ips, pending, sent })
     }
 
     /// Sends a message; drops it if the socket is not ready.
@@ -139,8 +145,7 @@
                 // The error reports that an earlier datagram could not be delivered.
                 continue;
             };
-            if let Ok(packet) = postcard::from_bytes::<Packet>(&buffer[..len]) {
-                self.record(&packet);
+            if let Ok(packet) = postcard::from_bytes(&buffer[..len]) {
                 return (packet, from);
             }
         }
@@ -207,8 +212,31 @@
         })
     }
 
+    /// Records the addresses of the daemons that have a row.
+    pub fn set_listed(&self, listed: &IndexSet<IpAddr>) {
+        let now = self.clock.now();
+        let mut known = self.known_ips.lock().expect("no holder of the lock panics");
+        for (ip, removed_at) in &mut *known {
+            if !listed.contains(ip) {
+                removed_at.get_or_insert(now);
+            }
+        }
+        known.extend(listed.iter().map(|ip| (*ip, None)));
+        known.retain(|_, removed_at| removed_at.is_none_or(|at| is_retained(at, now)));
+    }
+
+    /// Whether a datagram from this address is one of a daemon that has a row, or has had one
+    /// until recently.
+    ///
+    /// Anyone can send datagrams, and what strangers send must take no memory.
+    pub fn is_known(&self, ip: IpAddr) -> bool {
+        let known = self.known_ips.lock().expect("no holder of the lock panics");
+        let removed_at = known.get(&ip);
+        removed_at.is_some_and(|at| at.is_none_or(|at| is_retained(at, self.clock.now())))
+    }
+
     /// Updates the state of the sender of a datagram.
-    fn record(&self, packet: &Packet) {
+    pub fn record(&self, packet: &Packet) {
         let mut states = self.states.lock().expect("no holder of the lock panics");
         let now = self.clock.now();
         let entry = states.entry(packet.from).or_insert(PeerState {
@@ -226,9 +254,10 @@
             _ => {}
         }
         // Restarted daemons have new ids; the states of the old ones are evicted.
-        let retention = Duration::from_secs(60);
-        states.retain(|_, state| {
-            now.saturating_duration_since(state.last_received_at) < retention
-        });
+        states.retain(|_, state| is_retained(state.last_received_at, now));
     }
 }
+
+fn is_retained(since: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(since) < RETENTION
+}
--- a/crates/gate/src/receive.rs
+++ b/crates/gate/src/receive.rs
@@ -21,6 +21,11 @@
 pub async fn run(shared: Arc<Shared>) {
     loop {
         let (packet, from) = shared.peers.receive().await;
+        if !shared.peers.is_known(from.ip()) {
+            members::answer_stranger(&shared, &packet.message, from);
+            continue;
+        }
+        shared.peers.record(&packet);
         dispatch(&shared, packet, from);
     }
 }
