The kernel holds few bytes that clients have not read

Clients that send requests in a row and don't read the responses had up to 4 MB each kept by the kernel, which grows the buffer for sent bytes as long as there are more. 500 callers held 77 MB with what the process keeps, 300 clients at the listeners for metrics and table changes 81 MB.

The listeners set that buffer to 16 KB, the one for received bytes to 24 KB instead of 32. The kernel uses up to twice as much; a connection counts as 96 KB of memory, not 56. So that the shares leave a fifth of the smallest machine's memory, callers' connections have 0.34 of it and their heads and bodies 0.13; other daemons' connections have 0.06 instead of 0.04, lookups' heads and bodies 0.02 instead of 0.03.

--- a/crates/intake/src/server.rs
+++ b/crates/intake/src/server.rs
@@ -25,7 +25,7 @@
 use crate::intake::{CloseReason, Connection, Intake};
 use crate::metered::Metered;
 use crate::quota::Phase;
-use crate::shares::RECEIVE_BUFFER;
+use crate::shares::{RECEIVE_BUFFER, SEND_BUFFER};
 
 /// The delay after a failed accept, for example when no descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -86,15 +86,17 @@
     pub stop: CancellationToken,
 }
 
-/// Listens on an address; the kernel holds few unread bytes of each connection.
+/// Listens on an address; the kernel holds few bytes of each connection that are unread at either
+/// end.
 pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = match addr {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
-    // Accepted connections inherit it. A kernel that refuses it has a limit of its own.
+    // Accepted connections inherit them. A kernel that refuses them has limits of its own.
     let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER);
+    let _ = socket.set_send_buffer_size(SEND_BUFFER);
     socket.bind(addr)?;
     socket.listen(BACKLOG)
 }
--- a/crates/intake/src/shares.rs
+++ b/crates/intake/src/shares.rs
@@ -14,11 +14,16 @@
 const MAX_DESCRIPTORS: u64 = 1 << 20;
 
 /// The memory that a connection takes beside what its quota counts, in bytes: its task, the
-/// buffers of HTTP, and [`RECEIVE_BUFFER`].
-const CONNECTION_BYTES: u64 = 56 * 1024;
+/// buffers of HTTP, and those of the kernel.
+pub const CONNECTION_BYTES: u64 = 96 * 1024;
 
-/// The most received bytes of a connection that the kernel holds unread.
-pub const RECEIVE_BUFFER: u32 = 32 * 1024;
+/// The buffer for received bytes of a connection that are not read; the kernel may use twice as
+/// much memory.
+pub const RECEIVE_BUFFER: u32 = 24 * 1024;
+
+/// The buffer for sent bytes of a connection that its client does not have yet; the kernel may
+/// use twice as much memory.
+pub const SEND_BUFFER: u32 = 16 * 1024;
 
 /// What a process may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,9 +66,9 @@
     pub fn quota(self, share: Share) -> QuotaLimits {
         // Connections that are being closed may exceed their number and their bytes by a quarter.
         let (connections, connection_memory, bytes) = match share {
-            Share::Callers => (0.4, 0.3, 0.18),
-            Share::Lookups => (0.1, 0.04, 0.03),
-            Share::Peers => (0.1, 0.04, 0.05),
+            Share::Callers => (0.4, 0.34, 0.13),
+            Share::Lookups => (0.1, 0.04, 0.02),
+            Share::Peers => (0.1, 0.06, 0.05),
         };
         let part = |whole: u64, part: f64| (whole as f64 * part) as u64;
         let sockets = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
--- a/crates/intake/tests/quota.rs
+++ b/crates/intake/tests/quota.rs
@@ -4,7 +4,7 @@
 
 use chestnut_intake::quota::Opened;
 use chestnut_intake::{
-    Admission, ConnectionKey, Phase, ProcessLimits, Quota, QuotaLimits, Share,
+    Admission, ConnectionKey, Phase, ProcessLimits, Quota, QuotaLimits, Share, shares,
 };
 
 const LIMITS: QuotaLimits = QuotaLimits { connections: 4, bytes: 400_000 };
@@ -115,7 +115,7 @@
     let open: usize = quotas.iter().map(|quota| quota.max_open()).sum();
     let bytes: usize = quotas.iter().map(|quota| quota.max_bytes()).sum();
     assert!(open <= (3075 - 200) / 4 * 3, "{open}");
-    let connection_bytes = open * 56 * 1024;
+    let connection_bytes = open * shares::CONNECTION_BYTES as usize;
     assert!(
         connection_bytes + bytes <= 120_000_000 / 10 * 8,
         "{connection_bytes} {bytes}"
