Responses draw on the account of what clients hold

A plain response is read whole before its caller gets any of it.

A response reserves its memory in the share of its caller's connection, as large as its declared length at once, and waits while there is none: it may have run, so that it can't be refused. Unread responses yield like unfinished requests, the one that has held the most for the longest first, and the connection is reset, so that the kernel keeps nothing either. Requests in progress don't yield. Responses are handed over in pieces of 8 KB, so that one counts until its client has read most of it; those of other listeners count too.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -51,6 +51,9 @@
 /// Half a megabyte takes half a second over the slowest links of 10 Mbit/s.
 const BODY_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// The most bytes of a response that a connection reads ahead, and the largest head.
+const BUFFER_BYTES: usize = 64 * 1024;
+
 /// The maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
@@ -299,7 +302,9 @@
 
 async fn start_connection(stream: TcpStream) -> hyper::Result<Connection> {
     configure_socket(&stream);
-    let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(BUFFER_BYTES);
+    let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
     // The driver ends with its connection. Errors reach the user of the sender.
     let task = tokio::spawn(async move { drop(driver.await) }).abort_handle();
     Ok(Connection { sender, task, exchanges: Exchanges::default() })
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -9,6 +9,7 @@
 use chestnut_base::{Digest, Refusal, ServiceName};
 use chestnut_crash::part_digest;
 use chestnut_edge::{Call, Declarations, Engine, GenerationSize, Route, RouteKind};
+use chestnut_intake::Connection;
 use chestnut_pool::{
     Attempts, DemandCounts, GenerationRequest, RequestClass, RetryGrant, SoftwareBinding,
 };
@@ -60,6 +61,8 @@
     pub call: Call,
     /// Identifies the request: copies that callers send again under other ids have the same.
     pub digest: Digest,
+    /// The connection that it came on, whose share has memory for the response.
+    pub connection: Arc<Connection>,
     /// The declarations in force when it arrived; they apply until its end.
     pub declarations: Arc<Declarations>,
     /// The index of its route in `declarations`.
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -119,6 +119,7 @@
         body,
         call,
         digest,
+        connection,
         declarations,
         route,
         service,
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -5,15 +5,16 @@
 
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use chestnut_base::{Refusal, RefusalCode, ServerName};
+use chestnut_intake::Connection;
 use chestnut_pool::{AttemptOutcome, RetryDecision};
 use futures::stream::unfold;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{Response, response};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 use slog::info;
 use tokio::time::timeout_at;
 
@@ -72,7 +73,7 @@
     mut response: ServerResponse,
 ) -> Result<Response<ResponseBody>, (Refusal, Box<Job>)> {
     let deadline = tokio::time::Instant::from_std(job.deadline);
-    let body = timeout_at(deadline, read_full_body(&mut response)).await;
+    let body = timeout_at(deadline, read_full_body(&mut response, &job.connection)).await;
     let refusal = match body {
         Ok(Ok(bytes)) => {
             response.in_flight.record_completion();
@@ -109,19 +110,35 @@
     Err((refusal, job))
 }
 
-async fn read_full_body(response: &mut ServerResponse) -> Result<Bytes, String> {
-    let mut bytes = BytesMut::new();
+async fn read_full_body(
+    response: &mut ServerResponse,
+    connection: &Connection,
+) -> Result<Bytes, String> {
+    let too_large = || format!("larger than {MAX_BUFFERED_BYTES} bytes");
+    let size = response.body.size_hint();
+    if size.lower() > MAX_BUFFERED_BYTES as u64 {
+        return Err(too_large());
+    }
+    // Responses of known sizes get all their memory at once, so that none waits with a part.
+    let expected = size.exact().map_or(0, |size| size as usize);
+    let mut bytes: Vec<u8> = Vec::new();
     while let Some(frame) = response.body.frame().await {
         let frame = frame.map_err(|error| error.to_string())?;
-        if let Some(data) = frame.data_ref() {
-            response.check_end(data)?;
-            bytes.extend_from_slice(data);
+        let Some(data) = frame.data_ref() else { continue };
+        response.check_end(data)?;
+        let needed = bytes.len() + data.len();
+        if needed > MAX_BUFFERED_BYTES {
+            return Err(too_large());
         }
-        if bytes.len() > MAX_BUFFERED_BYTES {
-            return Err(format!("larger than {MAX_BUFFERED_BYTES} bytes"));
+        if needed > bytes.capacity() {
+            let capacity = (2 * bytes.capacity()).min(MAX_BUFFERED_BYTES);
+            let capacity = capacity.max(needed).max(expected);
+            connection.reserve_response(capacity - bytes.capacity()).await;
+            bytes.reserve_exact(capacity - bytes.len());
         }
+        bytes.extend_from_slice(data);
     }
-    Ok(bytes.freeze())
+    Ok(bytes.into())
 }
 
 fn build_response(
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -7,10 +7,14 @@
 use chestnut_base::Clock;
 use slog::{Logger, info};
 use slotmap::SecondaryMap;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::quota::{Admission, ConnectionKey, Phase, Quota, QuotaLimits, Reserved};
 
+/// How often a response that waits for memory looks for some.
+const MEMORY_POLL_PERIOD: Duration = Duration::from_millis(5);
+
 /// The shortest time between two log lines for the same reason.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
@@ -31,11 +35,13 @@
     OutOfMemory,
     /// The body had not arrived by the deadline of its request.
     BodyTimeout,
+    /// The client had not read a response whose memory was needed for others.
+    Unread,
 }
 
 impl CloseReason {
     /// All reasons.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::HeadTimeout,
         Self::IdleTimeout,
         Self::InvalidHead,
@@ -43,6 +49,7 @@
         Self::Full,
         Self::OutOfMemory,
         Self::BodyTimeout,
+        Self::Unread,
     ];
 
     /// The label in logs and metrics.
@@ -55,6 +62,7 @@
             Self::Full => "full",
             Self::OutOfMemory => "out of memory",
             Self::BodyTimeout => "body timeout",
+            Self::Unread => "unread response",
         }
     }
 }
@@ -234,6 +242,28 @@
         }
     }
 
+    /// Requests memory for a part of the response to its request, in bytes, and waits until
+    /// there is some: a request that may have run can't be refused.
+    pub async fn reserve_response(&self, bytes: usize) {
+        while !self.is_evicted() && !self.reserve(bytes) {
+            sleep(MEMORY_POLL_PERIOD).await;
+        }
+    }
+
+    /// Records that a response of that many bytes is being sent, in place of its request.
+    pub(crate) fn begin_response(&self, bytes: usize) {
+        let now = self.intake.now();
+        *self.phase.lock().expect("no holder of the lock panics") = Phase::Responding;
+        let mut state = self.intake.lock();
+        let Reserved { granted, evicted } =
+            state.quota.begin_response(self.key, bytes, now);
+        state.signal(evicted);
+        if !granted {
+            state.quota.evict(self.key);
+            self.eviction.cancel();
+        }
+    }
+
     /// Waits until the connection has to close.
     pub async fn evicted(&self) {
         self.eviction.cancelled().await;
--- a/crates/intake/src/metered.rs
+++ b/crates/intake/src/metered.rs
@@ -57,7 +57,7 @@
         match self.phase.0 {
             Phase::Idle => Some((self.limits.idle_timeout, CloseReason::IdleTimeout)),
             Phase::Head => Some((self.limits.head_timeout, CloseReason::HeadTimeout)),
-            Phase::Body | Phase::Serving | Phase::Closing => None,
+            Phase::Body | Phase::Serving | Phase::Responding | Phase::Closing => None,
         }
     }
 
--- a/crates/intake/src/quota.rs
+++ b/crates/intake/src/quota.rs
@@ -3,8 +3,9 @@
 //! Load pattern: many clients that open connections or begin requests and never end them, among
 //! ordinary callers. Without a quota they use up memory or descriptors and the process ends; with
 //! one that serves whoever came first they keep what they have taken and nobody else is served.
-//! So what is unfinished yields to what is finished, a client without progress to one that makes
-//! some, and of unfinished messages that which has held the most memory for the longest.
+//! So what is unfinished or unread yields to what is finished, a client without progress to one
+//! that makes some, and of unfinished and unread messages that which has held the most memory for
+//! the longest.
 
 use std::time::Instant;
 
@@ -19,6 +20,9 @@
 /// requests are served beside large ones.
 const SMALL_MESSAGE: usize = 64 * 1024;
 
+/// The largest response in bytes that counts as a part of its connection.
+const SMALL_RESPONSE: usize = 4 * 1024;
+
 /// The limits of a [`Quota`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuotaLimits {
@@ -51,14 +55,16 @@
     Body,
     /// A request was read to its end.
     Serving,
+    /// A response of which the process has all bytes is being sent.
+    Responding,
     /// The response was sent, and what still arrives is discarded.
     Closing,
 }
 
 impl Phase {
-    /// Whether a message is arriving.
-    const fn is_unfinished(self) -> bool {
-        matches!(self, Self::Head | Self::Body)
+    /// Whether its message may yield: the client has yet to send the rest, or to read it.
+    const fn may_yield(self) -> bool {
+        matches!(self, Self::Head | Self::Body | Self::Responding)
     }
 }
 
@@ -205,14 +211,17 @@
 
     /// Requests memory for the message of a connection.
     ///
-    /// If there is too little, unfinished messages give up theirs; that of the connection itself
-    /// if it has cost the most.
+    /// If there is too little, unfinished and unread messages give up theirs; that of the
+    /// connection itself if it is one of them and has cost the most.
     pub fn reserve(&mut self, key: ConnectionKey, more: usize, now: Instant) -> Reserved {
         let mut evicted = Vec::new();
         let Some(entry) = self.entries.get(key).filter(|entry| !entry.is_evicted) else {
             return Reserved { granted: false, evicted };
         };
-        let own_cost = entry.cost(more, now);
+        let own_cost = match entry.phase.may_yield() {
+            true => entry.cost(more, now),
+            false => 0,
+        };
         let limit = match entry.bytes + more > SMALL_MESSAGE {
             true => self.limits.bytes / 4 * 3,
             false => self.limits.bytes,
@@ -236,6 +245,37 @@
         Reserved { granted: true, evicted }
     }
 
+    /// Replaces the message of a connection by a response of that many bytes.
+    ///
+    /// Without room for it, the connection itself has to close; small responses have theirs in
+    /// what a connection takes.
+    pub fn begin_response(
+        &mut self,
+        key: ConnectionKey,
+        bytes: usize,
+        now: Instant,
+    ) -> Reserved {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return Reserved { granted: false, evicted: Vec::new() };
+        };
+        let before = std::mem::take(&mut entry.bytes);
+        match entry.is_evicted {
+            true => self.evicted_bytes -= before,
+            false => self.bytes -= before,
+        }
+        entry.phase = Phase::Serving;
+        let is_small = bytes <= SMALL_RESPONSE;
+        let reserved = match is_small {
+            true => Reserved { granted: true, evicted: Vec::new() },
+            false => self.reserve(key, bytes, now),
+        };
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.phase = Phase::Responding;
+            (entry.begun_at, entry.progress_at) = (now, now);
+        }
+        reserved
+    }
+
     /// The unfinished message, other than that of `but`, that has cost the most.
     fn costliest(
         &self,
@@ -243,10 +283,7 @@
         now: Instant,
     ) -> Option<(ConnectionKey, u128)> {
         let unfinished = self.entries.iter().filter(|(key, entry)| {
-            *key != but
-                && !entry.is_evicted
-                && entry.phase.is_unfinished()
-                && entry.bytes > 0
+            *key != but && !entry.is_evicted && entry.phase.may_yield() && entry.bytes > 0
         });
         let costs = unfinished.map(|(key, entry)| (key, entry.cost(0, now)));
         costs.max_by_key(|(_, cost)| *cost)
@@ -255,7 +292,8 @@
     /// Evicts the connection that has made no progress for the longest; `None` if requests are
     /// being served on all.
     ///
-    /// One that has had a response goes after those that have not: its client may reuse it.
+    /// One that has had a response goes after those that have not: its client may reuse it. Last
+    /// goes one whose client has yet to read a response.
     pub fn evict_stalled(&mut self) -> Option<ConnectionKey> {
         let candidates = self
             .entries
@@ -263,7 +301,8 @@
             .filter(|(_, entry)| !entry.is_evicted && entry.phase != Phase::Serving);
         let (key, _) = candidates.min_by_key(|(_, entry)| {
             let is_closing = entry.phase == Phase::Closing;
-            (!is_closing, entry.has_served, entry.progress_at)
+            let is_responding = entry.phase == Phase::Responding;
+            (!is_closing, is_responding, entry.has_served, entry.progress_at)
         })?;
         self.evict(key);
         Some(key)
--- a/crates/intake/src/server.rs
+++ b/crates/intake/src/server.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, Version};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -45,6 +46,9 @@
 /// The memory that a field takes beside its bytes, with the copy that is sent to a server.
 pub(crate) const FIELD_BYTES: usize = 256;
 
+/// The most bytes of a response that are handed over at a time.
+const PIECE_BYTES: usize = 8 * 1024;
+
 /// How long what still arrives is discarded after the last response.
 ///
 /// A connection that is closed while bytes are unread is reset, and the reset may destroy the
@@ -167,8 +171,20 @@
         request.extensions_mut().insert(connection.clone());
         let (response, connection) = (handler(request), connection.clone());
         async move {
-            let response = response.await?;
-            Ok::<_, Infallible>(response.map(|body| TrackedBody { body, connection }))
+            let mut response = response.await?;
+            if let Some(size) = response.body().size_hint().exact() {
+                connection.begin_response(size as usize);
+            }
+            if connection.is_evicted() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            let rest = Bytes::new();
+            Ok::<_, Infallible>(response.map(|body| TrackedBody {
+                body,
+                rest,
+                connection,
+            }))
         }
     });
     let result = {
@@ -184,6 +200,7 @@
         }
     };
     let failure = match &result {
+        None if connection.phase() == Phase::Responding => Some(CloseReason::Unread),
         None => Some(CloseReason::Evicted),
         Some(Err(error)) if error.is_parse() => Some(CloseReason::InvalidHead),
         Some(_) => metered.failure(),
@@ -200,6 +217,10 @@
             // Closed in order, the connection would end a whole response.
             let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
         }
+        // Closed in order, the kernel would keep what is unread.
+        Some(CloseReason::Unread) => {
+            let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+        }
         Some(CloseReason::Evicted | CloseReason::IdleTimeout) => {}
         failure => {
             connection.set_phase(Phase::Closing);
@@ -215,11 +236,11 @@
     }
 }
 
-/// Waits until a connection has to close on which no request is in progress; the handler of a
-/// request finds out by itself.
+/// Waits until a connection has to close on which no request is in progress or only its response
+/// is left; the handler of a request finds out by itself.
 async fn evicted_between_requests(connection: &Connection) {
     connection.evicted().await;
-    if !matches!(connection.phase(), Phase::Idle | Phase::Head) {
+    if !matches!(connection.phase(), Phase::Idle | Phase::Head | Phase::Responding) {
         std::future::pending().await
     }
 }
@@ -247,8 +268,12 @@
 }
 
 /// The body of a response; the connection is idle when it ends.
+///
+/// It is handed over in pieces, so that it ends once its client has read most of it.
 struct TrackedBody<B> {
     body: B,
+    /// What is left of the last data of the body.
+    rest: Bytes,
     connection: Arc<Connection>,
 }
 
@@ -258,22 +283,46 @@
     }
 }
 
-impl<B: Body + Unpin> Body for TrackedBody<B> {
-    type Data = B::Data;
+impl<B: Body<Data = Bytes> + Unpin> Body for TrackedBody<B> {
+    type Data = Bytes;
     type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        if self.rest.is_empty() {
+            let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(cx));
+            match frame.map(|frame| frame.map(Frame::into_data)) {
+                Some(Ok(Ok(data))) if data.len() > PIECE_BYTES => self.rest = data,
+                Some(Ok(Ok(data))) => return Poll::Ready(Some(Ok(Frame::data(data)))),
+                Some(Ok(Err(other))) => return Poll::Ready(Some(Ok(other))),
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                None => return Poll::Ready(None),
+            }
+        }
+        let count = self.rest.len().min(PIECE_BYTES);
+        let piece = self.rest.split_to(count);
+        self.connection.record_progress();
+        Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.rest.is_empty() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let mut hint = self.body.size_hint();
+        let rest = self.rest.len() as u64;
+        match hint.upper() {
+            Some(upper) if rest > 0 => {
+                let lower = hint.lower() + rest;
+                hint = SizeHint::new();
+                hint.set_lower(lower);
+                hint.set_upper(upper + rest);
+            }
+            _ => hint.set_lower(hint.lower() + rest),
+        }
+        hint
     }
 }
--- a/crates/intake/tests/quota.rs
+++ b/crates/intake/tests/quota.rs
@@ -76,6 +76,20 @@
     assert!(quota.reserve(keys[1], 60_000, later).granted);
 }
 
+/// Guards against a response that nobody reads and that keeps the memory of later ones, and one
+/// that is given up for an unfinished request of lower cost.
+#[test]
+fn unread_response_yields_to_a_request_in_progress() {
+    let (mut quota, start) = (Quota::new(LIMITS), Instant::now());
+    let keys = [(); 3].map(|()| open(&mut quota, start).key);
+    keys.iter().for_each(|key| quota.set_phase(*key, Phase::Serving, start));
+    assert!(quota.begin_response(keys[0], 280_000, start).granted);
+    let later = start + Duration::from_secs(2);
+    quota.set_phase(keys[1], Phase::Body, later);
+    assert!(!quota.reserve(keys[1], 300_001, later).granted);
+    assert_eq!(quota.reserve(keys[2], 100_000, later).evicted, [keys[0]]);
+}
+
 /// Guards against whole requests that yield to unfinished ones, and small ones that find no room
 /// beside large ones.
 #[test]
