Few connections wait to be accepted while a daemon stands still

The kernel accepts connections for a process that is suspended, 1,024 for each listener, and receives their first bytes. 400 clients at each of six listeners had 134 MB kept for a daemon of 64 MB that was suspended for 3 s, of which no account knew.

How many may wait follows from the memory of the process: 4 % for callers, 0.8 and 1 % for each other listener, at 48 KB each. Beyond that the kernel drops the opening packet, which clients send again.

--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use axum::Router;
-use chestnut_intake::{HttpLimits, Intake, ProcessLimits, Server, Share};
+use chestnut_intake::{HttpLimits, Intake, Server, Share};
 use http::Request;
 use hyper::body::Incoming;
 use hyper_util::service::TowerToHyperService;
@@ -46,8 +46,7 @@
 impl Intakes {
     /// Divides what the process may use.
     pub fn new(shared: &Shared) -> Self {
-        let settings = &shared.settings;
-        let limits = ProcessLimits::new(settings.memory_mb, settings.descriptors);
+        let limits = shared.settings.process_limits();
         let intake = |name, share| {
             let (clock, log) = (shared.clock.clone(), shared.log.clone());
             let quota = limits.quota(share);
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -7,7 +7,7 @@
 
 use chestnut_base::{Clock, Incarnation, MemberId};
 use chestnut_edge::Dialect;
-use chestnut_intake::Intake;
+use chestnut_intake::{Intake, Share};
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
@@ -103,13 +103,13 @@
     let mut sigterm =
         signal(SignalKind::terminate()).change_context(StartError::Signals)?;
     let mut sighup = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
-    let callers = bind(settings.caller_addr)?;
-    let readiness = bind(settings.readiness_addr)?;
-    let directory = bind(settings.directory_addr)?;
-    let table_changes = bind(settings.table_changes_addr())?;
+    let callers = bind(&settings, settings.caller_addr, Share::Callers)?;
+    let readiness = bind(&settings, settings.readiness_addr, Share::Lookups)?;
+    let directory = bind(&settings, settings.directory_addr, Share::Lookups)?;
+    let table_changes = bind(&settings, settings.table_changes_addr(), Share::Peers)?;
     let me = MemberId(rand::random());
     let peer_addr = settings.peer_addr();
-    let forwarded = bind(peer_addr)?;
+    let forwarded = bind(&settings, peer_addr, Share::Peers)?;
     let peers = Peers::bind(me, peer_addr, clock.clone(), log.clone()).await;
     let peers = peers.change_context(StartError::Bind(peer_addr))?;
     let shared = Arc::new(Shared::new(settings, dialect, clock, log, peers));
@@ -248,7 +248,7 @@
 /// If the port is taken, the daemon serves callers nonetheless.
 async fn serve_introspection(shared: Arc<Shared>, intake: Arc<Intake>) {
     let Some(addr) = shared.settings.metrics_addr else { return };
-    match bind(addr) {
+    match bind(&shared.settings, addr, Share::Lookups) {
         Ok(listener) => {
             let router = introspection::router(shared.clone());
             listener::run_router(shared, intake, listener, router).await;
@@ -259,6 +259,11 @@
     }
 }
 
-fn bind(addr: SocketAddr) -> Result<TcpListener, Report<StartError>> {
-    chestnut_intake::bind(addr).change_context(StartError::Bind(addr))
+fn bind(
+    settings: &Settings,
+    addr: SocketAddr,
+    share: Share,
+) -> Result<TcpListener, Report<StartError>> {
+    let backlog = settings.process_limits().backlog(share);
+    chestnut_intake::bind(addr, backlog).change_context(StartError::Bind(addr))
 }
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -8,6 +8,7 @@
 use chestnut_account::{RevocationBound, Tolerance};
 use chestnut_base::{DomainName, VmName};
 use chestnut_edge::Engine;
+use chestnut_intake::ProcessLimits;
 use chestnut_member::ONE_CORE_WEIGHT;
 use chestnut_pool::{LoadBound, ServiceProfile};
 use serde::Deserialize;
@@ -304,6 +305,11 @@
         SocketAddr::new(self.ip, self.peer_ports.1)
     }
 
+    /// What the process may use.
+    pub fn process_limits(&self) -> ProcessLimits {
+        ProcessLimits::new(self.memory_mb, self.descriptors)
+    }
+
     /// The daemon's weight in the assignment of claims, proportional to its cores.
     pub fn weight(&self) -> u32 {
         (self.cores * f64::from(ONE_CORE_WEIGHT)).round().max(1.0) as u32
--- a/crates/intake/src/server.rs
+++ b/crates/intake/src/server.rs
@@ -31,9 +31,6 @@
 /// The delay after a failed accept, for example when no descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// The number of connections that the kernel holds until they are accepted.
-const BACKLOG: u32 = 1024;
-
 /// The smallest buffer of a connection that HTTP can be read with, in bytes.
 const MIN_READ_BUFFER: usize = 8 * 1024;
 
@@ -91,8 +88,8 @@
 }
 
 /// Listens on an address; the kernel holds few bytes of each connection that are unread at either
-/// end.
-pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+/// end, and `backlog` connections that are not accepted.
+pub fn bind(addr: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = match addr {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -102,7 +99,7 @@
     let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER);
     let _ = socket.set_send_buffer_size(SEND_BUFFER);
     socket.bind(addr)?;
-    socket.listen(BACKLOG)
+    socket.listen(backlog)
 }
 
 impl Server {
--- a/crates/intake/src/shares.rs
+++ b/crates/intake/src/shares.rs
@@ -25,6 +25,10 @@
 /// use twice as much memory.
 pub const SEND_BUFFER: u32 = 16 * 1024;
 
+/// The bounds of [`ProcessLimits::backlog`].
+const MIN_BACKLOG: u32 = 16;
+const MAX_BACKLOG: u32 = 1024;
+
 /// What a process may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessLimits {
@@ -62,6 +66,20 @@
         }
     }
 
+    /// The most connections to a listener that wait to be accepted.
+    ///
+    /// The kernel receives their first bytes: while the process stands still, they take memory
+    /// that no quota counts.
+    pub fn backlog(self, share: Share) -> u32 {
+        let part = match share {
+            Share::Callers => 0.04,
+            Share::Lookups => 0.008,
+            Share::Peers => 0.01,
+        };
+        let count = self.memory as f64 * part / f64::from(2 * RECEIVE_BUFFER);
+        (count as u32).clamp(MIN_BACKLOG, MAX_BACKLOG)
+    }
+
     /// The part of a share.
     pub fn quota(self, share: Share) -> QuotaLimits {
         // Connections that are being closed may exceed their number and their bytes by a quarter.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -91,8 +91,8 @@
     clock: Arc<dyn Clock>,
     log: Logger,
 ) -> Result<Daemon, Report<StartError>> {
-    let (caller_listener, caller) = listen(settings.caller_addr)?;
-    let (ops_listener, ops) = listen(settings.ops_addr)?;
+    let (caller_listener, caller) = listen(settings.caller_addr, Share::Callers)?;
+    let (ops_listener, ops) = listen(settings.ops_addr, Share::Lookups)?;
     let tls = tls::load(&settings.tls).change_context(StartError::Tls)?;
     let peer_addr = settings.peer_addr;
     let peers =
@@ -250,9 +250,13 @@
     Arc::new(Intake::new(name, quota, clock, log, shared.metrics.clone()))
 }
 
-fn listen(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), Report<StartError>> {
+fn listen(
+    addr: SocketAddr,
+    share: Share,
+) -> Result<(TcpListener, SocketAddr), Report<StartError>> {
     let error = StartError::Bind(addr);
-    let listener = bind(addr).change_context(error)?;
+    let backlog = ProcessLimits::new(None, None).backlog(share);
+    let listener = bind(addr, backlog).change_context(error)?;
     let bound = listener.local_addr().change_context(StartError::Bind(addr))?;
     Ok((listener, bound))
 }
