Connections to servers have a bound that clients leave them

600 callers with requests to silent servers, beside silent clients at two other listeners, had a daemon of 200 sockets open 234: each request in progress has a connection to its server, and the shares of clients left too few. Idle connections had a bound for each server only, 64.

Connections to servers and forwarding daemons have 0.36 of the sockets, as many as the callers' share (0.28 instead of 0.4) and that of other daemons (0.08 instead of 0.1); lookups have 0.05 instead of 0.1. If all are open, the idle one that would expire first closes for the next.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -100,6 +100,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     exchanges: Exchanges,
+    /// Counts it among the connections of its client.
+    _open: Arc<()>,
 }
 
 impl Drop for Connection {
@@ -120,6 +122,10 @@
     /// The address that connections come from, by which other daemons recognize this one.
     source: IpAddr,
     matching: Matching,
+    /// The most open connections before an idle one closes for a new one.
+    max_open: usize,
+    /// Has another reference in each open connection.
+    open: Arc<()>,
     idle: Mutex<IndexMap<SocketAddr, VecDeque<IdleConnection>>>,
 }
 
@@ -129,7 +135,20 @@
 impl Client {
     /// Creates a client with an empty pool, which connects from `source`.
     pub fn new(clock: Arc<dyn Clock>, source: IpAddr, matching: Matching) -> Self {
-        Self { clock, source, matching, idle: Mutex::default() }
+        let (max_open, open) = (usize::MAX, Arc::default());
+        Self { clock, source, matching, max_open, open, idle: Mutex::default() }
+    }
+
+    /// Sets the number of open connections from which an idle one closes for each new one.
+    ///
+    /// Those in use are bounded by the requests in progress.
+    pub fn with_max_open(self, max_open: usize) -> Self {
+        Self { max_open, ..self }
+    }
+
+    /// The number of open connections, in use or idle.
+    pub fn open_count(&self) -> usize {
+        Arc::strong_count(&self.open) - 1
     }
 
     /// Opens a connection, which may take up to `limit`.
@@ -138,7 +157,35 @@
         addr: SocketAddr,
         limit: Duration,
     ) -> Result<Connection, SendError> {
-        open_connection(self.source, addr, limit).await
+        self.close_surplus();
+        let failure =
+            |why: String| SendError::NotSent(format!("connecting to {addr}: {why}"));
+        let stream = timeout(limit, connect_from(self.source, addr)).await;
+        let stream = stream.map_err(|_| failure("timed out".into()))?;
+        let stream = stream.map_err(|error| failure(error.to_string()))?;
+        self.start(stream).await.map_err(|error| failure(error.to_string()))
+    }
+
+    async fn start(&self, stream: TcpStream) -> hyper::Result<Connection> {
+        configure_socket(&stream);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_BYTES);
+        let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
+        // The driver ends with its connection. Errors reach the user of the sender.
+        let task = tokio::spawn(async move { drop(driver.await) }).abort_handle();
+        let (exchanges, open) = (Exchanges::default(), self.open.clone());
+        Ok(Connection { sender, task, exchanges, _open: open })
+    }
+
+    /// Closes the idle connections that expire first, as far as there are too many to open
+    /// another one.
+    fn close_surplus(&self) {
+        let mut pools = self.idle.lock().expect("no holder of the lock panics");
+        while self.open_count() >= self.max_open {
+            let fronts = pools.values_mut().filter(|pool| !pool.is_empty());
+            let Some(pool) = fronts.min_by_key(|pool| pool[0].expires_at) else { return };
+            pool.pop_front();
+        }
     }
 
     /// Opens a connection to check whether an address accepts any, and keeps it in the pool if
@@ -149,6 +196,7 @@
         limit: Duration,
         settle_time: Duration,
     ) -> Reachability {
+        self.close_surplus();
         let stream = match timeout(limit, connect_from(self.source, addr)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
@@ -156,7 +204,7 @@
             }
             Ok(Err(_)) | Err(_) => return Reachability::Silent,
         };
-        let Ok(connection) = start_connection(stream).await else {
+        let Ok(connection) = self.start(stream).await else {
             return Reachability::Closed;
         };
         sleep(settle_time).await;
@@ -287,29 +335,6 @@
     }
 }
 
-async fn open_connection(
-    source: IpAddr,
-    addr: SocketAddr,
-    limit: Duration,
-) -> Result<Connection, SendError> {
-    let failure =
-        |why: String| SendError::NotSent(format!("connecting to {addr}: {why}"));
-    let stream = timeout(limit, connect_from(source, addr)).await;
-    let stream = stream.map_err(|_| failure("timed out".into()))?;
-    let stream = stream.map_err(|error| failure(error.to_string()))?;
-    start_connection(stream).await.map_err(|error| failure(error.to_string()))
-}
-
-async fn start_connection(stream: TcpStream) -> hyper::Result<Connection> {
-    configure_socket(&stream);
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(BUFFER_BYTES);
-    let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
-    // The driver ends with its connection. Errors reach the user of the sender.
-    let task = tokio::spawn(async move { drop(driver.await) }).abort_handle();
-    Ok(Connection { sender, task, exchanges: Exchanges::default() })
-}
-
 /// Connects to an address from one of this VM's own.
 pub async fn connect_from(
     source: IpAddr,
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -164,6 +164,7 @@
         };
         let source = settings.ip;
         let client = |matching| Client::new(clock.clone(), source, matching);
+        let max_open = settings.process_limits().server_connections();
         Self {
             started_at: clock.now(),
             bounds: watch::Sender::new(settings.bounds.clone()),
@@ -173,7 +174,7 @@
             peers,
             settings,
             dialect,
-            client: client(Matching::ByEcho),
+            client: client(Matching::ByEcho).with_max_open(max_open),
             store_client: client(Matching::InOrder),
             clock,
             log,
--- a/crates/gate/tests/client.rs
+++ b/crates/gate/tests/client.rs
@@ -120,6 +120,26 @@
     assert_eq!(connections.load(Ordering::Relaxed), 20);
 }
 
+/// Guards against idle connections to many servers that take the descriptors of new ones.
+#[tokio::test]
+async fn an_idle_connection_closes_for_a_new_one() {
+    let listeners = [(); 4].map(|()| std::net::TcpListener::bind("127.0.0.1:0"));
+    let listeners = listeners.map(|listener| listener.expect("a port is free"));
+    let source = IpAddr::from(Ipv4Addr::UNSPECIFIED);
+    let client =
+        Client::new(Arc::new(SystemClock), source, Matching::ByEcho).with_max_open(3);
+    let addrs = listeners.each_ref().map(|listener| listener.local_addr());
+    let addrs = addrs.map(|addr| addr.expect("the listener is bound"));
+    for addr in addrs {
+        let connection =
+            client.open(addr, LIMITS.head_timeout).await.expect("it accepts");
+        assert!(client.open_count() <= 3);
+        client.release(addr, connection, None);
+    }
+    let idle = addrs.map(|addr| client.take_idle(addr, None).is_some());
+    assert_eq!(idle, [false, true, true, true], "the oldest one closes");
+}
+
 /// Has a server close, or reset, its connection after some bytes of an answer; returns what the
 /// client takes for its body.
 async fn body_of(answer: &[u8], reset: bool) -> Result<Bytes, SendError> {
--- a/crates/intake/src/shares.rs
+++ b/crates/intake/src/shares.rs
@@ -25,6 +25,10 @@
 /// use twice as much memory.
 pub const SEND_BUFFER: u32 = 16 * 1024;
 
+/// The part of the sockets that connections to servers have: as many as the shares of callers and
+/// other daemons.
+const SERVER_SOCKETS: f64 = 0.36;
+
 /// The bounds of [`ProcessLimits::backlog`].
 const MIN_BACKLOG: u32 = 16;
 const MAX_BACKLOG: u32 = 1024;
@@ -80,17 +84,28 @@
         (count as u32).clamp(MIN_BACKLOG, MAX_BACKLOG)
     }
 
+    /// The most connections to servers and forwarding daemons.
+    ///
+    /// Each request in progress has one, those that are forwarded for other daemons included.
+    pub fn server_connections(self) -> usize {
+        (self.sockets() as f64 * SERVER_SOCKETS) as usize
+    }
+
+    /// The descriptors that are left for sockets.
+    fn sockets(self) -> u64 {
+        self.descriptors.saturating_sub(FILE_DESCRIPTORS)
+    }
+
     /// The part of a share.
     pub fn quota(self, share: Share) -> QuotaLimits {
         // Connections that are being closed may exceed their number and their bytes by a quarter.
         let (connections, connection_memory, bytes) = match share {
-            Share::Callers => (0.4, 0.34, 0.13),
-            Share::Lookups => (0.1, 0.04, 0.02),
-            Share::Peers => (0.1, 0.06, 0.05),
+            Share::Callers => (0.28, 0.34, 0.13),
+            Share::Lookups => (0.05, 0.04, 0.02),
+            Share::Peers => (0.08, 0.06, 0.05),
         };
         let part = |whole: u64, part: f64| (whole as f64 * part) as u64;
-        let sockets = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
-        let by_descriptors = part(sockets, connections);
+        let by_descriptors = part(self.sockets(), connections);
         let by_memory = part(self.memory, connection_memory) / CONNECTION_BYTES;
         QuotaLimits {
             connections: by_descriptors.min(by_memory).max(1) as usize,
