--- a/crates/gate/tests/client.rs
+++ b/crates/gate/tests/client.rs
@@ -136,6 +136,8 @@
         assert!(client.open_count() <= 3);
         client.release(addr, connection, None);
     }
+    // The task of the last connection has yet to run.
+    tokio::time::sleep(Duration::from_millis(20)).await;
     let idle = addrs.map(|addr| client.take_idle(addr, None).is_some());
     assert_eq!(idle, [false, true, true, true], "the oldest one closes");
 }
