The largest declared limits are usable

A declared header_bytes near the largest number overflowed where the listener for other daemons adds 4 KB for their headers, and an idle timeout where 5 s are added. With overflow checks that ends the listener's task: nobody accepts connections there any more (the test's was reset); without them heads of 4 KB are refused.

The test failed before and passes.

--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -26,6 +26,9 @@
 /// off a request on its way.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
 
+/// The longest declared timeout that is kept; the clock has no times far beyond it.
+const MAX_TIMEOUT: Duration = Duration::from_secs(24 * 3600);
+
 /// How long a connection of another daemon may be idle; longer than it keeps one in its pool.
 const FORWARDER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -80,7 +83,7 @@
         let shared = shared.clone();
         move || {
             let limits = http_limits(&shared);
-            let head_bytes = limits.head_bytes + FORWARD_HEADER_BYTES;
+            let head_bytes = limits.head_bytes.saturating_add(FORWARD_HEADER_BYTES);
             HttpLimits { head_bytes, idle_timeout: FORWARDER_IDLE_TIMEOUT, ..limits }
         }
     };
@@ -119,7 +122,7 @@
     let limits = shared.request_limits();
     HttpLimits {
         head_bytes: limits.head_bytes,
-        head_timeout: limits.head_timeout,
-        idle_timeout: limits.idle_timeout + IDLE_MARGIN,
+        head_timeout: limits.head_timeout.min(MAX_TIMEOUT),
+        idle_timeout: limits.idle_timeout.min(MAX_TIMEOUT) + IDLE_MARGIN,
     }
 }
--- a/tests/crowds/odd.rs
+++ b/tests/crowds/odd.rs
@@ -8,11 +8,12 @@
 use chestnut_gate::message::{Heartbeat, Message, Packet};
 use chestnut_platform_stand_in::{CallerRequest, RawAnswer, RawEnd, RawServer};
 use futures::{StreamExt, stream};
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::cluster::ProcessLimits;
+use crate::cluster::{ProcessLimits, wait_until};
 use crate::{Crowd, LIMITS, Test, Watch, head_to};
 
 /// Values of headers that name a number, a size or a time.
@@ -33,6 +34,34 @@
     "\u{e9}",
 ];
 
+/// Guards against declared limits so large that listeners end, or take no requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_largest_limits_are_usable() {
+    let mut test = Test::start("largest-limits").await;
+    test.cluster.operator.set_limits(json!({
+        "header_bytes": u64::MAX, "max_body_bytes": u64::MAX,
+        "header_timeout_ms": u64::MAX, "idle_timeout_ms": u64::MAX,
+    }));
+    wait_until("the limits are in force", async || {
+        let addr = test.daemon().metrics_addr;
+        let state = test.cluster.caller.get_text(addr, "/state").await;
+        let state: Value = serde_json::from_str(&state).unwrap_or_default();
+        state["revision"].as_u64() > Some(5)
+    })
+    .await;
+    for addr in test.other_listeners().into_iter().chain([test.callers()]) {
+        for _ in 0..2 {
+            let mut stream = TcpStream::connect(addr).await.expect("it accepts");
+            let request = head_to("lookup", "content-length: 0\r\n");
+            stream.write_all(&request).await.expect("the daemon reads");
+            let mut response = [0; 9];
+            let read = timeout(crate::cluster::TIMEOUT, stream.read_exact(&mut response));
+            read.await.expect("the daemon responds").expect("the daemon responds");
+        }
+    }
+    test.answers_a_request().await;
+}
+
 /// Guards against a limit on the number of fields that requests within the declared size of a
 /// head meet.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
