Only declared models have a demand

A daemon kept the name of each model that callers ask for, and sent all of them to the planner four times a second for as long as it ran: names that callers make up took memory, datagrams and the planner's time without end.

The demand for a model that is not declared is not recorded: it can't be placed.

--- a/crates/gate/src/introspection.rs
+++ b/crates/gate/src/introspection.rs
@@ -58,6 +58,8 @@
     pub software_versions: IndexMap<ServiceName, Vec<String>>,
     /// The number of streams of which it has recorded where they began.
     pub stream_origins: usize,
+    /// The number of models that its callers have asked for since its start.
+    pub demanded_models: usize,
     /// The servers that it can't connect to.
     pub unreachable_servers: Vec<ServerName>,
     /// The datagrams that it has sent to other daemons, by their kind.
@@ -186,6 +188,7 @@
             .collect(),
         software_versions: shared.software_history().versions(),
         stream_origins: shared.stream_origins().count(),
+        demanded_models: shared.demand_counters().model_count(),
         unreachable_servers: lost_servers(shared),
         sent_datagrams: shared.peers.sent_counts(),
         queues: shared
--- a/crates/gate/src/planner.rs
+++ b/crates/gate/src/planner.rs
@@ -50,16 +50,28 @@
         let models = self.by_service.entry(service.clone()).or_default();
         *models.entry(model.clone()).or_default() += demand;
     }
+
+    /// The number of models with a demand.
+    pub fn model_count(&self) -> usize {
+        self.by_service.values().map(IndexMap::len).sum()
+    }
 }
 
 /// Adds to the demand for a model that is sent to the planner.
+///
+/// Callers may name any model; those that are not declared can't be placed.
 pub fn record_demand(
     shared: &Shared,
     service: &ServiceName,
     model: &ModelName,
     demand: DemandCounts,
 ) {
-    shared.demand_counters().record(service, model, demand);
+    let declarations = shared.declarations();
+    let service_of = declarations.as_ref().and_then(|all| all.services.get(service));
+    let engine = service_of.and_then(|service| service.engine.as_ref());
+    if engine.is_some_and(|engine| engine.models.contains_key(model)) {
+        shared.demand_counters().record(service, model, demand);
+    }
 }
 
 /// Applies one part of a daemon's demand, and the servers that it can't connect to.
--- a/tests/crowds/odd.rs
+++ b/tests/crowds/odd.rs
@@ -188,3 +188,21 @@
     test.answers_a_request().await;
     watch.check(LIMITS).await;
 }
+
+/// Guards against names of models that callers make up, which a daemon keeps and reports to its
+/// planner for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_unknown_models() {
+    let test = Test::start("unknown-models").await;
+    let send = async |number: u64| {
+        let request = CallerRequest::stream("draft", &format!("made-up-{number}"), 1);
+        test.cluster.send(0, &request).await;
+    };
+    stream::iter(0..50).map(send).buffered(50).collect::<Vec<_>>().await;
+    let addr = test.daemon().metrics_addr;
+    let state = test.cluster.caller.get_text(addr, "/state").await;
+    let state: Value = serde_json::from_str(&state).expect("the state is JSON");
+    let demanded = state["demanded_models"].as_u64().expect("it is a number");
+    assert!(demanded <= 2, "{demanded} models, two are declared");
+    test.answers_a_request().await;
+}
