Unfinished bodies don't keep a daemon from forwarding

A daemon with more than 512 requests in progress forwards none for daemons that can't reach a server. It counted requests whose bodies have yet to arrive, which cost nothing and which clients may leave unfinished: with 700 of them a request to forward got 503 until their deadlines.

Only requests that have arrived count for this. A planned stop still waits for the others, until their deadlines at most. The test failed before with 503 and passes.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -50,7 +50,7 @@
 /// when the other daemon sent it.
 const BODY_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The most requests in progress with which a daemon forwards another one.
+/// The most whole requests in progress with which a daemon forwards another one.
 const MAX_ACTIVE: usize = 512;
 
 /// Why a request is not forwarded when too many are.
@@ -263,8 +263,9 @@
             for callers";
         return Err(Failure::refused(why));
     }
-    // One request is this one's own.
-    match shared.active.count() > MAX_ACTIVE {
+    // One request is this one's own. Clients may leave any number of bodies unfinished.
+    let whole = shared.active.count().saturating_sub(shared.arriving.count());
+    match whole > MAX_ACTIVE {
         true => Err(Failure::refused(TOO_MANY)),
         false => Ok(()),
     }
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -105,7 +105,9 @@
     let budget =
         call.budget.unwrap_or(Duration::MAX).min(declarations.routes[route].timeout);
     let (limit, body_deadline) = (declarations.limits.body_bytes, arrived_at + budget);
+    let arriving = shared.arriving.start();
     let body = body::read(body, &connection, limit, body_deadline).await;
+    drop(arriving);
     let body = body.map_err(|error| refused(unread_body(&error)))?;
     let service = sample_service(&declarations.routes[route], &mut rand::rng());
     let deadline = arrived_at + budget;
--- a/crates/gate/src/shared.rs
+++ b/crates/gate/src/shared.rs
@@ -110,6 +110,8 @@
     pub refusing_requests: watch::Sender<bool>,
     /// Callers' requests in progress.
     pub active: ActiveRequests,
+    /// Counts those among them whose bodies have yet to arrive.
+    pub arriving: ActiveRequests,
     /// Which requests crash servers.
     pub crashes: Crashes,
     /// The latency-tolerant streams that may be stopped.
@@ -169,6 +171,7 @@
             started_at: clock.now(),
             bounds: watch::Sender::new(settings.bounds.clone()),
             active: ActiveRequests::default(),
+            arriving: ActiveRequests::default(),
             crashes: Crashes::default(),
             patient_streams: PatientStreams::default(),
             peers,
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -172,6 +172,25 @@
     watch.check(test.limits).await;
 }
 
+/// Guards against unfinished bodies that count as requests in progress, so that their daemon
+/// forwards no requests of others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_unfinished_bodies_beside_forwarding() {
+    let limits = ProcessLimits { memory_mb: 260, descriptors: 4_000 };
+    let test = Test::start_with("forwarding", limits).await;
+    let crowd = test.crowd(test.callers(), 700, vec![length_head(10)]);
+    crowd.wait_until_sent().await;
+    let lines = "chestnut-forward-to: s1\r\nchestnut-forward-started-at: 1\r\n\
+        chestnut-forward-time-left-ms: 5000\r\ncontent-length: 0\r\n";
+    let peer_addr = test.daemon().peer_addr;
+    let mut stream = connect(peer_addr.ip(), peer_addr).await.expect("it accepts");
+    stream.write_all(&head_to("lookup", lines)).await.expect("the daemon reads");
+    let mut response = [0; 12];
+    stream.read_exact(&mut response).await.expect("the daemon responds");
+    assert_eq!(response.escape_ascii().to_string(), "HTTP/1.1 200");
+    drop(crowd);
+}
+
 /// Guards against trailers and extensions of chunks without end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn crowd_of_chunks_without_end() {
