Newcomers wait for a place, and don't yield to one another

100 callers that connected at once beside silent connections: 44 got neither a response nor a refusal. A connection closes for each newcomer, but was counted until it had closed, and newcomers beyond that were closed unread; and once requests were in progress on all others, a newcomer whose request was on its way was the only one left to yield to the next newcomer.

A newcomer waits up to 500 ms until a connection has closed for it, in the kernel's queue if there are several.

--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -1,13 +1,15 @@
 //! The account of one share, and the connections in it.
 
 use std::fmt::{self, Display, Formatter};
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use chestnut_base::Clock;
 use slog::{Logger, info};
 use slotmap::SecondaryMap;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::quota::{Admission, ConnectionKey, Phase, Quota, QuotaLimits, Reserved};
@@ -15,6 +17,12 @@
 /// How often a response that waits for memory looks for some.
 const MEMORY_POLL_PERIOD: Duration = Duration::from_millis(5);
 
+/// How long a newcomer waits until another connection has closed for it.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How often it looks whether one may close for it.
+const OPEN_RETRY_PERIOD: Duration = Duration::from_millis(20);
+
 /// The shortest time between two log lines for the same reason.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
@@ -87,6 +95,8 @@
     clock: Arc<dyn Clock>,
     log: Logger,
     observer: Arc<dyn Observer>,
+    /// Notified when a connection has closed.
+    closed: Notify,
     state: Mutex<State>,
 }
 
@@ -112,7 +122,8 @@
             evictions: SecondaryMap::new(),
             closed: Default::default(),
         };
-        Self { name, limits, clock, log, observer, state: Mutex::new(state) }
+        let (closed, state) = (Notify::new(), Mutex::new(state));
+        Self { name, limits, clock, log, observer, closed, state }
     }
 
     /// The open connections and the bytes of their messages.
@@ -125,18 +136,37 @@
         self.clock.now()
     }
 
-    /// Adds a connection; `None` if it has to be closed at once.
-    pub fn open(self: &Arc<Self>) -> Option<Arc<Connection>> {
+    /// Adds a connection; `None` if it has to be closed at once, since none closes for it.
+    ///
+    /// Connections that were told to close do so soon. Until then newcomers wait.
+    pub async fn open(self: &Arc<Self>) -> Option<Arc<Connection>> {
+        let opened = async {
+            loop {
+                let mut closed = pin!(self.closed.notified());
+                closed.as_mut().enable();
+                if let Some(connection) = self.try_open() {
+                    return connection;
+                }
+                // Others may have stalled when none has closed.
+                let _ = timeout(OPEN_RETRY_PERIOD, closed).await;
+            }
+        };
+        let opened = timeout(OPEN_TIMEOUT, opened).await;
+        if opened.is_err() {
+            self.record_close(CloseReason::Full);
+        }
+        opened.ok()
+    }
+
+    /// Adds a connection; `None` if there are too many that have not closed yet.
+    fn try_open(self: &Arc<Self>) -> Option<Arc<Connection>> {
         let now = self.now();
         let mut state = self.lock();
-        let Some(opened) = state.quota.open(now) else {
-            drop(state);
-            self.record_close(CloseReason::Full);
-            return None;
-        };
+        let evicted = state.quota.make_room(now);
+        state.signal(evicted);
+        let opened = state.quota.open(now)?;
         let eviction = CancellationToken::new();
         state.evictions.insert(opened.key, eviction.clone());
-        state.signal(opened.evicted);
         drop(state);
         Some(Arc::new(Connection {
             intake: self.clone(),
@@ -149,8 +179,9 @@
 
     /// Frees a descriptor, if a connection without a request in progress has one.
     pub fn evict_stalled(&self) {
+        let now = self.now();
         let mut state = self.lock();
-        let evicted = state.quota.evict_stalled();
+        let evicted = state.quota.evict_stalled(now);
         state.signal(evicted);
     }
 
@@ -285,5 +316,7 @@
         let mut state = self.intake.lock();
         state.quota.close(self.key);
         state.evictions.remove(self.key);
+        drop(state);
+        self.intake.closed.notify_waiters();
     }
 }
--- a/crates/intake/src/quota.rs
+++ b/crates/intake/src/quota.rs
@@ -7,7 +7,7 @@
 //! that makes some, and of unfinished and unread messages that which has held the most memory for
 //! the longest.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slotmap::{SlotMap, new_key_type};
 
@@ -23,6 +23,9 @@
 /// The largest response in bytes that counts as a part of its connection.
 const SMALL_RESPONSE: usize = 4 * 1024;
 
+/// The time without progress after which a connection may be evicted.
+const STALL_TIME: Duration = Duration::from_millis(100);
+
 /// The limits of a [`Quota`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuotaLimits {
@@ -84,8 +87,6 @@
     pub key: ConnectionKey,
     /// Whether its requests are served.
     pub admission: Admission,
-    /// The connection that has to close for it.
-    pub evicted: Option<ConnectionKey>,
 }
 
 /// Memory that was requested for a message.
@@ -146,15 +147,20 @@
         QuotaLimits { connections: self.open, bytes: self.bytes }
     }
 
-    /// Adds a connection; `None` if it has to be closed at once.
+    /// Evicts a connection if there is no place for another one; `None` if there is, or if none
+    /// may close for it.
+    pub fn make_room(&mut self, now: Instant) -> Option<ConnectionKey> {
+        match self.open < self.limits.connections {
+            true => None,
+            false => self.evict_stalled(now),
+        }
+    }
+
+    /// Adds a connection; `None` as long as too many have yet to close.
     pub fn open(&mut self, now: Instant) -> Option<Opened> {
         if self.entries.len() >= self.limits.max_open() {
             return None;
         }
-        let evicted = match self.open < self.limits.connections {
-            true => None,
-            false => self.evict_stalled(),
-        };
         let admission = match self.open < self.limits.connections {
             true => Admission::Served,
             false => Admission::Refused,
@@ -168,7 +174,7 @@
             is_evicted: false,
         });
         self.open += 1;
-        Some(Opened { key, admission, evicted })
+        Some(Opened { key, admission })
     }
 
     /// Removes a connection that was closed.
@@ -293,12 +299,17 @@
     /// being served on all.
     ///
     /// One that has had a response goes after those that have not: its client may reuse it. Last
-    /// goes one whose client has yet to read a response.
-    pub fn evict_stalled(&mut self) -> Option<ConnectionKey> {
-        let candidates = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| !entry.is_evicted && entry.phase != Phase::Serving);
+    /// goes one whose client has yet to read a response. One with progress just now stays: a
+    /// newcomer's request may be on its way.
+    pub fn evict_stalled(&mut self, now: Instant) -> Option<ConnectionKey> {
+        let is_stalled = |entry: &Entry| match entry.phase {
+            Phase::Serving => false,
+            Phase::Closing => true,
+            _ => now.saturating_duration_since(entry.progress_at) >= STALL_TIME,
+        };
+        let candidates = self.entries.iter();
+        let candidates =
+            candidates.filter(|(_, entry)| !entry.is_evicted && is_stalled(entry));
         let (key, _) = candidates.min_by_key(|(_, entry)| {
             let is_closing = entry.phase == Phase::Closing;
             let is_responding = entry.phase == Phase::Responding;
--- a/crates/intake/src/server.rs
+++ b/crates/intake/src/server.rs
@@ -119,7 +119,7 @@
             match accepted {
                 Ok((stream, from)) => {
                     // Without a place for it, the connection closes.
-                    let Some(connection) = self.intake.open() else { continue };
+                    let Some(connection) = self.intake.open().await else { continue };
                     (self.configure)(&stream);
                     let (limits, stop) = (limits(), self.stop.clone());
                     let handler = handler.clone();
--- a/crates/intake/tests/quota.rs
+++ b/crates/intake/tests/quota.rs
@@ -31,7 +31,19 @@
         .map(|second| open(&mut quota, start + Duration::from_secs(second)).key)
         .collect();
     let later = start + Duration::from_secs(9);
-    assert_eq!(open(&mut quota, later).evicted, Some(silent[0]));
+    assert_eq!(quota.make_room(later), Some(silent[0]));
+    assert_eq!(open(&mut quota, later).admission, Admission::Served);
+}
+
+/// Guards against newcomers that close for one another before their requests arrive.
+#[test]
+fn newcomers_do_not_yield_to_one_another() {
+    let (mut quota, now) = (Quota::new(LIMITS), Instant::now());
+    for _ in 0..LIMITS.connections {
+        open(&mut quota, now);
+    }
+    assert_eq!(quota.make_room(now), None);
+    assert!(quota.make_room(now + Duration::from_secs(1)).is_some());
 }
 
 /// Guards against a request in progress that is given up for a connection without one.
@@ -42,8 +54,8 @@
         let key = open(&mut quota, now).key;
         quota.set_phase(key, Phase::Serving, now);
     }
-    let refused = open(&mut quota, now);
-    assert_eq!((refused.admission, refused.evicted), (Admission::Refused, None));
+    assert_eq!(quota.make_room(now), None);
+    assert_eq!(open(&mut quota, now).admission, Admission::Refused);
     assert_eq!(quota.open(now), None, "connections that are refused have a limit too");
 }
 
@@ -111,7 +123,7 @@
     quota.set_phase(keys[0], Phase::Serving, now);
     quota.set_phase(keys[0], Phase::Idle, now);
     quota.close(keys[1]);
-    assert!(quota.evict_stalled().is_some());
+    assert!(quota.evict_stalled(now + Duration::from_secs(1)).is_some());
     let usage = quota.usage();
     assert_eq!((usage.connections, usage.bytes), (2, 60_000));
     for key in keys {
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -191,6 +191,28 @@
     drop(crowd);
 }
 
+/// Guards against newcomers that are closed unread while those that yield to them are closing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn burst_of_callers_beside_silent_connections() {
+    let test = Test::start("burst").await;
+    for _ in 0..5 {
+        let crowd = test.crowd(test.callers(), 200, vec![]);
+        crowd.wait_until_sent().await;
+        let mut callers = JoinSet::new();
+        for _ in 0..100 {
+            let addr = test.callers();
+            callers.spawn(async move {
+                let budget = crate::cluster::TIMEOUT;
+                let request = CallerRequest { budget, ..CallerRequest::plain("lookup") };
+                Caller::new("ordinary").send(addr, &request).await.status
+            });
+        }
+        let statuses = callers.join_all().await;
+        let unanswered = statuses.iter().filter(|status| **status == 0).count();
+        assert_eq!(unanswered, 0, "of 100 callers");
+    }
+}
+
 /// Guards against trailers and extensions of chunks without end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn crowd_of_chunks_without_end() {
