Handshakes between daemons are few until they have ended

The own interface's port for other daemons begins a handshake for anyone; only its end shows whose it is. Each took 300 KB for a minute: 1,500 that strangers left unfinished took 479 MB (260 allowed), 6,000 took 1.5 GB. The library also keeps up to 100 MB of what is sent meanwhile.

64 handshakes may be in progress, 8 from one address and each for 2 s; from 16 on, senders have to show that they receive what is sent to their address. Others are refused and counted. What waits to be begun is bounded by 256 times 8 KB. The test passes with 34 MB.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod entry;
 pub mod explain;
 pub mod feed;
+pub mod handshakes;
 pub mod journal;
 pub mod lead;
 pub mod logs;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use chestnut_intake::{CloseReason, Observer};
 use chestnut_wire::{FrameDecoder, FrameError, PeerRequest, PeerResponse, encode};
 use error_stack::{Report, ResultExt};
 use indexmap::IndexMap;
@@ -18,6 +19,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::handshakes::{HANDSHAKE_TIMEOUT, Handshakes};
 use crate::tls::{PEER_NAME, PeerTls};
 
 /// How long a responding daemon may send nothing before its response counts as lost.
@@ -257,12 +259,29 @@
 }
 
 /// Accepts connections from other daemons until the endpoint closes.
-pub async fn accept<S: RequestHandler>(endpoint: Endpoint, handler: Arc<S>) {
+pub async fn accept<S: RequestHandler>(
+    endpoint: Endpoint,
+    handler: Arc<S>,
+    observer: Arc<dyn Observer>,
+) {
+    let handshakes = Handshakes::default();
     while let Some(incoming) = endpoint.accept().await {
+        if handshakes.needs_validation() && incoming.may_retry() {
+            // Fails only for senders whose address has been validated.
+            let _ = incoming.retry();
+            continue;
+        }
+        let Some(handshake) = handshakes.begin(incoming.remote_address().ip()) else {
+            observer.record_close(CloseReason::Full);
+            incoming.refuse();
+            continue;
+        };
         let handler = handler.clone();
         tokio::spawn(async move {
+            let opened = timeout(HANDSHAKE_TIMEOUT, incoming.into_future()).await;
+            drop(handshake);
             // An untrusted daemon fails here; it gets the reason from its own handshake.
-            if let Ok(conn) = incoming.await {
+            if let Ok(Ok(conn)) = opened {
                 handle_streams(conn, handler).await;
             }
         });
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -104,7 +104,8 @@
     let mut tasks = JoinSet::new();
     let stop_listeners = CancellationToken::new();
     let endpoint = node.peers.endpoint().clone();
-    tasks.spawn(peer::accept(endpoint, node.clone()));
+    let observer = node.shared.metrics.clone();
+    tasks.spawn(peer::accept(endpoint, node.clone(), observer));
     tasks.spawn(members::run(node.clone(), addresses));
     tasks.spawn(config_sync::run(node.clone()));
     tasks.spawn(orders::run(node.shared.clone()));
--- a/crates/node/src/tls.rs
+++ b/crates/node/src/tls.rs
@@ -34,6 +34,10 @@
 /// The number of streams that a peer may have open on a connection at the same time.
 const MAX_STREAMS: u32 = 4096;
 
+/// The number of handshakes that wait to be begun, and the bytes that each may have sent.
+const MAX_INCOMING: usize = 256;
+const INCOMING_BYTES: u64 = 8 * 1024;
+
 /// A file with certificates or keys that can't be used.
 #[derive(Debug)]
 pub struct TlsError(String);
@@ -101,6 +105,9 @@
     let server = QuicServerConfig::try_from(server).change_context_lazy(mismatch)?;
     let mut server = ServerConfig::with_crypto(Arc::new(server));
     server.transport_config(transport.clone());
+    server.max_incoming(MAX_INCOMING);
+    server.incoming_buffer_size(INCOMING_BYTES);
+    server.incoming_buffer_size_total(MAX_INCOMING as u64 * INCOMING_BYTES);
     let client = QuicClientConfig::try_from(client).change_context_lazy(mismatch)?;
     let mut client = ClientConfig::new(Arc::new(client));
     client.transport_config(transport);
--- a/tests/crowds/own_interface.rs
+++ b/tests/crowds/own_interface.rs
@@ -1,9 +1,12 @@
 //! The daemon with the own interface: its callers' listener and the one for operators.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use quinn::crypto::rustls::QuicClientConfig;
 use rustix::process::{Signal, kill_process};
+use tokio::net::UdpSocket;
 use tokio::sync::MutexGuard;
 use tokio::time::sleep;
 
@@ -81,6 +84,42 @@
     watch.check(test.limits).await;
 }
 
+/// Guards against handshakes of strangers at the port between daemons that are never continued.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_crowd_of_unfinished_handshakes() {
+    let test = Test::start(LIMITS).await;
+    let peer_addr = test.addr("peer");
+    let pid = test.cluster.process("e1").expect("it was started").pid();
+    let watch = Watch::start(pid, peer_addr.ip());
+    // Passes on what strangers send, and no response.
+    let relay = UdpSocket::bind("127.0.0.1:0").await.expect("a port is free");
+    let relay_addr = relay.local_addr().expect("it is bound");
+    let relay = tokio::spawn(async move {
+        let mut buffer = [0; 2_048];
+        while let Ok(length) = relay.recv(&mut buffer).await {
+            let _ = relay.send_to(&buffer[..length], peer_addr).await;
+        }
+    });
+    let mut tls = rustls::ClientConfig::builder()
+        .with_root_certificates(rustls::RootCertStore::empty())
+        .with_no_client_auth();
+    tls.alpn_protocols = vec![b"chestnutlane/1".to_vec()];
+    let tls = QuicClientConfig::try_from(tls).expect("it has TLS 1.3");
+    let config = quinn::ClientConfig::new(Arc::new(tls));
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let strangers = quinn::Endpoint::client(any).expect("a port is free");
+    let mut handshakes = Vec::new();
+    for _ in 0..1_500 {
+        let started = strangers.connect_with(config.clone(), relay_addr, "chestnutlane");
+        handshakes.push(started.expect("it can be started"));
+        sleep(Duration::from_millis(1)).await;
+    }
+    test.answers_a_request().await;
+    drop((handshakes, relay));
+    test.answers_a_request().await;
+    watch.check(test.limits).await;
+}
+
 /// Guards against a limit on the number of fields that requests within the size of a head meet.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn own_heads_of_many_fields_are_served() {
