--- a/crates/gate/src/members.rs
+++ b/crates/gate/src/members.rs
@@ -398,6 +398,7 @@
 /// newer tables that it has to join again.
 pub fn answer_stranger(shared: &Shared, message: &Message, addr: SocketAddr) {
     shared.metrics.count(Step::Stranger, message.kind());
+    shared.peers.log_stranger(addr, message.kind());
     if let Message::Heartbeat(heartbeat) = message
         && heartbeat.needs_answer(false)
     {
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -7,7 +7,7 @@
 use chestnut_base::{Clock, MemberId};
 use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 
@@ -21,6 +21,9 @@
 /// Three heartbeats, since single datagrams may be lost.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// The shortest time between two log lines about strangers.
+const LOG_PERIOD: Duration = Duration::from_secs(1);
+
 /// How long what is known of a daemon is kept after its last datagram or its removal.
 const RETENTION: Duration = Duration::from_secs(60);
 
@@ -46,6 +49,8 @@
     /// The addresses of daemons that have a row, and of those whose row was removed, with the
     /// time when that was noticed.
     known_ips: Mutex<IndexMap<IpAddr, Option<Instant>>>,
+    /// The datagrams of strangers since the last log line, and when that was.
+    strangers: Mutex<(u64, Option<Instant>)>,
     pending: Mutex<PendingRequests>,
     sent: Mutex<IndexMap<&'static str, SentCount>>,
 }
@@ -103,8 +108,9 @@
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(addr).await?;
         let (states, known_ips) = (Mutex::default(), Mutex::default());
-        let (pending, sent) = (Mutex::new(PendingRequests::new()), Mutex::default());
-        Ok(Self { me, socket, clock, log, states, known_ips, pending, sent })
+        let (strangers, sent) = (Mutex::default(), Mutex::default());
+        let pending = Mutex::new(PendingRequests::new());
+        Ok(Self { me, socket, clock, log, states, known_ips, strangers, pending, sent })
     }
 
     /// Sends a message; drops it if the socket is not ready.
@@ -235,6 +241,20 @@
         removed_at.is_some_and(|at| at.is_none_or(|at| is_retained(at, self.clock.now())))
     }
 
+    /// Logs that a datagram of a stranger was not handled, at most once a second.
+    pub fn log_stranger(&self, from: SocketAddr, kind: &'static str) {
+        let now = self.clock.now();
+        let mut strangers = self.strangers.lock().expect("no holder of the lock panics");
+        let (count, logged_at) = &mut *strangers;
+        *count += 1;
+        if logged_at.is_some_and(|at| now.saturating_duration_since(at) < LOG_PERIOD) {
+            return;
+        }
+        *logged_at = Some(now);
+        info!(self.log, "datagrams of senders without a row not handled";
+            "from" => from.to_string(), "kind" => kind, "count" => std::mem::take(count));
+    }
+
     /// Updates the state of the sender of a datagram.
     pub fn record(&self, packet: &Packet) {
         let mut states = self.states.lock().expect("no holder of the lock panics");
