--- a/tests/crowds/odd.rs
+++ b/tests/crowds/odd.rs
@@ -17,7 +17,7 @@
 use crate::{Crowd, LIMITS, Test, Watch, head_to};
 
 /// Values of headers that name a number, a size or a time.
-const ODD_VALUES: [&str; 14] = [
+pub const ODD_VALUES: [&str; 14] = [
     "0",
     "-1",
     "NaN",
--- a/tests/crowds/own_interface.rs
+++ b/tests/crowds/own_interface.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::cluster::{ProcessLimits, wait_until};
+use crate::odd::ODD_VALUES;
 use crate::support::cluster::Cluster;
 use crate::support::command::{Options, ProcessKind};
 use crate::{Crowd, HEAD_BYTES, RUNNING, Watch, head_without_end, with_descriptors};
@@ -84,6 +85,63 @@
     watch.check(test.limits).await;
 }
 
+/// Guards against values that make a daemon panic, which leaves its locks unusable.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_crowd_of_odd_values() {
+    let test = Test::start(LIMITS).await;
+    let url = format!("http://{}", test.addr("caller"));
+    let client = reqwest::Client::builder().no_proxy().build().expect("it can be made");
+    for value in ODD_VALUES {
+        for body in [
+            format!(r#"{{"model":"water-reminder","prompt":"a","max_tokens":{value}}}"#),
+            format!(
+                r#"{{"model":"{value}","messages":[{{"content":"{value}"}}],"n":1}}"#
+            ),
+            "[".repeat(100_000),
+        ] {
+            for path in
+                ["/v1/completions", "/v1/chat/completions", "/svc/desk/seats", "/svc//"]
+            {
+                let request =
+                    client.post(format!("{url}{path}")).bearer_auth("key-portal");
+                let request =
+                    ["x-deadline-ms", "idempotency-key", "x-kind", "x-idempotent"]
+                        .iter()
+                        .fold(request, |request, name| {
+                            request.header(*name, value.as_bytes())
+                        });
+                let _ = request
+                    .body(body.clone())
+                    .timeout(Duration::from_millis(200))
+                    .send()
+                    .await;
+            }
+        }
+    }
+    test.answers_a_request().await;
+}
+
+/// Guards against responses that are kept for clients that don't read them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_crowd_that_reads_no_responses() {
+    // The service responds with what it gets.
+    let body = format!("\"{}\"", "x".repeat(400_000));
+    let request = format!(
+        "POST /svc/desk/seats HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer \
+         key-portal\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let test = Test::start(ProcessLimits { descriptors: 2_000, ..LIMITS }).await;
+    let pid = test.cluster.process("e1").expect("it was started").pid();
+    let watch = Watch::start(pid, test.addr("caller").ip());
+    let crowd = Crowd::start(test.addr("caller"), 600, vec![request.into_bytes()]);
+    crowd.wait_until_stalled().await;
+    test.answers_a_request().await;
+    drop(crowd);
+    test.answers_a_request().await;
+    watch.check(test.limits).await;
+}
+
 /// Guards against handshakes of strangers at the port between daemons that are never continued.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn own_crowd_of_unfinished_handshakes() {
