Steady progress keeps nobody out, and an evicted request gets its response

A connection without progress for 100 ms could yield, so that clients who send a byte now and then would have kept all others out: now the time counts from its opening. And an evicted connection was closed as soon as the refusal of its request was handed over, sent or not, depending on which of two futures was polled first: the response is the last one now, and has 500 ms.

--- a/crates/intake/src/quota.rs
+++ b/crates/intake/src/quota.rs
@@ -23,8 +23,8 @@
 /// The largest response in bytes that counts as a part of its connection.
 const SMALL_RESPONSE: usize = 4 * 1024;
 
-/// The time without progress after which a connection may be evicted.
-const STALL_TIME: Duration = Duration::from_millis(100);
+/// How long the request of a new connection may be on its way; it is not evicted until then.
+const ARRIVAL_TIME: Duration = Duration::from_millis(100);
 
 /// The limits of a [`Quota`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -104,6 +104,7 @@
     phase: Phase,
     /// The bytes of its message.
     bytes: usize,
+    opened_at: Instant,
     /// When its message began.
     begun_at: Instant,
     /// When its last byte arrived, or its last response ended.
@@ -168,6 +169,7 @@
         let key = self.entries.insert(Entry {
             phase: Phase::Idle,
             bytes: 0,
+            opened_at: now,
             begun_at: now,
             progress_at: now,
             has_served: false,
@@ -299,17 +301,17 @@
     /// being served on all.
     ///
     /// One that has had a response goes after those that have not: its client may reuse it. Last
-    /// goes one whose client has yet to read a response. One with progress just now stays: a
-    /// newcomer's request may be on its way.
+    /// goes one whose client has yet to read a response. A newcomer's request may be on its way,
+    /// so that it stays for a moment.
     pub fn evict_stalled(&mut self, now: Instant) -> Option<ConnectionKey> {
-        let is_stalled = |entry: &Entry| match entry.phase {
+        let may_close = |entry: &Entry| match entry.phase {
             Phase::Serving => false,
             Phase::Closing => true,
-            _ => now.saturating_duration_since(entry.progress_at) >= STALL_TIME,
+            _ => now.saturating_duration_since(entry.opened_at) >= ARRIVAL_TIME,
         };
         let candidates = self.entries.iter();
         let candidates =
-            candidates.filter(|(_, entry)| !entry.is_evicted && is_stalled(entry));
+            candidates.filter(|(_, entry)| !entry.is_evicted && may_close(entry));
         let (key, _) = candidates.min_by_key(|(_, entry)| {
             let is_closing = entry.phase == Phase::Closing;
             let is_responding = entry.phase == Phase::Responding;
--- a/crates/intake/src/server.rs
+++ b/crates/intake/src/server.rs
@@ -52,6 +52,9 @@
 /// response on its way.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// How often a request in progress on an evicted connection is looked at.
+const EVICTION_POLL_PERIOD: Duration = Duration::from_millis(20);
+
 /// The most bytes that are discarded after the last response.
 const LINGER_BYTES: usize = 256 * 1024;
 
@@ -154,6 +157,7 @@
         .max_headers((limits.head_bytes / MIN_FIELD_BYTES).clamp(1, MAX_FIELDS))
         .max_buf_size(limits.head_bytes.saturating_add(1).max(MIN_READ_BUFFER));
     let ends_with_connection = AtomicBool::new(false);
+    let has_last_response = AtomicBool::new(false);
     let service = service_fn(|mut request: Request<Incoming>| {
         let is_old = request.version() == Version::HTTP_10;
         ends_with_connection.store(is_old, Ordering::Relaxed);
@@ -167,14 +171,15 @@
         }
         request.extensions_mut().insert(connection.clone());
         let (response, connection) = (handler(request), connection.clone());
+        let has_last_response = &has_last_response;
         async move {
             let mut response = response.await?;
-            if let Some(size) = response.body().size_hint().exact() {
-                connection.begin_response(size as usize);
-            }
             if connection.is_evicted() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
+                has_last_response.store(true, Ordering::Relaxed);
+            } else if let Some(size) = response.body().size_hint().exact() {
+                connection.begin_response(size as usize);
             }
             let rest = Bytes::new();
             Ok::<_, Infallible>(response.map(|body| TrackedBody {
@@ -188,8 +193,10 @@
         let serving = server.serve_connection(TokioIo::new(&mut metered), service);
         let mut serving = std::pin::pin!(serving);
         tokio::select! {
+            // What a connection does when it is evicted decides whether it gets a response.
+            biased;
+            () = must_close(&connection, &has_last_response) => None,
             result = serving.as_mut() => Some(result),
-            () = evicted_between_requests(&connection) => None,
             () = stop.cancelled() => {
                 serving.as_mut().graceful_shutdown();
                 Some(serving.await)
@@ -233,13 +240,19 @@
     }
 }
 
-/// Waits until a connection has to close on which no request is in progress or only its response
-/// is left; the handler of a request finds out by itself.
-async fn evicted_between_requests(connection: &Connection) {
+/// Waits until a connection has to close that was evicted.
+///
+/// The handler of a request in progress finds out by itself, and its response is the last one.
+async fn must_close(connection: &Connection, has_last_response: &AtomicBool) {
     connection.evicted().await;
-    if !matches!(connection.phase(), Phase::Idle | Phase::Head | Phase::Responding) {
-        std::future::pending().await
+    while !has_last_response.load(Ordering::Relaxed) {
+        if matches!(connection.phase(), Phase::Idle | Phase::Head | Phase::Responding) {
+            return;
+        }
+        sleep(EVICTION_POLL_PERIOD).await;
     }
+    // The client may never read it.
+    sleep(LINGER_TIME).await;
 }
 
 /// Ends the sending direction and discards what still arrives.
--- a/crates/intake/tests/quota.rs
+++ b/crates/intake/tests/quota.rs
@@ -46,6 +46,16 @@
     assert!(quota.make_room(now + Duration::from_secs(1)).is_some());
 }
 
+/// Guards against clients that send a byte now and then, and keep all others out by that.
+#[test]
+fn steady_progress_keeps_nobody_out() {
+    let (mut quota, start) = (Quota::new(LIMITS), Instant::now());
+    let keys = [(); LIMITS.connections].map(|()| begin_body(&mut quota, 10, start));
+    let later = start + Duration::from_secs(1);
+    keys.iter().for_each(|key| quota.record_progress(*key, later));
+    assert!(quota.make_room(later).is_some());
+}
+
 /// Guards against a request in progress that is given up for a connection without one.
 #[test]
 fn connections_in_use_do_not_yield() {
