--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -1,8 +1,8 @@
-//! What clients may hold of a process: descriptors, and memory for heads and bodies.
+//! What clients may hold of a process: descriptors, and memory for heads, bodies and responses.
 //!
 //! 1. [`shares`] divides the limits of the process between its listeners,
-//! 2. [`server`] accepts connections and serves HTTP on them,
-//! 3. [`metered`] watches the bytes of a connection and the time that its heads take,
+//! 2. [`server`] accepts connections, serves HTTP on them and hands over responses,
+//! 3. [`metered`] watches the bytes and fields of a head and the time that it takes,
 //! 4. [`body`] reads the body of a request,
 //! 5. [`intake`] keeps the account of one share; what yields when it is used up is decided by
 //!    its [`quota`].
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -1,9 +1,10 @@
-//! Crowds of clients that don't behave: unfinished heads and bodies, tiny chunks, silence.
+//! Crowds of clients that don't behave: unfinished heads and bodies, tiny chunks, silence, unread
+//! responses, odd values.
 //!
 //! Each test gives one daemon little memory and few descriptors, connects a crowd that keeps its
 //! connections open, and checks that the process lives, stays within both limits, and answers an
 //! ordinary request meanwhile and afterwards. Received bytes that the daemon has not read count
-//! as its memory.
+//! as its memory, and so do sent ones that its peers have not acknowledged.
 
 // Other tests use the rest of these modules.
 #[allow(dead_code)]
