--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -2,12 +2,15 @@
 
 Streams its events without a length, so that an answer ends with its connection. Each event is
 one write. Prints one line for each run that begins. Holds the model from its start, and answers
-orders for what it holds with 200 and others with 400.
+orders with 400. A request with the body `crash` kills the process after two events.
+
+With FRAMED=1 in the environment, answers are in chunks.
 """
 
 import asyncio
 import json
 import os
+import signal
 import sys
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -17,22 +20,31 @@
 IP, PORT, NAME, MODEL, EVENTS, GAP = sys.argv[1:7]
 EVENTS, GAP = int(EVENTS), float(GAP) / 1000
 BORN = int(sys.argv[7])
+IS_FRAMED = os.environ.get("FRAMED") == "1"
+EVENTS_BEFORE_CRASH = 2
 
 
 def event(request_id, number):
     return ("id: %d\ndata: %s piece %d\n\n" % (number, request_id, number)).encode()
 
 
-async def stream(head, writer):
+async def stream(head, body, writer):
     request_id = head.get("x-request-id")
     after = int(head.get("last-event-id") or 0)
     print(json.dumps({"server": NAME, "runs": request_id, "after": after}), flush=True)
+    framing = [("Transfer-Encoding", "chunked")] if IS_FRAMED else []
     writer.write(message("HTTP/1.1 200 OK", [
         ("X-Request-Id", request_id), ("X-Response-Seal", "seal." + request_id),
-        ("Content-Type", "text/event-stream"), ("Connection", "close")]))
+        ("Content-Type", "text/event-stream"), ("Connection", "close"), *framing]))
     for number in range(after + 1, EVENTS + 1):
         await asyncio.sleep(GAP)
-        writer.write(event(request_id, number))
+        if body == b"crash" and number > after + EVENTS_BEFORE_CRASH:
+            os.kill(os.getpid(), signal.SIGKILL)
+        data = event(request_id, number)
+        writer.write(b"%x\r\n%s\r\n" % (len(data), data) if IS_FRAMED else data)
+        await writer.drain()
+    if IS_FRAMED:
+        writer.write(b"0\r\n\r\n")
         await writer.drain()
 
 
@@ -42,7 +54,7 @@
             head = await read_head(reader)
             if head is None:
                 return
-            await read_body(reader, head)
+            body = await read_body(reader, head)
             target = head.get("x-target-instance")
             if head.first.startswith("GET /v1/report"):
                 writer.write(json_response(200, {
@@ -57,7 +69,7 @@
             elif head.first.startswith("POST /v1/order"):
                 writer.write(json_response(400, {}))
             else:
-                await stream(head, writer)
+                await stream(head, body, writer)
                 return
             await writer.drain()
     except (ConnectionError, asyncio.IncompleteReadError):
