Discard responses whose status ends no request

A server that answered 101, 600 or 999 had that status passed on to its caller: a connection that switches protocols, or a status that callers have no rule for, for a request that has run. 9 of 54 plain answers with a spoilt status line (three statuses, three ways to end the connection), streams and forwarded requests likewise.

Cause: the HTTP library refuses statuses below 100 (000, 001 and 099 included), and ones that aren't three digits, but passes 101 as the end of a request, and any number up to 999. `check_head` takes only 200 to 599 for a final status; the request counts as lost.

Tests failed before: answers_with_an_invalid_status_are_not_passed_on, direct and through another daemon. Both pass now; 000 was handled before, and its case stays.

--- a/crates/reply/src/head.rs
+++ b/crates/reply/src/head.rs
@@ -8,6 +8,8 @@
 /// Why the head of a response can't be believed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MalformedHead {
+    /// The status is none that ends a request: below 200 or above 599.
+    Status(StatusCode),
     /// The body is framed by something else than chunks, or by chunks twice.
     ///
     /// An HTTP library may take such a body for one that ends with its connection, and deliver
@@ -22,6 +24,13 @@
 impl Display for MalformedHead {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let why = match self {
+            Self::Status(status) => {
+                return write!(
+                    f,
+                    "the status {} doesn't end a request; check the server",
+                    status.as_u16()
+                );
+            }
             Self::TransferEncoding => "its transfer encoding is not `chunked`",
             Self::TwoLengths => "its body has both a length and chunks",
             Self::UnexpectedBody => "it has a body, which its status excludes",
@@ -36,6 +45,9 @@
 ///
 /// The library has refused lengths that are no numbers, or that differ from each other.
 pub fn check_head(status: StatusCode, headers: &HeaderMap) -> Result<(), MalformedHead> {
+    if !(200..600).contains(&status.as_u16()) {
+        return Err(MalformedHead::Status(status));
+    }
     let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
     let encoding = encodings.next();
     if encodings.next().is_some() || !encoding.is_none_or(is_chunked) {
--- a/crates/reply/tests/head.rs
+++ b/crates/reply/tests/head.rs
@@ -27,6 +27,14 @@
     assert_eq!(check(304, &[("content-length", "11")]), Ok(()));
 }
 
+#[test]
+fn statuses_that_end_no_request_are_malformed() {
+    for status in [100, 101, 103, 199, 600, 999] {
+        let expected = MalformedHead::Status(StatusCode::from_u16(status).unwrap());
+        assert_eq!(check(status, &[]), Err(expected));
+    }
+}
+
 #[test]
 fn other_encodings_are_malformed() {
     for encoding in ["", "chunke", "identity", "gzip, chunked", "chunked, chunked"] {
--- a/tests/platform/malformed_answers.rs
+++ b/tests/platform/malformed_answers.rs
@@ -64,6 +64,28 @@
     "Content-Length : 5",
 ];
 
+/// Status lines without a status that ends a request.
+const STATUS_LINES: [&str; 18] = [
+    "HTTP/1.1 000 OK",
+    "HTTP/1.1 000",
+    "HTTP/1.1 001 OK",
+    "HTTP/1.1 099 OK",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 2x0 OK",
+    "HTTP/1.1 -20 OK",
+    "HTTP/1.1 600 OK",
+    "HTTP/1.1 999 OK",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 200\x01 OK",
+    "HTTP/1.1 200 O\x00K",
+    "HTTP/1.1  200 OK",
+    "HTTP/1.2 200 OK",
+    "HTTP/2.0 200 OK",
+    "HTTX/1.1 200 OK",
+    "200 OK",
+];
+
 /// Ends of bodies in chunks that are not well-formed.
 const CHUNK_ENDS: [&str; 8] = [
     "0\r\nno field\r\n\r\n",
@@ -112,6 +134,16 @@
     whole.chain(chunked).collect()
 }
 
+fn with_status_lines(kind: Kind) -> Vec<String> {
+    let (head, body) = parts(kind);
+    let (_, fields) = head.split_once("\r\n").expect("a head has lines");
+    let lines = STATUS_LINES.iter();
+    let size = body.len();
+    lines
+        .map(|line| format!("{line}\r\n{fields}Content-Length: {size}\r\n\r\n{body}"))
+        .collect()
+}
+
 async fn check_all(name: &str, is_forwarded: bool, texts: fn(Kind) -> Vec<String>) {
     for kind in KINDS {
         let texts = texts(kind);
@@ -146,6 +178,18 @@
     check_all("linefar", true, |kind| with_lines(kind, &LINES)).await;
 }
 
+/// Guards against an answer whose status is none, or none that ends a request.
+#[tokio::test]
+async fn answers_with_an_invalid_status_are_not_passed_on() {
+    check_all("status", false, with_status_lines).await;
+}
+
+/// The same for answers that come through another daemon.
+#[tokio::test]
+async fn answers_with_an_invalid_status_through_another_daemon_are_not_passed_on() {
+    check_all("statusfar", true, with_status_lines).await;
+}
+
 /// Guards against an answer after an informational head that is not well-formed, and against one
 /// that never comes.
 #[tokio::test]
