Refuse requests whose bodies arrive late in a shutdown

A daemon that shuts down refuses requests after 2.8 s. One whose head had come before and whose body ended later, at 3.0, 4.5 or 6.0 s, was passed on to a runner and cut at the exit after 7.6 s: its caller had half a stream, and may not repeat it.

Cause: whether the daemon still takes requests was looked up before the body was read, and a body may take as long as its request has time. It is looked up again once the body is whole; the caller gets 503, not run, as others do at that time.

Ruled out: whole requests that come late, also on connections that were open before. They were refused already, and their cases stay.

Test: requests_late_in_the_shutdown_are_not_passed_on.

--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -109,6 +109,10 @@
     let body = body::read(body, &connection, limit, body_deadline).await;
     drop(arriving);
     let body = body.map_err(|error| refused(unread_body(&error)))?;
+    // The body may have taken longer than the time in which the daemon accepts requests.
+    if shared.is_refusing_requests() {
+        return Err(refused(shutting_down()));
+    }
     let service = sample_service(&declarations.routes[route], &mut rand::rng());
     let deadline = arrived_at + budget;
     let matched = &declarations.routes[route];
--- a/tests/platform/stops.rs
+++ b/tests/platform/stops.rs
@@ -6,6 +6,8 @@
 use chestnut_platform_stand_in::{CallerRequest, CallerResponse, Runner};
 use rustix::process::Signal;
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -281,3 +283,51 @@
     drafts.shutdown().await;
     others.shutdown().await;
 }
+
+/// Guards against requests that are taken late in the shutdown and whose connections end without an
+/// answer at the exit: whole ones on open connections, and ones whose bodies were on their way when
+/// the daemon stopped taking any.
+#[tokio::test]
+async fn requests_late_in_the_shutdown_are_not_passed_on() {
+    let cluster = Cluster::start("late-requests", 2).await;
+    wait_for_holders(&cluster).await;
+    let addr = cluster.daemons[0].caller_addr;
+    let mut callers = JoinSet::new();
+    // The daemon refuses requests after 2.8 s, and exits after 7.6 s.
+    let delays = [3000, 4500, 6000].into_iter();
+    for (delay_ms, is_head_late) in
+        delays.flat_map(|delay| [(delay, false), (delay, true)])
+    {
+        let id = format!("late-{delay_ms}-{is_head_late}");
+        let head = format!(
+            "POST /draft/x HTTP/1.1\r\nHost: letters.example\r\nX-Request-Id: {id}\r\n\
+             X-Time-Budget-Ms: 14000\r\nX-Model: red\r\nX-Token-Count: 400,3000\r\n\
+             X-Prompt-Prefix: a1:400\r\nContent-Length: 10\r\n\r\n"
+        );
+        callers.spawn(async move {
+            let mut stream = TcpStream::connect(addr).await.expect("a connection");
+            let (early, late) = head.split_at(if is_head_late { 0 } else { head.len() });
+            stream.write_all(early.as_bytes()).await.expect("it is sent");
+            sleep(Duration::from_millis(delay_ms)).await;
+            let late = [late.as_bytes(), b"0123456789"].concat();
+            let _ = stream.write_all(&late).await;
+            let mut received = Vec::new();
+            let end = stream.read_to_end(&mut received).await;
+            let received = String::from_utf8_lossy(&received).into_owned();
+            (id, received, end.map_err(|error| error.kind()))
+        });
+    }
+    sleep(Duration::from_millis(50)).await;
+    cluster.daemons[0].signal(Signal::TERM);
+    while let Some(ended) = callers.join_next().await {
+        let (id, received, end) = ended.expect("the caller ends");
+        let status = received.get(9..12).unwrap_or_default();
+        let runs = cluster.runners.iter().flat_map(Runner::runs);
+        let runs = runs.filter(|(run, _)| *run == id).count();
+        assert_eq!(
+            (status, runs, &end.map(drop)),
+            ("503", 0, &Ok(())),
+            "{id}: {received}"
+        );
+    }
+}
