Limit what is read from a server between parts of a response

A server that sent `HTTP/1.1 100 Continue` heads, or digits of a chunk's size, without end to 60 requests kept the threads of a daemon busy: no ordinary request was answered within 20 s, also after all callers had left.

Cause: the HTTP library limits the size of a head and of extensions and trailers, but neither the number of informational heads nor the zeros of a size, and goes on parsing them for as long as more arrive. Nothing is kept; the thread is.

The client counts what a connection reads since the last part that was taken (the head, or a part of the body), and fails it beyond 512 KiB. What the library reads ahead of its reader is at most a few buffers of 64 KiB, so that no well-formed response meets the limit. It applies to all calls of the gate: requests, forwarded requests, orders, reports, the store, other daemons.

Tests (tests/crowds/endless.rs): 24 kinds of heads, bodies and streams without end, for callers, for another daemon, for orders and reports; a body without end of the store. One daemon of 64 MB.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -15,7 +15,6 @@
     ServerKey,
 };
 use http::{Request, StatusCode, response};
-use hyper::body::Incoming;
 use slog::{info, warn};
 use tokio::time::{timeout, timeout_at};
 
@@ -27,6 +26,7 @@
 use crate::message::FirstEvent;
 use crate::metrics::Step;
 use crate::permit::Permit;
+use crate::read_limit::LimitedBody;
 use crate::serve::MISDIRECTED_STATUS;
 use crate::shared::Shared;
 use crate::{
@@ -204,7 +204,7 @@
     /// What the deployment's adapter reads from the head.
     pub metadata: ResponseHead,
     /// The body as it arrives.
-    pub body: Incoming,
+    pub body: LimitedBody,
     /// Looks for a second response in the body; `None` if the end of the body is marked.
     pub second: Option<SecondResponse>,
     /// The connection that the body arrives on.
@@ -364,7 +364,7 @@
 struct Exchange {
     head: response::Parts,
     metadata: ResponseHead,
-    body: Incoming,
+    body: LimitedBody,
     connection: Connection,
     addr: SocketAddr,
 }
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -20,7 +20,6 @@
 use chestnut_reply::check_head;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
@@ -29,6 +28,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::read_limit::{LimitedBody, LimitedStream, ReadLimit};
+
 /// How long connecting may take.
 ///
 /// Links have a latency of 3 ms at most, so a live server responds long before this. A lost
@@ -104,6 +105,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     exchanges: Exchanges,
+    read_limit: ReadLimit,
     /// Counts it among the connections of its client.
     _open: Arc<()>,
 }
@@ -134,7 +136,7 @@
 }
 
 /// A response whose body is still arriving, and its connection.
-pub type ResponseAndConnection = (Response<Incoming>, Connection);
+pub type ResponseAndConnection = (Response<LimitedBody>, Connection);
 
 impl Client {
     /// Creates a client with an empty pool, which connects from `source`.
@@ -174,11 +176,13 @@
         configure_socket(&stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES);
-        let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
+        let read_limit = ReadLimit::default();
+        let stream = TokioIo::new(LimitedStream::new(stream, read_limit.clone()));
+        let (sender, driver) = builder.handshake(stream).await?;
         // The driver ends with its connection. Errors reach the user of the sender.
         let task = tokio::spawn(async move { drop(driver.await) }).abort_handle();
         let (exchanges, open) = (Exchanges::default(), self.open.clone());
-        Ok(Connection { sender, task, exchanges, _open: open })
+        Ok(Connection { sender, task, exchanges, read_limit, _open: open })
     }
 
     /// Closes the idle connections that expire first, as far as there are too many to open
@@ -327,10 +331,16 @@
         id: Option<&str>,
     ) -> Result<ResponseAndConnection, SendError> {
         self.exchanges.begin(id);
+        self.read_limit.reset();
         let request = request.map(Full::new);
-        match self.sender.try_send_request(request).await {
+        let sent = self.sender.try_send_request(request).await;
+        self.read_limit.reset();
+        match sent {
             Ok(response) => match check_head(response.status(), response.headers()) {
-                Ok(()) => Ok((response, self)),
+                Ok(()) => {
+                    let limit = self.read_limit.clone();
+                    Ok((response.map(|body| LimitedBody::new(body, limit)), self))
+                }
                 Err(error) => Err(SendError::Malformed(error.to_string())),
             },
             Err(mut error) => {
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::framing::{SecondResponse, ends_with_connection};
 use crate::metrics::Step;
 use crate::paths;
+use crate::read_limit::LimitedBody;
 use crate::relay::{Interrupted, ResponseBody, is_event_stream};
 use crate::serve::full_body;
 use crate::shared::{ActiveRequests, Shared};
@@ -339,7 +340,7 @@
 /// The body of a response that is passed on.
 struct ForwardedBody {
     shared: Arc<Shared>,
-    body: Incoming,
+    body: LimitedBody,
     /// Whether an end is an interruption, since a stream without a length has sent nothing. The
     /// other daemon gets the body in chunks and can't tell.
     needs_bytes: bool,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -32,7 +32,7 @@
 //! [`table_source`] decides from where it is updated. From the replicas [`registry`] reads
 //! declarations and backend servers. [`directory`] serves the addresses that callers connect
 //! to; [`introspection`] serves [`metrics`] and the daemon's state. All requests go through
-//! one [`client`]; modules share their state in [`shared`].
+//! one [`client`], within its [`read_limit`]; modules share their state in [`shared`].
 
 pub mod account_slices;
 pub mod accounts;
@@ -71,6 +71,7 @@
 pub mod plan;
 pub mod planner;
 pub mod read;
+pub mod read_limit;
 pub mod receive;
 pub mod registry;
 pub mod relay;
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -1,5 +1,5 @@
 //! Crowds of clients that don't behave: unfinished heads and bodies, tiny chunks, silence, unread
-//! responses, odd values.
+//! responses, odd values; and servers whose answers don't end.
 //!
 //! Each test gives one daemon little memory and few descriptors, connects a crowd that keeps its
 //! connections open, and checks that the process lives, stays within both limits, and answers an
@@ -20,6 +20,8 @@
 #[path = "platform/retry_bound.rs"]
 mod retry_bound;
 
+#[path = "crowds/endless.rs"]
+mod endless;
 #[path = "crowds/odd.rs"]
 mod odd;
 #[path = "crowds/own_interface.rs"]
