Follow no redirects of backend servers and the platform

Commits to the table, orders to engines and operators' changes did the same.

Cause: the HTTP client follows up to ten redirects by default, and none of the six places that make one said otherwise. They do now; the answer counts as any other of its status: a service's is passed on, an engine's interrupts the request, the platform's and an order's are no success. The gate's own client has never followed any.

Tests a_redirect_is_not_followed (chestnut-node, chestnut-plat): both failed before at the first status, 301; pass now. `chestnutctl` has the same line and no test of its own.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -3,6 +3,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
+use reqwest::redirect::Policy;
 use reqwest::{Client as Http, Method, StatusCode};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -172,6 +173,7 @@
     let http = Http::builder()
         .timeout(REQUEST_TIMEOUT)
         .connect_timeout(CONNECT_TIMEOUT)
+        .redirect(Policy::none())
         .no_proxy();
     http.build().map_err(|error| ClientError::NoResponse(error.to_string()))
 }
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -12,6 +12,7 @@
 use chestnut_wire::{AttemptRequest, PeerResponse, ResumePoint};
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt, pin_mut};
+use reqwest::redirect::Policy;
 use reqwest::{Client, Method, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
@@ -58,9 +59,12 @@
 /// crashed since: a call on it would count as sent, so that the outcome of a non-idempotent
 /// request would be in doubt, and a harmless request would be blamed for the crash.
 /// Connecting to a crashed server fails before anything is sent.
+///
+/// Redirects are not followed: the request would run at a server that nobody chose, and
+/// perhaps a second time.
 pub fn client() -> reqwest::Result<Client> {
     let builder = Client::builder().no_proxy().connect_timeout(CONNECT_TIMEOUT);
-    builder.pool_max_idle_per_host(0).build()
+    builder.redirect(Policy::none()).pool_max_idle_per_host(0).build()
 }
 
 /// Calls a backend server and sends the frames of its response to `out`.
--- a/crates/node/src/orders/engine_client.rs
+++ b/crates/node/src/orders/engine_client.rs
@@ -5,6 +5,7 @@
 
 use chestnut_base::Fence;
 use chestnut_place::{Order, OrderKind, Report};
+use reqwest::redirect::Policy;
 use reqwest::{Client, RequestBuilder, StatusCode};
 use serde_json::json;
 
@@ -34,7 +35,8 @@
 impl EngineClient {
     /// Creates a client; each call fails after `timeout`.
     pub fn new(timeout: Duration) -> Result<Self, reqwest::Error> {
-        Ok(Self { http: Client::builder().timeout(timeout).no_proxy().build()? })
+        let builder = Client::builder().timeout(timeout).no_proxy();
+        Ok(Self { http: builder.redirect(Policy::none()).build()? })
     }
 
     /// Fetches an engine's report of its memory, assets and requests.
--- a/crates/node/tests/cut_answers.rs
+++ b/crates/node/tests/cut_answers.rs
@@ -1,71 +1,11 @@
 //! Backend servers that close their connection at any byte of an answer.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+mod raw_server;
 
-use bytes::Bytes;
-use chestnut_base::{AttemptId, Digest, Fence, MemberId, RequestSpec, Target, Urgency};
-use chestnut_node::engine::{self, CallOutcome};
-use chestnut_wire::{AttemptRequest, HttpCall, PeerResponse};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use chestnut_base::Target;
+use chestnut_node::engine::CallOutcome;
 
-fn name<T: TryFrom<&'static str, Error: std::fmt::Debug>>(text: &'static str) -> T {
-    T::try_from(text).unwrap()
-}
-
-fn attempt(target: Target) -> AttemptRequest {
-    AttemptRequest {
-        attempt: AttemptId { member: MemberId(1), number: 1 },
-        server: name("s1"),
-        fence: Fence(1),
-        request: RequestSpec {
-            id: None,
-            caller: name("caller"),
-            team: name("team"),
-            kind: name("kind"),
-            target,
-            urgency: Urgency::Normal,
-            budget: Duration::from_secs(5),
-            idempotent: true,
-            stream: true,
-            prompt_tokens: 1,
-            max_output_tokens: 2,
-            prefix_hashes: Vec::new(),
-            digest: Digest(1),
-        },
-        call: HttpCall {
-            method: "POST".into(),
-            path: "/v1/completions".into(),
-            content_type: "application/json".into(),
-            body: Bytes::from_static(b"{}"),
-        },
-        resume: None,
-        suspect: false,
-    }
-}
-
-/// Calls a server that sends these bytes and closes, or resets, the connection.
-async fn call(target: &Target, answer: &[u8], reset: bool) -> CallOutcome {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr: SocketAddr = listener.local_addr().unwrap();
-    let serve = async {
-        let (mut stream, _) = listener.accept().await.unwrap();
-        let _ = stream.read(&mut [0; 4096]).await;
-        stream.write_all(answer).await.unwrap();
-        if reset {
-            stream.set_zero_linger().unwrap();
-        }
-    };
-    let (out, mut frames) = mpsc::channel::<PeerResponse>(64);
-    let http = engine::client().unwrap();
-    let attempt = attempt(target.clone());
-    let call = engine::call(&http, addr, &attempt, &out, |_| ());
-    let outcome = tokio::join!(serve, call).1;
-    frames.close();
-    outcome
-}
+use raw_server::{call, name};
 
 fn answers(content_type: &str, body: &str) -> [String; 3] {
     let head = format!("HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\n");
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod error;
 pub mod object;
+mod receive;
 pub mod table;
 pub mod vms;
 
--- a/crates/plat/src/object.rs
+++ b/crates/plat/src/object.rs
@@ -6,6 +6,7 @@
 use reqwest::{Client, StatusCode};
 
 use crate::error::PlatformError;
+use crate::receive::client;
 use crate::table::{check_status, read_json, response_lost};
 
 /// A client of the object store, which reads and writes complete values by key.
@@ -23,8 +24,7 @@
         base_url: impl Into<String>,
         timeout: Duration,
     ) -> Result<Self, PlatformError> {
-        let http = Client::builder().timeout(timeout).no_proxy().build()?;
-        Ok(Self { base_url: base_url.into(), http })
+        Ok(Self { base_url: base_url.into(), http: client(timeout)? })
     }
 
     /// Stores a value; if `create_only`, does not replace an existing one.
--- a/crates/plat/src/table.rs
+++ b/crates/plat/src/table.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 
 use crate::error::PlatformError;
+use crate::receive::client;
 
 /// The path of transactions; all other calls are read-only.
 const COMMIT_PATH: &str = "/v1/table/commit";
@@ -286,8 +287,11 @@
         base_url: impl Into<String>,
         timeout: Duration,
     ) -> Result<Self, PlatformError> {
-        let http = Client::builder().timeout(timeout).no_proxy().build()?;
-        Ok(Self { base_url: base_url.into(), http, traffic: Arc::default() })
+        Ok(Self {
+            base_url: base_url.into(),
+            http: client(timeout)?,
+            traffic: Arc::default(),
+        })
     }
 
     /// The traffic of this client and its clones.
--- a/crates/plat/src/vms.rs
+++ b/crates/plat/src/vms.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::PlatformError;
+use crate::receive::client;
 use crate::table::{check_status, read_json};
 
 /// The process that a VM runs.
@@ -71,8 +72,7 @@
         base_url: impl Into<String>,
         timeout: Duration,
     ) -> Result<Self, PlatformError> {
-        let http = Client::builder().timeout(timeout).no_proxy().build()?;
-        Ok(Self { base_url: base_url.into(), http })
+        Ok(Self { base_url: base_url.into(), http: client(timeout)? })
     }
 
     /// Reads the complete list, which may be out of date.
