Discard malformed heads on the own interface, too

A service's answer with `Transfer-Encoding: chunke` reached the caller with its chunk sizes in the body, an engine's counted as complete (`Completed("stop")`), and 101 and 600 were passed on, as on the users' platform.

Cause: the same as there; the own interface has its own client. `check_head` now stands behind each head of a backend server: calls, the probe of an engine's liveness, and the recovery of a run's response from an engine. The call counts as interrupted, so that the request may have run; the server lives, so that nobody is blamed for a crash.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use chestnut_base::{RequestSpec, Target, Urgency};
+use chestnut_reply::check_head;
 use chestnut_wire::{AttemptRequest, PeerResponse, ResumePoint};
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt, pin_mut};
@@ -168,13 +169,20 @@
         () = until_unresponsive(probe) => return Err(unresponsive()),
         () = out.closed() => return Err(CallOutcome::Cancelled),
     };
-    response.map_err(|error| {
+    let response = response.map_err(|error| {
         if error.is_connect() {
             CallOutcome::NotSent(error.to_string())
         } else {
             CallOutcome::Interrupted { reason: error.to_string(), connection_lost: true }
         }
-    })
+    })?;
+    match check_head(response.status(), response.headers()) {
+        Ok(()) => Ok(response),
+        Err(error) => Err(CallOutcome::Interrupted {
+            reason: error.to_string(),
+            connection_lost: false,
+        }),
+    }
 }
 
 /// Probes the liveness of an engine that sends nothing.
@@ -193,7 +201,10 @@
     async fn is_alive(&self) -> bool {
         let url = format!("http://{}/v1/report", self.address);
         let response = self.http.get(url).timeout(PROBE_TIMEOUT).send().await;
-        response.is_ok_and(|response| response.status().is_success())
+        response.is_ok_and(|response| {
+            response.status().is_success()
+                && check_head(response.status(), response.headers()).is_ok()
+        })
     }
 }
 
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -12,6 +12,7 @@
     PAGES_PER_SLOT, Record, Recovered, Response, page_prefix, row_key,
 };
 use chestnut_plat::{ObjectStore, PlatformError, Row, TableClient, Txn, TxnResponse};
+use chestnut_reply::check_head;
 use chestnut_wire::{OnceState, PeerResponse};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -277,7 +278,8 @@
     let url = format!("http://{address}/v1/requests/{attempt}");
     let call = node.http.get(url).query(&[("from", 0)]).send();
     let response = tokio::time::timeout(ENGINE_QUERY_TIMEOUT, call).await.ok()?.ok()?;
-    if !response.status().is_success() {
+    let is_believed = check_head(response.status(), response.headers()).is_ok();
+    if !is_believed || !response.status().is_success() {
         return None;
     }
     let (out, mut frames) = mpsc::channel(64);
