Read whole responses within a size, and believe none that is cut

Three answers did harm on the own interface. A 503 or 400 of an engine whose body was cut passed for a guarantee that the request hadn't run, so that it could run twice. An order, a commit or a write to the object store passed for done by the status of a malformed answer (`Responded(200)`). Bodies without end, of an engine's refusal or report or of the platform, were kept until the call's time was over.

Cause: bodies were read without a size, and where the status was enough, not at all or with their failure ignored. `read_response` checks the head, reads the body to its end and fails beyond a size; the platform's clients (32 MiB), orders and reports (1 MiB), refusals (64 KiB), other daemons' state (32 MiB) and `chestnutctl` (64 MiB) go through it. What fails leaves the outcome unknown. It copies the parts of a body: one kept holds on to the buffer that it came in.

`chestnutctl` and the state of other daemons have no test of their own.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -3,8 +3,10 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
+use bytes::Bytes;
+use chestnut_reply::read_response;
 use reqwest::redirect::Policy;
-use reqwest::{Client as Http, Method, StatusCode};
+use reqwest::{Client as Http, Method, RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -14,6 +16,9 @@
 /// takes longer is treated as unresponsive.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The largest response that is read, in bytes.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
 /// The timeout for connecting to a daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -132,9 +137,9 @@
         if let Some(body) = body {
             request = request.json(body);
         }
-        let response = request.send().await.map_err(no_response)?;
+        let response = receive(request).await?;
         let status = response.status();
-        let bytes = response.bytes().await.map_err(no_response)?;
+        let bytes = response.into_body();
         // The verdict on a refused change is a regular response.
         let is_refusal = status == StatusCode::CONFLICT;
         if (status.is_success() || is_refusal)
@@ -178,6 +183,15 @@
     http.build().map_err(|error| ClientError::NoResponse(error.to_string()))
 }
 
+/// Sends a request and reads the whole response, whatever its status.
+pub(crate) async fn receive(
+    request: RequestBuilder,
+) -> Result<http::Response<Bytes>, ClientError> {
+    let response = request.send().await.map_err(no_response)?;
+    let response = read_response(response, MAX_RESPONSE_BYTES).await;
+    response.map_err(|error| ClientError::NoResponse(error.to_string()))
+}
+
 pub(crate) fn no_response(error: reqwest::Error) -> ClientError {
     ClientError::NoResponse(error.without_url().to_string())
 }
--- a/crates/ctl/src/gates.rs
+++ b/crates/ctl/src/gates.rs
@@ -8,7 +8,7 @@
 use reqwest::Client as Http;
 use serde_json::{Map, Value};
 
-use crate::client::{ClientError, base_urls, http_client, no_response};
+use crate::client::{ClientError, base_urls, http_client, receive};
 use crate::query::Row;
 use crate::schema::Section;
 
@@ -43,12 +43,13 @@
 }
 
 async fn fetch_state(http: &Http, url: &str) -> Result<Value, ClientError> {
-    let response = http.get(format!("{url}/state")).send().await.map_err(no_response)?;
+    let response = receive(http.get(format!("{url}/state"))).await?;
     let status = response.status();
     if !status.is_success() {
         return Err(ClientError::NoResponse(format!("{url}/state: status {status}")));
     }
-    response.json().await.map_err(no_response)
+    serde_json::from_slice(response.body())
+        .map_err(|error| ClientError::NoResponse(format!("{url}/state: {error}")))
 }
 
 /// The rows of a section of a daemon's state.
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -17,9 +17,9 @@
 use chestnut_base::Clock;
 use chestnut_edge::EchoedId;
 use chestnut_pool::{Attribution, Exchanges, Reachability};
-use chestnut_reply::check_head;
+use chestnut_reply::{check_head, read_body};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
@@ -280,11 +280,11 @@
         let (response, connection) =
             head.unwrap_or_else(|_| Err(timed_out("response", head_timeout)))?;
         let (head, body) = response.into_parts();
-        let body = timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await;
+        let body = timeout(BODY_TIMEOUT, read_body(body, max_bytes)).await;
         let body = body.map_err(|_| timed_out("end of the response", BODY_TIMEOUT))?;
         let body = body.map_err(|error| SendError::Lost(error.to_string()))?;
         self.release(addr, connection, None);
-        Ok(Response::from_parts(head, body.to_bytes()))
+        Ok(Response::from_parts(head, body))
     }
 
     async fn send_on_connection(
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use chestnut_base::{RequestSpec, Target, Urgency};
-use chestnut_reply::check_head;
+use chestnut_reply::{ReadError, check_head, read_response};
 use chestnut_wire::{AttemptRequest, PeerResponse, ResumePoint};
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt, pin_mut};
@@ -31,6 +31,9 @@
 /// The timeout of a liveness probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The largest body of a refusal that is read, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+
 /// The event that ends a complete stream of an engine.
 const END_MARK: &str = "[DONE]";
 
@@ -231,10 +234,20 @@
 
 /// Reads the body of an engine's response with a status other than 200.
 ///
-/// A client error or status 503 means that the engine didn't run the request.
+/// A whole response with a client error or status 503 means that the engine didn't run the
+/// request.
 async fn read_refusal(response: Response) -> CallOutcome {
+    let response = match read_response(response, MAX_REFUSAL_BYTES).await {
+        Ok(response) => response,
+        Err(error) => {
+            return CallOutcome::Interrupted {
+                reason: error.to_string(),
+                connection_lost: matches!(error, ReadError::Interrupted(_)),
+            };
+        }
+    };
     let status = response.status();
-    let text = response.text().await.unwrap_or_default();
+    let text = String::from_utf8_lossy(response.body());
     let reason = format!("status {status}: {text}");
     if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
         CallOutcome::Refused(reason)
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -7,6 +7,7 @@
 use chestnut_base::{ModelName, ServerName, VersionName};
 use chestnut_config::Route;
 use chestnut_member::{ClaimKey, Server, ServerRole, View};
+use chestnut_reply::read_response;
 use chestnut_wire::ServerLoad;
 use indexmap::IndexMap;
 use serde::Deserialize;
@@ -23,6 +24,9 @@
 /// Timeout of a query to another daemon.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The largest state of another daemon that is read, in bytes.
+const MAX_STATE_BYTES: usize = 32 << 20;
+
 /// The request to explain; it names a plain service or a model's route.
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -78,7 +82,9 @@
         let call =
             node.http.get(format!("http://{addr}/debug/state")).timeout(QUERY_TIMEOUT);
         calls.spawn(async move {
-            let state: Value = call.send().await.ok()?.json().await.ok()?;
+            let response = call.send().await.ok()?;
+            let response = read_response(response, MAX_STATE_BYTES).await.ok()?;
+            let state: Value = serde_json::from_slice(response.body()).ok()?;
             Some((led, state.get("leads")?.clone()))
         });
     }
--- a/crates/node/src/orders/engine_client.rs
+++ b/crates/node/src/orders/engine_client.rs
@@ -1,10 +1,12 @@
 //! HTTP client for engine reports and orders to load or unload assets.
 
+use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use chestnut_base::Fence;
 use chestnut_place::{Order, OrderKind, Report};
+use chestnut_reply::{ReadError, read_response};
 use reqwest::redirect::Policy;
 use reqwest::{Client, RequestBuilder, StatusCode};
 use serde_json::json;
@@ -15,6 +17,9 @@
 /// Header with the fence of the sender's claim.
 const FENCE_HEADER: &str = "x-fence";
 
+/// The largest response to a call, in bytes; a report lists some tens of assets.
+const MAX_RESPONSE_BYTES: usize = 1 << 20;
+
 /// Client for the report and order calls of engines; clones share its connections.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
@@ -32,6 +37,34 @@
     Unknown,
 }
 
+/// Why an engine gave no report.
+#[derive(Debug)]
+pub enum ReportError {
+    /// The call failed.
+    Call(reqwest::Error),
+    /// The response is malformed, too large or was interrupted.
+    Response(ReadError),
+    /// The engine responded with this status.
+    Status(StatusCode),
+    /// The response is no report.
+    Content(serde_json::Error),
+}
+
+impl Display for ReportError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Call(error) => write!(f, "the engine can't be asked: {error}"),
+            Self::Response(error) => error.fmt(f),
+            Self::Status(status) => {
+                write!(f, "the engine responded with status {status}; check its log")
+            }
+            Self::Content(error) => write!(f, "the response is no report: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for ReportError {}
+
 impl EngineClient {
     /// Creates a client; each call fails after `timeout`.
     pub fn new(timeout: Duration) -> Result<Self, reqwest::Error> {
@@ -40,12 +73,15 @@
     }
 
     /// Fetches an engine's report of its memory, assets and requests.
-    pub async fn fetch_report(
-        &self,
-        engine: SocketAddr,
-    ) -> Result<Report, reqwest::Error> {
+    pub async fn fetch_report(&self, engine: SocketAddr) -> Result<Report, ReportError> {
         let url = format!("http://{engine}/v1/report");
-        self.http.get(url).send().await?.error_for_status()?.json().await
+        let response = self.http.get(url).send().await.map_err(ReportError::Call)?;
+        let response = read_response(response, MAX_RESPONSE_BYTES).await;
+        let response = response.map_err(ReportError::Response)?;
+        if !response.status().is_success() {
+            return Err(ReportError::Status(response.status()));
+        }
+        serde_json::from_slice(response.body()).map_err(ReportError::Content)
     }
 
     /// Sends one copy of an order under the claim with this fence.
@@ -60,7 +96,10 @@
             .header(ORDER_HEADER, order.id.0)
             .header(FENCE_HEADER, fence.0);
         match request.send().await {
-            Ok(response) => SendOutcome::Responded(response.status()),
+            Ok(response) => match read_response(response, MAX_RESPONSE_BYTES).await {
+                Ok(response) => SendOutcome::Responded(response.status()),
+                Err(_) => SendOutcome::Unknown,
+            },
             Err(error) if error.is_connect() || error.is_builder() => {
                 SendOutcome::NotSent
             }
--- a/crates/node/tests/malformed_answers.rs
+++ b/crates/node/tests/malformed_answers.rs
@@ -2,8 +2,13 @@
 
 mod raw_server;
 
-use chestnut_base::Target;
+use std::time::Duration;
+
+use chestnut_base::{Fence, OrderId, Target};
 use chestnut_node::engine::CallOutcome;
+use chestnut_node::orders::engine_client::{EngineClient, SendOutcome};
+use chestnut_place::{Asset, Order, OrderKind};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 use raw_server::{call, name};
@@ -46,6 +51,21 @@
     }
 }
 
+/// Guards against a rejection that was cut, and passes for a guarantee that nothing ran.
+#[tokio::test]
+async fn a_cut_rejection_guarantees_nothing() {
+    let [engine, _] = targets();
+    for status in ["503 Service Unavailable", "400 Bad Request"] {
+        let cut = format!("HTTP/1.1 {status}\r\nContent-Length: 11\r\n\r\nbus");
+        let outcome = call(&engine, cut.as_bytes(), false).await;
+        let is_none = matches!(outcome, CallOutcome::Interrupted { .. });
+        assert!(is_none, "{cut:?}: {outcome:?}");
+        let whole = format!("HTTP/1.1 {status}\r\nContent-Length: 4\r\n\r\nbusy");
+        let outcome = call(&engine, whole.as_bytes(), false).await;
+        assert!(matches!(outcome, CallOutcome::Refused(_)), "{outcome:?}");
+    }
+}
+
 /// Guards against a request that runs at a server that nobody chose, since another one names it.
 #[tokio::test]
 async fn a_redirect_is_not_followed() {
@@ -66,3 +86,41 @@
         }
     }
 }
+
+/// Guards against an order that passes for received, or is sent a second time, because of a
+/// malformed answer or one that names another server.
+#[tokio::test]
+async fn an_order_with_a_malformed_answer_is_in_doubt() {
+    let engines = EngineClient::new(Duration::from_secs(5)).unwrap();
+    let other = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let location = other.local_addr().unwrap();
+    let redirect = format!("HTTP/1.1 307 Temporary\r\nLocation: http://{location}/");
+    let asset = Asset { model: name("red"), version: name("v1"), adapter: None };
+    let order = Order { id: OrderId(1), asset, kind: OrderKind::Load, bytes: 1 };
+    let heads = HEADS.iter().map(|&head| head.to_owned());
+    let cut = "HTTP/1.1 200 OK\r\nContent-Length: 11".to_owned();
+    for head in heads.chain([cut, redirect]) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let serve = async {
+            for _ in 0..2 {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let _ = stream.read(&mut [0; 4096]).await;
+                let answer = format!("{head}\r\n\r\n{{}}");
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            }
+        };
+        let calls = async {
+            let outcome = engines.send_order(addr, &order, Fence(1)).await;
+            (outcome, engines.fetch_report(addr).await)
+        };
+        let (outcome, report) = tokio::select! {
+            (_, results) = async { tokio::join!(serve, calls) } => results,
+            _ = other.accept() => panic!("{head:?} was followed"),
+        };
+        let is_redirect = head.starts_with("HTTP/1.1 307");
+        let is_responded = matches!(outcome, SendOutcome::Responded(_));
+        assert_eq!(is_responded, is_redirect, "{head:?}: {outcome:?}");
+        assert!(report.is_err(), "{head:?}");
+    }
+}
--- a/crates/plat/src/object.rs
+++ b/crates/plat/src/object.rs
@@ -6,8 +6,8 @@
 use reqwest::{Client, StatusCode};
 
 use crate::error::PlatformError;
-use crate::receive::client;
-use crate::table::{check_status, read_json, response_lost};
+use crate::receive::{client, receive};
+use crate::table::{check_status, parse_json};
 
 /// A client of the object store, which reads and writes complete values by key.
 #[derive(Debug, Clone)]
@@ -40,7 +40,7 @@
         if create_only {
             request = request.header("if-none-match", "*");
         }
-        let response = request.send().await?;
+        let response = receive(request).await?;
         if response.status() == StatusCode::PRECONDITION_FAILED {
             return Ok(false);
         }
@@ -50,26 +50,27 @@
 
     /// Reads a value; `None` if the key does not exist.
     pub async fn get(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
-        let response = self.http.get(self.url(key)).send().await?;
+        let response = receive(self.http.get(self.url(key))).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
         check_status(response.status())?;
-        Ok(Some(response.bytes().await.map_err(response_lost)?))
+        Ok(Some(response.into_body()))
     }
 
     /// Deletes a value if it exists.
     pub async fn delete(&self, key: &str) -> Result<(), PlatformError> {
-        let response = self.http.delete(self.url(key)).send().await?;
+        let response = receive(self.http.delete(self.url(key))).await?;
         check_status(response.status())
     }
 
     /// Lists the keys that start with `prefix`, in ascending order.
     pub async fn list(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
         let url = format!("{}/v1/objects", self.base_url);
-        let response = self.http.get(url).query(&[("prefix", prefix)]).send().await?;
+        let request = self.http.get(url).query(&[("prefix", prefix)]);
+        let response = receive(request).await?;
         check_status(response.status())?;
-        read_json(response).await
+        parse_json(response.body())
     }
 
     fn url(&self, key: &str) -> String {
--- a/crates/plat/src/table.rs
+++ b/crates/plat/src/table.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 
 use crate::error::PlatformError;
-use crate::receive::client;
+use crate::receive::{client, receive};
 
 /// The path of transactions; all other calls are read-only.
 const COMMIT_PATH: &str = "/v1/table/commit";
@@ -364,35 +364,25 @@
         }
         self.traffic.sent_bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
         let request = self.http.post(url).header("content-type", "application/json");
-        let response = request.body(body).send().await?;
+        let response = receive(request.body(body)).await?;
         check_status(response.status())?;
-        let bytes = response.bytes().await.map_err(response_lost)?;
+        let bytes = response.body();
         self.traffic.received_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        parse_json(&bytes)
+        parse_json(bytes)
     }
 }
 
 /// Decodes the body of a response with a success status.
 ///
-/// The call has taken effect even if the body was cut off or can't be decoded, so that
-/// both count as a lost response. If they were reported as a rejection, a write would be
-/// repeated.
-pub(crate) async fn read_json<R: for<'de> Deserialize<'de>>(
-    response: reqwest::Response,
+/// The call has taken effect even if the body can't be decoded, so that it counts as a lost
+/// response. If it were reported as a rejection, a write would be repeated.
+pub(crate) fn parse_json<R: for<'de> Deserialize<'de>>(
+    bytes: &[u8],
 ) -> Result<R, PlatformError> {
-    parse_json(&response.bytes().await.map_err(response_lost)?)
-}
-
-fn parse_json<R: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<R, PlatformError> {
     serde_json::from_slice(bytes)
         .map_err(|error| PlatformError::OutcomeUnknown(error.to_string()))
 }
 
-/// The error for a response that was cut off after its status.
-pub(crate) fn response_lost(error: reqwest::Error) -> PlatformError {
-    PlatformError::OutcomeUnknown(error.to_string())
-}
-
 /// Maps a status to an error. 429 and 503 count as rejections without effect: the
 /// services return 503 before they process a call.
 pub(crate) fn check_status(status: StatusCode) -> Result<(), PlatformError> {
--- a/crates/plat/src/vms.rs
+++ b/crates/plat/src/vms.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::PlatformError;
-use crate::receive::client;
-use crate::table::{check_status, read_json};
+use crate::receive::{client, receive};
+use crate::table::{check_status, parse_json};
 
 /// The process that a VM runs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,8 +77,9 @@
 
     /// Reads the complete list, which may be out of date.
     pub async fn read(&self) -> Result<Vec<VmRow>, PlatformError> {
-        let response = self.http.get(format!("{}/v1/vms", self.base_url)).send().await?;
+        let response =
+            receive(self.http.get(format!("{}/v1/vms", self.base_url))).await?;
         check_status(response.status())?;
-        read_json(response).await
+        parse_json(response.body())
     }
 }
--- a/crates/plat/tests/malformed_responses.rs
+++ b/crates/plat/tests/malformed_responses.rs
@@ -13,6 +13,9 @@
 /// The clients' timeout, longer than any call in these tests takes.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The most bytes of a response without end that may be read.
+const MAX_READ: usize = 64_000_000;
+
 /// The bytes after which the server gives up; far more than may be read.
 const ENDLESS_BYTES: usize = 300_000_000;
 
@@ -54,6 +57,33 @@
     ]
 }
 
+fn check(text: &str, errors: &[Option<PlatformError>]) {
+    let is_unknown = |error: &Option<PlatformError>| {
+        matches!(error, Some(PlatformError::OutcomeUnknown(_)))
+    };
+    assert!(errors.iter().all(is_unknown), "{text:?}: {errors:?}");
+}
+
+/// Guards against a response whose head is malformed and that passes for a call's outcome.
+#[tokio::test]
+async fn a_malformed_head_leaves_the_outcome_unknown() {
+    for head in [
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunke",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2x",
+        "HTTP/1.1 200 OK\r\nno field",
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 600 OK",
+        "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunke",
+        "HTTP/1.1 503 Busy\r\nContent-Length: 11",
+    ] {
+        let text = format!("{head}\r\n\r\n{{}}");
+        let (addr, _) = start(text.clone(), "").await;
+        check(&text, &call_all(addr).await);
+    }
+}
+
 /// Guards against a write that is repeated at a server that a response names.
 #[tokio::test]
 async fn a_redirect_is_not_followed() {
@@ -71,3 +101,21 @@
         assert!(errors.iter().all(is_protocol), "{status}: {errors:?}");
     }
 }
+
+/// Guards against a response without end that takes all memory.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_response_without_end_is_not_kept() {
+    for (text, repeated) in [
+        ("HTTP/1.1 200 OK\r\nX-Name: ", "v"),
+        ("HTTP/1.1 200 OK\r\n\r\n", " "),
+        ("HTTP/1.1 503 Busy\r\n\r\n", " "),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n", " "),
+    ] {
+        let (addr, sent) = start(text.into(), repeated).await;
+        let vms = VmList::new(format!("http://{addr}"), CALL_TIMEOUT).unwrap();
+        let error = vms.read().await.err();
+        check(text, &[error]);
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < MAX_READ, "{text:?}: {sent} bytes were read");
+    }
+}
--- a/tests/crowds/endless.rs
+++ b/tests/crowds/endless.rs
@@ -148,14 +148,17 @@
     }
 }
 
-/// Guards against answers of the store without end.
+/// Guards against answers of the store without end, in large chunks and in chunks that each keep
+/// more memory than their byte.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endless_answers_of_the_store_are_not_kept() {
-    let test = Test::start("endless-store").await;
-    let watch = Watch::start(test.daemon().pid(), test.callers().ip());
-    test.cluster.store.set_fault(StoreFault::Endless);
-    sleep(Duration::from_secs(5)).await;
-    test.cluster.store.set_fault(StoreFault::None);
-    test.answers_a_request().await;
-    watch.check(test.limits).await;
+    for chunk_bytes in [16_384, 1] {
+        let test = Test::start("endless-store").await;
+        let watch = Watch::start(test.daemon().pid(), test.callers().ip());
+        test.cluster.store.set_fault(StoreFault::Endless(chunk_bytes));
+        sleep(Duration::from_secs(5)).await;
+        test.cluster.store.set_fault(StoreFault::None);
+        test.answers_a_request().await;
+        watch.check(test.limits).await;
+    }
 }
