Bound streams and bodies of servers on the own interface

A daemon kept what an engine sent without end as one event, comments or events without a token for as long as it came, and appended tokens beyond the number that was asked for to the response that it collects; a plain service's body without end occupied its caller, which has no deadline once a body has begun, for ever (only the first 8 MiB are kept for retries).

Cause: the event decoder keeps an event until it ends, and nothing counted. Now at most 256 KiB of a stream may hold no token, a response ends at the request's own `max_tokens` (a recovered one at 2^20), and a plain body at 64 MiB. Beyond that it is interrupted.

Test endless_answers_are_not_kept, ten kinds.

Remains: frames for the caller of a non-idempotent request wait in an unbounded queue, up to 64 MiB each, and a daemon has no account of all of them (by reading).

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -4,14 +4,16 @@
 //! interrupted response can be resumed after the tokens that arrived. Plain services get
 //! the caller's call unchanged.
 
+use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use chestnut_base::{RequestSpec, Target, Urgency};
 use chestnut_reply::{ReadError, check_head, read_response};
 use chestnut_wire::{AttemptRequest, PeerResponse, ResumePoint};
-use eventsource_stream::Eventsource;
+use eventsource_stream::{EventStreamError, Eventsource};
 use futures::{Stream, StreamExt, pin_mut};
 use reqwest::redirect::Policy;
 use reqwest::{Client, Method, Response, StatusCode};
@@ -31,9 +33,20 @@
 /// The timeout of a liveness probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The largest body of a plain service's response, in bytes.
+///
+/// Eight times what is kept for retries. A body that has begun has no deadline, so that one
+/// without an end would occupy its server and its caller for ever.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
 /// The largest body of a refusal that is read, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
+/// The most bytes of a stream without an event of use.
+///
+/// Bounds the memory that an event without an end can take.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// The event that ends a complete stream of an engine.
 const END_MARK: &str = "[DONE]";
 
@@ -124,8 +137,11 @@
     if response.status() != StatusCode::OK {
         return read_refusal(response).await;
     }
-    let first_token = attempt.resume.as_ref().map_or(0, |resume| resume.tokens);
-    read_tokens(response.bytes_stream(), first_token, out, &probe, on_tokens).await
+    let tokens = TokenRange {
+        first: attempt.resume.as_ref().map_or(0, |resume| resume.tokens),
+        max: attempt.request.max_output_tokens,
+    };
+    read_tokens(response.bytes_stream(), tokens, out, &probe, on_tokens).await
 }
 
 async fn call_service(
@@ -272,6 +288,7 @@
     }
     let body = response.bytes_stream();
     pin_mut!(body);
+    let mut received = 0;
     loop {
         let chunk = tokio::select! {
             chunk = body.next() => chunk,
@@ -287,6 +304,13 @@
                 };
             }
         };
+        received += bytes.len();
+        if received > MAX_BODY_BYTES {
+            return CallOutcome::Interrupted {
+                reason: format!("the response is larger than {MAX_BODY_BYTES} bytes"),
+                connection_lost: false,
+            };
+        }
         if out.send(PeerResponse::Chunk(bytes)).await.is_err() {
             return CallOutcome::Cancelled;
         }
@@ -315,21 +339,65 @@
     content: Option<String>,
 }
 
+/// Why an engine's stream ended early.
+#[derive(Debug)]
+enum StreamError {
+    /// The connection failed.
+    Lost(reqwest::Error),
+    /// [`MAX_EVENT_BYTES`] arrived without an event of use.
+    NoEvent,
+}
+
+impl Display for StreamError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lost(error) => error.fmt(f),
+            Self::NoEvent => write!(
+                f,
+                "{MAX_EVENT_BYTES} bytes of the stream hold no token; check the engine"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for StreamError {}
+
+/// The tokens of a response that are yet to come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenRange {
+    /// The number of tokens that earlier attempts delivered.
+    pub first: u32,
+    /// The most tokens that the response may have, those included.
+    pub max: u32,
+}
+
 /// Reads an engine's stream up to its end mark and sends its tokens to `out`.
 ///
-/// `first_token` is the number of tokens that earlier attempts delivered. A stream that closes
+/// A stream that closes
 /// without the end mark counts as interrupted; otherwise a response cut off by a crash would
 /// pass for a short one.
 pub async fn read_tokens(
     body: impl Stream<Item = reqwest::Result<Bytes>>,
-    first_token: u32,
+    TokenRange { first, max }: TokenRange,
     out: &mpsc::Sender<PeerResponse>,
     probe: &LivenessProbe<'_>,
     mut on_tokens: impl FnMut(u32),
 ) -> CallOutcome {
+    // The decoder keeps an event until it ends.
+    let unused_bytes = AtomicUsize::new(0);
+    let body = body.map(|bytes| match bytes {
+        Ok(bytes) => {
+            let unused = unused_bytes.fetch_add(bytes.len(), Ordering::Relaxed);
+            match unused + bytes.len() > MAX_EVENT_BYTES {
+                true => Err(StreamError::NoEvent),
+                false => Ok(bytes),
+            }
+        }
+        Err(error) => Err(StreamError::Lost(error)),
+    });
     let events = body.eventsource();
     pin_mut!(events);
-    let mut next_token = first_token;
+    let mut next_token = first;
     let mut reason = None;
     loop {
         let event = tokio::select! {
@@ -340,9 +408,11 @@
         let data = match event {
             Some(Ok(event)) => event.data,
             Some(Err(error)) => {
+                let is_endless =
+                    matches!(error, EventStreamError::Transport(StreamError::NoEvent));
                 return CallOutcome::Interrupted {
                     reason: error.to_string(),
-                    connection_lost: true,
+                    connection_lost: !is_endless,
                 };
             }
             None => {
@@ -374,6 +444,10 @@
         reason = choice.finish_reason.or(reason);
         if let Some(text) = text.filter(|text| !text.is_empty()) {
             let total = event.tokens.unwrap_or(next_token + 1);
+            if total > max {
+                let reason = format!("the response exceeds its limit of {max} tokens");
+                return CallOutcome::Interrupted { reason, connection_lost: false };
+            }
             let Some(count) = total.checked_sub(next_token).filter(|&count| count > 0)
             else {
                 let reason = format!(
@@ -381,6 +455,7 @@
                 );
                 return CallOutcome::Interrupted { reason, connection_lost: false };
             };
+            unused_bytes.store(0, Ordering::Relaxed);
             on_tokens(count);
             if out
                 .send(PeerResponse::Tokens { first: next_token, count, text })
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::engine::{self, CallOutcome, LivenessProbe};
+use crate::engine::{self, CallOutcome, LivenessProbe, TokenRange};
 use crate::members::CLAIMS;
 use crate::node::Node;
 use crate::single::{self, ResponseBuilder};
@@ -57,6 +57,10 @@
 /// The timeout for an engine's response head when it is queried for an attempt.
 const ENGINE_QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The most tokens of a response that is recovered from an engine; the limit of its request is
+/// not in the journal.
+const MAX_RECOVERED_TOKENS: u32 = 1 << 20;
+
 /// Seals a slot's log and reads the slot's rows with their ages.
 ///
 /// `version` is that of the slot's claim.
@@ -286,7 +290,8 @@
     let http = node.http.clone();
     let read = tokio::spawn(async move {
         let probe = LivenessProbe { http: &http, address };
-        engine::read_tokens(response.bytes_stream(), 0, &out, &probe, |_| {}).await
+        let tokens = TokenRange { first: 0, max: MAX_RECOVERED_TOKENS };
+        engine::read_tokens(response.bytes_stream(), tokens, &out, &probe, |_| {}).await
     });
     let mut builder = ResponseBuilder::new();
     while let Some(frame) = frames.recv().await {
--- a/crates/node/tests/malformed_answers.rs
+++ b/crates/node/tests/malformed_answers.rs
@@ -2,6 +2,8 @@
 
 mod raw_server;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use chestnut_base::{Fence, OrderId, Target};
@@ -11,7 +13,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use raw_server::{call, name};
+use raw_server::{call, call_at, name};
+
+/// The most bytes of an answer without end that a daemon may read, for an engine and a service.
+const MAX_READ: [usize; 2] = [16_000_000, 80_000_000];
+
+/// The bytes after which a server gives up; far more than may be read.
+const ENDLESS_BYTES: usize = 200_000_000;
 
 /// Heads that don't tell a length, or no status that ends a request.
 const HEADS: [&str; 11] = [
@@ -87,6 +95,50 @@
     }
 }
 
+/// Guards against answers without end that a daemon keeps.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_answers_are_not_kept() {
+    let [engine, service] = targets();
+    let token = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n";
+    for (start, repeated) in [
+        ("HTTP/1.1 200 OK\r\nX-Name: ", "v"),
+        ("HTTP/1.1 200 OK\r\n", "X-Name: v\r\n"),
+        ("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", "x"),
+        ("HTTP/1.1 503 Busy\r\n\r\n", "x"),
+        ("HTTP/1.1 500 Failed\r\nContent-Length: 900000000\r\n\r\n", "x"),
+        ("HTTP/1.1 200 OK\r\n\r\ndata: ", "x"),
+        ("HTTP/1.1 200 OK\r\n\r\n", "data: x\n"),
+        ("HTTP/1.1 200 OK\r\n\r\n", ": comment\n\n"),
+        ("HTTP/1.1 200 OK\r\n\r\n", token),
+        ("HTTP/1.1 200 OK\r\n\r\n", "data: {\"choices\":[{\"text\":\"\"}]}\n\n"),
+    ] {
+        let sent = Arc::new(AtomicUsize::new(0));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let counted = sent.clone();
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 4096]).await;
+            let piece = repeated.repeat(16_384 / repeated.len());
+            let mut is_open = stream.write_all(start.as_bytes()).await.is_ok();
+            while is_open && counted.load(Ordering::Relaxed) < ENDLESS_BYTES {
+                is_open = stream.write_all(piece.as_bytes()).await.is_ok();
+                counted.fetch_add(piece.len(), Ordering::Relaxed);
+            }
+        });
+        let (target, max_read) = match start.contains("text/plain") {
+            true => (&service, MAX_READ[1]),
+            false => (&engine, MAX_READ[0]),
+        };
+        let outcome = call_at(target, addr).await;
+        server.abort();
+        let is_none = matches!(outcome, CallOutcome::Interrupted { .. });
+        assert!(is_none, "{start:?}, {repeated:?}: {outcome:?}");
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < max_read, "{start:?}, {repeated:?}: {sent} bytes were read");
+    }
+}
+
 /// Guards against an order that passes for received, or is sent a second time, because of a
 /// malformed answer or one that names another server.
 #[tokio::test]
