Recover no response whose body was too large to keep

A non-idempotent run that outlived the daemon that requested it, or that was recovered from its engine, and whose response was larger than 8 MiB, was stored as a complete response with an empty body: a retry got that as the answer (by reading; no process test).

Cause: the builder drops a body beyond its limit and says so in a flag, which only the ordinary end of a run looked at. `finish_whole` gives no response then, and the request stays in doubt.

--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -300,7 +300,7 @@
         }
     }
     match read.await {
-        Ok(CallOutcome::Completed(reason)) => Some(builder.finish(reason)),
+        Ok(CallOutcome::Completed(reason)) => builder.finish_whole(reason),
         _ => None,
     }
 }
--- a/crates/node/src/single.rs
+++ b/crates/node/src/single.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Builds the response; `None` if its body was dropped, which would pass for an empty one.
+    pub fn finish_whole(self, reason: String) -> Option<Response> {
+        (!self.too_large).then(|| self.finish(reason))
+    }
+
     fn append(&mut self, bytes: &[u8]) {
         self.too_large |= self.body.len() + bytes.len() > MAX_RESPONSE_BYTES;
         if self.too_large {
@@ -227,8 +232,9 @@
             return;
         }
         if disconnected && let Some(reason) = finish_reason {
-            return store_detached_response(&node, attempt, &builder.finish(reason))
-                .await;
+            // Without a stored response the request correctly stays in doubt.
+            let Some(response) = builder.finish_whole(reason) else { return };
+            return store_detached_response(&node, attempt, &response).await;
         }
     }
 }
