Discard responses that tell their length more than once

A server's `Content-Length: 11, 11`, or the same field twice, was passed on as a whole answer with that field. Callers may read it otherwise than the daemon did.

Cause: the HTTP library accepts equal lengths and keeps the field as it came. `check_head` takes one number of digits alone.

--- a/crates/reply/src/head.rs
+++ b/crates/reply/src/head.rs
@@ -15,6 +15,10 @@
     /// An HTTP library may take such a body for one that ends with its connection, and deliver
     /// the sizes of its chunks as a part of it.
     TransferEncoding,
+    /// The length of the body is told more than once, or not by digits alone.
+    ///
+    /// Callers may read a list of equal lengths in another way than the HTTP library.
+    Length,
     /// The body has a length and chunks.
     TwoLengths,
     /// A response that has no body by its status tells the length of one.
@@ -32,6 +36,7 @@
                 );
             }
             Self::TransferEncoding => "its transfer encoding is not `chunked`",
+            Self::Length => "the length of its body is no single number",
             Self::TwoLengths => "its body has both a length and chunks",
             Self::UnexpectedBody => "it has a body, which its status excludes",
         };
@@ -43,7 +48,6 @@
 
 /// Checks the head of a response that an HTTP library has parsed.
 ///
-/// The library has refused lengths that are no numbers, or that differ from each other.
 pub fn check_head(status: StatusCode, headers: &HeaderMap) -> Result<(), MalformedHead> {
     if !(200..600).contains(&status.as_u16()) {
         return Err(MalformedHead::Status(status));
@@ -53,12 +57,18 @@
     if encodings.next().is_some() || !encoding.is_none_or(is_chunked) {
         return Err(MalformedHead::TransferEncoding);
     }
-    let lengths = headers.get_all(CONTENT_LENGTH);
-    let has_length = lengths.iter().next().is_some();
-    if encoding.is_some() && has_length {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let length = lengths.next();
+    let is_number = |length: &HeaderValue| {
+        !length.is_empty() && length.as_bytes().iter().all(u8::is_ascii_digit)
+    };
+    if lengths.next().is_some() || !length.is_none_or(is_number) {
+        return Err(MalformedHead::Length);
+    }
+    if encoding.is_some() && length.is_some() {
         return Err(MalformedHead::TwoLengths);
     }
-    let is_empty = lengths.iter().all(|length| length == "0");
+    let is_empty = length.is_none_or(|length| length == "0");
     if status == StatusCode::NO_CONTENT && (encoding.is_some() || !is_empty) {
         return Err(MalformedHead::UnexpectedBody);
     }
--- a/crates/reply/tests/head.rs
+++ b/crates/reply/tests/head.rs
@@ -45,6 +45,16 @@
     assert_eq!(check(200, &twice), Err(MalformedHead::TransferEncoding));
 }
 
+#[test]
+fn lengths_that_are_no_single_number_are_malformed() {
+    for length in ["", "+11", "11x", "11, 11", "11 11"] {
+        let fields = [("content-length", length)];
+        assert_eq!(check(200, &fields), Err(MalformedHead::Length));
+    }
+    let twice = [("content-length", "11"); 2];
+    assert_eq!(check(200, &twice), Err(MalformedHead::Length));
+}
+
 #[test]
 fn contradicting_lengths_are_malformed() {
     let both = [("transfer-encoding", "chunked"), ("content-length", "11")];
--- a/tests/platform/malformed_answers.rs
+++ b/tests/platform/malformed_answers.rs
@@ -8,7 +8,7 @@
 };
 
 /// Fields that tell the length of a body of 11 bytes, and don't tell it well.
-const LENGTHS: [&str; 17] = [
+const LENGTHS: [&str; 19] = [
     "Content-Length: 11x",
     "Content-Length: -11",
     "Content-Length: +11",
@@ -17,6 +17,8 @@
     "Content-Length: 1 1",
     "Content-Length: 11.0",
     "Content-Length: 11, 12",
+    "Content-Length: 11, 11",
+    "Content-Length: 11\r\nContent-Length: 11",
     "Content-Length: 5\r\nContent-Length: 11",
     "Content-Length: 18446744073709551615",
     "Content-Length: 99999999999999999999999",
