--- a/tests/platform/malformed_answers.rs
+++ b/tests/platform/malformed_answers.rs
@@ -210,6 +210,21 @@
     .await;
 }
 
+/// Guards against a success whose signature is empty, or stands twice, and that passes for signed.
+#[tokio::test]
+async fn answers_with_a_malformed_signature_are_not_passed_on() {
+    check_all("signature", false, |kind| {
+        let (head, body) = parts(kind);
+        let (unsigned, _) = head.split_once("X-Response-Seal").expect("it is signed");
+        let rest = &head[unsigned.len() + "X-Response-Seal: seal\r\n".len()..];
+        let length = format!("Content-Length: {}", body.len());
+        let seals = ["X-Response-Seal:", "X-Response-Seal: a\r\nX-Response-Seal: b"];
+        let text = |seal| format!("{unsigned}{seal}\r\n{rest}{length}\r\n\r\n{body}");
+        seals.map(text).to_vec()
+    })
+    .await;
+}
+
 /// Guards against a body in chunks that ends with a trailer, or a size, that is not well-formed.
 #[tokio::test]
 async fn bodies_with_a_malformed_end_do_not_look_whole() {
