Tell a response beyond the read limit from a lost connection

On-call saw `attempt missed` with a bare connection error for a server that sends informational heads without end; neither the log nor a metric named the limit. The HTTP library's error doesn't show its cause.

The client asks the limit itself: such a response is discarded as malformed, with the line and the metric that malformed heads have. In a body the limit still ends the connection as an interrupted response.

Test an_endless_answer_is_logged_as_malformed: timed out before, passes.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -334,6 +334,7 @@
         self.read_limit.reset();
         let request = request.map(Full::new);
         let sent = self.sender.try_send_request(request).await;
+        let limit_check = self.read_limit.check();
         self.read_limit.reset();
         match sent {
             Ok(response) => match check_head(response.status(), response.headers()) {
@@ -347,10 +348,11 @@
                 let not_sent = error.take_message().is_some();
                 let error = error.into_error();
                 let why = error.to_string();
-                Err(match not_sent {
-                    true => SendError::NotSent(why),
-                    false if error.is_parse() => SendError::Malformed(why),
-                    false => SendError::Lost(why),
+                Err(match limit_check {
+                    _ if not_sent => SendError::NotSent(why),
+                    Err(exceeded) => SendError::Malformed(exceeded.to_string()),
+                    Ok(()) if error.is_parse() => SendError::Malformed(why),
+                    Ok(()) => SendError::Lost(why),
                 })
             }
         }
--- a/crates/gate/src/read_limit.rs
+++ b/crates/gate/src/read_limit.rs
@@ -4,6 +4,7 @@
 //! it, nor the digits of a chunk's size. A server that sends such bytes without end keeps a thread
 //! of the daemon busy, so that it serves nobody.
 
+use std::fmt::{self, Display, Formatter};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -34,17 +35,32 @@
         self.read.store(0, Ordering::Relaxed);
     }
 
-    fn record(&self, bytes: usize) -> io::Result<()> {
-        let read = self.read.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        match read > MAX_BYTES {
-            true => Err(io::Error::other(format!(
-                "{MAX_BYTES} bytes hold no part of a response; check the server"
-            ))),
+    /// Fails if more bytes were read than a part of a response may take.
+    pub fn check(&self) -> Result<(), LimitExceeded> {
+        match self.read.load(Ordering::Relaxed) > MAX_BYTES {
+            true => Err(LimitExceeded),
             false => Ok(()),
         }
     }
+
+    fn record(&self, bytes: usize) -> io::Result<()> {
+        self.read.fetch_add(bytes, Ordering::Relaxed);
+        self.check().map_err(io::Error::other)
+    }
 }
 
+/// A server has sent 512 KiB that hold no part of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitExceeded;
+
+impl Display for LimitExceeded {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{MAX_BYTES} bytes hold no part of a response; check the server")
+    }
+}
+
+impl std::error::Error for LimitExceeded {}
+
 /// The body of a response that is read within a [`ReadLimit`].
 pub struct LimitedBody {
     body: Incoming,
--- a/tests/crowds/endless.rs
+++ b/tests/crowds/endless.rs
@@ -121,6 +121,23 @@
     }
 }
 
+/// Guards against a server without end that nobody on call can tell from a lost connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_endless_answer_is_logged_as_malformed() {
+    let texts = texts();
+    let (test, _server) = start("endless-logged", &texts).await;
+    for (number, text) in [0, 6, 7].into_iter().enumerate() {
+        let crowd = test.crowd(test.callers(), 1, vec![request(text, "")]);
+        wait_until("the answer is discarded", async || {
+            let lines = test.daemon().lines("response discarded");
+            let lines = lines.iter().filter(|line| line["why"] == "malformed");
+            lines.count() > number
+        })
+        .await;
+        drop(crowd);
+    }
+}
+
 /// Guards against answers without end to orders and report requests.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endless_answers_to_orders_are_not_kept() {
