--- a/crates/plat/src/receive.rs
+++ b/crates/plat/src/receive.rs
@@ -10,9 +10,7 @@
 
 use crate::error::PlatformError;
 
-/// The largest response that is read, in bytes.
-///
-/// Several times the size of the largest table that is read at once.
+/// The largest response that is read, in bytes; bounds what one without an end takes.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
 /// Creates a client whose calls fail after `timeout`, and that follows no redirects: a write
